--- /dev/null
+++ b/crates/mustardcove-core/src/message.rs
@@ -0,0 +1,404 @@
+//! Messages between the system's processes.
+//!
+//! The types are what travels, encoded by the peer transport of
+//! `mustardcove-runtime`. Every request carries the identifier that its sender
+//! chose, and every answer repeats it, so that answers are matched by
+//! identifier and never by order.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    agreement::Agreement,
+    id::{
+        ClassId, Epoch, GroupId, IdempotencyKey, JobId, MemberId, ProcessId, RequestId, Revision,
+        ShardId, TaskId, WorkerId,
+    },
+    job::{Checkpoint, Evidence, JobSpec, JobState, Outcome},
+    size::Resources,
+    time::Timestamp,
+    verdict::Refusal,
+    worker::StopMode,
+};
+
+/// A request of an entry process to the owner of a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ShardRequest {
+    /// Accepts a job that runs as a task on a worker.
+    Submit {
+        /// What was submitted.
+        spec: JobSpec,
+    },
+    /// Accepts a service request that must not be repeated freely, and binds
+    /// its first attempt to an upstream.
+    Admit {
+        /// What was submitted.
+        spec: JobSpec,
+        /// The upstream that the entry chose.
+        upstream: WorkerId,
+        /// When the upstream stops working on the request.
+        deadline: Timestamp,
+    },
+    /// Stores the outcome of a service request.
+    Complete {
+        /// The request.
+        task: TaskId,
+        /// What the upstream answered, or why the attempt failed.
+        outcome: Outcome,
+    },
+    /// Asks for the state of a job.
+    Query {
+        /// The job.
+        job: JobId,
+        /// Whether to answer only when the job is done or `until` passed.
+        wait_until: Option<Timestamp>,
+        /// The member that asks; operators pass none and see every job.
+        member: Option<MemberId>,
+    },
+    /// Cancels a job.
+    Cancel {
+        /// The job.
+        job: JobId,
+        /// The member that asks; operators pass none.
+        member: Option<MemberId>,
+    },
+    /// Lists jobs of the shard in identifier order.
+    List {
+        /// The member whose jobs are listed; operators pass none for all.
+        member: Option<MemberId>,
+        /// The job after which to begin.
+        start_after: Option<JobId>,
+        /// The most jobs to list.
+        limit: u32,
+        /// Whether finished jobs are listed too.
+        include_done: bool,
+    },
+}
+
+/// A job as shown to callers and operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// The job.
+    pub job: JobId,
+    /// The member it runs for.
+    pub member: MemberId,
+    /// Its idempotency key.
+    pub key: IdempotencyKey,
+    /// Its class.
+    pub class: ClassId,
+    /// When it was accepted.
+    pub accepted_at: Timestamp,
+    /// Its state.
+    pub state: JobState,
+    /// Why it is where it is, for a person.
+    pub reason: String,
+}
+
+/// An answer of a shard owner to an entry process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ShardResponse {
+    /// The job is durable; `repeated` says that it had been before.
+    Accepted {
+        /// The job.
+        status: JobStatus,
+        /// Whether the key had been used before with the same body.
+        repeated: bool,
+    },
+    /// The request may be sent to the upstream under this attempt.
+    Admitted {
+        /// The attempt.
+        task: TaskId,
+    },
+    /// The outcome is durable.
+    Completed,
+    /// The state of a job.
+    Status {
+        /// The job.
+        status: JobStatus,
+    },
+    /// Jobs in identifier order.
+    Jobs {
+        /// The jobs.
+        jobs: Vec<JobStatus>,
+        /// Whether more follow.
+        more: bool,
+    },
+    /// The request was refused.
+    Refused(Refusal),
+    /// The receiver does not own the shard.
+    NotOwner {
+        /// The process that it believes to be the owner.
+        hint: Option<ProcessId>,
+    },
+}
+
+/// Work that needs a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReserveRequest {
+    /// The attempt for which capacity is wanted.
+    pub task: TaskId,
+    /// The member it runs for.
+    pub member: MemberId,
+    /// Its class.
+    pub class: ClassId,
+    /// What it needs, as declared.
+    pub resources: Resources,
+    /// Run time as declared, in milliseconds.
+    pub expected_run_ms: u64,
+    /// Whether it starts before other work and may displace it.
+    pub urgent: bool,
+    /// Workers on which earlier attempts failed.
+    pub avoid: Vec<WorkerId>,
+    /// How many attempts of this job failed on different workers.
+    pub failed_attempts: u32,
+    /// When the job began to wait for a place.
+    pub queued_since: Timestamp,
+}
+
+/// A message of a shard owner to a group owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ShardToGroup {
+    /// Asks for capacity.
+    Reserve(ReserveRequest),
+    /// Gives back a reservation that will not be used.
+    Release {
+        /// The attempt.
+        task: TaskId,
+    },
+    /// Starts an attempt that is durably bound.
+    Start {
+        /// The attempt.
+        task: TaskId,
+        /// The worker it is bound to.
+        worker: WorkerId,
+        /// The epoch under which capacity was reserved.
+        epoch: Epoch,
+        /// The submission.
+        spec: JobSpec,
+        /// From where to resume.
+        resume_from: Option<Checkpoint>,
+    },
+    /// Stops an attempt.
+    Stop {
+        /// The attempt.
+        task: TaskId,
+        /// The worker it is bound to.
+        worker: WorkerId,
+        /// How to stop it.
+        mode: StopMode,
+    },
+    /// Says that an outcome is durable and need not be repeated.
+    Acknowledge {
+        /// The attempt.
+        task: TaskId,
+    },
+    /// Lists every attempt that the shard has bound in this group, after a
+    /// change of owner on either side.
+    Reconcile {
+        /// The attempts with their workers and submissions.
+        bound: Vec<BoundTask>,
+    },
+}
+
+/// An attempt that a shard has bound to a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoundTask {
+    /// The attempt.
+    pub task: TaskId,
+    /// Where it is bound.
+    pub worker: WorkerId,
+    /// The epoch under which capacity was reserved.
+    pub epoch: Epoch,
+    /// The submission, so that a start that was never sent can be sent.
+    pub spec: JobSpec,
+    /// From where to resume.
+    pub resume_from: Option<Checkpoint>,
+    /// Whether the attempt is to be stopped.
+    pub cancelling: bool,
+}
+
+/// Why a reservation was refused.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ReserveRefusal {
+    /// No worker of the group has room now.
+    NoRoom,
+    /// No worker of the group could ever hold the task.
+    NeverFits,
+    /// The member's allotment in this group is used up.
+    OverAllotment,
+    /// The group has no valid claim, or does not yet know its workers.
+    NotReady,
+}
+
+/// A message of a group owner to a shard owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GroupToShard {
+    /// Capacity is held for the attempt until the deadline.
+    Reserved {
+        /// The attempt.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+        /// The epoch of the group's claim.
+        epoch: Epoch,
+        /// When the capacity is given to others unless started.
+        deadline: Timestamp,
+    },
+    /// No capacity is held.
+    ReserveRefused {
+        /// The attempt.
+        task: TaskId,
+        /// Why.
+        reason: ReserveRefusal,
+        /// When asking again may help.
+        retry_at: Timestamp,
+    },
+    /// The worker confirmed the start.
+    Started {
+        /// The attempt.
+        task: TaskId,
+    },
+    /// The attempt saved a checkpoint and goes on.
+    Checkpointed {
+        /// The attempt.
+        task: TaskId,
+        /// The checkpoint.
+        checkpoint: Checkpoint,
+    },
+    /// The attempt ended by itself; repeated until acknowledged.
+    Finished {
+        /// The attempt.
+        task: TaskId,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// The attempt was stopped and can be resumed; repeated until acknowledged.
+    Evicted {
+        /// The attempt.
+        task: TaskId,
+        /// From where to resume.
+        checkpoint: Option<Checkpoint>,
+    },
+    /// The attempt is over without a result; repeated until acknowledged.
+    Lost {
+        /// The attempt.
+        task: TaskId,
+        /// Why this is certain.
+        evidence: Evidence,
+    },
+    /// A worker of the group runs an attempt that the group's owner did not
+    /// start; the shard says what to do with it by `Reconcile` or `Stop`.
+    Unknown {
+        /// The attempt.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// The group has a new owner, which wants to know what is bound in it.
+    NewOwner {
+        /// The epoch of the new claim.
+        epoch: Epoch,
+    },
+}
+
+/// Free capacity of a group, sent to every scheduler process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupSummary {
+    /// The group.
+    pub group: GroupId,
+    /// The epoch of its claim.
+    pub epoch: Epoch,
+    /// When the summary was made.
+    pub made_at: Timestamp,
+    /// Free capacity of the whole group.
+    pub free: Resources,
+    /// The largest free capacity on one worker, per dimension.
+    pub largest_free: Resources,
+    /// The largest capacity of one worker, per dimension, taken or free.
+    pub largest_worker: Resources,
+    /// Workers that accept work.
+    pub workers: u32,
+}
+
+/// What scheduler and entry processes send to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerMessage {
+    /// A request to the owner of a shard.
+    Request {
+        /// The shard.
+        shard: ShardId,
+        /// The sender's identifier of the request.
+        request: RequestId,
+        /// The request.
+        body: ShardRequest,
+    },
+    /// The answer to a request.
+    Response {
+        /// The identifier that the requester chose.
+        request: RequestId,
+        /// The answer.
+        body: ShardResponse,
+    },
+    /// From a shard owner to a group owner.
+    ToGroup {
+        /// The sending shard.
+        shard: ShardId,
+        /// The group.
+        group: GroupId,
+        /// The message.
+        body: ShardToGroup,
+    },
+    /// From a group owner to a shard owner.
+    ToShard {
+        /// The sending group.
+        group: GroupId,
+        /// The shard.
+        shard: ShardId,
+        /// The message.
+        body: GroupToShard,
+    },
+    /// Free capacity of a group.
+    Summary(GroupSummary),
+    /// A revision of the agreement, from the relay of a failure domain.
+    Configuration(Arc<Agreement>),
+    /// Learned slowdowns of a group, in the encoding of `interference`.
+    Interference {
+        /// The group that learned them.
+        group: GroupId,
+        /// The encoded table.
+        table: Bytes,
+    },
+    /// Asks a process for the revision it has in force.
+    AskRevision {
+        /// The sender's identifier of the request.
+        request: RequestId,
+    },
+    /// The revision in force at a process.
+    RevisionInForce {
+        /// The identifier that the requester chose.
+        request: RequestId,
+        /// The revision.
+        revision: Revision,
+    },
+}
--- /dev/null
+++ b/crates/mustardcove-dev/src/main.rs
@@ -0,0 +1,2 @@
+//! main
+fn main() {}
--- /dev/null
+++ b/crates/mustardcove-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! platform
--- /dev/null
+++ b/crates/mustardcove-runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! runtime
