Add ownership of shards and worker groups

Cause: shards and groups need one owner each, without a coordination service of our own and without trusting clocks of other processes. Change: a session per process under a store lease, rendezvous ranking, claims on groups by compare-and-swap with read-back of lost answers, and handover on shutdown and for rebalancing. A claim moves only after the holder's session was read and found absent.

--- a/crates/mustardcove-core/src/lib.rs
+++ b/crates/mustardcove-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod id;
 pub mod job;
 pub mod message;
+pub mod ownership;
 pub mod placement;
 pub mod shard;
 pub mod size;
--- a/crates/mustardcove-core/src/message.rs
+++ b/crates/mustardcove-core/src/message.rs
@@ -378,6 +378,16 @@
         /// The message.
         body: GroupToShard,
     },
+    /// A process that ranks first for a shard asks its owner to hand it over.
+    ShardWanted {
+        /// The shard.
+        shard: ShardId,
+    },
+    /// The sender does not own the shard (any more).
+    ShardFree {
+        /// The shard.
+        shard: ShardId,
+    },
     /// Free capacity of a group.
     Summary(GroupSummary),
     /// A revision of the agreement, from the relay of a failure domain.
--- /dev/null
+++ b/crates/mustardcove-core/src/ownership/claim.rs
@@ -0,0 +1,159 @@
+//! Acquisition of the claim on one worker group.
+//!
+//! A claim is taken in at most three calls: the previous holder's session is
+//! read and must be gone, the claim is written under its known version, and,
+//! if the answer to the write was lost, the claim is read back and compared by
+//! its token.
+
+use crate::{
+    id::{CallId, Epoch, GroupId, ProcessId, WriteToken},
+    ownership::record::{ClaimRecord, claim_key, decode, encode, session_key},
+    store::{Expect, KeyVersion, StoreError, StoreOp, StoreReply, StoreResult},
+    time::Timestamp,
+};
+
+/// Delay before a failed call is repeated, in milliseconds.
+const RETRY_MS: u64 = 200;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Step {
+    CheckHolder,
+    Write,
+    ReadBack,
+}
+
+/// How an attempt to write a claim ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimResult {
+    /// The claim was written.
+    Written {
+        /// The record.
+        record: ClaimRecord,
+        /// The version of the key.
+        version: KeyVersion,
+    },
+    /// Another process wrote the claim, or its holder is alive.
+    Failed,
+}
+
+/// An attempt to write the claim on a group.
+#[derive(Clone, Debug)]
+pub struct ClaimAttempt {
+    group: GroupId,
+    record: ClaimRecord,
+    expect: Expect,
+    check: Option<ProcessId>,
+    step: Step,
+    in_flight: Option<CallId>,
+    retry_at: Timestamp,
+}
+
+impl ClaimAttempt {
+    /// Returns an attempt to write `record` under the expectation; the session
+    /// of `check` must have ended.
+    pub fn new(
+        group: GroupId,
+        record: ClaimRecord,
+        expect: Expect,
+        check: Option<ProcessId>,
+        now: Timestamp,
+    ) -> ClaimAttempt {
+        let step = if check.is_some() { Step::CheckHolder } else { Step::Write };
+        ClaimAttempt { group, record, expect, check, step, in_flight: None, retry_at: now }
+    }
+
+    /// Returns the epoch that the attempt would reach.
+    pub fn epoch(&self) -> Epoch {
+        self.record.epoch
+    }
+
+    /// Returns the token of the write.
+    pub fn token(&self) -> WriteToken {
+        self.record.token
+    }
+
+    /// Returns when the next call is due, if none is in flight.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.in_flight.is_none().then_some(self.retry_at)
+    }
+
+    /// Returns the next call to the store, if one is due.
+    pub fn poll(&mut self, now: Timestamp, call: CallId) -> Option<StoreOp> {
+        if self.in_flight.is_some() || now < self.retry_at {
+            return None;
+        }
+        self.in_flight = Some(call);
+        Some(match &self.step {
+            Step::CheckHolder => {
+                let holder = self.check.as_ref().expect("the step is entered with a holder");
+                StoreOp::Get { key: session_key(holder) }
+            }
+            Step::Write => StoreOp::Put {
+                key: claim_key(&self.group),
+                value: encode(&self.record),
+                expect: self.expect,
+                lease: None,
+            },
+            Step::ReadBack => StoreOp::Get { key: claim_key(&self.group) },
+        })
+    }
+
+    /// Handles the result of a call; returns `None` if it is not this attempt's
+    /// call, `Some(None)` if the attempt goes on.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        call: CallId,
+        result: &StoreResult,
+    ) -> Option<Option<ClaimResult>> {
+        if self.in_flight != Some(call) {
+            return None;
+        }
+        self.in_flight = None;
+        self.retry_at = now;
+        Some(match (&self.step, result) {
+            (Step::CheckHolder, Ok(StoreReply::Got { entry: None, .. })) => {
+                self.step = Step::Write;
+                None
+            }
+            (Step::CheckHolder, Ok(_)) => Some(ClaimResult::Failed),
+            (Step::Write, Ok(StoreReply::Written { version })) => {
+                Some(ClaimResult::Written { record: self.record.clone(), version: *version })
+            }
+            (Step::Write, Err(StoreError::Conflict { current })) => {
+                // The conflict may be with this attempt's own write, whose
+                // answer was lost earlier.
+                let own = current.as_ref().filter(|it| self.is_own(&it.value));
+                Some(own.map_or(ClaimResult::Failed, |it| self.written(it.version)))
+            }
+            (Step::ReadBack, Ok(StoreReply::Got { entry, .. })) => match entry {
+                Some(it) if self.is_own(&it.value) => Some(self.written(it.version)),
+                Some(it) if self.expect == Expect::Version(it.version) => {
+                    self.step = Step::Write;
+                    None
+                }
+                Some(_) => Some(ClaimResult::Failed),
+                None if self.expect == Expect::Absent => {
+                    self.step = Step::Write;
+                    None
+                }
+                None => Some(ClaimResult::Failed),
+            },
+            (step, _) => {
+                if *step == Step::Write {
+                    self.step = Step::ReadBack;
+                }
+                self.retry_at = now.plus_ms(RETRY_MS);
+                None
+            }
+        })
+    }
+
+    fn is_own(&self, value: &[u8]) -> bool {
+        decode::<ClaimRecord>(value).is_some_and(|it| it == self.record)
+    }
+
+    fn written(&self, version: KeyVersion) -> ClaimResult {
+        ClaimResult::Written { record: self.record.clone(), version }
+    }
+}
--- a/crates/mustardcove-core/src/store.rs
+++ b/crates/mustardcove-core/src/store.rs
@@ -5,6 +5,8 @@
 //! of a write says whether the write may have taken effect, because a lost
 //! answer is the most common way to break a compare-and-swap protocol.
 
+pub mod watch;
+
 use std::fmt;
 
 use bytes::Bytes;
