--- a/crates/mustardcove-core/src/agreement.rs
+++ b/crates/mustardcove-core/src/agreement.rs
@@ -5,6 +5,12 @@
 //! reads. Records of different members may use different schemas at the same
 //! time, so that no member has to move when another does.
 
+pub mod convert;
+pub mod record;
+pub mod v1;
+pub mod v2;
+pub mod validate;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/mustardcove-core/src/configuration/change.rs
@@ -0,0 +1,261 @@
+//! One change of the agreement record by an operator.
+//!
+//! The record is read, the change is applied to what was read, and the result
+//! is written under the version that was read. A write whose answer was lost
+//! is resolved by reading back its token. The record that is replaced is kept
+//! in the history first, so that the history has no gaps whatever fails.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    agreement::{
+        record::{AGREEMENT_KEY, AgreementRecord, ChangeNote, history_key},
+        validate::Problem,
+    },
+    id::Revision,
+    ownership::record::{decode, encode},
+    store::{Expect, KeyVersion, StoreError, StoreOp, StoreReply, StoreResult},
+    verdict::Verdict,
+};
+
+/// Calls with an unknown outcome after which the change is given up.
+const MAX_UNKNOWN: u32 = 5;
+
+/// Why a change was not made, or may not have been.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeError {
+    /// Another operator's change came first.
+    Conflict {
+        /// The revision that is in the store now.
+        revision: Revision,
+        /// Who made it, and how.
+        change: ChangeNote,
+    },
+    /// The record is not valid.
+    Invalid {
+        /// What is wrong with it.
+        problems: Vec<Problem>,
+    },
+    /// The store did not answer.
+    Unavailable {
+        /// Whether the change may have been made.
+        verdict: Verdict,
+    },
+}
+
+impl fmt::Display for ChangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ChangeError::Conflict { revision, change } => write!(
+                f,
+                "revision {revision} by {:?} came first: {}",
+                change.author, change.summary
+            ),
+            ChangeError::Invalid { problems } => {
+                let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+                f.write_str(&lines.join("; "))
+            }
+            ChangeError::Unavailable { verdict } => write!(f, "store unavailable ({verdict})"),
+        }
+    }
+}
+
+impl std::error::Error for ChangeError {}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChangeStep {
+    /// Make this call and pass its result to [`Change::handle`].
+    Call(StoreOp),
+    /// The change is durable.
+    Done(Box<AgreementRecord>),
+    /// The change was not made, or may not have been.
+    Failed(ChangeError),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    Read,
+    KeepHistory,
+    Write,
+    ReadBack,
+    /// Reads the history for this change, which a later one may have replaced.
+    CheckHistory,
+}
+
+/// A change under way.
+#[derive(Debug)]
+pub struct Change<F> {
+    edit: F,
+    /// The revision that the operator saw, if the change depends on it.
+    based_on: Option<Revision>,
+    note: ChangeNote,
+    phase: Phase,
+    current: AgreementRecord,
+    version: Option<KeyVersion>,
+    target: AgreementRecord,
+    unknown: u32,
+}
+
+impl<F> Change<F>
+where
+    F: FnMut(&AgreementRecord) -> Result<AgreementRecord, Vec<Problem>>,
+{
+    /// Returns a change that applies `edit` to the record in the store.
+    ///
+    /// With `based_on`, the change fails with a conflict unless that revision
+    /// is the current one; `note.token` has to be unique.
+    pub fn new(edit: F, based_on: Option<Revision>, note: ChangeNote) -> Change<F> {
+        Change {
+            edit,
+            based_on,
+            note,
+            phase: Phase::Read,
+            current: AgreementRecord::default(),
+            version: None,
+            target: AgreementRecord::default(),
+            unknown: 0,
+        }
+    }
+
+    /// Returns the first call.
+    pub fn start(&self) -> StoreOp {
+        StoreOp::Get { key: AGREEMENT_KEY.to_owned() }
+    }
+
+    /// Handles the result of the last call.
+    pub fn handle(&mut self, result: &StoreResult) -> ChangeStep {
+        match (self.phase.clone(), result) {
+            (Phase::Read, Ok(StoreReply::Got { entry, .. })) => {
+                let found = entry.as_ref().map(|it| (it.value.as_ref(), it.version));
+                self.read(found)
+            }
+            (Phase::KeepHistory, Ok(_) | Err(StoreError::Conflict { .. })) => self.write(),
+            (Phase::Write, Ok(_)) => ChangeStep::Done(Box::new(self.target.clone())),
+            (Phase::Write, Err(StoreError::Conflict { current })) => {
+                let found = current.as_ref().map(|it| it.value.as_ref());
+                self.conflict(found)
+            }
+            (Phase::ReadBack, Ok(StoreReply::Got { entry, .. })) => {
+                let unchanged = entry.as_ref().map(|it| it.version) == self.version;
+                if unchanged {
+                    return self.write();
+                }
+                let found = entry.as_ref().map(|it| it.value.as_ref());
+                self.conflict(found)
+            }
+            (Phase::CheckHistory, Ok(StoreReply::Got { entry, .. })) => {
+                self.history_read(entry.as_ref().map(|it| it.value.as_ref()))
+            }
+            (Phase::Write | Phase::ReadBack, Err(StoreError::TooLarge)) => {
+                let problem = Problem::new("", "the record exceeds the store's value size");
+                ChangeStep::Failed(ChangeError::Invalid { problems: vec![problem] })
+            }
+            (phase, _) => self.unknown(&phase),
+        }
+    }
+
+    fn read(&mut self, found: Option<(&[u8], KeyVersion)>) -> ChangeStep {
+        self.version = found.map(|(_, version)| version);
+        self.current = match found {
+            None => AgreementRecord::default(),
+            Some((value, _)) => match decode(value) {
+                Some(record) => record,
+                None => {
+                    let problem = Problem::new("", "the record in the store cannot be read");
+                    return ChangeStep::Failed(ChangeError::Invalid { problems: vec![problem] });
+                }
+            },
+        };
+        if self.based_on.is_some_and(|it| it != self.current.revision) {
+            return ChangeStep::Failed(self.conflict_with(&self.current));
+        }
+        let edited = (self.edit)(&self.current).and_then(|it| it.validate().map(|()| it));
+        match edited {
+            Err(problems) => ChangeStep::Failed(ChangeError::Invalid { problems }),
+            Ok(mut record) => {
+                record.revision = self.current.revision.next();
+                record.change = self.note.clone();
+                self.target = record;
+                self.keep_history()
+            }
+        }
+    }
+
+    fn keep_history(&mut self) -> ChangeStep {
+        if self.version.is_none() {
+            return self.write();
+        }
+        self.phase = Phase::KeepHistory;
+        ChangeStep::Call(StoreOp::Put {
+            key: history_key(self.current.revision),
+            value: encode(&self.current),
+            expect: Expect::Absent,
+            lease: None,
+        })
+    }
+
+    fn write(&mut self) -> ChangeStep {
+        self.phase = Phase::Write;
+        ChangeStep::Call(StoreOp::Put {
+            key: AGREEMENT_KEY.to_owned(),
+            value: encode(&self.target),
+            expect: self.version.map_or(Expect::Absent, Expect::Version),
+            lease: None,
+        })
+    }
+
+    /// The key no longer has the version that was read: either this change was
+    /// written after all, or another one came first.
+    fn conflict(&mut self, found: Option<&[u8]>) -> ChangeStep {
+        let found: AgreementRecord = found.and_then(decode).unwrap_or_default();
+        if found.change.token == self.note.token {
+            return ChangeStep::Done(Box::new(found));
+        }
+        // A later change may have replaced this one, whose answer was lost; its
+        // writer has kept this one in the history before.
+        if self.unknown != 0 && self.target.revision < found.revision {
+            self.current = found;
+            return self.check_history();
+        }
+        ChangeStep::Failed(self.conflict_with(&found))
+    }
+
+    fn check_history(&mut self) -> ChangeStep {
+        self.phase = Phase::CheckHistory;
+        ChangeStep::Call(StoreOp::Get { key: history_key(self.target.revision) })
+    }
+
+    fn history_read(&self, found: Option<&[u8]>) -> ChangeStep {
+        let kept: AgreementRecord = found.and_then(decode).unwrap_or_default();
+        if kept.change.token == self.note.token {
+            return ChangeStep::Done(Box::new(kept));
+        }
+        ChangeStep::Failed(self.conflict_with(&self.current))
+    }
+
+    fn conflict_with(&self, found: &AgreementRecord) -> ChangeError {
+        ChangeError::Conflict { revision: found.revision, change: found.change.clone() }
+    }
+
+    fn unknown(&mut self, phase: &Phase) -> ChangeStep {
+        self.unknown += 1;
+        let may_have_run = matches!(phase, Phase::Write | Phase::ReadBack | Phase::CheckHistory);
+        if MAX_UNKNOWN < self.unknown {
+            let verdict = if may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
+            return ChangeStep::Failed(ChangeError::Unavailable { verdict });
+        }
+        match phase {
+            Phase::Read => ChangeStep::Call(self.start()),
+            Phase::KeepHistory => self.keep_history(),
+            Phase::Write | Phase::ReadBack => {
+                self.phase = Phase::ReadBack;
+                ChangeStep::Call(self.start())
+            }
+            Phase::CheckHistory => self.check_history(),
+        }
+    }
+}
--- a/crates/mustardcove-core/src/lib.rs
+++ b/crates/mustardcove-core/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod agreement;
 pub mod class;
+pub mod configuration;
 pub mod group;
 pub mod id;
 pub mod job;
--- a/crates/mustardcove-core/src/size.rs
+++ b/crates/mustardcove-core/src/size.rs
@@ -1,11 +1,14 @@
 //! Sizes and rates.
 //!
 //! Processors are counted in thousandths of a core and memory in mebibytes:
-//! both are small integers, so sums and comparisons are exact.
+//! both are small integers, so sums and comparisons are exact. In JSON they
+//! are text with a unit (`"250m"`, `"8GiB"`), since a bare number in a record
+//! that people write would leave its unit to guesswork; in binary encodings
+//! they are integers.
 
 use std::{fmt, str::FromStr};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
 /// Error returned when text is not a valid size.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,11 +36,40 @@
     };
 }
 
-size! {
+macro_rules! size_with_unit {
+    ($(#[$doc:meta])* $name:ident, $int:ty) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $int);
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                if serializer.is_human_readable() {
+                    serializer.collect_str(self)
+                } else {
+                    self.0.serialize(serializer)
+                }
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if deserializer.is_human_readable() {
+                    let text = String::deserialize(deserializer)?;
+                    text.parse().map_err(de::Error::custom)
+                } else {
+                    <$int>::deserialize(deserializer).map($name)
+                }
+            }
+        }
+    };
+}
+
+size_with_unit! {
     /// Processor time, in thousandths of a core.
     Millicores, u64
 }
-size! {
+size_with_unit! {
     /// Memory, in mebibytes.
     MemoryMib, u64
 }
