Add the platform traits and their in-memory implementations

Cause: the scheduler and entry processes and their tests need the store, the instance list and the workers as traits, with one implementation of the semantics that tests can drive under tokio's paused clock.

Change: traits Store, InstanceList and Workers; Clock; JSON encoding with base64 values; MemoryStore (compare-and-swap, leases, watches, compaction, faults), MemoryInstances (settable lag) and MemoryFleet (leases, epochs, checkpoints, noisy samples, faults, record of runs).

--- /dev/null
+++ b/crates/mustardcove-platform/src/memory/ledger.rs
@@ -0,0 +1,100 @@
+//! What ran where and how often, so that tests can check P2 and P6.
+
+use std::collections::BTreeMap;
+
+use mustardcove_core::{
+    id::{JobId, TaskId, WorkerId},
+    time::Timestamp,
+};
+use serde::{Deserialize, Serialize};
+
+/// How often a job ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunSummary {
+    /// Attempts that were started.
+    pub starts: u32,
+    /// Attempts that ran to their end.
+    pub completions: u32,
+    /// Where each attempt ran.
+    pub attempts: Vec<(TaskId, WorkerId)>,
+}
+
+/// Two attempts of one job that ran at the same time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Overlap {
+    /// The attempt that was running.
+    pub running: TaskId,
+    /// Where it was running.
+    pub on: WorkerId,
+    /// The attempt that was started meanwhile.
+    pub started: TaskId,
+    /// Where it was started.
+    pub started_on: WorkerId,
+    /// When it was started.
+    pub at: Timestamp,
+}
+
+/// A record of every run on every worker of a fleet.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct RunLedger {
+    jobs: BTreeMap<JobId, RunSummary>,
+    running: BTreeMap<JobId, (TaskId, WorkerId)>,
+    /// Attempts that overlapped; empty in a correct run.
+    pub overlaps: Vec<Overlap>,
+    /// Starts that would have committed a worker beyond its capacity.
+    pub overcommits: Vec<(WorkerId, TaskId)>,
+    /// Starts of an attempt that had ended before.
+    pub repeated_attempts: Vec<TaskId>,
+}
+
+impl RunLedger {
+    /// Returns where the job is running, if anywhere.
+    pub fn running(&self, job: JobId) -> Option<&(TaskId, WorkerId)> {
+        self.running.get(&job)
+    }
+
+    /// Returns how often the job ran.
+    pub fn summary(&self, job: JobId) -> RunSummary {
+        self.jobs.get(&job).cloned().unwrap_or_default()
+    }
+
+    /// Returns every job that was ever started.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &RunSummary)> {
+        self.jobs.iter()
+    }
+
+    /// Returns the jobs that ran to their end more than once.
+    pub fn completed_more_than_once(&self) -> Vec<JobId> {
+        let repeated = self.jobs.iter().filter(|(_, it)| 1 < it.completions);
+        repeated.map(|(&job, _)| job).collect()
+    }
+
+    /// Notes that an attempt begins to run.
+    pub fn started(&mut self, now: Timestamp, task: TaskId, worker: &WorkerId) {
+        let summary = self.jobs.entry(task.job).or_default();
+        if summary.attempts.iter().any(|(it, _)| *it == task) {
+            self.repeated_attempts.push(task);
+        }
+        summary.starts += 1;
+        summary.attempts.push((task, worker.clone()));
+        if let Some((running, on)) = self.running.insert(task.job, (task, worker.clone())) {
+            self.overlaps.push(Overlap {
+                running,
+                on,
+                started: task,
+                started_on: worker.clone(),
+                at: now,
+            });
+        }
+    }
+
+    /// Notes that an attempt no longer runs.
+    pub fn ended(&mut self, task: TaskId, worker: &WorkerId, completed: bool) {
+        if self.running.get(&task.job).is_some_and(|(it, on)| *it == task && on == worker) {
+            self.running.remove(&task.job);
+        }
+        if completed {
+            self.jobs.entry(task.job).or_default().completions += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -0,0 +1,486 @@
+//! Semantics of one worker, as a state machine without I/O.
+//!
+//! Work is counted in virtual milliseconds: a task does
+//! `scale * share / slowdown` of them per millisecond. The rate changes only
+//! at events, so [`WorkerState::advance`] moves from event to event and the
+//! outcome does not depend on how often it is called.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use mustardcove_core::{
+    id::{ClassId, Epoch, Incarnation, TaskId},
+    job::{Checkpoint, MAX_RESULT_BYTES},
+    size::Resources,
+    time::Timestamp,
+    worker::{
+        StopMode, TaskEvent, TaskStart, TaskStatus, UsageSample, WorkerError, WorkerInfo, WorkerOp,
+        WorkerReply, WorkerReport, WorkerResult,
+    },
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use super::{fleet::FleetConfig, ledger::RunLedger};
+
+/// What a task does, read from its payload if that is JSON of this form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WorkSpec {
+    /// Time that the work takes alone and unthrottled, in virtual milliseconds;
+    /// zero means that it runs until it is stopped.
+    pub work_ms: u64,
+    /// Virtual time between checkpoints, in milliseconds; zero for none.
+    pub checkpoint_every_ms: u64,
+    /// The result.
+    pub result: String,
+    /// Size to which the result is padded, in bytes.
+    pub result_bytes: usize,
+    /// Whether the work fails at its end.
+    pub fails: bool,
+}
+
+impl Default for WorkSpec {
+    fn default() -> WorkSpec {
+        WorkSpec {
+            work_ms: 1_000,
+            checkpoint_every_ms: 0,
+            result: "done".to_owned(),
+            result_bytes: 0,
+            fails: false,
+        }
+    }
+}
+
+impl WorkSpec {
+    /// Returns the payload that makes the stand-in do this work.
+    pub fn to_payload(&self) -> Bytes {
+        serde_json::to_vec(self).map(Bytes::from).unwrap_or_default()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    start: TaskStart,
+    spec: WorkSpec,
+    started_at: Timestamp,
+    lease_until: Timestamp,
+    done_ms: f64,
+    checkpointed_ms: f64,
+    checkpoint: Option<Checkpoint>,
+    share: f64,
+}
+
+impl Task {
+    /// Returns a checkpoint of the work done so far.
+    fn save(&mut self) -> Checkpoint {
+        self.checkpointed_ms = self.done_ms;
+        let share = match self.spec.work_ms {
+            0 => 0.0,
+            work_ms => self.done_ms / work_ms as f64,
+        };
+        let checkpoint = Checkpoint {
+            token: format!("ms-{}", self.done_ms as u64),
+            progress_permille: (share * 1000.0).min(1000.0) as u16,
+        };
+        self.checkpoint = Some(checkpoint.clone());
+        checkpoint
+    }
+
+    /// Returns the virtual time left until the next checkpoint or the end.
+    fn next_work(&self) -> f64 {
+        let end = match self.spec.work_ms {
+            0 => f64::INFINITY,
+            work_ms => work_ms as f64 - self.done_ms,
+        };
+        let checkpoint = match self.spec.checkpoint_every_ms {
+            0 => f64::INFINITY,
+            every => self.checkpointed_ms + every as f64 - self.done_ms,
+        };
+        end.min(checkpoint).max(0.0)
+    }
+
+    fn status(&self) -> TaskStatus {
+        TaskStatus {
+            task: self.start.task,
+            member: self.start.member.clone(),
+            class: self.start.class.clone(),
+            resources: self.start.resources,
+            started_at: self.started_at,
+            lease_until: self.lease_until,
+            checkpoint: self.checkpoint.clone(),
+        }
+    }
+}
+
+/// Reads the position out of a checkpoint that this stand-in made.
+fn resume_position(checkpoint: Option<&Checkpoint>) -> f64 {
+    let position = checkpoint.and_then(|it| it.token.strip_prefix("ms-")?.parse::<u32>().ok());
+    f64::from(position.unwrap_or(0))
+}
+
+/// A worker with its tasks.
+#[derive(Debug)]
+pub struct WorkerState {
+    /// The worker as the instance list describes it.
+    pub info: WorkerInfo,
+    /// Whether every task that is started fails.
+    pub fails_everything: bool,
+    incarnation: Incarnation,
+    epoch: Epoch,
+    tasks: BTreeMap<TaskId, Task>,
+    /// Attempts that ended in this incarnation; repeating their start has no
+    /// effect.
+    ended: BTreeSet<TaskId>,
+    events: Vec<(u64, TaskId, TaskEvent)>,
+    sequence: u64,
+    samples: Vec<(Timestamp, UsageSample)>,
+    next_sample: Timestamp,
+    /// Requests under way at this worker's upstreams, by class.
+    pub serving: BTreeMap<ClassId, usize>,
+    advanced_to: Timestamp,
+    rng: ChaCha8Rng,
+}
+
+impl WorkerState {
+    /// Returns a worker that runs nothing.
+    pub fn new(now: Timestamp, info: WorkerInfo, config: &FleetConfig, seed: u64) -> WorkerState {
+        WorkerState {
+            info,
+            fails_everything: false,
+            incarnation: Incarnation(1),
+            epoch: Epoch(0),
+            tasks: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            events: Vec::new(),
+            sequence: 0,
+            samples: Vec::new(),
+            next_sample: now.plus_ms(config.sample_every_ms),
+            serving: BTreeMap::new(),
+            advanced_to: now,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the tasks that run now.
+    pub fn tasks(&self) -> impl Iterator<Item = TaskStatus> {
+        self.tasks.values().map(Task::status)
+    }
+
+    /// Reports whether there is an event after `after`, or a measurement.
+    pub fn has_news(&self, now: Timestamp, after: u64) -> bool {
+        after < self.sequence || self.samples.iter().any(|(arrives_at, _)| *arrives_at <= now)
+    }
+
+    /// Returns the slowdown of `class` here; 1.0 is none.
+    pub fn slowdown(&self, config: &FleetConfig, class: &ClassId) -> f64 {
+        let mut counts = self.serving.clone();
+        for task in self.tasks.values() {
+            *counts.entry(task.start.class.clone()).or_default() += 1;
+        }
+        // The victim itself is not its own neighbour.
+        if let Some(count) = counts.get_mut(class) {
+            *count = count.saturating_sub(1);
+        }
+        config.interference.slowdown(class, counts.iter().map(|(class, &count)| (class, count)))
+    }
+
+    /// Ends every task and begins a new incarnation, as a crash does.
+    pub fn restart(&mut self, now: Timestamp, ledger: &mut RunLedger) {
+        self.advanced_to = now;
+        for task in std::mem::take(&mut self.tasks).into_keys() {
+            ledger.ended(task, &self.info.id, false);
+        }
+        self.incarnation = self.incarnation.next();
+        self.epoch = Epoch(0);
+        self.ended.clear();
+        self.events.clear();
+        self.sequence = 0;
+        self.samples.clear();
+        self.serving.clear();
+    }
+
+    /// Skips the time up to `now`, in which the worker was paused. Leases that
+    /// passed meanwhile end their tasks before any work is done.
+    pub fn skip_to(&mut self, now: Timestamp, ledger: &mut RunLedger) {
+        self.advanced_to = now;
+        self.next_sample = self.next_sample.max(now);
+        self.end_expired(now, ledger);
+    }
+
+    /// Returns when something happens next if nothing is called.
+    pub fn next_event(&self, config: &FleetConfig) -> Option<Timestamp> {
+        let mut next = Timestamp::MAX;
+        for task in self.tasks.values() {
+            let rate = self.rate(config, task);
+            let left = task.next_work() / rate;
+            if left.is_finite() {
+                next = next.min(self.advanced_to.plus_ms(left.ceil() as u64));
+            }
+            next = next.min(task.lease_until);
+        }
+        if !self.tasks.is_empty() || !self.serving.is_empty() {
+            next = next.min(self.next_sample);
+        }
+        for (arrives_at, _) in &self.samples {
+            next = next.min(*arrives_at);
+        }
+        (next != Timestamp::MAX).then_some(next)
+    }
+
+    fn rate(&self, config: &FleetConfig, task: &Task) -> f64 {
+        config.scale * task.share / self.slowdown(config, &task.start.class)
+    }
+
+    /// Lets the worker run until `now`.
+    pub fn advance(&mut self, now: Timestamp, config: &FleetConfig, ledger: &mut RunLedger) {
+        while self.advanced_to < now {
+            let next = self.next_event(config).unwrap_or(now).clamp(self.advanced_to, now);
+            // Events due at the same moment are handled in the step below; a
+            // step of at least one millisecond makes the loop end.
+            let next = next.max(self.advanced_to.plus_ms(1));
+            self.work_until(next, config);
+            self.end_expired(next, ledger);
+            self.end_finished(ledger);
+            self.take_samples(next, config);
+        }
+    }
+
+    fn work_until(&mut self, next: Timestamp, config: &FleetConfig) {
+        let elapsed = next.ms_since(self.advanced_to) as f64;
+        let rates: Vec<f64> = self.tasks.values().map(|it| self.rate(config, it)).collect();
+        for (task, rate) in self.tasks.values_mut().zip(rates) {
+            task.done_ms += elapsed * rate;
+        }
+        self.advanced_to = next;
+    }
+
+    fn end_expired(&mut self, now: Timestamp, ledger: &mut RunLedger) {
+        let is_over = |it: &Task| it.lease_until <= now;
+        let over: Vec<TaskId> =
+            self.tasks.iter().filter(|(_, it)| is_over(it)).map(|(&id, _)| id).collect();
+        for id in over {
+            let checkpoint = self.tasks.get(&id).and_then(|it| it.checkpoint.clone());
+            self.end(id, TaskEvent::Stopped { checkpoint }, ledger);
+        }
+    }
+
+    fn end_finished(&mut self, ledger: &mut RunLedger) {
+        // Virtual time is a sum of fractions, so the end is met only nearly.
+        const ROUNDING_MS: f64 = 1e-6;
+        let mut finished = Vec::new();
+        let mut checkpoints = Vec::new();
+        for (&id, task) in &mut self.tasks {
+            let end = task.spec.work_ms as f64;
+            if 0.0 < end && end <= task.done_ms + ROUNDING_MS {
+                finished.push((id, Self::outcome(task, self.fails_everything)));
+                continue;
+            }
+            let every = task.spec.checkpoint_every_ms as f64;
+            if 0.0 < every && task.checkpointed_ms + every <= task.done_ms + ROUNDING_MS {
+                checkpoints.push((id, task.save()));
+            }
+        }
+        for (id, checkpoint) in checkpoints {
+            self.report(id, TaskEvent::Checkpointed { checkpoint });
+        }
+        for (id, event) in finished {
+            self.end(id, event, ledger);
+        }
+    }
+
+    fn outcome(task: &Task, fails_everything: bool) -> TaskEvent {
+        if task.spec.fails || fails_everything {
+            return TaskEvent::Failed { detail: "exit status 1".to_owned() };
+        }
+        let mut result = task.spec.result.clone().into_bytes();
+        result.resize(result.len().max(task.spec.result_bytes), b'.');
+        if MAX_RESULT_BYTES < result.len() {
+            let detail = format!("result of {} bytes exceeds the limit", result.len());
+            return TaskEvent::Failed { detail };
+        }
+        TaskEvent::Succeeded { result: result.into() }
+    }
+
+    fn end(&mut self, id: TaskId, event: TaskEvent, ledger: &mut RunLedger) {
+        self.tasks.remove(&id);
+        self.ended.insert(id);
+        ledger.ended(id, &self.info.id, matches!(event, TaskEvent::Succeeded { .. }));
+        self.report(id, event);
+    }
+
+    fn report(&mut self, id: TaskId, event: TaskEvent) {
+        self.sequence += 1;
+        self.events.push((self.sequence, id, event));
+    }
+
+    fn take_samples(&mut self, now: Timestamp, config: &FleetConfig) {
+        if now < self.next_sample {
+            return;
+        }
+        self.next_sample = now.plus_ms(config.sample_every_ms.max(1));
+        let mut taken = Vec::new();
+        for (&id, task) in &self.tasks {
+            taken.push((task.start.class.clone(), Some(id), task.start.resources));
+        }
+        for class in self.serving.keys() {
+            taken.push((class.clone(), None, Resources::ZERO));
+        }
+        for (class, task, used) in taken {
+            let slowdown = self.slowdown(config, &class);
+            let noise = self.rng.random_range(-1.0..=1.0) * config.sample_noise;
+            let delay = self.rng.random_range(0..=config.sample_delay_ms);
+            if self.rng.random_range(0..1000) < config.sample_loss_permille {
+                continue;
+            }
+            let sample = UsageSample {
+                worker: self.info.id.clone(),
+                taken_at: now,
+                class,
+                task,
+                slowdown: slowdown * (1.0 + noise),
+                used,
+            };
+            self.samples.push((now.plus_ms(delay), sample));
+        }
+    }
+
+    /// Returns a report of the events after `after` and the measurements that
+    /// have arrived, which are handed out once.
+    pub fn take_report(&mut self, now: Timestamp, after: u64) -> WorkerReport {
+        let (arrived, pending) =
+            std::mem::take(&mut self.samples).into_iter().partition(|(at, _)| *at <= now);
+        self.samples = pending;
+        let arrived: Vec<(Timestamp, UsageSample)> = arrived;
+        WorkerReport {
+            worker: self.info.id.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            events: self.events.iter().filter(|(it, _, _)| after < *it).cloned().collect(),
+            samples: arrived.into_iter().map(|(_, sample)| sample).collect(),
+        }
+    }
+
+    /// Applies a call; the state must have been advanced to `now`.
+    pub fn apply(
+        &mut self,
+        now: Timestamp,
+        config: &FleetConfig,
+        op: WorkerOp,
+        ledger: &mut RunLedger,
+    ) -> WorkerResult {
+        let epoch = match &op {
+            WorkerOp::Announce { epoch }
+            | WorkerOp::Start { epoch, .. }
+            | WorkerOp::Renew { epoch, .. }
+            | WorkerOp::Stop { epoch, .. }
+            | WorkerOp::Throttle { epoch, .. } => *epoch,
+        };
+        if epoch < self.epoch {
+            return Err(WorkerError::StaleEpoch { current: self.epoch });
+        }
+        self.epoch = epoch;
+        match op {
+            WorkerOp::Announce { .. } => Ok(WorkerReply::Announced {
+                incarnation: self.incarnation,
+                tasks: self.tasks().collect(),
+            }),
+            WorkerOp::Start { start, lease_until, .. } => {
+                self.start(now, config, start, lease_until, ledger)
+            }
+            WorkerOp::Renew { tasks, lease_until, acknowledged, .. } => {
+                Ok(self.renew(now, &tasks, lease_until, acknowledged))
+            }
+            WorkerOp::Stop { task, mode, .. } => self.stop(task, mode, ledger),
+            WorkerOp::Throttle { task, share_permille, .. } => {
+                let task = self.tasks.get_mut(&task).ok_or_else(no_such_task)?;
+                task.share = f64::from(share_permille.clamp(1, 1000)) / 1000.0;
+                Ok(WorkerReply::Throttled)
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Timestamp,
+        config: &FleetConfig,
+        start: TaskStart,
+        lease_until: Timestamp,
+        ledger: &mut RunLedger,
+    ) -> WorkerResult {
+        let id = start.task;
+        if self.tasks.contains_key(&id) || self.ended.contains(&id) {
+            return Ok(WorkerReply::Started { incarnation: self.incarnation });
+        }
+        let refused = |detail: &str| Err(WorkerError::Refused { detail: detail.to_owned() });
+        if lease_until <= now {
+            return refused("the lease has passed");
+        }
+        if self.info.leaving {
+            return refused("the worker is leaving");
+        }
+        let used = self.tasks.values().map(|it| it.start.resources);
+        let total = used.fold(start.resources, Resources::saturating_add);
+        if !total.fits_in(self.info.capacity) {
+            ledger.overcommits.push((self.info.id.clone(), id));
+            return refused("the worker has no room");
+        }
+        ledger.started(now, id, &self.info.id);
+        let mut spec: WorkSpec =
+            serde_json::from_slice(&start.payload).unwrap_or_else(|_| config.work.clone());
+        if self.fails_everything {
+            spec.work_ms = config.failure_after_ms.max(1);
+        }
+        let done_ms = resume_position(start.resume_from.as_ref());
+        let task = Task {
+            spec,
+            started_at: now,
+            lease_until,
+            done_ms,
+            checkpointed_ms: done_ms,
+            checkpoint: start.resume_from.clone(),
+            share: 1.0,
+            start,
+        };
+        self.tasks.insert(id, task);
+        Ok(WorkerReply::Started { incarnation: self.incarnation })
+    }
+
+    fn renew(
+        &mut self,
+        now: Timestamp,
+        tasks: &[TaskId],
+        lease_until: Timestamp,
+        acknowledged: u64,
+    ) -> WorkerReply {
+        let mut unknown = Vec::new();
+        for id in tasks {
+            match self.tasks.get_mut(id) {
+                Some(task) => task.lease_until = task.lease_until.max(lease_until),
+                None => unknown.push(*id),
+            }
+        }
+        self.events.retain(|(sequence, _, _)| acknowledged < *sequence);
+        WorkerReply::Renewed { unknown, report: self.take_report(now, acknowledged) }
+    }
+
+    fn stop(&mut self, id: TaskId, mode: StopMode, ledger: &mut RunLedger) -> WorkerResult {
+        let task = self.tasks.get_mut(&id).ok_or_else(no_such_task)?;
+        let checkpoint = match mode {
+            StopMode::Checkpoint => Some(task.save()),
+            StopMode::Kill => task.checkpoint.clone(),
+        };
+        self.end(id, TaskEvent::Stopped { checkpoint }, ledger);
+        Ok(WorkerReply::Stopping)
+    }
+}
+
+fn no_such_task() -> WorkerError {
+    WorkerError::Refused { detail: "no such task".to_owned() }
+}
