Confirm claims by an own write and drop them before a session ends

A claim that was handed to a process cut off from the store was opened under its next session, while another process was already claiming the group. A draining process without a successor kept its groups while it ended its session, which frees the claims at once. Ruled out: the store model, since the same sequence fails with every write answered. Change: a claim that names this process is confirmed by compare-and-swap before it is used; remaining groups are dropped before the session ends.

--- a/crates/mustardcove-core/src/ownership/machine.rs
+++ b/crates/mustardcove-core/src/ownership/machine.rs
@@ -430,8 +430,8 @@
         version: KeyVersion,
         out: &mut Vec<OwnershipAction>,
     ) {
-        let known = self.claim_records.get(group).map(|(it, _)| it.epoch);
-        if known.is_some_and(|it| record.epoch < it) {
+        let known = self.claim_records.get(group);
+        if known.is_some_and(|(it, _)| record.epoch < it.epoch) {
             return;
         }
         let own = record.holder == *self.process();
@@ -439,12 +439,10 @@
         if held.is_some_and(|it| !own || it < record.epoch) {
             self.drop_group(group, out);
         }
-        let handed_over = own && held.is_none() && !self.attempts.contains_key(group);
-        let fresh = known.is_none_or(|it| it < record.epoch);
-        self.claim_records.insert(group.clone(), (record.clone(), version));
-        if handed_over && fresh && self.session.deadline() != Timestamp(0) {
-            self.open_group(group, record.epoch, version, out);
-        }
+        // A claim handed to this process is confirmed by a write of its own
+        // before it is used: the session under which it was handed over may
+        // have lapsed, and another process may be claiming the group already.
+        self.claim_records.insert(group.clone(), (record, version));
     }
 
     fn open_group(
--- a/crates/mustardcove-core/src/ownership/machine/assign.rs
+++ b/crates/mustardcove-core/src/ownership/machine/assign.rs
@@ -156,7 +156,7 @@
         let (epoch, expect, check) = match self.claim_records.get(group) {
             None if ranks_first => (Epoch(1), Expect::Absent, None),
             None => return,
-            // A claim that still names this process was lost with an earlier
+            // The claim was handed to this process, or was lost with an earlier
             // session; nobody else may take it while this process lives.
             Some((record, version)) if record.holder == *self.process() => {
                 (record.epoch.next(), Expect::Version(*version), None)
@@ -247,6 +247,12 @@
             }
         }
         if !left {
+            // Without a successor groups are still held here. Ending the
+            // session frees their claims at once, so they are dropped first.
+            for group in std::mem::take(&mut self.groups).into_keys() {
+                out.push(OwnershipAction::DropGroup(group));
+            }
+            out.push(OwnershipAction::ClaimDeadline(Timestamp(0)));
             self.session.end(now);
             if self.session.is_ended() && !self.drained {
                 self.drained = true;
--- a/crates/mustardcove-core/src/ownership/session.rs
+++ b/crates/mustardcove-core/src/ownership/session.rs
@@ -118,7 +118,7 @@
     /// Returns the time until which the session may be relied upon, which is in
     /// the past if there is none.
     pub fn deadline(&self) -> Timestamp {
-        if !self.published {
+        if !self.published || self.ending {
             return Timestamp(0);
         }
         self.renewed_at.plus_ms(self.ttl_ms.saturating_sub(SESSION_MARGIN_MS))
