--- /dev/null
+++ b/crates/mustardcove-core/tests/config_race.rs
@@ -0,0 +1,155 @@
+//! Guards against lost updates of the agreement when operators race and when
+//! answers of the store are lost, and against gaps in the history.
+
+use mustardcove_core::{
+    agreement::{
+        record::{AgreementRecord, ChangeNote, MemberRecord, history_key},
+        v2::MemberV2,
+        validate::Problem,
+    },
+    configuration::{Change, ChangeError, ChangeStep},
+    id::{Revision, WriteToken},
+    ownership::record::decode,
+    size::Resources,
+    store::{StoreError, StoreOp, StoreReply},
+    time::Timestamp,
+    verdict::Verdict,
+};
+use mustardcove_platform::memory::store_state::StoreState;
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const NOW: Timestamp = Timestamp(1);
+
+fn add_member(
+    name: String,
+) -> impl FnMut(&AgreementRecord) -> Result<AgreementRecord, Vec<Problem>> {
+    move |record| {
+        let mut record = record.clone();
+        let member = MemberV2 {
+            id: name.parse().unwrap(),
+            cap: Resources::new(1_000, 1_024, 0),
+            max_requests: 1,
+            services: Vec::new(),
+            classes: Vec::new(),
+            token_digests: Vec::new(),
+            evict_over_cap: false,
+        };
+        record.members.insert(member.id.clone(), MemberRecord::V2(member));
+        Ok(record)
+    }
+}
+
+fn note(token: u64) -> ChangeNote {
+    ChangeNote {
+        author: format!("operator-{token}"),
+        summary: format!("add member {token}"),
+        changed_at: NOW,
+        token: WriteToken(token),
+    }
+}
+
+fn read(store: &mut StoreState, key: &str) -> Option<AgreementRecord> {
+    match store.apply(NOW, &StoreOp::Get { key: key.to_owned() }) {
+        Ok(StoreReply::Got { entry, .. }) => entry.and_then(|it| decode(&it.value)),
+        _ => None,
+    }
+}
+
+fn run<F>(store: &mut StoreState, mut change: Change<F>) -> ChangeStep
+where
+    F: FnMut(&AgreementRecord) -> Result<AgreementRecord, Vec<Problem>>,
+{
+    let mut step = ChangeStep::Call(change.start());
+    while let ChangeStep::Call(op) = step {
+        step = change.handle(&store.apply(NOW, &op));
+    }
+    step
+}
+
+#[test]
+fn named_conflict() {
+    let mut store = StoreState::default();
+    let first = run(&mut store, Change::new(add_member("a".to_owned()), None, note(1)));
+    assert!(matches!(first, ChangeStep::Done(_)));
+    // The second operator had looked at the agreement before the first change.
+    let change = Change::new(add_member("b".to_owned()), Some(Revision(0)), note(2));
+    let ChangeStep::Failed(ChangeError::Conflict { revision, change }) = run(&mut store, change)
+    else {
+        panic!("the second change was not refused");
+    };
+    assert_eq!(revision, Revision(1));
+    assert_eq!(change.author, "operator-1");
+}
+
+#[test]
+fn replaced_after_loss() {
+    // The answer to the first write is lost and another operator replaces the
+    // record before the first one reads back.
+    let mut store = StoreState::default();
+    let mut first = Change::new(add_member("a".to_owned()), None, note(1));
+    let op = first.start();
+    let ChangeStep::Call(write) = first.handle(&store.apply(NOW, &op)) else { panic!() };
+    store.apply(NOW, &write).unwrap();
+    let lost = Err(StoreError::Unavailable { verdict: Verdict::MayHaveRun });
+    let mut step = first.handle(&lost);
+    let second = run(&mut store, Change::new(add_member("b".to_owned()), None, note(2)));
+    assert!(matches!(second, ChangeStep::Done(_)));
+    while let ChangeStep::Call(op) = step {
+        step = first.handle(&store.apply(NOW, &op));
+    }
+    assert!(matches!(step, ChangeStep::Done(_)), "{step:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x7261_6365),
+        ..ProptestConfig::default()
+    })]
+
+    /// Three operators' calls interleave and lose answers at will: every change
+    /// that is reported as made is in the record, none that is reported as not
+    /// made is, and the history has no gap.
+    #[test]
+    fn interleaved_changes(schedule in prop::collection::vec((0..3_usize, 0..4_u8), 0..60)) {
+        let mut store = StoreState::default();
+        let names = ["a", "b", "c"];
+        let mut changes: Vec<_> = (0..3)
+            .map(|it| Change::new(add_member(names[it].to_owned()), None, note(it as u64 + 1)))
+            .collect();
+        let mut steps: Vec<ChangeStep> =
+            changes.iter().map(|it| ChangeStep::Call(it.start())).collect();
+        let finish = (0..3_usize).flat_map(|it| std::iter::repeat_n((it, 3_u8), 40));
+        for (index, fate) in schedule.into_iter().chain(finish) {
+            let ChangeStep::Call(op) = steps[index].clone() else { continue };
+            let lost = Err(StoreError::Unavailable { verdict: Verdict::MayHaveRun });
+            let result = match fate {
+                0 => lost,
+                1 => {
+                    // The call takes effect and its answer is lost.
+                    store.apply(NOW, &op).ok();
+                    lost
+                }
+                _ => store.apply(NOW, &op),
+            };
+            steps[index] = changes[index].handle(&result);
+        }
+        let current = read(&mut store, "config/agreement").unwrap_or_default();
+        for (index, step) in steps.iter().enumerate() {
+            let made = current.members.contains_key(&names[index].parse().unwrap());
+            match step {
+                ChangeStep::Done(_) => prop_assert!(made, "lost update of {}", names[index]),
+                ChangeStep::Failed(ChangeError::Unavailable {
+                    verdict: Verdict::MayHaveRun,
+                }) => (),
+                ChangeStep::Failed(error) => prop_assert!(!made, "{error} but made"),
+                ChangeStep::Call(_) => prop_assert!(false, "change did not end"),
+            }
+        }
+        for revision in 1..current.revision.0 {
+            let kept = read(&mut store, &history_key(Revision(revision)));
+            prop_assert_eq!(kept.map(|it| it.revision), Some(Revision(revision)));
+        }
+    }
+}
