Add HTTP adapters and stand-in servers for the platform

Cause: the processes reach the platform over HTTP/JSON, and lost answers, refused connections and silence have to be tested on real sockets.

Change: one HTTP client with bounded connections, whole-body checks and a gate that decides the verdict by whether the body was handed to a connection; adapters for store, instance list and workers; stand-in servers over the in-memory implementations, with an upstream endpoint. Events of a restarted worker are numbered apart from those of its earlier incarnation, since an old acknowledgement would otherwise drop new events.

--- /dev/null
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -0,0 +1,210 @@
+//! The HTTP client below the adapters.
+
+use std::{
+    collections::HashMap,
+    fmt,
+    net::IpAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, Request, StatusCode, Uri,
+    header::{CONTENT_LENGTH, CONTENT_TYPE},
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use mustardcove_core::{time::Timestamp, verdict::Verdict};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use super::gate::{Gate, GatedBody};
+use crate::clock::Clock;
+
+/// Limits of a client.
+#[derive(Clone, Debug)]
+pub struct HttpLimits {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Longest time from the call to its whole answer, waits asked for by the
+    /// call not counted.
+    pub answer_timeout: Duration,
+    /// Largest answer, in bytes.
+    pub max_answer_bytes: usize,
+    /// Most calls, and so connections, at once to one address.
+    pub max_per_address: usize,
+    /// Most calls, and so connections, at once to all addresses.
+    pub max_total: usize,
+    /// Idle connections are closed after this time.
+    pub idle_timeout: Duration,
+    /// The address that connections come from.
+    pub local_address: Option<IpAddr>,
+}
+
+impl Default for HttpLimits {
+    fn default() -> HttpLimits {
+        HttpLimits {
+            connect_timeout: Duration::from_millis(1_000),
+            answer_timeout: Duration::from_millis(2_000),
+            max_answer_bytes: 8 << 20,
+            max_per_address: 16,
+            max_total: 2_048,
+            idle_timeout: Duration::from_secs(30),
+            local_address: None,
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body, as long as its announced length.
+    pub body: Bytes,
+}
+
+/// Error of a call that got no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallError {
+    verdict: Verdict,
+    detail: String,
+}
+
+impl CallError {
+    /// Returns whether the call may have taken effect.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no whole answer ({}): {}", self.verdict, self.detail)
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// Addresses whose limits are kept before unused ones are dropped.
+const MAX_TRACKED_ADDRESSES: usize = 4_096;
+
+/// An HTTP client with bounded connections, timeouts and size limits.
+///
+/// Each call in flight holds one connection, because HTTP/1 answers in order;
+/// limiting calls therefore limits connections.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, GatedBody>,
+    limits: Arc<HttpLimits>,
+    total: Arc<Semaphore>,
+    per_address: Arc<Mutex<HashMap<String, Arc<Semaphore>>>>,
+    clock: Clock,
+}
+
+impl HttpClient {
+    /// Returns a client without connections.
+    pub fn new(clock: Clock, limits: HttpLimits) -> HttpClient {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(limits.connect_timeout));
+        connector.set_nodelay(true);
+        connector.set_local_address(limits.local_address);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(limits.idle_timeout)
+            .pool_max_idle_per_host(limits.max_per_address)
+            .build(connector);
+        HttpClient {
+            client,
+            total: Arc::new(Semaphore::new(limits.max_total)),
+            per_address: Arc::default(),
+            limits: Arc::new(limits),
+            clock,
+        }
+    }
+
+    /// Returns the clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Posts JSON and returns the whole answer, waiting for it `extra_wait`
+    /// longer than the limits say.
+    ///
+    /// # Errors
+    ///
+    /// The error says whether the call may have taken effect: it did not if no
+    /// part of `body` was written before the failure or before `not_after`.
+    pub async fn post(
+        &self,
+        uri: &str,
+        body: Bytes,
+        not_after: Timestamp,
+        extra_wait: Duration,
+    ) -> Result<Answer, CallError> {
+        let gate = Gate::new(self.clock, not_after);
+        let exchange = self.exchange(uri, GatedBody::new(gate.clone(), body));
+        let wait = self.limits.answer_timeout + extra_wait;
+        let result = match tokio::time::timeout(wait, exchange).await {
+            Ok(result) => result.map_err(|it| format!("{it:#}")),
+            Err(_) => Err(format!("timed out after {} ms", wait.as_millis())),
+        };
+        // The gate is closed only after the exchange was dropped or has ended,
+        // and closing it decides what the connection may still send.
+        result.map_err(|detail| CallError { verdict: gate.close(), detail })
+    }
+
+    async fn exchange(&self, uri: &str, body: GatedBody) -> eyre::Result<Answer> {
+        let uri: Uri = uri.parse()?;
+        let _permits = self.permits(&uri).await?;
+        let mut req = Request::post(uri).body(body)?;
+        req.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+        let resp = self.client.request(req).await?;
+        let (parts, body) = resp.into_parts();
+        let body = self.whole_body(&parts.headers, body).await?;
+        Ok(Answer { status: parts.status, headers: parts.headers, body })
+    }
+
+    async fn whole_body(&self, headers: &HeaderMap, body: Incoming) -> eyre::Result<Bytes> {
+        let announced = headers.get(CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse().ok());
+        let Some(announced): Option<usize> = announced else {
+            eyre::bail!("the answer does not announce its length");
+        };
+        let limit = self.limits.max_answer_bytes;
+        if limit < announced {
+            eyre::bail!("the answer of {announced} bytes exceeds the limit of {limit}");
+        }
+        let whole = Limited::new(body, limit).collect().await;
+        let whole = whole.map_err(|it| eyre::eyre!(it))?.to_bytes();
+        if whole.len() != announced {
+            eyre::bail!("the answer ended after {} of {announced} bytes", whole.len());
+        }
+        Ok(whole)
+    }
+
+    async fn permits(&self, uri: &Uri) -> eyre::Result<[OwnedSemaphorePermit; 2]> {
+        let address = uri.authority().map(|it| it.as_str()).unwrap_or_default();
+        let of_address = self.limit_of(address).acquire_owned().await?;
+        let of_total = self.total.clone().acquire_owned().await?;
+        Ok([of_address, of_total])
+    }
+
+    fn limit_of(&self, address: &str) -> Arc<Semaphore> {
+        let mut limits = self.per_address.lock().unwrap_or_else(|it| it.into_inner());
+        if let Some(limit) = limits.get(address) {
+            return limit.clone();
+        }
+        if MAX_TRACKED_ADDRESSES <= limits.len() {
+            limits.retain(|_, it| 1 < Arc::strong_count(it));
+        }
+        let limit = Arc::new(Semaphore::new(self.limits.max_per_address));
+        limits.insert(address.to_owned(), limit.clone());
+        limit
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-platform/src/http/gate.rs
@@ -0,0 +1,123 @@
+//! A request body that is handed out at most once and only while allowed.
+//!
+//! A server applies a call only after it has read the whole body. A call whose
+//! body was never handed to a connection therefore did not run, whatever else
+//! went wrong, and one whose body was handed out may have run. [`Gate`]
+//! decides between the two atomically: either the connection takes the body,
+//! or the caller closes the gate and the connection finds nothing to send.
+//!
+//! The same step checks `not_after`, so that a process that was paused while
+//! it waited for a connection sends nothing when it goes on.
+
+use std::{
+    fmt,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use mustardcove_core::{time::Timestamp, verdict::Verdict};
+
+use crate::clock::Clock;
+
+const WAITING: u8 = 0;
+const TAKEN: u8 = 1;
+const CLOSED: u8 = 2;
+
+/// Decides whether the body of one call may still be sent.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    state: Arc<AtomicU8>,
+    clock: Clock,
+    not_after: Timestamp,
+}
+
+impl Gate {
+    /// Returns a gate that lets the body through until `not_after`.
+    pub fn new(clock: Clock, not_after: Timestamp) -> Gate {
+        Gate { state: Arc::new(AtomicU8::new(WAITING)), clock, not_after }
+    }
+
+    /// Closes the gate if the body was not taken yet, and returns whether the
+    /// call may have taken effect.
+    pub fn close(&self) -> Verdict {
+        let closed =
+            self.state.compare_exchange(WAITING, CLOSED, Ordering::AcqRel, Ordering::Acquire);
+        match closed {
+            Ok(_) | Err(CLOSED) => Verdict::NotRun,
+            Err(_) => Verdict::MayHaveRun,
+        }
+    }
+
+    /// Takes the body; at most one caller succeeds, and none after `not_after`.
+    pub fn take(&self) -> bool {
+        if self.not_after <= self.clock.now() {
+            self.close();
+            return false;
+        }
+        let taken =
+            self.state.compare_exchange(WAITING, TAKEN, Ordering::AcqRel, Ordering::Acquire);
+        taken.is_ok()
+    }
+}
+
+/// Error that a connection gets instead of a body that may not be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateClosed;
+
+impl fmt::Display for GateClosed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the call was given up before it was written")
+    }
+}
+
+impl std::error::Error for GateClosed {}
+
+/// The body of a call behind a [`Gate`].
+#[derive(Debug)]
+pub struct GatedBody {
+    gate: Gate,
+    bytes: Option<Bytes>,
+}
+
+impl GatedBody {
+    /// Returns a body.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `bytes` is empty: a connection need not ask for an empty
+    /// body, so the gate could not tell whether the call was sent.
+    pub fn new(gate: Gate, bytes: Bytes) -> GatedBody {
+        assert!(!bytes.is_empty(), "a gated body must not be empty");
+        GatedBody { gate, bytes: Some(bytes) }
+    }
+}
+
+impl Body for GatedBody {
+    type Data = Bytes;
+    type Error = GateClosed;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, GateClosed>>> {
+        let Some(bytes) = self.bytes.take() else {
+            return Poll::Ready(None);
+        };
+        let frame = if self.gate.take() { Ok(Frame::data(bytes)) } else { Err(GateClosed) };
+        Poll::Ready(Some(frame))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |it| it.len() as u64))
+    }
+}
--- a/crates/mustardcove-platform/src/memory/fleet.rs
+++ b/crates/mustardcove-platform/src/memory/fleet.rs
@@ -242,6 +242,11 @@
         }
     }
 
+    /// Reports whether a worker is leaving.
+    pub fn is_leaving(&self, worker: &WorkerId) -> bool {
+        self.lock().workers.get(worker).is_some_and(|it| it.info.leaving)
+    }
+
     /// Makes a worker fail every task that it starts, or ends that.
     pub fn set_fails_everything(&self, worker: &WorkerId, fails: bool) {
         if let Some(state) = self.lock().workers.get_mut(worker) {
--- a/crates/mustardcove-platform/src/memory/worker_state.rs
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -120,6 +120,15 @@
     f64::from(position.unwrap_or(0))
 }
 
+const FIRST_INCARNATION: Incarnation = Incarnation(1);
+
+/// Returns where an incarnation begins to number its events. Numbers of
+/// different incarnations do not overlap: an acknowledgement meant for an
+/// earlier one would otherwise drop events of a later one unseen.
+fn first_sequence(incarnation: Incarnation) -> u64 {
+    incarnation.0 << 32
+}
+
 /// A worker with its tasks.
 #[derive(Debug)]
 pub struct WorkerState {
@@ -149,12 +158,12 @@
         WorkerState {
             info,
             fails_everything: false,
-            incarnation: Incarnation(1),
+            incarnation: FIRST_INCARNATION,
             epoch: Epoch(0),
             tasks: BTreeMap::new(),
             ended: BTreeSet::new(),
             events: Vec::new(),
-            sequence: 0,
+            sequence: first_sequence(FIRST_INCARNATION),
             samples: Vec::new(),
             next_sample: now.plus_ms(config.sample_every_ms),
             serving: BTreeMap::new(),
@@ -173,9 +182,13 @@
         self.tasks.values().map(Task::status)
     }
 
-    /// Reports whether there is an event after `after`, or a measurement.
+    /// Reports whether there is an event after `after`, or a measurement, or
+    /// whether `after` belongs to an earlier incarnation.
     pub fn has_news(&self, now: Timestamp, after: u64) -> bool {
-        after < self.sequence || self.samples.iter().any(|(arrives_at, _)| *arrives_at <= now)
+        let first = first_sequence(self.incarnation);
+        self.events.last().is_some_and(|(sequence, _, _)| after < *sequence)
+            || (0 < after && after < first)
+            || self.samples.iter().any(|(arrives_at, _)| *arrives_at <= now)
     }
 
     /// Returns the slowdown of `class` here; 1.0 is none.
@@ -201,7 +214,7 @@
         self.epoch = Epoch(0);
         self.ended.clear();
         self.events.clear();
-        self.sequence = 0;
+        self.sequence = first_sequence(self.incarnation);
         self.samples.clear();
         self.serving.clear();
     }
--- /dev/null
+++ b/crates/mustardcove-platform/src/standin/upstream.rs
@@ -0,0 +1,160 @@
+//! Stand-in for an upstream of a service.
+//!
+//! An upstream works on a request until it is done or its deadline passes,
+//! also when the caller has gone: that is what makes a second attempt before
+//! the deadline dangerous, and the record of runs shows it.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Router,
+    body::Body,
+    extract::State,
+    response::{IntoResponse, Response},
+    routing::post,
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header::CONNECTION};
+use mustardcove_core::{
+    id::{ClassId, TaskId, WorkerId},
+    time::Timestamp,
+    worker::UpstreamInfo,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+
+use crate::{
+    memory::{MemoryFleet, WorkerFault},
+    upstream::{CLASS, DEADLINE, DRAINING, REQUEST_ID, SERVICE_TIME, TASK},
+};
+
+/// Path of requests.
+pub const SERVE_PATH: &str = "/serve";
+
+/// Service time of a request that names none, in milliseconds.
+const DEFAULT_SERVICE_MS: u64 = 5;
+
+/// What an upstream answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Served {
+    /// The identifier of the request.
+    pub request_id: String,
+    /// The worker that served it.
+    pub worker: WorkerId,
+    /// How long it worked, in milliseconds.
+    pub worked_ms: u64,
+    /// The body of the request.
+    pub echo: String,
+}
+
+#[derive(Clone)]
+struct Upstream {
+    fleet: MemoryFleet,
+    worker: WorkerId,
+    class: ClassId,
+    slots: Arc<Semaphore>,
+}
+
+pub(super) fn router(fleet: MemoryFleet, worker: WorkerId, info: &UpstreamInfo) -> Router {
+    let slots = Arc::new(Semaphore::new(info.slots as usize));
+    // A request that names no class counts as one of the service's name.
+    let class = info.service.as_str().parse().expect("both kinds of names have the same form");
+    Router::new().route(SERVE_PATH, post(serve)).with_state(Upstream {
+        fleet,
+        worker,
+        class,
+        slots,
+    })
+}
+
+struct ServeRequest {
+    id: String,
+    class: ClassId,
+    task: Option<TaskId>,
+    deadline: Timestamp,
+    service_ms: u64,
+    body: Bytes,
+}
+
+fn header<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+async fn serve(State(upstream): State<Upstream>, headers: HeaderMap, body: Bytes) -> Response {
+    if upstream.is_leaving() {
+        return draining();
+    }
+    let req = ServeRequest {
+        id: header(&headers, REQUEST_ID).unwrap_or_default(),
+        class: header(&headers, CLASS).unwrap_or_else(|| upstream.class.clone()),
+        task: header(&headers, TASK),
+        deadline: header(&headers, DEADLINE).unwrap_or(Timestamp::MAX),
+        service_ms: header(&headers, SERVICE_TIME).unwrap_or(DEFAULT_SERVICE_MS),
+        body,
+    };
+    let id = req.id.clone();
+    // The work goes on if the caller leaves, so it has a task of its own.
+    let work = tokio::spawn(async move { upstream.work(req).await });
+    let mut resp = match work.await {
+        Ok(resp) => resp,
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    };
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        resp.headers_mut().insert(REQUEST_ID, id);
+    }
+    resp
+}
+
+fn draining() -> Response {
+    let mut resp = Response::new(Body::from("leaving"));
+    *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    resp.headers_mut().insert(DRAINING, HeaderValue::from_static("1"));
+    resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    resp
+}
+
+impl Upstream {
+    fn is_leaving(&self) -> bool {
+        self.fleet.is_leaving(&self.worker)
+    }
+
+    async fn work(&self, req: ServeRequest) -> Response {
+        let clock = self.fleet.clock();
+        let timed_out = || (StatusCode::GATEWAY_TIMEOUT, "deadline passed").into_response();
+        let slot = tokio::select! {
+            slot = self.slots.acquire() => slot,
+            () = clock.sleep_until(req.deadline) => return timed_out(),
+        };
+        if slot.is_err() || req.deadline <= clock.now() {
+            return timed_out();
+        }
+        let Some(slowdown) = self.fleet.begin_serving(&self.worker, &req.class, req.task) else {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        };
+        let began = clock.now();
+        let wanted = Duration::from_millis((req.service_ms as f64 * slowdown) as u64);
+        let completed = tokio::select! {
+            () = self.run(wanted) => true,
+            () = clock.sleep_until(req.deadline) => false,
+        };
+        self.fleet.end_serving(&self.worker, &req.class, req.task, completed);
+        if !completed {
+            return timed_out();
+        }
+        let served = Served {
+            request_id: req.id,
+            worker: self.worker.clone(),
+            worked_ms: clock.now().ms_since(began),
+            echo: String::from_utf8_lossy(&req.body).into_owned(),
+        };
+        axum::Json(served).into_response()
+    }
+
+    /// Works for a while, but not while the worker is paused.
+    async fn run(&self, time: Duration) {
+        tokio::time::sleep(time).await;
+        while self.fleet.fault(&self.worker) == WorkerFault::Paused {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
