--- /dev/null
+++ b/crates/mustardcove-core/tests/leaving_upstream.rs
@@ -0,0 +1,267 @@
+//! Guards against new work for an upstream that is leaving, while the list
+//! lags, upstreams flap, connections reset and probes answer late.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use mustardcove_core::{
+    id::{ServiceId, WorkerId},
+    membership::{
+        ConnectionSign, LEAVE_HOLD_MS, Membership, MembershipAction, MembershipEvent, UpstreamState,
+    },
+    routing::{RouteOutcome, Router},
+    size::Resources,
+    time::Timestamp,
+    worker::{UpstreamInfo, WorkerInfo},
+};
+use proptest::prelude::*;
+
+fn service() -> ServiceId {
+    "coop-desk".parse().unwrap()
+}
+
+fn worker(number: u32) -> WorkerId {
+    format!("w-{number}").parse().unwrap()
+}
+
+fn info(number: u32, port: u32, leaving: bool) -> WorkerInfo {
+    WorkerInfo {
+        id: worker(number),
+        address: format!("127.0.0.1:{port}"),
+        region: "r1".parse().unwrap(),
+        domain: "d1".parse().unwrap(),
+        rack: "k1".parse().unwrap(),
+        capacity: Resources::ZERO,
+        leaving,
+        upstreams: vec![UpstreamInfo {
+            service: service(),
+            address: format!("127.0.0.1:{}", port + 1),
+            slots: 8,
+            connections: 64,
+        }],
+    }
+}
+
+fn list(made_at: u64, workers: Vec<WorkerInfo>) -> MembershipEvent {
+    MembershipEvent::List { made_at: Timestamp(made_at), workers: Arc::from(workers) }
+}
+
+struct Rig {
+    membership: Membership,
+    router: Router,
+    probes: Vec<WorkerId>,
+}
+
+impl Rig {
+    fn new(seed: u64) -> Rig {
+        let router = Router::new("r1".parse().unwrap(), "d1".parse().unwrap(), seed);
+        Rig { membership: Membership::new(service(), seed), router, probes: Vec::new() }
+    }
+
+    fn handle(&mut self, now: u64, event: MembershipEvent) {
+        let mut actions = Vec::new();
+        self.membership.handle(Timestamp(now), event, &mut actions);
+        for action in &actions {
+            self.router.apply(action);
+            if let MembershipAction::Probe(it) = action {
+                self.probes.push(it.worker.clone());
+            }
+        }
+    }
+
+    fn sign(&mut self, now: u64, number: u32, sign: ConnectionSign) {
+        self.handle(now, MembershipEvent::Sign { worker: worker(number), sign });
+    }
+
+    fn probed(&mut self, now: u64, number: u32, ok: bool) {
+        self.handle(now, MembershipEvent::Probed { worker: worker(number), ok });
+    }
+
+    fn state(&self, number: u32) -> Option<UpstreamState> {
+        self.membership.state(&worker(number))
+    }
+}
+
+#[test]
+fn every_sign_stops_new_work() {
+    use strum::IntoEnumIterator as _;
+    for sign in ConnectionSign::iter() {
+        let mut rig = Rig::new(1);
+        rig.handle(0, list(0, vec![info(0, 9000, false)]));
+        assert!(rig.router.has_room());
+        rig.sign(10, 0, sign);
+        assert!(!rig.router.has_room(), "{sign}");
+        // A list that was made before the sign was seen must not undo it.
+        rig.handle(20, list(20, vec![info(0, 9000, false)]));
+        assert!(!rig.router.has_room(), "{sign}");
+    }
+}
+
+#[test]
+fn list_mark_outweighs_probes() {
+    let mut rig = Rig::new(2);
+    rig.handle(0, list(0, vec![info(0, 9000, false)]));
+    rig.sign(10, 0, ConnectionSign::Reset);
+    rig.handle(400, MembershipEvent::Tick);
+    rig.handle(450, list(450, vec![info(0, 9000, true)]));
+    rig.probed(460, 0, true);
+    assert_eq!(rig.state(0), Some(UpstreamState::Leaving));
+    assert!(!rig.router.has_room());
+    assert_eq!(rig.membership.next_deadline(), None);
+}
+
+#[test]
+fn departure_needs_hold_and_two_probes() {
+    let mut rig = Rig::new(3);
+    rig.handle(0, list(0, vec![info(0, 9000, false)]));
+    rig.sign(0, 0, ConnectionSign::Closing);
+    rig.handle(LEAVE_HOLD_MS - 1, MembershipEvent::Tick);
+    assert!(rig.probes.is_empty());
+    let at = rig.membership.next_deadline().unwrap().0;
+    rig.handle(at, MembershipEvent::Tick);
+    rig.probed(at + 1, 0, true);
+    assert!(!rig.router.has_room());
+    let at = rig.membership.next_deadline().unwrap().0;
+    rig.handle(at, MembershipEvent::Tick);
+    rig.probed(at + 1, 0, true);
+    assert!(rig.router.has_room());
+}
+
+#[test]
+fn late_probe_counts_once() {
+    let mut rig = Rig::new(4);
+    rig.handle(0, list(0, vec![info(0, 9000, false)]));
+    rig.sign(0, 0, ConnectionSign::Refused);
+    let at = rig.membership.next_deadline().unwrap().0;
+    rig.handle(at, MembershipEvent::Tick);
+    let timeout = rig.membership.next_deadline().unwrap().0;
+    rig.handle(timeout, MembershipEvent::Tick);
+    rig.probed(timeout + 1, 0, true);
+    assert_eq!(rig.state(0), Some(UpstreamState::Suspended));
+}
+
+#[test]
+fn new_address_starts_afresh() {
+    let mut rig = Rig::new(5);
+    rig.handle(0, list(0, vec![info(0, 9000, false)]));
+    rig.sign(0, 0, ConnectionSign::GoAway);
+    rig.handle(10, list(10, vec![info(0, 9100, false)]));
+    assert_eq!(rig.state(0), Some(UpstreamState::Active));
+    // An older copy of the list must not bring the old address back.
+    rig.handle(20, list(5, vec![info(0, 9000, false)]));
+    let view = rig.membership.iter().next().unwrap();
+    assert_eq!(view.upstream.address, "127.0.0.1:9101");
+}
+
+/// The truth about one upstream over a run.
+#[derive(Clone, Debug)]
+struct Fate {
+    leaves_at: u64,
+    resets_at: Vec<u64>,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    (2_000..20_000u64, prop::collection::vec(0..20_000u64, 0..3))
+        .prop_map(|(leaves_at, resets_at)| Fate { leaves_at, resets_at })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Upstreams leave at random times, refuse connections from 2 s after
+    /// that, and reset connections at others. The list lags by up to 6 s, and
+    /// traffic may pass an upstream by, so that only a probe finds out.
+    #[test]
+    fn no_new_work_after_bound(
+        seed: u64,
+        fates in prop::collection::vec(fate(), 4),
+        lag in 0..6_000u64,
+        late_probe_ms in 1..1_500u64,
+    ) {
+        let mut rig = Rig::new(seed);
+        let mut last_work: BTreeMap<usize, u64> = BTreeMap::new();
+        let mut probes: Vec<(u64, u32, bool)> = Vec::new();
+        let mut silent: Vec<(u64, u32, bool)> = Vec::new();
+        for now in (0..30_000u64).step_by(50) {
+            if now % 1_000 == 0 {
+                let seen = now.saturating_sub(lag);
+                let workers = fates.iter().enumerate();
+                let workers = workers.map(|(at, it)| {
+                    info(at as u32, 9000 + at as u32 * 10, it.leaves_at <= seen)
+                });
+                rig.handle(now, list(now, workers.collect()));
+            }
+            rig.handle(now, MembershipEvent::Tick);
+            for worker in std::mem::take(&mut rig.probes) {
+                let number: u32 = worker.as_str()[2..].parse().unwrap();
+                let ok = now < fates[number as usize].leaves_at;
+                probes.push((now + late_probe_ms, number, ok));
+            }
+            for (_, number, ok) in probes.extract_if(.., |it| it.0 <= now) {
+                rig.probed(now, number, ok);
+            }
+            if now % 500 == 0 {
+                for worker in rig.router.silent(Timestamp(now), 1_000, 16) {
+                    let number: u32 = worker.as_str()[2..].parse().unwrap();
+                    let ok = now < fates[number as usize].leaves_at;
+                    silent.push((now + late_probe_ms.min(1_000), number, ok));
+                }
+            }
+            for (_, number, ok) in silent.extract_if(.., |it| it.0 <= now) {
+                if ok {
+                    rig.router.heard(Timestamp(now), &worker(number));
+                } else {
+                    rig.sign(now, number, ConnectionSign::Refused);
+                }
+            }
+            for _ in 0..4 {
+                let Some(choice) = rig.router.choose(Timestamp(now), &[]) else { break };
+                let worker = rig.router.worker(choice).unwrap().clone();
+                let at: usize = worker.as_str()[2..].parse().unwrap();
+                let fate = &fates[at];
+                let reset = fate.resets_at.iter().any(|it| (*it..*it + 50).contains(&now));
+                let (outcome, sign) = if fate.leaves_at + 2_000 <= now {
+                    (RouteOutcome::Failed, Some(ConnectionSign::Refused))
+                } else if fate.leaves_at <= now {
+                    (RouteOutcome::Answered(10_000), Some(ConnectionSign::Closing))
+                } else if reset {
+                    (RouteOutcome::Failed, Some(ConnectionSign::Reset))
+                } else {
+                    (RouteOutcome::Answered(10_000), None)
+                };
+                last_work.insert(at, now);
+                rig.router.end(Timestamp(now), choice, outcome);
+                if let Some(sign) = sign {
+                    rig.sign(now, at as u32, sign);
+                }
+            }
+        }
+        for (at, last) in last_work {
+            prop_assert!(
+                last <= fates[at].leaves_at + 3_000,
+                "upstream {at} left at {} and got work at {last}", fates[at].leaves_at
+            );
+        }
+    }
+
+    /// An upstream that flaps is probed less and less often, and comes back
+    /// once it stays up.
+    #[test]
+    fn flapping_upstream_recovers(seed: u64, flaps in 1..8u64) {
+        let mut rig = Rig::new(seed);
+        rig.handle(0, list(0, vec![info(0, 9000, false)]));
+        let mut now = 0;
+        let mut waits = Vec::new();
+        for _ in 0..flaps {
+            rig.sign(now, 0, ConnectionSign::Reset);
+            let at = rig.membership.next_deadline().unwrap().0;
+            waits.push(at - now);
+            rig.handle(at, MembershipEvent::Tick);
+            now = at + 1;
+            rig.probed(now, 0, true);
+            prop_assert_eq!(rig.state(0), Some(UpstreamState::Active));
+        }
+        for pair in waits.windows(2).take(4) {
+            prop_assert!(pair[0] < pair[1], "{:?}", waits);
+        }
+    }
+}
