--- a/crates/mustardcove-core/examples/routing_tail.rs
+++ b/crates/mustardcove-core/examples/routing_tail.rs
@@ -216,8 +216,8 @@
         let leaving = LEAVES_AT_US + LIST_LAG_US <= self.now_us;
         let workers = infos(leaving);
         for entry in 0..ENTRIES {
-            let made_at = self.now();
-            self.membership(entry, MembershipEvent::List { made_at, workers: workers.clone() });
+            let version = self.now_us;
+            self.membership(entry, MembershipEvent::List { version, workers: workers.clone() });
             self.membership(entry, MembershipEvent::Tick);
             self.probe_silent(entry);
         }
--- a/crates/mustardcove-core/src/membership.rs
+++ b/crates/mustardcove-core/src/membership.rs
@@ -134,10 +134,10 @@
 pub enum MembershipEvent {
     /// Time passed; sent no later than the next deadline.
     Tick,
-    /// The instance list as of `made_at`.
+    /// A version of the instance list.
     List {
-        /// When the platform made the list.
-        made_at: Timestamp,
+        /// Rises with every change of the list.
+        version: u64,
         /// The instances in it.
         workers: Arc<[WorkerInfo]>,
     },
@@ -226,7 +226,7 @@
 pub struct Membership {
     service: ServiceId,
     members: BTreeMap<WorkerId, Member>,
-    listed_at: Timestamp,
+    version: u64,
     rng: ChaCha8Rng,
 }
 
@@ -234,7 +234,7 @@
     /// Returns the empty view of a service's upstreams.
     pub fn new(service: ServiceId, seed: u64) -> Membership {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        Membership { service, members: BTreeMap::new(), listed_at: Timestamp(0), rng }
+        Membership { service, members: BTreeMap::new(), version: 0, rng }
     }
 
     /// Handles an event and pushes what has to be done.
@@ -246,8 +246,8 @@
     ) {
         match event {
             MembershipEvent::Tick => self.on_tick(now, actions),
-            MembershipEvent::List { made_at, workers } => {
-                self.on_list(now, made_at, &workers, actions);
+            MembershipEvent::List { version, workers } => {
+                self.on_list(now, version, &workers, actions);
             }
             MembershipEvent::Sign { worker, sign } => self.on_sign(now, &worker, sign, actions),
             MembershipEvent::Probed { worker, ok } => self.on_probed(now, &worker, ok, actions),
@@ -266,9 +266,9 @@
         self.members.get(worker).map(Member::state)
     }
 
-    /// Returns when the newest list was made.
-    pub fn listed_at(&self) -> Timestamp {
-        self.listed_at
+    /// Returns the version of the newest list; zero if there was none.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// Iterates over the upstreams in order of their names.
@@ -284,15 +284,15 @@
     fn on_list(
         &mut self,
         now: Timestamp,
-        made_at: Timestamp,
+        version: u64,
         workers: &[WorkerInfo],
         actions: &mut Vec<MembershipAction>,
     ) {
         // Two copies of the list may answer in turn, one further behind.
-        if made_at < self.listed_at {
+        if version < self.version {
             return;
         }
-        self.listed_at = made_at;
+        self.version = version;
         let mut gone = std::mem::take(&mut self.members);
         for info in workers {
             let Some(upstream) = upstream_of(info, &self.service) else { continue };
--- a/crates/mustardcove-core/tests/leaving_upstream.rs
+++ b/crates/mustardcove-core/tests/leaving_upstream.rs
@@ -41,8 +41,8 @@
     }
 }
 
-fn list(made_at: u64, workers: Vec<WorkerInfo>) -> MembershipEvent {
-    MembershipEvent::List { made_at: Timestamp(made_at), workers: Arc::from(workers) }
+fn list(version: u64, workers: Vec<WorkerInfo>) -> MembershipEvent {
+    MembershipEvent::List { version, workers: Arc::from(workers) }
 }
 
 struct Rig {
