--- a/crates/mustardcove-core/src/lib.rs
+++ b/crates/mustardcove-core/src/lib.rs
@@ -12,8 +12,11 @@
 pub mod agreement;
 pub mod class;
 pub mod configuration;
+pub mod estimate;
+pub mod eviction;
 pub mod group;
 pub mod id;
+pub mod interference;
 pub mod job;
 pub mod limit;
 pub mod membership;
