Add the state machine of a shard

Cause: jobs need one owner that makes every change durable before anyone acts on it, and that survives lost answers, outages and rival owners. A list of bound attempts is sent only after an append proves ownership, because a stale owner would list an attempt that its successor has replaced.

--- /dev/null
+++ b/crates/mustardcove-core/src/shard/log.rs
@@ -0,0 +1,504 @@
+//! Appends: group commit, fencing, lost answers and store outages.
+//!
+//! At most one append is in flight. Its records stay with it until the outcome
+//! is certain: a successful answer, or the key read back with the same token.
+//! A conflict, or another token, means that another process owns the shard.
+//!
+//! A writer that was cut off for so long that its successor already deleted
+//! the segment at its position would create that segment a second time. A
+//! successful append that comes long after the last proof of ownership is
+//! therefore checked: nothing may follow it in the log. Deletions wait many
+//! times longer than that, so only the rates of two clocks matter, not their
+//! readings.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use bytes::Bytes;
+
+use super::{
+    Phase, Shard, ShardAction,
+    commit::{Origin, Queued},
+    to_group,
+};
+use crate::{
+    id::{CallId, GroupId, ProcessId, SegmentNumber, TaskId, WorkerId},
+    job::Checkpoint,
+    ledger::{
+        Record, Segment, log_key, log_prefix,
+        segment::{MAX_SEGMENT_BYTES, SegmentHeader, encode_record},
+    },
+    message::ShardToGroup,
+    store::{Entry, Expect, StoreError, StoreOp, StoreReply, StoreResult},
+    time::{Timestamp, earliest},
+    verdict::{Refusal, RefusalReason, Verdict},
+    worker::StopMode,
+};
+
+/// Shortest time after which callers are told to ask again, in milliseconds.
+const MIN_RETRY_MS: u64 = 1000;
+
+/// Queued bytes beyond which new requests are refused as overload.
+pub(super) const MAX_QUEUE_BYTES: usize = 4 * MAX_SEGMENT_BYTES;
+
+/// Longest time that an answer which needs a proof of ownership waits for an
+/// append, in milliseconds; then an empty segment is appended.
+const PROOF_INTERVAL_MS: u64 = 5000;
+
+/// Something that is right only if this process owns the shard, because a
+/// newer owner may know better.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Unproven {
+    /// The end of an attempt of a job that is not known here needs no record.
+    Acknowledge { group: GroupId, task: TaskId },
+    /// An attempt of a job that is not known here is to be stopped.
+    Stop { group: GroupId, task: TaskId, worker: WorkerId },
+    /// The list of the attempts that are bound in a group.
+    Reconcile { group: GroupId },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Write,
+    ReadBack,
+    Verify,
+}
+
+/// An append whose outcome is not certain yet.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    seq: SegmentNumber,
+    header: SegmentHeader,
+    value: Bytes,
+    pub(super) entries: Vec<Queued>,
+    /// Messages that were made before the append was sent.
+    proven: Vec<Unproven>,
+    step: Step,
+    call: Option<CallId>,
+    first_sent: Timestamp,
+    sent_at: Timestamp,
+    next_at: Timestamp,
+    /// Whether a write may have taken effect without an answer.
+    pub(super) unknown: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Log {
+    pub(super) tail: SegmentNumber,
+    pub(super) queue: VecDeque<Queued>,
+    pub(super) queue_bytes: usize,
+    pub(super) in_flight: Option<InFlight>,
+    /// Newest checkpoints that wait for an append; one per attempt.
+    pub(super) checkpoints: BTreeMap<TaskId, Checkpoint>,
+    last_sent: Option<Timestamp>,
+    /// A time at which the tail was certainly the last segment of the log.
+    pub(super) verified_at: Timestamp,
+    pub(super) down_since: Option<Timestamp>,
+    retry_at: Timestamp,
+    failures: u32,
+    pub(super) probe: Option<CallId>,
+    needs_proof: Vec<Unproven>,
+    proof_due: Timestamp,
+    pub(super) appends: u64,
+    pub(super) last_error: String,
+}
+
+impl Log {
+    pub(super) fn new(now: Timestamp) -> Log {
+        Log {
+            tail: SegmentNumber(0),
+            queue: VecDeque::new(),
+            queue_bytes: 0,
+            in_flight: None,
+            checkpoints: BTreeMap::new(),
+            last_sent: None,
+            verified_at: now,
+            down_since: None,
+            retry_at: now,
+            failures: 0,
+            probe: None,
+            needs_proof: Vec::new(),
+            proof_due: Timestamp::MAX,
+            appends: 0,
+            last_error: String::new(),
+        }
+    }
+
+    pub(super) fn awaits(&self, call: CallId) -> bool {
+        self.in_flight.as_ref().is_some_and(|it| it.call == Some(call))
+    }
+
+    /// Reports whether no append is due or under way.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.in_flight.is_none() && self.queue.is_empty() && self.checkpoints.is_empty()
+    }
+
+    fn has_work(&self, now: Timestamp) -> bool {
+        !self.queue.is_empty() || !self.checkpoints.is_empty() || self.proof_due <= now
+    }
+
+    fn due_at(&self, interval: u64) -> Timestamp {
+        self.last_sent.map_or(Timestamp(0), |it| it.plus_ms(interval))
+    }
+}
+
+impl Shard {
+    /// Holds something back until the next append proves that this process
+    /// still owned the shard when it was decided.
+    pub(super) fn when_proven(&mut self, what: Unproven) {
+        self.need_proof(what, PROOF_INTERVAL_MS);
+    }
+
+    /// Tells a group what is bound in it as soon as an append proves that this
+    /// process still owned the shard when the group asked.
+    ///
+    /// A stale owner would list an attempt that its successor has already
+    /// replaced by another.
+    pub(super) fn reconcile_when_proven(&mut self, group: GroupId) {
+        self.need_proof(Unproven::Reconcile { group }, 0);
+    }
+
+    fn need_proof(&mut self, what: Unproven, within_ms: u64) {
+        let due = self.now.plus_ms(within_ms);
+        self.log.proof_due = self.log.proof_due.min(due);
+        if !self.log.needs_proof.contains(&what) {
+            self.log.needs_proof.push(what);
+        }
+    }
+
+    pub(super) fn is_store_down(&self) -> bool {
+        self.log.down_since.is_some()
+    }
+
+    /// Returns when callers may ask again, spread so that they do not all come
+    /// at once.
+    pub(super) fn retry_at(&mut self) -> Timestamp {
+        let spread = self.jitter(MIN_RETRY_MS);
+        self.log.retry_at.max(self.now.plus_ms(MIN_RETRY_MS)).plus_ms(spread)
+    }
+
+    pub(super) fn store_unavailable(&mut self) -> Refusal {
+        let detail = "the store cannot be reached, so nothing can be made durable";
+        Refusal::not_run(RefusalReason::StoreUnavailable, detail).with_retry_at(self.retry_at())
+    }
+
+    pub(super) fn log_deadline(&self) -> Option<Timestamp> {
+        if let Some(it) = &self.log.in_flight {
+            let slow = it.sent_at.plus_ms(self.cfg.store_slow_ms);
+            let slow = (!self.is_store_down()).then_some(slow);
+            return if it.call.is_some() { slow } else { earliest(Some(it.next_at), slow) };
+        }
+        if self.is_store_down() {
+            return self.log.probe.is_none().then_some(self.log.retry_at);
+        }
+        let due = self.log.due_at(self.cfg.commit_interval_ms);
+        let has_records = !self.log.queue.is_empty() || !self.log.checkpoints.is_empty();
+        let wanted = if has_records { Timestamp(0) } else { self.log.proof_due };
+        (wanted < Timestamp::MAX).then_some(due.max(wanted))
+    }
+
+    pub(super) fn run_log(&mut self, out: &mut Vec<ShardAction>) {
+        if self.phase == Phase::Dropped {
+            return;
+        }
+        if let Some(it) = &self.log.in_flight {
+            let late = it.sent_at.plus_ms(self.cfg.store_slow_ms) <= self.now;
+            let step_due = it.call.is_none() && it.next_at <= self.now;
+            if late && !self.is_store_down() {
+                self.log.last_error = "no answer from the store in time".to_owned();
+                self.go_down(out);
+            }
+            if step_due {
+                self.send_step(out);
+            }
+            return;
+        }
+        if self.is_store_down() {
+            if self.log.probe.is_none() && self.log.retry_at <= self.now {
+                let key = log_key(self.id, self.log.tail);
+                self.log.probe = Some(self.store_call(StoreOp::Get { key }, out));
+            }
+            return;
+        }
+        let due = self.log.due_at(self.cfg.commit_interval_ms) <= self.now;
+        if due && self.log.has_work(self.now) && self.phase != Phase::Recovering {
+            self.append(out);
+        }
+    }
+
+    /// Appends the record that makes this process the owner.
+    pub(super) fn claim(&mut self, out: &mut Vec<ShardAction>) {
+        let record =
+            Record::Owner { process: self.process.clone(), epoch: self.committed.epoch().next() };
+        self.push(record, Vec::new(), Origin::Keep, out);
+        self.append(out);
+    }
+
+    fn append(&mut self, out: &mut Vec<ShardAction>) {
+        let entries = self.take_batch();
+        let owner_epoch = self.committed.epoch();
+        let epoch = entries.iter().find_map(|it| match &it.record {
+            Record::Owner { epoch, .. } => Some(*epoch),
+            _ => None,
+        });
+        let header = SegmentHeader {
+            process: self.process.clone(),
+            epoch: epoch.unwrap_or(owner_epoch),
+            token: self.new_token(),
+        };
+        let value = Segment::assemble(&header, entries.iter().map(|it| it.encoded.as_ref()));
+        self.log.proof_due = Timestamp::MAX;
+        self.log.in_flight = Some(InFlight {
+            seq: self.log.tail.next(),
+            header,
+            value,
+            entries,
+            proven: std::mem::take(&mut self.log.needs_proof),
+            step: Step::Write,
+            call: None,
+            first_sent: self.now,
+            sent_at: self.now,
+            next_at: self.now,
+            unknown: false,
+        });
+        self.send_step(out);
+    }
+
+    /// Takes as many queued records as fit into one segment.
+    fn take_batch(&mut self) -> Vec<Queued> {
+        let mut entries = Vec::new();
+        for (task, checkpoint) in std::mem::take(&mut self.log.checkpoints) {
+            let record = Record::Checkpointed { task, checkpoint };
+            let encoded = encode_record(&record);
+            let (job, origin) = (Some(task.job), Origin::Keep);
+            entries.push(Queued { record, encoded, job, effects: Vec::new(), origin });
+        }
+        let mut bytes: usize = entries.iter().map(|it| it.encoded.len()).sum();
+        while let Some(next) = self.log.queue.front() {
+            bytes += next.encoded.len();
+            if MAX_SEGMENT_BYTES < bytes && !entries.is_empty() {
+                break;
+            }
+            let next = self.log.queue.pop_front().expect("the queue has a front");
+            self.log.queue_bytes -= next.encoded.len();
+            entries.push(next);
+        }
+        entries
+    }
+
+    fn send_step(&mut self, out: &mut Vec<ShardAction>) {
+        let Some(mut it) = self.log.in_flight.take() else { return };
+        let key = log_key(self.id, it.seq);
+        let op = match it.step {
+            Step::Write => {
+                self.log.last_sent = Some(self.now);
+                self.log.appends += 1;
+                let value = it.value.clone();
+                StoreOp::Put { key, value, expect: Expect::Absent, lease: None }
+            }
+            Step::ReadBack => StoreOp::Get { key },
+            Step::Verify => {
+                StoreOp::List { prefix: log_prefix(self.id), start_after: key, limit: 1 }
+            }
+        };
+        it.sent_at = self.now;
+        it.call = Some(self.store_call(op, out));
+        self.log.in_flight = Some(it);
+    }
+
+    pub(super) fn on_log_reply(&mut self, result: StoreResult, out: &mut Vec<ShardAction>) {
+        let Some(it) = self.log.in_flight.as_mut() else { return };
+        it.call = None;
+        let (step, seq, sent_at) = (it.step, it.seq, it.sent_at);
+        match (step, result) {
+            (Step::Write, Ok(StoreReply::Written { .. })) => self.on_written(out),
+            (Step::Write, Err(StoreError::Conflict { current: Some(entry) }))
+            | (Step::ReadBack, Ok(StoreReply::Got { entry: Some(entry), .. })) => {
+                self.on_found(&entry, out);
+            }
+            (Step::Write, Err(StoreError::Conflict { current: None })) => {
+                self.next_step(Step::ReadBack, 0);
+            }
+            (Step::ReadBack, Ok(StoreReply::Got { entry: None, .. })) => {
+                self.next_step(Step::Write, 0);
+            }
+            (Step::Verify, Ok(StoreReply::Listed { entries, .. })) => match entries.first() {
+                Some(later) => {
+                    self.log.last_error = format!("segment {} was followed by others", seq);
+                    self.lose_ownership(later, out);
+                }
+                None => self.on_durable(sent_at, out),
+            },
+            (Step::Write, Err(StoreError::Unavailable { verdict: Verdict::NotRun })) => {
+                self.on_not_written("store unavailable", out);
+            }
+            (Step::Write, Err(StoreError::TooLarge)) => {
+                self.on_not_written("segment exceeds the store's limit", out);
+            }
+            (Step::Write, other) => self.on_unknown(Step::ReadBack, other, out),
+            (step, other) => self.on_unknown(step, other, out),
+        }
+    }
+
+    fn next_step(&mut self, step: Step, delay: u64) {
+        let Some(it) = self.log.in_flight.as_mut() else { return };
+        it.step = step;
+        it.next_at = self.now.plus_ms(delay);
+    }
+
+    fn on_unknown(&mut self, next: Step, result: StoreResult, out: &mut Vec<ShardAction>) {
+        self.log.last_error = match result {
+            Err(err) => err.to_string(),
+            Ok(_) => "the store's answer does not match the call".to_owned(),
+        };
+        if let Some(it) = self.log.in_flight.as_mut() {
+            it.unknown = true;
+        }
+        self.go_down(out);
+        let delay = self.log.retry_at.ms_since(self.now);
+        self.next_step(next, delay);
+    }
+
+    /// Handles a write that certainly had no effect. Unless an earlier write of
+    /// the same segment may have had one, its records are queued again.
+    fn on_not_written(&mut self, error: &str, out: &mut Vec<ShardAction>) {
+        self.log.last_error = error.to_owned();
+        let unknown = self.log.in_flight.as_ref().is_some_and(|it| it.unknown);
+        if unknown || self.phase == Phase::Recovering {
+            self.go_down(out);
+            let delay = self.log.retry_at.ms_since(self.now);
+            self.next_step(Step::ReadBack, delay);
+            return;
+        }
+        if let Some(it) = self.log.in_flight.take() {
+            it.proven.into_iter().for_each(|what| self.need_proof(what, 0));
+            for entry in it.entries.into_iter().rev() {
+                self.log.queue_bytes += entry.encoded.len();
+                self.log.queue.push_front(entry);
+            }
+        }
+        self.go_down(out);
+    }
+
+    /// Handles a segment found at the position that this process writes.
+    fn on_found(&mut self, entry: &Entry, out: &mut Vec<ShardAction>) {
+        let ours = self.log.in_flight.as_ref().map(|it| &it.header);
+        let found = Segment::decode_header(&entry.value);
+        if found.is_ok() && found.as_ref().ok() == ours {
+            self.on_written(out);
+        } else {
+            self.log.last_error = "another process wrote the next segment".to_owned();
+            self.lose_ownership(entry, out);
+        }
+    }
+
+    fn on_written(&mut self, out: &mut Vec<ShardAction>) {
+        let Some(it) = &self.log.in_flight else { return };
+        let first_sent = it.first_sent;
+        if self.cfg.verify_after_ms < self.now.ms_since(self.log.verified_at) {
+            self.next_step(Step::Verify, 0);
+        } else {
+            self.on_durable(first_sent, out);
+        }
+    }
+
+    fn on_durable(&mut self, verified_at: Timestamp, out: &mut Vec<ShardAction>) {
+        let Some(it) = self.log.in_flight.take() else { return };
+        self.log.tail = it.seq;
+        self.log.verified_at = verified_at;
+        self.log.down_since = None;
+        self.log.failures = 0;
+        self.upkeep.count_segment(it.value.len());
+        let mut jobs = BTreeSet::new();
+        for entry in &it.entries {
+            self.committed.apply(&entry.record);
+            if let Some(job) = entry.job {
+                self.unpend(job);
+                jobs.insert(job);
+            }
+        }
+        let handed_to = it.entries.iter().find_map(|entry| match &entry.record {
+            Record::Handover { to } => Some(to.clone()),
+            _ => None,
+        });
+        for effect in it.entries.into_iter().flat_map(|entry| entry.effects) {
+            self.perform(effect, out);
+        }
+        if self.phase != Phase::Recovering {
+            it.proven.into_iter().for_each(|what| self.proven(what, out));
+        }
+        jobs.into_iter().for_each(|job| self.after_commit(job, out));
+        if let Some(to) = handed_to {
+            self.drop_shard(Some(to.clone()), out);
+            out.push(ShardAction::HandedOver { to });
+        } else if self.phase == Phase::Recovering {
+            self.become_ready(out);
+        }
+    }
+
+    fn proven(&mut self, what: Unproven, out: &mut Vec<ShardAction>) {
+        match what {
+            Unproven::Acknowledge { group, task } if self.latest(task.job).is_none() => {
+                to_group(&group, ShardToGroup::Acknowledge { task }, out);
+            }
+            Unproven::Stop { group, task, worker } if self.latest(task.job).is_none() => {
+                let mode = StopMode::Kill;
+                to_group(&group, ShardToGroup::Stop { task, worker, mode }, out);
+            }
+            Unproven::Acknowledge { .. } | Unproven::Stop { .. } => {}
+            Unproven::Reconcile { group } => self.reconcile(&group, out),
+        }
+    }
+
+    /// Handles a segment of another process where this one wanted to write:
+    /// nothing of the append took effect.
+    fn lose_ownership(&mut self, entry: &Entry, out: &mut Vec<ShardAction>) {
+        if self.phase == Phase::Recovering {
+            self.log.in_flight = None;
+            self.reread_log();
+            return;
+        }
+        let owner = Segment::decode_header(&entry.value).ok().map(|it| it.process);
+        self.fence(owner, out);
+    }
+
+    pub(super) fn fence(&mut self, owner: Option<ProcessId>, out: &mut Vec<ShardAction>) {
+        // Reservations that were asked for lapse by themselves: releasing one
+        // could take it from the new owner, which counts the same attempts.
+        self.drop_shard(owner, out);
+        out.push(ShardAction::Fenced);
+    }
+
+    pub(super) fn on_probe_reply(&mut self, result: StoreResult) {
+        self.log.probe = None;
+        match result {
+            Ok(_) => {
+                self.log.down_since = None;
+                self.log.failures = 0;
+            }
+            Err(err) => {
+                self.log.last_error = err.to_string();
+                self.delay_retry();
+            }
+        }
+    }
+
+    fn delay_retry(&mut self) {
+        let (first, most) = (self.cfg.store_retry_ms, self.cfg.store_retry_max_ms);
+        let delay = self.backoff(first, most, self.log.failures);
+        self.log.failures = self.log.failures.saturating_add(1);
+        self.log.retry_at = self.now.plus_ms(delay);
+    }
+
+    /// Refuses what was never in flight and stops accepting until the store
+    /// answers again.
+    fn go_down(&mut self, out: &mut Vec<ShardAction>) {
+        self.delay_retry();
+        if self.log.down_since.is_none() {
+            self.log.down_since = Some(self.now);
+        }
+        if matches!(self.phase, Phase::Ready | Phase::HandingOver) {
+            self.shed(out);
+            self.release_asked(out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-core/src/shard/tasks.rs
@@ -0,0 +1,322 @@
+//! Messages of group owners: reservations and the ends of attempts.
+//!
+//! Messages may be repeated, reordered, and meant for another owner of this
+//! shard. An end of the current attempt is recorded and acknowledged once it
+//! is durable. An end that is already durable is acknowledged at once: the log
+//! never takes it back, whoever owns the shard now. For a job that is not
+//! known here nothing is said before an append proves that this process still
+//! owns the shard, because a newer owner may know it.
+
+use super::{
+    Shard, ShardAction,
+    commit::{Effect, Origin},
+    jobs::attempts,
+    log::Unproven,
+    queue::Step,
+    to_group,
+};
+use crate::{
+    class::Delivery,
+    id::{Epoch, GroupId, TaskId, WorkerId},
+    job::{Checkpoint, Evidence, JobState, MAX_RESULT_BYTES, Outcome, Place},
+    ledger::{Job, Record},
+    message::{GroupToShard, ReserveRefusal, ShardToGroup},
+    time::Timestamp,
+    verdict::{Refusal, RefusalReason, Verdict},
+    worker::StopMode,
+};
+
+/// How long a group that could never hold a job is not asked for it again, in
+/// milliseconds.
+const NEVER_FITS_MS: u64 = 60_000;
+
+/// What this owner knows of an attempt that a message names.
+enum Standing {
+    /// It is the current attempt and bound in the group that speaks.
+    Current,
+    /// It is durably over.
+    Over,
+    /// Its end waits to be durable, or the message does not apply.
+    Ignore,
+    /// The job is not known.
+    Unknown,
+}
+
+impl Shard {
+    pub(super) fn on_group(
+        &mut self,
+        from: GroupId,
+        body: GroupToShard,
+        out: &mut Vec<ShardAction>,
+    ) {
+        if !self.is_ready() {
+            return;
+        }
+        match body {
+            GroupToShard::Reserved { task, worker, epoch, deadline } => {
+                self.on_reserved(from, task, worker, epoch, deadline, out);
+            }
+            GroupToShard::ReserveRefused { task, reason, retry_at } => {
+                self.on_reserve_refused(from, task, reason, retry_at);
+            }
+            GroupToShard::Started { task } => {
+                if let Standing::Current = self.standing(&from, task) {
+                    self.confirm(task.job);
+                }
+            }
+            GroupToShard::Checkpointed { task, checkpoint } => {
+                if let Standing::Current = self.standing(&from, task) {
+                    self.confirm(task.job);
+                    self.push_checkpoint(task, checkpoint);
+                }
+            }
+            GroupToShard::Finished { task, outcome } => {
+                if self.ends_current(&from, task, out) {
+                    self.on_finished(from, task, outcome, out);
+                }
+            }
+            GroupToShard::Evicted { task, checkpoint } => {
+                if self.ends_current(&from, task, out) {
+                    self.on_evicted(from, task, checkpoint, out);
+                }
+            }
+            GroupToShard::Lost { task, evidence } => {
+                if self.ends_current(&from, task, out) {
+                    self.on_lost(from, task, evidence, out);
+                }
+            }
+            GroupToShard::Unknown { task, worker } => self.on_unknown_task(from, task, worker, out),
+            GroupToShard::NewOwner { .. } => self.reconcile_when_proven(from),
+        }
+    }
+
+    fn standing(&self, from: &GroupId, task: TaskId) -> Standing {
+        let latest = self.latest(task.job);
+        if let Some(JobState::Bound { attempt, place, .. }) = latest.map(|it| &it.state)
+            && *attempt == task.attempt
+        {
+            return match place {
+                Place::Worker { group, .. } if group == from => Standing::Current,
+                _ => Standing::Ignore,
+            };
+        }
+        match (self.committed.get(task.job), latest) {
+            (None, None) => Standing::Unknown,
+            (None, Some(_)) => Standing::Ignore,
+            (Some(job), _) if job.is_done() => Standing::Over,
+            (Some(job), _) if job.bound_attempt() == Some(task.attempt) => Standing::Ignore,
+            (Some(job), _) if task.attempt <= attempts(job) => Standing::Over,
+            (Some(_), _) => Standing::Ignore,
+        }
+    }
+
+    /// Reports whether the message ends the current attempt; an end that needs
+    /// no record is answered here.
+    fn ends_current(&mut self, from: &GroupId, task: TaskId, out: &mut Vec<ShardAction>) -> bool {
+        match self.standing(from, task) {
+            Standing::Current => return true,
+            Standing::Over => to_group(from, ShardToGroup::Acknowledge { task }, out),
+            Standing::Unknown => {
+                self.when_proven(Unproven::Acknowledge { group: from.clone(), task })
+            }
+            Standing::Ignore => {}
+        }
+        false
+    }
+
+    fn on_reserved(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        worker: WorkerId,
+        epoch: Epoch,
+        deadline: Timestamp,
+        out: &mut Vec<ShardAction>,
+    ) {
+        let latest = self.latest(task.job);
+        if latest.is_some_and(|it| is_bound_in(it, &from, task)) {
+            return;
+        }
+        let step = self.queue.get(task.job).map(|it| &it.step);
+        let was_asked = matches!(step, Some(Step::Asked { group, .. }) if *group == from);
+        let is_next = latest.is_some_and(|it| {
+            matches!(it.state, JobState::Queued { .. }) && attempts(it).next() == task.attempt
+        });
+        if !was_asked || !is_next || deadline <= self.now || self.is_store_down() {
+            to_group(&from, ShardToGroup::Release { task }, out);
+            if was_asked && is_next {
+                let until = self.now.plus_ms(self.cfg.reserve_timeout_ms);
+                self.refused_by(task.job, from, until);
+                self.set_step(task.job, Step::Ready);
+            }
+            return;
+        }
+        let place = Place::Worker { group: from, worker, epoch };
+        let record = Record::Bound { task, place, request: None };
+        self.push(record, vec![Effect::Start { task }], Origin::Bind, out);
+    }
+
+    fn on_reserve_refused(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        reason: ReserveRefusal,
+        retry_at: Timestamp,
+    ) {
+        let Some(soft) = self.queue.get_mut(task.job) else { return };
+        if !matches!(&soft.step, Step::Asked { group, .. } if *group == from) {
+            return;
+        }
+        soft.note = match reason {
+            ReserveRefusal::NoRoom => "no worker of the group asked last has room",
+            ReserveRefusal::NeverFits => "no worker of the group asked last could hold the job",
+            ReserveRefusal::OverAllotment => "the member's allotment is used up",
+            ReserveRefusal::NotReady => "the group asked last is not ready",
+        };
+        let until = match reason {
+            ReserveRefusal::NeverFits => self.now.plus_ms(NEVER_FITS_MS),
+            // A retry time in the past must not make the two ask in a loop.
+            _ => retry_at.max(self.now.plus_ms(self.cfg.commit_interval_ms)),
+        };
+        self.refused_by(task.job, from, until);
+        self.set_step(task.job, Step::Ready);
+    }
+
+    fn on_finished(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        outcome: Outcome,
+        out: &mut Vec<ShardAction>,
+    ) {
+        match outcome {
+            Outcome::Succeeded { result } if MAX_RESULT_BYTES < result.len() => {
+                let outcome = too_large(result.len());
+                self.end_job(from, task, outcome, out);
+            }
+            Outcome::Succeeded { .. } => self.end_job(from, task, outcome, out),
+            Outcome::Cancelled => self.on_evicted(from, task, None, out),
+            Outcome::Failed { refusal } => self.on_failed(from, task, refusal, out),
+        }
+    }
+
+    fn on_failed(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        refusal: Refusal,
+        out: &mut Vec<ShardAction>,
+    ) {
+        if refusal.verdict == Verdict::NotRun {
+            return self.on_lost(from, task, Evidence::RefusedByWorker, out);
+        }
+        let Some(job) = self.latest(task.job) else { return };
+        let mut failed = job.clone();
+        failed.failed_on.extend(job.bound_worker().cloned());
+        let is_final = matches!(refusal.reason, RefusalReason::TooLarge | RefusalReason::Invalid)
+            || self.cfg.max_failed_workers <= failed.failed_workers()
+            || self.cfg.max_failures <= failed.failed_on.len();
+        if is_final {
+            return self.end_job(from, task, Outcome::Failed { refusal }, out);
+        }
+        let record = Record::Failed { task, refusal };
+        self.end_attempt(from, record, task, out);
+    }
+
+    fn on_evicted(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        checkpoint: Option<Checkpoint>,
+        out: &mut Vec<ShardAction>,
+    ) {
+        self.end_attempt(from, Record::Evicted { task, checkpoint }, task, out);
+    }
+
+    fn on_lost(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        evidence: Evidence,
+        out: &mut Vec<ShardAction>,
+    ) {
+        // An expired lease is not enough for work that must not be done twice;
+        // the group reports again when the instance list confirms the loss.
+        if evidence == Evidence::LeaseExpired
+            && self.delivery(task.job) == Some(Delivery::AtMostOnce)
+        {
+            return;
+        }
+        self.end_attempt(from, Record::Lost { task, evidence }, task, out);
+    }
+
+    /// Records the end of the current attempt; the job waits again, or ends if
+    /// it is being cancelled.
+    fn end_attempt(
+        &mut self,
+        from: GroupId,
+        record: Record,
+        task: TaskId,
+        out: &mut Vec<ShardAction>,
+    ) {
+        let is_cancelling = self
+            .latest(task.job)
+            .is_some_and(|it| matches!(it.state, JobState::Bound { cancelling: true, .. }));
+        if is_cancelling {
+            return self.end_job(from, task, Outcome::Cancelled, out);
+        }
+        self.push(record, vec![acknowledgement(from, task)], Origin::Keep, out);
+    }
+
+    fn end_job(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        outcome: Outcome,
+        out: &mut Vec<ShardAction>,
+    ) {
+        let effects = vec![acknowledgement(from, task)];
+        self.finish(task.job, outcome, effects, Origin::Keep, out);
+    }
+
+    fn on_unknown_task(
+        &mut self,
+        from: GroupId,
+        task: TaskId,
+        worker: WorkerId,
+        out: &mut Vec<ShardAction>,
+    ) {
+        let mode = StopMode::Kill;
+        match self.standing(&from, task) {
+            Standing::Current => self.reconcile_when_proven(from),
+            Standing::Over => to_group(&from, ShardToGroup::Stop { task, worker, mode }, out),
+            Standing::Unknown => self.when_proven(Unproven::Stop { group: from, task, worker }),
+            Standing::Ignore => {}
+        }
+    }
+
+    pub(super) fn delivery(&self, id: crate::id::JobId) -> Option<Delivery> {
+        let class = &self.latest(id)?.spec.class;
+        Some(self.agreement.as_ref()?.classes.get(class)?.delivery)
+    }
+}
+
+fn acknowledgement(group: GroupId, task: TaskId) -> Effect {
+    Effect::Tell { group, body: Box::new(ShardToGroup::Acknowledge { task }) }
+}
+
+fn is_bound_in(job: &Job, wanted: &GroupId, task: TaskId) -> bool {
+    matches!(
+        &job.state,
+        JobState::Bound { attempt, place: Place::Worker { group, .. }, .. }
+            if *attempt == task.attempt && group == wanted
+    )
+}
+
+/// The outcome of work whose result is too large to be stored.
+pub(super) fn too_large(len: usize) -> Outcome {
+    let detail = format!("the result has {len} bytes; at most {MAX_RESULT_BYTES} are stored");
+    let mut refusal = Refusal::may_have_run(RefusalReason::TooLarge, detail);
+    refusal.verdict = Verdict::Ran;
+    Outcome::Failed { refusal }
+}
--- /dev/null
+++ b/crates/mustardcove-core/tests/support/truth.rs
@@ -0,0 +1,70 @@
+//! What the log in the store says, seen by an observer that misses nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardcove_core::{
+    id::{JobId, ProcessId, RequestId, SegmentNumber, ShardId, TaskId},
+    job::{JobState, Place},
+    ledger::{Ledger, Record, Segment, segment::parse_log_key},
+    store::StoreOp,
+};
+
+#[derive(Debug, Default)]
+pub struct Truth {
+    pub ledger: Ledger,
+    pub tail: SegmentNumber,
+    /// Every attempt that was ever bound, with its place.
+    pub bound: BTreeMap<TaskId, Place>,
+    /// Requests that hold an attempt at an upstream.
+    pub admitted: BTreeMap<TaskId, (ProcessId, RequestId)>,
+    /// Attempts whose end is durable.
+    pub over: BTreeSet<TaskId>,
+    pub accepted: BTreeMap<JobId, u32>,
+    pub segments: u64,
+    pub records: u64,
+}
+
+impl Truth {
+    /// Notes a write that took effect.
+    pub fn observe(&mut self, shard: ShardId, op: &StoreOp) {
+        let StoreOp::Put { key, value, .. } = op else { return };
+        let Some(seq) = parse_log_key(shard, key) else { return };
+        if seq != self.tail.next() {
+            assert!(seq <= self.tail, "segment {seq} leaves a gap after {}", self.tail);
+            return;
+        }
+        self.tail = seq;
+        self.segments += 1;
+        let segment = Segment::decode(value).expect("segments are readable");
+        for record in &segment.records {
+            self.records += 1;
+            self.note(record);
+        }
+    }
+
+    fn note(&mut self, record: &Record) {
+        let before = record.job().and_then(|it| self.ledger.get(it)).cloned();
+        assert!(self.ledger.apply(record), "record does not fit: {record:?} after {before:?}");
+        match record {
+            Record::Accepted { spec, .. } => *self.accepted.entry(spec.id()).or_default() += 1,
+            Record::Bound { task, place, request } => {
+                assert!(self.bound.insert(*task, place.clone()).is_none(), "{task} bound twice");
+                if let (Place::Upstream { entry, .. }, Some(request)) = (place, request) {
+                    self.admitted.insert(*task, (entry.clone(), *request));
+                }
+            }
+            _ => {}
+        }
+        let still = record.job().and_then(|it| self.ledger.get(it)?.bound_attempt());
+        if let Some(JobState::Bound { attempt, .. }) = before.map(|it| it.state)
+            && still != Some(attempt)
+        {
+            let job = record.job().expect("the record changed a job");
+            self.over.insert(TaskId { job, attempt });
+        }
+    }
+
+    pub fn state(&self, job: JobId) -> Option<&JobState> {
+        self.ledger.get(job).map(|it| &it.state)
+    }
+}
