--- a/crates/mustardcove-core/src/lib.rs
+++ b/crates/mustardcove-core/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod agreement;
 pub mod class;
 pub mod group;
+pub mod health;
 pub mod id;
 pub mod job;
 pub mod message;
 pub mod placement;
+pub mod quota;
 pub mod shard;
 pub mod size;
 pub mod store;
--- /dev/null
+++ b/crates/mustardcove-core/tests/quota_race.rs
@@ -0,0 +1,320 @@
+//! Races of group owners for one member's cap.
+//!
+//! Guards against a sum of allotments beyond the cap: after lost answers,
+//! writes that land late, takeovers, outages and lowered caps.
+
+use std::collections::BTreeMap;
+
+use mustardcove_core::{
+    id::{AttemptNumber, CallId, Epoch, GroupId, JobId, MemberId, TaskId},
+    quota::{MIN_CALL_INTERVAL_MS, Quotas},
+    size::Resources,
+    store::{StoreError, StoreOp},
+    time::Timestamp,
+    verdict::Verdict,
+};
+use proptest::prelude::*;
+
+#[path = "support/group_doubles.rs"]
+mod group_doubles;
+
+use group_doubles::{StoreDouble, agreement, fixed_config};
+
+const GROUPS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    Reserve {
+        group: usize,
+        cores: u64,
+        urgent: bool,
+    },
+    End {
+        group: usize,
+    },
+    Agree {
+        group: usize,
+    },
+    Cap(u64),
+    /// Executes a call in flight; the answer arrives or is lost.
+    Answer {
+        pick: usize,
+        lost: bool,
+    },
+    /// Reports a call as unknown and executes it some steps later.
+    Delay {
+        pick: usize,
+    },
+    Refuse {
+        pick: usize,
+    },
+    Takeover {
+        group: usize,
+    },
+    Outage(bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let group = 0..GROUPS;
+    prop_oneof![
+        4 => (0u64..1_500).prop_map(Step::Wait),
+        6 => (group.clone(), 1u64..5, any::<bool>())
+            .prop_map(|(group, cores, urgent)| Step::Reserve { group, cores, urgent }),
+        3 => group.clone().prop_map(|group| Step::End { group }),
+        2 => group.clone().prop_map(|group| Step::Agree { group }),
+        1 => (2u64..20).prop_map(Step::Cap),
+        8 => (0usize..4, proptest::bool::weighted(0.2))
+            .prop_map(|(pick, lost)| Step::Answer { pick, lost }),
+        1 => (0usize..4).prop_map(|pick| Step::Delay { pick }),
+        1 => (0usize..4).prop_map(|pick| Step::Refuse { pick }),
+        1 => group.prop_map(|group| Step::Takeover { group }),
+        1 => any::<bool>().prop_map(Step::Outage),
+    ]
+}
+
+struct Race {
+    now: Timestamp,
+    store: StoreDouble,
+    caps: Vec<u64>,
+    owners: Vec<Quotas>,
+    epochs: Vec<u64>,
+    running: Vec<Vec<Resources>>,
+    in_flight: Vec<(usize, u64, CallId, StoreOp)>,
+    delayed: Vec<StoreOp>,
+    last_call: BTreeMap<(usize, u64), Timestamp>,
+    next_job: u128,
+}
+
+fn member() -> MemberId {
+    "m0".parse().unwrap()
+}
+
+fn group_id(group: usize) -> GroupId {
+    format!("g{group}").parse().unwrap()
+}
+
+fn quotas(group: usize, epoch: u64, now: Timestamp) -> Quotas {
+    let process = format!("p{group}-{epoch}").parse().unwrap();
+    Quotas::new(group_id(group), Epoch(epoch), process, group as u64 * 100 + epoch, now)
+}
+
+impl Race {
+    fn new() -> Race {
+        let now = Timestamp(1_000_000);
+        let mut owners: Vec<Quotas> = (0..GROUPS).map(|it| quotas(it, 1, now)).collect();
+        owners.iter_mut().for_each(|it| it.set_agreement(&agreement(1, &[12])));
+        Race {
+            now,
+            store: StoreDouble::default(),
+            caps: vec![12],
+            owners,
+            epochs: vec![1; GROUPS],
+            running: vec![Vec::new(); GROUPS],
+            in_flight: Vec::new(),
+            delayed: Vec::new(),
+            last_call: BTreeMap::new(),
+            next_job: 0,
+        }
+    }
+
+    fn poll(&mut self) {
+        for group in 0..GROUPS {
+            let mut out = Vec::new();
+            self.owners[group].poll(self.now, &mut out);
+            for (call, op) in out {
+                if !matches!(op, StoreOp::List { .. }) {
+                    let key = (group, self.epochs[group]);
+                    let last = self.last_call.insert(key, self.now);
+                    let spaced = last.is_none_or(|it| it.plus_ms(MIN_CALL_INTERVAL_MS) <= self.now);
+                    assert!(spaced, "more than one call per member and second");
+                }
+                self.in_flight.push((group, self.epochs[group], call, op));
+            }
+            let due = self.owners[group].next_deadline();
+            assert!(due.is_none_or(|it| self.now < it), "work left undone after a poll");
+        }
+    }
+
+    fn reply(&mut self, pick: usize, apply: impl Fn(&mut Race, &StoreOp) -> Option<StoreError>) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let (group, epoch, call, op) = self.in_flight.remove(pick % self.in_flight.len());
+        let result = match apply(self, &op) {
+            Some(error) => Err(error),
+            None => self.store.execute(&op),
+        };
+        if epoch == self.epochs[group] {
+            self.owners[group].on_reply(self.now, call, result);
+        }
+    }
+
+    fn reserve(&mut self, group: usize, cores: u64, urgent: bool) {
+        let need = Resources::new(cores * 1_000, cores * 1_024, 0);
+        self.next_job += 1;
+        let task = TaskId { job: JobId(self.next_job), attempt: AttemptNumber(1) };
+        let owner = &mut self.owners[group];
+        if owner.fits(&member(), need) {
+            owner.charge(self.now, &member(), need);
+            self.running[group].push(need);
+        } else {
+            owner.demand(self.now, &member(), task, need, urgent, self.now);
+        }
+    }
+
+    fn take_over(&mut self, group: usize) {
+        self.epochs[group] += 1;
+        let mut owner = quotas(group, self.epochs[group], self.now);
+        owner.set_agreement(&agreement(self.caps.len() as u64, &[*self.caps.last().unwrap()]));
+        self.running[group].iter().for_each(|it| owner.charge(self.now, &member(), *it));
+        self.owners[group] = owner;
+    }
+
+    fn apply(&mut self, step: &Step) {
+        let lost = || Some(StoreError::Unavailable { verdict: Verdict::MayHaveRun });
+        match *step {
+            Step::Wait(ms) => self.now = self.now.plus_ms(ms),
+            Step::Reserve { group, cores, urgent } => self.reserve(group, cores, urgent),
+            Step::End { group } => {
+                if let Some(it) = self.running[group].pop() {
+                    self.owners[group].release(self.now, &member(), it);
+                }
+            }
+            Step::Agree { group } => {
+                let cap = *self.caps.last().unwrap();
+                self.owners[group].set_agreement(&agreement(self.caps.len() as u64, &[cap]));
+            }
+            Step::Cap(cap) => self.caps.push(cap),
+            Step::Answer { pick, lost: true } => self.reply(pick, |race, op| {
+                let _ = race.store.execute(op);
+                lost()
+            }),
+            Step::Answer { pick, lost: false } => self.reply(pick, |_, _| None),
+            Step::Delay { pick } => self.reply(pick, |race, op| {
+                race.delayed.push(op.clone());
+                lost()
+            }),
+            Step::Refuse { pick } => {
+                self.reply(pick, |_, _| Some(StoreError::Unavailable { verdict: Verdict::NotRun }))
+            }
+            Step::Takeover { group } => self.take_over(group),
+            Step::Outage(down) => self.store.down = down,
+        }
+    }
+
+    fn check(&self) {
+        let granted = self.owners.iter().map(|it| it.allotment(&member()));
+        let granted = granted.fold(Resources::ZERO, Resources::saturating_add);
+        let used = self.running.iter().flatten().copied();
+        let used = used.fold(Resources::ZERO, Resources::saturating_add);
+        let Some(record) = self.store.quota(&member()) else {
+            assert!(granted.is_zero() && used.is_zero(), "allotment without a record");
+            return;
+        };
+        assert!(record.allotted().fits_in(record.cap), "{record:?}");
+        assert!(granted.fits_in(record.cap), "granted {granted} of {}", record.cap);
+        assert!(used.fits_in(record.cap), "used {used} of {}", record.cap);
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_config(600, 0x7100))]
+
+    #[test]
+    fn sum_within_cap(steps in proptest::collection::vec(step(), 1..160)) {
+        let mut race = Race::new();
+        for step in &steps {
+            race.apply(step);
+            if step_delivers_late(step) && !race.delayed.is_empty() {
+                let op = race.delayed.remove(0);
+                let _ = race.store.execute(&op);
+            }
+            race.poll();
+            race.check();
+        }
+    }
+}
+
+/// Writes that were reported as unknown land while time passes.
+fn step_delivers_late(step: &Step) -> bool {
+    matches!(step, Step::Wait(ms) if *ms % 3 == 0)
+}
+
+/// Runs without faults until nothing changes any more.
+fn settle(race: &mut Race, ms: u64) {
+    let end = race.now.plus_ms(ms);
+    while race.now < end {
+        race.poll();
+        while !race.in_flight.is_empty() {
+            race.reply(0, |_, _| None);
+            race.check();
+        }
+        race.now = race.now.plus_ms(100);
+    }
+}
+
+#[test]
+fn idle_allotment_is_returned() {
+    let mut race = Race::new();
+    settle(&mut race, 100);
+    race.reserve(0, 4, false);
+    settle(&mut race, 200);
+    race.reserve(0, 4, false);
+    assert_eq!(race.running[0].len(), 1, "a refused reservation obtains allotment");
+    let task = race.running[0].pop().unwrap();
+    race.owners[0].release(race.now, &member(), task);
+    settle(&mut race, 8_000);
+    let record = race.store.quota(&member()).unwrap();
+    assert_eq!(record.allotted(), Resources::ZERO, "idle allotment is returned");
+    let calls: u64 = race.owners.iter().map(Quotas::calls_made).sum();
+    settle(&mut race, 60_000);
+    let later: u64 = race.owners.iter().map(Quotas::calls_made).sum();
+    assert!(later - calls <= GROUPS as u64, "calls are made although nothing changes");
+}
+
+#[test]
+fn lower_cap_waits_for_excess() {
+    let mut race = Race::new();
+    settle(&mut race, 100);
+    for group in 0..2 {
+        race.reserve(group, 3, false);
+        settle(&mut race, 1_500);
+        race.reserve(group, 3, false);
+        settle(&mut race, 6_000);
+    }
+    assert_eq!(race.running.iter().flatten().count(), 2);
+    race.caps.push(4);
+    for group in 0..GROUPS {
+        race.apply(&Step::Agree { group });
+    }
+    settle(&mut race, 4_000);
+    let record = race.store.quota(&member()).unwrap();
+    assert_eq!(record.cap, Resources::new(12_000, 12 * 1_024, 0), "not in force yet");
+    assert!(record.pending.is_some());
+    assert!(!race.owners[0].excess().is_empty(), "the excess is to be evicted");
+    let task = race.running[0].pop().unwrap();
+    race.owners[0].release(race.now, &member(), task);
+    settle(&mut race, 4_000);
+    let record = race.store.quota(&member()).unwrap();
+    assert_eq!(record.cap, Resources::new(4_000, 4 * 1_024, 0), "in force");
+    assert_eq!(record.pending, None);
+}
+
+#[test]
+fn outage_keeps_allotment() {
+    let mut race = Race::new();
+    settle(&mut race, 100);
+    race.reserve(0, 2, false);
+    settle(&mut race, 1_200);
+    race.reserve(0, 2, false);
+    assert_eq!(race.running[0].len(), 1);
+    race.store.down = true;
+    settle(&mut race, 30_000);
+    let used = Resources::new(2_000, 2_048, 0);
+    let allotment = race.owners[0].allotment(&member());
+    assert!(used.fits_in(allotment), "what is used stays allotted");
+    race.reserve(1, 2, false);
+    assert!(race.running[1].is_empty(), "nothing is granted while the store is away");
+    assert!(race.owners[0].calls_made() < 15, "calls back off while the store is away");
+}
