Add the state machine of a worker group

Cause: capacity on workers needs one owner that charges it before a start and releases it only on evidence, across takeovers, outages and restarts. Change: `group` with reservations, starts, leases, evidence, takeover, reports, evictions and a bounded dump; a world of two groups with injected failures as its property test.

--- a/crates/mustardcove-core/src/group.rs
+++ b/crates/mustardcove-core/src/group.rs
@@ -3,21 +3,58 @@
 //! The owner of a group is the only one that commits capacity on its workers.
 //! What it knows is soft state: a new owner rebuilds it from what the workers
 //! list and from what the shards have bound. See `docs/design.md`, sections
-//! 3.3 and 3.4.
+//! 3.3 and 3.4, and `docs/groups.md`.
+//!
+//! Two rules shape the code. Capacity is charged before anything is sent and
+//! released only on evidence, so an attempt whose fate is unknown keeps what
+//! it holds. And nothing is started after the claim's deadline, while leases
+//! of running tasks are renewed until a newer epoch is seen, because a renewal
+//! starts nothing.
 
-use std::sync::Arc;
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use crate::{
     agreement::Agreement,
-    id::{CallId, ShardId, WorkerId},
+    class::{ClassIndex, ClassTable},
+    health::Health,
+    id::{CallId, Epoch, GroupId, ProcessId, ShardId, TaskId, WorkerId},
     message::{GroupSummary, GroupToShard, ShardToGroup},
+    placement::PlacementPolicy,
+    quota::Quotas,
+    size::Resources,
     store::{StoreOp, StoreResult},
-    time::Timestamp,
+    time::{Timestamp, earliest},
     worker::{WorkerInfo, WorkerOp, WorkerReport, WorkerResult},
 };
 
+mod calls;
+mod capacity;
+mod config;
+mod dump;
+mod evictions;
+mod leases;
+mod reports;
+mod reserve;
+mod starts;
+mod takeover;
+mod task;
+
+pub use config::{GroupConfig, RENEW_INTERVAL_MS, START_LEASE_MS, TASK_LEASE_MS};
+pub use dump::{GroupDump, GroupStats, TaskDump, WorkerDump};
+
+use calls::Call;
+use capacity::Fleet;
+use config::{ASK_INTERVAL_MS, EXPORT_INTERVAL_MS, SUMMARY_INTERVAL_MS, TOMBSTONE_MS};
+use reserve::Waiting;
+use task::Task;
+
 /// Something that happened to a group.
 #[derive(Clone, Debug)]
 pub enum GroupEvent {
@@ -96,3 +133,401 @@
     /// Nothing is in flight any more and the claim may be given up.
     Released,
 }
+
+/// The owner of a worker group.
+#[derive(Debug)]
+pub struct Group<P> {
+    id: GroupId,
+    epoch: Epoch,
+    process: ProcessId,
+    cfg: GroupConfig,
+    policy: P,
+    rng: ChaCha8Rng,
+    now: Timestamp,
+    agreement: Option<Arc<Agreement>>,
+    classes: ClassTable,
+    claim_deadline: Timestamp,
+    /// Whether the group is to be given up.
+    releasing: bool,
+    released: bool,
+    /// Whether a newer epoch was seen.
+    superseded: bool,
+    fleet: Fleet,
+    tasks: BTreeMap<TaskId, Task>,
+    timers: BTreeSet<(Timestamp, TaskId)>,
+    /// Attempts whose end is durable at their shard.
+    tombstones: BTreeMap<TaskId, Timestamp>,
+    tombstone_queue: VecDeque<(Timestamp, TaskId)>,
+    calls: BTreeMap<CallId, Call>,
+    /// Calls in the order in which they time out.
+    call_queue: VecDeque<(Timestamp, CallId)>,
+    /// Timed-out calls in the order in which they are forgotten.
+    late_queue: VecDeque<(Timestamp, CallId)>,
+    next_call: u64,
+    starts_in_flight: usize,
+    quotas: Quotas,
+    health: Health,
+    waiting: Vec<Waiting>,
+    /// Whether capacity or allotment grew since waiting requests were served.
+    freed: bool,
+    /// Shards that listed what they have bound.
+    reconciled: BTreeSet<ShardId>,
+    ask_at: Timestamp,
+    evict_at: Option<Timestamp>,
+    summary_at: Timestamp,
+    last_summary: Option<GroupSummary>,
+    export_at: Timestamp,
+    last_export: Bytes,
+    stats: GroupStats,
+}
+
+impl<P: PlacementPolicy> Group<P> {
+    /// Returns a group whose claim was just taken at `epoch`.
+    ///
+    /// Nothing is started before [`GroupEvent::ClaimDeadline`],
+    /// [`GroupEvent::Agreement`] and [`GroupEvent::Workers`] were handled and
+    /// the workers or the shards have said what runs.
+    pub fn new(
+        id: GroupId,
+        epoch: Epoch,
+        process: ProcessId,
+        cfg: GroupConfig,
+        policy: P,
+        seed: u64,
+        now: Timestamp,
+    ) -> Group<P> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let quotas = Quotas::new(id.clone(), epoch, process.clone(), rng.random(), now);
+        Group {
+            id,
+            epoch,
+            process,
+            cfg,
+            policy,
+            rng,
+            now,
+            agreement: None,
+            classes: ClassTable::default(),
+            claim_deadline: Timestamp::default(),
+            releasing: false,
+            released: false,
+            superseded: false,
+            fleet: Fleet::default(),
+            tasks: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            tombstones: BTreeMap::new(),
+            tombstone_queue: VecDeque::new(),
+            calls: BTreeMap::new(),
+            call_queue: VecDeque::new(),
+            late_queue: VecDeque::new(),
+            next_call: 0,
+            starts_in_flight: 0,
+            quotas,
+            health: Health::new(),
+            waiting: Vec::new(),
+            freed: false,
+            reconciled: BTreeSet::new(),
+            ask_at: now,
+            evict_at: None,
+            summary_at: now,
+            last_summary: None,
+            export_at: now.plus_ms(EXPORT_INTERVAL_MS),
+            last_export: Bytes::new(),
+            stats: GroupStats::default(),
+        }
+    }
+
+    /// Handles an event and pushes what is to be done.
+    pub fn handle(&mut self, now: Timestamp, event: GroupEvent, out: &mut Vec<GroupAction>) {
+        self.now = self.now.max(now);
+        match event {
+            GroupEvent::Tick => {}
+            GroupEvent::ClaimDeadline(deadline) => self.claim_deadline = deadline,
+            GroupEvent::Workers(workers) => self.on_workers(&workers),
+            GroupEvent::StoreReply { call, result } => {
+                self.quotas.on_reply(self.now, call, result);
+                self.superseded |= self.quotas.is_superseded();
+                self.freed = true;
+            }
+            GroupEvent::WorkerReply { worker, call, result } => {
+                self.on_worker_reply(&worker, call, result, out);
+            }
+            GroupEvent::Report(report) => self.on_report(&report, out),
+            GroupEvent::Shard { from, body } => self.on_shard(from, body, out),
+            GroupEvent::Agreement(agreement) => self.on_agreement(agreement),
+            GroupEvent::Interference(table) => self.policy.import(self.now, &table),
+            GroupEvent::Release => self.on_release(),
+        }
+        self.run_due(out);
+    }
+
+    /// Returns when [`GroupEvent::Tick`] is to be sent at the latest.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        if self.released {
+            return None;
+        }
+        let mut next = self.timers.first().map(|it| it.0);
+        next = earliest(next, self.call_queue.front().map(|it| it.0));
+        next = earliest(next, self.late_queue.front().map(|it| it.0));
+        next = earliest(next, self.fleet.workers.iter().filter_map(|it| self.call_due(it)).min());
+        if self.claim_is_valid() {
+            next = earliest(next, self.fleet.workers.iter().filter_map(|it| it.evidence_at).min());
+            next = earliest(next, self.quotas.next_deadline());
+            next = earliest(next, self.evict_at);
+            next = earliest(next, Some(self.export_at));
+            next = earliest(next, Some(self.summary_at));
+            if !self.all_reconciled() {
+                next = earliest(next, Some(self.ask_at));
+            }
+        }
+        next
+    }
+
+    /// Reports whether reservations are served: the claim holds, and either
+    /// every shard has said what is bound or every worker what it runs.
+    ///
+    /// Before that, what members hold is not known, and a grant could exceed
+    /// a cap.
+    pub fn is_ready(&self) -> bool {
+        let workers = || self.fleet.workers.iter().filter(|it| it.absent_since.is_none());
+        self.claim_is_valid()
+            && self.agreement.is_some()
+            && workers().any(|it| it.known)
+            && (self.all_reconciled() || workers().all(|it| it.known))
+    }
+
+    /// Reports whether a newer owner of the group was seen. Nothing is started
+    /// or renewed then; outcomes that were seen are still reported.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Returns the group's epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the free capacity of the group.
+    pub fn summary(&self) -> GroupSummary {
+        let mut summary = GroupSummary {
+            group: self.id.clone(),
+            epoch: self.epoch,
+            made_at: self.now,
+            free: Resources::ZERO,
+            largest_free: Resources::ZERO,
+            largest_worker: Resources::ZERO,
+            workers: 0,
+        };
+        for view in self.fleet.views.iter().filter(|it| it.accepting) {
+            let free = view.free();
+            summary.free = summary.free.saturating_add(free);
+            summary.largest_free = summary.largest_free.max(free);
+            summary.largest_worker = summary.largest_worker.max(view.capacity);
+            summary.workers += 1;
+        }
+        summary
+    }
+
+    /// Returns the placement policy.
+    pub fn policy(&self) -> &P {
+        &self.policy
+    }
+
+    fn claim_is_valid(&self) -> bool {
+        self.now < self.claim_deadline && !self.superseded && !self.releasing
+    }
+
+    fn all_reconciled(&self) -> bool {
+        usize::from(self.cfg.shards) <= self.reconciled.len()
+    }
+
+    fn on_shard(&mut self, from: ShardId, body: ShardToGroup, out: &mut Vec<GroupAction>) {
+        match body {
+            ShardToGroup::Reserve(request) => self.on_reserve(from, request, out),
+            ShardToGroup::Release { task } => self.on_release_task(task),
+            ShardToGroup::Start { task, worker, epoch, spec, resume_from } => {
+                let bound = crate::message::BoundTask {
+                    task,
+                    worker,
+                    epoch,
+                    spec,
+                    resume_from,
+                    cancelling: false,
+                };
+                self.on_bound(from, bound, out);
+            }
+            ShardToGroup::Stop { task, worker, mode } => {
+                self.on_stop(from, task, worker, mode, out);
+            }
+            ShardToGroup::Acknowledge { task } => self.on_acknowledge(task),
+            ShardToGroup::Reconcile { bound } => self.on_reconcile(from, bound, out),
+        }
+    }
+
+    fn on_workers(&mut self, workers: &[WorkerInfo]) {
+        let mut listed = BTreeSet::new();
+        for info in workers {
+            listed.insert(&info.id);
+            let at = self.fleet.update(self.now, info);
+            self.refresh(at);
+        }
+        for at in 0..self.fleet.workers.len() {
+            let worker = &mut self.fleet.workers[at];
+            if worker.absent_since.is_none() && !listed.contains(&worker.id) {
+                worker.absent_since = Some(self.now);
+                worker.evidence_at = Some(self.now);
+                self.refresh(at);
+            }
+        }
+        self.fleet.remove_absent();
+        self.freed = true;
+        self.evict_at = Some(self.now);
+    }
+
+    fn on_agreement(&mut self, agreement: Arc<Agreement>) {
+        if self.agreement.as_ref().is_some_and(|it| agreement.revision <= it.revision) {
+            return;
+        }
+        for class in agreement.classes.values() {
+            self.classes.upsert(class);
+        }
+        self.quotas.set_agreement(&agreement);
+        self.agreement = Some(agreement);
+        for at in 0..self.fleet.workers.len() {
+            self.refresh(at);
+        }
+        self.freed = true;
+        self.evict_at = Some(self.now);
+    }
+
+    fn on_release(&mut self) {
+        self.releasing = true;
+        self.waiting.clear();
+        let unused = self.tasks.iter().filter(|(_, it)| it.is_reserved());
+        let unused: Vec<TaskId> = unused.map(|(task, _)| *task).collect();
+        unused.into_iter().for_each(|it| self.remove_task(it));
+    }
+
+    /// Recomputes what a policy sees of a worker.
+    fn refresh(&mut self, at: usize) {
+        if let Some(agreement) = &self.agreement {
+            self.fleet.refresh_capacity(self.now, at, agreement, &self.classes);
+        }
+        self.fleet.refresh_acceptance(at, &self.health);
+    }
+
+    /// Does everything that is due.
+    fn run_due(&mut self, out: &mut Vec<GroupAction>) {
+        if self.released {
+            return;
+        }
+        self.expire_calls(out);
+        self.run_task_timers(out);
+        self.check_evidence(out);
+        self.call_workers(out);
+        self.forget_tombstones();
+        if self.claim_is_valid() {
+            self.ask_shards(out);
+            self.serve_waiting();
+            self.run_evictions(out);
+            self.poll_quotas(out);
+            self.publish(out);
+        }
+        if self.releasing && self.starts_in_flight == 0 && !self.quotas.is_busy() {
+            self.released = true;
+            out.push(GroupAction::Released);
+        }
+    }
+
+    fn poll_quotas(&mut self, out: &mut Vec<GroupAction>) {
+        let mut ops = Vec::new();
+        self.quotas.poll(self.now, &mut ops);
+        out.extend(ops.into_iter().map(|(call, op)| GroupAction::Store { call, op }));
+    }
+
+    /// Publishes free capacity and learned slowdowns when they changed.
+    fn publish(&mut self, out: &mut Vec<GroupAction>) {
+        if self.summary_at <= self.now {
+            self.summary_at = self.now.plus_ms(SUMMARY_INTERVAL_MS);
+            let summary = self.summary();
+            let same = |last: &GroupSummary| {
+                *last == GroupSummary { made_at: last.made_at, ..summary.clone() }
+            };
+            if !self.last_summary.as_ref().is_some_and(same) {
+                self.last_summary = Some(summary.clone());
+                out.push(GroupAction::Summary(summary));
+            }
+        }
+        if self.export_at <= self.now {
+            self.export_at = self.now.plus_ms(EXPORT_INTERVAL_MS);
+            let table = self.policy.export();
+            if table != self.last_export {
+                self.last_export = table.clone();
+                out.push(GroupAction::Interference(table));
+            }
+        }
+    }
+
+    fn send(&self, to: ShardId, body: GroupToShard, out: &mut Vec<GroupAction>) {
+        out.push(GroupAction::Shard { to, body });
+    }
+
+    /// Asks the shards that have not listed what they have bound.
+    fn ask_shards(&mut self, out: &mut Vec<GroupAction>) {
+        if self.all_reconciled() || self.now < self.ask_at {
+            return;
+        }
+        self.ask_at = self.now.plus_ms(ASK_INTERVAL_MS);
+        for shard in (0..self.cfg.shards).map(ShardId) {
+            if !self.reconciled.contains(&shard) {
+                self.send(shard, GroupToShard::NewOwner { epoch: self.epoch }, out);
+            }
+        }
+    }
+
+    /// Sets the time at which a task is looked at next.
+    fn set_timer(&mut self, task: TaskId, at: Option<Timestamp>) {
+        let Some(it) = self.tasks.get_mut(&task) else { return };
+        if let Some(old) = it.wake {
+            self.timers.remove(&(old, task));
+        }
+        it.wake = at;
+        if let Some(at) = at {
+            self.timers.insert((at, task));
+        }
+    }
+
+    /// Forgets a task and gives back what it holds.
+    fn remove_task(&mut self, task: TaskId) {
+        self.uncharge(task);
+        self.set_timer(task, None);
+        let Some(it) = self.tasks.remove(&task) else { return };
+        if let Some(worker) = self.fleet.get_mut(&it.worker) {
+            worker.tasks.remove(&task);
+        }
+        self.health.forget_probe(&it.worker, &task);
+    }
+
+    /// Remembers that the end of an attempt is durable.
+    fn bury(&mut self, task: TaskId) {
+        self.tombstones.insert(task, self.now);
+        self.tombstone_queue.push_back((self.now.plus_ms(TOMBSTONE_MS), task));
+    }
+
+    fn forget_tombstones(&mut self) {
+        while self.tombstone_queue.front().is_some_and(|it| it.0 <= self.now) {
+            if let Some((_, task)) = self.tombstone_queue.pop_front() {
+                self.tombstones.remove(&task);
+            }
+        }
+    }
+
+    /// Returns the index of a class, which is added with the strictest rules
+    /// if the agreement no longer holds it.
+    fn class_index(&mut self, id: &crate::id::ClassId) -> ClassIndex {
+        if let Some(index) = self.classes.index_of(id) {
+            return index;
+        }
+        self.classes.upsert(&takeover::strictest_class(id))
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-core/src/group/reserve.rs
@@ -0,0 +1,368 @@
+//! Reservations: who gets capacity, and who is told to come back when.
+//!
+//! Every request is answered at once. A refused urgent request is remembered
+//! for a while: capacity that becomes free is kept for it, and the workers
+//! that could hold it soonest get no other work, so that work that asks later
+//! does not overtake it.
+
+use rand::RngExt;
+
+use super::{
+    Group, GroupAction,
+    config::MAX_WAITING,
+    task::{Task, TaskState, Terms},
+};
+use crate::{
+    class::{ClassKind, Delivery},
+    id::{ShardId, TaskId, WorkerId},
+    message::{GroupToShard, ReserveRefusal, ReserveRequest},
+    placement::{PlacementPolicy, PlacementRequest, WorkerIndex},
+    size::Resources,
+    time::Timestamp,
+};
+
+/// Waiting urgent requests for which places are looked for at once.
+const MAX_SERVED: usize = 16;
+
+/// Workers that are kept free for waiting urgent requests.
+const MAX_EARMARKED: usize = 4;
+
+/// A refused request that is expected to be repeated.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub(super) request: PlacementRequest,
+    pub(super) until: Timestamp,
+    /// The worker that gets no other work meanwhile.
+    pub(super) earmarked: Option<WorkerId>,
+}
+
+impl<P: PlacementPolicy> Group<P> {
+    /// Answers a request for capacity.
+    pub(super) fn on_reserve(
+        &mut self,
+        from: ShardId,
+        request: ReserveRequest,
+        out: &mut Vec<GroupAction>,
+    ) {
+        let task = request.task;
+        if self.tasks.contains_key(&task) {
+            self.on_repeated_reserve(from, &request, out);
+            return;
+        }
+        if self.tombstones.contains_key(&task) {
+            self.refuse(from, &request, ReserveRefusal::NoRoom, out);
+            return;
+        }
+        if !self.is_ready() {
+            self.remember(&request, ReserveRefusal::NotReady);
+            self.refuse(from, &request, ReserveRefusal::NotReady, out);
+            return;
+        }
+        let Some(class) = self.classes.index_of(&request.class) else {
+            // The shard may know a newer agreement than this group.
+            self.refuse(from, &request, ReserveRefusal::NotReady, out);
+            return;
+        };
+        if !self.fleet.could_fit(request.resources) {
+            self.refuse(from, &request, ReserveRefusal::NeverFits, out);
+            return;
+        }
+        let wanted = placement_request(&request, class);
+        let allotted = self.quotas.fits(&request.member, request.resources);
+        let choice = self.probe_for(&wanted).or_else(|| self.choose(&wanted));
+        if !allotted && (choice.is_some() || request.urgent) {
+            self.demand(&request);
+        }
+        let Some(at) = choice else {
+            self.remember(&request, ReserveRefusal::NoRoom);
+            self.refuse(from, &request, ReserveRefusal::NoRoom, out);
+            return;
+        };
+        if !allotted {
+            self.remember(&request, ReserveRefusal::OverAllotment);
+            self.refuse(from, &request, ReserveRefusal::OverAllotment, out);
+            return;
+        }
+        self.waiting.retain(|it| it.request.task != task);
+        self.quotas.forget_demand(&request.member, &task);
+        let deadline = self.now.plus_ms(self.cfg.reservation_ms);
+        self.place(at, &wanted, TaskState::Reserved { deadline }, true);
+        if let Some(it) = self.tasks.get_mut(&task) {
+            it.failed_attempts = request.failed_attempts;
+        }
+        let worker = self.fleet.workers[at].id.clone();
+        if self.health.is_quarantined(&worker) {
+            self.health.set_probe(&worker, task);
+        }
+        self.grant(from, task, worker, deadline, out);
+    }
+
+    fn on_repeated_reserve(
+        &mut self,
+        from: ShardId,
+        request: &ReserveRequest,
+        out: &mut Vec<GroupAction>,
+    ) {
+        let task = request.task;
+        let Some(it) = self.tasks.get(&task) else { return };
+        let worker = it.worker.clone();
+        let usable = self.fleet.get(&worker).is_some_and(|it| it.is_usable());
+        match it.state {
+            TaskState::Reserved { deadline } => self.grant(from, task, worker, deadline, out),
+            TaskState::Held { .. } if !usable || !self.is_ready() => {
+                self.remove_task(task);
+                self.on_reserve(from, request.clone(), out);
+            }
+            TaskState::Held { .. } => {
+                if !it.allotted && !self.allot(task) {
+                    self.demand(request);
+                    self.refuse(from, request, ReserveRefusal::OverAllotment, out);
+                    return;
+                }
+                let deadline = self.now.plus_ms(self.cfg.reservation_ms);
+                if let Some(it) = self.tasks.get_mut(&task) {
+                    it.state = TaskState::Reserved { deadline };
+                    it.failed_attempts = request.failed_attempts;
+                }
+                self.set_timer(task, Some(deadline));
+                self.grant(from, task, worker, deadline, out);
+            }
+            // A late repetition: the attempt was started or is over.
+            _ => self.stats.stale_requests += 1,
+        }
+    }
+
+    /// Charges a held task to its member's allotment.
+    pub(super) fn allot(&mut self, task: TaskId) -> bool {
+        let Some(it) = self.tasks.get_mut(&task) else { return false };
+        let Some(terms) = &it.terms else { return false };
+        if !it.allotted && self.quotas.fits(&terms.member, terms.resources) {
+            self.quotas.charge(self.now, &terms.member, terms.resources);
+            it.allotted = true;
+        }
+        it.allotted
+    }
+
+    fn grant(
+        &mut self,
+        to: ShardId,
+        task: TaskId,
+        worker: WorkerId,
+        deadline: Timestamp,
+        out: &mut Vec<GroupAction>,
+    ) {
+        self.stats.reserved += 1;
+        let epoch = self.epoch;
+        self.send(to, GroupToShard::Reserved { task, worker, epoch, deadline }, out);
+    }
+
+    fn refuse(
+        &mut self,
+        to: ShardId,
+        request: &ReserveRequest,
+        reason: ReserveRefusal,
+        out: &mut Vec<GroupAction>,
+    ) {
+        self.stats.count_refused(reason);
+        let retry_at = self.retry_at(request, reason);
+        self.send(to, GroupToShard::ReserveRefused { task: request.task, reason, retry_at }, out);
+    }
+
+    /// Returns when asking again may help. The times are spread, so that
+    /// requests refused together do not come back together.
+    fn retry_at(&mut self, request: &ReserveRequest, reason: ReserveRefusal) -> Timestamp {
+        let (from, delay_ms) = match reason {
+            ReserveRefusal::NoRoom if request.urgent => (self.now, 250),
+            ReserveRefusal::NoRoom => (self.now, 1_000),
+            ReserveRefusal::NotReady => (self.now, 250),
+            ReserveRefusal::NeverFits => (self.now, 30_000),
+            ReserveRefusal::OverAllotment => {
+                let call_at = self.quotas.next_call_at(self.now, &request.member);
+                (call_at, if request.urgent { 50 } else { 200 })
+            }
+        };
+        from.plus_ms(delay_ms + self.rng.random_range(0..=delay_ms / 4))
+    }
+
+    fn demand(&mut self, request: &ReserveRequest) {
+        let ReserveRequest { task, member, resources, urgent, queued_since, .. } = request;
+        self.quotas.demand(self.now, member, *task, *resources, *urgent, *queued_since);
+    }
+
+    /// Remembers a refused request.
+    fn remember(&mut self, request: &ReserveRequest, reason: ReserveRefusal) {
+        let Some(class) = self.classes.index_of(&request.class) else { return };
+        self.waiting.retain(|it| it.request.task != request.task);
+        if self.waiting.len() == MAX_WAITING {
+            let victim = self.waiting.iter().position(|it| !it.request.urgent);
+            match victim {
+                Some(victim) if request.urgent => {
+                    self.waiting.remove(victim);
+                }
+                _ => return,
+            }
+        }
+        let until = self.now.plus_ms(1_000 + self.cfg.hold_ms);
+        let request = placement_request(request, class);
+        let urgent = request.urgent;
+        self.waiting.push(Waiting { request, until, earmarked: None });
+        if urgent {
+            // Room may be made for it, or is there but not known yet.
+            self.freed |= reason == ReserveRefusal::NotReady;
+            self.evict_at = Some(self.now);
+            self.earmark();
+        }
+    }
+
+    /// Returns the policy's choice, if it keeps to the limits. Workers that
+    /// are kept for urgent requests are not offered to others.
+    pub(super) fn choose(&mut self, request: &PlacementRequest) -> Option<WorkerIndex> {
+        let mut hidden = Vec::new();
+        if !request.urgent {
+            for waiting in &self.waiting {
+                let at = waiting.earmarked.as_ref().and_then(|it| self.fleet.position(it));
+                if let Some(at) = at.filter(|it| self.fleet.views[*it].accepting) {
+                    self.fleet.views[at].accepting = false;
+                    hidden.push(at);
+                }
+            }
+        }
+        let choice = self.policy.choose(self.now, &self.classes, request, &self.fleet.views);
+        hidden.into_iter().for_each(|at| self.fleet.views[at].accepting = true);
+        let view = self.fleet.views.get(choice?)?;
+        let allowed = view.accepting && request.resources.fits_in(view.free());
+        if !allowed {
+            self.stats.policy_errors += 1;
+        }
+        choice.filter(|_| allowed)
+    }
+
+    /// Returns a quarantined worker whose next probe is due, for a request
+    /// that may serve as one: it is not urgent, and running it again is
+    /// harmless.
+    fn probe_for(&self, request: &PlacementRequest) -> Option<WorkerIndex> {
+        if !self.health.has_quarantined() || request.urgent {
+            return None;
+        }
+        let class = self.classes.get(request.class);
+        if class.kind != ClassKind::Batch || class.delivery == Delivery::AtMostOnce {
+            return None;
+        }
+        let mut workers = self.fleet.workers.iter().zip(&self.fleet.views);
+        workers.position(|(worker, view)| {
+            worker.is_usable()
+                && self.health.wants_probe(self.now, &worker.id)
+                && !request.avoid.contains(&worker.id)
+                && request.resources.fits_in(view.free())
+        })
+    }
+
+    /// Charges a request to a worker.
+    pub(super) fn place(
+        &mut self,
+        at: WorkerIndex,
+        request: &PlacementRequest,
+        state: TaskState,
+        allot: bool,
+    ) {
+        let task = request.task;
+        let until = match state {
+            TaskState::Held { until } => Some(until),
+            TaskState::Reserved { deadline } => Some(deadline),
+            _ => None,
+        };
+        let worker = self.fleet.workers[at].id.clone();
+        let terms = Terms {
+            member: request.member.clone(),
+            class: request.class,
+            resources: request.resources,
+        };
+        let shard = task.job.shard(self.cfg.shards);
+        let it = Task::new(worker, shard, Some(terms), state);
+        let view = self.running_view(task, &it, self.now, request.expected_run_ms, Timestamp::MAX);
+        self.insert_task(task, it);
+        if let Some(view) = view {
+            self.charge(task, view, allot);
+        }
+        self.set_timer(task, until);
+    }
+
+    /// Keeps places for urgent requests that were refused, when capacity or
+    /// allotment became free.
+    pub(super) fn serve_waiting(&mut self) {
+        let now = self.now;
+        self.waiting.retain(|it| now < it.until);
+        if !std::mem::take(&mut self.freed) || self.waiting.is_empty() || !self.is_ready() {
+            return;
+        }
+        let urgent = self.waiting.iter().filter(|it| it.request.urgent);
+        let mut urgent: Vec<(PlacementRequest, Timestamp)> =
+            urgent.map(|it| (it.request.clone(), it.until)).collect();
+        urgent.sort_by_key(|(it, _)| it.queued_since);
+        for (request, until) in urgent.into_iter().take(MAX_SERVED) {
+            if !self.quotas.fits(&request.member, request.resources) {
+                continue;
+            }
+            let Some(at) = self.choose(&request) else { continue };
+            self.place(at, &request, TaskState::Held { until }, true);
+            self.waiting.retain(|it| it.request.task != request.task);
+        }
+        self.earmark();
+    }
+
+    /// Picks the workers that are kept for waiting urgent requests: for each,
+    /// the one with the most free capacity that could hold it.
+    fn earmark(&mut self) {
+        let mut taken: Vec<usize> = Vec::new();
+        for waiting in &mut self.waiting {
+            waiting.earmarked = None;
+            if !waiting.request.urgent || taken.len() == MAX_EARMARKED {
+                continue;
+            }
+            let need = waiting.request.resources;
+            let views = self.fleet.views.iter().enumerate();
+            let fitting = views.filter(|(at, it)| {
+                it.accepting && need.fits_in(it.capacity) && !taken.contains(at)
+            });
+            let best = fitting.max_by_key(|(_, it)| missing(need, it.free()));
+            if let Some((at, view)) = best {
+                taken.push(at);
+                waiting.earmarked = Some(view.id.clone());
+            }
+        }
+    }
+
+    /// Handles a shard's word that a reservation will not be used.
+    pub(super) fn on_release_task(&mut self, task: TaskId) {
+        if self.tasks.get(&task).is_some_and(Task::is_reserved) {
+            self.remove_task(task);
+        }
+        let gone = self.waiting.iter().position(|it| it.request.task == task);
+        if let Some(gone) = gone {
+            let gone = self.waiting.remove(gone);
+            self.quotas.forget_demand(&gone.request.member, &task);
+        }
+    }
+}
+
+/// Orders workers by how little is missing for a request.
+fn missing(need: Resources, free: Resources) -> std::cmp::Reverse<(u32, u64, u64)> {
+    let short = need.saturating_sub(free);
+    std::cmp::Reverse((short.accelerators.0, short.cpu.0, short.memory.0))
+}
+
+fn placement_request(
+    request: &ReserveRequest,
+    class: crate::class::ClassIndex,
+) -> PlacementRequest {
+    PlacementRequest {
+        task: request.task,
+        class,
+        member: request.member.clone(),
+        resources: request.resources,
+        expected_run_ms: request.expected_run_ms,
+        urgent: request.urgent,
+        avoid: request.avoid.clone(),
+        queued_since: request.queued_since,
+    }
+}
