Add the peer transport, metrics and the clock

Cause: scheduler and entry processes exchange requests and one-way messages whose refusals must say truly whether the peer may have handled them.

Change: one h2 connection per pair with an ordered and a bulk lane, length-prefixed bincode, a handshake that checks version and process id, bounded queues, requests matched by peer and identifier, pings, jittered back-off, GOAWAY on shutdown, bytes counted by region. Metrics are declared in one module and exported in the Prometheus format.

--- /dev/null
+++ b/crates/mustardcove-runtime/src/peer/hello.rs
@@ -0,0 +1,108 @@
+//! The handshake, carried in the headers that open each lane.
+
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use mustardcove_core::id::{ProcessId, RegionId};
+
+use super::{
+    config::PeerConfig,
+    error::{PeerError, PeerErrorKind},
+    lane::LaneKind,
+};
+
+const VERSION: &str = "x-peer-version";
+const PROCESS: &str = "x-peer-process";
+const REGION: &str = "x-peer-region";
+
+/// What a process says about itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Hello {
+    pub(super) version: u32,
+    pub(super) process: ProcessId,
+    pub(super) region: RegionId,
+}
+
+impl Hello {
+    pub(super) fn of(config: &PeerConfig) -> Hello {
+        Hello {
+            version: config.protocol_version,
+            process: config.process.clone(),
+            region: config.region.clone(),
+        }
+    }
+
+    fn write(&self, headers: &mut HeaderMap) {
+        let text = |it: &str| HeaderValue::from_str(it).expect("names are visible ASCII");
+        headers.insert(VERSION, self.version.into());
+        headers.insert(PROCESS, text(self.process.as_str()));
+        headers.insert(REGION, text(self.region.as_str()));
+    }
+
+    fn read(headers: &HeaderMap) -> Option<Hello> {
+        let text = |name| headers.get(name)?.to_str().ok();
+        Some(Hello {
+            version: text(VERSION)?.parse().ok()?,
+            process: text(PROCESS)?.parse().ok()?,
+            region: text(REGION)?.parse().ok()?,
+        })
+    }
+}
+
+/// Returns the request that opens a lane.
+pub(super) fn request(hello: &Hello, lane: LaneKind) -> Request<()> {
+    let mut req = Request::new(());
+    *req.method_mut() = http::Method::POST;
+    *req.uri_mut() = format!("http://peer/{}", lane.name()).parse().expect("a valid URI");
+    hello.write(req.headers_mut());
+    req
+}
+
+/// Reads the request that opens a lane, or returns the answer that refuses it.
+pub(super) fn read_request(
+    own: &Hello,
+    req: &Request<impl Sized>,
+) -> Result<(Hello, LaneKind), Box<Response<()>>> {
+    let refuse = |status| {
+        let mut resp = Response::new(());
+        *resp.status_mut() = status;
+        own.write(resp.headers_mut());
+        Box::new(resp)
+    };
+    let lane = LaneKind::by_name(req.uri().path().trim_start_matches('/'));
+    let lane = lane.ok_or_else(|| refuse(StatusCode::NOT_FOUND))?;
+    let hello = Hello::read(req.headers()).ok_or_else(|| refuse(StatusCode::BAD_REQUEST))?;
+    if hello.version != own.version {
+        return Err(refuse(StatusCode::UPGRADE_REQUIRED));
+    }
+    Ok((hello, lane))
+}
+
+/// Returns the answer that accepts a lane.
+pub(super) fn response(own: &Hello) -> Response<()> {
+    let mut resp = Response::new(());
+    own.write(resp.headers_mut());
+    resp
+}
+
+/// Checks the answer to a request that opened a lane.
+pub(super) fn check_response(
+    own: &Hello,
+    expected: &ProcessId,
+    resp: &Response<impl Sized>,
+) -> Result<(), PeerError> {
+    let error = |detail| Err(PeerError::new(PeerErrorKind::Unreachable, detail));
+    let Some(hello) = Hello::read(resp.headers()) else {
+        return error(format!("the peer answered {} without a handshake", resp.status()));
+    };
+    if hello.version != own.version {
+        return error(format!("the peer speaks version {}, not {}", hello.version, own.version));
+    }
+    if resp.status() != StatusCode::OK {
+        return error(format!("the peer answered {}", resp.status()));
+    }
+    // A restarted process has a new id; what was meant for the old one must
+    // not reach it.
+    if hello.process != *expected {
+        return error(format!("the address belongs to process {} now", hello.process));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/mustardcove-runtime/tests/support/setup.rs
@@ -0,0 +1,116 @@
+//! Set-up shared by the tests of this crate.
+
+use std::{net::SocketAddr, time::Duration};
+
+use mustardcove_core::{
+    id::{ProcessId, RequestId, Revision, ShardId},
+    message::{PeerMessage, ShardRequest, ShardResponse},
+    time::Timestamp,
+};
+use mustardcove_runtime::{
+    clock::Clock,
+    metrics::Metrics,
+    peer::{PeerConfig, PeerEvent, Peers},
+};
+use slog::{Discard, Logger, o};
+use tokio::{sync::mpsc, time::timeout};
+
+/// Longest time that a test waits for anything.
+pub const BOUND: Duration = Duration::from_secs(5);
+
+pub struct Node {
+    pub peers: Peers,
+    pub events: mpsc::Receiver<PeerEvent>,
+    pub clock: Clock,
+    pub metrics: Metrics,
+}
+
+pub fn process(name: &str) -> ProcessId {
+    name.parse().unwrap()
+}
+
+pub fn config(name: &str) -> PeerConfig {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut config = PeerConfig::new(process(name), "moldova".parse().unwrap(), listen);
+    config.connect_timeout = Duration::from_millis(400);
+    config.ping_interval = Duration::from_millis(100);
+    config.ping_timeout = Duration::from_millis(300);
+    config
+}
+
+pub fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+pub async fn start(config: PeerConfig) -> Node {
+    let clock = Clock::start();
+    let metrics = Metrics::new().unwrap();
+    let (peers, events) = Peers::start(config, clock, metrics.clone(), log()).await.unwrap();
+    Node { peers, events, clock, metrics }
+}
+
+/// Starts two processes of which the first knows the second.
+pub async fn pair() -> (Node, Node) {
+    let a = start(config("a")).await;
+    let b = start(config("b")).await;
+    a.peers.add_peer(process("b"), b.peers.address(), "moldova".parse().unwrap());
+    (a, b)
+}
+
+impl Node {
+    pub fn in_ms(&self, ms: u64) -> Timestamp {
+        self.clock.now().plus_ms(ms)
+    }
+
+    /// Returns the next message, passing over other events.
+    pub async fn message(&mut self) -> (ProcessId, PeerMessage) {
+        let next = async {
+            loop {
+                match self.events.recv().await.expect("the transport ended") {
+                    PeerEvent::Message { from, message } => return (from, *message),
+                    PeerEvent::Up { .. } | PeerEvent::Down { .. } => {}
+                }
+            }
+        };
+        timeout(BOUND, next).await.expect("no message came")
+    }
+
+    /// Waits for the end of the last connection to a peer.
+    pub async fn down(&mut self) -> bool {
+        let next = async {
+            loop {
+                if let PeerEvent::Down { graceful, .. } = self.events.recv().await.unwrap() {
+                    return graceful;
+                }
+            }
+        };
+        timeout(BOUND, next).await.expect("the connection did not end")
+    }
+}
+
+pub fn revision(request: u64, revision: u64) -> PeerMessage {
+    let (request, revision) = (RequestId(request), Revision(revision));
+    PeerMessage::RevisionInForce { request, revision }
+}
+
+pub fn cancel(job: u128) -> ShardRequest {
+    ShardRequest::Cancel { job: mustardcove_core::id::JobId(job), member: None }
+}
+
+/// Returns the job that a request is about, with the request's identifier.
+pub fn cancelled(message: &PeerMessage) -> (RequestId, u128) {
+    match message {
+        PeerMessage::Request { request, body: ShardRequest::Cancel { job, .. }, .. } => {
+            (*request, job.0)
+        }
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+/// Returns an answer that names the job.
+pub fn answer(request: RequestId, job: u128) -> PeerMessage {
+    let hint = Some(process(&format!("job-{job}")));
+    PeerMessage::Response { request, body: ShardResponse::NotOwner { hint } }
+}
+
+pub const SHARD: ShardId = ShardId(3);
