Compose ownership, shards and groups in a node

Change: core::node with local and remote delivery, generations that keep answers of dropped machines away, and reconciliation with a process whose connection was opened anew. Peer messages for handing shards over. The test support of shards and placement had the same file name; one is renamed.

--- a/crates/mustardcove-core/src/lib.rs
+++ b/crates/mustardcove-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod membership;
 pub mod message;
 pub mod naive;
+pub mod node;
 pub mod ownership;
 pub mod placement;
 pub mod quota;
--- /dev/null
+++ b/crates/mustardcove-core/src/node/event.rs
@@ -0,0 +1,144 @@
+//! Events and actions of a node.
+
+use std::sync::Arc;
+
+use crate::{
+    agreement::Agreement,
+    id::{CallId, Epoch, GroupId, ProcessId, ShardId, WorkerId},
+    message::{GroupToShard, PeerMessage, ShardToGroup},
+    store::{StoreOp, StoreResult},
+    time::Timestamp,
+    worker::{WorkerInfo, WorkerOp, WorkerReport, WorkerResult},
+};
+
+/// The machine inside a node that made a call.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CallOwner {
+    /// The ownership machine.
+    Ownership,
+    /// A shard.
+    Shard(ShardId),
+    /// A group.
+    Group(GroupId),
+}
+
+/// A call made by a machine inside a node.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeCall {
+    /// The machine.
+    pub owner: CallOwner,
+    /// Tells a shard or group from an earlier one of the same name, whose
+    /// answers must not reach it.
+    pub generation: u64,
+    /// The machine's identifier of the call.
+    pub call: CallId,
+}
+
+/// Something that happened to a node.
+#[derive(Clone, Debug)]
+pub enum NodeEvent {
+    /// Time passed; sent no later than the node's next deadline.
+    Tick,
+    /// A call to the store ended.
+    StoreReply {
+        /// The call.
+        call: NodeCall,
+        /// Its result.
+        result: StoreResult,
+    },
+    /// A call to a worker ended.
+    WorkerReply {
+        /// The call.
+        call: NodeCall,
+        /// The worker.
+        worker: WorkerId,
+        /// Its result.
+        result: WorkerResult,
+    },
+    /// A worker reported without being asked.
+    Report(WorkerReport),
+    /// Another process, or this one, sent a message.
+    Peer {
+        /// The sender.
+        from: ProcessId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A connection to another process was opened; messages that were sent to
+    /// it before may be lost.
+    PeerConnected(ProcessId),
+    /// The workers in the instance list.
+    Workers(Arc<[WorkerInfo]>),
+    /// A revision of the agreement.
+    Agreement(Arc<Agreement>),
+    /// The process is shutting down.
+    Drain,
+}
+
+/// Something that a node wants done.
+#[derive(Clone, Debug)]
+pub enum NodeAction {
+    /// A call to the store.
+    Store {
+        /// The call.
+        call: NodeCall,
+        /// What to do.
+        op: StoreOp,
+    },
+    /// A call to a worker.
+    Worker {
+        /// The call.
+        call: NodeCall,
+        /// The worker.
+        worker: WorkerId,
+        /// What to do.
+        op: WorkerOp,
+        /// The call is dropped if this time has passed when it would be sent.
+        not_after: Timestamp,
+    },
+    /// A message to another process.
+    Peer {
+        /// The receiver.
+        to: ProcessId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Something that operators want to see in logs and metrics.
+    Changed(NodeChange),
+}
+
+/// A change of what a node owns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeChange {
+    /// A shard was opened; it serves once it has recovered.
+    ShardOpened(ShardId),
+    /// A shard was taken by another process.
+    ShardFenced(ShardId),
+    /// A shard was handed over.
+    ShardHandedOver {
+        /// The shard.
+        shard: ShardId,
+        /// The successor.
+        to: ProcessId,
+    },
+    /// A group was claimed.
+    GroupOpened {
+        /// The group.
+        group: GroupId,
+        /// The epoch of the claim.
+        epoch: Epoch,
+    },
+    /// A group was given up or lost.
+    GroupClosed(GroupId),
+    /// A process has ended.
+    ProcessGone(ProcessId),
+    /// Everything was handed over and the session has ended.
+    Drained,
+}
+
+/// A message between machines of the same node.
+#[derive(Clone, Debug)]
+pub(super) enum LocalEvent {
+    ToGroup { shard: ShardId, group: GroupId, body: ShardToGroup },
+    ToShard { group: GroupId, shard: ShardId, body: GroupToShard },
+}
--- a/crates/mustardcove-core/tests/support/doubles.rs
+++ b/crates/mustardcove-core/tests/support/doubles.rs
@@ -3,7 +3,7 @@
 //! Each test file uses its own part of this.
 #![allow(dead_code, unreachable_pub)]
 
-pub mod fleet;
+pub mod group_owners;
 pub mod store;
 pub mod truth;
 pub mod world;
--- a/crates/mustardcove-core/tests/support/world.rs
+++ b/crates/mustardcove-core/tests/support/world.rs
@@ -13,7 +13,7 @@
     verdict::{Refusal, Verdict},
 };
 
-use super::{agreement, fleet::Fleet, group, store::MemoryStore, summary, truth::Truth};
+use super::{agreement, group, group_owners::Fleet, store::MemoryStore, summary, truth::Truth};
 
 pub const SHARD: ShardId = ShardId(0);
 
--- a/crates/mustardcove-runtime/src/peer/lane.rs
+++ b/crates/mustardcove-runtime/src/peer/lane.rs
@@ -35,6 +35,8 @@
             | PeerMessage::Response { .. }
             | PeerMessage::ToGroup { .. }
             | PeerMessage::ToShard { .. }
+            | PeerMessage::ShardWanted { .. }
+            | PeerMessage::ShardFree { .. }
             | PeerMessage::Summary(_)
             | PeerMessage::AskRevision { .. }
             | PeerMessage::RevisionInForce { .. } => LaneKind::Control,
--- a/crates/mustardcove-runtime/src/peer/pending.rs
+++ b/crates/mustardcove-runtime/src/peer/pending.rs
@@ -38,6 +38,8 @@
         PeerMessage::Request { .. }
         | PeerMessage::ToGroup { .. }
         | PeerMessage::ToShard { .. }
+        | PeerMessage::ShardWanted { .. }
+        | PeerMessage::ShardFree { .. }
         | PeerMessage::Summary(_)
         | PeerMessage::Configuration(_)
         | PeerMessage::Interference { .. }
