Weigh progress of batch work and let harmful tasks wait

Change: losses of batch work count as progress, weighted by processors, and those of services as latency. A task that is not urgent and known to hurt others waits while they would lose more than it gets done; the patience grows with its wait.

--- a/crates/mustardcove-core/src/placement.rs
+++ b/crates/mustardcove-core/src/placement.rs
@@ -116,10 +116,12 @@
 
 /// Decides where tasks run and which of them have to go.
 pub trait PlacementPolicy {
-    /// Returns the worker for a task, or `None` if none has room.
+    /// Returns the worker for a task, or `None` if none has room or if a task
+    /// that is not urgent had better wait.
     ///
     /// A choice never exceeds a worker's free capacity and never names a
-    /// worker that does not accept work.
+    /// worker that does not accept work. A policy lets a task wait only for a
+    /// bounded time after [`PlacementRequest::queued_since`].
     fn choose(
         &mut self,
         now: Timestamp,
--- a/crates/mustardcove-core/src/placement/learned.rs
+++ b/crates/mustardcove-core/src/placement/learned.rs
@@ -74,7 +74,7 @@
             }
         }
         let generation = self.table.generation();
-        self.scorer.best(slowdowns, generation, classes, request, workers)
+        self.scorer.best(now, slowdowns, generation, classes, request, workers)
     }
 
     fn observe(
--- a/crates/mustardcove-core/src/placement/losses.rs
+++ b/crates/mustardcove-core/src/placement/losses.rs
@@ -10,10 +10,36 @@
 use crate::{
     class::{ClassIndex, ClassTable},
     interference::{LOAD_LEVELS, LoadLevel, SlowdownTable},
-    placement::WorkerView,
+    placement::{WorkerView, is_latency_critical},
     size::Resources,
 };
 
+/// Processors that a task counts for at least.
+const MIN_CORES: f32 = 0.1;
+
+/// Processors that a slot of a latency-critical class counts for at least: a
+/// late answer costs its caller more than the processor time of the request.
+const MIN_CRITICAL_CORES: f32 = 1.0;
+
+/// What a class counts for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct ClassWeight {
+    /// Weight of a task: that of its class times its processors.
+    weight: f32,
+    /// Whether latency counts; otherwise progress does.
+    critical: bool,
+}
+
+impl ClassWeight {
+    fn of(classes: &ClassTable, index: ClassIndex) -> ClassWeight {
+        let class = classes.get(index);
+        let critical = is_latency_critical(classes, index);
+        let least = if critical { MIN_CRITICAL_CORES } else { MIN_CORES };
+        let cores = (class.resources.cpu.0 as f32 / 1000.0).max(least);
+        ClassWeight { weight: class.weight as f32 * cores, critical }
+    }
+}
+
 /// What the losses of one worker were computed from.
 #[derive(Clone, Debug, Default)]
 struct Basis {
@@ -29,7 +55,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct LossCache {
     classes: usize,
-    weights: Vec<f32>,
+    weights: Vec<ClassWeight>,
     bases: Vec<Basis>,
     losses: Vec<f32>,
     /// Logarithm of the slowdown per class, while a row is computed.
@@ -42,7 +68,7 @@
     /// more of them than before.
     pub(super) fn prepare(&mut self, classes: &ClassTable, workers: usize, generation: u32) {
         self.generation = generation;
-        let weights = (0..classes.len()).map(|it| classes.get(ClassIndex(it as u16)).weight as f32);
+        let weights = (0..classes.len()).map(|it| ClassWeight::of(classes, ClassIndex(it as u16)));
         let same = self.classes == classes.len()
             && self.bases.len() == workers
             && weights.clone().eq(self.weights.iter().copied());
@@ -59,6 +85,12 @@
         self.losses.resize(workers * LOAD_LEVELS * self.classes, 0.0);
     }
 
+    /// Returns what a task of a class gets done per time passed if nothing
+    /// slows it down.
+    pub(super) fn worth(&self, class: ClassIndex) -> f32 {
+        self.weights[class.as_usize()].weight
+    }
+
     /// Returns the weighted time lost per time passed if a task of a class is
     /// added and brings the worker to a load level.
     ///
@@ -131,18 +163,28 @@
             let caused = &table.log_row(level, class)[..classes];
             logs.iter_mut().zip(caused).for_each(|(sum, it)| *sum += count * it);
         }
-        for ((loss, log), weight) in losses.iter_mut().zip(&*logs).zip(&self.weights) {
-            *loss = weight * (log.exp() - 1.0);
+        for ((loss, log), class) in losses.iter_mut().zip(&*logs).zip(&self.weights) {
+            let slowdown = log.exp();
+            let lost = if class.critical { slowdown - 1.0 } else { 1.0 - 1.0 / slowdown };
+            *loss = class.weight * lost;
         }
         let mut total = 0.0;
         for &(victim, count) in &basis.residents {
-            let victim_index = victim.as_usize();
-            let own = table.log_row(level, victim)[victim_index];
-            let slowdown = (logs[victim_index] - own).exp();
-            let weighted = f32::from(count) * self.weights[victim_index] * slowdown;
-            total += weighted;
+            let class = self.weights[victim.as_usize()];
+            let own = table.log_row(level, victim)[victim.as_usize()];
+            let slowdown = (logs[victim.as_usize()] - own).exp();
+            let weight = f32::from(count) * class.weight;
             let excesses = &table.excess_row(level, victim)[..classes];
-            losses.iter_mut().zip(excesses).for_each(|(sum, it)| *sum += weighted * it);
+            if class.critical {
+                let weighted = weight * slowdown;
+                total += weighted;
+                losses.iter_mut().zip(excesses).for_each(|(sum, it)| *sum += weighted * it);
+            } else {
+                let progress = weight / slowdown;
+                total -= progress;
+                let terms = losses.iter_mut().zip(excesses);
+                terms.for_each(|(sum, it)| *sum += progress * it / (1.0 + it));
+            }
         }
         basis.totals[level.as_usize()] = total;
         basis.generations[level.as_usize()] = Some(self.generation);
--- a/crates/mustardcove-core/src/placement/oracle.rs
+++ b/crates/mustardcove-core/src/placement/oracle.rs
@@ -38,13 +38,13 @@
 impl PlacementPolicy for OraclePolicy {
     fn choose(
         &mut self,
-        _now: Timestamp,
+        now: Timestamp,
         classes: &ClassTable,
         request: &PlacementRequest,
         workers: &[WorkerView],
     ) -> Option<WorkerIndex> {
         self.truth.grow(classes.len());
-        self.scorer.best(&self.truth, GENERATION, classes, request, workers)
+        self.scorer.best(now, &self.truth, GENERATION, classes, request, workers)
     }
 
     fn observe(
--- a/crates/mustardcove-core/src/placement/score.rs
+++ b/crates/mustardcove-core/src/placement/score.rs
@@ -34,9 +34,14 @@
 /// Added for workers to be avoided, so that any other worker wins.
 const AVOIDED: f32 = 1.0e6;
 
-/// Excess from which a class is known to hurt a latency-critical service.
+/// Excess from which a class is known to hurt another; above the prior, so that
+/// what was never measured is not held against a class.
 const KNOWN_HARM: f64 = 0.05;
 
+/// Run time by which the patience of short tasks is counted at least, in
+/// milliseconds.
+const MIN_PATIENCE_MS: u64 = 30_000;
+
 /// Most workers whose figures one choice computes anew because the table has
 /// changed; it bounds the time of a choice.
 const RENEWALS_PER_CHOICE: usize = 12;
@@ -61,11 +66,15 @@
 }
 
 impl Scorer {
-    /// Returns the best worker with room, or `None` if none has room.
+    /// Returns the best worker with room, or `None` if none has room or if the
+    /// task had better wait.
     ///
-    /// `generation` changes whenever `table` does.
+    /// A task that is not urgent waits if it is known to hurt others and they
+    /// would lose more than the task gets done. `generation` changes whenever
+    /// `table` does.
     pub(super) fn best(
         &mut self,
+        now: Timestamp,
         table: &SlowdownTable,
         generation: u32,
         classes: &ClassTable,
@@ -79,29 +88,35 @@
         let mut renewals = 0;
         let mut best = None;
         let mut best_score = f32::INFINITY;
+        let mut best_loss = 0.0;
         for (index, view) in workers.iter().enumerate() {
             if !has_room(view, request) {
                 continue;
             }
             let preference = preference(&row, request, index, view);
             let level = level_with(view, request.resources);
-            let loss = self.losses.loss(table, index, view, level, request.class);
+            let mut loss = self.losses.loss(table, index, view, level, request.class);
             let mut score = preference + loss;
             let renewable = renewals < RENEWALS_PER_CHOICE;
             if score < best_score && renewable && !self.losses.is_current(index, view, level) {
                 renewals += 1;
                 self.losses.renew(table, index, view, level);
-                score = preference + self.losses.loss(table, index, view, level, request.class);
+                loss = self.losses.loss(table, index, view, level, request.class);
+                score = preference + loss;
             }
             if score < best_score {
                 best_score = score;
+                best_loss = loss;
                 best = Some(index);
             }
         }
-        if let Some(index) = best {
-            self.spread.add(request, index);
+        let index = best?;
+        let patience = patience(now, request) * self.losses.worth(request.class);
+        if !request.urgent && patience < best_loss && hurts(table, request, &workers[index]) {
+            return None;
         }
-        best
+        self.spread.add(request, index);
+        Some(index)
     }
 
     /// Returns a worker with room where most is to be learned, or `None` if
@@ -188,6 +203,22 @@
     score
 }
 
+/// Returns how much others may lose by a task, relative to what it gets done.
+///
+/// The share grows while the task waits, so that no task waits for ever.
+fn patience(now: Timestamp, request: &PlacementRequest) -> f32 {
+    let waited = now.ms_since(request.queued_since) as f32;
+    let run = request.expected_run_ms.max(MIN_PATIENCE_MS) as f32;
+    1.0 + waited / run
+}
+
+/// Reports whether a request's class is known to hurt any class on a worker.
+fn hurts(table: &SlowdownTable, request: &PlacementRequest, view: &WorkerView) -> bool {
+    let level = level_with(view, request.resources);
+    let mut residents = view.residents.iter();
+    residents.any(|&(class, _)| KNOWN_HARM < table.excess(level, class, request.class))
+}
+
 /// Reports whether the request's class is known to hurt a latency-critical
 /// class on a worker, at any load level, because the level may rise later.
 fn hurts_service(
