--- a/crates/mustardcove-core/src/shard.rs
+++ b/crates/mustardcove-core/src/shard.rs
@@ -312,7 +312,7 @@
         if self.log.awaits(call) {
             self.on_log_reply(result, out);
         } else if self.log.probe == Some(call) {
-            self.on_probe_reply(result);
+            self.on_probe_reply(result, out);
         } else if self.recovery.call == Some(call) {
             self.on_recovery_reply(result, out);
         } else if self.upkeep.call == Some(call) {
--- a/crates/mustardcove-core/src/shard/config.rs
+++ b/crates/mustardcove-core/src/shard/config.rs
@@ -36,6 +36,10 @@
     /// Time since the last proof of ownership after which a successful append
     /// is checked against the segments that follow it, in milliseconds.
     pub verify_after_ms: u64,
+    /// Time without an append after which an owner reads whether another
+    /// process has written to the log, in milliseconds. It bounds how long a
+    /// stale owner answers queries.
+    pub check_interval_ms: u64,
     /// First delay before the store is called again after an error, in
     /// milliseconds; it doubles with each error.
     pub store_retry_ms: u64,
@@ -81,6 +85,7 @@
             delete_interval_ms: 1000,
             delete_after_ms: 600_000,
             verify_after_ms: 30_000,
+            check_interval_ms: 10_000,
             store_retry_ms: 250,
             store_retry_max_ms: 5000,
             store_slow_ms: 1000,
--- a/crates/mustardcove-core/src/shard/jobs.rs
+++ b/crates/mustardcove-core/src/shard/jobs.rs
@@ -264,11 +264,10 @@
         let (spec, resume_from) = (latest.spec.as_ref().clone(), resume_from.clone());
         let start = ShardToGroup::Start { task, worker, epoch, spec, resume_from };
         to_group(&group, start, out);
-        let tries = match self.queue.get(task.job).map(|it| &it.step) {
-            Some(Step::Held { tries, .. }) => *tries,
-            _ => 0,
-        };
-        self.hold(task.job, tries, true);
+        let is_first = !self.was_started_here(task.job);
+        if is_first {
+            self.hold(task.job, 0, true);
+        }
     }
 
     /// Sets when a message about a bound attempt is repeated.
@@ -310,6 +309,7 @@
         // After a change of the group's owner only the whole list is safe: the
         // new owner may not know yet that the attempt is already running.
         if started_here && self.groups.epoch(&group).is_none_or(|it| it == epoch) {
+            self.hold(id, tries, true);
             return self.start(task, out);
         }
         self.reconcile_again(&group);
--- a/crates/mustardcove-core/src/shard/log.rs
+++ b/crates/mustardcove-core/src/shard/log.rs
@@ -95,7 +95,11 @@
     pub(super) down_since: Option<Timestamp>,
     retry_at: Timestamp,
     failures: u32,
+    /// A read of what follows the tail, when the log is idle or the store is
+    /// away.
     pub(super) probe: Option<CallId>,
+    probe_sent: Timestamp,
+    check_at: Timestamp,
     needs_proof: Vec<Unproven>,
     proof_due: Timestamp,
     pub(super) appends: u64,
@@ -116,6 +120,8 @@
             retry_at: now,
             failures: 0,
             probe: None,
+            probe_sent: now,
+            check_at: now,
             needs_proof: Vec::new(),
             proof_due: Timestamp::MAX,
             appends: 0,
@@ -157,6 +163,12 @@
         self.need_proof(Unproven::Reconcile { group }, 0);
     }
 
+    /// Appends an empty segment, which conflicts if another process owns the
+    /// shard.
+    pub(super) fn check_ownership(&mut self) {
+        self.log.proof_due = self.log.proof_due.min(self.now);
+    }
+
     fn need_proof(&mut self, what: Unproven, within_ms: u64) {
         let due = self.now.plus_ms(within_ms);
         self.log.proof_due = self.log.proof_due.min(due);
@@ -190,10 +202,19 @@
         if self.is_store_down() {
             return self.log.probe.is_none().then_some(self.log.retry_at);
         }
+        let check = (self.phase == Phase::Ready && self.log.probe.is_none())
+            .then_some(self.log.check_at.max(self.idle_check_at()));
         let due = self.log.due_at(self.cfg.commit_interval_ms);
         let has_records = !self.log.queue.is_empty() || !self.log.checkpoints.is_empty();
         let wanted = if has_records { Timestamp(0) } else { self.log.proof_due };
-        (wanted < Timestamp::MAX).then_some(due.max(wanted))
+        let append = (wanted < Timestamp::MAX).then_some(due.max(wanted));
+        earliest(append, check)
+    }
+
+    /// Returns when an owner that appends nothing reads whether it still owns
+    /// the shard.
+    fn idle_check_at(&self) -> Timestamp {
+        self.log.verified_at.plus_ms(self.cfg.check_interval_ms)
     }
 
     pub(super) fn run_log(&mut self, out: &mut Vec<ShardAction>) {
@@ -213,18 +234,31 @@
             return;
         }
         if self.is_store_down() {
-            if self.log.probe.is_none() && self.log.retry_at <= self.now {
-                let key = log_key(self.id, self.log.tail);
-                self.log.probe = Some(self.store_call(StoreOp::Get { key }, out));
+            if self.log.retry_at <= self.now {
+                self.probe(out);
             }
             return;
         }
+        if self.phase == Phase::Ready && self.log.check_at.max(self.idle_check_at()) <= self.now {
+            self.probe(out);
+        }
         let due = self.log.due_at(self.cfg.commit_interval_ms) <= self.now;
         if due && self.log.has_work(self.now) && self.phase != Phase::Recovering {
             self.append(out);
         }
     }
 
+    /// Reads what follows the tail: nothing, unless another process owns the
+    /// shard.
+    fn probe(&mut self, out: &mut Vec<ShardAction>) {
+        if self.log.probe.is_none() {
+            let (prefix, start_after) = (log_prefix(self.id), log_key(self.id, self.log.tail));
+            self.log.probe_sent = self.now;
+            let op = StoreOp::List { prefix, start_after, limit: 1 };
+            self.log.probe = Some(self.store_call(op, out));
+        }
+    }
+
     /// Appends the record that makes this process the owner.
     pub(super) fn claim(&mut self, out: &mut Vec<ShardAction>) {
         let record =
@@ -468,20 +502,33 @@
         out.push(ShardAction::Fenced);
     }
 
-    pub(super) fn on_probe_reply(&mut self, result: StoreResult) {
+    pub(super) fn on_probe_reply(&mut self, result: StoreResult, out: &mut Vec<ShardAction>) {
         self.log.probe = None;
-        match result {
-            Ok(_) => {
-                self.log.down_since = None;
-                self.log.failures = 0;
-            }
-            Err(err) => {
-                self.log.last_error = err.to_string();
-                self.delay_retry();
+        let entries = match result {
+            Ok(StoreReply::Listed { entries, .. }) => entries,
+            Ok(_) => return self.on_probe_failed("the store's answer does not match the call"),
+            Err(err) => return self.on_probe_failed(&err.to_string()),
+        };
+        self.log.down_since = None;
+        self.log.failures = 0;
+        let found = entries.first().map(|it| Segment::decode_header(&it.value));
+        match found {
+            None => self.log.verified_at = self.log.verified_at.max(self.log.probe_sent),
+            // An append of this process that was sent after the read.
+            Some(Ok(it)) if it.process == self.process && it.epoch == self.committed.epoch() => {}
+            Some(found) => {
+                self.log.last_error = "another process wrote the next segment".to_owned();
+                self.fence(found.ok().map(|it| it.process), out);
             }
         }
     }
 
+    fn on_probe_failed(&mut self, error: &str) {
+        self.log.last_error = error.to_owned();
+        self.delay_retry();
+        self.log.check_at = self.log.retry_at;
+    }
+
     fn delay_retry(&mut self) {
         let (first, most) = (self.cfg.store_retry_ms, self.cfg.store_retry_max_ms);
         let delay = self.backoff(first, most, self.log.failures);
--- a/crates/mustardcove-core/src/shard/tasks.rs
+++ b/crates/mustardcove-core/src/shard/tasks.rs
@@ -40,6 +40,9 @@
     Ignore,
     /// The job is not known.
     Unknown,
+    /// It was bound after everything that this owner knows: a newer owner has
+    /// taken the shard.
+    Ahead,
 }
 
 impl Shard {
@@ -106,7 +109,7 @@
             (Some(job), _) if job.is_done() => Standing::Over,
             (Some(job), _) if job.bound_attempt() == Some(task.attempt) => Standing::Ignore,
             (Some(job), _) if task.attempt <= attempts(job) => Standing::Over,
-            (Some(_), _) => Standing::Ignore,
+            (Some(_), _) => Standing::Ahead,
         }
     }
 
@@ -119,6 +122,7 @@
             Standing::Unknown => {
                 self.when_proven(Unproven::Acknowledge { group: from.clone(), task })
             }
+            Standing::Ahead => self.check_ownership(),
             Standing::Ignore => {}
         }
         false
@@ -291,6 +295,7 @@
             Standing::Current => self.reconcile_when_proven(from),
             Standing::Over => to_group(&from, ShardToGroup::Stop { task, worker, mode }, out),
             Standing::Unknown => self.when_proven(Unproven::Stop { group: from, task, worker }),
+            Standing::Ahead => self.check_ownership(),
             Standing::Ignore => {}
         }
     }
--- a/crates/mustardcove-core/tests/support/fleet.rs
+++ b/crates/mustardcove-core/tests/support/fleet.rs
@@ -110,7 +110,9 @@
         if let Some(end) = self.ended.get(&task) {
             return self.outbox.push_back(end.clone());
         }
-        if !held {
+        // A group starts no attempt twice under one epoch, even if a stale shard
+        // owner has made another reservation for it.
+        if !held || self.started.contains(&task) {
             let evidence = Evidence::NeverSent;
             return self.note_end(group, task, GroupToShard::Lost { task, evidence });
         }
--- a/crates/mustardcove-core/tests/support/world.rs
+++ b/crates/mustardcove-core/tests/support/world.rs
@@ -141,7 +141,8 @@
             }
         }
         let due = self.owners[n].shard.next_deadline();
-        assert!(due.is_none_or(|it| self.now < it), "owner {n} is due at {due:?} again at once");
+        let dump = || self.owners[n].shard.dump(10);
+        assert!(due.is_none_or(|it| self.now < it), "due again at once: {due:?} {:?}", dump());
         self.check();
     }
 
