Add settings, logs, supervision, signals and the administration routes

Cause: every process needs checked settings, one-line logs, children that are started again, a bounded graceful shutdown and a state dump of bounded size.

Change: settings declared in one table that also makes docs/settings.md, with errors that name file, line and nearest key; logfmt lines through slog-async; a supervisor with jittered back-off, a window of deaths and reverse-order stop; signals; /healthz, /readyz, /metrics and /dump.

--- a/crates/mustardcove-runtime/src/lib.rs
+++ b/crates/mustardcove-runtime/src/lib.rs
@@ -4,7 +4,13 @@
 //! and the transport between our own processes. The reasons behind them are in
 //! `docs/runtime.md` and `docs/peer-protocol.md`.
 
+pub mod admin;
 pub mod backoff;
 pub mod clock;
+pub mod dump;
+pub mod logging;
 pub mod metrics;
 pub mod peer;
+pub mod settings;
+pub mod signals;
+pub mod supervisor;
--- /dev/null
+++ b/crates/mustardcove-runtime/src/settings/args.rs
@@ -0,0 +1,49 @@
+//! Arguments shared by all programs.
+
+use std::path::PathBuf;
+
+use clap::Args;
+
+use super::{Settings, SettingsErrors, declare::Program, document};
+
+/// Arguments that name the settings; a program flattens them into its own.
+#[derive(Args, Clone, Debug)]
+pub struct ConfigArgs {
+    /// The file with the settings.
+    #[arg(long, value_name = "FILE", required_unless_present = "print_settings_table")]
+    pub config: Option<PathBuf>,
+    /// Checks the settings and exits.
+    #[arg(long)]
+    pub check_config: bool,
+    /// Prints the part of docs/settings.md about this program and exits.
+    #[arg(long, hide = true)]
+    pub print_settings_table: bool,
+}
+
+/// What a program is to do after it read its arguments.
+#[derive(Clone, Debug)]
+pub enum Loaded {
+    /// Run with these settings.
+    Run(Settings),
+    /// Print this text and end successfully.
+    Print(String),
+}
+
+impl ConfigArgs {
+    /// Reads the settings of a program.
+    ///
+    /// # Errors
+    ///
+    /// Returns every error that was found in the file.
+    pub fn load(&self, program: &Program) -> Result<Loaded, SettingsErrors> {
+        if self.print_settings_table {
+            return Ok(Loaded::Print(document::tables(program.name, program.tables)));
+        }
+        let path = self.config.clone().unwrap_or_default();
+        let settings = Settings::load(program, &path)?;
+        if self.check_config {
+            return Ok(Loaded::Print(format!("{}: settings are valid\n", path.display())));
+        }
+        Ok(Loaded::Run(settings))
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-runtime/src/settings/common.rs
@@ -0,0 +1,222 @@
+//! Settings that entry and scheduler processes share.
+
+use std::net::SocketAddr;
+
+use mustardcove_core::id::{FailureDomainId, ProcessId, RegionId};
+use mustardcove_platform::http::HttpLimits;
+use slog::Level;
+
+use super::{
+    Settings,
+    declare::{Kind, Rule, Setting},
+};
+use crate::{logging::LogConfig, peer::PeerConfig, supervisor::RestartPolicy};
+
+const fn ms(min_ms: u64, max_ms: u64) -> Kind {
+    Kind::Duration { min_ms, max_ms }
+}
+
+const fn required(
+    section: &'static str,
+    key: &'static str,
+    kind: Kind,
+    help: &'static str,
+) -> Setting {
+    Setting { section, key, kind, default: None, help }
+}
+
+const fn optional(
+    section: &'static str,
+    key: &'static str,
+    kind: Kind,
+    default: &'static str,
+    help: &'static str,
+) -> Setting {
+    Setting { section, key, kind, default: Some(default), help }
+}
+
+/// The declarations.
+pub const COMMON: &[Setting] = &[
+    required("process", "name", Kind::Name, "Name of the instance; each start adds a suffix."),
+    required("process", "region", Kind::Name, "Region of the instance."),
+    required("process", "failure_domain", Kind::Name, "Failure domain of the instance."),
+    optional(
+        "log",
+        "level",
+        Kind::Choice(&["debug", "info", "warning", "error"]),
+        "info",
+        "Less severe lines are left out.",
+    ),
+    optional(
+        "log",
+        "queue",
+        Kind::Count { min: 64, max: 65_536 },
+        "4096",
+        "Lines that wait to be written; more are dropped and counted.",
+    ),
+    required("admin", "listen", Kind::Address, "Address of the administration routes."),
+    optional(
+        "admin",
+        "dump_limit",
+        Kind::Bytes { min: 4 << 10, max: 64 << 20 },
+        "4MiB",
+        "Largest state dump.",
+    ),
+    required("peer", "listen", Kind::Address, "Address that our other processes connect to."),
+    optional("peer", "connect_timeout", ms(10, 30_000), "1s", "Longest time to open a connection."),
+    optional("peer", "backoff_min", ms(1, 60_000), "50ms", "First wait after a failed attempt."),
+    optional("peer", "backoff_max", ms(1, 60_000), "2s", "Longest wait after a failed attempt."),
+    optional("peer", "ping_interval", ms(10, 60_000), "1s", "Time between pings."),
+    optional("peer", "ping_timeout", ms(10, 60_000), "2s", "Wait for the answer to a ping."),
+    optional(
+        "peer",
+        "max_message",
+        Kind::Bytes { min: 64 << 10, max: 64 << 20 },
+        "16MiB",
+        "Largest message.",
+    ),
+    optional(
+        "peer",
+        "queue_messages",
+        Kind::Count { min: 16, max: 1_000_000 },
+        "8192",
+        "Messages queued per peer and lane; more are refused.",
+    ),
+    optional(
+        "peer",
+        "queue_bytes",
+        Kind::Bytes { min: 64 << 10, max: 1 << 30 },
+        "32MiB",
+        "Bytes queued per peer and lane; more are refused.",
+    ),
+    required("store", "address", Kind::Address, "Address of the platform's store."),
+    optional(
+        "store",
+        "connect_timeout",
+        ms(10, 30_000),
+        "1s",
+        "Longest time to open a connection.",
+    ),
+    optional("store", "answer_timeout", ms(10, 60_000), "2s", "Longest time to answer a call."),
+    optional(
+        "store",
+        "connections",
+        Kind::Count { min: 1, max: 1_024 },
+        "16",
+        "Calls in flight; waiting watches are limited apart.",
+    ),
+    required("instances", "address", Kind::Address, "Address of the platform's instance list."),
+    optional("instances", "interval", ms(100, 60_000), "1s", "Time between fetches of the list."),
+    optional("supervisor", "restart_min", ms(1, 60_000), "100ms", "First wait before a restart."),
+    optional("supervisor", "restart_max", ms(1, 60_000), "5s", "Longest wait before a restart."),
+    optional("supervisor", "window", ms(1_000, 3_600_000), "1m", "Window in which deaths count."),
+    optional(
+        "supervisor",
+        "max_deaths",
+        Kind::Count { min: 1, max: 1_000 },
+        "5",
+        "Deaths of one child in the window; one more ends the process.",
+    ),
+    optional("supervisor", "stop_timeout", ms(100, 10_000), "10s", "Bound of a graceful shutdown."),
+];
+
+/// What must hold between them.
+pub const COMMON_RULES: &[Rule] = &[
+    Rule {
+        at: "peer.backoff_min",
+        text: "must not exceed peer.backoff_max",
+        holds: |it| it.duration("peer.backoff_min") <= it.duration("peer.backoff_max"),
+    },
+    Rule {
+        at: "peer.queue_bytes",
+        text: "must hold at least one message of peer.max_message",
+        holds: |it| it.bytes("peer.max_message") <= it.bytes("peer.queue_bytes"),
+    },
+    Rule {
+        at: "peer.listen",
+        text: "must differ from admin.listen",
+        holds: |it| !is_same_port(it.address("peer.listen"), it.address("admin.listen")),
+    },
+    Rule {
+        at: "store.connect_timeout",
+        text: "must not exceed store.answer_timeout",
+        holds: |it| it.duration("store.connect_timeout") <= it.duration("store.answer_timeout"),
+    },
+    Rule {
+        at: "supervisor.restart_min",
+        text: "must not exceed supervisor.restart_max",
+        holds: |it| it.duration("supervisor.restart_min") <= it.duration("supervisor.restart_max"),
+    },
+];
+
+/// Port 0 is chosen by the system and is never the same twice.
+fn is_same_port(lhs: SocketAddr, rhs: SocketAddr) -> bool {
+    lhs == rhs && lhs.port() != 0
+}
+
+/// Returns the region of the process.
+pub fn region(settings: &Settings) -> RegionId {
+    settings.id("process.region")
+}
+
+/// Returns the failure domain of the process.
+pub fn failure_domain(settings: &Settings) -> FailureDomainId {
+    settings.id("process.failure_domain")
+}
+
+/// Returns how the process logs.
+pub fn log_config(settings: &Settings) -> LogConfig {
+    let level = match settings.text("log.level") {
+        "debug" => Level::Debug,
+        "warning" => Level::Warning,
+        "error" => Level::Error,
+        _ => Level::Info,
+    };
+    let process = settings.text("process.name").to_owned();
+    LogConfig { process, level, queue: settings.size("log.queue") }
+}
+
+/// Returns how the process talks to its peers.
+pub fn peer_config(settings: &Settings, process: ProcessId, seed: u64) -> PeerConfig {
+    let listen = settings.address("peer.listen");
+    PeerConfig {
+        connect_timeout: settings.duration("peer.connect_timeout"),
+        backoff_min: settings.duration("peer.backoff_min"),
+        backoff_max: settings.duration("peer.backoff_max"),
+        ping_interval: settings.duration("peer.ping_interval"),
+        ping_timeout: settings.duration("peer.ping_timeout"),
+        max_message_bytes: settings.bytes("peer.max_message"),
+        max_queued_messages: settings.size("peer.queue_messages"),
+        max_queued_bytes: settings.bytes("peer.queue_bytes"),
+        seed,
+        ..PeerConfig::new(process, region(settings), listen)
+    }
+}
+
+/// Returns the limits of connections to the store.
+pub fn store_limits(settings: &Settings) -> HttpLimits {
+    HttpLimits {
+        connect_timeout: settings.duration("store.connect_timeout"),
+        answer_timeout: settings.duration("store.answer_timeout"),
+        max_per_address: settings.size("store.connections"),
+        local_address: local_address(settings),
+        ..HttpLimits::default()
+    }
+}
+
+/// Returns the address that connections of the process come from: the one
+/// that peers know it by, unless it listens at every address.
+pub fn local_address(settings: &Settings) -> Option<std::net::IpAddr> {
+    Some(settings.address("peer.listen").ip()).filter(|it| !it.is_unspecified())
+}
+
+/// Returns the limits of supervisors.
+pub fn restart_policy(settings: &Settings) -> RestartPolicy {
+    RestartPolicy {
+        backoff_min: settings.duration("supervisor.restart_min"),
+        backoff_max: settings.duration("supervisor.restart_max"),
+        window: settings.duration("supervisor.window"),
+        max_deaths: settings.size("supervisor.max_deaths"),
+        stop_timeout: settings.duration("supervisor.stop_timeout"),
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-runtime/src/settings/declare.rs
@@ -0,0 +1,213 @@
+//! Declarations of settings.
+
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use mustardcove_core::{id::ProcessId, size::ByteCount};
+
+use super::Settings;
+
+/// What a setting may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A duration with a unit: `250ms`, `3s`, `5m` or `24h`.
+    Duration {
+        /// The least, in milliseconds.
+        min_ms: u64,
+        /// The most, in milliseconds.
+        max_ms: u64,
+    },
+    /// A number of bytes with a unit: `64B`, `64KiB` or `1MiB`.
+    Bytes {
+        /// The least.
+        min: u64,
+        /// The most.
+        max: u64,
+    },
+    /// A number without a unit.
+    Count {
+        /// The least.
+        min: u64,
+        /// The most.
+        max: u64,
+    },
+    /// A share as a percentage: `25%` or `2.5%`.
+    Share,
+    /// An IP number and a port.
+    Address,
+    /// An IP number.
+    Ip,
+    /// A name as operators choose them.
+    Name,
+    /// Any text.
+    Text,
+    /// One of some words.
+    Choice(&'static [&'static str]),
+    /// `yes` or `no`.
+    Flag,
+}
+
+/// The value of a setting.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// Of [`Kind::Duration`].
+    Duration(Duration),
+    /// Of [`Kind::Bytes`].
+    Bytes(u64),
+    /// Of [`Kind::Count`].
+    Count(u64),
+    /// Of [`Kind::Share`].
+    Share(f64),
+    /// Of [`Kind::Address`].
+    Address(SocketAddr),
+    /// Of [`Kind::Ip`].
+    Ip(IpAddr),
+    /// Of [`Kind::Name`], [`Kind::Text`] and [`Kind::Choice`].
+    Text(String),
+    /// Of [`Kind::Flag`].
+    Flag(bool),
+}
+
+/// A declaration of a setting.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// The section.
+    pub section: &'static str,
+    /// The key.
+    pub key: &'static str,
+    /// What it may hold.
+    pub kind: Kind,
+    /// Its value if it is not set; without one it must be set.
+    pub default: Option<&'static str>,
+    /// What it is for, as one sentence.
+    pub help: &'static str,
+}
+
+impl Setting {
+    /// Returns section and key as one name.
+    pub fn name(&self) -> String {
+        format!("{}.{}", self.section, self.key)
+    }
+}
+
+/// Something that must hold between settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Rule {
+    /// The setting at whose line a contradiction is reported.
+    pub at: &'static str,
+    /// What must hold, for a person.
+    pub text: &'static str,
+    /// Whether it holds.
+    pub holds: fn(&Settings) -> bool,
+}
+
+/// The settings of a program, in tables that programs may share.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// The name of the program.
+    pub name: &'static str,
+    /// The declarations.
+    pub tables: &'static [&'static [Setting]],
+    /// What must hold between them.
+    pub rules: &'static [&'static [Rule]],
+}
+
+impl Program {
+    /// Returns every declaration.
+    pub fn settings(&self) -> impl Iterator<Item = &'static Setting> + use<> {
+        self.tables.iter().copied().flatten()
+    }
+
+    /// Returns every rule.
+    pub fn rules(&self) -> impl Iterator<Item = &'static Rule> + use<> {
+        self.rules.iter().copied().flatten()
+    }
+}
+
+const DURATION_UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+
+fn parse_duration_ms(text: &str) -> Option<u64> {
+    let (suffix, unit) = DURATION_UNITS.iter().find(|(suffix, _)| text.ends_with(suffix))?;
+    let digits = &text[..text.len() - suffix.len()];
+    digits.parse::<u64>().ok()?.checked_mul(*unit)
+}
+
+fn parse_share(text: &str) -> Option<f64> {
+    let share = text.strip_suffix('%')?.parse::<f64>().ok()? / 100.0;
+    (0.0..=1.0).contains(&share).then_some(share)
+}
+
+impl Kind {
+    /// Reads a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns what was expected in place of the text.
+    pub fn parse(self, text: &str) -> Result<Value, String> {
+        let value = match self {
+            Kind::Duration { min_ms, max_ms } => parse_duration_ms(text)
+                .filter(|it| (min_ms..=max_ms).contains(it))
+                .map(|it| Value::Duration(Duration::from_millis(it))),
+            Kind::Bytes { min, max } => text
+                .parse::<ByteCount>()
+                .ok()
+                .filter(|it| (min..=max).contains(&it.0))
+                .map(|it| Value::Bytes(it.0)),
+            Kind::Count { min, max } => {
+                text.parse().ok().filter(|it| (min..=max).contains(it)).map(Value::Count)
+            }
+            Kind::Share => parse_share(text).map(Value::Share),
+            Kind::Address => text.parse().ok().map(Value::Address),
+            Kind::Ip => text.parse().ok().map(Value::Ip),
+            Kind::Name => text.parse::<ProcessId>().ok().map(|it| Value::Text(it.into())),
+            Kind::Text => Some(Value::Text(text.to_owned())),
+            Kind::Choice(words) => words.contains(&text).then(|| Value::Text(text.to_owned())),
+            Kind::Flag => match text {
+                "yes" => Some(Value::Flag(true)),
+                "no" => Some(Value::Flag(false)),
+                _ => None,
+            },
+        };
+        value.ok_or_else(|| format!("{text:?} is not {self}"))
+    }
+}
+
+fn display_ms(ms: u64) -> String {
+    let unit = DURATION_UNITS.iter().rev().find(|(_, unit)| 0 < ms && ms.is_multiple_of(*unit));
+    let (suffix, unit) = unit.unwrap_or(&DURATION_UNITS[0]);
+    format!("{}{suffix}", ms / unit)
+}
+
+fn display_bytes(bytes: u64) -> String {
+    match bytes {
+        it if 0 < it && it.is_multiple_of(1 << 20) => format!("{}MiB", it >> 20),
+        it if 0 < it && it.is_multiple_of(1 << 10) => format!("{}KiB", it >> 10),
+        it => format!("{it}B"),
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Kind::Duration { min_ms, max_ms } => {
+                let (min, max) = (display_ms(*min_ms), display_ms(*max_ms));
+                write!(f, "a duration with unit (ms, s, m, h) from {min} to {max}")
+            }
+            Kind::Bytes { min, max } => {
+                let (min, max) = (display_bytes(*min), display_bytes(*max));
+                write!(f, "a size with unit (B, KiB, MiB) from {min} to {max}")
+            }
+            Kind::Count { min, max } => write!(f, "a number from {min} to {max}"),
+            Kind::Share => f.write_str("a percentage from 0% to 100%"),
+            Kind::Address => f.write_str("an IP number and port"),
+            Kind::Ip => f.write_str("an IP number"),
+            Kind::Name => f.write_str("a name of letters, digits and -_.:/@"),
+            Kind::Text => f.write_str("text"),
+            Kind::Choice(words) => write!(f, "one of {}", words.join(", ")),
+            Kind::Flag => f.write_str("yes or no"),
+        }
+    }
+}
