Add the entry process's library: API, dispatch and control

Cause: callers need an HTTP API whose refusals say whether work ran, and guarded requests need the shard owner's word before they are sent. Change: the callers' API with tower layers, authentication by token digest, a client of shard owners that follows hints and waits a bounded time, upstream clients with counted connections, waiting with bounds, drivers for the instance list, probes and the store, and a graceful end.

--- /dev/null
+++ b/crates/mustardcove-entry/src/api/services.rs
@@ -0,0 +1,124 @@
+//! Service requests.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use axum::{
+    Extension,
+    body::Body,
+    extract::{Path, Request, State},
+    response::Response,
+};
+use http::{HeaderMap, HeaderName, StatusCode, header::CONTENT_TYPE};
+use mustardcove_core::{
+    class::{ClassKind, Delivery},
+    job::MAX_PAYLOAD_BYTES,
+    limit::ShedClass,
+    time::Timestamp,
+    verdict::{Refusal, RefusalReason},
+};
+
+use super::{IDEMPOTENCY_KEY, authenticated, deadline_of, key_of, respond};
+use crate::{
+    body::read_body,
+    dispatch::{self, ServiceCall},
+    entry::{Entry, class_for},
+    refusal::ApiRefusal,
+    request_id::RequestTag,
+    shards::ShardClient,
+};
+
+/// Prefix of the callers' headers that are passed to upstreams.
+///
+/// Others, above all the bearer token, are for this system only.
+const FORWARDED_PREFIX: &str = "x-service-";
+
+/// Most headers that are passed to upstreams.
+const MAX_FORWARDED: usize = 16;
+
+/// Handles `POST /v1/services/{class}`.
+pub async fn call<C: ShardClient>(
+    State(entry): State<Arc<Entry<C>>>,
+    Extension(tag): Extension<RequestTag>,
+    Path(class): Path<String>,
+    req: Request,
+) -> Response {
+    let started = Instant::now();
+    let result = handle(&entry, &tag, &class, req).await;
+    respond(&entry, &tag, "service", started, result)
+}
+
+async fn handle<C: ShardClient>(
+    entry: &Arc<Entry<C>>,
+    tag: &RequestTag,
+    class: &str,
+    req: Request,
+) -> Result<Response, ApiRefusal> {
+    let (parts, body) = req.into_parts();
+    let headers = parts.headers;
+    let (in_force, member) = authenticated(entry, &headers)?;
+    let class = class_for(&in_force, &member, class)
+        .map_err(|it| ApiRefusal::with_status(it, StatusCode::NOT_FOUND))?;
+    let (ClassKind::Service, Some(service)) = (class.kind, &class.service) else {
+        let detail = "the class is not one of a service; submit a job instead";
+        return Err(ApiRefusal::invalid(StatusCode::BAD_REQUEST, detail));
+    };
+    let guarded = class.delivery != Delivery::Idempotent;
+    let key = key_of(&headers)?;
+    if guarded && key.is_none() {
+        let detail = format!("a request of this class needs an {IDEMPOTENCY_KEY} header");
+        return Err(ApiRefusal::invalid(StatusCode::BAD_REQUEST, detail));
+    }
+    let deadline = deadline_of(entry, &headers)?;
+    // Shed before the body is read, while the refusal is cheap.
+    let mut admitted = entry.admit(ShedClass::of(class))?;
+    let limit = in_force.agreement.members.get(&member).map_or(0, |it| it.max_requests);
+    admitted.count_for(&member, limit)?;
+    let body = read(entry, &headers, body, guarded, deadline).await?;
+    let Some(pool) = entry.pool(service) else {
+        let detail = "the service of the class does not exist";
+        return Err(Refusal::not_run(RefusalReason::NoUpstream, detail).into());
+    };
+    let call = ServiceCall {
+        tag: tag.clone(),
+        member,
+        class: class.clone(),
+        key,
+        deadline,
+        content_type: headers.get(CONTENT_TYPE).cloned(),
+        forwarded: forwarded(&headers),
+        body,
+    };
+    drop(headers);
+    drop(in_force);
+    let answer = dispatch::call(entry, &pool, call).await?;
+    drop(admitted);
+    let mut resp = Response::new(Body::from(answer.body));
+    *resp.status_mut() = answer.status;
+    if let Some(content_type) = answer.content_type {
+        resp.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    Ok(resp)
+}
+
+async fn read<C>(
+    entry: &Arc<Entry<C>>,
+    headers: &HeaderMap,
+    body: Body,
+    guarded: bool,
+    deadline: Timestamp,
+) -> Result<bytes::Bytes, ApiRefusal> {
+    let cfg = entry.cfg();
+    // A guarded request is kept in the shard's log with its body.
+    let max_bytes = if guarded { MAX_PAYLOAD_BYTES } else { cfg.max_body_bytes };
+    let timeout = Duration::from_millis(cfg.receive_timeout_ms).min(entry.clock().until(deadline));
+    read_body(headers, body, max_bytes, timeout).await
+}
+
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let wanted = |name: &HeaderName| name.as_str().starts_with(FORWARDED_PREFIX);
+    let headers = headers.iter().filter(|(name, _)| wanted(name)).take(MAX_FORWARDED);
+    headers.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
--- /dev/null
+++ b/crates/mustardcove-entry/src/body.rs
@@ -0,0 +1,47 @@
+//! Bodies of callers' requests, read whole within limits.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode, header::CONTENT_LENGTH};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+
+use crate::refusal::ApiRefusal;
+
+/// Reads a body of at most `max_bytes` within `timeout`.
+///
+/// # Errors
+///
+/// Returns a refusal if the body is too large, too slow or ends early. Nothing
+/// was done with the request then.
+pub async fn read_body(
+    headers: &HeaderMap,
+    body: Body,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<Bytes, ApiRefusal> {
+    // A declared length is refused before any of the body is read.
+    let declared = headers.get(CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
+    if declared.is_some_and(|it| (max_bytes as u64) < it) {
+        return Err(too_large(max_bytes));
+    }
+    let read = Limited::new(body, max_bytes).collect();
+    let Ok(read) = tokio::time::timeout(timeout, read).await else {
+        let detail = format!("the body did not arrive within {} ms", timeout.as_millis());
+        return Err(ApiRefusal::invalid(StatusCode::REQUEST_TIMEOUT, detail));
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(too_large(max_bytes)),
+        Err(_) => {
+            let detail = "the body ended before its declared length or is malformed";
+            Err(ApiRefusal::invalid(StatusCode::BAD_REQUEST, detail))
+        }
+    }
+}
+
+fn too_large(max_bytes: usize) -> ApiRefusal {
+    let detail = format!("the body exceeds {max_bytes} bytes");
+    ApiRefusal::invalid(StatusCode::PAYLOAD_TOO_LARGE, detail)
+}
--- a/crates/mustardcove-entry/src/lib.rs
+++ b/crates/mustardcove-entry/src/lib.rs
@@ -1,1 +1,28 @@
-//! entry
+//! Entry process of mustardcove.
+//!
+//! An entry process takes callers' requests over HTTP/JSON. Service requests
+//! are routed to an upstream; jobs go to the owner of their shard. The process
+//! keeps nothing durable: whatever has to be kept is kept by shard owners, and
+//! the decisions on upstreams, limits and retries are those of
+//! `mustardcove-core`.
+//!
+//! See `docs/api.md` for callers and `docs/routing.md` for the design.
+
+pub mod api;
+pub mod auth;
+pub mod body;
+pub mod config;
+pub mod control;
+pub mod dispatch;
+pub mod driver;
+pub mod entry;
+pub mod flights;
+pub mod job_view;
+pub mod metrics;
+pub mod pool;
+pub mod refusal;
+pub mod request_id;
+pub mod server;
+pub mod shards;
+pub mod stored;
+pub mod upstream;
--- /dev/null
+++ b/crates/mustardcove-entry/src/pool.rs
@@ -0,0 +1,357 @@
+//! Upstreams of one service, with the requests that wait for one.
+//!
+//! A request that finds no upstream with room waits for a short, bounded time:
+//! refusing at once would turn each brief peak into refusals, and waiting
+//! longer would only delay the answer "ask again later". Urgent requests are
+//! woken first.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use mustardcove_core::{
+    id::{ServiceId, WorkerId},
+    membership::{
+        ConnectionSign, Membership, MembershipAction, MembershipEvent, Upstream, UpstreamView,
+    },
+    routing::{Choice, RouteOutcome, RouteView, Router, Tier},
+    time::Timestamp,
+    verdict::{Refusal, RefusalReason},
+};
+use mustardcove_platform::Clock;
+use tokio::sync::{Notify, mpsc};
+
+use crate::{
+    config::EntryConfig,
+    upstream::{AttemptEnd, UpstreamClient},
+};
+
+/// Longest time that a waiting request goes without looking for room, in
+/// milliseconds; it bounds the harm of a wake-up that was lost.
+const LOOK_INTERVAL_MS: u64 = 100;
+
+/// Time after which a refused caller may ask again, in milliseconds.
+const RETRY_MS: u64 = 500;
+
+#[derive(Debug)]
+struct State {
+    membership: Membership,
+    router: Router,
+    clients: HashMap<WorkerId, Arc<UpstreamClient>>,
+}
+
+/// Upstreams of one service.
+#[derive(Debug)]
+pub struct ServicePool {
+    service: ServiceId,
+    state: Mutex<State>,
+    /// Waiting requests, urgent ones first.
+    room: [Notify; 2],
+    waiting: [AtomicUsize; 2],
+    max_queued: usize,
+    queue_wait_ms: u64,
+    paths: (String, String),
+    max_answer_bytes: usize,
+    clock: Clock,
+    closed: mpsc::Sender<WorkerId>,
+}
+
+/// An upstream with room, held for one attempt.
+#[derive(Debug)]
+pub struct Ticket {
+    pool: Arc<ServicePool>,
+    choice: Choice,
+    worker: WorkerId,
+    client: Arc<UpstreamClient>,
+    started: Instant,
+    ended: bool,
+}
+
+impl ServicePool {
+    /// Returns a pool without upstreams; idle connections that an upstream
+    /// closed are reported to `closed`.
+    pub fn new(
+        service: ServiceId,
+        cfg: &EntryConfig,
+        clock: Clock,
+        closed: mpsc::Sender<WorkerId>,
+    ) -> ServicePool {
+        let state = State {
+            membership: Membership::new(service.clone(), cfg.seed),
+            router: Router::new(cfg.region.clone(), cfg.domain.clone(), cfg.seed),
+            clients: HashMap::new(),
+        };
+        ServicePool {
+            service,
+            state: Mutex::new(state),
+            room: [Notify::new(), Notify::new()],
+            waiting: [AtomicUsize::new(0), AtomicUsize::new(0)],
+            max_queued: cfg.max_queued,
+            queue_wait_ms: cfg.queue_wait_ms,
+            paths: (cfg.service_path.clone(), cfg.probe_path.clone()),
+            max_answer_bytes: cfg.max_answer_bytes,
+            clock,
+            closed,
+        }
+    }
+
+    /// Returns the service.
+    pub fn service(&self) -> &ServiceId {
+        &self.service
+    }
+
+    /// Handles an event and returns the upstreams to probe.
+    pub fn handle(&self, event: MembershipEvent) -> Vec<Upstream> {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        let mut probes = Vec::new();
+        let has_room = {
+            let mut state = self.lock();
+            state.membership.handle(now, event, &mut actions);
+            for action in actions {
+                self.apply(&mut state, &action);
+                if let MembershipAction::Probe(upstream) = action {
+                    probes.push(upstream);
+                }
+            }
+            state.router.has_room()
+        };
+        if has_room {
+            self.room.iter().for_each(Notify::notify_waiters);
+        }
+        probes
+    }
+
+    /// Returns when the next tick is due.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.lock().membership.next_deadline()
+    }
+
+    /// Waits for an upstream with room, not beyond `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal with verdict `NotRun` when no upstream has room in
+    /// time, at once if the time left is too short anyway.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        urgent: bool,
+        deadline: Timestamp,
+        avoid: &[Choice],
+    ) -> Result<Ticket, Refusal> {
+        if let Some(ticket) = self.choose(avoid) {
+            return Ok(ticket);
+        }
+        let began = self.clock.now();
+        let latest = deadline.minus_ms(self.usual_ms());
+        let until = began.plus_ms(self.queue_wait_ms).min(latest);
+        let class = usize::from(!urgent);
+        let _waiting = Waiting::enter(&self.waiting[class]);
+        let queued: usize = self.waiting.iter().map(|it| it.load(Ordering::Relaxed)).sum();
+        if self.max_queued < queued && !urgent {
+            return Err(self.refusal(began));
+        }
+        loop {
+            let notified = self.room[class].notified();
+            tokio::pin!(notified);
+            // Registered before looking, so that room found in between wakes it.
+            notified.as_mut().enable();
+            if let Some(ticket) = self.choose(avoid) {
+                return Ok(ticket);
+            }
+            let now = self.clock.now();
+            if until <= now {
+                return Err(self.refusal(now));
+            }
+            let wait = self.clock.until(until).min(Duration::from_millis(LOOK_INTERVAL_MS));
+            let _ = tokio::time::timeout(wait, notified).await;
+        }
+    }
+
+    /// Returns how long an answer usually takes, in milliseconds.
+    pub fn usual_ms(&self) -> u64 {
+        self.lock().router.usual_latency_us(Tier::Domain).div_ceil(1_000)
+    }
+
+    /// Returns the client of an upstream.
+    pub fn client(&self, worker: &WorkerId) -> Option<Arc<UpstreamClient>> {
+        self.lock().clients.get(worker).cloned()
+    }
+
+    /// Returns upstreams that have been silent, longest first.
+    pub fn silent(&self, silent_ms: u64, most: usize) -> Vec<WorkerId> {
+        let now = self.clock.now();
+        self.lock().router.silent(now, silent_ms, most)
+    }
+
+    /// Records that an upstream answered a probe.
+    pub fn heard(&self, worker: &WorkerId) {
+        let now = self.clock.now();
+        self.lock().router.heard(now, worker);
+    }
+
+    /// Returns up to `limit` upstreams with their states and loads.
+    pub fn views(&self, limit: usize) -> (Vec<UpstreamView>, Vec<RouteView>) {
+        let state = self.lock();
+        let upstreams = state.membership.iter().take(limit).collect();
+        (upstreams, state.router.iter().take(limit).collect())
+    }
+
+    /// Returns how many requests wait, urgent ones first.
+    pub fn waiting(&self) -> [usize; 2] {
+        [self.waiting[0].load(Ordering::Relaxed), self.waiting[1].load(Ordering::Relaxed)]
+    }
+
+    fn apply(&self, state: &mut State, action: &MembershipAction) {
+        match action {
+            MembershipAction::Add(upstream) => {
+                let client = UpstreamClient::new(
+                    upstream,
+                    &self.paths.0,
+                    &self.paths.1,
+                    self.max_answer_bytes,
+                    self.clock,
+                    self.closed.clone(),
+                );
+                // An address that forms no URI cannot be reached at all.
+                let Ok(client) = client else { return };
+                state.clients.insert(upstream.worker.clone(), Arc::new(client));
+            }
+            MembershipAction::Remove(worker) => {
+                state.clients.remove(worker);
+            }
+            MembershipAction::Stop(_)
+            | MembershipAction::Resume(_)
+            | MembershipAction::Probe(_) => {}
+        }
+        state.router.apply(action);
+    }
+
+    fn choose(self: &Arc<Self>, avoid: &[Choice]) -> Option<Ticket> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let choice = state.router.choose(now, avoid)?;
+        let found = state.router.worker(choice).and_then(|worker| {
+            let client = state.clients.get(worker)?;
+            Some((worker.clone(), Arc::clone(client)))
+        });
+        let Some((worker, client)) = found else {
+            state.router.end(now, choice, RouteOutcome::Failed);
+            return None;
+        };
+        drop(state);
+        let started = Instant::now();
+        Some(Ticket { pool: Arc::clone(self), choice, worker, client, started, ended: false })
+    }
+
+    fn end(&self, choice: Choice, outcome: RouteOutcome) {
+        let now = self.clock.now();
+        let has_room = {
+            let mut state = self.lock();
+            state.router.end(now, choice, outcome);
+            state.router.has_room()
+        };
+        if !has_room {
+            return;
+        }
+        let urgent = 0 < self.waiting[0].load(Ordering::Relaxed);
+        self.room[usize::from(!urgent)].notify_one();
+    }
+
+    fn refusal(&self, now: Timestamp) -> Refusal {
+        let accepting = self.lock().router.iter().any(|it| it.accepting);
+        let (reason, detail) = if accepting {
+            (RefusalReason::Overloaded, "every upstream is at its limit")
+        } else {
+            (RefusalReason::NoUpstream, "no upstream takes requests at the moment")
+        };
+        let detail = format!("{detail} (service {})", self.service);
+        Refusal::not_run(reason, detail).with_retry_at(now.plus_ms(RETRY_MS))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
+
+/// Counts a request as waiting until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl Waiting<'_> {
+    fn enter(count: &AtomicUsize) -> Waiting<'_> {
+        count.fetch_add(1, Ordering::Relaxed);
+        Waiting(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Ticket {
+    /// Returns the instance of the upstream.
+    pub fn worker(&self) -> &WorkerId {
+        &self.worker
+    }
+
+    /// Returns the choice, for later attempts to avoid.
+    pub fn choice(&self) -> Choice {
+        self.choice
+    }
+
+    /// Returns the client of the upstream.
+    pub fn client(&self) -> &UpstreamClient {
+        &self.client
+    }
+
+    /// Records how the attempt ended.
+    pub fn end(mut self, end: &AttemptEnd) {
+        self.ended = true;
+        if let Some(sign) = end.sign {
+            self.report(sign);
+        }
+        self.pool.end(self.choice, self.outcome(end));
+    }
+
+    fn report(&self, sign: ConnectionSign) {
+        let event = MembershipEvent::Sign { worker: self.worker.clone(), sign };
+        // Probes follow on a tick, never on a sign.
+        self.pool.handle(event);
+    }
+
+    fn outcome(&self, end: &AttemptEnd) -> RouteOutcome {
+        let elapsed_us = self.started.elapsed().as_micros() as u64;
+        let error = match &end.result {
+            Ok(_) => return RouteOutcome::Answered(elapsed_us),
+            Err(error) => error,
+        };
+        if error.overloaded {
+            return RouteOutcome::Refused;
+        }
+        match error.refusal.reason {
+            // A deadline shorter than an answer usually takes says nothing
+            // about the upstream.
+            RefusalReason::DeadlineExceeded if elapsed_us / 1_000 < self.pool.usual_ms() => {
+                RouteOutcome::Abandoned
+            }
+            RefusalReason::DeadlineExceeded => RouteOutcome::TimedOut(elapsed_us),
+            RefusalReason::Internal => RouteOutcome::Abandoned,
+            _ => RouteOutcome::Failed,
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.pool.end(self.choice, RouteOutcome::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-entry/src/server.rs
@@ -0,0 +1,108 @@
+//! Accepts callers' connections and ends them gracefully.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::Router;
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+    service::TowerToHyperService,
+};
+use slog::{info, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+
+use crate::{entry::Entry, shards::ShardClient};
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Requests of one HTTP/2 connection at once.
+const MAX_STREAMS: u32 = 1_024;
+
+/// Time after which an HTTP/2 connection without traffic is checked.
+const KEEP_ALIVE: Duration = Duration::from_secs(20);
+
+/// Wait after a failed accept, which is usually a lack of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Serves connections until the process drains, then finishes what is under
+/// way; returns when everything has ended or the time for it is over.
+pub async fn serve<C: ShardClient>(entry: Arc<Entry<C>>, listener: TcpListener, router: Router) {
+    let receive_timeout = Duration::from_millis(entry.cfg().receive_timeout_ms);
+    let builder = Arc::new(connection_builder(receive_timeout));
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(entry.cfg().max_connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &permits) => accepted,
+            () = entry.draining().cancelled() => break,
+        };
+        let Some((stream, permit)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let service = TowerToHyperService::new(router.clone());
+        let builder = Arc::clone(&builder);
+        let watcher = graceful.watcher();
+        tokio::spawn(async move {
+            let _permit = permit;
+            // A connection on which nothing arrives would be held for ever:
+            // the header time-out begins only with the protocol.
+            let readable = tokio::time::timeout(receive_timeout, stream.readable()).await;
+            if !matches!(readable, Ok(Ok(()))) {
+                return;
+            }
+            let conn = builder.serve_connection(TokioIo::new(stream), service);
+            // Errors of single connections are the caller's; each request on
+            // them has been recorded.
+            let _ = watcher.watch(conn.into_owned()).await;
+        });
+    }
+    drop(listener);
+    finish(&entry, graceful).await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    let (stream, _) = listener.accept().await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some((stream, permit))
+}
+
+fn connection_builder(receive_timeout: Duration) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(receive_timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
+        // A caller that shut down its sending side still waits for its answer.
+        .half_close(true);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(KEEP_ALIVE)
+        .max_concurrent_streams(MAX_STREAMS);
+    builder
+}
+
+/// Finishes what is under way within the time for a shutdown.
+async fn finish<C: ShardClient>(entry: &Arc<Entry<C>>, graceful: GracefulShutdown) {
+    let bound = Duration::from_millis(entry.cfg().shutdown_ms);
+    info!(entry.log(), "finishing requests"; "connections" => graceful.count(),
+        "tasks" => entry.tasks().len());
+    entry.tasks().close();
+    let ended = tokio::time::timeout(bound, async {
+        tokio::join!(graceful.shutdown(), entry.tasks().wait());
+    });
+    if ended.await.is_err() {
+        warn!(entry.log(), "requests were cut off at the end of the shutdown";
+            "tasks" => entry.tasks().len());
+    }
+}
