--- a/crates/mustardcove-core/src/node.rs
+++ b/crates/mustardcove-core/src/node.rs
@@ -20,7 +20,7 @@
 use crate::{
     agreement::Agreement,
     group::{Group, GroupConfig, GroupDump, GroupEvent},
-    id::{Epoch, GroupId, ProcessId, ShardId},
+    id::{Epoch, GroupId, ProcessId, Revision, ShardId, WorkerId},
     message::GroupSummary,
     ownership::{
         Ownership, OwnershipConfig, OwnershipDump, OwnershipEvent, SessionRecord,
@@ -78,7 +78,7 @@
 #[derive(Clone, Debug, Serialize)]
 pub struct NodeDump {
     /// The revision of the agreement in force.
-    pub revision: crate::id::Revision,
+    pub revision: Revision,
     /// Sessions and claims.
     pub ownership: OwnershipDump,
     /// The shards.
@@ -147,6 +147,17 @@
         self.groups.iter().map(|(id, it)| (id, &it.machine))
     }
 
+    /// Returns the workers of the groups that this node serves.
+    pub fn owned_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        let lists = self.groups.keys().filter_map(|it| self.workers.get(it));
+        lists.flat_map(|it| it.iter().map(|worker| &worker.id))
+    }
+
+    /// Reports whether the node is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.ownership.is_draining()
+    }
+
     /// Returns the agreement in force, if any was received.
     pub fn agreement(&self) -> Option<&Arc<Agreement>> {
         self.agreement.as_ref()
@@ -212,7 +223,7 @@
         }
     }
 
-    fn group_of_worker(&self, worker: &crate::id::WorkerId) -> Option<GroupId> {
+    fn group_of_worker(&self, worker: &WorkerId) -> Option<GroupId> {
         let group = self.workers.iter().find(|(_, list)| list.iter().any(|it| it.id == *worker));
         group.map(|(id, _)| id.clone())
     }
--- a/crates/mustardcove-core/src/ownership/machine.rs
+++ b/crates/mustardcove-core/src/ownership/machine.rs
@@ -188,6 +188,7 @@
     sessions: PrefixView,
     claims: PrefixView,
     live: BTreeMap<ProcessId, (SessionRecord, Timestamp)>,
+    sessions_version: u64,
     gone: BTreeMap<ProcessId, Timestamp>,
     claim_records: BTreeMap<GroupId, (ClaimRecord, KeyVersion)>,
     locations: BTreeMap<GroupId, GroupLocation>,
@@ -213,6 +214,7 @@
             sessions: PrefixView::new(SESSION_PREFIX),
             claims: PrefixView::new(CLAIM_PREFIX),
             live: BTreeMap::new(),
+            sessions_version: 0,
             gone: BTreeMap::new(),
             claim_records: BTreeMap::new(),
             locations: BTreeMap::new(),
@@ -246,6 +248,11 @@
         self.live.values().map(|(record, _)| record)
     }
 
+    /// Returns a number that rises whenever the live processes change.
+    pub fn sessions_version(&self) -> u64 {
+        self.sessions_version
+    }
+
     /// Returns the process that should own a shard.
     pub fn shard_owner(&self, shard: ShardId) -> Option<&ProcessId> {
         if self.shards.contains(&shard) && !self.handing_over.contains_key(&shard) {
@@ -270,6 +277,11 @@
         self.locations.iter()
     }
 
+    /// Reports whether the process is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Reports whether everything was handed over after a drain.
     pub fn is_drained(&self) -> bool {
         self.drained
@@ -392,6 +404,7 @@
     }
 
     fn session_seen(&mut self, now: Timestamp, change: ViewChange) {
+        self.sessions_version += 1;
         match change {
             ViewChange::Put(entry) => {
                 let Some(record) = decode::<SessionRecord>(&entry.value) else { return };
