Add the administration API for operators

Cause: operators have to read and change the agreement, see where it is in force, and look at members, jobs, workers and processes.

--- a/crates/mustardcove-entry/src/auth.rs
+++ b/crates/mustardcove-entry/src/auth.rs
@@ -22,6 +22,8 @@
 /// Length of a SHA-256 digest, in bytes.
 const DIGEST_BYTES: usize = 32;
 
+const NO_TOKEN: &str = "the request carries no bearer token";
+
 /// Digests of the members' tokens.
 #[derive(Clone, Default)]
 pub struct TokenTable {
@@ -47,7 +49,7 @@
     /// Returns a refusal with status 401 that does not repeat the token.
     pub fn authenticate(&self, headers: &HeaderMap) -> Result<MemberId, ApiRefusal> {
         let Some(token) = bearer(headers) else {
-            return Err(unauthenticated("the request carries no bearer token"));
+            return Err(unauthenticated(NO_TOKEN));
         };
         let digest: [u8; DIGEST_BYTES] = Sha256::digest(token).into();
         let mut found = None;
@@ -60,6 +62,43 @@
     }
 }
 
+/// Digests of the operators' tokens.
+#[derive(Clone, Default)]
+pub struct OperatorTokens {
+    digests: Vec<[u8; DIGEST_BYTES]>,
+}
+
+impl OperatorTokens {
+    /// Returns the digests listed in a setting, separated by commas.
+    ///
+    /// # Errors
+    ///
+    /// Returns the position of the first that is not 64 hexadecimal digits.
+    pub fn parse(text: &str) -> Result<OperatorTokens, usize> {
+        let mut digests = Vec::new();
+        let listed = text.split(',').map(str::trim).filter(|it| !it.is_empty());
+        for (position, digest) in listed.enumerate() {
+            digests.push(parse_digest(digest).ok_or(position)?);
+        }
+        Ok(OperatorTokens { digests })
+    }
+
+    /// Checks that the headers carry an operator's token.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal with status 401 that does not repeat the token.
+    pub fn authenticate(&self, headers: &HeaderMap) -> Result<(), ApiRefusal> {
+        let token = bearer(headers).ok_or_else(|| unauthenticated(NO_TOKEN))?;
+        let digest: [u8; DIGEST_BYTES] = Sha256::digest(token).into();
+        let mut found = false;
+        for known in &self.digests {
+            found |= bool::from(known.ct_eq(&digest));
+        }
+        if found { Ok(()) } else { Err(unauthenticated("the bearer token is no operator's")) }
+    }
+}
+
 fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
     let value = headers.get(AUTHORIZATION)?.as_bytes();
     let (scheme, token) = value.split_at_checked(7)?;
--- a/crates/mustardcove-entry/src/lib.rs
+++ b/crates/mustardcove-entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod flights;
 pub mod job_view;
 pub mod metrics;
+pub mod operators;
 pub mod pool;
 pub mod refusal;
 pub mod request_id;
--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::{
-    HeaderMap, Request, StatusCode, Uri,
+    HeaderMap, Method, Request, StatusCode, Uri,
     header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 use http_body_util::{BodyExt, Limited};
@@ -147,9 +147,29 @@
         body: Bytes,
         not_after: Timestamp,
         extra_wait: Duration,
+    ) -> Result<Answer, CallError> {
+        self.call(Method::POST, uri, body, not_after, extra_wait).await
+    }
+
+    /// Gets a whole answer within the limits.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer arrived.
+    pub async fn get(&self, uri: &str) -> Result<Answer, CallError> {
+        self.call(Method::GET, uri, Bytes::new(), Timestamp::MAX, Duration::ZERO).await
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        uri: &str,
+        body: Bytes,
+        not_after: Timestamp,
+        extra_wait: Duration,
     ) -> Result<Answer, CallError> {
         let gate = Gate::new(self.clock, not_after);
-        let exchange = self.exchange(uri, GatedBody::new(gate.clone(), body));
+        let exchange = self.exchange(method, uri, GatedBody::new(gate.clone(), body));
         let wait = self.limits.answer_timeout + extra_wait;
         let result = match tokio::time::timeout(wait, exchange).await {
             Ok(result) => result.map_err(|it| format!("{it:#}")),
@@ -160,10 +180,10 @@
         result.map_err(|detail| CallError { verdict: gate.close(), detail })
     }
 
-    async fn exchange(&self, uri: &str, body: GatedBody) -> eyre::Result<Answer> {
+    async fn exchange(&self, method: Method, uri: &str, body: GatedBody) -> eyre::Result<Answer> {
         let uri: Uri = uri.parse()?;
         let _permits = self.permits(&uri).await?;
-        let mut req = Request::post(uri).body(body)?;
+        let mut req = Request::builder().method(method).uri(uri).body(body)?;
         req.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
         let resp = self.client.request(req).await?;
         let (parts, body) = resp.into_parts();
