Add mustardcovectl, the operators' command line

Cause: operators need the administration API without writing requests. Change: commands for the agreement, members, status, jobs, workers and dumps, tables or JSON, shell completions, and exit codes that tell a refusal, a conflict and an unknown outcome apart.

--- /dev/null
+++ b/crates/mustardcovectl/src/command.rs
@@ -0,0 +1,231 @@
+//! The commands.
+
+use std::path::Path;
+
+use clap::CommandFactory as _;
+use mustardcove_core::agreement::record::{AgreementRecord, MemberRecord};
+use reqwest::Method;
+use serde_json::Value;
+
+use crate::{
+    api::{Api, CommandError, local},
+    args::{AgreementCommand, Args, ChangeArgs, Command, JobsCommand, MemberCommand, Output},
+    table::table,
+};
+
+/// Runs the command and returns what to print.
+pub(crate) async fn run(args: &Args) -> Result<String, CommandError> {
+    match &args.command {
+        Command::Agreement(command) => agreement(args, command).await,
+        Command::Member(command) => member(args, command).await,
+        Command::Status => status(args).await,
+        Command::Members => members(args).await,
+        Command::Jobs(command) => jobs(args, command).await,
+        Command::Workers => workers(args).await,
+        Command::Dump { address } => dump(address).await,
+        Command::Completions { shell } => {
+            let mut text = Vec::new();
+            clap_complete::generate(*shell, &mut Args::command(), "mustardcovectl", &mut text);
+            String::from_utf8(text).map_err(local)
+        }
+    }
+}
+
+fn read_json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, CommandError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| local(format!("{}: {error}", path.display())))?;
+    serde_json::from_str(&text)
+        .map_err(|error| CommandError::Refused(format!("{}: {error}", path.display())))
+}
+
+fn pretty(value: &impl serde::Serialize) -> Result<String, CommandError> {
+    serde_json::to_string_pretty(value).map(|it| it + "\n").map_err(local)
+}
+
+fn change_query(args: &Args, change: &ChangeArgs) -> Vec<(&'static str, String)> {
+    let mut query = vec![("author", args.author.clone()), ("summary", change.summary.clone())];
+    if let Some(revision) = change.based_on {
+        query.push(("based_on", revision.to_string()));
+    }
+    query
+}
+
+fn accepted(args: &Args, record: &AgreementRecord) -> Result<String, CommandError> {
+    match args.output {
+        Output::Json => pretty(record),
+        Output::Table => Ok(format!("revision {} is accepted\n", record.revision)),
+    }
+}
+
+async fn agreement(args: &Args, command: &AgreementCommand) -> Result<String, CommandError> {
+    match command {
+        AgreementCommand::Get { revision } => {
+            let path =
+                revision.map_or("/agreement".to_owned(), |it| format!("/agreement/history/{it}"));
+            pretty(&Api::new(args)?.get::<AgreementRecord>(&path).await?)
+        }
+        AgreementCommand::Validate { file } => {
+            let record: AgreementRecord = read_json(file)?;
+            record.validate().map_err(|problems| {
+                let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+                CommandError::Refused(lines.join("\n"))
+            })?;
+            Ok(format!("{}: the record is valid\n", file.display()))
+        }
+        AgreementCommand::Diff { file } => {
+            let record: Value = read_json(file)?;
+            let api = Api::new(args)?;
+            let found: Value =
+                api.call(Method::POST, "/agreement/diff", &[], Some(&record)).await?;
+            if args.output == Output::Json {
+                return pretty(&found);
+            }
+            let lines = found["lines"].as_array().cloned().unwrap_or_default();
+            let lines: Vec<&str> = lines.iter().filter_map(Value::as_str).collect();
+            if lines.is_empty() {
+                return Ok(format!("no difference to revision {}\n", found["revision"]));
+            }
+            Ok(format!("differences to revision {}:\n{}\n", found["revision"], lines.join("\n")))
+        }
+        AgreementCommand::Apply { file, change } => {
+            let record: Value = read_json(file)?;
+            let query = change_query(args, change);
+            let api = Api::new(args)?;
+            accepted(args, &api.call(Method::PUT, "/agreement", &query, Some(&record)).await?)
+        }
+        AgreementCommand::History => {
+            let found: Vec<Value> = Api::new(args)?.get("/agreement/history").await?;
+            if args.output == Output::Json {
+                return pretty(&found);
+            }
+            let row = |it: &Value| {
+                let change = &it["change"];
+                vec![
+                    cell(&it["revision"]),
+                    cell(&change["changed_at"]),
+                    cell(&change["author"]),
+                    cell(&change["summary"]),
+                ]
+            };
+            let rows: Vec<Vec<String>> = found.iter().map(row).collect();
+            Ok(table(&["revision", "changed at (ms)", "author", "summary"], &rows))
+        }
+    }
+}
+
+async fn member(args: &Args, command: &MemberCommand) -> Result<String, CommandError> {
+    let api = Api::new(args)?;
+    let record: AgreementRecord = match command {
+        MemberCommand::Put { file, change } => {
+            let record: MemberRecord = read_json(file)?;
+            let path = format!("/agreement/members/{}", record.id());
+            let body = serde_json::to_value(&record).map_err(local)?;
+            api.call(Method::PUT, &path, &change_query(args, change), Some(&body)).await?
+        }
+        MemberCommand::Remove { member, change } => {
+            let path = format!("/agreement/members/{member}");
+            api.call(Method::DELETE, &path, &change_query(args, change), None).await?
+        }
+        MemberCommand::Schema { member, schema, change } => {
+            let path = format!("/agreement/members/{member}/schema/{schema}");
+            api.call(Method::PUT, &path, &change_query(args, change), None).await?
+        }
+    };
+    accepted(args, &record)
+}
+
+/// Returns a JSON value as a cell of a table.
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        Value::Object(fields) => {
+            let fields = fields.iter().map(|(name, value)| format!("{name}={}", cell(value)));
+            fields.collect::<Vec<String>>().join(",")
+        }
+        other => other.to_string(),
+    }
+}
+
+/// Returns rows with the named fields of JSON objects.
+fn rows(found: &[Value], fields: &[&str]) -> Vec<Vec<String>> {
+    found.iter().map(|it| fields.iter().map(|field| cell(&it[*field])).collect()).collect()
+}
+
+async fn status(args: &Args) -> Result<String, CommandError> {
+    let found: Value = Api::new(args)?.get("/status").await?;
+    let text = if args.output == Output::Json {
+        pretty(&found)?
+    } else {
+        let processes = found["processes"].as_array().cloned().unwrap_or_default();
+        let fields = ["process", "kind", "domain", "draining", "revision", "admin_address"];
+        let pending = found["caps_pending"].as_array().cloned().unwrap_or_default();
+        let pending: Vec<String> = pending.iter().map(cell).collect();
+        format!(
+            "revision {}, in force everywhere: {}\ncaps not met yet: {}\n\n{}",
+            found["revision"],
+            found["in_force_everywhere"],
+            if pending.is_empty() { "none".to_owned() } else { pending.join(", ") },
+            table(&fields, &rows(&processes, &fields)),
+        )
+    };
+    if found["in_force_everywhere"] == Value::Bool(true) {
+        return Ok(text);
+    }
+    Err(CommandError::NotInForce(format!("not in force everywhere yet\n{text}")))
+}
+
+async fn members(args: &Args) -> Result<String, CommandError> {
+    let found: Vec<Value> = Api::new(args)?.get("/members").await?;
+    if args.output == Output::Json {
+        return pretty(&found);
+    }
+    let fields = ["member", "agreed_cap", "cap_in_force", "allotted", "used"];
+    Ok(table(&fields, &rows(&found, &fields)))
+}
+
+async fn jobs(args: &Args, command: &JobsCommand) -> Result<String, CommandError> {
+    let api = Api::new(args)?;
+    let found: Vec<Value> = match command {
+        JobsCommand::List { member, done, limit } => {
+            let mut query = vec![("include_done", done.to_string()), ("limit", limit.to_string())];
+            if let Some(member) = member {
+                query.push(("member", member.to_string()));
+            }
+            let listed: Value = api.call(Method::GET, "/jobs", &query, None).await?;
+            if args.output == Output::Json {
+                return pretty(&listed);
+            }
+            listed["jobs"].as_array().cloned().unwrap_or_default()
+        }
+        JobsCommand::Show { job } => vec![api.get(&format!("/jobs/{job}")).await?],
+        JobsCommand::Cancel { job } => {
+            vec![api.call(Method::DELETE, &format!("/jobs/{job}"), &[], None).await?]
+        }
+    };
+    if args.output == Output::Json {
+        return pretty(&found[0]);
+    }
+    let fields = ["job", "member", "class", "key", "state", "attempt", "detail"];
+    Ok(table(&fields, &rows(&found, &fields)))
+}
+
+async fn workers(args: &Args) -> Result<String, CommandError> {
+    let found: Vec<Value> = Api::new(args)?.get("/workers").await?;
+    if args.output == Output::Json {
+        return pretty(&found);
+    }
+    let fields = ["worker", "group", "leaving", "unreachable_since", "capacity", "committed"];
+    Ok(table(&fields, &rows(&found, &fields)))
+}
+
+async fn dump(address: &str) -> Result<String, CommandError> {
+    let url = format!("http://{address}/dump");
+    let unreachable = |error: reqwest::Error| CommandError::Unreachable {
+        detail: format!("the process does not answer: {error}"),
+        verdict: mustardcove_core::verdict::Verdict::NotRun,
+    };
+    let found: Value =
+        reqwest::get(url).await.map_err(unreachable)?.json().await.map_err(unreachable)?;
+    pretty(&found)
+}
--- a/crates/mustardcovectl/src/main.rs
+++ b/crates/mustardcovectl/src/main.rs
@@ -1,2 +1,30 @@
-//! main
-fn main() {}
+//! Command-line client of the administration API.
+
+mod api;
+mod args;
+mod command;
+mod table;
+
+use std::{io::Write as _, process::ExitCode};
+
+use clap::Parser as _;
+
+use crate::args::Args;
+
+/// The command failed for a reason of its own, such as a missing file.
+const EXIT_FAILED: u8 = 1;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    match command::run(&args).await {
+        Ok(text) => {
+            let written = std::io::stdout().write_all(text.as_bytes());
+            if written.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) }
+        }
+        Err(error) => {
+            writeln!(std::io::stderr(), "mustardcovectl: {error}").ok();
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
