--- a/crates/mustardcove-runtime/src/metrics.rs
+++ b/crates/mustardcove-runtime/src/metrics.rs
@@ -161,6 +161,11 @@
         &self.meter
     }
 
+    /// Makes these the metrics of instruments that take the global meter.
+    pub fn install(&self) {
+        opentelemetry::global::set_meter_provider(self.provider.clone());
+    }
+
     /// Returns the current values in the Prometheus text format.
     ///
     /// # Errors
