--- /dev/null
+++ b/crates/mustardcove-dev/src/cluster.rs
@@ -0,0 +1,255 @@
+//! One deployment: stand-ins for the platform and all processes, on loopback.
+
+use std::{net::TcpListener, sync::Arc, time::Duration};
+
+use eyre::{WrapErr as _, bail};
+use mustardcove_core::{
+    agreement::record::{AgreementRecord, ChangeNote},
+    configuration::{Change, ChangeStep},
+    id::WriteToken,
+    ownership::{
+        ProcessKind, SessionRecord,
+        record::{CLAIM_PREFIX, SESSION_PREFIX, decode},
+    },
+    store::{StoreOp, StoreReply},
+};
+use mustardcove_platform::{
+    Clock, Store as _,
+    memory::FleetConfig,
+    standin::{FleetStandin, InstancesStandin, StoreStandin},
+};
+use mustardcove_runtime::settings::Settings;
+use slog::{Logger, o};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::deployment::{Deployment, INSTANCES};
+
+/// Bound of the start of a deployment.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time between two looks at whether the deployment has started.
+const START_POLL: Duration = Duration::from_millis(50);
+
+/// A running deployment.
+pub struct Cluster {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The store.
+    pub store: StoreStandin,
+    /// The instance list.
+    pub instances: InstancesStandin,
+    /// The workers.
+    pub fleet: FleetStandin,
+    /// Addresses of the callers' API, one for each entry process.
+    pub entries: Vec<String>,
+    stop: CancellationToken,
+    processes: JoinSet<eyre::Result<()>>,
+}
+
+/// Returns an address on loopback with a port that was free just now.
+///
+/// # Errors
+///
+/// Returns an error if no port can be bound.
+pub fn free_address() -> std::io::Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    Ok(listener.local_addr()?.to_string())
+}
+
+/// Where the processes of a deployment find the platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Address of the store.
+    pub store: String,
+    /// Address of the instance list.
+    pub instances: String,
+}
+
+/// Returns the settings that both programs share.
+///
+/// # Errors
+///
+/// Returns an error if no port can be bound.
+pub fn common_settings(
+    deployment: &Deployment,
+    platform: &Platform,
+    kind: &str,
+    number: usize,
+) -> std::io::Result<String> {
+    let (domain, region) = &deployment.domains[number % deployment.domains.len()];
+    let (admin, peer) = (free_address()?, free_address()?);
+    Ok(format!(
+        "[process]\n\
+         name = {name}-{kind}-{number}\n\
+         region = {region}\n\
+         failure_domain = {domain}\n\
+         [admin]\n\
+         listen = {admin}\n\
+         [peer]\n\
+         listen = {peer}\n\
+         [store]\n\
+         address = {store}\n\
+         [instances]\n\
+         address = {instances}\n",
+        name = deployment.name,
+        store = platform.store,
+        instances = platform.instances,
+    ))
+}
+
+impl Cluster {
+    /// Starts the stand-ins and the processes, puts the agreement in force and
+    /// waits until every shard and group has an owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port cannot be bound or the deployment does not
+    /// settle in time.
+    pub async fn start(
+        deployment: Deployment,
+        clock: Clock,
+        seed: u64,
+        log: &Logger,
+    ) -> eyre::Result<Cluster> {
+        let store = StoreStandin::start(clock, seed).await?;
+        let instances = InstancesStandin::start(clock).await?;
+        let fleet = FleetStandin::start(
+            clock,
+            FleetConfig {
+                interference: deployment.interference.clone(),
+                sample_delay_ms: 500,
+                sample_noise: 0.2,
+                sample_loss_permille: 50,
+                seed,
+                ..FleetConfig::default()
+            },
+        );
+        let workers = fleet.add_shared(deployment.workers.clone()).await?;
+        instances.list().set_workers(workers);
+        let mut cluster = Cluster {
+            deployment,
+            store,
+            instances,
+            fleet,
+            entries: Vec::new(),
+            stop: CancellationToken::new(),
+            processes: JoinSet::new(),
+        };
+        cluster.put_agreement(clock).await?;
+        for number in 0..INSTANCES {
+            cluster.start_scheduler(number, clock, log)?;
+            cluster.start_entry(number, clock, log)?;
+        }
+        tokio::time::timeout(START_TIMEOUT, cluster.settled())
+            .await
+            .wrap_err("the deployment did not settle in time")?;
+        Ok(cluster)
+    }
+
+    /// Returns where processes find the platform.
+    pub fn platform(&self) -> Platform {
+        Platform {
+            store: self.store.address().to_string(),
+            instances: self.instances.address().to_string(),
+        }
+    }
+
+    fn start_scheduler(&mut self, number: usize, clock: Clock, log: &Logger) -> eyre::Result<()> {
+        let text = common_settings(&self.deployment, &self.platform(), "sched", number)?;
+        let settings = Settings::parse(&mustardcove_sched::settings::PROGRAM, "sched", &text)?;
+        let log = log.new(o!("process" => format!("{}-sched-{number}", self.deployment.name)));
+        let stop = self.stop.clone();
+        self.processes.spawn(async move {
+            mustardcove_sched::process::run(settings, log, clock, stop).await.map(|_| ())
+        });
+        Ok(())
+    }
+
+    fn start_entry(&mut self, number: usize, clock: Clock, log: &Logger) -> eyre::Result<()> {
+        let listen = free_address()?;
+        let mut text = common_settings(&self.deployment, &self.platform(), "entry", number)?;
+        text.push_str(&format!("[api]\nlisten = {listen}\n"));
+        let settings = Settings::parse(&mustardcove_entry::settings::PROGRAM, "entry", &text)?;
+        let log = log.new(o!("process" => format!("{}-entry-{number}", self.deployment.name)));
+        let stop = self.stop.clone();
+        self.entries.push(listen);
+        self.processes.spawn(async move {
+            mustardcove_entry::process::run(settings, log, clock, stop).await.map(|_| ())
+        });
+        Ok(())
+    }
+
+    async fn put_agreement(&self, clock: Clock) -> eyre::Result<()> {
+        let record = self.deployment.record.clone();
+        let note = ChangeNote {
+            author: "mustardcove-dev".to_owned(),
+            summary: "initial agreement".to_owned(),
+            changed_at: clock.now(),
+            token: WriteToken(1),
+        };
+        let mut change = Change::new(move |_: &AgreementRecord| Ok(record.clone()), None, note);
+        let mut step = ChangeStep::Call(change.start());
+        loop {
+            match step {
+                ChangeStep::Call(op) => step = change.handle(&self.store.store().call(op).await),
+                ChangeStep::Done(_) => return Ok(()),
+                ChangeStep::Failed(error) => bail!("the agreement was not accepted: {error}"),
+            }
+        }
+    }
+
+    /// Waits until all processes have a session and all groups an owner.
+    async fn settled(&self) {
+        let groups = self.deployment.domains.len();
+        loop {
+            let sessions = self.list::<SessionRecord>(SESSION_PREFIX).await;
+            let schedulers = sessions.iter().filter(|it| it.kind == ProcessKind::Scheduler);
+            let claims = self.list::<serde_json::Value>(CLAIM_PREFIX).await.len();
+            if schedulers.count() == INSTANCES && claims == groups && self.entries_ready().await {
+                return;
+            }
+            tokio::time::sleep(START_POLL).await;
+        }
+    }
+
+    async fn entries_ready(&self) -> bool {
+        let sessions = self.list::<SessionRecord>(SESSION_PREFIX).await;
+        let mut ready = 0;
+        for record in &sessions {
+            let url = format!("http://{}/readyz", record.admin_address);
+            let resp = reqwest::get(url).await;
+            ready += usize::from(resp.is_ok_and(|it| it.status().is_success()));
+        }
+        ready == 2 * INSTANCES
+    }
+
+    async fn list<T: for<'de> serde::Deserialize<'de>>(&self, prefix: &str) -> Vec<T> {
+        let op =
+            StoreOp::List { prefix: prefix.to_owned(), start_after: String::new(), limit: 1_000 };
+        match self.store.store().call(op).await {
+            Ok(StoreReply::Listed { entries, .. }) => {
+                entries.iter().filter_map(|it| decode(&it.value)).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns the sessions of the live processes.
+    pub async fn sessions(&self) -> Vec<SessionRecord> {
+        self.list(SESSION_PREFIX).await
+    }
+
+    /// Stops all processes gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of a process.
+    pub async fn stop(mut self) -> eyre::Result<Arc<StoreStandin>> {
+        self.stop.cancel();
+        while let Some(joined) = self.processes.join_next().await {
+            joined??;
+        }
+        Ok(Arc::new(self.store))
+    }
+}
