Answer probes at the stand-in's upstreams

Change: the stand-in answers probes as it answers requests: 200, or 503 with a draining header when it is leaving.

--- a/crates/mustardcove-platform/src/standin/upstream.rs
+++ b/crates/mustardcove-platform/src/standin/upstream.rs
@@ -11,7 +11,7 @@
     body::Body,
     extract::State,
     response::{IntoResponse, Response},
-    routing::post,
+    routing::{get, post},
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header::CONNECTION};
@@ -31,6 +31,9 @@
 /// Path of requests.
 pub const SERVE_PATH: &str = "/serve";
 
+/// Path of probes: 200, or 503 and a draining header when leaving.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// Service time of a request that names none, in milliseconds.
 const DEFAULT_SERVICE_MS: u64 = 5;
 
@@ -59,12 +62,8 @@
     let slots = Arc::new(Semaphore::new(info.slots as usize));
     // A request that names no class counts as one of the service's name.
     let class = info.service.as_str().parse().expect("both kinds of names have the same form");
-    Router::new().route(SERVE_PATH, post(serve)).with_state(Upstream {
-        fleet,
-        worker,
-        class,
-        slots,
-    })
+    let routes = Router::new().route(SERVE_PATH, post(serve)).route(HEALTH_PATH, get(health));
+    routes.with_state(Upstream { fleet, worker, class, slots })
 }
 
 struct ServeRequest {
@@ -80,6 +79,10 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+async fn health(State(upstream): State<Upstream>) -> Response {
+    if upstream.is_leaving() { draining() } else { StatusCode::OK.into_response() }
+}
+
 async fn serve(State(upstream): State<Upstream>, headers: HeaderMap, body: Bytes) -> Response {
     if upstream.is_leaving() {
         return draining();
