Wake only the callers of the worker that changed in the stand-in

Cause: every call to any worker woke the long polls of all workers, which at 750 workers is most of the stand-in's time; a crash of a worker left requests at its upstreams running.

--- a/crates/mustardcove-platform/src/memory/fleet.rs
+++ b/crates/mustardcove-platform/src/memory/fleet.rs
@@ -1,14 +1,14 @@
 //! Workers in memory, with faults that tests switch on at run time.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::IpAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use mustardcove_core::{
-    id::{ClassId, TaskId, WorkerId},
+    id::{ClassId, Incarnation, TaskId, WorkerId},
     time::Timestamp,
     verdict::Verdict,
     worker::{TaskStatus, WorkerError, WorkerInfo, WorkerOp, WorkerReport, WorkerResult},
@@ -84,6 +84,9 @@
     workers: BTreeMap<WorkerId, WorkerState>,
     faults: BTreeMap<WorkerId, WorkerFault>,
     cut_off: BTreeSet<(IpAddr, WorkerId)>,
+    addresses: HashMap<String, WorkerId>,
+    /// Wakes those who wait for something to happen on a worker.
+    changed: BTreeMap<WorkerId, watch::Sender<()>>,
     ledger: RunLedger,
     seeded: u64,
 }
@@ -93,6 +96,17 @@
         self.faults.get(worker).copied().unwrap_or_default()
     }
 
+    fn notify(&self, worker: &WorkerId) {
+        if let Some(changed) = self.changed.get(worker) {
+            changed.send_replace(());
+        }
+    }
+
+    fn subscribe(&mut self, worker: &WorkerId) -> watch::Receiver<()> {
+        let changed = self.changed.entry(worker.clone()).or_insert_with(|| watch::channel(()).0);
+        changed.subscribe()
+    }
+
     fn advance(&mut self, worker: &WorkerId, now: Timestamp, config: &FleetConfig) {
         let is_paused = self.fault(worker) == WorkerFault::Paused;
         let Some(state) = self.workers.get_mut(worker) else {
@@ -128,7 +142,6 @@
 pub struct MemoryFleet {
     inner: Arc<Mutex<Inner>>,
     config: Arc<FleetConfig>,
-    changed: watch::Sender<()>,
     clock: Clock,
     caller: Option<IpAddr>,
 }
@@ -140,13 +153,14 @@
             workers: BTreeMap::new(),
             faults: BTreeMap::new(),
             cut_off: BTreeSet::new(),
+            addresses: HashMap::new(),
+            changed: BTreeMap::new(),
             ledger: RunLedger::default(),
             seeded: 0,
         };
         MemoryFleet {
             inner: Arc::new(Mutex::new(inner)),
             config: Arc::new(config),
-            changed: watch::channel(()).0,
             clock,
             caller: None,
         }
@@ -166,6 +180,8 @@
     pub fn upsert(&self, info: WorkerInfo) {
         let now = self.clock.now();
         let mut inner = self.lock();
+        inner.addresses.retain(|_, it| *it != info.id);
+        inner.addresses.insert(info.address.clone(), info.id.clone());
         match inner.workers.get_mut(&info.id) {
             Some(state) => state.info = info,
             None => {
@@ -196,8 +212,7 @@
             inner.advance(worker, now, &self.config);
         }
         inner.faults.insert(worker.clone(), fault);
-        drop(inner);
-        self.changed.send_replace(());
+        inner.notify(worker);
     }
 
     /// Returns the fault of a worker.
@@ -225,14 +240,16 @@
         if let Some(state) = workers.get_mut(worker) {
             state.restart(now, ledger);
         }
-        drop(inner);
-        self.changed.send_replace(());
+        inner.notify(worker);
     }
 
     /// Ends a worker with all its tasks, for good.
     pub fn remove(&self, worker: &WorkerId) {
         self.restart(worker);
-        self.lock().workers.remove(worker);
+        let mut inner = self.lock();
+        inner.workers.remove(worker);
+        inner.addresses.retain(|_, it| it != worker);
+        inner.notify(worker);
     }
 
     /// Marks a worker as leaving or not.
@@ -324,8 +341,7 @@
 
     /// Returns the worker at an address.
     pub fn worker_at(&self, address: &str) -> Option<WorkerId> {
-        let inner = self.lock();
-        inner.workers.values().find(|it| it.info.address == address).map(|it| it.info.id.clone())
+        self.lock().addresses.get(address).cloned()
     }
 
     /// Applies a call of `caller` to a worker; `None` means that no answer is
@@ -350,8 +366,7 @@
         let Inner { workers, ledger, .. } = &mut *inner;
         let state = workers.get_mut(worker)?;
         let result = state.apply(now, &self.config, op, ledger);
-        drop(inner);
-        self.changed.send_replace(());
+        inner.notify(worker);
         (!answers_lost).then_some(result)
     }
 
@@ -363,7 +378,7 @@
         caller: Option<IpAddr>,
     ) -> Option<Result<WorkerReport, WorkerError>> {
         let until = self.clock.now().plus_ms(REPORT_WAIT.as_millis() as u64);
-        let mut changed = self.changed.subscribe();
+        let mut changed = self.lock().subscribe(worker);
         loop {
             self.until_resumed(worker).await;
             changed.borrow_and_update();
@@ -389,8 +404,9 @@
         }
     }
 
-    async fn until_resumed(&self, worker: &WorkerId) {
-        let mut changed = self.changed.subscribe();
+    /// Waits until a worker is not paused.
+    pub(crate) async fn until_resumed(&self, worker: &WorkerId) {
+        let mut changed = self.lock().subscribe(worker);
         loop {
             changed.borrow_and_update();
             if self.fault(worker) != WorkerFault::Paused {
@@ -402,6 +418,22 @@
         }
     }
 
+    /// Returns the incarnation of a worker, if there is such a worker.
+    pub fn incarnation(&self, worker: &WorkerId) -> Option<Incarnation> {
+        self.lock().workers.get(worker).map(WorkerState::incarnation)
+    }
+
+    /// Waits until a worker is no longer in this incarnation.
+    pub(crate) async fn until_restarted(&self, worker: &WorkerId, from: Option<Incarnation>) {
+        let mut changed = self.lock().subscribe(worker);
+        loop {
+            changed.borrow_and_update();
+            if self.incarnation(worker) != from || changed.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(|it| it.into_inner())
     }
--- a/crates/mustardcove-platform/src/memory/ledger.rs
+++ b/crates/mustardcove-platform/src/memory/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mustardcove_core::{
-    id::{JobId, TaskId, WorkerId},
+    id::{IdempotencyKey, JobId, MemberId, TaskId, WorkerId},
     time::Timestamp,
 };
 use serde::{Deserialize, Serialize};
@@ -69,6 +69,16 @@
         repeated.map(|(&job, _)| job).collect()
     }
 
+    /// Returns how often the job ran that `member` submitted under `key`.
+    pub fn summary_of(&self, member: &MemberId, key: &IdempotencyKey) -> RunSummary {
+        self.summary(JobId::new(member, key))
+    }
+
+    /// Notes that nothing runs on a worker any more.
+    pub fn worker_ended(&mut self, worker: &WorkerId) {
+        self.running.retain(|_, (_, on)| on != worker);
+    }
+
     /// Notes that an attempt begins to run.
     pub fn started(&mut self, now: Timestamp, task: TaskId, worker: &WorkerId) {
         let summary = self.jobs.entry(task.job).or_default();
--- a/crates/mustardcove-platform/src/memory/worker_state.rs
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -207,9 +207,8 @@
     /// Ends every task and begins a new incarnation, as a crash does.
     pub fn restart(&mut self, now: Timestamp, ledger: &mut RunLedger) {
         self.advanced_to = now;
-        for task in std::mem::take(&mut self.tasks).into_keys() {
-            ledger.ended(task, &self.info.id, false);
-        }
+        self.tasks.clear();
+        ledger.worker_ended(&self.info.id);
         self.incarnation = self.incarnation.next();
         self.epoch = Epoch(0);
         self.ended.clear();
--- a/crates/mustardcove-platform/src/standin/upstream.rs
+++ b/crates/mustardcove-platform/src/standin/upstream.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 
+use super::server::broken;
 use crate::{
     memory::{MemoryFleet, WorkerFault},
     upstream::{CLASS, DEADLINE, DRAINING, REQUEST_ID, SERVICE_TIME, TASK},
@@ -132,12 +133,19 @@
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         };
         let began = clock.now();
+        let incarnation = self.fleet.incarnation(&self.worker);
         let wanted = Duration::from_millis((req.service_ms as f64 * slowdown) as u64);
         let completed = tokio::select! {
             () = self.run(wanted) => true,
             () = clock.sleep_until(req.deadline) => false,
+            // A crash ends the work with the worker, which forgets it.
+            () = self.fleet.until_restarted(&self.worker, incarnation) => return broken(),
         };
         self.fleet.end_serving(&self.worker, &req.class, req.task, completed);
+        self.fleet.until_resumed(&self.worker).await;
+        if self.fleet.fault(&self.worker) == WorkerFault::AnswersLost {
+            return broken();
+        }
         if !completed {
             return timed_out();
         }
@@ -150,11 +158,10 @@
         axum::Json(served).into_response()
     }
 
-    /// Works for a while, but not while the worker is paused.
+    /// Works for a while; work that ends while the worker is paused ends when
+    /// it is resumed.
     async fn run(&self, time: Duration) {
         tokio::time::sleep(time).await;
-        while self.fleet.fault(&self.worker) == WorkerFault::Paused {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        self.fleet.until_resumed(&self.worker).await;
     }
 }
--- a/crates/mustardcove-platform/src/standin/worker.rs
+++ b/crates/mustardcove-platform/src/standin/worker.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     sync::{Mutex, MutexGuard},
+    time::Duration,
 };
 
 use axum::{
@@ -33,6 +34,9 @@
     wire::{self, BinaryFields},
 };
 
+/// How long a worker that restarts refuses connections.
+const RESTART_TIME: Duration = Duration::from_millis(50);
+
 /// Servers of one worker: its task interface, if it has a port of its own, and
 /// its upstreams.
 #[derive(Debug, Default)]
@@ -134,8 +138,21 @@
     /// Sets the fault of a worker.
     pub fn set_fault(&self, worker: &WorkerId, fault: WorkerFault) {
         self.fleet.set_fault(worker, fault);
+        self.set_up(worker, fault != WorkerFault::Unreachable);
+    }
+
+    /// Crashes a worker and starts it again: its connections are reset, its
+    /// tasks end, and it comes back at the same address.
+    pub async fn restart(&self, worker: &WorkerId) {
+        self.set_up(worker, false);
+        self.fleet.restart(worker);
+        tokio::time::sleep(RESTART_TIME).await;
+        self.set_up(worker, self.fleet.fault(worker) != WorkerFault::Unreachable);
+    }
+
+    fn set_up(&self, worker: &WorkerId, is_up: bool) {
         if let Some(it) = self.lock().get(worker) {
-            it.servers.iter().for_each(|it| it.set_up(fault != WorkerFault::Unreachable));
+            it.servers.iter().for_each(|it| it.set_up(is_up));
         }
     }
 
