--- a/crates/mustardcove-runtime/tests/settings_errors.rs
+++ b/crates/mustardcove-runtime/tests/settings_errors.rs
@@ -2,10 +2,13 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use mustardcove_runtime::settings::{
-    ConfigArgs, Loaded, Program, Settings,
-    common::{COMMON, COMMON_RULES, peer_config, restart_policy, store_limits},
-    document,
+use mustardcove_runtime::{
+    process::Process,
+    settings::{
+        ConfigArgs, Loaded, Program, Settings,
+        common::{COMMON, COMMON_RULES, peer_config, restart_policy, store_limits},
+        document,
+    },
 };
 
 const PROGRAM: Program = Program { name: "common", tables: &[COMMON], rules: &[COMMON_RULES] };
@@ -144,3 +147,19 @@
     };
     assert_eq!(document::part(page, "common"), Some(expected.as_str()), "expected:\n{expected}");
 }
+
+/// Guards against a name that leaves no room for the suffix of a start, and
+/// against two starts with the same identifier.
+#[test]
+fn start_identifier() {
+    let error = error_with("name = entry-1", &format!("name = {}", "x".repeat(120)));
+    assert_eq!(error, "entry.ini:2: process.name: must leave room for the suffix of each start");
+    let start = || {
+        let (process, _guard) = Process::start(parse(COMPLETE).unwrap(), std::io::sink()).unwrap();
+        process.id
+    };
+    let first = start();
+    std::thread::sleep(Duration::from_millis(2));
+    let second = start();
+    assert!(first.as_str().starts_with("entry-1.") && first != second, "{first} {second}");
+}
