--- a/crates/mustardcove-platform/src/standin/server.rs
+++ b/crates/mustardcove-platform/src/standin/server.rs
@@ -33,6 +33,9 @@
 
 use crate::wire::{self, BinaryFields};
 
+/// Wait after a failure to bind or accept.
+const RETRY_WAIT: Duration = Duration::from_millis(10);
+
 /// Connections that a stand-in accepts unless it is told otherwise.
 pub const DEFAULT_CONNECTIONS: usize = 4_096;
 
@@ -106,7 +109,7 @@
         let listener = match first.take().map_or_else(|| bind(address), Ok) {
             Ok(listener) => listener,
             Err(_) => {
-                tokio::time::sleep(Duration::from_millis(10)).await;
+                tokio::time::sleep(RETRY_WAIT).await;
                 continue;
             }
         };
@@ -124,6 +127,7 @@
     loop {
         while tasks.try_join_next().is_some() {}
         let Ok((stream, peer)) = listener.accept().await else {
+            tokio::time::sleep(RETRY_WAIT).await;
             continue;
         };
         // A connection beyond the limit is closed at once.
--- a/crates/mustardcove-runtime/src/peer.rs
+++ b/crates/mustardcove-runtime/src/peer.rs
@@ -20,6 +20,7 @@
 mod link;
 mod pending;
 mod registry;
+mod remote;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -37,7 +38,7 @@
 pub use self::{
     config::PeerConfig,
     error::{PeerError, PeerErrorKind},
-    registry::PeerStatus,
+    remote::PeerStatus,
 };
 use crate::metrics::Metrics;
 
@@ -89,11 +90,13 @@
         metrics: Metrics,
         log: Logger,
     ) -> std::io::Result<(Peers, mpsc::Receiver<PeerEvent>)> {
-        let listener = TcpListener::bind(config.listen).await?;
+        let listener = Arc::new(TcpListener::bind(config.listen).await?);
         let address = listener.local_addr()?;
         let (events, receiver) = mpsc::channel(config.event_queue);
         let shared = Arc::new(Shared::new(config, address, clock, metrics, log, events));
-        shared.tasks.spawn(accept::run(shared.clone(), listener));
+        let accepting = shared.clone();
+        shared
+            .spawn_kept("peer listener", move || accept::run(accepting.clone(), listener.clone()));
         let abort = Arc::new(shared.abort.clone().drop_guard());
         Ok((Peers { shared, _abort: abort }, receiver))
     }
--- a/crates/mustardcove-runtime/src/peer/accept.rs
+++ b/crates/mustardcove-runtime/src/peer/accept.rs
@@ -1,10 +1,10 @@
 //! Accepting connections from peers.
 
-use std::{pin::pin, sync::Arc};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use h2::{
-    RecvStream,
+    Reason, RecvStream,
     server::{Connection, SendResponse},
 };
 use http::Request;
@@ -21,11 +21,15 @@
     hello::{self, Hello},
     lane::{LaneKind, LinkId},
     link::{LaneStreams, describe, run_lane, watch_pings},
-    registry::{LinkEnd, OpenedBy, Peer, Shared},
+    registry::{Attached, Shared},
+    remote::{LinkEnd, OpenedBy},
 };
 
+/// Wait after an accept that failed.
+const ACCEPT_RETRY_WAIT: Duration = Duration::from_millis(50);
+
 /// Accepts connections until the transport shuts down.
-pub(super) async fn run(shared: Arc<Shared>, listener: TcpListener) {
+pub(super) async fn run(shared: Arc<Shared>, listener: Arc<TcpListener>) {
     let limit = Arc::new(Semaphore::new(shared.config.max_connections));
     loop {
         let accepted = tokio::select! {
@@ -33,8 +37,15 @@
             () = shared.closing.cancelled() => return,
             () = shared.abort.cancelled() => return,
         };
-        let Ok((stream, from)) = accepted else {
-            continue;
+        let (stream, from) = match accepted {
+            Ok(it) => it,
+            Err(error) => {
+                // Without a wait, a lack of file descriptors would make this
+                // loop use a whole processor.
+                warn!(shared.log, "accepting a peer failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_RETRY_WAIT).await;
+                continue;
+            }
         };
         let Ok(permit) = limit.clone().try_acquire_owned() else {
             warn!(shared.log, "too many connections from peers"; "address" => %from);
@@ -63,18 +74,17 @@
         return;
     };
     let mut inbound =
-        Inbound { link: shared.new_link(), peer: None, lanes: JoinSet::new(), open_lanes: 0 };
+        Inbound { link: shared.new_link(), attached: None, lanes: JoinSet::new(), open_lanes: 0 };
     let end = drive(&shared, &mut inbound, connection).await;
-    let Some(peer) = inbound.peer else {
-        return;
-    };
-    shared.detach(&peer, inbound.link, &end).await;
+    if let Some(attached) = inbound.attached {
+        attached.end(&end).await;
+    }
 }
 
 /// A connection that a peer opened.
 struct Inbound {
     link: LinkId,
-    peer: Option<Arc<Peer>>,
+    attached: Option<Attached>,
     lanes: JoinSet<eyre::Result<()>>,
     open_lanes: usize,
 }
@@ -98,7 +108,8 @@
     let stop = shared.abort.child_token();
     let mut is_closing = false;
     loop {
-        let peer_stop = inbound.peer.as_ref().map_or_else(|| stop.clone(), |it| it.stop.clone());
+        let attached = inbound.attached.as_ref();
+        let peer_stop = attached.map_or_else(|| stop.clone(), |it| it.peer().stop.clone());
         tokio::select! {
             opened = connection.accept() => match opened {
                 Some(Ok((req, resp))) => open_lane(shared, inbound, req, resp).await,
@@ -145,13 +156,18 @@
             return;
         }
     };
+    let attached_to = inbound.attached.as_ref().map(|it| &it.peer().process);
+    if attached_to.is_some_and(|it| *it != hello.process) {
+        resp.send_reset(Reason::PROTOCOL_ERROR);
+        return;
+    }
     let peer = shared.peer_or_new(&hello.process, &hello.region);
     let Ok(send) = resp.send_response(hello::response(&own), false) else {
         return;
     };
-    if inbound.peer.is_none() {
-        inbound.peer = Some(peer.clone());
-        shared.attach(&peer, inbound.link, OpenedBy::Them).await;
+    if inbound.attached.is_none() {
+        let attached = shared.attach(peer.clone(), inbound.link, OpenedBy::Them).await;
+        inbound.attached = Some(attached);
     }
     let streams = LaneStreams { kind, send, recv: req.into_body() };
     let (shared, link) = (shared.clone(), inbound.link);
--- a/crates/mustardcove-runtime/src/peer/dial.rs
+++ b/crates/mustardcove-runtime/src/peer/dial.rs
@@ -18,7 +18,8 @@
     hello::{self, Hello},
     lane::LaneKind,
     link::{LaneStreams, describe, run_lane, watch_pings},
-    registry::{LinkEnd, OpenedBy, Peer, Shared},
+    registry::Shared,
+    remote::{LinkEnd, OpenedBy, Peer},
 };
 use crate::backoff::Backoff;
 
@@ -90,10 +91,9 @@
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .enable_push(false)
         .handshake(stream);
-    let (mut requests, mut connection) =
-        handshake.await.map_err(|it| unreachable(it.to_string()))?;
+    let (requests, mut connection) = handshake.await.map_err(|it| unreachable(it.to_string()))?;
     let lanes = tokio::select! {
-        lanes = open_lanes(shared, peer, &mut requests) => lanes?,
+        lanes = open_lanes(shared, peer, &requests) => lanes?,
         end = &mut connection => {
             let detail = end.err().map_or_else(|| "closed".to_owned(), |it| it.to_string());
             return Err(unreachable(detail));
@@ -113,21 +113,24 @@
     Ok(stream)
 }
 
+/// Opens both lanes at once, which saves a round trip between regions.
 async fn open_lanes(
     shared: &Shared,
     peer: &Peer,
-    requests: &mut SendRequest<Bytes>,
+    requests: &SendRequest<Bytes>,
 ) -> Result<[LaneStreams; 2], PeerError> {
     let [control, bulk] = LaneKind::ALL;
-    let control = open_lane(shared, peer, requests, control).await?;
-    let bulk = open_lane(shared, peer, requests, bulk).await?;
+    let (control, bulk) = tokio::try_join!(
+        open_lane(shared, peer, requests, control),
+        open_lane(shared, peer, requests, bulk)
+    )?;
     Ok([control, bulk])
 }
 
 async fn open_lane(
     shared: &Shared,
     peer: &Peer,
-    requests: &mut SendRequest<Bytes>,
+    requests: &SendRequest<Bytes>,
     kind: LaneKind,
 ) -> Result<LaneStreams, PeerError> {
     let own = Hello::of(&shared.config);
@@ -144,7 +147,7 @@
     let Connected { mut connection, requests, lanes: [control, bulk] } = connected;
     let link = shared.new_link();
     let pings = connection.ping_pong();
-    shared.attach(peer, link, OpenedBy::Us).await;
+    let attached = shared.attach(peer.clone(), link, OpenedBy::Us).await;
     let end = {
         let lanes = async {
             tokio::try_join!(
@@ -175,7 +178,7 @@
             }
         }
     };
-    shared.detach(peer, link, &end).await;
+    attached.end(&end).await;
     if end == LinkEnd::Graceful {
         // Without a handle left, the connection sends GOAWAY and closes.
         drop(requests);
--- a/crates/mustardcove-runtime/src/peer/link.rs
+++ b/crates/mustardcove-runtime/src/peer/link.rs
@@ -13,7 +13,8 @@
     frame::Decoder,
     lane::{LaneKind, LinkId, Queued},
     pending::answered_request,
-    registry::{Peer, Shared},
+    registry::Shared,
+    remote::Peer,
 };
 use crate::metrics::Direction;
 
@@ -102,7 +103,7 @@
 async fn deliver(shared: &Shared, peer: &Arc<Peer>, message: PeerMessage) {
     if let Some(request) = answered_request(&message) {
         if !peer.pending.answer(request, Ok(message)) {
-            shared.count_late_answer(peer);
+            peer.count_late_answer();
         }
         return;
     }
--- a/crates/mustardcove-runtime/src/peer/registry.rs
+++ b/crates/mustardcove-runtime/src/peer/registry.rs
@@ -1,4 +1,4 @@
-//! The peers of a process, with their queues, requests and connections.
+//! The peers of a process, and what the tasks of the transport share.
 
 use std::{
     collections::HashMap,
@@ -17,10 +17,12 @@
     time::Timestamp,
 };
 use mustardcove_platform::{Clock, http::gate::Gate};
-use serde::Serialize;
 use slog::{Logger, info, warn};
-use tokio::sync::{Notify, mpsc};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio::sync::mpsc;
+use tokio_util::{
+    sync::CancellationToken,
+    task::{AbortOnDropHandle, TaskTracker},
+};
 
 use super::{
     PeerEvent,
@@ -28,201 +30,45 @@
     dial,
     error::{PeerError, PeerErrorKind},
     frame,
-    lane::{Lane, LaneKind, LinkId, Queued},
-    pending::{PendingTable, Waiting},
+    lane::{LaneKind, LinkId, Queued},
+    pending::Waiting,
+    remote::{LinkEnd, OpenedBy, Peer, PeerStatus},
 };
 use crate::metrics::{Direction, Metrics};
 
-/// The state of one peer, for the dump.
-#[derive(Clone, Debug, Serialize)]
-pub struct PeerStatus {
-    /// The process.
-    pub process: ProcessId,
-    /// Its region.
-    pub region: RegionId,
-    /// The address that connections to it are opened to, if known.
-    pub address: Option<SocketAddr>,
-    /// Open connections.
-    pub links: usize,
-    /// Messages queued.
-    pub queued: usize,
-    /// Requests that wait for their answers.
-    pub pending: usize,
-    /// Bytes sent, framing of h2 not counted.
-    pub sent_bytes: u64,
-    /// Bytes received, framing of h2 not counted.
-    pub received_bytes: u64,
-    /// Answers that nobody waited for any more.
-    pub late_answers: u64,
-    /// Attempts to connect that failed.
-    pub failed_connects: u64,
-    /// The last error of a connection.
-    pub last_error: Option<String>,
-}
-
-/// Whose side opened a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum OpenedBy {
-    Us,
-    Them,
-}
-
-/// How a connection ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum LinkEnd {
-    /// Both sides had said all they wanted to say.
-    Graceful,
-    /// It broke; what was written may be lost.
-    Broken(String),
-}
-
-#[derive(Debug)]
-struct Link {
-    id: LinkId,
-    opened_by: OpenedBy,
-    /// The peer sends no more on it, so neither do we.
-    finished: bool,
-}
-
-#[derive(Debug)]
-struct PeerState {
-    address: Option<SocketAddr>,
-    region: RegionId,
-    links: Vec<Link>,
-    refused_until: Timestamp,
-    failed_connects: u64,
-    last_error: Option<String>,
-}
-
-#[derive(Debug, Default)]
-struct Counters {
-    sent_bytes: AtomicU64,
-    received_bytes: AtomicU64,
-    late_answers: AtomicU64,
-}
-
-/// One peer.
+/// A connection that belongs to a peer until this is ended or dropped, also by
+/// a panic: a connection that stayed listed would take messages for ever.
 #[derive(Debug)]
-pub(super) struct Peer {
-    pub(super) process: ProcessId,
-    state: Mutex<PeerState>,
-    lanes: [Lane; 2],
-    pub(super) pending: Arc<PendingTable>,
-    counters: Counters,
-    links_changed: Notify,
-    /// Ends the peer's connections and its dialer.
-    pub(super) stop: CancellationToken,
+pub(super) struct Attached {
+    shared: Arc<Shared>,
+    peer: Arc<Peer>,
+    link: LinkId,
+    is_attached: bool,
 }
 
-impl Peer {
-    fn new(process: ProcessId, region: RegionId, stop: CancellationToken) -> Peer {
-        let state = PeerState {
-            address: None,
-            region,
-            links: Vec::new(),
-            refused_until: Timestamp::default(),
-            failed_connects: 0,
-            last_error: None,
-        };
-        Peer {
-            process,
-            state: Mutex::new(state),
-            lanes: Default::default(),
-            pending: Arc::default(),
-            counters: Counters::default(),
-            links_changed: Notify::new(),
-            stop,
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, PeerState> {
-        self.state.lock().unwrap_or_else(|it| it.into_inner())
-    }
-
-    pub(super) fn lane(&self, kind: LaneKind) -> &Lane {
-        &self.lanes[kind as usize]
-    }
-
-    pub(super) fn address(&self) -> Option<SocketAddr> {
-        self.lock().address
+impl Attached {
+    pub(super) fn peer(&self) -> &Arc<Peer> {
+        &self.peer
     }
 
-    fn has_link(&self) -> bool {
-        !self.lock().links.is_empty()
-    }
-
-    /// Waits until there is something to send and no connection to send it on.
-    pub(super) async fn wants_link(&self) {
-        loop {
-            let changed = self.links_changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            if self.has_link() {
-                changed.await;
-                continue;
-            }
-            tokio::select! {
-                () = changed => {}
-                () = self.lanes[0].wanted() => return,
-                () = self.lanes[1].wanted() => return,
-            }
-        }
-    }
-
-    /// Answers queued requests and drops queued messages, none of which was
-    /// written.
-    pub(super) fn fail_queued(&self, error: &PeerError) {
-        for lane in &self.lanes {
-            for queued in lane.drain() {
-                let Some((request, gate)) = queued.request else {
-                    continue;
-                };
-                gate.close();
-                self.pending.answer(request, Err(error.clone()));
-            }
+    /// Removes the connection and reports it.
+    pub(super) async fn end(mut self, end: &LinkEnd) {
+        self.is_attached = false;
+        if let Some(event) = self.shared.detach(&self.peer, self.link, end) {
+            self.shared.emit(event).await;
         }
     }
+}
 
-    /// Refuses messages at once for a while after an attempt to connect failed.
-    pub(super) fn refuse_until(&self, until: Timestamp, error: &PeerError) {
-        let mut state = self.lock();
-        state.refused_until = until;
-        state.failed_connects += 1;
-        state.last_error = Some(error.to_string());
-    }
-
-    /// Stops sending on a connection on which the peer sends no more.
-    pub(super) fn finish(&self, link: LinkId, own: &ProcessId) {
-        let mut state = self.lock();
-        state.links.iter_mut().filter(|it| it.id == link).for_each(|it| it.finished = true);
-        self.choose_link(&state, own);
-    }
-
-    /// Lets the preferred connection empty the queues. Both sides prefer one
-    /// that was opened by the lower process id, then the newest, and so agree.
-    fn choose_link(&self, state: &PeerState, own: &ProcessId) {
-        let preferred = if *own < self.process { OpenedBy::Us } else { OpenedBy::Them };
-        let usable = state.links.iter().filter(|it| !it.finished);
-        let chosen = usable.max_by_key(|it| (it.opened_by == preferred, it.id));
-        for lane in &self.lanes {
-            lane.set_current(chosen.map(|it| it.id));
+impl Drop for Attached {
+    fn drop(&mut self) {
+        if !self.is_attached {
+            return;
         }
-    }
-
-    fn status(&self) -> PeerStatus {
-        let state = self.lock();
-        PeerStatus {
-            process: self.process.clone(),
-            region: state.region.clone(),
-            address: state.address,
-            links: state.links.len(),
-            queued: self.lanes.iter().map(Lane::len).sum(),
-            pending: self.pending.len(),
-            sent_bytes: self.counters.sent_bytes.load(Ordering::Relaxed),
-            received_bytes: self.counters.received_bytes.load(Ordering::Relaxed),
-            late_answers: self.counters.late_answers.load(Ordering::Relaxed),
-            failed_connects: state.failed_connects,
-            last_error: state.last_error.clone(),
+        let end = LinkEnd::Broken("the connection's task ended".to_owned());
+        if let Some(event) = self.shared.detach(&self.peer, self.link, &end) {
+            // There is nobody to wait while the queue is full.
+            let _ = self.shared.events.try_send(event);
         }
     }
 }
@@ -287,6 +133,24 @@
         });
     }
 
+    /// Runs a task that lasts as long as the transport, and starts it again if
+    /// it panics.
+    pub(super) fn spawn_kept<F, Fut>(self: &Arc<Shared>, name: &'static str, start: F)
+    where
+        F: Fn() -> Fut + Send + 'static,
+        Fut: Future<Output = ()> + Send + 'static,
+    {
+        let shared = self.clone();
+        self.spawn(async move {
+            while let Err(error) = AbortOnDropHandle::new(tokio::spawn(start())).await {
+                shared.metrics.child_death(name);
+                warn!(shared.log, "child died and is started again";
+                    "child" => name, "error" => %error);
+                tokio::time::sleep(shared.config.backoff_max).await;
+            }
+        });
+    }
+
     /// Returns the peer, which is added if it connected without being known.
     pub(super) fn peer_or_new(&self, process: &ProcessId, region: &RegionId) -> Arc<Peer> {
         let new = || {
@@ -306,13 +170,9 @@
             return;
         }
         let peer = self.peer_or_new(&process, &region);
-        let was_known = {
-            let mut state = peer.lock();
-            state.region = region;
-            state.address.replace(address).is_some()
-        };
-        if !was_known {
-            self.spawn(dial::run(self.clone(), peer));
+        if !peer.set_address(address, region) {
+            let shared = self.clone();
+            self.spawn_kept("peer dialer", move || dial::run(shared.clone(), peer.clone()));
         }
     }
 
@@ -346,13 +206,8 @@
     ) -> Result<(), PeerError> {
         let unknown = || PeerError::new(PeerErrorKind::UnknownPeer, format!("process {to}"));
         let peer = self.peer(to).ok_or_else(unknown)?;
-        {
-            let state = peer.lock();
-            let now = self.clock.now();
-            if state.links.is_empty() && (state.address.is_none() || now < state.refused_until) {
-                let detail = state.last_error.clone().unwrap_or_else(|| "no address".to_owned());
-                return Err(PeerError::new(PeerErrorKind::Unreachable, detail));
-            }
+        if let Some(error) = peer.refusal(self.clock.now()) {
+            return Err(error);
         }
         let bytes = frame::encode(message, self.config.max_message_bytes)?;
         let lane = peer.lane(LaneKind::of(message));
@@ -381,34 +236,28 @@
     }
 
     /// Adds a connection to a peer.
-    pub(super) async fn attach(&self, peer: &Peer, link: LinkId, opened_by: OpenedBy) {
-        let is_first = {
-            let mut state = peer.lock();
-            let is_first = state.links.is_empty();
-            state.links.push(Link { id: link, opened_by, finished: false });
-            peer.choose_link(&state, &self.config.process);
-            is_first
-        };
-        peer.links_changed.notify_waiters();
+    pub(super) async fn attach(
+        self: &Arc<Shared>,
+        peer: Arc<Peer>,
+        link: LinkId,
+        opened_by: OpenedBy,
+    ) -> Attached {
+        let is_first = peer.add_link(link, opened_by, &self.config.process);
         self.metrics.peer_links(1);
+        let process = peer.process.clone();
+        let attached = Attached { shared: self.clone(), peer, link, is_attached: true };
         if is_first {
-            info!(self.log, "peer connected"; "peer" => %peer.process);
-            let process = peer.process.clone();
+            info!(self.log, "peer connected"; "peer" => %process);
             self.emit(PeerEvent::Up { process }).await;
         }
+        attached
     }
 
-    /// Removes a connection and fails the requests that it may have lost.
-    pub(super) async fn detach(&self, peer: &Arc<Peer>, link: LinkId, end: &LinkEnd) {
-        let (is_last, is_known) = {
-            let mut state = peer.lock();
-            state.links.retain(|it| it.id != link);
-            if let LinkEnd::Broken(error) = end {
-                state.last_error = Some(error.clone());
-            }
-            peer.choose_link(&state, &self.config.process);
-            (state.links.is_empty(), state.address.is_some())
-        };
+    /// Removes a connection, fails the requests that it may have lost, and
+    /// returns the event if it was the last.
+    fn detach(&self, peer: &Arc<Peer>, link: LinkId, end: &LinkEnd) -> Option<PeerEvent> {
+        let is_last = peer.remove_link(link, end, &self.config.process);
+        let is_known = peer.address().is_some();
         self.metrics.peer_links(-1);
         if is_last {
             peer.pending.fail_written(None);
@@ -419,9 +268,11 @@
             let detail = "the connection ended and none can be opened";
             peer.fail_queued(&PeerError::new(PeerErrorKind::Unreachable, detail));
         }
-        peer.links_changed.notify_waiters();
         if !is_last {
-            return;
+            return None;
+        }
+        if !is_known {
+            self.forget(peer);
         }
         let graceful = match end {
             LinkEnd::Graceful => true,
@@ -430,11 +281,7 @@
                 false
             }
         };
-        if !is_known {
-            self.forget(peer);
-        }
-        let process = peer.process.clone();
-        self.emit(PeerEvent::Down { process, graceful }).await;
+        Some(PeerEvent::Down { process: peer.process.clone(), graceful })
     }
 
     /// Drops a peer that is known only from a connection that it had opened.
@@ -454,19 +301,10 @@
 
     pub(super) fn count_bytes(&self, peer: &Peer, direction: Direction, bytes: usize) {
         let bytes = bytes as u64;
-        let total = match direction {
-            Direction::Sent => &peer.counters.sent_bytes,
-            Direction::Received => &peer.counters.received_bytes,
-        };
-        total.fetch_add(bytes, Ordering::Relaxed);
-        let region = peer.lock().region.clone();
+        let region = peer.count_bytes(direction, bytes);
         self.metrics.region_bytes(&self.config.region, &region, direction, bytes);
     }
 
-    pub(super) fn count_late_answer(&self, peer: &Peer) {
-        peer.counters.late_answers.fetch_add(1, Ordering::Relaxed);
-    }
-
     pub(super) fn status(&self) -> Vec<PeerStatus> {
         let mut status: Vec<PeerStatus> = self.lock().values().map(|it| it.status()).collect();
         status.sort_by(|lhs, rhs| lhs.process.cmp(&rhs.process));
@@ -477,7 +315,7 @@
         self.closing.cancel();
         let peers: Vec<Arc<Peer>> = self.lock().values().cloned().collect();
         for peer in &peers {
-            peer.lanes.iter().for_each(Lane::close);
+            peer.close_lanes();
             if !peer.has_link() {
                 let detail = "this process is shutting down";
                 peer.fail_queued(&PeerError::new(PeerErrorKind::ShuttingDown, detail));
