--- /dev/null
+++ b/crates/mustardcove-core/tests/admit_complete.rs
@@ -0,0 +1,181 @@
+//! Service requests that must not be repeated freely.
+
+#[path = "support/doubles.rs"]
+mod doubles;
+
+use doubles::{spec, world::World};
+use mustardcove_core::{
+    id::{RequestId, TaskId},
+    job::{JobState, Outcome},
+    message::{ShardRequest, ShardResponse},
+    shard::ShardEvent,
+    time::{MAX_CLOCK_ERROR_MS, Timestamp},
+    verdict::{Refusal, RefusalReason, Verdict},
+};
+
+const BUDGET_MS: u64 = 4000;
+
+fn admit(class: &str, deadline: Timestamp) -> ShardRequest {
+    let upstream = "upstream-1".parse().unwrap();
+    ShardRequest::Admit { spec: spec(class, "request-1", "body"), upstream, deadline }
+}
+
+/// Admits a request of `entry-0`, which has `BUDGET_MS` to answer.
+fn admitted(world: &mut World, class: &str) -> (RequestId, TaskId, Timestamp) {
+    let deadline = world.now.plus_ms(BUDGET_MS);
+    let request = world.request_from("entry-0", 0, admit(class, deadline));
+    world.run(100);
+    let ShardResponse::Admitted { task } = world.answer(request) else { panic!("not admitted") };
+    (request, *task, deadline)
+}
+
+fn entry_gone(world: &mut World, n: usize) {
+    world.event(n, ShardEvent::ProcessGone("entry-0".parse().unwrap()));
+}
+
+/// Guards against a request that is sent before its attempt is durable, and
+/// against an admission that takes more than one append.
+#[test]
+fn one_append() {
+    let mut world = World::ready(1);
+    let segments = world.truth.segments;
+    let deadline = world.now.plus_ms(BUDGET_MS);
+    let request = world.request(0, admit("booking", deadline));
+    assert!(!world.is_answered(request));
+    world.answer_call(0);
+    assert!(matches!(world.answer(request), ShardResponse::Admitted { .. }));
+    assert_eq!(world.truth.segments, segments + 1);
+}
+
+/// Guards against a second booking when the caller asks again with the same
+/// key while the first is under way, and against an answer that gets lost.
+#[test]
+fn asks_again() {
+    let mut world = World::ready(2);
+    let (_, task, deadline) = admitted(&mut world, "booking");
+    let again = world.request_from("entry-1", 0, admit("booking", deadline));
+    let ShardResponse::Accepted { status, repeated: true } = world.answer(again) else {
+        panic!("not repeated: {:?}", world.answer(again))
+    };
+    assert!(matches!(status.state, JobState::Bound { .. }));
+    let wait_until = Some(deadline);
+    let query = ShardRequest::Query { job: task.job, wait_until, member: None };
+    let query = world.request_from("entry-1", 0, query);
+    let outcome = Outcome::Succeeded { result: b"coop 7".to_vec().into() };
+    let complete = ShardRequest::Complete { task, outcome: outcome.clone() };
+    let complete = world.request_from("entry-0", 0, complete);
+    world.run(1000);
+    assert_eq!(*world.answer(complete), ShardResponse::Completed);
+    let ShardResponse::Status { status } = world.answer(query) else { panic!("no status") };
+    let JobState::Done { outcome: stored, .. } = &status.state else { panic!("not done") };
+    assert_eq!(*stored, outcome);
+}
+
+/// Guards against a request that its entry could never send because the
+/// answer to its admission was lost together with the shard's owner.
+#[test]
+fn admission_repeated() {
+    let mut world = World::ready(3);
+    let (request, task, deadline) = admitted(&mut world, "booking");
+    world.crash(0);
+    let n = world.add_owner();
+    world.run(1000);
+    world.repeat("entry-0", request, n, admit("booking", deadline));
+    assert_eq!(world.answers[&request][1], ShardResponse::Admitted { task });
+}
+
+/// Guards against a booking that is made twice because its entry was lost.
+#[test]
+fn booking_lost() {
+    let mut world = World::ready(4);
+    let (_, task, deadline) = admitted(&mut world, "booking");
+    entry_gone(&mut world, 0);
+    world.run(300);
+    let Some(Outcome::Failed { refusal }) = world.outcome(task.job) else { panic!("not over") };
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    world.run(2 * BUDGET_MS);
+    let deadline = deadline.plus_ms(10 * BUDGET_MS);
+    let again = world.request_from("entry-1", 0, admit("booking", deadline));
+    assert!(matches!(world.answer(again), ShardResponse::Accepted { repeated: true, .. }));
+    assert_eq!(world.truth.admitted.len(), 1);
+}
+
+/// Guards against two proofs that run at the same time: another attempt waits
+/// until the upstream has certainly stopped, and the caller is told when.
+#[test]
+fn proof_lost() {
+    let mut world = World::ready(5);
+    let (_, first, deadline) = admitted(&mut world, "proof");
+    entry_gone(&mut world, 0);
+    let later = deadline.plus_ms(10 * BUDGET_MS);
+    let early = world.request_from("entry-1", 0, admit("proof", later));
+    let over_at = deadline.plus_ms(MAX_CLOCK_ERROR_MS);
+    let refusal = world.refusal(early).clone();
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    assert_eq!(refusal.retry_at, Some(over_at.plus_ms(1)));
+    world.run(over_at.ms_since(world.now));
+    let too_early = world.request_from("entry-1", 0, admit("proof", later));
+    assert_eq!(world.refusal(too_early).verdict, Verdict::MayHaveRun);
+    world.run(1);
+    let again = world.request_from("entry-1", 0, admit("proof", later));
+    world.run(300);
+    let ShardResponse::Admitted { task } = world.answer(again) else { panic!("not admitted") };
+    assert_eq!(task.attempt, first.attempt.next());
+    // The outcome of the first attempt is not taken for the second one's.
+    let outcome = Outcome::Succeeded { result: b"late".to_vec().into() };
+    let late = world.request(0, ShardRequest::Complete { task: first, outcome });
+    assert_eq!(world.refusal(late).reason, RefusalReason::Conflict);
+}
+
+/// Guards against a request that stays bound for ever when nobody reports that
+/// its entry was lost, also across a change of owner.
+#[test]
+fn nobody_reports() {
+    for (class, ends) in [("booking", true), ("proof", false)] {
+        let mut world = World::ready(6);
+        let (_, task, _) = admitted(&mut world, class);
+        world.crash(0);
+        world.add_owner();
+        world.run(BUDGET_MS + MAX_CLOCK_ERROR_MS + 3000);
+        let state = world.status(task.job).state;
+        assert_eq!(matches!(state, JobState::Done { .. }), ends, "{class} {state:?}");
+        assert_eq!(matches!(state, JobState::Queued { .. }), !ends, "{class} {state:?}");
+    }
+}
+
+/// Guards against a booking that is given up although its upstream refused it,
+/// so that it certainly did not run.
+#[test]
+fn refused_upstream() {
+    let mut world = World::ready(7);
+    let (_, task, deadline) = admitted(&mut world, "booking");
+    let refusal = Refusal::not_run(RefusalReason::UpstreamFailed, "connection refused");
+    let outcome = Outcome::Failed { refusal };
+    world.request_from("entry-0", 0, ShardRequest::Complete { task, outcome });
+    world.run(1000);
+    let again = world.request_from("entry-0", 0, admit("booking", deadline));
+    world.run(1000);
+    let ShardResponse::Admitted { task: second } = world.answer(again) else {
+        panic!("not admitted")
+    };
+    assert_eq!(second.attempt, task.attempt.next());
+}
+
+/// Guards against an outcome that is lost because the store was away when it
+/// was reported.
+#[test]
+fn outcome_in_outage() {
+    let mut world = World::ready(8);
+    let (_, task, _) = admitted(&mut world, "booking");
+    world.run(1000);
+    world.up = false;
+    let outcome = Outcome::Succeeded { result: b"coop 7".to_vec().into() };
+    let complete = ShardRequest::Complete { task, outcome: outcome.clone() };
+    let complete = world.request_from("entry-0", 0, complete);
+    world.run(20_000);
+    assert!(!world.is_answered(complete));
+    world.up = true;
+    world.run(6000);
+    assert_eq!(*world.answer(complete), ShardResponse::Completed);
+    assert_eq!(world.outcome(task.job), Some(outcome));
+}
--- /dev/null
+++ b/crates/mustardcove-core/tests/shard_takeover.rs
@@ -0,0 +1,159 @@
+//! Recovery, handover, snapshots and the deletion of old segments.
+
+#[path = "support/doubles.rs"]
+mod doubles;
+
+use doubles::{
+    group, spec,
+    world::{SHARD, World},
+};
+use mustardcove_core::{
+    ledger::{log_key, log_prefix, snapshot_prefix},
+    message::{ShardRequest, ShardResponse, ShardToGroup},
+    shard::{ShardConfig, ShardEvent},
+    store::StoreOp,
+};
+
+fn busy(cfg: ShardConfig, jobs: usize) -> World {
+    let mut world = World::new(cfg, 1);
+    world.add_owner();
+    world.run(1000);
+    for n in 0..jobs {
+        world.submit(&spec("scan", &format!("order-{n}"), &"album ".repeat(1000)));
+        world.run(600);
+    }
+    world
+}
+
+fn small() -> ShardConfig {
+    ShardConfig { snapshot_segments: 8, snapshot_interval_ms: 500, ..ShardConfig::default() }
+}
+
+/// Guards against a successor that misses jobs, reads the whole history, or
+/// reads so fast that all successors together overload the store.
+#[test]
+fn reads_snapshot() {
+    let mut world = busy(small(), 60);
+    world.run(60_000);
+    assert!(world.store.keys(&snapshot_prefix(SHARD)).len() == 1);
+    let expected = world.truth.ledger.clone();
+    let reads = world.store.reads;
+    world.crash(0);
+    let n = world.add_owner();
+    let from = world.now;
+    while !world.owners[n].shard.is_ready() {
+        world.run(10);
+    }
+    let (calls, took) = (world.store.reads - reads, world.now.ms_since(from));
+    assert!(calls <= 3, "{calls} reads");
+    assert!((calls - 1) * 25 <= took, "{calls} reads in {took} ms");
+    assert!(took < 1000, "took {took} ms");
+    assert_eq!(world.truth.ledger.len(), expected.len());
+    assert_eq!(world.owners[n].shard.job_counts().bound, 60);
+}
+
+/// Guards against a log that grows for ever, and against deletions in bursts.
+#[test]
+fn deletes_old() {
+    let mut world = busy(small(), 60);
+    let before = world.store.keys(&log_prefix(SHARD)).len();
+    assert!(100 < before);
+    world.run(590_000);
+    let writes = world.store.writes;
+    world.run(30_000);
+    assert!(world.store.writes - writes <= 31, "more than one deletion a second");
+    world.run(300_000);
+    let left = world.store.keys(&log_prefix(SHARD)).len();
+    assert!(left <= 12, "{left} segments are left");
+}
+
+/// Guards against a successor that serves although part of the history is
+/// missing.
+#[test]
+fn gap_in_log() {
+    let mut world = busy(ShardConfig::default(), 3);
+    world.crash(0);
+    let key = log_key(SHARD, mustardcove_core::id::SegmentNumber(3));
+    let expect = mustardcove_core::store::Expect::Any;
+    let value = world.store.value(&key).unwrap();
+    world.store.call(&StoreOp::Delete { key: key.clone(), expect }).unwrap();
+    let n = world.add_owner();
+    world.run(20_000);
+    assert!(!world.owners[n].shard.is_ready());
+    let dump = world.owners[n].shard.dump(10);
+    assert!(0 < dump.recovery_restarts);
+    assert!(dump.log.last_error.contains("segment 3 is missing"), "{}", dump.log.last_error);
+    let body = ShardRequest::Submit { spec: spec("scan", "order-0", "album") };
+    let request = world.request(n, body);
+    assert!(matches!(world.answer(request), ShardResponse::NotOwner { .. }));
+    let put = StoreOp::Put { key, value, expect, lease: None };
+    world.store.call(&put).unwrap();
+    world.run(10_000);
+    assert!(world.owners[n].shard.is_ready());
+}
+
+/// Guards against a planned stop that loses what was queued, or after which the
+/// old owner still answers.
+#[test]
+fn handover() {
+    let mut world = World::ready(2);
+    let order = spec("scan", "order-1", "album");
+    let first = world.submit(&order);
+    let to: mustardcove_core::id::ProcessId = "sched-1".parse().unwrap();
+    world.event(0, ShardEvent::HandOver { to: to.clone() });
+    let body = ShardRequest::Submit { spec: spec("scan", "order-2", "album") };
+    let second = world.request(0, body);
+    assert_eq!(*world.answer(second), ShardResponse::NotOwner { hint: Some(to.clone()) });
+    world.run(600);
+    assert!(world.owners[0].handed_over);
+    assert!(matches!(world.answer(first), ShardResponse::Accepted { .. }));
+    let n = world.add_owner();
+    world.run(1000);
+    assert!(world.owners[n].shard.is_ready());
+    assert!(world.fleet.running_task(order.id()).is_some());
+}
+
+/// Guards against a group that is told nothing, or too early, about what is
+/// bound in it when either side has a new owner.
+#[test]
+fn reconciles() {
+    let mut world = busy(ShardConfig::default(), 4);
+    let listed = |world: &World| -> usize {
+        let bound = world.to_fleet.iter().map(|(_, body)| match body {
+            ShardToGroup::Reconcile { bound } => bound.len(),
+            _ => 0,
+        });
+        bound.sum()
+    };
+    world.crash(0);
+    let n = world.add_owner();
+    while !world.owners[n].shard.is_ready() {
+        world.now = world.now.plus_ms(10);
+        world.event(n, ShardEvent::Tick);
+        world.answer_call(n);
+    }
+    assert_eq!(listed(&world), 4);
+    world.run(1000);
+    for it in 0..2 {
+        world.fleet.take_over(&group(it));
+        world.deliver_to_shard(n);
+    }
+    assert_eq!(listed(&world), 0, "listed before an append proved the ownership");
+    // The first request began an append at once; the second waits for the next.
+    assert!(world.answer_call(n));
+    world.now = world.now.plus_ms(250);
+    world.event(n, ShardEvent::Tick);
+    assert!(world.answer_call(n));
+    assert_eq!(listed(&world), 4);
+}
+
+/// Guards against an old owner that goes on answering because it has nothing
+/// to append.
+#[test]
+fn idle_owner_notices() {
+    let mut world = busy(ShardConfig::default(), 1);
+    world.add_owner();
+    world.run(11_000);
+    assert!(world.owners[0].fenced);
+    assert!(world.owners[1].shard.is_ready());
+}
--- a/crates/mustardcove-core/tests/support/world.rs
+++ b/crates/mustardcove-core/tests/support/world.rs
@@ -57,6 +57,8 @@
     pub not_run: BTreeSet<RequestId>,
     pub promised: BTreeSet<JobId>,
     pub seed: u64,
+    /// Calls that failed because the store was away.
+    pub failed_calls: u64,
     next_request: u64,
     next_chatter: Timestamp,
 }
@@ -80,6 +82,7 @@
             not_run: BTreeSet::new(),
             promised: BTreeSet::new(),
             seed,
+            failed_calls: 0,
             next_request: 0,
             next_chatter: now,
         }
@@ -246,7 +249,10 @@
         let Some((call, op)) = self.owners[n].calls.pop_front() else { return false };
         let result = match self.up {
             true => self.call(&op),
-            false => Err(StoreError::Unavailable { verdict: self.away }),
+            false => {
+                self.failed_calls += 1;
+                Err(StoreError::Unavailable { verdict: self.away })
+            }
         };
         self.event(n, ShardEvent::StoreReply { call, result });
         true
