--- a/crates/mustardcove-core/src/shard/groups.rs
+++ b/crates/mustardcove-core/src/shard/groups.rs
@@ -164,9 +164,12 @@
             return self.delay(id, true, "the class is not in the agreement in force");
         };
         let Some(group) = self.choose_group(id, spec.resources, urgent) else {
+            let was_refused = self.queue.get(id).is_some_and(|it| !it.refused_by.is_empty());
             let note = match self.groups.could_hold(spec.resources) {
-                true => "no group has room",
                 false => "no worker of any known group could hold the job",
+                // The reason that the last group gave says more.
+                true if was_refused => self.queue.note(id),
+                true => "no group has room",
             };
             return self.delay(id, false, note);
         };
