--- a/crates/mustardcove-core/src/shard.rs
+++ b/crates/mustardcove-core/src/shard.rs
@@ -34,6 +34,7 @@
 mod groups;
 mod jobs;
 mod log;
+mod proof;
 mod queue;
 mod recovery;
 mod requests;
--- a/crates/mustardcove-core/src/shard/log.rs
+++ b/crates/mustardcove-core/src/shard/log.rs
@@ -18,20 +18,18 @@
 use super::{
     Phase, Shard, ShardAction,
     commit::{Origin, Queued},
-    to_group,
+    proof::Unproven,
 };
 use crate::{
-    id::{CallId, GroupId, ProcessId, SegmentNumber, TaskId, WorkerId},
+    id::{CallId, ProcessId, SegmentNumber, TaskId},
     job::Checkpoint,
     ledger::{
         Record, Segment, log_key, log_prefix,
         segment::{MAX_SEGMENT_BYTES, SegmentHeader, encode_record},
     },
-    message::ShardToGroup,
     store::{Entry, Expect, StoreError, StoreOp, StoreReply, StoreResult},
     time::{Timestamp, earliest},
     verdict::{Refusal, RefusalReason, Verdict},
-    worker::StopMode,
 };
 
 /// Shortest time after which callers are told to ask again, in milliseconds.
@@ -40,22 +38,6 @@
 /// Queued bytes beyond which new requests are refused as overload.
 pub(super) const MAX_QUEUE_BYTES: usize = 4 * MAX_SEGMENT_BYTES;
 
-/// Longest time that an answer which needs a proof of ownership waits for an
-/// append, in milliseconds; then an empty segment is appended.
-const PROOF_INTERVAL_MS: u64 = 5000;
-
-/// Something that is right only if this process owns the shard, because a
-/// newer owner may know better.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) enum Unproven {
-    /// The end of an attempt of a job that is not known here needs no record.
-    Acknowledge { group: GroupId, task: TaskId },
-    /// An attempt of a job that is not known here is to be stopped.
-    Stop { group: GroupId, task: TaskId, worker: WorkerId },
-    /// The list of the attempts that are bound in a group.
-    Reconcile { group: GroupId },
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
     Write,
@@ -93,15 +75,15 @@
     /// A time at which the tail was certainly the last segment of the log.
     pub(super) verified_at: Timestamp,
     pub(super) down_since: Option<Timestamp>,
-    retry_at: Timestamp,
-    failures: u32,
+    pub(super) retry_at: Timestamp,
+    pub(super) failures: u32,
     /// A read of what follows the tail, when the log is idle or the store is
     /// away.
     pub(super) probe: Option<CallId>,
-    probe_sent: Timestamp,
-    check_at: Timestamp,
-    needs_proof: Vec<Unproven>,
-    proof_due: Timestamp,
+    pub(super) probe_sent: Timestamp,
+    pub(super) check_at: Timestamp,
+    pub(super) needs_proof: Vec<Unproven>,
+    pub(super) proof_due: Timestamp,
     pub(super) appends: u64,
     pub(super) last_error: String,
 }
@@ -148,35 +130,6 @@
 }
 
 impl Shard {
-    /// Holds something back until the next append proves that this process
-    /// still owned the shard when it was decided.
-    pub(super) fn when_proven(&mut self, what: Unproven) {
-        self.need_proof(what, PROOF_INTERVAL_MS);
-    }
-
-    /// Tells a group what is bound in it as soon as an append proves that this
-    /// process still owned the shard when the group asked.
-    ///
-    /// A stale owner would list an attempt that its successor has already
-    /// replaced by another.
-    pub(super) fn reconcile_when_proven(&mut self, group: GroupId) {
-        self.need_proof(Unproven::Reconcile { group }, 0);
-    }
-
-    /// Appends an empty segment, which conflicts if another process owns the
-    /// shard.
-    pub(super) fn check_ownership(&mut self) {
-        self.log.proof_due = self.log.proof_due.min(self.now);
-    }
-
-    fn need_proof(&mut self, what: Unproven, within_ms: u64) {
-        let due = self.now.plus_ms(within_ms);
-        self.log.proof_due = self.log.proof_due.min(due);
-        if !self.log.needs_proof.contains(&what) {
-            self.log.needs_proof.push(what);
-        }
-    }
-
     pub(super) fn is_store_down(&self) -> bool {
         self.log.down_since.is_some()
     }
@@ -211,12 +164,6 @@
         earliest(append, check)
     }
 
-    /// Returns when an owner that appends nothing reads whether it still owns
-    /// the shard.
-    fn idle_check_at(&self) -> Timestamp {
-        self.log.verified_at.plus_ms(self.cfg.check_interval_ms)
-    }
-
     pub(super) fn run_log(&mut self, out: &mut Vec<ShardAction>) {
         if self.phase == Phase::Dropped {
             return;
@@ -248,17 +195,6 @@
         }
     }
 
-    /// Reads what follows the tail: nothing, unless another process owns the
-    /// shard.
-    fn probe(&mut self, out: &mut Vec<ShardAction>) {
-        if self.log.probe.is_none() {
-            let (prefix, start_after) = (log_prefix(self.id), log_key(self.id, self.log.tail));
-            self.log.probe_sent = self.now;
-            let op = StoreOp::List { prefix, start_after, limit: 1 };
-            self.log.probe = Some(self.store_call(op, out));
-        }
-    }
-
     /// Appends the record that makes this process the owner.
     pub(super) fn claim(&mut self, out: &mut Vec<ShardAction>) {
         let record =
@@ -469,20 +405,6 @@
         }
     }
 
-    fn proven(&mut self, what: Unproven, out: &mut Vec<ShardAction>) {
-        match what {
-            Unproven::Acknowledge { group, task } if self.latest(task.job).is_none() => {
-                to_group(&group, ShardToGroup::Acknowledge { task }, out);
-            }
-            Unproven::Stop { group, task, worker } if self.latest(task.job).is_none() => {
-                let mode = StopMode::Kill;
-                to_group(&group, ShardToGroup::Stop { task, worker, mode }, out);
-            }
-            Unproven::Acknowledge { .. } | Unproven::Stop { .. } => {}
-            Unproven::Reconcile { group } => self.reconcile(&group, out),
-        }
-    }
-
     /// Handles a segment of another process where this one wanted to write:
     /// nothing of the append took effect.
     fn lose_ownership(&mut self, entry: &Entry, out: &mut Vec<ShardAction>) {
@@ -502,34 +424,7 @@
         out.push(ShardAction::Fenced);
     }
 
-    pub(super) fn on_probe_reply(&mut self, result: StoreResult, out: &mut Vec<ShardAction>) {
-        self.log.probe = None;
-        let entries = match result {
-            Ok(StoreReply::Listed { entries, .. }) => entries,
-            Ok(_) => return self.on_probe_failed("the store's answer does not match the call"),
-            Err(err) => return self.on_probe_failed(&err.to_string()),
-        };
-        self.log.down_since = None;
-        self.log.failures = 0;
-        let found = entries.first().map(|it| Segment::decode_header(&it.value));
-        match found {
-            None => self.log.verified_at = self.log.verified_at.max(self.log.probe_sent),
-            // An append of this process that was sent after the read.
-            Some(Ok(it)) if it.process == self.process && it.epoch == self.committed.epoch() => {}
-            Some(found) => {
-                self.log.last_error = "another process wrote the next segment".to_owned();
-                self.fence(found.ok().map(|it| it.process), out);
-            }
-        }
-    }
-
-    fn on_probe_failed(&mut self, error: &str) {
-        self.log.last_error = error.to_owned();
-        self.delay_retry();
-        self.log.check_at = self.log.retry_at;
-    }
-
-    fn delay_retry(&mut self) {
+    pub(super) fn delay_retry(&mut self) {
         let (first, most) = (self.cfg.store_retry_ms, self.cfg.store_retry_max_ms);
         let delay = self.backoff(first, most, self.log.failures);
         self.log.failures = self.log.failures.saturating_add(1);
--- a/crates/mustardcove-core/src/shard/tasks.rs
+++ b/crates/mustardcove-core/src/shard/tasks.rs
@@ -11,7 +11,7 @@
     Shard, ShardAction,
     commit::{Effect, Origin},
     jobs::attempts,
-    log::Unproven,
+    proof::Unproven,
     queue::Step,
     to_group,
 };
--- a/crates/mustardcove-core/tests/shard_takeover.rs
+++ b/crates/mustardcove-core/tests/shard_takeover.rs
@@ -147,6 +147,25 @@
     assert_eq!(listed(&world), 4);
 }
 
+/// Guards against an attempt that is started again by a group's new owner
+/// because it is listed while its end waits to be durable.
+#[test]
+fn ended_not_listed() {
+    let mut world = busy(ShardConfig::default(), 1);
+    let task = *world.fleet.running.keys().next().unwrap();
+    let from = world.fleet.running[&task].0.clone();
+    world.fleet.take_over(&from);
+    world.deliver_to_shard(0);
+    assert_eq!(world.owners[0].calls.len(), 1, "an append proves the ownership");
+    world.fleet.evict(task, 100);
+    world.deliver_to_shard(0);
+    world.answer_call(0);
+    let lists: Vec<_> = world.to_fleet.iter().filter(|(to, _)| *to == from).collect();
+    let is_empty =
+        |body: &ShardToGroup| matches!(body, ShardToGroup::Reconcile { bound } if bound.is_empty());
+    assert!(lists.iter().any(|(_, body)| is_empty(body)), "{lists:?}");
+}
+
 /// Guards against an old owner that goes on answering because it has nothing
 /// to append.
 #[test]
--- a/crates/mustardcove-core/tests/support/truth.rs
+++ b/crates/mustardcove-core/tests/support/truth.rs
@@ -4,7 +4,7 @@
 
 use mustardcove_core::{
     id::{JobId, ProcessId, RequestId, SegmentNumber, ShardId, TaskId},
-    job::{JobState, Place},
+    job::{Evidence, JobState, Place},
     ledger::{Ledger, Record, Segment, segment::parse_log_key},
     store::StoreOp,
 };
@@ -17,6 +17,8 @@
     pub bound: BTreeMap<TaskId, Place>,
     /// Requests that hold an attempt at an upstream.
     pub admitted: BTreeMap<TaskId, (ProcessId, RequestId)>,
+    /// Why attempts without a result are over.
+    pub evidence: BTreeMap<TaskId, Evidence>,
     /// Attempts whose end is durable.
     pub over: BTreeSet<TaskId>,
     pub accepted: BTreeMap<JobId, u32>,
@@ -53,6 +55,7 @@
                     self.admitted.insert(*task, (entry.clone(), *request));
                 }
             }
+            Record::Lost { task, evidence } => _ = self.evidence.insert(*task, *evidence),
             _ => {}
         }
         let still = record.job().and_then(|it| self.ledger.get(it)?.bound_attempt());
--- a/crates/mustardcove-core/tests/support/world.rs
+++ b/crates/mustardcove-core/tests/support/world.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use mustardcove_core::{
-    id::{CallId, GroupId, JobId, ProcessId, RequestId, ShardId},
-    job::{BodyDigest, JobSpec, JobState, Outcome},
+    id::{AttemptNumber, CallId, GroupId, JobId, ProcessId, RequestId, ShardId, TaskId},
+    job::{BodyDigest, Evidence, JobSpec, JobState, Outcome, Place},
     message::{JobStatus, ShardRequest, ShardResponse, ShardToGroup},
     shard::{Shard, ShardAction, ShardConfig, ShardEvent},
     store::{StoreError, StoreOp, StoreResult},
-    time::Timestamp,
+    time::{MAX_CLOCK_ERROR_MS, Timestamp},
     verdict::{Refusal, Verdict},
 };
 
@@ -59,6 +59,8 @@
     pub seed: u64,
     /// Calls that failed because the store was away.
     pub failed_calls: u64,
+    /// Events at the same time, which must come to an end.
+    instant: (Timestamp, u32),
     next_request: u64,
     next_chatter: Timestamp,
 }
@@ -83,6 +85,7 @@
             promised: BTreeSet::new(),
             seed,
             failed_calls: 0,
+            instant: (now, 0),
             next_request: 0,
             next_chatter: now,
         }
@@ -123,6 +126,11 @@
         if !self.owners[n].alive {
             return;
         }
+        if self.instant.0 < self.now {
+            self.instant = (self.now, 0);
+        }
+        self.instant.1 += 1;
+        assert!(self.instant.1 < 20_000, "events go on for ever at {}: {event:?}", self.now);
         let mut out = Vec::new();
         self.owners[n].shard.handle(self.now, event, &mut out);
         for action in out {
@@ -191,6 +199,7 @@
             ShardResponse::Admitted { task } => {
                 let holder = self.truth.admitted.get(task);
                 assert_eq!(holder, Some(&(to, request)), "{task} was admitted for another");
+                self.check_admitted(*task);
             }
             ShardResponse::Refused(Refusal { verdict: Verdict::NotRun, .. }) => {
                 self.not_run.insert(request);
@@ -200,6 +209,22 @@
         self.answers.entry(request).or_default().push(body);
     }
 
+    /// Checks that the attempt before is over: its upstream refused it, or has
+    /// stopped at its deadline and the request may be repeated.
+    fn check_admitted(&self, task: TaskId) {
+        let Some(attempt) = task.attempt.0.checked_sub(1).filter(|it| 0 < *it) else { return };
+        let before = TaskId { job: task.job, attempt: AttemptNumber(attempt) };
+        match (self.truth.evidence.get(&before), &self.truth.bound[&before]) {
+            (Some(Evidence::NeverSent), _) => {}
+            (Some(Evidence::RequestDeadline), Place::Upstream { deadline, .. }) => {
+                assert!(deadline.plus_ms(MAX_CLOCK_ERROR_MS) < self.now, "{before} may still run");
+                let class = &self.truth.ledger.get(task.job).unwrap().spec.class;
+                assert_eq!(class.as_str(), "proof", "{task} repeats what must not be repeated");
+            }
+            other => panic!("{task} was admitted after {other:?}"),
+        }
+    }
+
     fn check_status(&self, status: &JobStatus) {
         let truth = self.truth.state(status.job);
         assert!(truth.is_some(), "{} was shown before it was durable", status.job);
