--- a/crates/mustardcove-core/tests/shard_takeover.rs
+++ b/crates/mustardcove-core/tests/shard_takeover.rs
@@ -166,6 +166,71 @@
     assert!(lists.iter().any(|(_, body)| is_empty(body)), "{lists:?}");
 }
 
+/// Returns whether the owner's next call writes the second part of a snapshot
+/// that is not its first.
+fn writes_second_part(world: &World) -> bool {
+    let Some((_, StoreOp::Put { key, .. })) = world.owners[0].calls.front() else { return false };
+    let is_later = 2 <= world.store.keys(&snapshot_prefix(SHARD)).len();
+    key.starts_with(&snapshot_prefix(SHARD)) && key.ends_with("/0001") && is_later
+}
+
+/// Guards against a history that is lost between two owners: the old one
+/// completes a snapshot and deletes the one before, while the new one deletes
+/// the parts that it saw of the unfinished snapshot.
+#[test]
+fn snapshot_in_two_hands() {
+    // Old segments go soon, so that nothing but the snapshots has the history.
+    let (delete_after_ms, delete_interval_ms, verify_after_ms) = (2000, 20, 100);
+    let cfg = ShardConfig { delete_after_ms, delete_interval_ms, verify_after_ms, ..small() };
+    let mut world = World::new(cfg, 1);
+    world.add_owner();
+    world.run(1000);
+    let mut jobs = 0;
+    let body = "x".repeat(60 << 10);
+    let step = |world: &mut World| {
+        while world.answer_call(0) {
+            if writes_second_part(world) {
+                return;
+            }
+        }
+        while world.deliver_to_fleet() {}
+        while world.deliver_to_shard(0) {}
+        world.now = world.now.plus_ms(250);
+        world.event(0, ShardEvent::Tick);
+    };
+    while !writes_second_part(&world) {
+        if jobs < 60 {
+            world.submit(&spec("scan", &format!("order-{jobs}"), &body));
+            jobs += 1;
+        }
+        step(&mut world);
+    }
+    // The part stays on its way until the successor has read the snapshots.
+    let held = world.owners[0].calls.pop_front().unwrap();
+    for _ in 0..8 {
+        step(&mut world);
+    }
+    assert!(world.owners[0].calls.is_empty());
+    world.owners[0].alive = false;
+    (world.cfg.snapshot_segments, world.cfg.snapshot_bytes) = (u64::MAX, usize::MAX);
+    world.add_owner();
+    world.run(1000);
+    assert!(world.owners[1].shard.is_ready());
+    let old: Vec<_> = world.store.keys(&snapshot_prefix(SHARD));
+    world.owners[0].alive = true;
+    world.owners[0].calls.push_back(held);
+    world.answer_call(0);
+    world.run(5000);
+    assert!(old.iter().any(|it| world.store.value(it).is_none()), "nothing was deleted");
+    assert_eq!(world.store.value(&log_key(SHARD, mustardcove_core::id::SegmentNumber(1))), None);
+    world.crash(0);
+    world.crash(1);
+    let n = world.add_owner();
+    world.run(5000);
+    assert!(world.owners[n].shard.is_ready());
+    assert_eq!(world.owners[n].shard.job_counts().bound, world.truth.ledger.len());
+}
+
 /// Guards against an old owner that goes on answering because it has nothing
 /// to append.
 #[test]
