--- a/crates/mustardcove-core/tests/support/group_world.rs
+++ b/crates/mustardcove-core/tests/support/group_world.rs
@@ -69,19 +69,11 @@
 
 /// Something on its way.
 enum Travel {
-<<<<<<< HEAD
-    Worker { owner: usize, action: GroupAction, silent: bool },
-    Owner { owner: usize, event: GroupEvent },
-    Shard { group: usize, shard: ShardId, body: GroupToShard },
-    Group { group: usize, shard: ShardId, body: ShardToGroup },
-    Store { owner: usize, action: GroupAction, silent: bool },
-=======
     WorkerCall { owner: usize, action: GroupAction, silent: bool },
     OwnerEvent { owner: usize, event: GroupEvent },
     ShardMessage { group: usize, shard: ShardId, body: GroupToShard },
     GroupMessage { group: usize, shard: ShardId, body: ShardToGroup },
     StoreCall { owner: usize, action: GroupAction, silent: bool },
->>>>>>> group
 }
 
 pub struct World {
@@ -300,37 +292,18 @@
                     // The call is counted as failed although it may still land.
                     let error = WorkerError::Unreachable { verdict: Verdict::MayHaveRun };
                     let event = GroupEvent::WorkerReply { worker, call, result: Err(error) };
-<<<<<<< HEAD
-                    self.travel(Travel::Owner { owner, event });
-=======
                     self.travel(Travel::OwnerEvent { owner, event });
->>>>>>> group
                     if self.fault() {
                         return;
                     }
                 }
-<<<<<<< HEAD
-                self.travel(Travel::Worker { owner, action, silent });
-=======
                 self.travel(Travel::WorkerCall { owner, action, silent });
->>>>>>> group
             }
             GroupAction::Store { call, .. } => {
                 let silent = self.fault();
                 if silent {
                     let error = StoreError::Unavailable { verdict: Verdict::MayHaveRun };
                     let event = GroupEvent::StoreReply { call, result: Err(error) };
-<<<<<<< HEAD
-                    self.travel(Travel::Owner { owner, event });
-                }
-                self.travel(Travel::Store { owner, action, silent });
-            }
-            GroupAction::Shard { to, body } => {
-                if self.fault() {
-                    self.travel(Travel::Shard { group, shard: to, body: body.clone() });
-                }
-                self.travel(Travel::Shard { group, shard: to, body });
-=======
                     self.travel(Travel::OwnerEvent { owner, event });
                 }
                 self.travel(Travel::StoreCall { owner, action, silent });
@@ -340,7 +313,6 @@
                     self.travel(Travel::ShardMessage { group, shard: to, body: body.clone() });
                 }
                 self.travel(Travel::ShardMessage { group, shard: to, body });
->>>>>>> group
             }
             GroupAction::Summary(_) | GroupAction::Interference(_) | GroupAction::Released => {}
         }
@@ -348,11 +320,7 @@
 
     fn arrive(&mut self, travel: Travel) {
         match travel {
-<<<<<<< HEAD
-            Travel::Worker { owner, action, silent } => {
-=======
             Travel::WorkerCall { owner, action, silent } => {
->>>>>>> group
                 let GroupAction::Worker { call, worker, op, not_after } = action else { return };
                 let at = self.workers.iter().position(|it| it.info.id == worker).unwrap();
                 let result = if not_after < self.now {
@@ -368,17 +336,10 @@
                 self.check();
                 if !silent {
                     let event = GroupEvent::WorkerReply { worker, call, result };
-<<<<<<< HEAD
-                    self.travel(Travel::Owner { owner, event });
-                }
-            }
-            Travel::Store { owner, action, silent } => {
-=======
                     self.travel(Travel::OwnerEvent { owner, event });
                 }
             }
             Travel::StoreCall { owner, action, silent } => {
->>>>>>> group
                 let GroupAction::Store { call, op } = action else { return };
                 let result = if self.owners[owner].cut_off {
                     Err(StoreError::Unavailable { verdict: Verdict::NotRun })
@@ -387,17 +348,6 @@
                 };
                 if !silent {
                     let event = GroupEvent::StoreReply { call, result };
-<<<<<<< HEAD
-                    self.travel(Travel::Owner { owner, event });
-                }
-            }
-            Travel::Owner { owner, event } => self.give(owner, event),
-            Travel::Group { group, shard, body } => {
-                let owner = self.owner_index(group);
-                self.give(owner, GroupEvent::Shard { from: shard, body });
-            }
-            Travel::Shard { group, shard, body } => self.on_shard(group, shard, body),
-=======
                     self.travel(Travel::OwnerEvent { owner, event });
                 }
             }
@@ -407,21 +357,14 @@
                 self.give(owner, GroupEvent::Shard { from: shard, body });
             }
             Travel::ShardMessage { group, shard, body } => self.on_shard(group, shard, body),
->>>>>>> group
         }
     }
 
     fn send_to_group(&mut self, group: usize, shard: ShardId, body: ShardToGroup) {
         if self.fault() {
-<<<<<<< HEAD
-            self.travel(Travel::Group { group, shard, body: body.clone() });
-        }
-        self.travel(Travel::Group { group, shard, body });
-=======
             self.travel(Travel::GroupMessage { group, shard, body: body.clone() });
         }
         self.travel(Travel::GroupMessage { group, shard, body });
->>>>>>> group
     }
 
     /// What a shard owner does with a message of a group owner. The record is
@@ -588,11 +531,7 @@
                 if self.reachable[worker] && self.fault() {
                     let event = GroupEvent::Report(self.workers[worker].report());
                     let owner = self.owner_index(worker / WORKERS);
-<<<<<<< HEAD
-                    self.travel(Travel::Owner { owner, event });
-=======
                     self.travel(Travel::OwnerEvent { owner, event });
->>>>>>> group
                 }
             }
             for owner in 0..self.owners.len() {
@@ -625,11 +564,7 @@
         let id = self.workers[worker].id();
         let mut broken = Vec::new();
         self.travel.retain(|(_, _, it)| {
-<<<<<<< HEAD
-            let Travel::Worker { owner, action, silent } = it else { return true };
-=======
             let Travel::WorkerCall { owner, action, silent } = it else { return true };
->>>>>>> group
             let GroupAction::Worker { call, worker, .. } = action else { return true };
             if *worker == id && !silent {
                 broken.push((*owner, *call));
@@ -639,11 +574,7 @@
         for (owner, call) in broken {
             let error = WorkerError::Unreachable { verdict: Verdict::MayHaveRun };
             let event = GroupEvent::WorkerReply { worker: id.clone(), call, result: Err(error) };
-<<<<<<< HEAD
-            self.travel(Travel::Owner { owner, event });
-=======
             self.travel(Travel::OwnerEvent { owner, event });
->>>>>>> group
         }
     }
 
