Let an urgent job's acceptance wait 50 ms for its place

Cause: an idle shard appended the acceptance at once, so that the binding of an urgent job waited for the next commit interval and cost a second append. After a takeover a size could be refused as never runnable before the summaries of all groups had arrived. Change: the append waits at most 50 ms for the group's answer, and sizes are refused only 5 s after a takeover.

--- a/crates/mustardcove-core/src/shard.rs
+++ b/crates/mustardcove-core/src/shard.rs
@@ -177,6 +177,7 @@
     rng: ChaCha8Rng,
     now: Timestamp,
     phase: Phase,
+    ready_at: Timestamp,
     /// The process that owns the shard after this one, if known.
     successor: Option<ProcessId>,
     committed: Ledger,
@@ -219,6 +220,7 @@
             rng,
             now,
             phase: Phase::New,
+            ready_at: now,
             successor: None,
             committed: Ledger::new(),
             overlay: BTreeMap::new(),
--- a/crates/mustardcove-core/src/shard/config.rs
+++ b/crates/mustardcove-core/src/shard/config.rs
@@ -14,6 +14,12 @@
 pub struct ShardConfig {
     /// Shortest time between two appends, in milliseconds.
     pub commit_interval_ms: u64,
+    /// How long an append waits for the place of an urgent job that was just
+    /// accepted, in milliseconds. It covers a round trip between regions.
+    pub urgent_hold_ms: u64,
+    /// How long after a takeover a submission is not refused because of its
+    /// size, in milliseconds: summaries of groups may not have arrived yet.
+    pub settle_ms: u64,
     /// How long a finished job is remembered, in milliseconds.
     pub retention_ms: u64,
     /// Finished jobs beyond which new submissions are refused.
@@ -75,6 +81,8 @@
     fn default() -> ShardConfig {
         ShardConfig {
             commit_interval_ms: COMMIT_INTERVAL_MS,
+            urgent_hold_ms: 50,
+            settle_ms: 5000,
             retention_ms: 24 * 3600 * 1000,
             max_done: 10_000,
             max_state_bytes: MAX_STATE_BYTES,
--- a/crates/mustardcove-core/src/shard/groups.rs
+++ b/crates/mustardcove-core/src/shard/groups.rs
@@ -191,6 +191,9 @@
         to_group(&group, ShardToGroup::Reserve(reserve), out);
         let until = self.now.plus_ms(self.cfg.reserve_timeout_ms);
         self.set_step(id, Step::Asked { group, until });
+        if urgent {
+            self.hold_for_place(id);
+        }
     }
 
     /// Lets a job wait before groups are asked again.
--- a/crates/mustardcove-core/src/shard/log.rs
+++ b/crates/mustardcove-core/src/shard/log.rs
@@ -21,7 +21,7 @@
     proof::Unproven,
 };
 use crate::{
-    id::{CallId, ProcessId, SegmentNumber, TaskId},
+    id::{CallId, JobId, ProcessId, SegmentNumber, TaskId},
     job::Checkpoint,
     ledger::{
         Record, Segment, log_key, log_prefix,
@@ -84,6 +84,9 @@
     pub(super) check_at: Timestamp,
     pub(super) needs_proof: Vec<Unproven>,
     pub(super) proof_due: Timestamp,
+    /// Until when an append waits for the place of an urgent job, so that its
+    /// acceptance and its binding share a segment.
+    hold_until: Timestamp,
     pub(super) appends: u64,
     pub(super) last_error: String,
 }
@@ -106,6 +109,7 @@
             check_at: now,
             needs_proof: Vec::new(),
             proof_due: Timestamp::MAX,
+            hold_until: now,
             appends: 0,
             last_error: String::new(),
         }
@@ -160,7 +164,7 @@
         let due = self.log.due_at(self.cfg.commit_interval_ms);
         let has_records = !self.log.queue.is_empty() || !self.log.checkpoints.is_empty();
         let wanted = if has_records { Timestamp(0) } else { self.log.proof_due };
-        let append = (wanted < Timestamp::MAX).then_some(due.max(wanted));
+        let append = (wanted < Timestamp::MAX).then_some(due.max(wanted).max(self.log.hold_until));
         earliest(append, check)
     }
 
@@ -189,12 +193,31 @@
         if self.phase == Phase::Ready && self.log.check_at.max(self.idle_check_at()) <= self.now {
             self.probe(out);
         }
-        let due = self.log.due_at(self.cfg.commit_interval_ms) <= self.now;
+        let due_at = self.log.due_at(self.cfg.commit_interval_ms).max(self.log.hold_until);
+        let due = due_at <= self.now;
         if due && self.log.has_work(self.now) && self.phase != Phase::Recovering {
             self.append(out);
         }
     }
 
+    /// Lets the next append wait a moment for the place of an urgent job whose
+    /// acceptance is queued.
+    pub(super) fn hold_for_place(&mut self, job: JobId) {
+        let is_queued = self
+            .log
+            .queue
+            .iter()
+            .any(|it| it.job == Some(job) && matches!(it.record, Record::Accepted { .. }));
+        if is_queued && self.log.hold_until <= self.now {
+            self.log.hold_until = self.now.plus_ms(self.cfg.urgent_hold_ms);
+        }
+    }
+
+    /// Ends such a wait: a group has answered.
+    pub(super) fn end_hold(&mut self) {
+        self.log.hold_until = self.now;
+    }
+
     /// Appends the record that makes this process the owner.
     pub(super) fn claim(&mut self, out: &mut Vec<ShardAction>) {
         let record =
@@ -217,6 +240,7 @@
         };
         let value = Segment::assemble(&header, entries.iter().map(|it| it.encoded.as_ref()));
         self.log.proof_due = Timestamp::MAX;
+        self.log.hold_until = self.now;
         self.log.in_flight = Some(InFlight {
             seq: self.log.tail.next(),
             header,
--- a/crates/mustardcove-core/src/shard/recovery.rs
+++ b/crates/mustardcove-core/src/shard/recovery.rs
@@ -183,6 +183,7 @@
     /// Begins to serve: this process's `Owner` record is durable.
     pub(super) fn become_ready(&mut self, out: &mut Vec<ShardAction>) {
         self.phase = Phase::Ready;
+        self.ready_at = self.now;
         self.upkeep.begin(self.now, self.cfg.delete_after_ms);
         let jobs: Vec<_> = self.committed.jobs().map(|(id, _)| id).collect();
         let mut groups: BTreeSet<GroupId> = self.groups.names().cloned().collect();
--- a/crates/mustardcove-core/src/shard/tasks.rs
+++ b/crates/mustardcove-core/src/shard/tasks.rs
@@ -137,6 +137,7 @@
         deadline: Timestamp,
         out: &mut Vec<ShardAction>,
     ) {
+        self.end_hold();
         let latest = self.latest(task.job);
         if latest.is_some_and(|it| is_bound_in(it, &from, task)) {
             return;
@@ -167,6 +168,7 @@
         reason: ReserveRefusal,
         retry_at: Timestamp,
     ) {
+        self.end_hold();
         let Some(soft) = self.queue.get_mut(task.job) else { return };
         if !matches!(&soft.step, Step::Asked { group, .. } if *group == from) {
             return;
--- a/crates/mustardcove-core/src/shard/validate.rs
+++ b/crates/mustardcove-core/src/shard/validate.rs
@@ -65,7 +65,9 @@
             let detail = format!("the job needs {}; the cap is {}", spec.resources, member.cap);
             return refuse(RefusalReason::OverCap, detail);
         }
-        if path == Path::Task && !self.groups.could_hold(spec.resources) {
+        let is_fleet_known = self.cfg.settle_ms <= self.now.ms_since(self.ready_at);
+        let can_run = !is_fleet_known || self.groups.could_hold(spec.resources);
+        if path == Path::Task && !can_run {
             let detail = format!("no worker could hold {}", spec.resources);
             return refuse(RefusalReason::NeverRunnable, detail);
         }
--- a/crates/mustardcove-core/tests/submit_checks.rs
+++ b/crates/mustardcove-core/tests/submit_checks.rs
@@ -26,6 +26,7 @@
 #[test]
 fn refusals() {
     let mut world = World::ready(1);
+    world.run(5000);
     let good = spec("scan", "order-1", "album");
     let with = |change: &dyn Fn(&mut JobSpec)| {
         let mut spec = good.clone();
