Limit the text of workers that is stored

Cause: an account of a failure or a checkpoint token of more than 1 MB made a segment that the store refuses, and the shard tried it again for ever. Change: accounts are cut to 4 KB, and longer checkpoint tokens are not used.

--- a/crates/mustardcove-core/src/shard.rs
+++ b/crates/mustardcove-core/src/shard.rs
@@ -202,6 +202,10 @@
     ///
     /// `seed` must differ between any two instances, also of other processes:
     /// write tokens and call identifiers are derived from it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `shards` is zero.
     pub fn new(
         id: ShardId,
         shards: u16,
@@ -210,6 +214,7 @@
         seed: u64,
         now: Timestamp,
     ) -> Shard {
+        assert!(0 < shards, "a deployment has at least one shard");
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (next_call, next_token) = (rng.random::<u64>() >> 1, rng.random::<u64>() >> 1);
         Shard {
--- a/crates/mustardcove-core/src/shard/service.rs
+++ b/crates/mustardcove-core/src/shard/service.rs
@@ -13,7 +13,7 @@
     commit::{Effect, Origin},
     jobs::attempts,
     requests::{Caller, key_reused},
-    tasks::too_large,
+    tasks::{storable, too_large},
     validate::Path,
 };
 use crate::{
@@ -200,6 +200,10 @@
                 self.schedule(id);
                 self.attach(id, Effect::Completed { id: answer }, out);
             }
+            Outcome::Failed { refusal } => {
+                let outcome = Outcome::Failed { refusal: storable(refusal) };
+                self.finish(id, outcome, effects, Origin::Keep, out);
+            }
             outcome => self.finish(id, outcome, effects, Origin::Keep, out),
         }
     }
--- a/crates/mustardcove-core/src/shard/tasks.rs
+++ b/crates/mustardcove-core/src/shard/tasks.rs
@@ -30,6 +30,10 @@
 /// milliseconds.
 const NEVER_FITS_MS: u64 = 60_000;
 
+/// Longest account of a failure and longest checkpoint token that are stored,
+/// in bytes. Workers choose both, and a segment must fit into the store.
+const MAX_TEXT_BYTES: usize = 4096;
+
 /// What this owner knows of an attempt that a message names.
 enum Standing {
     /// It is the current attempt and bound in the group that speaks.
@@ -70,7 +74,9 @@
             GroupToShard::Checkpointed { task, checkpoint } => {
                 if let Standing::Current = self.standing(&from, task) {
                     self.confirm(task.job);
-                    self.push_checkpoint(task, checkpoint);
+                    if is_storable(&checkpoint) {
+                        self.push_checkpoint(task, checkpoint);
+                    }
                 }
             }
             GroupToShard::Finished { task, outcome } => {
@@ -213,6 +219,7 @@
         refusal: Refusal,
         out: &mut Vec<ShardAction>,
     ) {
+        let refusal = storable(refusal);
         if refusal.verdict == Verdict::NotRun {
             return self.on_lost(from, task, Evidence::RefusedByWorker, out);
         }
@@ -236,6 +243,7 @@
         checkpoint: Option<Checkpoint>,
         out: &mut Vec<ShardAction>,
     ) {
+        let checkpoint = checkpoint.filter(is_storable);
         self.end_attempt(from, Record::Evicted { task, checkpoint }, task, out);
     }
 
@@ -308,6 +316,17 @@
     }
 }
 
+/// Cuts the account of a failure to what is stored.
+pub(super) fn storable(mut refusal: Refusal) -> Refusal {
+    let end = refusal.detail.floor_char_boundary(MAX_TEXT_BYTES);
+    refusal.detail.truncate(end);
+    refusal
+}
+
+fn is_storable(checkpoint: &Checkpoint) -> bool {
+    checkpoint.token.len() <= MAX_TEXT_BYTES
+}
+
 fn acknowledgement(group: GroupId, task: TaskId) -> Effect {
     Effect::Tell { group, body: Box::new(ShardToGroup::Acknowledge { task }) }
 }
--- a/crates/mustardcove-core/src/shard/validate.rs
+++ b/crates/mustardcove-core/src/shard/validate.rs
@@ -83,7 +83,7 @@
         if self.is_store_down() {
             return Err(self.store_unavailable());
         }
-        let share = self.cfg.max_state_bytes / usize::from(self.shards.max(1));
+        let share = self.cfg.max_state_bytes / usize::from(self.shards);
         let detail = if self.cfg.max_done <= self.committed.done_count() {
             "too many finished jobs are remembered"
         } else if share <= self.committed.approximate_bytes() {
--- a/crates/mustardcove-core/tests/evict_resume.rs
+++ b/crates/mustardcove-core/tests/evict_resume.rs
@@ -9,6 +9,7 @@
     job::{Checkpoint, Evidence, JobSpec, Outcome},
     message::{GroupToShard, ShardRequest},
     shard::ShardEvent,
+    verdict::{Refusal, RefusalReason, Verdict},
 };
 
 fn started(world: &mut World, class: &str) -> (JobSpec, TaskId) {
@@ -104,6 +105,27 @@
     assert_eq!(second.attempt, first.attempt.next());
 }
 
+/// Guards against a log that stops for good because a worker's text makes a
+/// segment larger than the store accepts.
+#[test]
+fn long_texts() {
+    let mut world = World::ready(6);
+    let (spec, first) = started(&mut world, "scan");
+    let token = "x".repeat(2 << 20);
+    let checkpoint = Some(Checkpoint { token, progress_permille: 500 });
+    world.fleet.end(first, GroupToShard::Evicted { task: first, checkpoint });
+    world.run(2000);
+    let second = world.fleet.running_task(spec.id()).expect("the job resumed");
+    let detail = "y".repeat(2 << 20);
+    let (verdict, reason) = (Verdict::Ran, RefusalReason::UpstreamFailed);
+    let refusal = Refusal { verdict, reason, detail, retry_at: None };
+    let outcome = Outcome::Failed { refusal };
+    world.fleet.end(second, GroupToShard::Finished { task: second, outcome });
+    world.run(2000);
+    assert!(world.fleet.running_task(spec.id()).is_some(), "the job was not tried again");
+    assert!(world.fleet.ended.is_empty());
+}
+
 /// Guards against a cancelled job that is resumed after its eviction, and
 /// against a queued one that is started after its cancellation.
 #[test]
