--- a/crates/mustardcove-core/tests/shard_takeover.rs
+++ b/crates/mustardcove-core/tests/shard_takeover.rs
@@ -234,6 +234,29 @@
     assert_eq!(world.owners[n].shard.job_counts().bound, world.truth.ledger.len());
 }
 
+/// Guards against an old owner that takes no notice of an attempt that it
+/// never bound, or acknowledges its end.
+#[test]
+fn attempt_of_successor() {
+    let mut world = busy(ShardConfig::default(), 1);
+    let first = *world.fleet.running.keys().next().unwrap();
+    world.owners[0].alive = false;
+    world.add_owner();
+    world.run(1000);
+    world.fleet.lose(first);
+    world.run(1000);
+    let second = *world.fleet.running.keys().next().unwrap();
+    assert_ne!(first, second);
+    world.fleet.succeed(second);
+    world.owners[0].alive = true;
+    world.deliver_to_shard(0);
+    assert!(world.answer_call(0), "no call was made to check the ownership");
+    assert!(world.owners[0].fenced);
+    world.run(1500);
+    assert!(world.truth.over.contains(&second));
+    assert!(world.fleet.ended.is_empty());
+}
+
 /// Guards against an old owner that goes on answering because it has nothing
 /// to append.
 #[test]
