Inject deadlines and act on those that an outage uncovers

Cause: a job whose binding was dropped when the store was found to be away could have a deadline in the past, which was handled only with the next tick (found by deadlines in the property test). Change: what became due while an event was handled is done with it. Tests check that no job that ran ends as not run, and what happens to tasks that a group does not know.

--- a/crates/mustardcove-core/src/shard.rs
+++ b/crates/mustardcove-core/src/shard.rs
@@ -299,6 +299,15 @@
 
     /// Does what is due by now, whatever the event was.
     fn advance(&mut self, out: &mut Vec<ShardAction>) {
+        self.do_due(out);
+        // The store found to be away gives jobs back to a state whose deadline
+        // may have passed.
+        if self.next_deadline().is_some_and(|it| it <= self.now) {
+            self.do_due(out);
+        }
+    }
+
+    fn do_due(&mut self, out: &mut Vec<ShardAction>) {
         match self.phase {
             Phase::New | Phase::Dropped => return,
             Phase::Recovering => self.run_recovery(out),
--- a/crates/mustardcove-core/tests/evict_resume.rs
+++ b/crates/mustardcove-core/tests/evict_resume.rs
@@ -7,9 +7,10 @@
 use mustardcove_core::{
     id::TaskId,
     job::{Checkpoint, Evidence, JobSpec, Outcome},
-    message::{GroupToShard, ShardRequest},
+    message::{GroupToShard, ShardRequest, ShardToGroup},
     shard::ShardEvent,
     verdict::{Refusal, RefusalReason, Verdict},
+    worker::StopMode,
 };
 
 fn started(world: &mut World, class: &str) -> (JobSpec, TaskId) {
@@ -105,6 +106,36 @@
     assert_eq!(second.attempt, first.attempt.next());
 }
 
+/// Guards against tasks that nobody accounts for, and against stopping a task
+/// that a newer owner of the shard may have started.
+#[test]
+fn unknown_task() {
+    let mut world = World::ready(7);
+    let (spec, first) = started(&mut world, "scan");
+    let (from, worker) = world.fleet.running[&first].clone();
+    world.fleet.evict(first, 100);
+    world.run(1000);
+    let unknown = |world: &mut World, task| {
+        let body = GroupToShard::Unknown { task, worker: worker.clone() };
+        world.event(0, ShardEvent::Group { from: from.clone(), body });
+    };
+    let is_stop = |body: &ShardToGroup, it: TaskId| matches!(body, ShardToGroup::Stop { task, mode: StopMode::Kill, .. } if *task == it);
+    unknown(&mut world, first);
+    assert!(world.to_fleet.iter().any(|(_, body)| is_stop(body, first)));
+    assert!(world.fleet.running_task(spec.id()).is_some());
+
+    let stranger = TaskId { job: doubles::spec("scan", "order-9", "album").id(), ..first };
+    unknown(&mut world, stranger);
+    assert!(!world.to_fleet.iter().any(|(_, body)| is_stop(body, stranger)));
+    for _ in 0..20 {
+        world.now = world.now.plus_ms(250);
+        world.event(0, ShardEvent::Tick);
+    }
+    assert!(!world.to_fleet.iter().any(|(_, body)| is_stop(body, stranger)));
+    while world.answer_call(0) {}
+    assert!(world.to_fleet.iter().any(|(_, body)| is_stop(body, stranger)));
+}
+
 /// Guards against a log that stops for good because a worker's text makes a
 /// segment larger than the store accepts.
 #[test]
--- a/crates/mustardcove-core/tests/shard_faults.rs
+++ b/crates/mustardcove-core/tests/shard_faults.rs
@@ -139,7 +139,11 @@
     match kind % 32 {
         0..=2 => {
             let serving = world.serving().unwrap_or(n);
-            world.request(serving, ShardRequest::Submit { spec: task_spec(a, b) });
+            let mut spec = task_spec(a, b);
+            if b.is_multiple_of(5) {
+                spec.deadline = Some(world.now.plus_ms(1 + u64::from(b) * 40));
+            }
+            world.request(serving, ShardRequest::Submit { spec });
         }
         3 => _ = world.request(n, ShardRequest::Submit { spec: task_spec(b, a) }),
         4 => admit(world, n, a, b),
--- a/crates/mustardcove-core/tests/support/fleet.rs
+++ b/crates/mustardcove-core/tests/support/fleet.rs
@@ -20,7 +20,7 @@
     pub epochs: BTreeMap<GroupId, Epoch>,
     reserved: BTreeMap<TaskId, (GroupId, WorkerId, Epoch)>,
     pub running: BTreeMap<TaskId, (GroupId, WorkerId)>,
-    started: BTreeSet<TaskId>,
+    pub started: BTreeSet<TaskId>,
     /// From where each attempt was resumed.
     pub resumed: BTreeMap<TaskId, Option<Checkpoint>>,
     /// Ends of attempts that are repeated until they are acknowledged.
--- a/crates/mustardcove-core/tests/support/world.rs
+++ b/crates/mustardcove-core/tests/support/world.rs
@@ -241,6 +241,13 @@
         for job in &self.promised {
             assert!(self.truth.state(*job).is_some(), "acknowledged {job} was lost");
         }
+        for (job, it) in self.truth.ledger.jobs() {
+            let JobState::Done { outcome: Outcome::Failed { refusal }, .. } = &it.state else {
+                continue;
+            };
+            let ran = self.fleet.started.iter().any(|it| it.job == job);
+            assert!(!ran || refusal.verdict != Verdict::NotRun, "{job} ended as not run but ran");
+        }
         for request in &self.not_run {
             let (_, asked) = &self.asked[request];
             let others = self.asked.values().filter(|(_, it)| it == asked).count();
