--- a/crates/mustardcove-core/tests/evict_resume.rs
+++ b/crates/mustardcove-core/tests/evict_resume.rs
@@ -7,8 +7,10 @@
 use mustardcove_core::{
     id::TaskId,
     job::{Checkpoint, Evidence, JobSpec, Outcome},
-    message::{GroupToShard, ShardRequest},
+    message::{GroupToShard, ShardRequest, ShardToGroup},
     shard::ShardEvent,
+    verdict::{Refusal, RefusalReason, Verdict},
+    worker::StopMode,
 };
 
 fn started(world: &mut World, class: &str) -> (JobSpec, TaskId) {
@@ -104,6 +106,57 @@
     assert_eq!(second.attempt, first.attempt.next());
 }
 
+/// Guards against tasks that nobody accounts for, and against stopping a task
+/// that a newer owner of the shard may have started.
+#[test]
+fn unknown_task() {
+    let mut world = World::ready(7);
+    let (spec, first) = started(&mut world, "scan");
+    let (from, worker) = world.fleet.running[&first].clone();
+    world.fleet.evict(first, 100);
+    world.run(1000);
+    let unknown = |world: &mut World, task| {
+        let body = GroupToShard::Unknown { task, worker: worker.clone() };
+        world.event(0, ShardEvent::Group { from: from.clone(), body });
+    };
+    let is_stop = |body: &ShardToGroup, it: TaskId| matches!(body, ShardToGroup::Stop { task, mode: StopMode::Kill, .. } if *task == it);
+    unknown(&mut world, first);
+    assert!(world.to_fleet.iter().any(|(_, body)| is_stop(body, first)));
+    assert!(world.fleet.running_task(spec.id()).is_some());
+
+    let stranger = TaskId { job: doubles::spec("scan", "order-9", "album").id(), ..first };
+    unknown(&mut world, stranger);
+    assert!(!world.to_fleet.iter().any(|(_, body)| is_stop(body, stranger)));
+    for _ in 0..20 {
+        world.now = world.now.plus_ms(250);
+        world.event(0, ShardEvent::Tick);
+    }
+    assert!(!world.to_fleet.iter().any(|(_, body)| is_stop(body, stranger)));
+    while world.answer_call(0) {}
+    assert!(world.to_fleet.iter().any(|(_, body)| is_stop(body, stranger)));
+}
+
+/// Guards against a log that stops for good because a worker's text makes a
+/// segment larger than the store accepts.
+#[test]
+fn long_texts() {
+    let mut world = World::ready(6);
+    let (spec, first) = started(&mut world, "scan");
+    let token = "x".repeat(2 << 20);
+    let checkpoint = Some(Checkpoint { token, progress_permille: 500 });
+    world.fleet.end(first, GroupToShard::Evicted { task: first, checkpoint });
+    world.run(2000);
+    let second = world.fleet.running_task(spec.id()).expect("the job resumed");
+    let detail = "y".repeat(2 << 20);
+    let (verdict, reason) = (Verdict::Ran, RefusalReason::UpstreamFailed);
+    let refusal = Refusal { verdict, reason, detail, retry_at: None };
+    let outcome = Outcome::Failed { refusal };
+    world.fleet.end(second, GroupToShard::Finished { task: second, outcome });
+    world.run(2000);
+    assert!(world.fleet.running_task(spec.id()).is_some(), "the job was not tried again");
+    assert!(world.fleet.ended.is_empty());
+}
+
 /// Guards against a cancelled job that is resumed after its eviction, and
 /// against a queued one that is started after its cancellation.
 #[test]
