Make a choice cheaper

Cause: p50 21.7 us and p99 39.7 us for a choice among 750 workers, against a bound of 25 us at p99; naive took 8.1 us and 16.7 us in the same run, on a machine with a load of 24 on 10 cores. Change: workers whose loss alone is too high are passed over first, losses lie together by class, divisions and counts per rack are computed ahead, and exploration looks at 16 workers. The benchmark now starts and ends a task between two choices. An offset in the check for slow services, which no test needed any more, is gone.

--- a/crates/mustardcove-core/benches/placement.rs
+++ b/crates/mustardcove-core/benches/placement.rs
@@ -78,12 +78,15 @@
 }
 
 /// Prints percentiles of single choices, which an average would hide.
+///
+/// Each chosen task is started and another one ends between two choices, so
+/// that a policy cannot rest on what it computed before.
 #[expect(clippy::print_stdout, reason = "a benchmark reports on standard output")]
 fn percentiles(
     name: &str,
     policy: &mut impl PlacementPolicy,
     classes: &ClassTable,
-    workers: &[WorkerView],
+    mut workers: Vec<WorkerView>,
 ) {
     let requests = requests(classes);
     let mut times = hdrhistogram::Histogram::<u64>::new(3).unwrap();
@@ -91,8 +94,16 @@
         let now = Timestamp(fleet::START.0 + 60_000 + index as u64);
         let request = &requests[index % requests.len()];
         let begin = std::time::Instant::now();
-        black_box(policy.choose(now, classes, black_box(request), workers));
+        let choice = policy.choose(now, classes, black_box(request), black_box(&workers));
         times.record(begin.elapsed().as_nanos() as u64).unwrap();
+        if let Some(chosen) = choice {
+            fleet::start(&mut workers[chosen], now, request);
+            let count = workers.len();
+            let other = &mut workers[(index * 7919) % count];
+            if !other.tasks.is_empty() {
+                fleet::end(other, 0);
+            }
+        }
     }
     println!(
         "{name}: {TIMED_CHOICES} choices, p50 {} ns, p99 {} ns, p99.9 {} ns",
@@ -110,8 +121,8 @@
         let mut learned = LearnedPolicy::new(1);
         teach(&mut learned, &classes, &workers);
         let mut naive = BestFitPolicy::new();
-        percentiles(&format!("learned/{count}"), &mut learned, &classes, &workers);
-        percentiles(&format!("naive/{count}"), &mut naive, &classes, &workers);
+        percentiles(&format!("learned/{count}"), &mut learned, &classes, workers.clone());
+        percentiles(&format!("naive/{count}"), &mut naive, &classes, workers.clone());
         let requests = requests(&classes);
         let now = fleet::START.plus_ms(60_000);
         group.bench_function(BenchmarkId::new("learned", count), |b| {
--- a/crates/mustardcove-core/src/eviction.rs
+++ b/crates/mustardcove-core/src/eviction.rs
@@ -75,18 +75,14 @@
     }
 
     /// Takes note of how slow a latency-critical class is on a worker.
-    ///
-    /// `common` is by how much the class is slowed down on all workers alike; no
-    /// eviction would help against that.
     pub fn observe(
         &mut self,
         now: Timestamp,
         classes: &ClassTable,
         class: ClassIndex,
         sample: &UsageSample,
-        common: f64,
     ) {
-        self.slow.observe(now, classes, class, sample, common);
+        self.slow.observe(now, classes, class, sample);
     }
 
     /// Returns the tasks to evict now; urgent work comes first.
--- a/crates/mustardcove-core/src/eviction/relief.rs
+++ b/crates/mustardcove-core/src/eviction/relief.rs
@@ -87,14 +87,13 @@
         classes: &ClassTable,
         class: ClassIndex,
         sample: &UsageSample,
-        common: f64,
     ) {
         let age = now.ms_since(sample.taken_at);
         let usable = sample.slowdown.is_finite() && age < MAX_STREAK_AGE_MS;
         if !usable || !is_latency_critical(classes, class) {
             return;
         }
-        let slow = slowdown_limit(classes.get(class)) <= sample.slowdown / common.max(1.0);
+        let slow = slowdown_limit(classes.get(class)) <= sample.slowdown;
         let by_class = self.streaks.entry(sample.worker.clone()).or_default();
         let start = Streak { length: 0, taken_at: Timestamp::default() };
         let streak = by_class.entry(class).or_insert(start);
--- a/crates/mustardcove-core/src/interference.rs
+++ b/crates/mustardcove-core/src/interference.rs
@@ -52,15 +52,13 @@
 
     /// Returns the level for an amount committed out of a capacity.
     ///
-    /// Integer arithmetic keeps the level the same in every process.
+    /// Integer arithmetic keeps the level the same in every process. The two
+    /// comparisons are added up because a branch on them is mispredicted for
+    /// every other worker.
     pub fn of(committed: Millicores, capacity: Millicores) -> LoadLevel {
-        if committed.0.saturating_mul(2) < capacity.0 {
-            LoadLevel::Low
-        } else if committed.0.saturating_mul(5) < capacity.0.saturating_mul(4) {
-            LoadLevel::Medium
-        } else {
-            LoadLevel::High
-        }
+        let half = committed.0.saturating_mul(2) >= capacity.0;
+        let four_fifths = committed.0.saturating_mul(5) >= capacity.0.saturating_mul(4);
+        LoadLevel::ALL[usize::from(half) + usize::from(four_fifths)]
     }
 
     /// Returns the level that residents of their classes' sizes cause.
--- a/crates/mustardcove-core/src/interference/learner.rs
+++ b/crates/mustardcove-core/src/interference/learner.rs
@@ -271,12 +271,6 @@
         self.evidence[cell].count + self.remote[cell].1
     }
 
-    /// Returns by how much a class is slowed down at present on all workers
-    /// alike, which no neighbour explains.
-    pub fn common_slowdown(&self, now: Timestamp, victim: ClassIndex) -> f64 {
-        f64::from(self.offsets[victim.as_usize()].decayed(now).max(0.0)).exp()
-    }
-
     /// Reports whether an estimate rests on enough samples over enough time to
     /// act on it.
     ///
--- a/crates/mustardcove-core/src/placement/learned.rs
+++ b/crates/mustardcove-core/src/placement/learned.rs
@@ -87,8 +87,7 @@
     ) {
         self.advance(now, classes);
         let Some(victim) = classes.index_of(&sample.class) else { return };
-        let common = self.table.common_slowdown(now, victim);
-        self.planner.observe(now, classes, victim, sample, common);
+        self.planner.observe(now, classes, victim, sample);
         let sample = SlowdownSample {
             victim,
             is_task: sample.task.is_some(),
--- a/crates/mustardcove-core/src/placement/losses.rs
+++ b/crates/mustardcove-core/src/placement/losses.rs
@@ -40,15 +40,19 @@
     }
 }
 
-/// What the losses of one worker were computed from.
-#[derive(Clone, Debug, Default)]
+/// What the losses of one worker were computed from, as far as every choice
+/// reads it.
+#[derive(Clone, Copy, Debug, Default)]
 struct Basis {
     committed: Resources,
-    residents: Vec<(ClassIndex, u16)>,
-    /// Generation of the table per level; `None` if not computed.
-    generations: [Option<u32>; LOAD_LEVELS],
-    /// Sum over the residents of their weighted slowdowns, per level.
-    totals: [f32; LOAD_LEVELS],
+    /// Generation of the table per level; zero if not computed.
+    generations: [u32; LOAD_LEVELS],
+    residents: u32,
+    /// One over the worker's capacity in each dimension, because divisions take a
+    /// good part of a choice's time.
+    per_cpu: f32,
+    per_memory: f32,
+    per_accelerator: f32,
 }
 
 /// Losses by worker, load level and class.
@@ -57,9 +61,17 @@
     classes: usize,
     weights: Vec<ClassWeight>,
     bases: Vec<Basis>,
+    /// Losses by class, level and worker, so that what one choice reads lies
+    /// together.
     losses: Vec<f32>,
+    /// The residents of each worker that the losses were computed from.
+    residents: Vec<Vec<(ClassIndex, u16)>>,
+    /// Sum over each worker's residents of their weighted slowdowns, per level.
+    totals: Vec<[f32; LOAD_LEVELS]>,
     /// Logarithm of the slowdown per class, while a row is computed.
     logs: Vec<f32>,
+    /// Loss per class, while a row is computed.
+    row: Vec<f32>,
     generation: u32,
 }
 
@@ -67,7 +79,7 @@
     /// Prepares for workers, classes and a table; allocates only when there are
     /// more of them than before.
     pub(super) fn prepare(&mut self, classes: &ClassTable, workers: usize, generation: u32) {
-        self.generation = generation;
+        self.generation = generation.max(1);
         let weights = (0..classes.len()).map(|it| ClassWeight::of(classes, ClassIndex(it as u16)));
         let same = self.classes == classes.len()
             && self.bases.len() == workers
@@ -79,8 +91,12 @@
         self.weights.clear();
         self.weights.extend(weights);
         self.logs.resize(self.classes, 0.0);
+        self.row.resize(self.classes, 0.0);
         self.bases.clear();
         self.bases.resize(workers, Basis::default());
+        self.residents.iter_mut().for_each(Vec::clear);
+        self.residents.resize(workers, Vec::new());
+        self.totals.resize(workers, [0.0; LOAD_LEVELS]);
         self.losses.clear();
         self.losses.resize(workers * LOAD_LEVELS * self.classes, 0.0);
     }
@@ -96,6 +112,7 @@
     ///
     /// The figure is computed anew if the worker's commitments have changed. It
     /// may rest on an older generation of the table.
+    #[inline]
     pub(super) fn loss(
         &mut self,
         table: &SlowdownTable,
@@ -106,20 +123,32 @@
     ) -> f32 {
         let basis = &self.bases[worker];
         let same = basis.committed == view.committed
-            && basis.residents.len() == view.residents.len()
-            && basis.generations[level.as_usize()].is_some();
+            && basis.residents as usize == view.residents.len()
+            && basis.generations[level.as_usize()] != 0;
         if !same {
             self.renew(table, worker, view, level);
         }
-        self.losses[self.row(worker, level) + class.as_usize()]
+        self.losses[self.position(class.as_usize(), level, worker)]
+    }
+
+    /// Returns amounts of processors, memory and accelerators as shares of a
+    /// worker whose loss has been asked for.
+    #[inline]
+    pub(super) fn shares(&self, worker: usize, amount: Resources) -> [f32; 3] {
+        let basis = &self.bases[worker];
+        // Signed numbers are converted by one instruction, unsigned ones not.
+        let cpu = amount.cpu.0 as i64 as f32;
+        let memory = amount.memory.0 as i64 as f32;
+        let accelerators = amount.accelerators.0 as i32 as f32;
+        [cpu * basis.per_cpu, memory * basis.per_memory, accelerators * basis.per_accelerator]
     }
 
     /// Reports whether a figure rests on the present table and residents.
     pub(super) fn is_current(&self, worker: usize, view: &WorkerView, level: LoadLevel) -> bool {
         let basis = &self.bases[worker];
-        basis.generations[level.as_usize()] == Some(self.generation)
+        basis.generations[level.as_usize()] == self.generation
             && basis.committed == view.committed
-            && basis.residents == view.residents
+            && self.residents[worker] == view.residents
     }
 
     /// Computes the figures of a worker at a load level.
@@ -131,21 +160,28 @@
         level: LoadLevel,
     ) {
         let basis = &mut self.bases[worker];
-        if basis.committed != view.committed || basis.residents != view.residents {
+        let residents = &mut self.residents[worker];
+        if basis.committed != view.committed || *residents != view.residents {
             basis.committed = view.committed;
-            basis.residents.clear();
-            basis.residents.extend_from_slice(&view.residents);
-            basis.generations = [None; LOAD_LEVELS];
+            basis.residents = view.residents.len() as u32;
+            basis.generations = [0; LOAD_LEVELS];
+            residents.clear();
+            residents.extend_from_slice(&view.residents);
         }
+        basis.per_cpu = inverse(view.capacity.cpu.0);
+        basis.per_memory = inverse(view.capacity.memory.0);
+        basis.per_accelerator = inverse(u64::from(view.capacity.accelerators.0));
         let present = LoadLevel::of(view.committed.cpu, view.capacity.cpu);
         self.compute(table, worker, present);
         if present != level {
             self.compute(table, worker, level);
             // Every resident feels it when the worker reaches another level.
-            let totals = self.bases[worker].totals;
+            let totals = self.totals[worker];
             let more = totals[level.as_usize()] - totals[present.as_usize()];
-            let row = self.row(worker, level);
-            self.losses[row..row + self.classes].iter_mut().for_each(|it| *it += more.max(0.0));
+            for class in 0..self.classes {
+                let position = self.position(class, level, worker);
+                self.losses[position] += more.max(0.0);
+            }
         }
     }
 
@@ -153,12 +189,10 @@
     /// were at that level already.
     fn compute(&mut self, table: &SlowdownTable, worker: usize, level: LoadLevel) {
         let classes = self.classes;
-        let row = self.row(worker, level);
-        let basis = &mut self.bases[worker];
-        let losses = &mut self.losses[row..row + classes];
+        let losses = &mut self.row[..classes];
         let logs = &mut self.logs[..classes];
         logs.fill(0.0);
-        for &(class, count) in &basis.residents {
+        for &(class, count) in &self.residents[worker] {
             let count = f32::from(count);
             let caused = &table.log_row(level, class)[..classes];
             logs.iter_mut().zip(caused).for_each(|(sum, it)| *sum += count * it);
@@ -169,7 +203,7 @@
             *loss = class.weight * lost;
         }
         let mut total = 0.0;
-        for &(victim, count) in &basis.residents {
+        for &(victim, count) in &self.residents[worker] {
             let class = self.weights[victim.as_usize()];
             let own = table.log_row(level, victim)[victim.as_usize()];
             let slowdown = (logs[victim.as_usize()] - own).exp();
@@ -186,11 +220,20 @@
                 terms.for_each(|(sum, it)| *sum += progress * it / (1.0 + it));
             }
         }
-        basis.totals[level.as_usize()] = total;
-        basis.generations[level.as_usize()] = Some(self.generation);
+        for class in 0..classes {
+            let position = self.position(class, level, worker);
+            self.losses[position] = self.row[class];
+        }
+        self.totals[worker][level.as_usize()] = total;
+        self.bases[worker].generations[level.as_usize()] = self.generation;
     }
 
-    fn row(&self, worker: usize, level: LoadLevel) -> usize {
-        (worker * LOAD_LEVELS + level.as_usize()) * self.classes
+    fn position(&self, class: usize, level: LoadLevel, worker: usize) -> usize {
+        (class * LOAD_LEVELS + level.as_usize()) * self.bases.len() + worker
     }
 }
+
+/// Returns one over a size; zero if there is none.
+fn inverse(size: u64) -> f32 {
+    if size == 0 { 0.0 } else { 1.0 / size as f32 }
+}
--- a/crates/mustardcove-core/src/placement/oracle.rs
+++ b/crates/mustardcove-core/src/placement/oracle.rs
@@ -56,7 +56,7 @@
         _capacity: Resources,
     ) {
         if let Some(class) = classes.index_of(&sample.class) {
-            self.planner.observe(now, classes, class, sample, 1.0);
+            self.planner.observe(now, classes, class, sample);
         }
     }
 
--- a/crates/mustardcove-core/src/placement/score.rs
+++ b/crates/mustardcove-core/src/placement/score.rs
@@ -7,11 +7,9 @@
     class::{ClassIndex, ClassKind, ClassTable},
     interference::{InterferenceTable, LoadLevel, SlowdownTable},
     placement::{
-        PlacementRequest, WorkerIndex, WorkerView,
-        losses::LossCache,
-        spread::{SpreadIndex, SpreadRow},
+        PlacementRequest, WorkerIndex, WorkerView, losses::LossCache, spread::SpreadIndex,
     },
-    size::Resources,
+    size::{Millicores, Resources},
     time::Timestamp,
 };
 
@@ -42,6 +40,10 @@
 /// milliseconds.
 const MIN_PATIENCE_MS: u64 = 30_000;
 
+/// Most workers among which one choice explores; looking at how much is known
+/// of every pair is too slow for more.
+const EXPLORED_WORKERS: usize = 16;
+
 /// Most workers whose figures one choice computes anew because the table has
 /// changed; it bounds the time of a choice.
 const RENEWALS_PER_CHOICE: usize = 12;
@@ -81,10 +83,10 @@
         request: &PlacementRequest,
         workers: &[WorkerView],
     ) -> Option<WorkerIndex> {
-        self.spread.follow(classes, workers);
+        self.spread.follow(classes, workers, self.cursor);
         self.losses.prepare(classes, workers.len(), generation);
         self.rotate(table, workers, ROTATION_PER_CHOICE);
-        let row = self.spread.row(request);
+        self.spread.select(request);
         let mut renewals = 0;
         let mut best = None;
         let mut best_score = f32::INFINITY;
@@ -93,19 +95,24 @@
             if !has_room(view, request) {
                 continue;
             }
-            let preference = preference(&row, request, index, view);
             let level = level_with(view, request.resources);
             let mut loss = self.losses.loss(table, index, view, level, request.class);
-            let mut score = preference + loss;
-            let renewable = renewals < RENEWALS_PER_CHOICE;
-            if score < best_score && renewable && !self.losses.is_current(index, view, level) {
+            // The other terms are not negative, so most workers are passed over
+            // here, before the costlier part of the score.
+            if best_score <= loss {
+                continue;
+            }
+            let left = view.free().saturating_sub(request.resources);
+            let shares = self.losses.shares(index, left);
+            let preference = preference(self.spread.crowding(index), request, view, shares);
+            let renewable = renewals < RENEWALS_PER_CHOICE && preference + loss < best_score;
+            if renewable && !self.losses.is_current(index, view, level) {
                 renewals += 1;
                 self.losses.renew(table, index, view, level);
                 loss = self.losses.loss(table, index, view, level, request.class);
-                score = preference + loss;
             }
-            if score < best_score {
-                best_score = score;
+            if preference + loss < best_score {
+                best_score = preference + loss;
                 best_loss = loss;
                 best = Some(index);
             }
@@ -131,7 +138,10 @@
     ) -> Option<WorkerIndex> {
         let mut best = None;
         let mut best_unknown = 0.0;
-        for (index, view) in workers.iter().enumerate() {
+        // The cursor moves on with every choice, so that all get their turn.
+        let start = self.cursor.min(workers.len());
+        let in_turn = workers.iter().enumerate().cycle().skip(start);
+        for (index, view) in in_turn.take(EXPLORED_WORKERS.min(workers.len())) {
             let open = has_room(view, request) && !is_avoided(view, request);
             if !open || hurts_service(table.slowdowns(), classes, request, view) {
                 continue;
@@ -177,30 +187,24 @@
 }
 
 /// Returns the part of the score that does not depend on interference.
+#[inline]
 fn preference(
-    spread: &SpreadRow<'_>,
+    crowding: f32,
     request: &PlacementRequest,
-    index: WorkerIndex,
     view: &WorkerView,
+    [cpu, memory, accelerators]: [f32; 3],
 ) -> f32 {
-    let needs = request.resources;
-    let left = view.free().saturating_sub(needs);
-    let cpu = share(left.cpu.0, view.capacity.cpu.0);
-    let memory = share(left.memory.0, view.capacity.memory.0);
-    let accelerators = if left.accelerators.0 == 0 {
-        0.0
-    } else {
-        share(u64::from(left.accelerators.0), u64::from(view.capacity.accelerators.0))
-    };
-    let mut score = FIT_WEIGHT * cpu.min(memory) + STRANDING_WEIGHT * (cpu - memory).abs();
-    let blocked = needs.accelerators.0 == 0;
-    score += accelerators * if blocked { ACCELERATOR_WEIGHT } else { FIT_WEIGHT };
-    score += SPREAD_WEIGHT * spread.crowding(index);
-    score += DISTRUST_WEIGHT * (1.0 - view.trust as f32);
-    if is_avoided(view, request) {
-        score += AVOIDED;
-    }
-    score
+    // The shares are never NaN, for which `f32::min` would take longer.
+    let scarcest = if cpu < memory { cpu } else { memory };
+    let blocked = request.resources.accelerators.0 == 0;
+    let accelerator_weight = if blocked { ACCELERATOR_WEIGHT } else { FIT_WEIGHT };
+    let avoided = if is_avoided(view, request) { AVOIDED } else { 0.0 };
+    FIT_WEIGHT * scarcest
+        + STRANDING_WEIGHT * (cpu - memory).abs()
+        + accelerator_weight * accelerators
+        + SPREAD_WEIGHT * crowding
+        + DISTRUST_WEIGHT * (1.0 - view.trust as f32)
+        + avoided
 }
 
 /// Returns how much others may lose by a task, relative to what it gets done.
@@ -260,7 +264,8 @@
 
 /// Returns the load level of a worker with more committed.
 fn level_with(view: &WorkerView, added: Resources) -> LoadLevel {
-    LoadLevel::of(view.committed.saturating_add(added).cpu, view.capacity.cpu)
+    let committed = Millicores(view.committed.cpu.0.saturating_add(added.cpu.0));
+    LoadLevel::of(committed, view.capacity.cpu)
 }
 
 /// Returns a part as a share of a whole; zero if there is none.
--- a/crates/mustardcove-core/src/placement/spread.rs
+++ b/crates/mustardcove-core/src/placement/spread.rs
@@ -20,8 +20,7 @@
 /// Where a worker stands.
 #[derive(Clone, Copy, Debug)]
 struct Position {
-    rack: usize,
-    domain: usize,
+    rack: u32,
     /// Address of the rack's name, which tells cheaply that the slice of
     /// workers is still the one that was counted.
     rack_address: usize,
@@ -35,6 +34,10 @@
     classes: usize,
     racks: usize,
     domains: usize,
+    /// The failure domain of each rack.
+    domain_of: Vec<usize>,
+    /// Crowding of each rack for the selected request.
+    crowding: Vec<f32>,
     /// Counts by member, class and rack.
     by_rack: Vec<u16>,
     /// Counts by member, class and failure domain.
@@ -44,30 +47,21 @@
     counted_at: Option<Timestamp>,
 }
 
-/// The counts that matter for one request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SpreadRow<'a> {
-    positions: &'a [Position],
-    by_rack: &'a [u16],
-    by_domain: &'a [u16],
-    scale: f32,
-}
-
-impl SpreadRow<'_> {
-    /// Returns the share of the tasks that stand in the worker's rack and
-    /// failure domain, from 0.0 to 1.0.
-    pub(super) fn crowding(&self, worker: WorkerIndex) -> f32 {
-        let Some(position) = self.positions.get(worker) else { return 0.0 };
-        let rack = self.by_rack.get(position.rack).copied().unwrap_or(0);
-        let domain = self.by_domain.get(position.domain).copied().unwrap_or(0);
-        (f32::from(rack) + f32::from(domain)) * self.scale
-    }
-}
-
 impl SpreadIndex {
     /// Counts anew if the workers have changed.
-    pub(super) fn follow(&mut self, classes: &ClassTable, workers: &[WorkerView]) {
-        if !self.describes(workers) || self.classes < classes.len() {
+    ///
+    /// Only one worker is compared, at a position that moves from choice to
+    /// choice, because the comparison of all took a tenth of a choice's time.
+    pub(super) fn follow(
+        &mut self,
+        classes: &ClassTable,
+        workers: &[WorkerView],
+        position: WorkerIndex,
+    ) {
+        let known = self.positions.get(position).map(|it| it.rack_address);
+        let same =
+            self.positions.len() == workers.len() && known == workers.get(position).map(address);
+        if !same || self.classes < classes.len() {
             self.count(classes, workers);
         }
     }
@@ -81,19 +75,27 @@
         }
     }
 
-    /// Returns the counts for a request; none if its member has no task.
-    pub(super) fn row(&self, request: &PlacementRequest) -> SpreadRow<'_> {
-        let Some(row) = self.row_index(&request.member, request.class) else {
-            return SpreadRow { positions: &[], by_rack: &[], by_domain: &[], scale: 0.0 };
-        };
-        SpreadRow {
-            positions: &self.positions,
-            by_rack: &self.by_rack[row * self.racks..(row + 1) * self.racks],
-            by_domain: &self.by_domain[row * self.domains..(row + 1) * self.domains],
-            scale: 0.5 / self.totals[row].max(1) as f32,
+    /// Prepares [`SpreadIndex::crowding`] for a request.
+    pub(super) fn select(&mut self, request: &PlacementRequest) {
+        self.crowding.clear();
+        self.crowding.resize(self.racks, 0.0);
+        let Some(row) = self.row_index(&request.member, request.class) else { return };
+        let scale = 0.5 / self.totals[row].max(1) as f32;
+        let by_rack = &self.by_rack[row * self.racks..(row + 1) * self.racks];
+        let by_domain = &self.by_domain[row * self.domains..(row + 1) * self.domains];
+        for ((crowding, rack), domain) in self.crowding.iter_mut().zip(by_rack).zip(&self.domain_of)
+        {
+            *crowding = (f32::from(*rack) + f32::from(by_domain[*domain])) * scale;
         }
     }
 
+    /// Returns the share of the selected request's tasks that stand in a
+    /// worker's rack and failure domain, from 0.0 to 1.0.
+    #[inline]
+    pub(super) fn crowding(&self, worker: WorkerIndex) -> f32 {
+        self.crowding[self.positions[worker].rack as usize]
+    }
+
     /// Counts a task that has been given a worker.
     pub(super) fn add(&mut self, request: &PlacementRequest, worker: WorkerIndex) {
         if let Some(row) = self.row_index(&request.member, request.class) {
@@ -103,9 +105,11 @@
 
     fn raise(&mut self, row: usize, worker: WorkerIndex) {
         let Some(position) = self.positions.get(worker) else { return };
-        let rack = &mut self.by_rack[row * self.racks + position.rack];
+        let rack = position.rack as usize;
+        let domain = self.domain_of[rack];
+        let rack = &mut self.by_rack[row * self.racks + rack];
         *rack = rack.saturating_add(1);
-        let domain = &mut self.by_domain[row * self.domains + position.domain];
+        let domain = &mut self.by_domain[row * self.domains + domain];
         *domain = domain.saturating_add(1);
         self.totals[row] = self.totals[row].saturating_add(1);
     }
@@ -149,13 +153,17 @@
         let mut racks = BTreeMap::new();
         let mut domains = BTreeMap::new();
         self.positions.clear();
+        self.domain_of.clear();
         for view in workers {
             let next = domains.len();
             let domain = *domains.entry(&view.domain).or_insert(next);
             // Racks of different failure domains may bear the same name.
             let next = racks.len();
             let rack = *racks.entry((&view.domain, &view.rack)).or_insert(next);
-            self.positions.push(Position { rack, domain, rack_address: address(view) });
+            if rack == next {
+                self.domain_of.push(domain);
+            }
+            self.positions.push(Position { rack: rack as u32, rack_address: address(view) });
         }
         self.racks = racks.len();
         self.domains = domains.len();
--- a/crates/mustardcove-core/tests/eviction_cost.rs
+++ b/crates/mustardcove-core/tests/eviction_cost.rs
@@ -2,7 +2,8 @@
 
 use mustardcove_core::{
     class::{Class, ClassIndex, ClassKind, ClassTable},
-    eviction::{EVICTIONS_PER_MINUTE, EvictionPlanner, Knowledge, eviction_cost},
+    eviction::{EVICTIONS_PER_MINUTE, EvictionPlanner, IMMUNITY_MS, Knowledge, eviction_cost},
+    id::AttemptNumber,
     interference::SlowdownTable,
     placement::{
         BestFitPolicy, EvictionChoice, LearnedPolicy, PlacementPolicy, PlacementRequest,
@@ -95,6 +96,23 @@
     assert_eq!(choices[0].worker, 0);
 }
 
+/// Guards against a job that is evicted, restarted and evicted again.
+#[test]
+fn evicted_job_is_immune() {
+    let classes = classes();
+    let table = SlowdownTable::new(classes.len());
+    let mut planner = EvictionPlanner::new();
+    let mut workers = vec![fleet::worker(0, Resources::new(2000, 1024, 0))];
+    put(&mut workers[0], task(1, 1, fleet::START, HOUR_MS));
+    let mut plan = |now, workers: &[WorkerView]| {
+        planner.plan(now, &classes, Knowledge::Exact(&table), workers, &[urgent(9, 2000)]).len()
+    };
+    assert_eq!(plan(fleet::START, &workers), 1);
+    workers[0].tasks[0].task.attempt = AttemptNumber(2);
+    assert_eq!(plan(fleet::START.plus_ms(IMMUNITY_MS - 1), &workers), 0);
+    assert_eq!(plan(fleet::START.plus_ms(IMMUNITY_MS), &workers), 1);
+}
+
 fn fleet_strategy() -> impl Strategy<Value = Vec<Vec<(u16, u64, bool, bool)>>> {
     let task = (1..5u16, 0..HOUR_MS, any::<bool>(), prop::bool::weighted(0.2));
     prop::collection::vec(prop::collection::vec(task, 0..5), 1..5)
