--- a/crates/mustardcove-core/benches/placement.rs
+++ b/crates/mustardcove-core/benches/placement.rs
@@ -106,7 +106,8 @@
         }
     }
     println!(
-        "{name}: {TIMED_CHOICES} choices, p50 {} ns, p99 {} ns, p99.9 {} ns",
+        "{name}: {TIMED_CHOICES} choices, p1 {} ns, p50 {} ns, p99 {} ns, p99.9 {} ns",
+        times.value_at_quantile(0.01),
         times.value_at_quantile(0.5),
         times.value_at_quantile(0.99),
         times.value_at_quantile(0.999),
