--- a/crates/mustardcove-platform/src/memory.rs
+++ b/crates/mustardcove-platform/src/memory.rs
@@ -10,6 +10,7 @@
 pub mod ledger;
 pub mod store;
 pub mod store_state;
+pub mod work;
 pub mod worker_state;
 
 pub use self::{
@@ -19,5 +20,5 @@
     ledger::{RunLedger, RunSummary},
     store::{MemoryStore, StoreFaults},
     store_state::{StoreCounters, StoreState},
-    worker_state::WorkSpec,
+    work::WorkSpec,
 };
--- a/crates/mustardcove-platform/src/memory/fleet.rs
+++ b/crates/mustardcove-platform/src/memory/fleet.rs
@@ -16,9 +16,7 @@
 use tokio::sync::watch;
 
 use super::{
-    interference::Interference,
-    ledger::RunLedger,
-    worker_state::{WorkSpec, WorkerState},
+    interference::Interference, ledger::RunLedger, work::WorkSpec, worker_state::WorkerState,
 };
 use crate::{clock::Clock, workers::Workers};
 
--- a/crates/mustardcove-platform/src/memory/store.rs
+++ b/crates/mustardcove-platform/src/memory/store.rs
@@ -159,7 +159,10 @@
             StoreOp::Watch { wait_ms, .. } => self.wait(&op, wait_ms, caller).await?,
             _ => self.apply(&op),
         };
-        tokio::time::sleep(delay).await;
+        // A timer takes a millisecond even for no time at all.
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         if fate == Fate::AnswerLost {
             self.lock().state.counters.lost_answers += 1;
             return Err(LostAnswer::AfterEffect);
--- a/crates/mustardcove-platform/src/memory/worker_state.rs
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -7,10 +7,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bytes::Bytes;
 use mustardcove_core::{
     id::{ClassId, Epoch, Incarnation, TaskId},
-    job::{Checkpoint, MAX_RESULT_BYTES},
     size::Resources,
     time::Timestamp,
     worker::{
@@ -20,105 +18,15 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
-
-use super::{fleet::FleetConfig, ledger::RunLedger};
-
-/// What a task does, read from its payload if that is JSON of this form.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct WorkSpec {
-    /// Time that the work takes alone and unthrottled, in virtual milliseconds;
-    /// zero means that it runs until it is stopped.
-    pub work_ms: u64,
-    /// Virtual time between checkpoints, in milliseconds; zero for none.
-    pub checkpoint_every_ms: u64,
-    /// The result.
-    pub result: String,
-    /// Size to which the result is padded, in bytes.
-    pub result_bytes: usize,
-    /// Whether the work fails at its end.
-    pub fails: bool,
-}
-
-impl Default for WorkSpec {
-    fn default() -> WorkSpec {
-        WorkSpec {
-            work_ms: 1_000,
-            checkpoint_every_ms: 0,
-            result: "done".to_owned(),
-            result_bytes: 0,
-            fails: false,
-        }
-    }
-}
 
-impl WorkSpec {
-    /// Returns the payload that makes the stand-in do this work.
-    pub fn to_payload(&self) -> Bytes {
-        serde_json::to_vec(self).map(Bytes::from).unwrap_or_default()
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Task {
-    start: TaskStart,
-    spec: WorkSpec,
-    started_at: Timestamp,
-    lease_until: Timestamp,
-    done_ms: f64,
-    checkpointed_ms: f64,
-    checkpoint: Option<Checkpoint>,
-    share: f64,
-}
-
-impl Task {
-    /// Returns a checkpoint of the work done so far.
-    fn save(&mut self) -> Checkpoint {
-        self.checkpointed_ms = self.done_ms;
-        let share = match self.spec.work_ms {
-            0 => 0.0,
-            work_ms => self.done_ms / work_ms as f64,
-        };
-        let checkpoint = Checkpoint {
-            token: format!("ms-{}", self.done_ms as u64),
-            progress_permille: (share * 1000.0).min(1000.0) as u16,
-        };
-        self.checkpoint = Some(checkpoint.clone());
-        checkpoint
-    }
-
-    /// Returns the virtual time left until the next checkpoint or the end.
-    fn next_work(&self) -> f64 {
-        let end = match self.spec.work_ms {
-            0 => f64::INFINITY,
-            work_ms => work_ms as f64 - self.done_ms,
-        };
-        let checkpoint = match self.spec.checkpoint_every_ms {
-            0 => f64::INFINITY,
-            every => self.checkpointed_ms + every as f64 - self.done_ms,
-        };
-        end.min(checkpoint).max(0.0)
-    }
-
-    fn status(&self) -> TaskStatus {
-        TaskStatus {
-            task: self.start.task,
-            member: self.start.member.clone(),
-            class: self.start.class.clone(),
-            resources: self.start.resources,
-            started_at: self.started_at,
-            lease_until: self.lease_until,
-            checkpoint: self.checkpoint.clone(),
-        }
-    }
-}
+use super::{
+    fleet::FleetConfig,
+    ledger::RunLedger,
+    work::{Task, WorkSpec, resume_position},
+};
 
-/// Reads the position out of a checkpoint that this stand-in made.
-fn resume_position(checkpoint: Option<&Checkpoint>) -> f64 {
-    let position = checkpoint.and_then(|it| it.token.strip_prefix("ms-")?.parse::<u32>().ok());
-    f64::from(position.unwrap_or(0))
-}
+/// Measurements that are kept for a caller that does not fetch them.
+const MAX_KEPT_SAMPLES: usize = 1_000;
 
 const FIRST_INCARNATION: Incarnation = Incarnation(1);
 
@@ -193,15 +101,27 @@
 
     /// Returns the slowdown of `class` here; 1.0 is none.
     pub fn slowdown(&self, config: &FleetConfig, class: &ClassId) -> f64 {
+        slowdown_among(config, &self.class_counts(), class)
+    }
+
+    fn class_counts(&self) -> BTreeMap<ClassId, usize> {
         let mut counts = self.serving.clone();
         for task in self.tasks.values() {
-            *counts.entry(task.start.class.clone()).or_default() += 1;
-        }
-        // The victim itself is not its own neighbour.
-        if let Some(count) = counts.get_mut(class) {
-            *count = count.saturating_sub(1);
+            match counts.get_mut(&task.start.class) {
+                Some(count) => *count += 1,
+                None => {
+                    counts.insert(task.start.class.clone(), 1);
+                }
+            }
         }
-        config.interference.slowdown(class, counts.iter().map(|(class, &count)| (class, count)))
+        counts
+    }
+
+    /// Returns the slowdown of every class here, counted once for all tasks.
+    fn slowdowns(&self, config: &FleetConfig) -> BTreeMap<ClassId, f64> {
+        let counts = self.class_counts();
+        let slowdown = |it: &ClassId| (it.clone(), slowdown_among(config, &counts, it));
+        counts.keys().map(slowdown).collect()
     }
 
     /// Ends every task and begins a new incarnation, as a crash does.
@@ -226,11 +146,19 @@
         self.end_expired(now, ledger);
     }
 
-    /// Returns when something happens next if nothing is called.
+    /// Returns when something happens next if nothing is called, measurements
+    /// that arrive included.
     pub fn next_event(&self, config: &FleetConfig) -> Option<Timestamp> {
+        let arrivals = self.samples.iter().map(|(arrives_at, _)| *arrives_at);
+        let arrival = arrivals.filter(|it| self.advanced_to < *it).min();
+        let next = self.next_change(&self.rates(config)).min(arrival.unwrap_or(Timestamp::MAX));
+        (next != Timestamp::MAX).then_some(next)
+    }
+
+    /// Returns when the tasks or the measurements change next.
+    fn next_change(&self, rates: &[f64]) -> Timestamp {
         let mut next = Timestamp::MAX;
-        for task in self.tasks.values() {
-            let rate = self.rate(config, task);
+        for (task, rate) in self.tasks.values().zip(rates) {
             let left = task.next_work() / rate;
             if left.is_finite() {
                 next = next.min(self.advanced_to.plus_ms(left.ceil() as u64));
@@ -240,33 +168,31 @@
         if !self.tasks.is_empty() || !self.serving.is_empty() {
             next = next.min(self.next_sample);
         }
-        for (arrives_at, _) in &self.samples {
-            next = next.min(*arrives_at);
-        }
-        (next != Timestamp::MAX).then_some(next)
+        next
     }
 
-    fn rate(&self, config: &FleetConfig, task: &Task) -> f64 {
-        config.scale * task.share / self.slowdown(config, &task.start.class)
+    /// Returns the virtual milliseconds that each task does per millisecond.
+    fn rates(&self, config: &FleetConfig) -> Vec<f64> {
+        let slowdowns = self.slowdowns(config);
+        let rate = |it: &Task| config.scale * it.share / slowdowns[&it.start.class];
+        self.tasks.values().map(rate).collect()
     }
 
     /// Lets the worker run until `now`.
     pub fn advance(&mut self, now: Timestamp, config: &FleetConfig, ledger: &mut RunLedger) {
         while self.advanced_to < now {
-            let next = self.next_event(config).unwrap_or(now).clamp(self.advanced_to, now);
-            // Events due at the same moment are handled in the step below; a
-            // step of at least one millisecond makes the loop end.
-            let next = next.max(self.advanced_to.plus_ms(1));
-            self.work_until(next, config);
+            let rates = self.rates(config);
+            // A step of at least one millisecond makes the loop end.
+            let next = self.next_change(&rates).max(self.advanced_to.plus_ms(1)).min(now);
+            self.work_until(next, &rates);
             self.end_expired(next, ledger);
             self.end_finished(ledger);
             self.take_samples(next, config);
         }
     }
 
-    fn work_until(&mut self, next: Timestamp, config: &FleetConfig) {
+    fn work_until(&mut self, next: Timestamp, rates: &[f64]) {
         let elapsed = next.ms_since(self.advanced_to) as f64;
-        let rates: Vec<f64> = self.tasks.values().map(|it| self.rate(config, it)).collect();
         for (task, rate) in self.tasks.values_mut().zip(rates) {
             task.done_ms += elapsed * rate;
         }
@@ -291,7 +217,7 @@
         for (&id, task) in &mut self.tasks {
             let end = task.spec.work_ms as f64;
             if 0.0 < end && end <= task.done_ms + ROUNDING_MS {
-                finished.push((id, Self::outcome(task, self.fails_everything)));
+                finished.push((id, task.outcome(self.fails_everything)));
                 continue;
             }
             let every = task.spec.checkpoint_every_ms as f64;
@@ -307,19 +233,6 @@
         }
     }
 
-    fn outcome(task: &Task, fails_everything: bool) -> TaskEvent {
-        if task.spec.fails || fails_everything {
-            return TaskEvent::Failed { detail: "exit status 1".to_owned() };
-        }
-        let mut result = task.spec.result.clone().into_bytes();
-        result.resize(result.len().max(task.spec.result_bytes), b'.');
-        if MAX_RESULT_BYTES < result.len() {
-            let detail = format!("result of {} bytes exceeds the limit", result.len());
-            return TaskEvent::Failed { detail };
-        }
-        TaskEvent::Succeeded { result: result.into() }
-    }
-
     fn end(&mut self, id: TaskId, event: TaskEvent, ledger: &mut RunLedger) {
         self.tasks.remove(&id);
         self.ended.insert(id);
@@ -344,8 +257,9 @@
         for class in self.serving.keys() {
             taken.push((class.clone(), None, Resources::ZERO));
         }
+        let slowdowns = self.slowdowns(config);
         for (class, task, used) in taken {
-            let slowdown = self.slowdown(config, &class);
+            let slowdown = slowdowns[&class];
             let noise = self.rng.random_range(-1.0..=1.0) * config.sample_noise;
             let delay = self.rng.random_range(0..=config.sample_delay_ms);
             if self.rng.random_range(0..1000) < config.sample_loss_permille {
@@ -361,6 +275,9 @@
             };
             self.samples.push((now.plus_ms(delay), sample));
         }
+        // Measurements that nobody fetches are forgotten, oldest first.
+        let excess = self.samples.len().saturating_sub(MAX_KEPT_SAMPLES);
+        self.samples.drain(..excess);
     }
 
     /// Returns a report of the events after `after` and the measurements that
@@ -493,6 +410,18 @@
     }
 }
 
+fn slowdown_among(
+    config: &FleetConfig,
+    counts: &BTreeMap<ClassId, usize>,
+    victim: &ClassId,
+) -> f64 {
+    // The victim itself is not its own neighbour.
+    let neighbours = counts.iter().map(|(class, &count)| {
+        (class, if class == victim { count.saturating_sub(1) } else { count })
+    });
+    config.interference.slowdown(victim, neighbours)
+}
+
 fn no_such_task() -> WorkerError {
     WorkerError::Refused { detail: "no such task".to_owned() }
 }
--- a/crates/mustardcove-platform/tests/worker_epoch.rs
+++ b/crates/mustardcove-platform/tests/worker_epoch.rs
@@ -117,3 +117,19 @@
     assert!(matches!(ninth, Err(WorkerError::Refused { .. })));
     assert_eq!(fleet.ledger().overcommits, [(worker_id("w1"), task(9, 1))]);
 }
+
+/// Guards against measurements that nobody fetches and that pile up, or that
+/// make the worker move in steps of a millisecond.
+#[tokio::test(start_paused = true)]
+async fn samples_unfetched() {
+    let fleet = fleet(FleetConfig::default());
+    let spec = WorkSpec { work_ms: 0, ..WorkSpec::default() };
+    for job in 1..=8 {
+        fleet.call("w1:1", start_op(1, task(job, 1), &spec, NEVER), NEVER).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(6 * 3_600)).await;
+    let began = std::time::Instant::now();
+    let report = fleet.reports("w1:1", 0).await.unwrap();
+    assert!(began.elapsed() < Duration::from_secs(10));
+    assert!((1..=1_000).contains(&report.samples.len()), "{}", report.samples.len());
+}
