--- a/crates/mustardcove-runtime/src/peer/config.rs
+++ b/crates/mustardcove-runtime/src/peer/config.rs
@@ -55,7 +55,7 @@
             connect_timeout: Duration::from_millis(1_000),
             backoff_min: Duration::from_millis(50),
             backoff_max: Duration::from_millis(2_000),
-            ping_interval: Duration::from_millis(1_000),
+            ping_interval: Duration::from_millis(2_000),
             ping_timeout: Duration::from_millis(2_000),
             max_message_bytes: 16 << 20,
             max_queued_messages: 8_192,
--- a/crates/mustardcove-runtime/src/settings/common.rs
+++ b/crates/mustardcove-runtime/src/settings/common.rs
@@ -66,7 +66,7 @@
     optional("peer", "connect_timeout", ms(10, 30_000), "1s", "Longest time to open a connection."),
     optional("peer", "backoff_min", ms(1, 60_000), "50ms", "First wait after a failed attempt."),
     optional("peer", "backoff_max", ms(1, 60_000), "2s", "Longest wait after a failed attempt."),
-    optional("peer", "ping_interval", ms(10, 60_000), "1s", "Time between pings."),
+    optional("peer", "ping_interval", ms(10, 60_000), "2s", "Time between pings."),
     optional("peer", "ping_timeout", ms(10, 60_000), "2s", "Wait for the answer to a ping."),
     optional(
         "peer",
