Deliver messages to the own process; count calls to the store

Cause: an owner of a shard also makes requests of itself, which the transport refused as an unknown peer; every process has to count its calls to the store.

--- a/crates/mustardcove-runtime/src/lib.rs
+++ b/crates/mustardcove-runtime/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod backoff;
 pub mod clock;
+pub mod counted_store;
 pub mod dump;
 pub mod logging;
 pub mod metrics;
--- a/crates/mustardcove-runtime/src/peer.rs
+++ b/crates/mustardcove-runtime/src/peer.rs
@@ -116,7 +116,7 @@
         self.shared.remove_peer(process);
     }
 
-    /// Queues a one-way message.
+    /// Queues a one-way message. One to this process itself becomes an event.
     ///
     /// # Errors
     ///
@@ -128,6 +128,9 @@
 
     /// Makes a request to the owner of a shard and waits for its answer.
     ///
+    /// The task that takes the events must not wait here: the answer may be
+    /// behind events that it does not take meanwhile.
+    ///
     /// # Errors
     ///
     /// Returns an error whose verdict says whether the request may have been
--- a/crates/mustardcove-runtime/src/peer/registry.rs
+++ b/crates/mustardcove-runtime/src/peer/registry.rs
@@ -31,7 +31,7 @@
     error::{PeerError, PeerErrorKind},
     frame,
     lane::{LaneKind, LinkId, Queued},
-    pending::Waiting,
+    pending::{PendingTable, Waiting, answered_request},
     remote::{LinkEnd, OpenedBy, Peer, PeerStatus},
 };
 use crate::metrics::{Direction, Metrics};
@@ -88,6 +88,8 @@
     /// Set when everything is to end at once.
     pub(super) abort: CancellationToken,
     peers: Mutex<HashMap<ProcessId, Arc<Peer>>>,
+    /// Requests of this process to itself.
+    own_requests: Arc<PendingTable>,
     next_request: AtomicU64,
     next_link: AtomicU64,
 }
@@ -112,6 +114,7 @@
             closing: CancellationToken::new(),
             abort: CancellationToken::new(),
             peers: Mutex::default(),
+            own_requests: Arc::default(),
             next_request: AtomicU64::new(1),
             next_link: AtomicU64::new(1),
         }
@@ -204,8 +207,10 @@
         message: &PeerMessage,
         request: Option<(RequestId, Gate)>,
     ) -> Result<(), PeerError> {
-        let unknown = || PeerError::new(PeerErrorKind::UnknownPeer, format!("process {to}"));
-        let peer = self.peer(to).ok_or_else(unknown)?;
+        if *to == self.config.process {
+            return self.deliver_to_self(message, request);
+        }
+        let peer = self.peer(to).ok_or_else(|| unknown(to))?;
         if let Some(error) = peer.refusal(self.clock.now()) {
             return Err(error);
         }
@@ -215,14 +220,40 @@
         lane.push(queued, self.config.max_queued_messages, self.config.max_queued_bytes)
     }
 
+    /// Hands a message of this process to itself, without encoding it.
+    fn deliver_to_self(
+        &self,
+        message: &PeerMessage,
+        request: Option<(RequestId, Gate)>,
+    ) -> Result<(), PeerError> {
+        if self.closing.is_cancelled() {
+            return Err(PeerError::new(PeerErrorKind::ShuttingDown, "no more messages are taken"));
+        }
+        if let Some(request) = answered_request(message) {
+            // An answer that nobody waits for any more is dropped.
+            self.own_requests.answer(request, Ok(message.clone()));
+            return Ok(());
+        }
+        let full = |_| PeerError::new(PeerErrorKind::QueueFull, "the queue of events is full");
+        let place = self.events.try_reserve().map_err(full)?;
+        if request.is_none_or(|(_, gate)| gate.take()) {
+            let message = Box::new(message.clone());
+            place.send(PeerEvent::Message { from: self.config.process.clone(), message });
+        }
+        Ok(())
+    }
+
     pub(super) fn begin_request(
         &self,
         to: &ProcessId,
         message: impl FnOnce(RequestId) -> PeerMessage,
         deadline: Timestamp,
     ) -> Result<Waiting, PeerError> {
-        let unknown = || PeerError::new(PeerErrorKind::UnknownPeer, format!("process {to}"));
-        let table = self.peer(to).ok_or_else(unknown)?.pending.clone();
+        let table = match self.peer(to) {
+            Some(peer) => peer.pending.clone(),
+            None if *to == self.config.process => self.own_requests.clone(),
+            None => return Err(unknown(to)),
+        };
         let request = RequestId(self.next_request.fetch_add(1, Ordering::Relaxed));
         let gate = Gate::new(self.clock, deadline);
         let receiver = table.insert(request, self.config.max_pending_requests)?;
@@ -329,3 +360,7 @@
         self.tasks.wait().await;
     }
 }
+
+fn unknown(process: &ProcessId) -> PeerError {
+    PeerError::new(PeerErrorKind::UnknownPeer, format!("process {process}"))
+}
--- a/crates/mustardcove-runtime/tests/metric_names.rs
+++ b/crates/mustardcove-runtime/tests/metric_names.rs
@@ -2,9 +2,15 @@
 
 use mustardcove_core::{
     id::{ClassId, RegionId},
+    store::{StoreOp, StoreRevision},
     verdict::Verdict,
 };
-use mustardcove_runtime::metrics::{Direction, Metrics, Owned, OwnershipChange, StoreCallKind};
+use mustardcove_platform::{Store, memory::MemoryStore};
+use mustardcove_runtime::{
+    clock::Clock,
+    counted_store::CountedStore,
+    metrics::{Direction, Metrics, Owned, OwnershipChange, StoreCallKind},
+};
 
 /// Guards against a metric that is renamed, loses its unit or its breakdown.
 #[test]
@@ -49,3 +55,28 @@
         assert!(text.lines().any(|it| it == line), "{line} is missing in\n{text}");
     }
 }
+
+/// Guards against calls that are not counted, or counted as another kind.
+#[tokio::test(start_paused = true)]
+async fn store_counted() {
+    let metrics = Metrics::new().unwrap();
+    let memory = MemoryStore::new(Clock::start(), 1);
+    let store = CountedStore::new(memory.clone(), metrics.clone());
+    let watch = StoreOp::Watch { prefix: String::new(), after: StoreRevision(0), wait_ms: 5 };
+    let get = StoreOp::Get { key: "a".to_owned() };
+    for op in [watch, get.clone(), get.clone(), StoreOp::GrantLease { ttl_ms: 10 }] {
+        store.call(op).await.unwrap();
+    }
+    memory.set_faults(|it| it.outage = true);
+    store.call(get).await.unwrap_err();
+    let text = metrics.render().unwrap();
+    for (labels, count) in [
+        ("kind=\"watch\",outcome=\"answered\"", 1),
+        ("kind=\"read\",outcome=\"answered\"", 2),
+        ("kind=\"read\",outcome=\"failed\"", 1),
+        ("kind=\"write\",outcome=\"answered\"", 1),
+    ] {
+        let line = format!("mustardcove_store_calls_total{{{labels}}} {count}");
+        assert!(text.lines().any(|it| it == line), "{line} is missing in\n{text}");
+    }
+}
--- a/crates/mustardcove-runtime/tests/peer_matching.rs
+++ b/crates/mustardcove-runtime/tests/peer_matching.rs
@@ -160,3 +160,19 @@
     }
     assert!(line.ends_with(&format!(" {sent}")), "{line} does not show {sent}");
 }
+
+/// Guards against requests of an owner to itself that are refused, or whose
+/// answers are not matched.
+#[tokio::test]
+async fn own_process() {
+    let mut a = start(config("a")).await;
+    let deadline = a.in_ms(5_000);
+    let peers = a.peers.clone();
+    let asking =
+        tokio::spawn(async move { peers.request(&process("a"), SHARD, cancel(5), deadline).await });
+    let (from, message) = a.message().await;
+    let (request, job) = cancelled(&message);
+    a.peers.send(&from, &answer(request, job)).unwrap();
+    let hint = Some(process("job-5"));
+    assert_eq!(asking.await.unwrap(), Ok(ShardResponse::NotOwner { hint }));
+}
