--- a/crates/mustardcove-platform/src/wire.rs
+++ b/crates/mustardcove-platform/src/wire.rs
@@ -3,7 +3,7 @@
 //! The value types serialise [`Bytes`] as a byte string, which `serde_json`
 //! writes as a list of numbers: up to four times the size of the value. The
 //! formatter below writes base64 instead. Reading is a second step, because
-//! `serde_json` hands over the text as it is: [`BinaryFields`] decodes each
+//! `serde_json` passes on the text undecoded: [`BinaryFields`] decodes each
 //! binary field in place, and its exhaustive matches make a new variant choose.
 
 use std::io;
--- a/crates/mustardcove-runtime/src/dump.rs
+++ b/crates/mustardcove-runtime/src/dump.rs
@@ -2,7 +2,7 @@
 //!
 //! A dump is for a person or a script that asks what a process is doing. It is
 //! made on request, so it costs nothing otherwise, and it is bounded, so that
-//! asking a process in trouble does not add to the trouble. Rows that do not
+//! it adds little load to a process that is already overloaded. Rows that do not
 //! fit are left out and counted.
 
 use std::future::Future;
--- a/crates/mustardcove-runtime/src/peer.rs
+++ b/crates/mustardcove-runtime/src/peer.rs
@@ -4,7 +4,7 @@
 //! ("lanes"): one for messages whose order matters and one for large messages
 //! that supersede each other, so that a configuration never delays a start.
 //! Either side may open the connection; if both do, both sides keep the one
-//! opened by the lower process id and let the other run dry.
+//! opened by the lower process id and close the other without losing messages.
 //!
 //! Queues are bounded and refuse rather than grow. A request that was never
 //! written is answered `NotRun`, one that was written and whose connection
@@ -181,8 +181,8 @@
         self.shared.status()
     }
 
-    /// Refuses new messages, writes those that are queued, says goodbye and
-    /// waits until all connections are closed or `bound` has passed.
+    /// Refuses new messages, writes those that are queued, sends GOAWAY
+    /// and waits until all connections are closed or `bound` has passed.
     pub async fn shutdown(&self, bound: Duration) {
         self.shared.shutdown(bound).await;
     }
--- a/crates/mustardcove-runtime/src/peer/accept.rs
+++ b/crates/mustardcove-runtime/src/peer/accept.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    dial::{CONNECTION_WINDOW_BYTES, GOODBYE_TIMEOUT, STREAM_WINDOW_BYTES},
+    dial::{CLOSE_TIMEOUT, CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
     hello::{self, Hello},
     lane::{LaneKind, LinkId},
     link::{LaneStreams, describe, run_lane, watch_pings},
@@ -126,8 +126,8 @@
                 }
                 if inbound.open_lanes == 0 {
                     connection.graceful_shutdown();
-                    let goodbye = async { while connection.accept().await.is_some() {} };
-                    let _ = timeout(GOODBYE_TIMEOUT, goodbye).await;
+                    let closed = async { while connection.accept().await.is_some() {} };
+                    let _ = timeout(CLOSE_TIMEOUT, closed).await;
                     return LinkEnd::Graceful;
                 }
             }
--- a/crates/mustardcove-runtime/src/peer/dial.rs
+++ b/crates/mustardcove-runtime/src/peer/dial.rs
@@ -29,8 +29,8 @@
 /// Flow-control window of a connection, in bytes.
 pub(super) const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
 
-/// How long a finished connection may take to say goodbye.
-pub(super) const GOODBYE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for GOAWAY and the end of a connection whose streams ended.
+pub(super) const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Opens connections to a peer when there is something to send.
 pub(super) async fn run(shared: Arc<Shared>, peer: Arc<Peer>) {
@@ -182,6 +182,6 @@
     if end == LinkEnd::Graceful {
         // Without a handle left, the connection sends GOAWAY and closes.
         drop(requests);
-        let _ = timeout(GOODBYE_TIMEOUT, connection).await;
+        let _ = timeout(CLOSE_TIMEOUT, connection).await;
     }
 }
--- a/crates/mustardcove-runtime/src/peer/remote.rs
+++ b/crates/mustardcove-runtime/src/peer/remote.rs
@@ -60,7 +60,7 @@
 /// How a connection ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum LinkEnd {
-    /// Both sides had said all they wanted to say.
+    /// Both sides ended their streams after the last message.
     Graceful,
     /// It broke; what was written may be lost.
     Broken(String),
--- a/crates/mustardcove-runtime/tests/peer_faults.rs
+++ b/crates/mustardcove-runtime/tests/peer_faults.rs
@@ -86,7 +86,7 @@
     assert_eq!(error.verdict(), Verdict::NotRun);
 }
 
-/// Guards against a link that swallows bytes going unnoticed.
+/// Guards against a link that drops all bytes silently and is not noticed.
 #[tokio::test]
 async fn silent_link() {
     let mut a = start(config("a")).await;
