Test matching of answers, verdicts and repeated keys

Cause: the entry library had no run behind its promises. A failed exclusive attempt is reported to its shard, and a probe tells an upstream that takes work from one that only answers.

--- a/crates/mustardcove-core/src/membership.rs
+++ b/crates/mustardcove-core/src/membership.rs
@@ -266,6 +266,12 @@
         self.members.get(worker).map(Member::state)
     }
 
+    /// Returns the sign that suspended an upstream, if one did.
+    pub fn sign(&self, worker: &WorkerId) -> Option<ConnectionSign> {
+        let suspension = self.members.get(worker)?.suspension.as_ref()?;
+        Some(suspension.sign)
+    }
+
     /// Returns the version of the newest list; zero if there was none.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/mustardcove-entry/src/dispatch/guarded.rs
+++ b/crates/mustardcove-entry/src/dispatch/guarded.rs
@@ -207,15 +207,15 @@
         error: AttemptError,
         attempts: u32,
     ) -> Result<(), Refusal> {
-        let AttemptError { refusal, overloaded } = error;
+        let AttemptError { mut refusal, overloaded } = error;
         if refusal.verdict == Verdict::MayHaveRun && self.call.class.delivery == Delivery::Exclusive
         {
-            // The shard allows the next attempt once the upstream must have
-            // stopped; a stored failure would be the answer for ever.
-            return Err(self.ask_again_later(refusal));
+            refusal = self.ask_again_later(refusal);
         }
         let outcome = Outcome::Failed { refusal: refusal.clone() };
         let recorded = self.complete(task, outcome).await;
+        // The shard keeps an exclusive attempt that may have run as bound until
+        // the upstream must have stopped, and an at-most-once one as over.
         match retry(self.entry, pool, self.call, &refusal, overloaded, attempts) {
             Ok(at) if recorded => {
                 self.entry.clock().sleep_until(at).await;
--- a/crates/mustardcove-entry/src/driver.rs
+++ b/crates/mustardcove-entry/src/driver.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
-use crate::{entry::Entry, pool::ServicePool, shards::ShardClient};
+use crate::{entry::Entry, pool::ServicePool, shards::ShardClient, upstream::Alive};
 
 /// Interval of ticks, in milliseconds; it is below every wait of a membership.
 const TICK_MS: u64 = 50;
@@ -113,7 +113,14 @@
         let (entry, pool) = (Arc::clone(entry), Arc::clone(pool));
         tokio::spawn(async move {
             let result = probe(&entry, &pool, &upstream.worker).await;
-            let ok = result.is_ok();
+            let departs = pool.sign(&upstream.worker).is_some_and(ConnectionSign::is_departure);
+            // An upstream that announced its departure has to say itself that
+            // it takes work again.
+            let ok = match result {
+                Ok(Alive::TakesWork) => true,
+                Ok(Alive::Answers) => !departs,
+                Err(_) => false,
+            };
             if ok {
                 info!(entry.log(), "upstream answered a probe"; "worker" => %upstream.worker);
             }
@@ -129,7 +136,7 @@
     let (entry, pool) = (Arc::clone(entry), Arc::clone(pool));
     tokio::spawn(async move {
         match probe(&entry, &pool, &worker).await {
-            Ok(()) => pool.heard(&worker),
+            Ok(_) => pool.heard(&worker),
             Err(sign) => {
                 info!(entry.log(), "upstream failed a probe and gets no new work";
                     "worker" => %worker, "sign" => %sign);
@@ -143,7 +150,7 @@
     entry: &Arc<Entry<C>>,
     pool: &Arc<ServicePool>,
     worker: &WorkerId,
-) -> Result<(), ConnectionSign> {
+) -> Result<Alive, ConnectionSign> {
     let Some(client) = pool.client(worker) else { return Err(ConnectionSign::Refused) };
     let tag = entry.tags().tag(&http::HeaderMap::new());
     client.probe(&tag.attempt_id(0), Duration::from_millis(PROBE_TIMEOUT_MS)).await
--- a/crates/mustardcove-entry/src/pool.rs
+++ b/crates/mustardcove-entry/src/pool.rs
@@ -183,6 +183,11 @@
         self.lock().clients.get(worker).cloned()
     }
 
+    /// Returns the sign that suspended an upstream, if one did.
+    pub fn sign(&self, worker: &WorkerId) -> Option<ConnectionSign> {
+        self.lock().membership.sign(worker)
+    }
+
     /// Returns upstreams that have been silent, longest first.
     pub fn silent(&self, silent_ms: u64, most: usize) -> Vec<WorkerId> {
         let now = self.clock.now();
--- a/crates/mustardcove-entry/src/upstream.rs
+++ b/crates/mustardcove-entry/src/upstream.rs
@@ -95,6 +95,15 @@
     pub sign: Option<ConnectionSign>,
 }
 
+/// What a probe showed of an upstream that answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Alive {
+    /// It says that it takes work.
+    TakesWork,
+    /// It answers, but has no resource for probes and so may be leaving.
+    Answers,
+}
+
 /// Client of one upstream.
 #[derive(Debug)]
 pub struct UpstreamClient {
@@ -166,7 +175,7 @@
     /// # Errors
     ///
     /// Returns the sign that stands against it.
-    pub async fn probe(&self, id: &str, timeout: Duration) -> Result<(), ConnectionSign> {
+    pub async fn probe(&self, id: &str, timeout: Duration) -> Result<Alive, ConnectionSign> {
         let req = Request::get(self.probe_uri.clone())
             .header(REQUEST_ID, id)
             .body(Full::default())
@@ -179,7 +188,13 @@
         if let Some(sign) = departure_of(&resp) {
             return Err(sign);
         }
-        if resp.status().is_success() { Ok(()) } else { Err(ConnectionSign::Reset) }
+        if resp.status().is_success() {
+            Ok(Alive::TakesWork)
+        } else if resp.status().is_server_error() {
+            Err(ConnectionSign::Reset)
+        } else {
+            Ok(Alive::Answers)
+        }
     }
 
     fn request(&self, attempt: &Attempt) -> Result<Request<Full<Bytes>>, String> {
--- /dev/null
+++ b/crates/mustardcove-entry/tests/same_key_entry.rs
@@ -0,0 +1,120 @@
+//! Guards against a second run when the same key reaches several entry
+//! processes, at once or one after the other, and when answers are lost.
+
+#[path = "support/all.rs"]
+mod support;
+
+use mustardcove_core::{
+    job::Outcome,
+    verdict::{RefusalReason, Verdict},
+};
+use mustardcove_entry::job_view::{JobView, ViewState};
+use serde_json::json;
+use support::{
+    rig::{Rig, answered, process, refused, worker},
+    shards::MemoryShards,
+    upstream::TestUpstream,
+};
+use tokio::task::JoinSet;
+
+async fn two_entries(upstream: &TestUpstream) -> [Rig; 2] {
+    let shards = MemoryShards::new(&process("entry-1"));
+    let workers = vec![worker("w-0", upstream.address)];
+    [
+        Rig::start_with(workers.clone(), shards.clone(), "entry-1", |_| {}).await,
+        Rig::start_with(workers, shards, "entry-2", |_| {}).await,
+    ]
+}
+
+#[tokio::test]
+async fn same_key_runs_once() {
+    let upstream = TestUpstream::start().await;
+    let rigs = two_entries(&upstream).await;
+    for class in ["booking", "proof"] {
+        let mut calls = JoinSet::new();
+        for number in 0..6 {
+            let rig = &rigs[number % 2];
+            let req = rig.call(class, "delay=100", class).header("idempotency-key", class);
+            calls.spawn(async move { req.send().await.unwrap() });
+        }
+        let mut answers = 0;
+        while let Some(joined) = calls.join_next().await {
+            let resp = joined.unwrap();
+            if resp.status().is_success() {
+                assert_eq!(resp.headers()["content-type"], "text/plain");
+                assert_eq!(resp.text().await.unwrap(), format!("answer to {class}"));
+                answers += 1;
+            }
+        }
+        assert_eq!(answers, 6);
+        assert_eq!(upstream.runs(class), 1);
+        for rig in &rigs {
+            let req = rig.call(class, "", class).header("idempotency-key", class);
+            assert_eq!(answered(req).await, format!("answer to {class}"));
+        }
+        assert_eq!(upstream.runs(class), 1);
+    }
+}
+
+#[tokio::test]
+async fn declined_answer_is_repeated() {
+    let upstream = TestUpstream::start().await;
+    let rigs = two_entries(&upstream).await;
+    for rig in &rigs {
+        let req = rig.call("booking", "status=409", "taken").header("idempotency-key", "taken");
+        let resp = req.send().await.unwrap();
+        assert_eq!(resp.status().as_u16(), 409);
+        assert_eq!(resp.text().await.unwrap(), "answer to taken");
+    }
+    assert_eq!(upstream.runs("taken"), 1);
+}
+
+#[tokio::test]
+async fn lost_admission_is_taken_up() {
+    let upstream = TestUpstream::start().await;
+    let rigs = two_entries(&upstream).await;
+    rigs[0].shards.lose_next(1);
+    let call = |rig: &Rig| rig.call("booking", "", "lost").header("idempotency-key", "lost");
+    assert_eq!(answered(call(&rigs[0])).await, "answer to lost");
+    assert_eq!(rigs[0].shards.admits(), 2);
+    assert_eq!(answered(call(&rigs[1])).await, "answer to lost");
+    assert_eq!(upstream.runs("lost"), 1);
+}
+
+#[tokio::test]
+async fn reused_key_is_refused() {
+    let upstream = TestUpstream::start().await;
+    let rigs = two_entries(&upstream).await;
+    let call = |rig: &Rig, body| rig.call("booking", "", body).header("idempotency-key", "k");
+    answered(call(&rigs[0], "one")).await;
+    let (status, refusal) = refused(call(&rigs[1], "two")).await;
+    assert_eq!((status, refusal.reason), (422, RefusalReason::KeyReused));
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert_eq!(upstream.runs("two"), 0);
+}
+
+#[tokio::test]
+async fn submission_is_accepted_once() {
+    let upstream = TestUpstream::start().await;
+    let rigs = two_entries(&upstream).await;
+    let body = json!({"class": "run", "payload": "album 7"});
+    let first = rigs[0].submit("order-7", body.clone()).send().await.unwrap();
+    assert_eq!(first.status().as_u16(), 202);
+    let location = first.headers()["location"].to_str().unwrap().to_owned();
+    let first: JobView = first.json().await.unwrap();
+    let second = rigs[1].submit("order-7", body).send().await.unwrap();
+    assert_eq!(second.status().as_u16(), 200);
+    let second: JobView = second.json().await.unwrap();
+    assert_eq!((first.job, second.repeated), (second.job, Some(true)));
+    // A waiting caller learns of the result as soon as it is there.
+    let url = rigs[1].url(&format!("{location}?wait_ms=2500"));
+    let waiting = rigs[1].http.get(url).bearer_auth(support::rig::TOKEN).send();
+    let waiting = tokio::spawn(waiting);
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    rigs[0].shards.finish(first.job, Outcome::Succeeded { result: "bound".into() });
+    let view: JobView = waiting.await.unwrap().unwrap().json().await.unwrap();
+    assert_eq!((view.state, view.result.as_deref()), (ViewState::Succeeded, Some("bound")));
+    let other = json!({"class": "run", "payload": "album 8"});
+    let (status, refusal) = refused(rigs[1].submit("order-7", other)).await;
+    assert_eq!((status, refusal.reason), (422, RefusalReason::KeyReused));
+}
