--- a/crates/mustardcove-entry/src/job_view.rs
+++ b/crates/mustardcove-entry/src/job_view.rs
@@ -45,7 +45,8 @@
 /// A job as shown to its member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobView {
-    /// The job.
+    /// The job, as 32 hexadecimal digits.
+    #[serde(with = "hex_id")]
     pub job: JobId,
     /// Its idempotency key.
     pub key: IdempotencyKey,
@@ -74,6 +75,23 @@
     pub repeated: Option<bool>,
 }
 
+/// Job identifiers as text: a JSON number of 128 bits loses digits in most
+/// clients.
+mod hex_id {
+    use mustardcove_core::id::JobId;
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+    pub(super) fn serialize<S: Serializer>(job: &JobId, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(job)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<JobId, D::Error> {
+        String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
+    }
+}
+
 /// A listing of jobs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobList {
--- a/crates/mustardcove-entry/src/server.rs
+++ b/crates/mustardcove-entry/src/server.rs
@@ -51,8 +51,9 @@
             let _permit = permit;
             // A connection on which nothing arrives would be held for ever:
             // the header time-out begins only with the protocol.
-            let readable = tokio::time::timeout(receive_timeout, stream.readable()).await;
-            if !matches!(readable, Ok(Ok(()))) {
+            let mut first = [0];
+            let first = tokio::time::timeout(receive_timeout, stream.peek(&mut first));
+            if !matches!(first.await, Ok(Ok(1))) {
                 return;
             }
             let conn = builder.serve_connection(TokioIo::new(stream), service);
--- /dev/null
+++ b/crates/mustardcove-entry/tests/member_access.rs
@@ -0,0 +1,81 @@
+//! Guards against access without a valid token, access to another member's
+//! jobs, and tokens that show up in answers or dumps.
+
+#[path = "support/all.rs"]
+mod support;
+
+use mustardcove_core::verdict::{RefusalReason, Verdict};
+use mustardcove_entry::{
+    api::admin,
+    job_view::{JobList, JobView, ViewState},
+};
+use serde_json::json;
+use support::{
+    rig::{OTHER_TOKEN, Rig, TOKEN, refused, worker},
+    upstream::TestUpstream,
+};
+
+#[tokio::test]
+async fn token_is_required() {
+    let upstream = TestUpstream::start().await;
+    let rig = Rig::start(vec![worker("w-0", upstream.address)]).await;
+    let long = "x".repeat(2_000);
+    for token in ["", "Bearer", "Bearer ", "Bearer wrong", "Basic abc", &format!("Bearer {long}")] {
+        for path in ["/v1/jobs", "/v1/services/check", "/v1/services/none"] {
+            let req = rig.http.post(rig.url(path)).header("authorization", token);
+            let (status, refusal) = refused(req.body("a")).await;
+            assert_eq!((status, refusal.reason), (401, RefusalReason::Forbidden));
+            assert_eq!(refusal.verdict, Verdict::NotRun);
+            assert!(!refusal.detail.contains("wrong"));
+        }
+    }
+    assert_eq!(upstream.total_runs(), 0);
+}
+
+#[tokio::test]
+async fn jobs_belong_to_their_member() {
+    let rig = Rig::start(Vec::new()).await;
+    let mut jobs = Vec::new();
+    for number in 0..5 {
+        let req = rig.submit(&format!("order-{number}"), json!({"class": "run"}));
+        jobs.push(req.send().await.unwrap().json::<JobView>().await.unwrap().job);
+    }
+    jobs.sort();
+    let url = rig.url(&format!("/v1/jobs/{}", jobs[0]));
+    for req in [rig.http.get(&url), rig.http.delete(&url)] {
+        let (status, refusal) = refused(req.bearer_auth(OTHER_TOKEN)).await;
+        assert_eq!((status, refusal.reason), (404, RefusalReason::NotFound));
+    }
+    let list = async |token: &str, query: &str| -> JobList {
+        let req = rig.http.get(rig.url(&format!("/v1/jobs{query}"))).bearer_auth(token);
+        req.send().await.unwrap().json().await.unwrap()
+    };
+    assert_eq!(list(OTHER_TOKEN, "").await, JobList { jobs: Vec::new(), next: None });
+    // Pages follow each other without a gap or a repetition.
+    let mut listed = Vec::new();
+    let mut query = "?limit=2".to_owned();
+    loop {
+        let page = list(TOKEN, &query).await;
+        listed.extend(page.jobs.iter().map(|it| it.job));
+        let Some(next) = page.next else { break };
+        query = format!("?limit=2&after={next}");
+    }
+    assert_eq!(listed, jobs);
+    let resp = rig.http.delete(&url).bearer_auth(TOKEN).send().await.unwrap();
+    assert_eq!(resp.json::<JobView>().await.unwrap().state, ViewState::Cancelled);
+    assert_eq!(list(TOKEN, "").await.jobs.len(), 4);
+    assert_eq!(list(TOKEN, "?include_done=true").await.jobs.len(), 5);
+}
+
+#[tokio::test]
+async fn dump_holds_no_secret() {
+    let upstream = TestUpstream::start().await;
+    let rig = Rig::start(vec![worker("w-0", upstream.address)]).await;
+    let req = rig.call("booking", "", "secret-body").header("idempotency-key", "secret-key");
+    assert!(req.send().await.unwrap().status().is_success());
+    let dump = serde_json::to_string(&admin::dump_of(&rig.entry)).unwrap();
+    assert!(dump.contains("\"w-0\"") && dump.contains("\"in_flight\":0"), "{dump}");
+    for secret in [TOKEN, "secret-body", "secret-key"] {
+        assert!(!dump.contains(secret), "{dump}");
+    }
+}
