Look for room every 500 ms instead of every 100 ms

Ten thousand waiting requests woke up 100,000 times a second between them; tokio passes on the wake-up of a waiter that is gone, so the look is only a safeguard.

--- a/crates/mustardcove-entry/src/pool.rs
+++ b/crates/mustardcove-entry/src/pool.rs
@@ -33,7 +33,7 @@
 
 /// Longest time that a waiting request goes without looking for room, in
 /// milliseconds; it bounds the harm of a wake-up that was lost.
-const LOOK_INTERVAL_MS: u64 = 100;
+const LOOK_INTERVAL_MS: u64 = 500;
 
 /// Time after which a refused caller may ask again, in milliseconds.
 const RETRY_MS: u64 = 500;
