Break the entry's metrics down by class

Cause: the metrics of a service are stated per class, but the entry counted by kind of request only.

--- a/crates/mustardcove-entry/examples/entry_load.rs
+++ b/crates/mustardcove-entry/examples/entry_load.rs
@@ -43,6 +43,7 @@
 };
 use mustardcove_entry::{api, config::EntryConfig, driver, entry::Entry, server};
 use mustardcove_platform::{Clock, memory::MemoryInstances, upstream::REQUEST_ID};
+use mustardcove_runtime::metrics::Metrics;
 use sha2::{Digest, Sha256};
 use shards::MemoryShards;
 use slog::{Discard, Logger, o};
@@ -132,7 +133,8 @@
     let clock = Clock::start();
     let shards = MemoryShards::new(&cfg.process);
     let name = cfg.process.clone();
-    let (entry, closed) = Entry::new(cfg, clock, Logger::root(Discard, o!()), shards);
+    let log = Logger::root(Discard, o!());
+    let (entry, closed) = Entry::new(cfg, clock, log, shards, Metrics::new()?);
     entry.put_in_force(Arc::new(agreement()));
     entry.set_entries(&[name]);
     let list = MemoryInstances::new(clock);
--- a/crates/mustardcove-entry/src/api.rs
+++ b/crates/mustardcove-entry/src/api.rs
@@ -98,7 +98,7 @@
     } else {
         Refusal::may_have_run(RefusalReason::Internal, "the request could not be handled")
     };
-    entry.metrics().record("layer", 0.0, Some(&refusal));
+    entry.metrics().record("layer", Some(&refusal));
     let refusal = refusal.with_retry_at(now.plus_ms(SHED_RETRY_MS));
     ApiRefusal::from(refusal).into_response_for(tag, now)
 }
@@ -131,12 +131,12 @@
     let latency_ms = started.elapsed().as_secs_f64() * 1_000.0;
     match result {
         Ok(resp) => {
-            entry.metrics().record(kind, latency_ms, None);
+            entry.metrics().record(kind, None);
             resp
         }
         Err(refusal) => {
             let it = refusal.refusal();
-            entry.metrics().record(kind, latency_ms, Some(it));
+            entry.metrics().record(kind, Some(it));
             info!(entry.log(), "request refused";
                 "request" => tag.as_str(), "kind" => kind,
                 "status" => refusal.status().as_u16(), "verdict" => %it.verdict,
--- a/crates/mustardcove-entry/src/api/jobs.rs
+++ b/crates/mustardcove-entry/src/api/jobs.rs
@@ -167,7 +167,8 @@
         let detail = "the class is one of a service; post to /v1/services/{class} instead";
         return Err(ApiRefusal::invalid(StatusCode::BAD_REQUEST, detail));
     }
-    let _admitted = entry.admit(ShedClass::of(class))?;
+    let admitted = entry.admit(ShedClass::of(class));
+    let _admitted = admitted.inspect_err(|_| entry.metrics().record_shed(&class.id))?;
     let payload = payload_of(&submission)?;
     let resources = submission.resources.as_ref().map_or(class.resources, |it| Resources {
         cpu: Millicores(it.cpu_millicores),
--- a/crates/mustardcove-entry/src/api/services.rs
+++ b/crates/mustardcove-entry/src/api/services.rs
@@ -17,7 +17,7 @@
     job::MAX_PAYLOAD_BYTES,
     limit::ShedClass,
     time::Timestamp,
-    verdict::{Refusal, RefusalReason},
+    verdict::{Refusal, RefusalReason, Verdict},
 };
 
 use super::{IDEMPOTENCY_KEY, authenticated, deadline_of, key_of, respond};
@@ -67,7 +67,13 @@
 ) -> Result<Response, ApiRefusal> {
     // Boxed, so that nothing of it is kept while the request waits.
     let prepared = Box::pin(prepare(entry, tag, class, req)).await?;
-    let answer = dispatch::call(entry, &prepared.pool, prepared.call).await?;
+    let class = prepared.call.class.id.clone();
+    let started = Instant::now();
+    let result = dispatch::call(entry, &prepared.pool, prepared.call).await;
+    let latency_ms = started.elapsed().as_secs_f64() * 1_000.0;
+    let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
+    entry.metrics().record_service(&class, latency_ms, verdict);
+    let answer = result?;
     let mut resp = Response::new(Body::from(answer.body));
     *resp.status_mut() = answer.status;
     if let Some(content_type) = answer.content_type {
@@ -99,7 +105,8 @@
     }
     let deadline = deadline_of(entry, &headers)?;
     // Shed before the body is read, while the refusal is cheap.
-    let mut admitted = entry.admit(ShedClass::of(class))?;
+    let admitted = entry.admit(ShedClass::of(class));
+    let mut admitted = admitted.inspect_err(|_| entry.metrics().record_shed(&class.id))?;
     let limit = in_force.agreement.members.get(&member).map_or(0, |it| it.max_requests);
     admitted.count_for(&member, limit)?;
     let body = read(entry, &headers, body, guarded, deadline).await?;
--- a/crates/mustardcove-entry/src/dispatch.rs
+++ b/crates/mustardcove-entry/src/dispatch.rs
@@ -173,7 +173,7 @@
         "verdict" => %refusal.verdict, "reason" => %refusal.reason, "next" => ?decision);
     let give_up = match decision {
         RetryDecision::RetryAt(at) => {
-            entry.metrics().record_retry(call.class.id.as_str());
+            entry.metrics().record_retry(&call.class.id);
             return Ok(at);
         }
         RetryDecision::GiveUp(reason) => reason,
--- a/crates/mustardcove-entry/src/entry.rs
+++ b/crates/mustardcove-entry/src/entry.rs
@@ -18,6 +18,7 @@
     verdict::{Refusal, RefusalReason},
 };
 use mustardcove_platform::Clock;
+use mustardcove_runtime::metrics::Metrics as RuntimeMetrics;
 use slog::Logger;
 use tokio::sync::mpsc;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -79,6 +80,7 @@
         clock: Clock,
         log: Logger,
         shards: C,
+        metrics: RuntimeMetrics,
     ) -> (Arc<Entry<C>>, mpsc::Receiver<WorkerId>) {
         let (closed, reports) = mpsc::channel(CLOSED_REPORTS);
         let admission = Admission {
@@ -101,7 +103,7 @@
             listed: AtomicBool::new(false),
             draining: CancellationToken::new(),
             tasks: TaskTracker::new(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(metrics),
             closed,
         };
         (Arc::new(entry), reports)
--- a/crates/mustardcove-entry/src/metrics.rs
+++ b/crates/mustardcove-entry/src/metrics.rs
@@ -1,40 +1,35 @@
 //! Metrics of an entry process.
 //!
-//! Instruments come from the global meter provider, which the runtime sets up;
-//! without one they cost next to nothing.
+//! Latency, retries, shedding and verdicts are broken down by class, through
+//! the instruments that all processes share; requests are also counted by
+//! kind, because a submission that is refused may not have named a class.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use mustardcove_core::verdict::Refusal;
-use opentelemetry::{
-    KeyValue, global,
-    metrics::{Counter, Histogram},
+use mustardcove_core::{
+    id::ClassId,
+    verdict::{Refusal, Verdict},
 };
+use mustardcove_runtime::metrics::Metrics as RuntimeMetrics;
+use opentelemetry::{KeyValue, metrics::Counter};
 
 /// Instruments of an entry process.
 pub struct Metrics {
+    runtime: RuntimeMetrics,
     requests: Counter<u64>,
-    retries: Counter<u64>,
-    latency_ms: Histogram<f64>,
     answered: AtomicU64,
     refused: AtomicU64,
 }
 
 impl Metrics {
-    /// Returns instruments of the global meter.
-    pub fn new() -> Metrics {
-        let meter = global::meter("mustardcove-entry");
-        Metrics {
-            requests: meter.u64_counter("entry_requests").build(),
-            retries: meter.u64_counter("entry_retries").build(),
-            latency_ms: meter.f64_histogram("entry_latency_ms").build(),
-            answered: AtomicU64::new(0),
-            refused: AtomicU64::new(0),
-        }
+    /// Returns instruments next to those that all processes share.
+    pub fn new(runtime: RuntimeMetrics) -> Metrics {
+        let requests = runtime.meter().u64_counter("entry_requests").build();
+        Metrics { runtime, requests, answered: AtomicU64::new(0), refused: AtomicU64::new(0) }
     }
 
     /// Records the end of a request of the given kind.
-    pub fn record(&self, kind: &'static str, latency_ms: f64, refusal: Option<&Refusal>) {
+    pub fn record(&self, kind: &'static str, refusal: Option<&Refusal>) {
         let (reason, verdict): (&'static str, &'static str) = match refusal {
             None => {
                 self.answered.fetch_add(1, Ordering::Relaxed);
@@ -45,15 +40,29 @@
                 (it.reason.into(), it.verdict.into())
             }
         };
-        let kind = KeyValue::new("kind", kind);
-        self.latency_ms.record(latency_ms, std::slice::from_ref(&kind));
-        let attributes = [kind, KeyValue::new("reason", reason), KeyValue::new("verdict", verdict)];
+        let attributes = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("reason", reason),
+            KeyValue::new("verdict", verdict),
+        ];
         self.requests.add(1, &attributes);
     }
 
+    /// Records the end of a service request that reached the choice of an
+    /// upstream.
+    pub fn record_service(&self, class: &ClassId, latency_ms: f64, verdict: Verdict) {
+        self.runtime.service_latency(class, latency_ms);
+        self.runtime.verdict(class, verdict);
+    }
+
     /// Records a retry of a request of the class.
-    pub fn record_retry(&self, class: &str) {
-        self.retries.add(1, &[KeyValue::new("class", class.to_owned())]);
+    pub fn record_retry(&self, class: &ClassId) {
+        self.runtime.retry(class);
+    }
+
+    /// Records a request of the class that was shed.
+    pub fn record_shed(&self, class: &ClassId) {
+        self.runtime.shed_request(class);
     }
 
     /// Returns how many requests were answered and refused.
@@ -61,9 +70,3 @@
         (self.answered.load(Ordering::Relaxed), self.refused.load(Ordering::Relaxed))
     }
 }
-
-impl Default for Metrics {
-    fn default() -> Metrics {
-        Metrics::new()
-    }
-}
--- a/crates/mustardcove-entry/src/process.rs
+++ b/crates/mustardcove-entry/src/process.rs
@@ -137,7 +137,7 @@
     let (sessions_tx, sessions) = watch::channel(empty);
     let client = OwnerClient::new(PeerLink::new(peers.clone()), sessions.clone(), clock);
     let cfg = entry_config(settings, process, seed);
-    let (entry, closed) = Entry::new(cfg, clock, log, client);
+    let (entry, closed) = Entry::new(cfg, clock, log, client, metrics.clone());
     let sessions = (sessions_tx, sessions);
     Ok(Started { entry, closed, peers, peer_events, record, sessions })
 }
--- a/crates/mustardcove-entry/tests/support/rig.rs
+++ b/crates/mustardcove-entry/tests/support/rig.rs
@@ -13,6 +13,7 @@
     api, config::EntryConfig, driver, entry::Entry, refusal::RefusalBody, server,
 };
 use mustardcove_platform::{Clock, memory::MemoryInstances};
+use mustardcove_runtime::metrics::Metrics;
 use sha2::{Digest, Sha256};
 use slog::{Discard, Logger, o};
 use tokio::{net::TcpListener, task::JoinHandle};
@@ -119,7 +120,7 @@
         let clock = Clock::start();
         let shards = shards.for_process(&cfg.process);
         let log = Logger::root(Discard, o!());
-        let (entry, closed) = Entry::new(cfg, clock, log, shards.clone());
+        let (entry, closed) = Entry::new(cfg, clock, log, shards.clone(), Metrics::new().unwrap());
         entry.put_in_force(Arc::new(agreement()));
         entry.set_entries(&[process(name)]);
         let list = MemoryInstances::new(clock);
