--- a/crates/mustardcove-entry/src/pool.rs
+++ b/crates/mustardcove-entry/src/pool.rs
@@ -33,7 +33,7 @@
 
 /// Longest time that a waiting request goes without looking for room, in
 /// milliseconds; it bounds the harm of a wake-up that was lost.
-const LOOK_INTERVAL_MS: u64 = 100;
+const LOOK_INTERVAL_MS: u64 = 500;
 
 /// Time after which a refused caller may ask again, in milliseconds.
 const RETRY_MS: u64 = 500;
@@ -183,6 +183,11 @@
         self.lock().clients.get(worker).cloned()
     }
 
+    /// Returns the sign that suspended an upstream, if one did.
+    pub fn sign(&self, worker: &WorkerId) -> Option<ConnectionSign> {
+        self.lock().membership.sign(worker)
+    }
+
     /// Returns upstreams that have been silent, longest first.
     pub fn silent(&self, silent_ms: u64, most: usize) -> Vec<WorkerId> {
         let now = self.clock.now();
