--- a/crates/mustardcove-core/src/group.rs
+++ b/crates/mustardcove-core/src/group.rs
@@ -333,6 +333,15 @@
         &self.policy
     }
 
+    /// Returns a worker on which more is committed than it has, if there is
+    /// one; checks of P1 look for it.
+    pub fn overcommitted(&self) -> Option<&WorkerId> {
+        let views = self.fleet.views.iter().zip(&self.fleet.workers);
+        let listed = views.filter(|(_, it)| it.absent_since.is_none());
+        let mut over = listed.filter(|(view, it)| !view.committed.fits_in(it.capacity));
+        over.next().map(|(_, it)| &it.id)
+    }
+
     fn claim_is_valid(&self) -> bool {
         self.now < self.claim_deadline && !self.superseded && !self.releasing
     }
--- a/crates/mustardcove-platform/src/memory/interference.rs
+++ b/crates/mustardcove-platform/src/memory/interference.rs
@@ -2,12 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use mustardcove_core::id::ClassId;
+use mustardcove_core::{
+    id::ClassId,
+    interference::{LOAD_LEVELS, LoadLevel},
+};
 
 /// How much each class slows down each other class on the same worker.
 #[derive(Clone, Debug, Default)]
 pub struct Interference {
-    pairs: BTreeMap<(ClassId, ClassId), f64>,
+    /// By victim and aggressor, one figure per load level.
+    pairs: BTreeMap<ClassId, BTreeMap<ClassId, [f64; LOAD_LEVELS]>>,
     default: f64,
 }
 
@@ -19,9 +23,20 @@
     }
 
     /// Sets what each task of class `aggressor` adds to the slowdown of
-    /// `victim`.
-    pub fn with_pair(mut self, victim: ClassId, aggressor: ClassId, added: f64) -> Interference {
-        self.pairs.insert((victim, aggressor), added);
+    /// `victim`, at any load.
+    pub fn with_pair(self, victim: ClassId, aggressor: ClassId, added: f64) -> Interference {
+        self.with_loads(victim, aggressor, [added; LOAD_LEVELS])
+    }
+
+    /// Sets what each task of class `aggressor` adds to the slowdown of
+    /// `victim` at each load level.
+    pub fn with_loads(
+        mut self,
+        victim: ClassId,
+        aggressor: ClassId,
+        added: [f64; LOAD_LEVELS],
+    ) -> Interference {
+        self.pairs.entry(victim).or_default().insert(aggressor, added);
         self
     }
 
@@ -29,11 +44,13 @@
     pub fn slowdown<'a>(
         &self,
         victim: &ClassId,
+        load: LoadLevel,
         neighbours: impl Iterator<Item = (&'a ClassId, usize)>,
     ) -> f64 {
+        let row = self.pairs.get(victim);
         let added = |(class, count): (&ClassId, usize)| {
-            let pair = self.pairs.get(&(victim.clone(), class.clone()));
-            pair.unwrap_or(&self.default) * count as f64
+            let pair = row.and_then(|it| it.get(class)).map(|it| it[load.as_usize()]);
+            pair.unwrap_or(self.default) * count as f64
         };
         1.0 + neighbours.map(added).sum::<f64>()
     }
--- a/crates/mustardcove-platform/src/memory/worker_state.rs
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -10,8 +10,9 @@
 use bytes::Bytes;
 use mustardcove_core::{
     id::{ClassId, Epoch, Incarnation, TaskId},
+    interference::LoadLevel,
     job::{Checkpoint, MAX_RESULT_BYTES},
-    size::Resources,
+    size::{Millicores, Resources},
     time::Timestamp,
     worker::{
         StopMode, TaskEvent, TaskStart, TaskStatus, UsageSample, WorkerError, WorkerInfo, WorkerOp,
@@ -182,6 +183,11 @@
         self.tasks.values().map(Task::status)
     }
 
+    /// Returns the newest event, if there is one that is not acknowledged.
+    pub fn last_event(&self) -> Option<&(u64, TaskId, TaskEvent)> {
+        self.events.last()
+    }
+
     /// Reports whether there is an event after `after`, or a measurement, or
     /// whether `after` belongs to an earlier incarnation.
     pub fn has_news(&self, now: Timestamp, after: u64) -> bool {
@@ -201,7 +207,14 @@
         if let Some(count) = counts.get_mut(class) {
             *count = count.saturating_sub(1);
         }
-        config.interference.slowdown(class, counts.iter().map(|(class, &count)| (class, count)))
+        let neighbours = counts.iter().map(|(class, &count)| (class, count));
+        config.interference.slowdown(class, self.load(), neighbours)
+    }
+
+    /// Returns how much of the processors is committed to tasks.
+    fn load(&self) -> LoadLevel {
+        let committed = self.tasks.values().map(|it| it.start.resources.cpu.0).sum();
+        LoadLevel::of(Millicores(committed), self.info.capacity.cpu)
     }
 
     /// Ends every task and begins a new incarnation, as a crash does.
--- /dev/null
+++ b/crates/mustardcove-replay/src/checks.rs
@@ -0,0 +1,297 @@
+//! Checks of P1 to P9 and of lost jobs.
+//!
+//! The checks read what happened from outside: the workers' record of runs,
+//! the log as the store keeps it, and what callers were told. They share no
+//! state with the machines that they check.
+
+use std::collections::{BTreeMap, HashMap};
+
+use mustardcove_core::{
+    class::{ClassKind, Delivery},
+    id::{AttemptNumber, ClassId, JobId, Revision, SegmentNumber, ShardId, TaskId, WorkerId},
+    job::{Checkpoint, JobState, Outcome, Place},
+    ledger::{Ledger, Record, Segment, segment::parse_log_key},
+    time::Timestamp,
+    worker::TaskEvent,
+};
+use mustardcove_platform::memory::RunLedger;
+use serde::Serialize;
+
+use crate::{
+    trace::Header,
+    world::{Caller, CallerState, Fleet, PendingRevision},
+};
+
+/// Time after which an upstream that is leaving gets no new work (P7), in
+/// milliseconds.
+const LEAVING_BOUND_MS: u64 = 3_000;
+
+/// Time within which a planned stop ends (P8), in milliseconds.
+const STOP_BOUND_MS: u64 = 10_000;
+
+/// Time for which an accepted job may be bound to a worker that does not run
+/// it before it counts as lost, in milliseconds.
+const STUCK_MS: u64 = 60_000;
+
+/// Most violations that are described; all are counted.
+const MAX_DESCRIBED: usize = 50;
+
+/// Something that must never happen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// The property, from `P1` to `P9`, or `lost` for a lost job.
+    pub property: String,
+    /// When, in milliseconds from the start of the trace.
+    pub at_ms: i64,
+    /// What happened.
+    pub detail: String,
+}
+
+/// A task that was stopped with a checkpoint.
+#[derive(Clone, Debug)]
+struct Stopped {
+    attempt: AttemptNumber,
+    worker: WorkerId,
+    checkpoint: Option<Checkpoint>,
+}
+
+#[derive(Debug, Default)]
+struct ShardTruth {
+    tail: SegmentNumber,
+    ledger: Ledger,
+}
+
+/// The checks.
+#[derive(Debug)]
+pub(crate) struct Checks {
+    pub(crate) violations: Vec<Violation>,
+    pub(crate) counts: BTreeMap<String, u64>,
+    pub(crate) evictions: BTreeMap<ClassId, u64>,
+    pub(crate) newest_revision: Revision,
+    pub(crate) pending_revisions: Vec<PendingRevision>,
+    pub(crate) races: Vec<(Revision, u32)>,
+    done_revisions: BTreeMap<Revision, u32>,
+    callers: HashMap<JobId, usize>,
+    deliveries: HashMap<JobId, Delivery>,
+    shards: BTreeMap<ShardId, ShardTruth>,
+    shard_count: u16,
+    ended: Vec<(JobId, Outcome)>,
+    stopped: HashMap<JobId, Stopped>,
+    seen_overlaps: usize,
+    seen_overcommits: usize,
+    seen_repeats: usize,
+}
+
+impl Checks {
+    pub(crate) fn new(header: &Header) -> Checks {
+        Checks {
+            violations: Vec::new(),
+            counts: BTreeMap::new(),
+            evictions: BTreeMap::new(),
+            newest_revision: Revision(1),
+            pending_revisions: Vec::new(),
+            races: Vec::new(),
+            done_revisions: BTreeMap::new(),
+            callers: HashMap::new(),
+            deliveries: HashMap::new(),
+            shards: BTreeMap::new(),
+            shard_count: header.shards,
+            ended: Vec::new(),
+            stopped: HashMap::new(),
+            seen_overlaps: 0,
+            seen_overcommits: 0,
+            seen_repeats: 0,
+        }
+    }
+
+    pub(crate) fn violation(&mut self, property: &str, at_ms: i64, detail: String) {
+        *self.counts.entry(property.to_owned()).or_default() += 1;
+        if self.violations.len() < MAX_DESCRIBED {
+            self.violations.push(Violation { property: property.to_owned(), at_ms, detail });
+        }
+    }
+
+    pub(crate) fn add_caller(&mut self, job: JobId, index: usize, caller: &Caller) {
+        self.callers.insert(job, index);
+        self.deliveries.insert(job, caller.delivery);
+    }
+
+    pub(crate) fn caller_of(&self, job: JobId) -> Option<usize> {
+        self.callers.get(&job).copied()
+    }
+
+    pub(crate) fn has_run(&self, ledger: &RunLedger, job: JobId) -> bool {
+        ledger.summary(job).starts != 0
+    }
+
+    /// Checks what the workers recorded since the last event.
+    pub(crate) fn after_event(&mut self, at_ms: i64, ledger: &RunLedger) {
+        for it in &ledger.overlaps[self.seen_overlaps..] {
+            let delivery = self.deliveries.get(&it.started.job);
+            let detail =
+                format!("{} runs on {} and {} on {}", it.running, it.on, it.started, it.started_on);
+            match delivery {
+                Some(Delivery::Idempotent) => (),
+                Some(Delivery::AtMostOnce) => {
+                    self.violation("P2", at_ms, detail.clone());
+                    self.violation("P6", at_ms, detail);
+                }
+                _ => self.violation("P2", at_ms, detail),
+            }
+        }
+        self.seen_overlaps = ledger.overlaps.len();
+        for (worker, task) in &ledger.overcommits[self.seen_overcommits..] {
+            self.violation("P1", at_ms, format!("{worker} has no room for {task}"));
+        }
+        self.seen_overcommits = ledger.overcommits.len();
+        for task in &ledger.repeated_attempts[self.seen_repeats..] {
+            self.violation("P2", at_ms, format!("{task} was started after it had ended"));
+        }
+        self.seen_repeats = ledger.repeated_attempts.len();
+    }
+
+    /// Checks P6 when a run has ended.
+    pub(crate) fn run_ended(&mut self, at_ms: i64, job: JobId, ledger: &RunLedger) {
+        let completions = ledger.summary(job).completions;
+        if 1 < completions && self.deliveries.get(&job) == Some(&Delivery::AtMostOnce) {
+            self.violation("P6", at_ms, format!("{job} ran to its end {completions} times"));
+        }
+    }
+
+    /// Checks P3 when an attempt begins to run.
+    pub(crate) fn started(&mut self, at_ms: i64, task: TaskId, from: Option<&Checkpoint>) {
+        let Some(stopped) = self.stopped.get(&task.job) else { return };
+        if task.attempt <= stopped.attempt {
+            return;
+        }
+        let stopped = self.stopped.remove(&task.job);
+        let expected = stopped.and_then(|it| it.checkpoint);
+        if expected.as_ref() != from {
+            let detail = format!("{task} resumes from {from:?} and not from {expected:?}");
+            self.violation("P3", at_ms, detail);
+        }
+    }
+
+    /// Notes that a task was stopped with a checkpoint.
+    pub(crate) fn stopped(&mut self, task: TaskId, worker: &WorkerId, event: Option<&TaskEvent>) {
+        let Some(TaskEvent::Stopped { checkpoint }) = event else { return };
+        let (attempt, worker) = (task.attempt, worker.clone());
+        let it = Stopped { attempt, worker, checkpoint: checkpoint.clone() };
+        self.stopped.insert(task.job, it);
+    }
+
+    /// Forgets what a worker knew before it restarted: a stop that it had not
+    /// reported is lost with it, and the work resumes from an earlier point.
+    pub(crate) fn worker_restarted(&mut self, worker: &WorkerId) {
+        self.stopped.retain(|_, it| it.worker != *worker);
+    }
+
+    /// Checks P7.
+    pub(crate) fn new_work_on_leaving(&mut self, at_ms: i64, worker: &WorkerId, after_ms: u64) {
+        if LEAVING_BOUND_MS < after_ms {
+            let detail = format!("{worker} got new work {after_ms} ms after it began to leave");
+            self.violation("P7", at_ms, detail);
+        }
+    }
+
+    /// Checks P8 when a process has stopped, or has not yet at the end.
+    pub(crate) fn stopped_process(&mut self, at_ms: i64, name: &str, took_ms: u64) {
+        if STOP_BOUND_MS < took_ms {
+            self.violation("P8", at_ms, format!("the stop of {name} took {took_ms} ms"));
+        }
+    }
+
+    /// Checks that at most one of several racing operators succeeds.
+    pub(crate) fn change_done(&mut self, at_ms: i64, revision: Revision) {
+        let count = self.done_revisions.entry(revision).or_default();
+        *count += 1;
+        if 1 < *count {
+            self.violation("P9", at_ms, format!("two operators were told of {revision}"));
+        }
+    }
+
+    pub(crate) fn revision_written(&mut self, at_ms: i64, revision: Revision) {
+        if revision <= self.newest_revision {
+            let newest = self.newest_revision;
+            self.violation("P9", at_ms, format!("{revision} was written after {newest}"));
+        }
+        self.newest_revision = self.newest_revision.max(revision);
+    }
+
+    /// Reads a value that was written to a shard's log.
+    pub(crate) fn observe_log(&mut self, at_ms: i64, key: &str, value: &[u8]) {
+        let parts: Vec<&str> = key.split('/').collect();
+        let Some(shard) = parts.get(1).and_then(|it| it.parse::<ShardId>().ok()) else { return };
+        let Some(seq) = parse_log_key(shard, key) else { return };
+        let Ok(segment) = Segment::decode(value) else {
+            return self.violation("lost", at_ms, format!("{key} cannot be read"));
+        };
+        let truth = self.shards.entry(shard).or_default();
+        if seq != truth.tail.next() {
+            let tail = truth.tail;
+            return self.violation("lost", at_ms, format!("{key} does not follow segment {tail}"));
+        }
+        truth.tail = seq;
+        for record in &segment.records {
+            self.observe_record(at_ms, shard, record);
+        }
+    }
+
+    fn observe_record(&mut self, at_ms: i64, shard: ShardId, record: &Record) {
+        let truth = self.shards.entry(shard).or_default();
+        if !truth.ledger.apply(record) {
+            return self.violation("lost", at_ms, format!("{record:?} does not fit its job"));
+        }
+        match record {
+            Record::Evicted { task, .. } => {
+                let class = truth.ledger.get(task.job).map(|it| it.spec.class.clone());
+                if let Some(class) = class {
+                    *self.evictions.entry(class).or_default() += 1;
+                }
+            }
+            Record::Done { job, outcome, .. } => self.ended.push((*job, outcome.clone())),
+            _ => (),
+        }
+    }
+
+    /// Returns the jobs whose end was observed since the last call.
+    pub(crate) fn take_ended(&mut self) -> Vec<(JobId, Outcome)> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Returns the state of a job in the log.
+    pub(crate) fn state_of(&self, job: JobId) -> Option<&JobState> {
+        let truth = self.shards.get(&job.shard(self.shard_count))?;
+        truth.ledger.get(job).map(|it| &it.state)
+    }
+
+    /// Checks at the end of the trace that no accepted job was lost.
+    pub(crate) fn finish(&mut self, at_ms: i64, now: Timestamp, callers: &[Caller], fleet: &Fleet) {
+        for job in fleet.ledger.completed_more_than_once() {
+            if self.deliveries.get(&job) == Some(&Delivery::AtMostOnce) {
+                self.violation("P6", at_ms, format!("{job} ran to its end more than once"));
+            }
+        }
+        for caller in callers.iter().filter(|it| it.kind != ClassKind::Service) {
+            if !caller.accepted || caller.state != CallerState::Accepted {
+                continue;
+            }
+            if let Some(detail) = self.is_lost(now, caller) {
+                let key = &caller.work.key;
+                self.violation("lost", at_ms, format!("{key}: {detail}"));
+            }
+        }
+    }
+
+    fn is_lost(&self, now: Timestamp, caller: &Caller) -> Option<String> {
+        let Some(state) = self.state_of(caller.job) else {
+            return Some("accepted, and not in the log".to_owned());
+        };
+        let JobState::Bound { attempt, place: Place::Worker { worker, .. }, .. } = state else {
+            return None;
+        };
+        let idle_since_us = caller.stopped_us.unwrap_or(caller.arrived_us);
+        let is_stuck = !caller.runs && idle_since_us / 1_000 + STUCK_MS < now.0;
+        is_stuck.then(|| format!("attempt {attempt} is bound to {worker}, which does not run it"))
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/report.rs
@@ -0,0 +1,257 @@
+//! What a run measured.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use mustardcove_core::{
+    class::ClassKind,
+    id::ClassId,
+    job::JobState,
+    verdict::{Refusal, Verdict},
+};
+use serde::Serialize;
+
+use crate::{
+    checks::{Checks, Violation},
+    policy::PolicyKind,
+    trace::{Header, Metric},
+    world::{Caller, CallerState, Fleet, Net, Store},
+};
+
+/// What was measured of one class.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ClassReport {
+    /// Requests or jobs that arrived.
+    pub arrived: u64,
+    /// Requests answered or jobs that ended well.
+    pub succeeded: u64,
+    /// Refusals with verdict `NotRun`.
+    pub refused_not_run: u64,
+    /// Refusals with another verdict.
+    pub refused_other: u64,
+    /// Median latency of answers, in milliseconds; zero for jobs.
+    pub p50_ms: f64,
+    /// 99th percentile of the latency of answers, in milliseconds.
+    pub p99_ms: f64,
+    /// 99.9th percentile of the latency of answers, in milliseconds.
+    pub p999_ms: f64,
+    /// Jobs that ended well per minute.
+    pub per_min: f64,
+    /// Work done, finished or saved in a checkpoint, in seconds of run time.
+    pub work_s: f64,
+    /// Evictions.
+    pub evictions: u64,
+}
+
+/// What a run measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The trace.
+    pub trace: String,
+    /// The policy.
+    pub policy: PolicyKind,
+    /// The seed.
+    pub seed: u64,
+    /// By class.
+    pub classes: BTreeMap<ClassId, ClassReport>,
+    /// Violations by property; empty if there are none.
+    pub violations: BTreeMap<String, u64>,
+    /// The first violations.
+    pub described: Vec<Violation>,
+    /// Longest time from the arrival to the start of urgent work, in
+    /// milliseconds.
+    pub urgent_start_ms: u64,
+    /// 99th percentile of that time.
+    pub urgent_start_p99_ms: u64,
+    /// Urgent jobs started.
+    pub urgent_starts: u64,
+    /// Longest time that a watcher was not running, in milliseconds.
+    pub watcher_absence_ms: u64,
+    /// Longest time until a revision was in force everywhere, in milliseconds.
+    pub configuration_ms: u64,
+    /// Changes made by operators, and changes refused.
+    pub changes: (u64, u64),
+    /// Longest time for which a leaving upstream got new work, in
+    /// milliseconds.
+    pub leaving_ms: u64,
+    /// Longest planned stop, in milliseconds.
+    pub stop_ms: u64,
+    /// Planned stops that ended.
+    pub stops: u64,
+    /// Calls to the store: reads and writes.
+    pub store_calls: (u64, u64),
+    /// Highest rates over ten seconds: reads and writes per second.
+    pub store_peak_per_s: (f64, f64),
+    /// Most watches that waited at once.
+    pub waiting_watches: usize,
+    /// Bytes between regions.
+    pub remote_bytes: u64,
+    /// Service requests sent across the link between regions.
+    pub remote_requests: u64,
+    /// Retries of service requests.
+    pub retries: u64,
+    /// Most tasks that ran at once at the end of the trace.
+    pub running_at_end: usize,
+}
+
+impl Report {
+    /// Returns the value of a metric of a single run.
+    pub fn value(&self, metric: Metric, class: Option<&ClassId>) -> Option<f64> {
+        let class = class.and_then(|it| self.classes.get(it));
+        Some(match metric {
+            Metric::Violations => self.violations.values().sum::<u64>() as f64,
+            Metric::P99Ms => class?.p99_ms,
+            Metric::ThroughputPerMin => class?.per_min,
+            Metric::Evictions => class?.evictions as f64,
+            Metric::UrgentStartMs => self.urgent_start_ms as f64,
+            Metric::WatcherAbsenceMs => self.watcher_absence_ms as f64,
+            Metric::ConfigurationMs => self.configuration_ms as f64,
+            Metric::LeavingMs => self.leaving_ms as f64,
+            Metric::StopMs => self.stop_ms as f64,
+            Metric::StoreWritesPerS => self.store_peak_per_s.1,
+            Metric::StoreReadsPerS => self.store_peak_per_s.0,
+            Metric::ThroughputRatio | Metric::EvictionsRatio | Metric::GapClosed => return None,
+        })
+    }
+}
+
+/// Measurements of a run under way.
+#[derive(Debug)]
+pub(crate) struct Measures {
+    latencies: BTreeMap<ClassId, Histogram<u64>>,
+    classes: BTreeMap<ClassId, ClassReport>,
+    urgent: Histogram<u64>,
+    minutes: f64,
+    pub(crate) watcher_absence_ms: u64,
+    pub(crate) configuration_ms: u64,
+    pub(crate) changes: u64,
+    pub(crate) changes_refused: u64,
+    pub(crate) leaving_ms: u64,
+    pub(crate) stop_ms: u64,
+    pub(crate) stops: u64,
+    pub(crate) remote_requests: u64,
+    pub(crate) retries: u64,
+}
+
+/// Longest time that is told apart, in microseconds.
+const MAX_US: u64 = 3_600_000_000;
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MAX_US, 3).expect("three digits are supported")
+}
+
+impl Measures {
+    pub(crate) fn new(header: &Header) -> Measures {
+        let classes = header.classes.iter().map(|it| (it.id.clone(), ClassReport::default()));
+        Measures {
+            latencies: BTreeMap::new(),
+            classes: classes.collect(),
+            urgent: histogram(),
+            minutes: header.duration_ms as f64 / 60_000.0,
+            watcher_absence_ms: 0,
+            configuration_ms: 0,
+            changes: 0,
+            changes_refused: 0,
+            leaving_ms: 0,
+            stop_ms: 0,
+            stops: 0,
+            remote_requests: 0,
+            retries: 0,
+        }
+    }
+
+    fn class(&mut self, class: &ClassId) -> &mut ClassReport {
+        self.classes.entry(class.clone()).or_default()
+    }
+
+    /// Notes the latency of an answer.
+    pub(crate) fn latency(&mut self, class: &ClassId, us: u64) {
+        self.class(class).succeeded += 1;
+        let latencies = self.latencies.entry(class.clone()).or_insert_with(histogram);
+        latencies.saturating_record(us);
+    }
+
+    pub(crate) fn refused(&mut self, class: &ClassId, refusal: &Refusal) {
+        let class = self.class(class);
+        match refusal.verdict {
+            Verdict::NotRun => class.refused_not_run += 1,
+            Verdict::Ran | Verdict::MayHaveRun => class.refused_other += 1,
+        }
+    }
+
+    pub(crate) fn job_succeeded(&mut self, class: &ClassId, run_ms: u64) {
+        let class = self.class(class);
+        class.succeeded += 1;
+        class.work_s += run_ms as f64 / 1_000.0;
+    }
+
+    pub(crate) fn urgent_start(&mut self, ms: u64) {
+        self.urgent.saturating_record(ms);
+    }
+
+    pub(crate) fn watcher_absent(&mut self, ms: u64) {
+        self.watcher_absence_ms = self.watcher_absence_ms.max(ms);
+    }
+
+    /// Adds what is only known at the end.
+    pub(crate) fn finish(
+        mut self,
+        names: (String, PolicyKind, u64),
+        store: &Store,
+        net: &Net,
+        callers: &[Caller],
+        checks: &Checks,
+        fleet: &Fleet,
+    ) -> Report {
+        let saved = fleet.progress();
+        for caller in callers {
+            let is_open = caller.state == CallerState::Accepted && caller.kind == ClassKind::Batch;
+            let run_ms = caller.work.run_ms as f64;
+            let class = self.class(&caller.work.class);
+            class.arrived += 1;
+            if is_open {
+                let resumable = match checks.state_of(caller.job) {
+                    Some(JobState::Queued { resume_from: Some(it), .. }) => it.progress_permille,
+                    _ => saved.get(&caller.job).copied().unwrap_or_default(),
+                };
+                class.work_s += run_ms / 1_000.0 * f64::from(resumable) / 1_000.0;
+            }
+        }
+        for (class, count) in &checks.evictions {
+            self.class(class).evictions = *count;
+        }
+        let minutes = self.minutes;
+        for (id, class) in &mut self.classes {
+            class.per_min = class.succeeded as f64 / minutes;
+            if let Some(it) = self.latencies.get(id) {
+                let ms = |quantile| it.value_at_quantile(quantile) as f64 / 1_000.0;
+                (class.p50_ms, class.p99_ms, class.p999_ms) = (ms(0.5), ms(0.99), ms(0.999));
+            }
+        }
+        let counters = store.state.counters;
+        Report {
+            trace: names.0,
+            policy: names.1,
+            seed: names.2,
+            classes: self.classes,
+            violations: checks.counts.clone(),
+            described: checks.violations.clone(),
+            urgent_start_ms: self.urgent.max(),
+            urgent_start_p99_ms: self.urgent.value_at_quantile(0.99),
+            urgent_starts: self.urgent.len(),
+            watcher_absence_ms: self.watcher_absence_ms,
+            configuration_ms: self.configuration_ms,
+            changes: (self.changes, self.changes_refused),
+            leaving_ms: self.leaving_ms,
+            stop_ms: self.stop_ms,
+            stops: self.stops,
+            store_calls: (counters.reads, counters.writes),
+            store_peak_per_s: store.peak_rates(),
+            waiting_watches: store.most_waiting,
+            remote_bytes: net.remote_bytes,
+            remote_requests: self.remote_requests,
+            retries: self.retries,
+            running_at_end: fleet.running().count(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/trace/header.rs
@@ -0,0 +1,232 @@
+//! The first line of a trace.
+
+use std::collections::BTreeSet;
+
+use mustardcove_core::{
+    agreement::Service,
+    class::Class,
+    configuration::Dissemination,
+    id::{ClassId, FailureDomainId, MemberId, RegionId, ServiceId},
+    size::Resources,
+};
+use serde::Deserialize;
+
+/// Everything that a trace says about the deployment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Header {
+    /// Version of the format.
+    pub version: u32,
+    /// Name of the trace.
+    pub name: String,
+    /// What the trace shows, in one line.
+    pub description: String,
+    /// Length of the trace, in virtual milliseconds.
+    pub duration_ms: u64,
+    /// Seed of all random choices, unless another is given.
+    pub seed: u64,
+    /// The instances.
+    pub fleet: FleetSpec,
+    /// Latencies between processes.
+    pub latencies: Latencies,
+    /// The links between regions.
+    pub link: LinkSpec,
+    /// The store.
+    pub store: StoreSpec,
+    /// Time by which the instance list is late, in milliseconds.
+    #[serde(default = "default_list_lag_ms")]
+    pub list_lag_ms: u64,
+    /// Number of shards.
+    #[serde(default = "default_shards")]
+    pub shards: u16,
+    /// Worker groups in each failure domain.
+    #[serde(default = "default_slices")]
+    pub slices: u16,
+    /// How revisions of the agreement reach the processes.
+    #[serde(default = "default_dissemination")]
+    pub dissemination: Dissemination,
+    /// Time within which a revision has to be in force, in milliseconds.
+    pub configuration_bound_ms: u64,
+    /// Services.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// Classes of work.
+    pub classes: Vec<Class>,
+    /// Members.
+    pub members: Vec<MemberSpec>,
+    /// True slowdowns; pairs that are not named do not interfere.
+    #[serde(default)]
+    pub slowdowns: Vec<Slowdown>,
+    /// Measurements.
+    #[serde(default)]
+    pub samples: SampleSpec,
+}
+
+fn default_list_lag_ms() -> u64 {
+    1_000
+}
+
+fn default_shards() -> u16 {
+    16
+}
+
+fn default_slices() -> u16 {
+    1
+}
+
+fn default_dissemination() -> Dissemination {
+    Dissemination::Flat
+}
+
+/// The instances of a deployment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSpec {
+    /// The regions with their failure domains.
+    pub regions: Vec<RegionSpec>,
+    /// Workers, in batches that are alike.
+    pub workers: Vec<WorkerSpec>,
+    /// Scheduler processes.
+    pub schedulers: Vec<InstanceSpec>,
+    /// Entry processes.
+    pub entries: Vec<InstanceSpec>,
+}
+
+/// A region.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RegionSpec {
+    /// Its name.
+    pub name: RegionId,
+    /// Its failure domains.
+    pub domains: Vec<FailureDomainId>,
+}
+
+/// Workers that are alike, named `{domain}-w{number}` from 1 in racks named
+/// `{domain}-r{number}`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerSpec {
+    /// Their failure domain.
+    pub domain: FailureDomainId,
+    /// How many there are.
+    pub count: u32,
+    /// How many share a rack.
+    pub rack_size: u32,
+    /// What each of them has.
+    pub capacity: Resources,
+    /// Their upstreams.
+    #[serde(default)]
+    pub upstreams: Vec<UpstreamSpec>,
+}
+
+/// An upstream on a worker.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamSpec {
+    /// The service.
+    pub service: ServiceId,
+    /// Requests handled at once.
+    pub slots: u32,
+    /// Connections accepted.
+    pub connections: u32,
+}
+
+/// Processes of one failure domain, named `{sched,entry}-{number}` from 1
+/// through all domains.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceSpec {
+    /// The failure domain.
+    pub domain: FailureDomainId,
+    /// How many there are.
+    pub count: u32,
+}
+
+/// One-way latencies, in microseconds.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Latencies {
+    /// Inside a failure domain.
+    pub domain_us: u64,
+    /// Between failure domains of a region.
+    pub region_us: u64,
+    /// Between regions.
+    pub remote_us: u64,
+    /// Between callers and entry processes.
+    pub client_us: u64,
+}
+
+/// A link between two regions.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSpec {
+    /// Bandwidth each way, in kbit/s.
+    pub kbit_per_s: u64,
+}
+
+/// The store.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSpec {
+    /// Its region.
+    pub region: RegionId,
+    /// Time that a call takes at the store, in microseconds.
+    pub service_us: u64,
+    /// Time after which a caller gives a call up, in milliseconds.
+    #[serde(default = "default_store_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+fn default_store_timeout_ms() -> u64 {
+    1_500
+}
+
+/// A member.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberSpec {
+    /// Its name.
+    pub id: MemberId,
+    /// The most that its tasks may hold.
+    pub cap: Resources,
+    /// The most service requests in flight.
+    pub max_requests: u32,
+    /// The classes that it uses.
+    pub classes: BTreeSet<ClassId>,
+    /// Whether work may be evicted when the cap is lowered.
+    #[serde(default)]
+    pub evict_over_cap: bool,
+}
+
+/// What one task of a class adds to the slowdown of another class.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Slowdown {
+    /// The class that is slowed down.
+    pub victim: ClassId,
+    /// The class that slows it down.
+    pub aggressor: ClassId,
+    /// What is added at low, medium and high load of the worker.
+    pub added: [f64; 3],
+}
+
+/// Measurements of the workers.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SampleSpec {
+    /// Time between two measurements, in milliseconds.
+    pub every_ms: u64,
+    /// The most by which a measurement is late, in milliseconds.
+    pub lag_ms: u64,
+    /// Relative error.
+    pub noise: f64,
+    /// Share that never arrives, in thousandths.
+    pub loss_permille: u16,
+}
+
+impl Default for SampleSpec {
+    fn default() -> SampleSpec {
+        SampleSpec { every_ms: 1_000, lag_ms: 0, noise: 0.0, loss_permille: 0 }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/world.rs
@@ -0,0 +1,204 @@
+//! A deployment in virtual time.
+//!
+//! The world drives the state machines of the core and of the platform's
+//! memory implementation from one queue of events. Messages take the stated
+//! latencies and, between regions, the time on the link; the store and the
+//! workers answer after theirs. Processor time is not modelled.
+
+mod entry;
+mod faults;
+mod fleet;
+mod jobs;
+mod net;
+mod operators;
+mod process;
+mod queue;
+mod requests;
+mod service;
+mod store;
+mod upstream;
+
+use std::{collections::HashMap, sync::Arc};
+
+use mustardcove_core::{
+    id::{ClassId, ProcessId},
+    time::Timestamp,
+    worker::WorkerInfo,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::{
+    operators::Operator,
+    process::Process,
+    queue::{Event, Queue},
+};
+use crate::{
+    checks::Checks,
+    plan,
+    policy::{Factory, PolicyKind},
+    report::{Measures, Report},
+    trace::{Trace, TraceEvent},
+};
+
+pub(crate) use self::{
+    fleet::Fleet,
+    jobs::{Caller, CallerState},
+    net::Net,
+    operators::PendingRevision,
+    store::Store,
+};
+
+/// Virtual wall time at which a trace begins, in milliseconds.
+const START_MS: u64 = 1_000_000_000;
+
+/// Time before the first event of the trace in which the processes start and
+/// share the work, in milliseconds.
+const WARM_UP_MS: u64 = 15_000;
+
+/// Position of a process in the world.
+pub(crate) type ProcessIndex = usize;
+
+/// Position of a worker in the world.
+pub(crate) type WorkerPosition = usize;
+
+/// A deployment in virtual time.
+pub(crate) struct World {
+    pub(crate) trace: Arc<Trace>,
+    factory: Factory,
+    seed: u64,
+    now_us: u64,
+    queue: Queue,
+    net: Net,
+    store: Store,
+    pub(crate) fleet: Fleet,
+    processes: Vec<Process>,
+    by_id: HashMap<ProcessId, ProcessIndex>,
+    pub(crate) callers: Vec<Caller>,
+    operators: Vec<Operator>,
+    list: Arc<[WorkerInfo]>,
+    list_version: u64,
+    load: HashMap<ClassId, f64>,
+    load_of_all: f64,
+    next_entry: usize,
+    born: u64,
+    rng: ChaCha8Rng,
+    pub(crate) checks: Checks,
+    pub(crate) measures: Measures,
+}
+
+impl World {
+    /// Returns a world in which every process is about to start.
+    pub(crate) fn new(trace: Arc<Trace>, policy: PolicyKind, seed: u64) -> World {
+        let header = &trace.header;
+        let infos = plan::workers(header);
+        let factory = Factory { kind: policy, truth: plan::true_slowdowns(header) };
+        let mut world = World {
+            factory,
+            seed,
+            now_us: START_MS * 1_000,
+            queue: Queue::default(),
+            net: Net::new(header),
+            store: Store::new(header, seed),
+            fleet: Fleet::new(header, &infos, Timestamp(START_MS), seed),
+            processes: Vec::new(),
+            by_id: HashMap::new(),
+            callers: Vec::new(),
+            operators: Vec::new(),
+            list: infos.into(),
+            list_version: 1,
+            load: HashMap::new(),
+            load_of_all: 1.0,
+            next_entry: 0,
+            born: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            checks: Checks::new(header),
+            measures: Measures::new(header),
+            trace,
+        };
+        world.set_up();
+        world
+    }
+
+    fn set_up(&mut self) {
+        let trace = Arc::clone(&self.trace);
+        self.write_first_revision();
+        for plan in plan::processes(&trace.header) {
+            self.add_process(plan);
+        }
+        for (index, event) in trace.events.iter().enumerate() {
+            let at = self.trace_time_us(event.at_ms());
+            self.queue.push(at, Event::Trace(index));
+        }
+    }
+
+    /// Returns the virtual time of a time in the trace, in microseconds.
+    fn trace_time_us(&self, at_ms: u64) -> u64 {
+        (START_MS + WARM_UP_MS + at_ms) * 1_000
+    }
+
+    /// Returns the time in the trace, in milliseconds; negative before its
+    /// beginning.
+    pub(crate) fn trace_ms(&self) -> i64 {
+        (self.now_us / 1_000) as i64 - (START_MS + WARM_UP_MS) as i64
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp(self.now_us / 1_000)
+    }
+
+    /// Runs until the end of the trace.
+    pub(crate) fn run(mut self) -> Report {
+        let end = self.trace_time_us(self.trace.header.duration_ms);
+        while let Some((at, event)) = self.queue.pop_before(end) {
+            self.now_us = at;
+            self.handle(event);
+            let trace_ms = self.trace_ms();
+            self.checks.after_event(trace_ms, &self.fleet.ledger);
+        }
+        self.now_us = end;
+        self.finish()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Trace(index) => {
+                let trace = Arc::clone(&self.trace);
+                self.trace_event(index, &trace.events[index]);
+            }
+            Event::StreamNext(index) => {
+                let trace = Arc::clone(&self.trace);
+                if let TraceEvent::Stream(stream) = &trace.events[index] {
+                    self.stream_arrival(index, stream);
+                }
+            }
+            Event::Deliver { to, born, event } => self.deliver(to, born, *event),
+            Event::StoreArrive(call) => self.store_arrive(*call),
+            Event::StoreExpire => self.store_expire(),
+            Event::WatchTimeout(id) => self.watch_timeout(id),
+            Event::WorkerArrive(call) => self.worker_arrive(*call),
+            Event::WorkerWake(worker) => self.worker_wake(worker),
+            Event::UpstreamArrive(request) => self.upstream_arrive(*request),
+            Event::UpstreamDone { worker, serving } => self.upstream_done(worker, serving),
+            Event::ProbeArrive { worker, from } => self.probe_arrive(worker, from),
+            Event::ListChanged => self.list_changed(),
+            Event::CallerAsks(caller) => self.caller_asks(caller),
+            Event::CallerAnswered { caller, answer } => self.caller_answered(caller, *answer),
+            Event::OperatorReply { operator, result } => self.operator_reply(operator, result),
+            Event::CheckRevisions => self.check_revisions(),
+        }
+    }
+
+    fn finish(mut self) -> Report {
+        for worker in 0..self.fleet.workers.len() {
+            self.advance_worker(worker);
+        }
+        self.check_stops();
+        let trace_ms = self.trace_ms();
+        let now = self.now();
+        self.checks.finish(trace_ms, now, &self.callers, &self.fleet);
+        let names = (self.trace.header.name.clone(), self.factory.kind, self.seed);
+        let (store, net, callers) = (&self.store, &self.net, &self.callers);
+        self.measures.finish(names, store, net, callers, &self.checks, &self.fleet)
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/world/entry.rs
@@ -0,0 +1,310 @@
+//! Entry processes: what they learn from the store and the instance list.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
+};
+
+use mustardcove_core::{
+    agreement::Agreement,
+    configuration::{Follower, FollowerEvent},
+    id::{CallId, MemberId, ProcessId, RequestId, ServiceId, ShardId, WorkerId},
+    limit::{EntryShare, MemberLimit, Shedder},
+    membership::{Membership, MembershipAction, MembershipEvent},
+    message::PeerMessage,
+    ownership::{
+        ProcessKind, SessionRecord,
+        record::{SESSION_PREFIX, decode},
+        session::{ENTRY_SESSION_RENEW_MS, ENTRY_SESSION_TTL_MS, Session},
+    },
+    retry::{RetryBudget, RetryPolicy},
+    routing::Router,
+    store::watch::PrefixView,
+    time::{Timestamp, earliest},
+};
+
+use super::{
+    ProcessIndex, World,
+    process::{ProcessEvent, Role},
+    queue::Event,
+    requests::ShardCall,
+    service::Ask,
+    store::StoreCaller,
+};
+use crate::trace::Header;
+
+/// Requests that an entry process holds at most.
+const CAPACITY: u64 = 10_000;
+
+/// Longest time in which every entry process learns of a change of the live
+/// ones, in milliseconds.
+const SHARE_HOLD_MS: u64 = 15_000;
+
+/// The upstreams of a service as one entry process sees them.
+pub(crate) struct Pool {
+    pub(crate) membership: Membership,
+    pub(crate) router: Router,
+    /// Requests that wait for room, the urgent ones first.
+    pub(crate) waiting: VecDeque<u64>,
+}
+
+/// What an entry process counts of a member.
+pub(crate) struct MemberState {
+    pub(crate) limit: MemberLimit,
+    pub(crate) budget: RetryBudget,
+}
+
+/// An entry process.
+pub(crate) struct Entry {
+    session: Session,
+    view: PrefixView,
+    pub(crate) follower: Follower,
+    next_call: CallId,
+    pub(crate) sessions: Vec<SessionRecord>,
+    pub(crate) share: EntryShare,
+    pub(crate) pools: BTreeMap<ServiceId, Pool>,
+    pub(crate) members: BTreeMap<MemberId, MemberState>,
+    pub(crate) shedder: Shedder,
+    pub(crate) retry: RetryPolicy,
+    pub(crate) owners: HashMap<ShardId, ProcessId>,
+    pub(crate) asks: BTreeMap<u64, Ask>,
+    pub(crate) next_ask: u64,
+    pub(crate) calls: BTreeMap<RequestId, ShardCall>,
+    pub(crate) next_request: RequestId,
+    pub(crate) agreement: Option<Arc<Agreement>>,
+    pub(crate) draining: bool,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        header: &Header,
+        record: SessionRecord,
+        follower: Follower,
+        seed: u64,
+        now: Timestamp,
+    ) -> Entry {
+        let mut pools = BTreeMap::new();
+        for (index, service) in header.services.iter().enumerate() {
+            let seed = seed.wrapping_add(index as u64);
+            let pool = Pool {
+                membership: Membership::new(service.id.clone(), seed),
+                router: Router::new(record.region.clone(), record.domain.clone(), seed),
+                waiting: VecDeque::new(),
+            };
+            pools.insert(service.id.clone(), pool);
+        }
+        let members = header.members.iter().map(|it| {
+            let state =
+                MemberState { limit: MemberLimit::default(), budget: RetryBudget::new(now) };
+            (it.id.clone(), state)
+        });
+        Entry {
+            share: EntryShare::new(record.process.clone(), SHARE_HOLD_MS),
+            session: Session::new(record, ENTRY_SESSION_TTL_MS, ENTRY_SESSION_RENEW_MS),
+            view: PrefixView::new(SESSION_PREFIX),
+            follower,
+            next_call: CallId(0),
+            sessions: Vec::new(),
+            pools,
+            members: members.collect(),
+            shedder: Shedder::new(CAPACITY, seed),
+            retry: RetryPolicy::new(seed),
+            owners: HashMap::new(),
+            asks: BTreeMap::new(),
+            next_ask: 0,
+            calls: BTreeMap::new(),
+            next_request: RequestId(0),
+            agreement: None,
+            draining: false,
+        }
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<Timestamp> {
+        let mut next = earliest(self.session.next_deadline(), self.view.next_deadline());
+        next = earliest(next, self.follower.next_deadline());
+        next = earliest(next, self.share.next_deadline());
+        for pool in self.pools.values() {
+            next = earliest(next, pool.membership.next_deadline());
+        }
+        next
+    }
+
+    /// Reports whether requests may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.draining && self.agreement.is_some() && !self.sessions.is_empty()
+    }
+}
+
+impl World {
+    pub(super) fn entry(&mut self, index: ProcessIndex) -> &mut Entry {
+        match &mut self.processes[index].role {
+            Role::Entry(it) => it,
+            Role::Scheduler(_) => unreachable!("the process is an entry"),
+        }
+    }
+
+    pub(super) fn entry_event(&mut self, index: ProcessIndex, event: ProcessEvent) {
+        match event {
+            ProcessEvent::Tick => self.entry_tick(index),
+            ProcessEvent::StoreReply { caller, result } => {
+                let now = self.now();
+                match caller {
+                    StoreCaller::Session(call) => {
+                        self.entry(index).session.handle(now, call, &result);
+                    }
+                    StoreCaller::View(call) => {
+                        let changes = self.entry(index).view.handle(now, call, &result);
+                        if changes.is_some_and(|it| !it.is_empty()) {
+                            self.entry_sessions(index);
+                        }
+                    }
+                    StoreCaller::Follower(call) => {
+                        self.follower_event(index, FollowerEvent::StoreReply { call, result });
+                    }
+                    StoreCaller::Node(_) => (),
+                }
+                self.poll_entry(index);
+            }
+            ProcessEvent::Peer { message: PeerMessage::Response { request, body }, .. } => {
+                self.shard_answered(index, request, body);
+            }
+            ProcessEvent::Peer { message: PeerMessage::Configuration(agreement), .. } => {
+                self.follower_event(index, FollowerEvent::Forwarded(agreement));
+            }
+            ProcessEvent::Workers { version, list } => {
+                let event = MembershipEvent::List { version, workers: list };
+                self.membership_event(index, None, event);
+            }
+            ProcessEvent::Asked(caller) => self.asked(index, caller),
+            ProcessEvent::Upstream(answer) => self.upstream_answered(index, *answer),
+            ProcessEvent::Probed { worker, ok } => {
+                let now = self.now();
+                for pool in self.entry(index).pools.values_mut() {
+                    if ok {
+                        pool.router.heard(now, &worker);
+                    }
+                }
+                self.membership_event(index, None, MembershipEvent::Probed { worker, ok });
+            }
+            ProcessEvent::RequestFailed { request, verdict } => {
+                self.shard_call_failed(index, request, verdict);
+            }
+            ProcessEvent::AskTimer { ask, timer } => self.ask_timer(index, ask, timer),
+            _ => (),
+        }
+        self.entry_stop_progress(index);
+    }
+
+    fn entry_tick(&mut self, index: ProcessIndex) {
+        let now = self.now();
+        self.entry(index).share.on_tick(now);
+        self.poll_entry(index);
+        self.follower_event(index, FollowerEvent::Tick);
+        self.membership_event(index, None, MembershipEvent::Tick);
+    }
+
+    fn poll_entry(&mut self, index: ProcessIndex) {
+        let now = self.now();
+        let it = self.entry(index);
+        it.next_call = it.next_call.next();
+        let call = it.next_call;
+        if let Some(op) = it.session.poll(now, call) {
+            self.store_call(index, StoreCaller::Session(call), op);
+        }
+        let it = self.entry(index);
+        it.next_call = it.next_call.next();
+        let call = it.next_call;
+        if let Some(op) = it.view.poll(now, call) {
+            self.store_call(index, StoreCaller::View(call), op);
+        }
+    }
+
+    fn entry_sessions(&mut self, index: ProcessIndex) {
+        let now = self.now();
+        let it = self.entry(index);
+        let records = it.view.entries().filter_map(|it| decode::<SessionRecord>(&it.value));
+        let records: Vec<SessionRecord> = records.collect();
+        let gone =
+            it.sessions.iter().filter(|old| records.iter().all(|new| new.process != old.process));
+        let gone: Vec<ProcessId> = gone.map(|it| it.process.clone()).collect();
+        let entries = records.iter().filter(|it| it.kind == ProcessKind::Entry && !it.draining);
+        let entries: Vec<ProcessId> = entries.map(|it| it.process.clone()).collect();
+        it.share.on_processes(now, &entries);
+        it.sessions = records.clone();
+        self.follower_event(index, FollowerEvent::Processes(records));
+        self.targets_gone(index, &gone);
+    }
+
+    pub(super) fn entry_agreement(&mut self, index: ProcessIndex, agreement: Arc<Agreement>) {
+        self.entry(index).agreement = Some(agreement);
+    }
+
+    /// Handles an event of one service's upstreams, or of all services'.
+    pub(super) fn membership_event(
+        &mut self,
+        index: ProcessIndex,
+        service: Option<&ServiceId>,
+        event: MembershipEvent,
+    ) {
+        let now = self.now();
+        let mut probes: Vec<WorkerId> = Vec::new();
+        let mut served = Vec::new();
+        for (id, pool) in &mut self.entry(index).pools {
+            if service.is_some_and(|it| it != id) {
+                continue;
+            }
+            let mut actions = Vec::new();
+            pool.membership.handle(now, event.clone(), &mut actions);
+            for action in &actions {
+                pool.router.apply(action);
+                if let MembershipAction::Probe(upstream) = action {
+                    probes.push(upstream.worker.clone());
+                }
+            }
+            if !actions.is_empty() {
+                served.push(id.clone());
+            }
+        }
+        for worker in probes {
+            self.send_probe(index, &worker);
+        }
+        for service in served {
+            self.serve_waiting(index, &service);
+        }
+    }
+
+    fn send_probe(&mut self, index: ProcessIndex, worker: &WorkerId) {
+        let Some(&position) = self.fleet.by_id.get(worker) else { return };
+        let (source, target) = (&self.processes[index], &self.fleet.workers[position]);
+        if source.cut || !target.alive || !self.net.passes(&source.place, &target.place) {
+            return;
+        }
+        let from = (index, source.born);
+        let at = self.net.send(self.now_us, &source.place, &target.place, 100);
+        self.queue.push(at, Event::ProbeArrive { worker: position, from });
+    }
+
+    /// Begins a planned stop of an entry process.
+    pub(super) fn stop_entry(&mut self, index: ProcessIndex) {
+        let now = self.now();
+        let it = self.entry(index);
+        it.draining = true;
+        it.session.set_draining(now);
+        self.poll_entry(index);
+        self.entry_stop_progress(index);
+    }
+
+    /// Ends the session of a draining process that has answered everybody.
+    fn entry_stop_progress(&mut self, index: ProcessIndex) {
+        let now = self.now();
+        let it = self.entry(index);
+        if !it.draining || !it.asks.is_empty() {
+            return;
+        }
+        it.session.end(now);
+        if it.session.is_ended() {
+            return self.process_stopped(index);
+        }
+        self.poll_entry(index);
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/world/fleet.rs
@@ -0,0 +1,347 @@
+//! Workers and their tasks.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use mustardcove_core::{
+    id::{GroupId, JobId, RackId, TaskId, WorkerId},
+    node::NodeCall,
+    ownership::record::group_of,
+    size::Resources,
+    time::Timestamp,
+    verdict::Verdict,
+    worker::{StopMode, TaskStatus, WorkerError, WorkerInfo, WorkerOp, WorkerReply, WorkerResult},
+};
+use mustardcove_platform::memory::{FleetConfig, RunLedger, worker_state::WorkerState};
+
+use super::{
+    ProcessIndex, WorkerPosition, World,
+    net::Place,
+    process::ProcessEvent,
+    queue::Event,
+    upstream::{Serving, UpstreamRequest},
+};
+use crate::{plan, trace::Header};
+
+/// Time in which a connection to a worker that is gone fails, in microseconds.
+const CONNECT_TIMEOUT_US: u64 = 300_000;
+
+/// Bytes of a call to a worker and of its answer, per task.
+const CALL_BYTES: u64 = 120;
+
+/// A call on its way to a worker.
+#[derive(Debug)]
+pub(crate) struct WorkerCall {
+    from: ProcessIndex,
+    born: u64,
+    call: NodeCall,
+    worker: WorkerPosition,
+    op: WorkerOp,
+}
+
+/// A worker with its upstreams.
+pub(crate) struct Worker {
+    pub(crate) state: WorkerState,
+    pub(crate) place: Place,
+    pub(crate) group: GroupId,
+    pub(crate) alive: bool,
+    pub(crate) listed: bool,
+    pub(crate) leaving_since_us: Option<u64>,
+    wake_at: Option<u64>,
+    /// Processes that wait for reports, with the last event that they have.
+    pollers: BTreeMap<ProcessIndex, u64>,
+    running: BTreeSet<TaskId>,
+    /// Requests under way at the upstreams.
+    pub(crate) serving: BTreeMap<u64, Serving>,
+    /// Requests that wait for a slot.
+    pub(crate) queue: VecDeque<UpstreamRequest>,
+    pub(crate) slots: u32,
+}
+
+/// The workers.
+pub(crate) struct Fleet {
+    pub(crate) cfg: FleetConfig,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) by_id: HashMap<WorkerId, WorkerPosition>,
+    pub(crate) ledger: RunLedger,
+    pub(crate) next_serving: u64,
+}
+
+impl Fleet {
+    pub(crate) fn new(header: &Header, infos: &[WorkerInfo], now: Timestamp, seed: u64) -> Fleet {
+        let cfg = plan::fleet_config(header, seed);
+        let mut fleet = Fleet {
+            workers: Vec::new(),
+            by_id: HashMap::new(),
+            ledger: RunLedger::default(),
+            next_serving: 0,
+            cfg,
+        };
+        for (index, info) in infos.iter().enumerate() {
+            let seed = seed.wrapping_add(index as u64 + 1);
+            fleet.by_id.insert(info.id.clone(), index);
+            let place = Place { region: info.region.clone(), domain: Some(info.domain.clone()) };
+            fleet.workers.push(Worker {
+                group: group_of(info, header.slices),
+                slots: info.upstreams.iter().map(|it| it.slots).sum(),
+                state: WorkerState::new(now, info.clone(), &fleet.cfg, seed),
+                place,
+                alive: true,
+                listed: true,
+                leaving_since_us: None,
+                wake_at: None,
+                pollers: BTreeMap::new(),
+                running: BTreeSet::new(),
+                serving: BTreeMap::new(),
+                queue: VecDeque::new(),
+            });
+        }
+        fleet
+    }
+
+    /// Returns the workers of a rack.
+    pub(crate) fn in_rack(&self, rack: &RackId) -> Vec<WorkerPosition> {
+        let workers = self.workers.iter().enumerate();
+        workers.filter(|(_, it)| it.state.info.rack == *rack).map(|(index, _)| index).collect()
+    }
+
+    /// Returns how much of the running jobs is saved, in thousandths.
+    pub(crate) fn progress(&self) -> HashMap<JobId, u16> {
+        let tasks = self.workers.iter().flat_map(|it| it.state.tasks());
+        let saved = |it: TaskStatus| it.checkpoint.map_or(0, |it| it.progress_permille);
+        tasks.map(|it| (it.task.job, saved(it))).collect()
+    }
+
+    /// Returns the tasks that run on live workers.
+    pub(crate) fn running(&self) -> impl Iterator<Item = TaskId> + '_ {
+        self.workers.iter().flat_map(|it| it.running.iter().copied())
+    }
+}
+
+impl World {
+    pub(super) fn worker_call(
+        &mut self,
+        from: ProcessIndex,
+        call: NodeCall,
+        worker: WorkerId,
+        op: WorkerOp,
+    ) {
+        let position = self.fleet.by_id.get(&worker).copied();
+        let source = &self.processes[from];
+        let reachable = position.filter(|it| {
+            let it = &self.fleet.workers[*it];
+            it.alive && !source.cut && self.net.passes(&source.place, &it.place)
+        });
+        let Some(position) = reachable else {
+            let result = Err(WorkerError::Unreachable { verdict: Verdict::NotRun });
+            let event = ProcessEvent::WorkerReply { call, worker, result };
+            return self.deliver_at(self.now_us + CONNECT_TIMEOUT_US, from, event);
+        };
+        let bytes = match &op {
+            WorkerOp::Renew { tasks, .. } => CALL_BYTES + 20 * tasks.len() as u64,
+            WorkerOp::Start { start, .. } => CALL_BYTES + start.payload.len() as u64,
+            _ => CALL_BYTES,
+        };
+        if matches!(op, WorkerOp::Start { .. }) {
+            self.note_new_work(position);
+        }
+        let source = &self.processes[from];
+        let place = &self.fleet.workers[position].place;
+        let at = self.net.send(self.now_us, &source.place, place, bytes);
+        let call = WorkerCall { from, born: source.born, call, worker: position, op };
+        self.queue.push(at, Event::WorkerArrive(Box::new(call)));
+    }
+
+    /// Checks P7 when work is sent to a worker.
+    pub(super) fn note_new_work(&mut self, worker: WorkerPosition) {
+        let Some(since_us) = self.fleet.workers[worker].leaving_since_us else { return };
+        let after_ms = (self.now_us - since_us) / 1_000;
+        self.measures.leaving_ms = self.measures.leaving_ms.max(after_ms);
+        let trace_ms = self.trace_ms();
+        let name = self.fleet.workers[worker].state.info.id.clone();
+        self.checks.new_work_on_leaving(trace_ms, &name, after_ms);
+    }
+
+    pub(super) fn worker_arrive(&mut self, call: WorkerCall) {
+        let WorkerCall { from, born, call, worker, op } = call;
+        if !self.fleet.workers[worker].alive {
+            let id = self.fleet.workers[worker].state.info.id.clone();
+            let result = Err(WorkerError::Unreachable { verdict: Verdict::MayHaveRun });
+            let event = ProcessEvent::WorkerReply { call, worker: id, result };
+            let at = self.now_us + CONNECT_TIMEOUT_US;
+            return self.queue.push(at, Event::Deliver { to: from, born, event: Box::new(event) });
+        }
+        self.advance_worker(worker);
+        if let WorkerOp::Start { start, .. } = &op {
+            // An attempt that has ended by itself is not taken for an overlap.
+            let on = self.fleet.ledger.running(start.task.job).map(|(_, on)| on.clone());
+            if let Some(other) = on.and_then(|it| self.fleet.by_id.get(&it).copied()) {
+                self.advance_worker(other);
+            }
+        }
+        let result = self.apply_op(worker, op);
+        self.after_worker(worker);
+        self.reply_from_worker(from, born, call, worker, result);
+    }
+
+    fn apply_op(&mut self, worker: WorkerPosition, op: WorkerOp) -> WorkerResult {
+        let now = self.now();
+        let trace_ms = self.trace_ms();
+        let begun = match &op {
+            WorkerOp::Start { start, .. } => Some((start.task, start.resume_from.clone())),
+            _ => None,
+        };
+        let stopped = match &op {
+            WorkerOp::Stop { task, mode: StopMode::Checkpoint, .. } => Some(*task),
+            _ => None,
+        };
+        let Fleet { cfg, workers, ledger, .. } = &mut self.fleet;
+        let was_running = begun.as_ref().is_some_and(|it| workers[worker].running.contains(&it.0));
+        let result = workers[worker].state.apply(now, cfg, op, ledger);
+        if let Some((task, resume_from)) = begun {
+            let runs = workers[worker].state.tasks().any(|it| it.task == task);
+            if runs && !was_running {
+                self.checks.started(trace_ms, task, resume_from.as_ref());
+                self.task_started(task);
+            }
+        }
+        if let (Some(task), Ok(WorkerReply::Stopping)) = (stopped, &result) {
+            let state = &self.fleet.workers[worker].state;
+            let event = state.last_event().filter(|it| it.1 == task).map(|it| &it.2);
+            self.checks.stopped(task, &state.info.id, event);
+        }
+        result
+    }
+
+    fn reply_from_worker(
+        &mut self,
+        to: ProcessIndex,
+        born: u64,
+        call: NodeCall,
+        worker: WorkerPosition,
+        result: WorkerResult,
+    ) {
+        let source = &self.fleet.workers[worker];
+        let target = &self.processes[to];
+        let id = source.state.info.id.clone();
+        if target.cut || !self.net.passes(&source.place, &target.place) {
+            // The caller's own time limit ends the call.
+            return;
+        }
+        let at = self.net.send(self.now_us, &source.place, &target.place, CALL_BYTES);
+        let event = ProcessEvent::WorkerReply { call, worker: id, result };
+        self.queue.push(at, Event::Deliver { to, born, event: Box::new(event) });
+    }
+
+    pub(super) fn worker_wake(&mut self, worker: WorkerPosition) {
+        if self.fleet.workers[worker].wake_at != Some(self.now_us) {
+            return;
+        }
+        self.fleet.workers[worker].wake_at = None;
+        self.advance_worker(worker);
+        self.after_worker(worker);
+    }
+
+    /// Brings a worker up to date.
+    pub(super) fn advance_worker(&mut self, worker: WorkerPosition) {
+        let now = self.now();
+        let Fleet { cfg, workers, ledger, .. } = &mut self.fleet;
+        if workers[worker].alive {
+            workers[worker].state.advance(now, cfg, ledger);
+        }
+        self.note_running(worker);
+    }
+
+    /// Notes which tasks have ended and checks P1.
+    fn note_running(&mut self, worker: WorkerPosition) {
+        let mut running = BTreeSet::new();
+        let mut used = Resources::ZERO;
+        let it = &mut self.fleet.workers[worker];
+        for task in it.state.tasks() {
+            used = used.saturating_add(task.resources);
+            running.insert(task.task);
+        }
+        let ended: Vec<TaskId> = it.running.difference(&running).copied().collect();
+        it.running = running;
+        if !used.fits_in(it.state.info.capacity) {
+            let detail = format!("{} runs more than it can hold", it.state.info.id);
+            let trace_ms = self.trace_ms();
+            self.checks.violation("P1", trace_ms, detail);
+        }
+        for task in ended {
+            self.task_ended(task);
+        }
+    }
+
+    /// Sends reports that are due and sets the time of the next look.
+    pub(super) fn after_worker(&mut self, worker: WorkerPosition) {
+        self.note_running(worker);
+        self.send_reports(worker);
+        let now_us = self.now_us;
+        let Fleet { cfg, workers, .. } = &mut self.fleet;
+        let it = &mut workers[worker];
+        if !it.alive {
+            return;
+        }
+        let Some(next) = it.state.next_event(cfg) else { return };
+        let at = (next.0 * 1_000).max(now_us + 1_000);
+        if it.wake_at.is_none_or(|wake| wake != at) {
+            it.wake_at = Some(at);
+            self.queue.push(at, Event::WorkerWake(worker));
+        }
+    }
+
+    fn send_reports(&mut self, worker: WorkerPosition) {
+        let now = self.now();
+        let pollers: Vec<(ProcessIndex, u64)> =
+            self.fleet.workers[worker].pollers.iter().map(|(to, after)| (*to, *after)).collect();
+        for (to, after) in pollers {
+            let it = &mut self.fleet.workers[worker];
+            let target = &self.processes[to];
+            let passes = !target.cut && self.net.passes(&it.place, &target.place);
+            if !it.alive || !passes || !target.alive || !it.state.has_news(now, after) {
+                continue;
+            }
+            let report = it.state.take_report(now, after);
+            it.pollers.insert(to, report.sequence);
+            let events: usize = report.events.len() + report.samples.len();
+            let bytes = CALL_BYTES * (1 + events as u64);
+            let at = self.net.send(self.now_us, &it.place, &target.place, bytes);
+            self.deliver_at(at, to, ProcessEvent::Report(report));
+        }
+    }
+
+    /// Begins or ends to send a process the reports of a group's workers.
+    pub(super) fn poll_reports(&mut self, process: ProcessIndex, group: &GroupId, begin: bool) {
+        for worker in 0..self.fleet.workers.len() {
+            if self.fleet.workers[worker].group != *group {
+                continue;
+            }
+            if begin {
+                self.fleet.workers[worker].pollers.insert(process, 0);
+                self.send_reports(worker);
+            } else {
+                self.fleet.workers[worker].pollers.remove(&process);
+            }
+        }
+    }
+
+    pub(super) fn forget_pollers(&mut self, process: ProcessIndex) {
+        for it in &mut self.fleet.workers {
+            it.pollers.remove(&process);
+        }
+    }
+
+    /// Ends a worker, or lets a worker begin anew.
+    pub(super) fn restart_worker(&mut self, worker: WorkerPosition, alive: bool) {
+        self.advance_worker(worker);
+        let now = self.now();
+        let Fleet { workers, ledger, .. } = &mut self.fleet;
+        workers[worker].state.restart(now, ledger);
+        workers[worker].alive = alive;
+        workers[worker].wake_at = None;
+        self.note_running(worker);
+        self.reset_upstream(worker);
+        let id = self.fleet.workers[worker].state.info.id.clone();
+        self.checks.worker_restarted(&id);
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/world/jobs.rs
@@ -0,0 +1,403 @@
+//! Callers: who submits jobs and service requests, and what they are told.
+
+use bytes::Bytes;
+use mustardcove_core::{
+    class::{Class, ClassKind, Delivery},
+    id::{ClassId, IdempotencyKey, JobId, MemberId, TaskId},
+    job::{BodyDigest, JobSpec, Outcome},
+    ownership::ProcessKind,
+    size::Resources,
+    time::Timestamp,
+    verdict::{Refusal, RefusalReason, Verdict},
+};
+use mustardcove_platform::memory::WorkSpec;
+use rand::RngExt;
+
+use super::{ProcessIndex, World, process::ProcessEvent, process::Role, queue::Event};
+use crate::trace::{Arrival, CancelEvent, Stream};
+
+/// Time after which a caller asks again if it was not told when, in
+/// milliseconds.
+const ASK_AGAIN_MS: u64 = 1_000;
+
+/// Most times that a caller of a service asks again after its connection was
+/// lost.
+const MAX_RECONNECTS: u32 = 3;
+
+/// What is to be done for a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Work {
+    pub(crate) member: MemberId,
+    pub(crate) class: ClassId,
+    pub(crate) key: IdempotencyKey,
+    size: Resources,
+    pub(crate) run_ms: u64,
+    declared_run_ms: u64,
+    checkpoint_ms: u64,
+    deadline_ms: u64,
+    answer_bytes: usize,
+}
+
+/// How far a caller has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallerState {
+    /// It waits for an answer, or to ask again.
+    Asking,
+    /// Its job was accepted.
+    Accepted,
+    /// Its job or request ended well.
+    Succeeded,
+    /// Its job or request failed, or it was refused for good.
+    Refused(Verdict),
+    /// Its job was cancelled.
+    Cancelled,
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub(crate) enum CallerAnswer {
+    Accepted,
+    Served(Bytes),
+    Refused(Refusal),
+    /// The connection was lost.
+    Broken,
+}
+
+/// Who submits a job or makes a service request.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub(crate) work: Work,
+    pub(crate) kind: ClassKind,
+    pub(crate) delivery: Delivery,
+    pub(crate) urgent: bool,
+    pub(crate) job: JobId,
+    pub(crate) state: CallerState,
+    pub(crate) arrived_us: u64,
+    pub(crate) answered_us: Option<u64>,
+    pub(crate) first_start_us: Option<u64>,
+    pub(crate) stopped_us: Option<u64>,
+    pub(crate) runs: bool,
+    pub(crate) accepted: bool,
+    pub(crate) wants_cancel: bool,
+    reconnects: u32,
+    asks: u64,
+    /// Whether every answer so far said that the request did not run.
+    only_not_run: bool,
+    /// Times that an upstream began to work on the request.
+    pub(crate) served: u32,
+    pub(crate) entry: Option<ProcessIndex>,
+}
+
+impl Caller {
+    /// Returns the whole answer that belongs to this caller.
+    pub(crate) fn expected_answer(&self) -> Bytes {
+        let mut body = self.work.key.as_str().as_bytes().to_vec();
+        body.resize(body.len().max(self.work.answer_bytes), b'.');
+        body.into()
+    }
+
+    /// Reports whether the caller was told that nothing of it ran, and has no
+    /// request under way.
+    pub(crate) fn was_told_not_run(&self) -> bool {
+        self.only_not_run && matches!(self.state, CallerState::Refused(Verdict::NotRun))
+    }
+
+    /// Returns what is submitted.
+    pub(crate) fn spec(&self) -> JobSpec {
+        let work = WorkSpec {
+            work_ms: self.work.run_ms,
+            checkpoint_every_ms: self.work.checkpoint_ms,
+            result: self.work.key.to_string(),
+            result_bytes: self.work.answer_bytes,
+            fails: false,
+        };
+        let payload = match self.kind {
+            ClassKind::Service => Bytes::from(self.work.key.to_string()),
+            ClassKind::Batch | ClassKind::Watcher => work.to_payload(),
+        };
+        JobSpec {
+            member: self.work.member.clone(),
+            key: self.work.key.clone(),
+            class: self.work.class.clone(),
+            resources: self.work.size,
+            expected_run_ms: self.work.declared_run_ms,
+            deadline: None,
+            digest: BodyDigest::of(&self.work.class, &payload),
+            payload,
+        }
+    }
+
+    /// Returns when the answer is of no more use.
+    pub(crate) fn deadline(&self) -> Timestamp {
+        match self.work.deadline_ms {
+            0 => Timestamp(self.arrived_us / 1_000).plus_ms(60_000),
+            ms => Timestamp(self.arrived_us / 1_000).plus_ms(ms),
+        }
+    }
+}
+
+impl World {
+    fn class(&self, id: &ClassId) -> Option<Class> {
+        self.trace.header.classes.iter().find(|it| it.id == *id).cloned()
+    }
+
+    pub(super) fn arrival(&mut self, it: &Arrival) {
+        self.add_caller(Work {
+            member: it.member.clone(),
+            class: it.class.clone(),
+            key: it.key.clone(),
+            size: it.size,
+            run_ms: it.run_ms,
+            declared_run_ms: it.declared_run_ms,
+            checkpoint_ms: it.checkpoint_ms,
+            deadline_ms: it.deadline_ms,
+            answer_bytes: it.answer_bytes,
+        });
+    }
+
+    /// Handles an arrival of a stream and sets the time of the next.
+    pub(super) fn stream_arrival(&mut self, index: usize, it: &Stream) {
+        let run_ms = self.rng.random_range(it.run_ms[0]..=it.run_ms[1]);
+        let number = self.callers.len();
+        self.add_caller(Work {
+            member: it.member.clone(),
+            class: it.class.clone(),
+            key: format!("{}-{number}", it.key).parse().expect("a valid key"),
+            size: it.size,
+            run_ms,
+            declared_run_ms: it.declared_run_ms,
+            checkpoint_ms: it.checkpoint_ms,
+            deadline_ms: it.deadline_ms,
+            answer_bytes: it.answer_bytes,
+        });
+        self.schedule_stream(index, it);
+    }
+
+    pub(super) fn schedule_stream(&mut self, index: usize, it: &Stream) {
+        let load = self.load.get(&it.class).copied().unwrap_or(self.load_of_all);
+        let draw: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let gap_us = -draw.ln() * 1_000_000.0 / (it.per_s * load);
+        let at = self.now_us + gap_us as u64;
+        if at < self.trace_time_us(it.to_ms) {
+            self.queue.push(at, Event::StreamNext(index));
+        }
+    }
+
+    fn add_caller(&mut self, work: Work) {
+        let Some(class) = self.class(&work.class) else { return };
+        let job = JobId::new(&work.member, &work.key);
+        let caller = Caller {
+            kind: class.kind,
+            delivery: class.delivery,
+            urgent: class.urgent,
+            job,
+            state: CallerState::Asking,
+            arrived_us: self.now_us,
+            answered_us: None,
+            first_start_us: None,
+            stopped_us: None,
+            runs: false,
+            accepted: false,
+            wants_cancel: false,
+            reconnects: 0,
+            asks: 0,
+            only_not_run: true,
+            served: 0,
+            entry: None,
+            work,
+        };
+        let index = self.callers.len();
+        self.checks.add_caller(job, index, &caller);
+        self.callers.push(caller);
+        self.caller_asks(index);
+    }
+
+    /// Sends a caller's request to an entry process that takes requests.
+    pub(super) fn caller_asks(&mut self, caller: usize) {
+        let entries = (0..self.processes.len()).filter(|it| {
+            let it = &self.processes[*it];
+            let is_ready = matches!(&it.role, Role::Entry(entry) if entry.is_ready());
+            it.alive && !it.cut && is_ready && it.stopping_since_us.is_none()
+        });
+        let entries: Vec<ProcessIndex> = entries.collect();
+        if entries.is_empty() {
+            let at = self.now_us + ASK_AGAIN_MS * 1_000;
+            return self.queue.push(at, Event::CallerAsks(caller));
+        }
+        self.next_entry += 1;
+        let to = entries[self.next_entry % entries.len()];
+        let it = &mut self.callers[caller];
+        it.asks += 1;
+        it.entry = Some(to);
+        let at = self.now_us + self.net.client_us();
+        self.deliver_at(at, to, ProcessEvent::Asked(caller));
+    }
+
+    /// Sends an answer to a caller.
+    pub(super) fn answer_caller(&mut self, caller: usize, answer: CallerAnswer) {
+        let at = self.now_us + self.net.client_us();
+        let answer = Box::new(answer);
+        self.queue.push(at, Event::CallerAnswered { caller, answer });
+    }
+
+    /// Breaks the connections of callers to a process that has ended.
+    pub(super) fn break_connections(&mut self, process: ProcessIndex) {
+        if self.processes[process].plan.kind != ProcessKind::Entry {
+            return;
+        }
+        for caller in 0..self.callers.len() {
+            let it = &self.callers[caller];
+            if it.entry == Some(process) && it.state == CallerState::Asking {
+                self.answer_caller(caller, CallerAnswer::Broken);
+            }
+        }
+    }
+
+    pub(super) fn caller_answered(&mut self, caller: usize, answer: CallerAnswer) {
+        let now_us = self.now_us;
+        let trace_ms = self.trace_ms();
+        let it = &mut self.callers[caller];
+        it.entry = None;
+        if it.state != CallerState::Asking {
+            return;
+        }
+        match answer {
+            CallerAnswer::Accepted => {
+                it.accepted = true;
+                it.state = CallerState::Accepted;
+                it.answered_us = Some(now_us);
+            }
+            CallerAnswer::Served(body) => {
+                it.state = CallerState::Succeeded;
+                it.answered_us = Some(now_us);
+                if body != it.expected_answer() {
+                    let detail = format!("{} got an answer that is not its own", it.work.key);
+                    self.checks.violation("P4", trace_ms, detail);
+                }
+                self.measures.latency(&it.work.class, now_us - it.arrived_us);
+            }
+            CallerAnswer::Refused(refusal) => self.caller_refused(caller, refusal),
+            CallerAnswer::Broken => {
+                it.only_not_run = false;
+                it.reconnects += 1;
+                let again = it.kind != ClassKind::Service || it.reconnects <= MAX_RECONNECTS;
+                if again {
+                    self.caller_asks(caller);
+                } else {
+                    it.state = CallerState::Refused(Verdict::MayHaveRun);
+                }
+            }
+        }
+    }
+
+    fn caller_refused(&mut self, caller: usize, refusal: Refusal) {
+        let now_us = self.now_us;
+        let it = &mut self.callers[caller];
+        it.only_not_run &= refusal.verdict == Verdict::NotRun;
+        let is_final = matches!(
+            refusal.reason,
+            RefusalReason::Invalid
+                | RefusalReason::Forbidden
+                | RefusalReason::KeyReused
+                | RefusalReason::NeverRunnable
+                | RefusalReason::OverCap
+                | RefusalReason::TooLarge
+                | RefusalReason::Cancelled
+        );
+        if it.kind != ClassKind::Service && !is_final {
+            // Jobs are submitted again with the same key until accepted.
+            let at = refusal.retry_at.map_or(now_us + ASK_AGAIN_MS * 1_000, |it| it.0 * 1_000);
+            return self.queue.push(at.max(now_us + 1_000), Event::CallerAsks(caller));
+        }
+        it.state = CallerState::Refused(refusal.verdict);
+        it.answered_us = Some(now_us);
+        let (class, key, served) = (it.work.class.clone(), it.work.key.clone(), it.served);
+        let (told_not_run, job) = (it.was_told_not_run(), it.job);
+        self.measures.refused(&class, &refusal);
+        let trace_ms = self.trace_ms();
+        if told_not_run && (served != 0 || self.checks.has_run(&self.fleet.ledger, job)) {
+            let detail = format!("{key} was refused as not run and had run: {refusal}");
+            self.checks.violation("P5", trace_ms, detail);
+        }
+    }
+
+    pub(super) fn cancel_jobs(&mut self, it: &CancelEvent) {
+        let mut left = it.count;
+        for caller in 0..self.callers.len() {
+            let is_open = matches!(self.callers[caller].state, CallerState::Accepted);
+            let matches = self.callers[caller].work.key.as_str().starts_with(it.key.as_str());
+            if left == 0 || !is_open || !matches || self.callers[caller].wants_cancel {
+                continue;
+            }
+            left -= 1;
+            self.callers[caller].wants_cancel = true;
+            self.callers[caller].stopped_us = None;
+            self.caller_asks(caller);
+        }
+    }
+
+    /// Notes that an attempt began to run on a worker.
+    pub(super) fn task_started(&mut self, task: TaskId) {
+        let now_us = self.now_us;
+        let Some(caller) = self.checks.caller_of(task.job) else { return };
+        let it = &mut self.callers[caller];
+        it.runs = true;
+        if it.first_start_us.is_none() {
+            it.first_start_us = Some(now_us);
+            if it.urgent {
+                self.measures.urgent_start((now_us - it.arrived_us) / 1_000);
+            }
+        }
+        if let Some(stopped_us) = it.stopped_us.take()
+            && it.kind == ClassKind::Watcher
+        {
+            self.measures.watcher_absent((now_us - stopped_us) / 1_000);
+        }
+        if it.was_told_not_run() {
+            let detail = format!("{} was refused as not run and runs now", it.work.key);
+            let trace_ms = self.trace_ms();
+            self.checks.violation("P5", trace_ms, detail);
+        }
+    }
+
+    /// Notes that an attempt no longer runs on a worker.
+    pub(super) fn task_ended(&mut self, task: TaskId) {
+        let now_us = self.now_us;
+        let trace_ms = self.trace_ms();
+        let Some(caller) = self.checks.caller_of(task.job) else { return };
+        let it = &mut self.callers[caller];
+        it.runs = false;
+        self.checks.run_ended(trace_ms, task.job, &self.fleet.ledger);
+        if !it.wants_cancel && it.state == CallerState::Accepted {
+            it.stopped_us = Some(now_us);
+        }
+    }
+
+    /// Notes that the end of a job is durable.
+    pub(super) fn job_ended(&mut self, job: JobId, outcome: &Outcome) {
+        let Some(caller) = self.checks.caller_of(job) else { return };
+        let trace_ms = self.trace_ms();
+        let it = &mut self.callers[caller];
+        if it.kind == ClassKind::Service {
+            return;
+        }
+        it.stopped_us = None;
+        match outcome {
+            Outcome::Succeeded { result } => {
+                if *result != it.expected_answer() {
+                    let detail = format!("{} has a result that is not its own", it.work.key);
+                    self.checks.violation("P4", trace_ms, detail);
+                }
+                it.state = CallerState::Succeeded;
+                self.measures.job_succeeded(&it.work.class, it.work.run_ms);
+            }
+            Outcome::Failed { refusal } => {
+                it.state = CallerState::Refused(refusal.verdict);
+                self.measures.refused(&it.work.class, refusal);
+            }
+            Outcome::Cancelled => {
+                it.state = CallerState::Cancelled;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/world/net.rs
@@ -0,0 +1,75 @@
+//! Latencies, links between regions and cuts.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardcove_core::id::{FailureDomainId, RegionId};
+
+use crate::trace::{Header, Latencies};
+
+/// Bytes that every message between regions takes besides its body.
+const OVERHEAD_BYTES: u64 = 80;
+
+/// Where a process, a worker or the store is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Place {
+    pub(crate) region: RegionId,
+    /// Absent for the store, which is in no failure domain.
+    pub(crate) domain: Option<FailureDomainId>,
+}
+
+/// The network.
+pub(crate) struct Net {
+    latencies: Latencies,
+    kbit_per_s: u64,
+    /// When the link from one region to another is free, in microseconds.
+    free_at: BTreeMap<(RegionId, RegionId), u64>,
+    cut: BTreeSet<RegionId>,
+    pub(crate) remote_bytes: u64,
+}
+
+impl Net {
+    pub(crate) fn new(header: &Header) -> Net {
+        Net {
+            latencies: header.latencies,
+            kbit_per_s: header.link.kbit_per_s,
+            free_at: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            remote_bytes: 0,
+        }
+    }
+
+    pub(crate) fn client_us(&self) -> u64 {
+        self.latencies.client_us
+    }
+
+    pub(crate) fn set_cut(&mut self, region: &RegionId, cut: bool) {
+        if cut {
+            self.cut.insert(region.clone());
+        } else {
+            self.cut.remove(region);
+        }
+    }
+
+    /// Reports whether messages pass between two places.
+    pub(crate) fn passes(&self, from: &Place, to: &Place) -> bool {
+        from.region == to.region
+            || !(self.cut.contains(&from.region) || self.cut.contains(&to.region))
+    }
+
+    /// Returns when a message of `bytes` arrives that is sent now.
+    pub(crate) fn send(&mut self, now_us: u64, from: &Place, to: &Place, bytes: u64) -> u64 {
+        if from.region != to.region {
+            let bytes = bytes + OVERHEAD_BYTES;
+            self.remote_bytes += bytes;
+            let key = (from.region.clone(), to.region.clone());
+            let free_at = self.free_at.entry(key).or_default();
+            *free_at = now_us.max(*free_at) + bytes * 8 * 1_000 / self.kbit_per_s;
+            return *free_at + self.latencies.remote_us;
+        }
+        if from.domain.is_some() && from.domain == to.domain {
+            now_us + self.latencies.domain_us
+        } else {
+            now_us + self.latencies.region_us
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/world/store.rs
@@ -0,0 +1,354 @@
+//! Calls to the store.
+
+use std::collections::BTreeMap;
+
+use mustardcove_core::{
+    id::CallId,
+    node::NodeCall,
+    ownership::record::encode,
+    store::{StoreError, StoreOp, StoreReply, StoreResult},
+    time::Timestamp,
+    verdict::Verdict,
+};
+use mustardcove_platform::memory::store_state::StoreState;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{ProcessIndex, World, net::Place, process::ProcessEvent, queue::Event};
+use crate::{plan, trace::Header};
+
+/// Time for which the rate of calls is averaged, in milliseconds.
+const RATE_WINDOW_MS: u64 = 10_000;
+
+/// The machine of a process that made a call.
+#[derive(Clone, Debug)]
+pub(crate) enum StoreCaller {
+    Node(NodeCall),
+    Follower(CallId),
+    Session(CallId),
+    View(CallId),
+}
+
+/// Who made a call.
+#[derive(Clone, Debug)]
+pub(crate) enum StoreOrigin {
+    Process { process: ProcessIndex, born: u64, caller: StoreCaller },
+    Operator(usize),
+}
+
+/// A call on its way to the store.
+#[derive(Debug)]
+pub(crate) struct StoreCall {
+    origin: StoreOrigin,
+    op: StoreOp,
+    sent_us: u64,
+}
+
+struct Waiting {
+    origin: StoreOrigin,
+    op: StoreOp,
+    prefix: String,
+}
+
+/// The store with its faults.
+pub(crate) struct Store {
+    pub(crate) state: StoreState,
+    place: Place,
+    service_us: u64,
+    timeout_us: u64,
+    pub(crate) outage: bool,
+    pub(crate) delay_us: u64,
+    pub(crate) lose_permille: u16,
+    rng: ChaCha8Rng,
+    waiting: BTreeMap<u64, Waiting>,
+    next_watch: u64,
+    expiry_at: Option<Timestamp>,
+    /// Reads and writes by window.
+    pub(crate) windows: BTreeMap<u64, (u64, u64)>,
+    pub(crate) most_waiting: usize,
+}
+
+impl Store {
+    pub(crate) fn new(header: &Header, seed: u64) -> Store {
+        Store {
+            state: StoreState::default(),
+            place: Place { region: header.store.region.clone(), domain: None },
+            service_us: header.store.service_us,
+            timeout_us: header.store.timeout_ms * 1_000,
+            outage: false,
+            delay_us: 0,
+            lose_permille: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5707),
+            waiting: BTreeMap::new(),
+            next_watch: 0,
+            expiry_at: None,
+            windows: BTreeMap::new(),
+            most_waiting: 0,
+        }
+    }
+
+    /// Returns the highest rates of reads and writes in any window, per second.
+    pub(crate) fn peak_rates(&self) -> (f64, f64) {
+        let most = |pick: fn(&(u64, u64)) -> u64| {
+            let most = self.windows.values().map(pick).max().unwrap_or_default();
+            most as f64 * 1_000.0 / RATE_WINDOW_MS as f64
+        };
+        (most(|it| it.0), most(|it| it.1))
+    }
+
+    fn count(&mut self, now: Timestamp, op: &StoreOp) {
+        self.state.count(op);
+        let window = self.windows.entry(now.0 / RATE_WINDOW_MS).or_default();
+        if op.is_write() {
+            window.1 += 1;
+        } else {
+            window.0 += 1;
+        }
+    }
+}
+
+fn op_bytes(op: &StoreOp) -> u64 {
+    match op {
+        StoreOp::Put { key, value, .. } => (key.len() + value.len()) as u64,
+        StoreOp::Get { key } | StoreOp::Delete { key, .. } => key.len() as u64,
+        StoreOp::List { prefix, .. } | StoreOp::Watch { prefix, .. } => prefix.len() as u64,
+        StoreOp::GrantLease { .. } | StoreOp::RenewLease { .. } | StoreOp::RevokeLease { .. } => 16,
+    }
+}
+
+fn result_bytes(result: &StoreResult) -> u64 {
+    let entry = |it: &mustardcove_core::store::Entry| (it.key.len() + it.value.len()) as u64;
+    match result {
+        Ok(StoreReply::Got { entry: Some(it), .. }) => entry(it),
+        Ok(StoreReply::Listed { entries, .. }) => entries.iter().map(entry).sum(),
+        Ok(StoreReply::Changes { events, .. }) => events
+            .iter()
+            .map(|it| match it {
+                mustardcove_core::store::WatchEvent::Put(it) => entry(it),
+                mustardcove_core::store::WatchEvent::Delete { key } => key.len() as u64,
+            })
+            .sum(),
+        _ => 16,
+    }
+}
+
+impl World {
+    pub(super) fn write_first_revision(&mut self) {
+        let record = plan::initial_record(&self.trace.header);
+        let op = StoreOp::Put {
+            key: mustardcove_core::agreement::record::AGREEMENT_KEY.to_owned(),
+            value: encode(&record),
+            expect: mustardcove_core::store::Expect::Absent,
+            lease: None,
+        };
+        let _ = self.store.state.apply(self.now(), &op);
+    }
+
+    /// Sends a call of a process to the store.
+    pub(super) fn store_call(&mut self, process: ProcessIndex, caller: StoreCaller, op: StoreOp) {
+        let born = self.processes[process].born;
+        let origin = StoreOrigin::Process { process, born, caller };
+        let call = StoreCall { origin, op, sent_us: self.now_us };
+        let it = &self.processes[process];
+        if it.cut || !self.net.passes(&it.place, &self.store.place) {
+            return self.store_timeout(call);
+        }
+        let bytes = op_bytes(&call.op);
+        let at = self.net.send(self.now_us, &it.place, &self.store.place, bytes);
+        self.queue.push(at, Event::StoreArrive(Box::new(call)));
+    }
+
+    pub(super) fn operator_call(&mut self, operator: usize, op: StoreOp) {
+        let origin = StoreOrigin::Operator(operator);
+        let call = StoreCall { origin, op, sent_us: self.now_us };
+        self.queue.push(self.now_us + 1_000, Event::StoreArrive(Box::new(call)));
+    }
+
+    /// Ends a call whose answer never comes.
+    fn store_timeout(&mut self, call: StoreCall) {
+        let at = (call.sent_us + self.store.timeout_us).max(self.now_us);
+        let result = Err(StoreError::Unavailable { verdict: Verdict::MayHaveRun });
+        self.push_store_reply(at, call.origin, result);
+    }
+
+    fn push_store_reply(&mut self, at: u64, origin: StoreOrigin, result: StoreResult) {
+        match origin {
+            StoreOrigin::Process { process, born, caller } => {
+                let event = ProcessEvent::StoreReply { caller, result };
+                self.queue.push(at, Event::Deliver { to: process, born, event: Box::new(event) });
+            }
+            StoreOrigin::Operator(operator) => {
+                self.queue.push(at, Event::OperatorReply { operator, result });
+            }
+        }
+    }
+
+    fn is_cut_from_store(&self, origin: &StoreOrigin) -> bool {
+        match origin {
+            StoreOrigin::Process { process, .. } => self.is_process_cut_from_store(*process),
+            StoreOrigin::Operator(_) => false,
+        }
+    }
+
+    pub(super) fn is_process_cut_from_store(&self, process: ProcessIndex) -> bool {
+        let it = &self.processes[process];
+        it.cut || !self.net.passes(&it.place, &self.store.place)
+    }
+
+    pub(super) fn store_arrive(&mut self, call: StoreCall) {
+        let now = self.now();
+        if self.is_cut_from_store(&call.origin) {
+            return self.store_timeout(call);
+        }
+        self.store.count(now, &call.op);
+        if self.store.outage {
+            self.store.state.counters.refused += 1;
+            let result = Err(StoreError::Unavailable { verdict: Verdict::NotRun });
+            return self.answer_call(call, result);
+        }
+        self.expire_leases();
+        if let StoreOp::Watch { prefix, wait_ms, .. } = &call.op {
+            let result = self.store.state.apply(now, &call.op);
+            let is_empty =
+                matches!(&result, Ok(StoreReply::Changes { events, .. }) if events.is_empty());
+            if is_empty {
+                self.store.next_watch += 1;
+                let id = self.store.next_watch;
+                let until = self.now_us + wait_ms * 1_000;
+                let prefix = prefix.clone();
+                let waiting = Waiting { origin: call.origin, op: call.op, prefix };
+                self.store.waiting.insert(id, waiting);
+                self.store.most_waiting = self.store.most_waiting.max(self.store.waiting.len());
+                return self.queue.push(until, Event::WatchTimeout(id));
+            }
+            return self.answer_call(call, result);
+        }
+        let before = self.store.state.revision();
+        let result = self.store.state.apply(now, &call.op);
+        if let (StoreOp::Put { key, value, .. }, Ok(_)) = (&call.op, &result) {
+            self.observe_put(key, value);
+        }
+        if self.store.state.revision() != before {
+            let key = match &call.op {
+                StoreOp::Put { key, .. } | StoreOp::Delete { key, .. } => Some(key.clone()),
+                _ => None,
+            };
+            self.answer_watches(key.as_deref());
+        }
+        self.schedule_expiry();
+        let loses =
+            call.op.is_write() && self.store.rng.random_range(0..1000) < self.store.lose_permille;
+        if loses {
+            self.store.state.counters.lost_answers += 1;
+            return self.store_timeout(call);
+        }
+        self.answer_call(call, result);
+    }
+
+    fn answer_call(&mut self, call: StoreCall, result: StoreResult) {
+        let ready = self.now_us + self.store.service_us + self.store.delay_us;
+        let at = match &call.origin {
+            StoreOrigin::Process { process, .. } => {
+                let to = &self.processes[*process].place;
+                self.net.send(ready, &self.store.place, to, result_bytes(&result))
+            }
+            StoreOrigin::Operator(_) => ready + 1_000,
+        };
+        let waits_ms = match &call.op {
+            StoreOp::Watch { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        if call.sent_us + self.store.timeout_us + waits_ms * 1_000 < at {
+            return self.store_timeout(call);
+        }
+        self.push_store_reply(at, call.origin, result);
+    }
+
+    /// Answers the watches that a change concerns; `None` stands for any key.
+    fn answer_watches(&mut self, key: Option<&str>) {
+        let now = self.now();
+        let concerned = |it: &&Waiting| key.is_none_or(|key| key.starts_with(it.prefix.as_str()));
+        let ids = self.store.waiting.iter().filter(|(_, it)| concerned(it));
+        let ids: Vec<u64> = ids.map(|(id, _)| *id).collect();
+        for id in ids {
+            let result = self.store.state.apply(now, &self.store.waiting[&id].op);
+            if matches!(&result, Ok(StoreReply::Changes { events, .. }) if events.is_empty()) {
+                continue;
+            }
+            self.end_watch(id, result);
+        }
+    }
+
+    fn end_watch(&mut self, id: u64, result: StoreResult) {
+        let Some(it) = self.store.waiting.remove(&id) else { return };
+        let call = StoreCall { origin: it.origin, op: it.op, sent_us: self.now_us };
+        if self.is_cut_from_store(&call.origin) {
+            return self.store_timeout(call);
+        }
+        self.answer_call(call, result);
+    }
+
+    pub(super) fn watch_timeout(&mut self, id: u64) {
+        let now = self.now();
+        if let Some(it) = self.store.waiting.get(&id) {
+            let result = self.store.state.apply(now, &it.op);
+            self.end_watch(id, result);
+        }
+    }
+
+    /// Ends the waiting watches that an outage or a cut concerns.
+    pub(super) fn fail_watches(&mut self) {
+        let ids: Vec<u64> = self.store.waiting.keys().copied().collect();
+        for id in ids {
+            let is_cut = self.is_cut_from_store(&self.store.waiting[&id].origin);
+            if self.store.outage || is_cut {
+                self.end_watch(id, Err(StoreError::Unavailable { verdict: Verdict::NotRun }));
+            }
+        }
+    }
+
+    fn expire_leases(&mut self) {
+        let before = self.store.state.revision();
+        let now = self.now();
+        if self.store.state.next_expiry().is_some_and(|it| it <= now) {
+            self.store.state.expire(now);
+        }
+        if self.store.state.revision() != before {
+            self.answer_watches(None);
+        }
+    }
+
+    pub(super) fn store_expire(&mut self) {
+        self.store.expiry_at = None;
+        // A store that is down expires nothing; it does so when it returns.
+        if !self.store.outage {
+            self.expire_leases();
+            self.schedule_expiry();
+        }
+    }
+
+    pub(super) fn schedule_expiry(&mut self) {
+        let next = self.store.state.next_expiry();
+        if let Some(next) = next
+            && self.store.expiry_at.is_none_or(|it| next < it)
+        {
+            self.store.expiry_at = Some(next);
+            self.queue.push(next.0.max(self.now().0) * 1_000, Event::StoreExpire);
+        }
+    }
+
+    /// Notes a write that took effect.
+    fn observe_put(&mut self, key: &str, value: &[u8]) {
+        let trace_ms = self.trace_ms();
+        let now_us = self.now_us;
+        if key.starts_with("shard/") {
+            self.checks.observe_log(trace_ms, key, value);
+            let ended = self.checks.take_ended();
+            for (job, outcome) in ended {
+                self.job_ended(job, &outcome);
+            }
+        } else if key == mustardcove_core::agreement::record::AGREEMENT_KEY {
+            self.revision_written(now_us, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-replay/src/world/upstream.rs
@@ -0,0 +1,213 @@
+//! Upstreams of services.
+//!
+//! An upstream works on a request until it is done or its deadline passes,
+//! also when the process that sent it is gone.
+
+use bytes::Bytes;
+use mustardcove_core::{
+    id::{ClassId, TaskId},
+    membership::ConnectionSign,
+    time::Timestamp,
+    verdict::Verdict,
+};
+
+use super::{ProcessIndex, WorkerPosition, World, process::ProcessEvent, queue::Event};
+
+/// Bytes of a request besides its body, and of an answer besides its body.
+const REQUEST_BYTES: u64 = 400;
+
+/// Time after which a connection to an upstream that is gone fails, in
+/// microseconds.
+const CONNECT_TIMEOUT_US: u64 = 300_000;
+
+/// A request on its way to an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamRequest {
+    pub(crate) worker: WorkerPosition,
+    pub(crate) from: ProcessIndex,
+    pub(crate) born: u64,
+    pub(crate) ask: u64,
+    pub(crate) attempt: u32,
+    pub(crate) caller: usize,
+    pub(crate) class: ClassId,
+    pub(crate) task: Option<TaskId>,
+    pub(crate) run_ms: u64,
+    pub(crate) deadline: Timestamp,
+}
+
+/// A request that an upstream works on.
+#[derive(Debug)]
+pub(crate) struct Serving {
+    request: UpstreamRequest,
+    completes: bool,
+}
+
+/// How an attempt at an upstream ended.
+#[derive(Clone, Debug)]
+pub(crate) enum UpstreamEnd {
+    Answered(Bytes),
+    Failed { verdict: Verdict, overloaded: bool, sign: Option<ConnectionSign> },
+}
+
+/// An answer of an upstream.
+#[derive(Debug)]
+pub(crate) struct UpstreamAnswer {
+    pub(crate) ask: u64,
+    pub(crate) attempt: u32,
+    pub(crate) end: UpstreamEnd,
+}
+
+impl World {
+    /// Sends a request of an entry process to an upstream.
+    pub(super) fn upstream_send(&mut self, request: UpstreamRequest) {
+        let (source, target) = (&self.processes[request.from], &self.fleet.workers[request.worker]);
+        if !target.alive || source.cut || !self.net.passes(&source.place, &target.place) {
+            let sign = Some(ConnectionSign::Refused);
+            let end = UpstreamEnd::Failed { verdict: Verdict::NotRun, overloaded: false, sign };
+            let delay_us = if target.alive { CONNECT_TIMEOUT_US } else { 1_000 };
+            let event = answer(&request, end);
+            return self.deliver_at(self.now_us + delay_us, request.from, event);
+        }
+        self.note_new_work(request.worker);
+        let (source, target) = (&self.processes[request.from], &self.fleet.workers[request.worker]);
+        let at = self.net.send(self.now_us, &source.place, &target.place, REQUEST_BYTES);
+        self.queue.push(at, Event::UpstreamArrive(Box::new(request)));
+    }
+
+    pub(super) fn upstream_arrive(&mut self, request: UpstreamRequest) {
+        let it = &self.fleet.workers[request.worker];
+        if !it.alive {
+            let sign = Some(ConnectionSign::Reset);
+            return self.fail_request(&request, Verdict::MayHaveRun, sign);
+        }
+        if it.state.info.leaving {
+            let sign = Some(ConnectionSign::Draining);
+            return self.fail_request(&request, Verdict::NotRun, sign);
+        }
+        if it.slots as usize <= it.serving.len() {
+            self.fleet.workers[request.worker].queue.push_back(request);
+            return;
+        }
+        self.begin_serving(request);
+    }
+
+    fn fail_request(
+        &mut self,
+        request: &UpstreamRequest,
+        verdict: Verdict,
+        sign: Option<ConnectionSign>,
+    ) {
+        let end = UpstreamEnd::Failed { verdict, overloaded: false, sign };
+        self.send_answer(request, end);
+    }
+
+    fn send_answer(&mut self, request: &UpstreamRequest, end: UpstreamEnd) {
+        let source = &self.fleet.workers[request.worker].place;
+        let target = &self.processes[request.from];
+        if target.cut || !self.net.passes(source, &target.place) {
+            return;
+        }
+        let bytes = match &end {
+            UpstreamEnd::Answered(body) => REQUEST_BYTES + body.len() as u64,
+            UpstreamEnd::Failed { .. } => REQUEST_BYTES,
+        };
+        let at = self.net.send(self.now_us, source, &target.place, bytes);
+        let (to, born) = (request.from, request.born);
+        let event = answer(request, end);
+        self.queue.push(at, Event::Deliver { to, born, event: Box::new(event) });
+    }
+
+    fn begin_serving(&mut self, request: UpstreamRequest) {
+        let now = self.now();
+        let worker = request.worker;
+        if request.deadline <= now {
+            return self.fail_request(&request, Verdict::NotRun, None);
+        }
+        self.advance_worker(worker);
+        let trace_ms = self.trace_ms();
+        let caller = &mut self.callers[request.caller];
+        caller.served += 1;
+        if caller.was_told_not_run() {
+            let detail = format!("{} was refused as not run and runs now", caller.work.key);
+            self.checks.violation("P5", trace_ms, detail);
+        }
+        let fleet = &mut self.fleet;
+        let it = &mut fleet.workers[worker];
+        *it.state.serving.entry(request.class.clone()).or_default() += 1;
+        if let Some(task) = request.task {
+            fleet.ledger.started(now, task, &it.state.info.id);
+        }
+        let slowdown = it.state.slowdown(&fleet.cfg, &request.class);
+        let wanted_us = (request.run_ms as f64 * 1_000.0 * slowdown) as u64;
+        let ends_us = self.now_us + wanted_us;
+        let deadline_us = request.deadline.0 * 1_000;
+        fleet.next_serving += 1;
+        let serving = fleet.next_serving;
+        let completes = ends_us < deadline_us;
+        it.serving.insert(serving, Serving { request, completes });
+        self.queue.push(ends_us.min(deadline_us), Event::UpstreamDone { worker, serving });
+        self.after_worker(worker);
+    }
+
+    pub(super) fn upstream_done(&mut self, worker: WorkerPosition, serving: u64) {
+        let Some(it) = self.fleet.workers[worker].serving.remove(&serving) else { return };
+        self.advance_worker(worker);
+        self.end_serving(worker, &it);
+        let end = if it.completes {
+            UpstreamEnd::Answered(self.callers[it.request.caller].expected_answer())
+        } else {
+            UpstreamEnd::Failed { verdict: Verdict::MayHaveRun, overloaded: true, sign: None }
+        };
+        self.send_answer(&it.request, end);
+        self.after_worker(worker);
+        if let Some(next) = self.fleet.workers[worker].queue.pop_front() {
+            self.begin_serving(next);
+        }
+    }
+
+    fn end_serving(&mut self, worker: WorkerPosition, it: &Serving) {
+        let fleet = &mut self.fleet;
+        let state = &mut fleet.workers[worker].state;
+        if let Some(task) = it.request.task {
+            fleet.ledger.ended(task, &state.info.id, it.completes);
+        }
+        if let Some(count) = state.serving.get_mut(&it.request.class) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                state.serving.remove(&it.request.class);
+            }
+        }
+    }
+
+    /// Ends every request at a worker that has ended.
+    pub(super) fn reset_upstream(&mut self, worker: WorkerPosition) {
+        let serving = std::mem::take(&mut self.fleet.workers[worker].serving);
+        let queue = std::mem::take(&mut self.fleet.workers[worker].queue);
+        for mut it in serving.into_values() {
+            it.completes = false;
+            self.end_serving(worker, &it);
+            self.fail_request(&it.request, Verdict::MayHaveRun, Some(ConnectionSign::Reset));
+        }
+        for request in queue {
+            self.fail_request(&request, Verdict::MayHaveRun, Some(ConnectionSign::Reset));
+        }
+    }
+
+    pub(super) fn probe_arrive(&mut self, worker: WorkerPosition, from: (ProcessIndex, u64)) {
+        let (to, born) = from;
+        let it = &self.fleet.workers[worker];
+        let target = &self.processes[to];
+        if !it.alive || target.cut || !self.net.passes(&it.place, &target.place) {
+            return;
+        }
+        let event =
+            ProcessEvent::Probed { worker: it.state.info.id.clone(), ok: !it.state.info.leaving };
+        let at = self.net.send(self.now_us, &it.place, &target.place, 100);
+        self.queue.push(at, Event::Deliver { to, born, event: Box::new(event) });
+    }
+}
+
+fn answer(request: &UpstreamRequest, end: UpstreamEnd) -> ProcessEvent {
+    let (ask, attempt) = (request.ask, request.attempt);
+    ProcessEvent::Upstream(Box::new(UpstreamAnswer { ask, attempt, end }))
+}
