--- a/crates/mustardcove-core/src/quota.rs
+++ b/crates/mustardcove-core/src/quota.rs
@@ -36,6 +36,13 @@
 /// Least time between two calls for the same member, in milliseconds.
 pub const MIN_CALL_INTERVAL_MS: u64 = 1_000;
 
+/// Shortest time between two calls for one member while urgent work waits for
+/// an allotment that the cap leaves room for, in milliseconds.
+///
+/// Urgent work has to start within a second, and a call that was just made to
+/// return what is idle, or that lost a race, would take all of it.
+const URGENT_CALL_INTERVAL_MS: u64 = 250;
+
 /// Longest time between two calls while the store fails or the cap is used
 /// up, in milliseconds.
 const MAX_CALL_INTERVAL_MS: u64 = 8_000;
@@ -90,10 +97,25 @@
     /// listing may be older than what is known.
     touched: bool,
     next_call_at: Timestamp,
+    called_at: Timestamp,
     interval_ms: u64,
+    /// Whether the cap was used up when the last call was made.
+    used_up: bool,
     demands: BTreeMap<TaskId, Demand>,
 }
 
+impl MemberQuota {
+    /// Moves the next call forward if urgent work waits and the call may help.
+    fn hurry(&mut self, now: Timestamp) {
+        let backs_off = self.interval_ms != MIN_CALL_INTERVAL_MS;
+        if backs_off || self.used_up || !self.demands.values().any(|it| it.urgent) {
+            return;
+        }
+        let earliest = self.called_at.plus_ms(URGENT_CALL_INTERVAL_MS).max(now);
+        self.next_call_at = self.next_call_at.min(earliest);
+    }
+}
+
 /// A member's quota as shown to operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaStatus {
@@ -249,6 +271,7 @@
         if urgent && !was_urgent {
             quota.interval_ms = MIN_CALL_INTERVAL_MS;
         }
+        quota.hurry(now);
     }
 
     /// Forgets the demand of a task that was served or given up.
--- a/crates/mustardcove-core/src/quota/calls.rs
+++ b/crates/mustardcove-core/src/quota/calls.rs
@@ -80,6 +80,9 @@
             }
             (Flight::Put(_), Err(StoreError::Conflict { current })) => {
                 self.on_entry(now, &member, current);
+                if let Some(quota) = self.members.get_mut(&member) {
+                    quota.hurry(now);
+                }
             }
             (Flight::Put(_), Err(StoreError::Unavailable { verdict: Verdict::NotRun })) => {
                 // An earlier write under the same expectation may still land.
@@ -239,6 +242,9 @@
         if next.differs(record) || quota.uncertain {
             next.writer = self.process.clone();
             next.token = WriteToken(self.rng.random());
+            if let Some(quota) = self.members.get_mut(member) {
+                quota.used_up = false;
+            }
             self.send(now, member, Flight::Put(Box::new(next)), out);
         } else if !demand.is_empty() && quota.record.is_some() {
             // The cap is used up as far as is known; another group may have
@@ -246,7 +252,9 @@
             let interval = (quota.interval_ms * 2).min(MAX_CALL_INTERVAL_MS);
             let urgent = demands[0].urgent;
             self.send(now, member, Flight::Get, out);
-            if !urgent && let Some(quota) = self.members.get_mut(member) {
+            let Some(quota) = self.members.get_mut(member) else { return };
+            quota.used_up = true;
+            if !urgent {
                 quota.interval_ms = interval;
                 quota.next_call_at = now.plus_ms(interval);
             }
@@ -277,6 +285,7 @@
         };
         quota.flight = Some((call, flight));
         quota.touched = true;
+        quota.called_at = now;
         quota.next_call_at = now.plus_ms(MIN_CALL_INTERVAL_MS + jitter);
         self.calls.insert(call, member.clone());
         out.push((call, op));
--- a/crates/mustardcove-core/src/shard/groups.rs
+++ b/crates/mustardcove-core/src/shard/groups.rs
@@ -168,7 +168,11 @@
                 true => "no group has room",
                 false => "no worker of any known group could hold the job",
             };
-            return self.delay(id, false, note);
+            self.delay(id, false, note);
+            if urgent {
+                self.wait_for_refusal(id);
+            }
+            return;
         };
         let queued_since = self.queue.get(id).map_or(self.now, |it| it.queued_since);
         let reserve = ReserveRequest {
@@ -201,6 +205,19 @@
         self.set_step(id, Step::Delayed { until, hold });
     }
 
+    /// Lets a delayed job ask again as soon as a group that refused it may be
+    /// asked again. Urgent work has less time than the shortest delay.
+    fn wait_for_refusal(&mut self, id: JobId) {
+        let Some(soft) = self.queue.get(id) else { return };
+        let again_at = soft.refused_by.iter().map(|(_, until)| *until).min();
+        if let (Some(again_at), Step::Delayed { until, hold }) = (again_at, &soft.step)
+            && again_at < *until
+        {
+            let hold = *hold;
+            self.set_step(id, Step::Delayed { until: again_at, hold });
+        }
+    }
+
     /// Samples two groups that may take the size and returns the roomier one.
     fn choose_group(&mut self, id: JobId, size: Resources, urgent: bool) -> Option<GroupId> {
         let now = self.now;
--- a/crates/mustardcove-replay/src/compare.rs
+++ b/crates/mustardcove-replay/src/compare.rs
@@ -25,7 +25,8 @@
     pub gap_closed: Option<f64>,
     /// Work done relative to naive; absent if naive did none.
     pub throughput_ratio: Option<f64>,
-    /// Evictions relative to naive; absent if naive made none.
+    /// Evictions relative to naive; zero if neither made any, and absent if only
+    /// naive made none.
     pub evictions_ratio: Option<f64>,
 }
 
@@ -82,7 +83,10 @@
     ClassComparison {
         gap_closed: (0.0 < gap).then(|| (p99_ms[1] - p99_ms[0]) / gap),
         throughput_ratio: ratio(work_s),
-        evictions_ratio: ratio(evictions),
+        evictions_ratio: match evictions {
+            [ours, naive, _] if ours == 0.0 && naive == 0.0 => Some(0.0),
+            _ => ratio(evictions),
+        },
         p99_ms,
         work_s,
         evictions,
--- a/crates/mustardcove-replay/src/trace/event.rs
+++ b/crates/mustardcove-replay/src/trace/event.rs
@@ -250,26 +250,26 @@
     /// When, in milliseconds.
     pub at_ms: u64,
     /// What happens.
-    #[serde(flatten)]
     pub action: StoreAction,
+    /// Time added to every call, in milliseconds; only for `slow`.
+    #[serde(default)]
+    pub delay_ms: u64,
+    /// Share of writes whose answers are lost, in thousandths; only for
+    /// `lose_answers`.
+    #[serde(default)]
+    pub permille: u16,
 }
 
 /// What happens to the store.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-#[serde(tag = "action", rename_all = "snake_case", deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StoreAction {
     /// Every call is refused.
     Outage,
     /// Every call takes longer.
-    Slow {
-        /// By how much, in milliseconds.
-        delay_ms: u64,
-    },
+    Slow,
     /// A share of writes takes effect without an answer.
-    LoseAnswers {
-        /// The share, in thousandths.
-        permille: u16,
-    },
+    LoseAnswers,
     /// It works.
     Restored,
 }
--- a/crates/mustardcove-replay/src/trace/parse.rs
+++ b/crates/mustardcove-replay/src/trace/parse.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use super::{Expectation, Header, TraceEvent, event::ProcessEvent};
+use super::{Expectation, Header, StoreAction, TraceEvent, event::ProcessEvent};
 
 /// Version of the format that this program reads.
 pub const FORMAT_VERSION: u32 = 1;
@@ -227,7 +227,16 @@
             TraceEvent::Region(it) => known("region", &self.regions, it.region.as_str()),
             TraceEvent::Configuration(it) => known("member", &self.members, it.member.as_str()),
             TraceEvent::Operators(it) => known("member", &self.members, it.member.as_str()),
-            TraceEvent::Cancel(_) | TraceEvent::Report(_) | TraceEvent::Store(_) => Ok(()),
+            TraceEvent::Store(it) => {
+                let delayed = (it.action == StoreAction::Slow) == (it.delay_ms != 0);
+                let losing = (it.action == StoreAction::LoseAnswers) == (it.permille != 0);
+                if delayed && losing && it.permille <= 1_000 {
+                    return Ok(());
+                }
+                Err("slow needs delay_ms, lose_answers permille up to 1000, and no other"
+                    .to_owned())
+            }
+            TraceEvent::Cancel(_) | TraceEvent::Report(_) => Ok(()),
         }
     }
 
--- a/crates/mustardcove-replay/src/world/faults.rs
+++ b/crates/mustardcove-replay/src/world/faults.rs
@@ -6,7 +6,7 @@
 use super::{ProcessIndex, World, process::ProcessEvent, queue::Event};
 use crate::trace::{
     ProcessAction, ProcessEvent as TraceProcessEvent, RackAction, RegionAction, RegionEvent,
-    StoreAction, TraceEvent, WorkerAction, WorkerEvent,
+    StoreAction, StoreEvent, TraceEvent, WorkerAction, WorkerEvent,
 };
 
 impl World {
@@ -36,7 +36,7 @@
                     self.set_worker_alive(worker, it.action == RackAction::Restored);
                 }
             }
-            TraceEvent::Store(it) => self.store_trace_event(it.action),
+            TraceEvent::Store(it) => self.store_trace_event(it),
             TraceEvent::Region(it) => self.region_event(it),
             TraceEvent::Configuration(it) => self.change_agreement(it),
             TraceEvent::Operators(it) => self.race_operators(it),
@@ -187,14 +187,14 @@
         }
     }
 
-    fn store_trace_event(&mut self, action: StoreAction) {
-        match action {
+    fn store_trace_event(&mut self, it: &StoreEvent) {
+        match it.action {
             StoreAction::Outage => {
                 self.store.outage = true;
                 self.fail_watches();
             }
-            StoreAction::Slow { delay_ms } => self.store.delay_us = delay_ms * 1_000,
-            StoreAction::LoseAnswers { permille } => self.store.lose_permille = permille,
+            StoreAction::Slow => self.store.delay_us = it.delay_ms * 1_000,
+            StoreAction::LoseAnswers => self.store.lose_permille = it.permille,
             StoreAction::Restored => {
                 self.store.outage = false;
                 self.store.delay_us = 0;
