--- a/crates/mustardcove-platform/src/standin/upstream.rs
+++ b/crates/mustardcove-platform/src/standin/upstream.rs
@@ -11,7 +11,7 @@
     body::Body,
     extract::State,
     response::{IntoResponse, Response},
-    routing::post,
+    routing::{get, post},
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header::CONNECTION};
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 
+use super::server::broken;
 use crate::{
     memory::{MemoryFleet, WorkerFault},
     upstream::{CLASS, DEADLINE, DRAINING, REQUEST_ID, SERVICE_TIME, TASK},
@@ -31,6 +32,9 @@
 /// Path of requests.
 pub const SERVE_PATH: &str = "/serve";
 
+/// Path of probes: 200, or 503 and a draining header when leaving.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// Service time of a request that names none, in milliseconds.
 const DEFAULT_SERVICE_MS: u64 = 5;
 
@@ -59,12 +63,8 @@
     let slots = Arc::new(Semaphore::new(info.slots as usize));
     // A request that names no class counts as one of the service's name.
     let class = info.service.as_str().parse().expect("both kinds of names have the same form");
-    Router::new().route(SERVE_PATH, post(serve)).with_state(Upstream {
-        fleet,
-        worker,
-        class,
-        slots,
-    })
+    let routes = Router::new().route(SERVE_PATH, post(serve)).route(HEALTH_PATH, get(health));
+    routes.with_state(Upstream { fleet, worker, class, slots })
 }
 
 struct ServeRequest {
@@ -80,6 +80,10 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+async fn health(State(upstream): State<Upstream>) -> Response {
+    if upstream.is_leaving() { draining() } else { StatusCode::OK.into_response() }
+}
+
 async fn serve(State(upstream): State<Upstream>, headers: HeaderMap, body: Bytes) -> Response {
     if upstream.is_leaving() {
         return draining();
@@ -132,12 +136,19 @@
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         };
         let began = clock.now();
+        let incarnation = self.fleet.incarnation(&self.worker);
         let wanted = Duration::from_millis((req.service_ms as f64 * slowdown) as u64);
         let completed = tokio::select! {
             () = self.run(wanted) => true,
             () = clock.sleep_until(req.deadline) => false,
+            // A crash ends the work with the worker, which forgets it.
+            () = self.fleet.until_restarted(&self.worker, incarnation) => return broken(),
         };
         self.fleet.end_serving(&self.worker, &req.class, req.task, completed);
+        self.fleet.until_resumed(&self.worker).await;
+        if self.fleet.fault(&self.worker) == WorkerFault::AnswersLost {
+            return broken();
+        }
         if !completed {
             return timed_out();
         }
@@ -150,11 +161,10 @@
         axum::Json(served).into_response()
     }
 
-    /// Works for a while, but not while the worker is paused.
+    /// Works for a while; work that ends while the worker is paused ends when
+    /// it is resumed.
     async fn run(&self, time: Duration) {
         tokio::time::sleep(time).await;
-        while self.fleet.fault(&self.worker) == WorkerFault::Paused {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        self.fleet.until_resumed(&self.worker).await;
     }
 }
