Repeat cancellations, count writes by kind and speed up workers

A refused cancellation was not asked for again, and an idle job was timed from its arrival, which reported a job as lost that had just ended.

--- a/crates/mustardcove-platform/src/memory/worker_state.rs
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -199,16 +199,49 @@
 
     /// Returns the slowdown of `class` here; 1.0 is none.
     pub fn slowdown(&self, config: &FleetConfig, class: &ClassId) -> f64 {
+        self.slowdown_among(config, class, self.load(), &self.residents())
+    }
+
+    /// Returns how many requests and tasks of each class are here.
+    fn residents(&self) -> BTreeMap<ClassId, usize> {
         let mut counts = self.serving.clone();
         for task in self.tasks.values() {
-            *counts.entry(task.start.class.clone()).or_default() += 1;
+            match counts.get_mut(&task.start.class) {
+                Some(count) => *count += 1,
+                None => {
+                    counts.insert(task.start.class.clone(), 1);
+                }
+            }
         }
+        counts
+    }
+
+    fn slowdown_among(
+        &self,
+        config: &FleetConfig,
+        class: &ClassId,
+        load: LoadLevel,
+        residents: &BTreeMap<ClassId, usize>,
+    ) -> f64 {
         // The victim itself is not its own neighbour.
-        if let Some(count) = counts.get_mut(class) {
-            *count = count.saturating_sub(1);
+        let others = |other: &ClassId, count: usize| count - usize::from(other == class);
+        let neighbours = residents.iter().map(|(other, &count)| (other, others(other, count)));
+        config.interference.slowdown(class, load, neighbours)
+    }
+
+    /// Returns the rates at which the tasks proceed, in order of their names.
+    fn rates(&self, config: &FleetConfig) -> Vec<f64> {
+        let (load, residents) = (self.load(), self.residents());
+        let mut slowdowns: BTreeMap<&ClassId, f64> = BTreeMap::new();
+        let mut rates = Vec::with_capacity(self.tasks.len());
+        for task in self.tasks.values() {
+            let class = &task.start.class;
+            let slowdown = slowdowns
+                .entry(class)
+                .or_insert_with(|| self.slowdown_among(config, class, load, &residents));
+            rates.push(config.scale * task.share / *slowdown);
         }
-        let neighbours = counts.iter().map(|(class, &count)| (class, count));
-        config.interference.slowdown(class, self.load(), neighbours)
+        rates
     }
 
     /// Returns how much of the processors is committed to tasks.
@@ -242,8 +275,7 @@
     /// Returns when something happens next if nothing is called.
     pub fn next_event(&self, config: &FleetConfig) -> Option<Timestamp> {
         let mut next = Timestamp::MAX;
-        for task in self.tasks.values() {
-            let rate = self.rate(config, task);
+        for (task, rate) in self.tasks.values().zip(self.rates(config)) {
             let left = task.next_work() / rate;
             if left.is_finite() {
                 next = next.min(self.advanced_to.plus_ms(left.ceil() as u64));
@@ -259,10 +291,6 @@
         (next != Timestamp::MAX).then_some(next)
     }
 
-    fn rate(&self, config: &FleetConfig, task: &Task) -> f64 {
-        config.scale * task.share / self.slowdown(config, &task.start.class)
-    }
-
     /// Lets the worker run until `now`.
     pub fn advance(&mut self, now: Timestamp, config: &FleetConfig, ledger: &mut RunLedger) {
         while self.advanced_to < now {
@@ -279,7 +307,7 @@
 
     fn work_until(&mut self, next: Timestamp, config: &FleetConfig) {
         let elapsed = next.ms_since(self.advanced_to) as f64;
-        let rates: Vec<f64> = self.tasks.values().map(|it| self.rate(config, it)).collect();
+        let rates = self.rates(config);
         for (task, rate) in self.tasks.values_mut().zip(rates) {
             task.done_ms += elapsed * rate;
         }
--- a/crates/mustardcove-replay/src/checks.rs
+++ b/crates/mustardcove-replay/src/checks.rs
@@ -290,7 +290,7 @@
         let JobState::Bound { attempt, place: Place::Worker { worker, .. }, .. } = state else {
             return None;
         };
-        let idle_since_us = caller.stopped_us.unwrap_or(caller.arrived_us);
+        let idle_since_us = caller.idle_since_us;
         let is_stuck = !caller.runs && idle_since_us / 1_000 + STUCK_MS < now.0;
         is_stuck.then(|| format!("attempt {attempt} is bound to {worker}, which does not run it"))
     }
--- a/crates/mustardcove-replay/src/report.rs
+++ b/crates/mustardcove-replay/src/report.rs
@@ -84,6 +84,8 @@
     pub store_peak_per_s: (f64, f64),
     /// Most watches that waited at once.
     pub waiting_watches: usize,
+    /// Writes by the first part of their keys; `lease` for calls on leases.
+    pub store_writes_by_kind: BTreeMap<String, u64>,
     /// Bytes between regions.
     pub remote_bytes: u64,
     /// Service requests sent across the link between regions.
@@ -248,6 +250,7 @@
             store_calls: (counters.reads, counters.writes),
             store_peak_per_s: store.peak_rates(),
             waiting_watches: store.most_waiting,
+            store_writes_by_kind: store.writes_by_kind.clone(),
             remote_bytes: net.remote_bytes,
             remote_requests: self.remote_requests,
             retries: self.retries,
--- a/crates/mustardcove-replay/src/text.rs
+++ b/crates/mustardcove-replay/src/text.rs
@@ -45,6 +45,9 @@
         it.store_peak_per_s.1,
         it.waiting_watches
     );
+    for (kind, count) in &it.store_writes_by_kind {
+        let _ = write!(out, "writes_{kind}={count} ");
+    }
     let _ = writeln!(
         out,
         "remote_bytes={} remote_requests={} retries={} running_at_end={}",
--- a/crates/mustardcove-replay/src/world/jobs.rs
+++ b/crates/mustardcove-replay/src/world/jobs.rs
@@ -77,6 +77,8 @@
     pub(crate) first_start_us: Option<u64>,
     pub(crate) stopped_us: Option<u64>,
     pub(crate) runs: bool,
+    /// Since when no attempt runs, if none does.
+    pub(crate) idle_since_us: u64,
     pub(crate) accepted: bool,
     pub(crate) wants_cancel: bool,
     reconnects: u32,
@@ -197,6 +199,7 @@
             first_start_us: None,
             stopped_us: None,
             runs: false,
+            idle_since_us: self.now_us,
             accepted: false,
             wants_cancel: false,
             reconnects: 0,
@@ -247,7 +250,8 @@
         }
         for caller in 0..self.callers.len() {
             let it = &self.callers[caller];
-            if it.entry == Some(process) && it.state == CallerState::Asking {
+            let waits = it.state == CallerState::Asking || it.wants_cancel;
+            if it.entry == Some(process) && waits {
                 self.answer_caller(caller, CallerAnswer::Broken);
             }
         }
@@ -259,7 +263,7 @@
         let it = &mut self.callers[caller];
         it.entry = None;
         if it.state != CallerState::Asking {
-            return;
+            return self.cancel_answered(caller, answer);
         }
         match answer {
             CallerAnswer::Accepted => {
@@ -290,6 +294,22 @@
         }
     }
 
+    /// Handles an answer to a cancellation, which is repeated until taken.
+    fn cancel_answered(&mut self, caller: usize, answer: CallerAnswer) {
+        let it = &self.callers[caller];
+        if !it.wants_cancel || it.state != CallerState::Accepted {
+            return;
+        }
+        let default_us = self.now_us + ASK_AGAIN_MS * 1_000;
+        let at = match answer {
+            CallerAnswer::Refused(refusal) => refusal.retry_at.map(|it| it.0 * 1_000),
+            CallerAnswer::Broken => None,
+            CallerAnswer::Accepted | CallerAnswer::Served(_) => return,
+        };
+        let at = at.unwrap_or(default_us).max(self.now_us + 1_000);
+        self.queue.push(at, Event::CallerAsks(caller));
+    }
+
     fn caller_refused(&mut self, caller: usize, refusal: Refusal) {
         let now_us = self.now_us;
         let it = &mut self.callers[caller];
@@ -367,6 +387,7 @@
         let Some(caller) = self.checks.caller_of(task.job) else { return };
         let it = &mut self.callers[caller];
         it.runs = false;
+        it.idle_since_us = now_us;
         self.checks.run_ended(trace_ms, task.job, &self.fleet.ledger);
         if !it.wants_cancel && it.state == CallerState::Accepted {
             it.stopped_us = Some(now_us);
--- a/crates/mustardcove-replay/src/world/operators.rs
+++ b/crates/mustardcove-replay/src/world/operators.rs
@@ -106,6 +106,12 @@
             self.checks.violation("P9", trace_ms, detail);
         }
         it.revision = revision;
+        let written = self.checks.pending_revisions.iter().find(|it| it.revision == revision);
+        if let Some(written) = written {
+            let since_us = written.written_us.max(self.processes[index].reachable_since_us);
+            let took_ms = self.now_us.saturating_sub(since_us) / 1_000;
+            self.measures.configuration_ms = self.measures.configuration_ms.max(took_ms);
+        }
     }
 
     /// Checks P9: how long revisions take until they are in force everywhere.
--- a/crates/mustardcove-replay/src/world/store.rs
+++ b/crates/mustardcove-replay/src/world/store.rs
@@ -66,6 +66,7 @@
     /// Reads and writes by window.
     pub(crate) windows: BTreeMap<u64, (u64, u64)>,
     pub(crate) most_waiting: usize,
+    pub(crate) writes_by_kind: BTreeMap<String, u64>,
 }
 
 impl Store {
@@ -84,6 +85,7 @@
             expiry_at: None,
             windows: BTreeMap::new(),
             most_waiting: 0,
+            writes_by_kind: BTreeMap::new(),
         }
     }
 
@@ -101,12 +103,23 @@
         let window = self.windows.entry(now.0 / RATE_WINDOW_MS).or_default();
         if op.is_write() {
             window.1 += 1;
+            *self.writes_by_kind.entry(kind_of(op).to_owned()).or_default() += 1;
         } else {
             window.0 += 1;
         }
     }
 }
 
+/// Returns the first part of the key of a write.
+fn kind_of(op: &StoreOp) -> &str {
+    match op {
+        StoreOp::Put { key, .. } | StoreOp::Delete { key, .. } => {
+            key.split('/').next().unwrap_or_default()
+        }
+        _ => "lease",
+    }
+}
+
 fn op_bytes(op: &StoreOp) -> u64 {
     match op {
         StoreOp::Put { key, value, .. } => (key.len() + value.len()) as u64,
