--- a/crates/mustardcove-platform/src/memory/worker_state.rs
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -9,7 +9,13 @@
 
 use mustardcove_core::{
     id::{ClassId, Epoch, Incarnation, TaskId},
+<<<<<<< HEAD
     size::Resources,
+=======
+    interference::LoadLevel,
+    job::{Checkpoint, MAX_RESULT_BYTES},
+    size::{Millicores, Resources},
+>>>>>>> replay
     time::Timestamp,
     worker::{
         StopMode, TaskEvent, TaskStart, TaskStatus, UsageSample, WorkerError, WorkerInfo, WorkerOp,
@@ -90,6 +96,11 @@
         self.tasks.values().map(Task::status)
     }
 
+    /// Returns the newest event, if there is one that is not acknowledged.
+    pub fn last_event(&self) -> Option<&(u64, TaskId, TaskEvent)> {
+        self.events.last()
+    }
+
     /// Reports whether there is an event after `after`, or a measurement, or
     /// whether `after` belongs to an earlier incarnation.
     pub fn has_news(&self, now: Timestamp, after: u64) -> bool {
@@ -101,10 +112,18 @@
 
     /// Returns the slowdown of `class` here; 1.0 is none.
     pub fn slowdown(&self, config: &FleetConfig, class: &ClassId) -> f64 {
+<<<<<<< HEAD
         slowdown_among(config, &self.class_counts(), class)
     }
 
     fn class_counts(&self) -> BTreeMap<ClassId, usize> {
+=======
+        self.slowdown_among(config, class, self.load(), &self.residents())
+    }
+
+    /// Returns how many requests and tasks of each class are here.
+    fn residents(&self) -> BTreeMap<ClassId, usize> {
+>>>>>>> replay
         let mut counts = self.serving.clone();
         for task in self.tasks.values() {
             match counts.get_mut(&task.start.class) {
@@ -117,11 +136,46 @@
         counts
     }
 
+<<<<<<< HEAD
     /// Returns the slowdown of every class here, counted once for all tasks.
     fn slowdowns(&self, config: &FleetConfig) -> BTreeMap<ClassId, f64> {
         let counts = self.class_counts();
         let slowdown = |it: &ClassId| (it.clone(), slowdown_among(config, &counts, it));
         counts.keys().map(slowdown).collect()
+=======
+    fn slowdown_among(
+        &self,
+        config: &FleetConfig,
+        class: &ClassId,
+        load: LoadLevel,
+        residents: &BTreeMap<ClassId, usize>,
+    ) -> f64 {
+        // The victim itself is not its own neighbour.
+        let others = |other: &ClassId, count: usize| count - usize::from(other == class);
+        let neighbours = residents.iter().map(|(other, &count)| (other, others(other, count)));
+        config.interference.slowdown(class, load, neighbours)
+    }
+
+    /// Returns the rates at which the tasks proceed, in order of their names.
+    fn rates(&self, config: &FleetConfig) -> Vec<f64> {
+        let (load, residents) = (self.load(), self.residents());
+        let mut slowdowns: BTreeMap<&ClassId, f64> = BTreeMap::new();
+        let mut rates = Vec::with_capacity(self.tasks.len());
+        for task in self.tasks.values() {
+            let class = &task.start.class;
+            let slowdown = slowdowns
+                .entry(class)
+                .or_insert_with(|| self.slowdown_among(config, class, load, &residents));
+            rates.push(config.scale * task.share / *slowdown);
+        }
+        rates
+    }
+
+    /// Returns how much of the processors is committed to tasks.
+    fn load(&self) -> LoadLevel {
+        let committed = self.tasks.values().map(|it| it.start.resources.cpu.0).sum();
+        LoadLevel::of(Millicores(committed), self.info.capacity.cpu)
+>>>>>>> replay
     }
 
     /// Ends every task and begins a new incarnation, as a crash does.
@@ -158,7 +212,11 @@
     /// Returns when the tasks or the measurements change next.
     fn next_change(&self, rates: &[f64]) -> Timestamp {
         let mut next = Timestamp::MAX;
+<<<<<<< HEAD
         for (task, rate) in self.tasks.values().zip(rates) {
+=======
+        for (task, rate) in self.tasks.values().zip(self.rates(config)) {
+>>>>>>> replay
             let left = task.next_work() / rate;
             if left.is_finite() {
                 next = next.min(self.advanced_to.plus_ms(left.ceil() as u64));
@@ -171,6 +229,7 @@
         next
     }
 
+<<<<<<< HEAD
     /// Returns the virtual milliseconds that each task does per millisecond.
     fn rates(&self, config: &FleetConfig) -> Vec<f64> {
         let slowdowns = self.slowdowns(config);
@@ -178,6 +237,8 @@
         self.tasks.values().map(rate).collect()
     }
 
+=======
+>>>>>>> replay
     /// Lets the worker run until `now`.
     pub fn advance(&mut self, now: Timestamp, config: &FleetConfig, ledger: &mut RunLedger) {
         while self.advanced_to < now {
@@ -193,6 +254,10 @@
 
     fn work_until(&mut self, next: Timestamp, rates: &[f64]) {
         let elapsed = next.ms_since(self.advanced_to) as f64;
+<<<<<<< HEAD
+=======
+        let rates = self.rates(config);
+>>>>>>> replay
         for (task, rate) in self.tasks.values_mut().zip(rates) {
             task.done_ms += elapsed * rate;
         }
