--- a/crates/mustardcove-dev/examples/capacity.rs
+++ b/crates/mustardcove-dev/examples/capacity.rs
@@ -83,7 +83,7 @@
 }
 
 enum Due {
-    Event(NodeEvent),
+    Event(Box<NodeEvent>),
     Submit(u64),
 }
 
@@ -231,8 +231,8 @@
             counts: Counts::default(),
             submitted: 0,
         };
-        world.push(0, Due::Event(NodeEvent::Agreement(Arc::new(agreement()))));
-        world.push(0, Due::Event(NodeEvent::Workers(infos.into())));
+        world.push(0, Due::Event(Box::new(NodeEvent::Agreement(Arc::new(agreement())))));
+        world.push(0, Due::Event(Box::new(NodeEvent::Workers(infos.into()))));
         world
     }
 
@@ -255,7 +255,7 @@
             if event_at <= next {
                 let entry = self.queue.pop().expect("the queue was looked at");
                 match entry.due {
-                    Due::Event(event) => self.handle(event),
+                    Due::Event(event) => self.handle(*event),
                     Due::Submit(work_ms) => self.submit(work_ms),
                 }
             } else {
@@ -300,7 +300,7 @@
             self.watches.push(Watch { call, prefix, after, until });
         } else {
             let result = self.store.apply(self.now, &op);
-            self.push(CALL_MS, Due::Event(NodeEvent::StoreReply { call, result }));
+            self.push(CALL_MS, Due::Event(Box::new(NodeEvent::StoreReply { call, result })));
         }
         self.answer_watches();
     }
@@ -317,7 +317,7 @@
                 self.watches.push(watch);
             } else {
                 let event = NodeEvent::StoreReply { call: watch.call, result };
-                self.push(CALL_MS, Due::Event(event));
+                self.push(CALL_MS, Due::Event(Box::new(event)));
             }
         }
     }
@@ -333,7 +333,7 @@
         let result = state.apply(self.now, &self.config, op, &mut self.runs);
         self.counts.worker_bytes += encode(&result).len() as u64;
         let worker = id.clone();
-        self.push(CALL_MS, Due::Event(NodeEvent::WorkerReply { call, worker, result }));
+        self.push(CALL_MS, Due::Event(Box::new(NodeEvent::WorkerReply { call, worker, result })));
     }
 
     /// Delivers what workers report without being asked.
@@ -348,7 +348,7 @@
         }
         for report in reports {
             self.counts.worker_bytes += encode(&report).len() as u64;
-            self.push(1, Due::Event(NodeEvent::Report(report)));
+            self.push(1, Due::Event(Box::new(NodeEvent::Report(report))));
         }
     }
 
--- a/crates/mustardcove-platform/src/memory/worker_state.rs
+++ b/crates/mustardcove-platform/src/memory/worker_state.rs
@@ -9,13 +9,8 @@
 
 use mustardcove_core::{
     id::{ClassId, Epoch, Incarnation, TaskId},
-<<<<<<< HEAD
-    size::Resources,
-=======
     interference::LoadLevel,
-    job::{Checkpoint, MAX_RESULT_BYTES},
     size::{Millicores, Resources},
->>>>>>> replay
     time::Timestamp,
     worker::{
         StopMode, TaskEvent, TaskStart, TaskStatus, UsageSample, WorkerError, WorkerInfo, WorkerOp,
@@ -112,18 +107,10 @@
 
     /// Returns the slowdown of `class` here; 1.0 is none.
     pub fn slowdown(&self, config: &FleetConfig, class: &ClassId) -> f64 {
-<<<<<<< HEAD
-        slowdown_among(config, &self.class_counts(), class)
+        slowdown_among(config, self.load(), &self.class_counts(), class)
     }
 
     fn class_counts(&self) -> BTreeMap<ClassId, usize> {
-=======
-        self.slowdown_among(config, class, self.load(), &self.residents())
-    }
-
-    /// Returns how many requests and tasks of each class are here.
-    fn residents(&self) -> BTreeMap<ClassId, usize> {
->>>>>>> replay
         let mut counts = self.serving.clone();
         for task in self.tasks.values() {
             match counts.get_mut(&task.start.class) {
@@ -136,46 +123,17 @@
         counts
     }
 
-<<<<<<< HEAD
     /// Returns the slowdown of every class here, counted once for all tasks.
     fn slowdowns(&self, config: &FleetConfig) -> BTreeMap<ClassId, f64> {
-        let counts = self.class_counts();
-        let slowdown = |it: &ClassId| (it.clone(), slowdown_among(config, &counts, it));
+        let (load, counts) = (self.load(), self.class_counts());
+        let slowdown = |it: &ClassId| (it.clone(), slowdown_among(config, load, &counts, it));
         counts.keys().map(slowdown).collect()
-=======
-    fn slowdown_among(
-        &self,
-        config: &FleetConfig,
-        class: &ClassId,
-        load: LoadLevel,
-        residents: &BTreeMap<ClassId, usize>,
-    ) -> f64 {
-        // The victim itself is not its own neighbour.
-        let others = |other: &ClassId, count: usize| count - usize::from(other == class);
-        let neighbours = residents.iter().map(|(other, &count)| (other, others(other, count)));
-        config.interference.slowdown(class, load, neighbours)
-    }
-
-    /// Returns the rates at which the tasks proceed, in order of their names.
-    fn rates(&self, config: &FleetConfig) -> Vec<f64> {
-        let (load, residents) = (self.load(), self.residents());
-        let mut slowdowns: BTreeMap<&ClassId, f64> = BTreeMap::new();
-        let mut rates = Vec::with_capacity(self.tasks.len());
-        for task in self.tasks.values() {
-            let class = &task.start.class;
-            let slowdown = slowdowns
-                .entry(class)
-                .or_insert_with(|| self.slowdown_among(config, class, load, &residents));
-            rates.push(config.scale * task.share / *slowdown);
-        }
-        rates
     }
 
     /// Returns how much of the processors is committed to tasks.
     fn load(&self) -> LoadLevel {
         let committed = self.tasks.values().map(|it| it.start.resources.cpu.0).sum();
         LoadLevel::of(Millicores(committed), self.info.capacity.cpu)
->>>>>>> replay
     }
 
     /// Ends every task and begins a new incarnation, as a crash does.
@@ -212,11 +170,7 @@
     /// Returns when the tasks or the measurements change next.
     fn next_change(&self, rates: &[f64]) -> Timestamp {
         let mut next = Timestamp::MAX;
-<<<<<<< HEAD
         for (task, rate) in self.tasks.values().zip(rates) {
-=======
-        for (task, rate) in self.tasks.values().zip(self.rates(config)) {
->>>>>>> replay
             let left = task.next_work() / rate;
             if left.is_finite() {
                 next = next.min(self.advanced_to.plus_ms(left.ceil() as u64));
@@ -229,7 +183,6 @@
         next
     }
 
-<<<<<<< HEAD
     /// Returns the virtual milliseconds that each task does per millisecond.
     fn rates(&self, config: &FleetConfig) -> Vec<f64> {
         let slowdowns = self.slowdowns(config);
@@ -237,8 +190,6 @@
         self.tasks.values().map(rate).collect()
     }
 
-=======
->>>>>>> replay
     /// Lets the worker run until `now`.
     pub fn advance(&mut self, now: Timestamp, config: &FleetConfig, ledger: &mut RunLedger) {
         while self.advanced_to < now {
@@ -254,10 +205,6 @@
 
     fn work_until(&mut self, next: Timestamp, rates: &[f64]) {
         let elapsed = next.ms_since(self.advanced_to) as f64;
-<<<<<<< HEAD
-=======
-        let rates = self.rates(config);
->>>>>>> replay
         for (task, rate) in self.tasks.values_mut().zip(rates) {
             task.done_ms += elapsed * rate;
         }
@@ -477,6 +424,7 @@
 
 fn slowdown_among(
     config: &FleetConfig,
+    load: LoadLevel,
     counts: &BTreeMap<ClassId, usize>,
     victim: &ClassId,
 ) -> f64 {
@@ -484,7 +432,7 @@
     let neighbours = counts.iter().map(|(class, &count)| {
         (class, if class == victim { count.saturating_sub(1) } else { count })
     });
-    config.interference.slowdown(victim, neighbours)
+    config.interference.slowdown(victim, load, neighbours)
 }
 
 fn no_such_task() -> WorkerError {
