--- a/crates/mustardcove-core/src/group/takeover.rs
+++ b/crates/mustardcove-core/src/group/takeover.rs
@@ -338,7 +338,14 @@
         listed_at: Timestamp,
         out: &mut Vec<GroupAction>,
     ) {
-        for task in missing {
+        // What a shard named as bound after the listing was read is judged by
+        // the same listing: had it been listed, it would be running by now.
+        let bound = |task: &&TaskId| {
+            self.tasks.get(task).is_some_and(|it| matches!(it.state, TaskState::Bound))
+        };
+        let bound: Vec<TaskId> =
+            self.fleet.workers[at].tasks.iter().filter(bound).copied().collect();
+        for task in bound.into_iter().chain(missing) {
             let gone = self.tasks.get(&task).is_some_and(|it| match it.state {
                 TaskState::Bound | TaskState::Starting => true,
                 TaskState::Running => it.confirmed.is_some_and(|(_, when)| when <= listed_at),
--- a/crates/mustardcove-core/tests/group_takeover.rs
+++ b/crates/mustardcove-core/tests/group_takeover.rs
@@ -31,6 +31,8 @@
     Pause(usize),
     Wake(usize),
     CutOff { owner: usize, cut_off: bool },
+    Isolate { owner: usize, isolated: bool },
+    DelayStarts(u64),
     Store { down: bool },
     Cap(u64),
 }
@@ -55,6 +57,9 @@
         2 => any::<usize>().prop_map(Step::Wake),
         1 => (any::<usize>(), any::<bool>())
             .prop_map(|(owner, cut_off)| Step::CutOff { owner, cut_off }),
+        1 => (any::<usize>(), any::<bool>())
+            .prop_map(|(owner, isolated)| Step::Isolate { owner, isolated }),
+        1 => prop_oneof![Just(0u64), 200u64..2_400].prop_map(Step::DelayStarts),
         1 => any::<bool>().prop_map(|down| Step::Store { down }),
         1 => (3u64..16).prop_map(Step::Cap),
     ]
@@ -96,6 +101,8 @@
         Step::Pause(owner) => world.pause(owner % owners),
         Step::Wake(owner) => world.wake(owner % owners),
         Step::CutOff { owner, cut_off } => world.owners[owner % owners].cut_off = cut_off,
+        Step::Isolate { owner, isolated } => world.owners[owner % owners].isolated = isolated,
+        Step::DelayStarts(ms) => world.delay_starts_ms = ms,
         Step::Store { down } => world.store.down = down,
         Step::Cap(cores) => world.set_cap(cores),
     }
@@ -104,6 +111,7 @@
 /// Ends the faults and lets everything come to its end.
 fn settle(world: &mut World) {
     world.heal();
+    world.delay_starts_ms = 0;
     world.set_cap(30);
     for worker in &mut world.workers {
         worker.info.leaving = false;
@@ -122,7 +130,8 @@
         }
     }
     for (id, job) in &world.jobs {
-        assert!(job.done.is_some(), "job {id} is stuck: {job:?}");
+        let dump = || world.owner(job.group).machine.dump(100);
+        assert!(job.done.is_some(), "job {id} is stuck: {job:?} {:?}", dump());
     }
     world.advance(12_000);
     for group in 0..GROUPS {
@@ -170,6 +179,36 @@
     world.check_starts();
 }
 
+#[test]
+fn isolated_owner_gives_no_evidence() {
+    let mut world = World::new(11, &[12]);
+    world.advance(500);
+    let job = world.submit("watch", 0, 1, 0);
+    world.advance(4_000);
+    assert!(world.jobs[&job].started);
+    // The old owner reaches the shards, but neither the store nor a worker.
+    let old = world.owner_index(world.jobs[&job].group);
+    world.owners[old].cut_off = true;
+    world.owners[old].isolated = true;
+    world.advance(30_000);
+    let job = &world.jobs[&job];
+    assert!(job.lost.is_empty(), "the successor renews what the old owner cannot see: {job:?}");
+}
+
+#[test]
+fn delayed_start_is_no_lost_start() {
+    for delay in [300, 900, 1_500, 2_100] {
+        let mut world = World::new(12, &[12]);
+        world.advance(500);
+        world.delay_starts_ms = delay;
+        let job = world.submit("scan", 0, 1, 100);
+        world.advance(15_000);
+        let job = &world.jobs[&job];
+        assert!(job.lost.is_empty(), "lost although it was on its way: {job:?}");
+        assert_eq!(job.done, Some("succeeded"));
+    }
+}
+
 #[test]
 fn urgent_start_after_owner_died() {
     let mut world = World::new(8, &[12]);
--- a/crates/mustardcove-core/tests/lost_worker.rs
+++ b/crates/mustardcove-core/tests/lost_worker.rs
@@ -78,6 +78,8 @@
     let (job, at) = running(&mut world, "watch");
     // The short lease of the start is renewed before the worker dies.
     world.advance(2_000);
+    // Its clock is late, so it runs the task for longer than others think.
+    world.workers[at].clock_error = -490;
     world.reachable[at] = false;
     let died_at = world.now;
     assert_eq!(lost_within(&mut world, job, 10_000), Some(Evidence::LeaseExpired));
--- a/crates/mustardcove-core/tests/quota_race.rs
+++ b/crates/mustardcove-core/tests/quota_race.rs
@@ -318,3 +318,52 @@
     assert!(race.running[1].is_empty(), "nothing is granted while the store is away");
     assert!(race.owners[0].calls_made() < 15, "calls back off while the store is away");
 }
+
+/// Returns an owner of group `g0` that was granted two cores.
+fn granted_race() -> Race {
+    let mut race = Race::new();
+    settle(&mut race, 100);
+    race.reserve(0, 2, false);
+    settle(&mut race, 1_200);
+    race.reserve(0, 2, false);
+    assert_eq!(race.running[0].len(), 1);
+    race
+}
+
+#[test]
+fn successor_rewrites_before_it_relies() {
+    let mut race = granted_race();
+    race.take_over(0);
+    race.poll();
+    assert_eq!(race.in_flight.len(), 1, "the records are listed");
+    race.reply(0, |_, _| None);
+    // A write of the predecessor may still be on its way.
+    assert_eq!(race.owners[0].allotment(&member()), Resources::ZERO);
+    race.poll();
+    race.reply(0, |_, _| None);
+    let used = Resources::new(2_000, 2_048, 0);
+    assert!(used.fits_in(race.owners[0].allotment(&member())));
+}
+
+#[test]
+fn late_listing_changes_nothing() {
+    let mut race = granted_race();
+    // The second listing is read, and its answer is late.
+    let is_list =
+        |it: &(usize, u64, CallId, StoreOp)| it.0 == 0 && matches!(it.3, StoreOp::List { .. });
+    while !race.in_flight.iter().any(is_list) {
+        race.now = race.now.plus_ms(100);
+        race.poll();
+        while let Some(pick) = race.in_flight.iter().position(|it| !is_list(it)) {
+            race.reply(pick, |_, _| None);
+        }
+    }
+    let (group, _, call, op) = race.in_flight.remove(0);
+    let listed = race.store.execute(&op);
+    let task = race.running[0].pop().unwrap();
+    race.owners[0].release(race.now, &member(), task);
+    settle(&mut race, 6_000);
+    assert_eq!(race.owners[0].allotment(&member()), Resources::ZERO, "returned");
+    race.owners[group].on_reply(race.now, call, listed);
+    assert_eq!(race.owners[0].allotment(&member()), Resources::ZERO, "what was returned is gone");
+}
--- a/crates/mustardcove-core/tests/support/group_doubles.rs
+++ b/crates/mustardcove-core/tests/support/group_doubles.rs
@@ -25,7 +25,7 @@
         cases,
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(seed),
-        max_shrink_iters: 2_000,
+        max_shrink_iters: 500,
         ..Config::default()
     }
 }
--- a/crates/mustardcove-core/tests/support/group_world.rs
+++ b/crates/mustardcove-core/tests/support/group_world.rs
@@ -19,7 +19,7 @@
     store::StoreError,
     time::Timestamp,
     verdict::Verdict,
-    worker::{StopMode, WorkerError, WorkerInfo},
+    worker::{StopMode, WorkerError, WorkerInfo, WorkerOp},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -41,7 +41,10 @@
     pub group: usize,
     pub machine: Group<FirstFit>,
     pub paused: bool,
+    /// Whether it cannot reach the store.
     pub cut_off: bool,
+    /// Whether it cannot reach any worker.
+    pub isolated: bool,
     pub current: bool,
     pub renewed_at: Timestamp,
     inbox: Vec<GroupEvent>,
@@ -90,6 +93,8 @@
     pub fault_permille: u32,
     /// Chance that a call to an unreachable worker is known not to have run.
     pub refused_chance: f64,
+    /// How long starts travel whose answers are lost; zero for usual starts.
+    pub delay_starts_ms: u64,
     travel: Vec<(Timestamp, u64, Travel)>,
     sequence: u64,
     claimed: [bool; GROUPS],
@@ -106,7 +111,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let worker = |n: usize| worker_info(&format!("w{n}"), 4, 2);
         let workers = (0..GROUPS * WORKERS)
-            .map(|n| WorkerDouble::new(worker(n), rng.random_range(-250..=250)))
+            .map(|n| WorkerDouble::new(worker(n), rng.random_range(-490..=490)))
             .collect();
         let mut world = World {
             now: Timestamp(1_000_000),
@@ -120,6 +125,7 @@
             caps: caps.to_vec(),
             fault_permille: 0,
             refused_chance: 0.3,
+            delay_starts_ms: 0,
             travel: Vec::new(),
             sequence: 0,
             claimed: [false; GROUPS],
@@ -166,6 +172,7 @@
             machine,
             paused: false,
             cut_off: false,
+            isolated: false,
             current: true,
             renewed_at: self.now,
             inbox: Vec::new(),
@@ -285,9 +292,10 @@
     fn carry_out(&mut self, owner: usize, action: GroupAction) {
         let group = self.owners[owner].group;
         match action {
-            GroupAction::Worker { call, ref worker, .. } => {
+            GroupAction::Worker { call, ref worker, ref op, .. } => {
                 let worker = worker.clone();
-                let silent = self.fault();
+                let delayed = self.delay_starts_ms != 0 && matches!(op, WorkerOp::Start { .. });
+                let silent = delayed || self.fault();
                 if silent {
                     // The call is counted as failed although it may still land.
                     let error = WorkerError::Unreachable { verdict: Verdict::MayHaveRun };
@@ -297,6 +305,13 @@
                         return;
                     }
                 }
+                if delayed {
+                    let at = self.now.plus_ms(self.delay_starts_ms);
+                    self.sequence += 1;
+                    let call = Travel::WorkerCall { owner, action, silent };
+                    self.travel.push((at, self.sequence, call));
+                    return;
+                }
                 self.travel(Travel::WorkerCall { owner, action, silent });
             }
             GroupAction::Store { call, .. } => {
@@ -323,9 +338,10 @@
             Travel::WorkerCall { owner, action, silent } => {
                 let GroupAction::Worker { call, worker, op, not_after } = action else { return };
                 let at = self.workers.iter().position(|it| it.info.id == worker).unwrap();
-                let result = if not_after < self.now {
+                // The driver checks the time when it writes, not on arrival.
+                let result = if not_after < self.now && !silent {
                     Err(WorkerError::Unreachable { verdict: Verdict::NotRun })
-                } else if !self.reachable[at] {
+                } else if !self.reachable[at] || self.owners[owner].isolated {
                     let refused = self.rng.random_bool(self.refused_chance);
                     let verdict = if refused { Verdict::NotRun } else { Verdict::MayHaveRun };
                     Err(WorkerError::Unreachable { verdict })
@@ -587,6 +603,7 @@
         self.listed.fill(true);
         for owner in 0..self.owners.len() {
             self.owners[owner].cut_off = false;
+            self.owners[owner].isolated = false;
             self.wake(owner);
         }
         self.publish_workers();
--- a/crates/mustardcove-core/tests/support/solo_group.rs
+++ b/crates/mustardcove-core/tests/support/solo_group.rs
@@ -28,6 +28,8 @@
     pub store: StoreDouble,
     pub sent: Vec<GroupToShard>,
     pub calls: Vec<(WorkerId, WorkerOp)>,
+    /// Workers that do not answer.
+    pub silent: Vec<WorkerId>,
     /// Workers that the next requests avoid.
     pub avoid: Vec<WorkerId>,
 }
@@ -56,12 +58,20 @@
 
 impl Solo {
     pub fn new(infos: Vec<WorkerInfo>, cap: u64) -> Solo {
+        let mut solo = Solo::unreconciled(infos.clone(), cap);
+        solo.event(GroupEvent::Workers(infos.into()));
+        solo.shard(ShardToGroup::Reconcile { bound: Vec::new() });
+        solo
+    }
+
+    /// Returns a group that knows neither its workers nor what is bound.
+    pub fn unreconciled(infos: Vec<WorkerInfo>, cap: u64) -> Solo {
         let now = Timestamp(1_000_000);
         let cfg = GroupConfig { shards: 1, ..GroupConfig::default() };
         let id = "g0".parse().unwrap();
         let process = "p0".parse().unwrap();
         let group = Group::new(id, Epoch(1), process, cfg, FirstFit::default(), 5, now);
-        let workers = infos.iter().map(|it| WorkerDouble::new(it.clone(), 0)).collect();
+        let workers = infos.into_iter().map(|it| WorkerDouble::new(it, 0)).collect();
         let mut solo = Solo {
             now,
             group,
@@ -69,12 +79,11 @@
             store: StoreDouble::default(),
             sent: Vec::new(),
             calls: Vec::new(),
+            silent: Vec::new(),
             avoid: Vec::new(),
         };
         solo.event(GroupEvent::ClaimDeadline(Timestamp::MAX));
         solo.event(GroupEvent::Agreement(Arc::new(agreement(1, &[cap]))));
-        solo.event(GroupEvent::Workers(infos.into()));
-        solo.shard(ShardToGroup::Reconcile { bound: Vec::new() });
         solo
     }
 
@@ -88,6 +97,9 @@
                 match action {
                     GroupAction::Worker { call, worker, op, .. } => {
                         self.calls.push((worker.clone(), op.clone()));
+                        if self.silent.contains(&worker) {
+                            continue;
+                        }
                         let double = self.workers.iter_mut().find(|it| it.info.id == worker);
                         let result = double.expect("a worker").execute(self.now, &op);
                         events.push(GroupEvent::WorkerReply { worker, call, result });
--- a/crates/mustardcove-core/tests/urgent_first.rs
+++ b/crates/mustardcove-core/tests/urgent_first.rs
@@ -8,6 +8,7 @@
     message::{GroupToShard, ReserveRefusal, ShardToGroup},
     size::Resources,
     time::Timestamp,
+    worker::WorkerOp,
 };
 
 #[path = "support/group_doubles.rs"]
@@ -109,6 +110,21 @@
     assert!(lost && solo.workers[0].tasks.is_empty(), "an expired reservation is not started");
 }
 
+#[test]
+fn nothing_starts_after_the_claim() {
+    let mut solo = solo(1, 5);
+    let GroupToShard::Reserved { worker, .. } = solo.reserve_allotted(1, "scan", cores(1)) else {
+        panic!("not reserved")
+    };
+    solo.event(GroupEvent::ClaimDeadline(solo.now));
+    solo.calls.clear();
+    solo.sent.clear();
+    solo.start(1, &worker, "scan", cores(1));
+    let start = |it: &(_, WorkerOp)| matches!(it.1, WorkerOp::Start { .. });
+    assert!(!solo.calls.iter().any(start), "a start was sent after the claim's deadline");
+    assert!(solo.sent.iter().any(|it| matches!(it, GroupToShard::Lost { .. })));
+}
+
 #[test]
 fn start_is_not_repeated_after_its_end() {
     let mut solo = solo(1, 5);
