--- a/crates/mustardcove-core/src/group.rs
+++ b/crates/mustardcove-core/src/group.rs
@@ -22,10 +22,10 @@
 
 use crate::{
     agreement::Agreement,
-    class::{ClassIndex, ClassTable},
+    class::ClassTable,
     health::Health,
     id::{CallId, Epoch, GroupId, ProcessId, ShardId, TaskId, WorkerId},
-    message::{GroupSummary, GroupToShard, ShardToGroup},
+    message::{BoundTask, GroupSummary, GroupToShard, ShardToGroup},
     placement::PlacementPolicy,
     quota::Quotas,
     size::Resources,
@@ -45,13 +45,14 @@
 mod starts;
 mod takeover;
 mod task;
+mod upkeep;
 
 pub use config::{GroupConfig, RENEW_INTERVAL_MS, START_LEASE_MS, TASK_LEASE_MS};
 pub use dump::{GroupDump, GroupStats, TaskDump, WorkerDump};
 
 use calls::Call;
 use capacity::Fleet;
-use config::{ASK_INTERVAL_MS, EXPORT_INTERVAL_MS, SUMMARY_INTERVAL_MS, TOMBSTONE_MS};
+use config::EXPORT_INTERVAL_MS;
 use reserve::Waiting;
 use task::Task;
 
@@ -350,14 +351,7 @@
             ShardToGroup::Reserve(request) => self.on_reserve(from, request, out),
             ShardToGroup::Release { task } => self.on_release_task(task),
             ShardToGroup::Start { task, worker, epoch, spec, resume_from } => {
-                let bound = crate::message::BoundTask {
-                    task,
-                    worker,
-                    epoch,
-                    spec,
-                    resume_from,
-                    cancelling: false,
-                };
+                let bound = BoundTask { task, worker, epoch, spec, resume_from, cancelling: false };
                 self.on_bound(from, bound, out);
             }
             ShardToGroup::Stop { task, worker, mode } => {
@@ -442,96 +436,4 @@
             out.push(GroupAction::Released);
         }
     }
-
-    fn poll_quotas(&mut self, out: &mut Vec<GroupAction>) {
-        let mut ops = Vec::new();
-        self.quotas.poll(self.now, &mut ops);
-        out.extend(ops.into_iter().map(|(call, op)| GroupAction::Store { call, op }));
-    }
-
-    /// Publishes free capacity and learned slowdowns when they changed.
-    fn publish(&mut self, out: &mut Vec<GroupAction>) {
-        if self.summary_at <= self.now {
-            self.summary_at = self.now.plus_ms(SUMMARY_INTERVAL_MS);
-            let summary = self.summary();
-            let same = |last: &GroupSummary| {
-                *last == GroupSummary { made_at: last.made_at, ..summary.clone() }
-            };
-            if !self.last_summary.as_ref().is_some_and(same) {
-                self.last_summary = Some(summary.clone());
-                out.push(GroupAction::Summary(summary));
-            }
-        }
-        if self.export_at <= self.now {
-            self.export_at = self.now.plus_ms(EXPORT_INTERVAL_MS);
-            let table = self.policy.export();
-            if table != self.last_export {
-                self.last_export = table.clone();
-                out.push(GroupAction::Interference(table));
-            }
-        }
-    }
-
-    fn send(&self, to: ShardId, body: GroupToShard, out: &mut Vec<GroupAction>) {
-        out.push(GroupAction::Shard { to, body });
-    }
-
-    /// Asks the shards that have not listed what they have bound.
-    fn ask_shards(&mut self, out: &mut Vec<GroupAction>) {
-        if self.all_reconciled() || self.now < self.ask_at {
-            return;
-        }
-        self.ask_at = self.now.plus_ms(ASK_INTERVAL_MS);
-        for shard in (0..self.cfg.shards).map(ShardId) {
-            if !self.reconciled.contains(&shard) {
-                self.send(shard, GroupToShard::NewOwner { epoch: self.epoch }, out);
-            }
-        }
-    }
-
-    /// Sets the time at which a task is looked at next.
-    fn set_timer(&mut self, task: TaskId, at: Option<Timestamp>) {
-        let Some(it) = self.tasks.get_mut(&task) else { return };
-        if let Some(old) = it.wake {
-            self.timers.remove(&(old, task));
-        }
-        it.wake = at;
-        if let Some(at) = at {
-            self.timers.insert((at, task));
-        }
-    }
-
-    /// Forgets a task and gives back what it holds.
-    fn remove_task(&mut self, task: TaskId) {
-        self.uncharge(task);
-        self.set_timer(task, None);
-        let Some(it) = self.tasks.remove(&task) else { return };
-        if let Some(worker) = self.fleet.get_mut(&it.worker) {
-            worker.tasks.remove(&task);
-        }
-        self.health.forget_probe(&it.worker, &task);
-    }
-
-    /// Remembers that the end of an attempt is durable.
-    fn bury(&mut self, task: TaskId) {
-        self.tombstones.insert(task, self.now);
-        self.tombstone_queue.push_back((self.now.plus_ms(TOMBSTONE_MS), task));
-    }
-
-    fn forget_tombstones(&mut self) {
-        while self.tombstone_queue.front().is_some_and(|it| it.0 <= self.now) {
-            if let Some((_, task)) = self.tombstone_queue.pop_front() {
-                self.tombstones.remove(&task);
-            }
-        }
-    }
-
-    /// Returns the index of a class, which is added with the strictest rules
-    /// if the agreement no longer holds it.
-    fn class_index(&mut self, id: &crate::id::ClassId) -> ClassIndex {
-        if let Some(index) = self.classes.index_of(id) {
-            return index;
-        }
-        self.classes.upsert(&takeover::strictest_class(id))
-    }
 }
--- a/crates/mustardcove-core/src/group/evictions.rs
+++ b/crates/mustardcove-core/src/group/evictions.rs
@@ -141,6 +141,18 @@
         self.set_timer(next, Some(until));
     }
 
+    /// Reports whether the attempt before a held one is still being stopped.
+    pub(super) fn is_moving_here(&self, next: TaskId) -> bool {
+        let attempt = AttemptNumber(next.attempt.0.saturating_sub(1));
+        let before = self.tasks.get(&TaskId { job: next.job, attempt });
+        before.is_some_and(|it| it.may_run() && it.stop.is_some())
+    }
+
+    /// Holds a place longer; the stop that needs it cannot be taken back.
+    pub(super) fn extend_hold(&mut self, next: TaskId) {
+        self.set_timer(next, Some(self.now.plus_ms(SETTLE_MS)));
+    }
+
     /// Moves evictable tasks away from workers that leave.
     fn leave_workers(&mut self, out: &mut Vec<GroupAction>) {
         let leaving = self.fleet.workers.iter().filter(|it| it.leaving);
--- a/crates/mustardcove-core/src/group/starts.rs
+++ b/crates/mustardcove-core/src/group/starts.rs
@@ -273,6 +273,7 @@
     fn on_timer(&mut self, task: TaskId, out: &mut Vec<GroupAction>) {
         let Some(it) = self.tasks.get(&task) else { return };
         match it.state {
+            TaskState::Held { .. } if self.is_moving_here(task) => self.extend_hold(task),
             TaskState::Held { .. } | TaskState::Reserved { .. } => {
                 self.stats.reservations_expired += 1;
                 self.remove_task(task);
--- a/crates/mustardcove-core/src/job.rs
+++ b/crates/mustardcove-core/src/job.rs
@@ -127,7 +127,8 @@
     NeverSent,
     /// The worker refused the start.
     RefusedByWorker,
-    /// The worker, asked under a newer epoch, does not list the task.
+    /// The worker, asked under a newer epoch or after the lease of an
+    /// unconfirmed start had passed, does not list the task.
     NotListed,
     /// The worker has restarted since.
     NewIncarnation,
--- a/crates/mustardcove-core/tests/bound_tasks.rs
+++ b/crates/mustardcove-core/tests/bound_tasks.rs
@@ -120,6 +120,17 @@
     assert_eq!(solo.run(7, "scan", cores(1)).as_str(), "w0");
 }
 
+#[test]
+fn unlisted_worker_gets_nothing() {
+    let mut solo = Solo::unreconciled(infos(2), 100);
+    start_earlier(&mut solo, 0, 1);
+    solo.silent.push("w0".parse().unwrap());
+    solo.event(GroupEvent::Workers(infos(2).into()));
+    solo.shard(ShardToGroup::Reconcile { bound: Vec::new() });
+    // The announcement to w0 has neither been answered nor failed yet.
+    assert_eq!(solo.run(2, "scan", cores(1)).as_str(), "w1");
+}
+
 #[test]
 fn bound_while_outcomes_are_collected() {
     let mut solo = Solo::unreconciled(infos(1), 100);
--- a/crates/mustardcove-core/tests/lost_worker.rs
+++ b/crates/mustardcove-core/tests/lost_worker.rs
@@ -62,6 +62,27 @@
     assert_eq!(world.jobs[&job].lost, [Evidence::LeaseExpired]);
 }
 
+#[test]
+fn unconfirmed_start_outlasts_clock_error() {
+    let mut world = warm_world(9);
+    world.workers.iter_mut().for_each(|it| it.clock_error = -490);
+    // The start takes effect, its answer is lost, and the worker is cut off.
+    world.delay_starts_ms = 50;
+    let job = world.submit("scan", 0, 1, 255);
+    let runs =
+        |world: &World| world.workers.iter().position(|it| it.tasks.keys().any(|it| it.job == job));
+    while runs(&world).is_none() {
+        world.advance(50);
+    }
+    let at = runs(&world).unwrap();
+    world.reachable[at] = false;
+    world.delay_starts_ms = 0;
+    // A second attempt while the first still runs fails the world's checks.
+    assert_eq!(lost_within(&mut world, job, 5_000), Some(Evidence::LeaseExpired));
+    world.advance(5_000);
+    assert!(world.jobs[&job].started);
+}
+
 #[test]
 fn refused_connection_frees_at_once() {
     let mut world = warm_world(2);
