Move at most one quota call a second forward for urgent work

Cause: urgent starts missed the bound of 1 s when a group had just made a quota call, so calls for urgent work were allowed every 250 ms. That broke the check of one call per member and second, and with 23 members and 15 groups it could reach 1,380 calls a second, far above the store's budget. Change: one call a second may be moved forward. The check is now at most two calls per member and second, 250 ms apart; a stricter one would contradict the bound for urgent starts.

--- a/crates/mustardcove-core/src/quota.rs
+++ b/crates/mustardcove-core/src/quota.rs
@@ -40,7 +40,9 @@
 /// an allotment that the cap leaves room for, in milliseconds.
 ///
 /// Urgent work has to start within a second, and a call that was just made to
-/// return what is idle, or that lost a race, would take all of it.
+/// return what is idle, or that lost a race, would take all of it. At most one
+/// call a second is moved forward, so that a member makes at most two calls in
+/// any second.
 const URGENT_CALL_INTERVAL_MS: u64 = 250;
 
 /// Longest time between two calls while the store fails or the cap is used
@@ -98,6 +100,8 @@
     touched: bool,
     next_call_at: Timestamp,
     called_at: Timestamp,
+    /// When a call may next be moved forward.
+    hurry_at: Timestamp,
     interval_ms: u64,
     /// Whether the cap was used up when the last call was made.
     used_up: bool,
@@ -112,7 +116,10 @@
             return;
         }
         let earliest = self.called_at.plus_ms(URGENT_CALL_INTERVAL_MS).max(now);
-        self.next_call_at = self.next_call_at.min(earliest);
+        if self.hurry_at <= now && earliest < self.next_call_at {
+            self.next_call_at = earliest;
+            self.hurry_at = earliest.plus_ms(MIN_CALL_INTERVAL_MS);
+        }
     }
 }
 
