Remember refused requests from the time they were told to ask again

Cause: a request refused for want of allotment can be told to come back after more than a second, and was forgotten a fixed time after the refusal. Change: the place of a waiting request lasts until the time given in its refusal and GroupConfig::hold_ms more, as the setting says.

--- a/crates/mustardcove-core/src/group/reserve.rs
+++ b/crates/mustardcove-core/src/group/reserve.rs
@@ -54,8 +54,7 @@
             return;
         }
         if !self.is_ready() {
-            self.remember(&request, ReserveRefusal::NotReady);
-            self.refuse(from, &request, ReserveRefusal::NotReady, out);
+            self.refuse_for_now(from, &request, ReserveRefusal::NotReady, out);
             return;
         }
         let Some(class) = self.classes.index_of(&request.class) else {
@@ -74,13 +73,11 @@
             self.demand(&request);
         }
         let Some(at) = choice else {
-            self.remember(&request, ReserveRefusal::NoRoom);
-            self.refuse(from, &request, ReserveRefusal::NoRoom, out);
+            self.refuse_for_now(from, &request, ReserveRefusal::NoRoom, out);
             return;
         };
         if !allotted {
-            self.remember(&request, ReserveRefusal::OverAllotment);
-            self.refuse(from, &request, ReserveRefusal::OverAllotment, out);
+            self.refuse_for_now(from, &request, ReserveRefusal::OverAllotment, out);
             return;
         }
         self.waiting.retain(|it| it.request.task != task);
@@ -162,10 +159,23 @@
         request: &ReserveRequest,
         reason: ReserveRefusal,
         out: &mut Vec<GroupAction>,
-    ) {
+    ) -> Timestamp {
         self.stats.count_refused(reason);
         let retry_at = self.retry_at(request, reason);
         self.send(to, GroupToShard::ReserveRefused { task: request.task, reason, retry_at }, out);
+        retry_at
+    }
+
+    /// Refuses a request that is expected to be repeated, and remembers it.
+    fn refuse_for_now(
+        &mut self,
+        to: ShardId,
+        request: &ReserveRequest,
+        reason: ReserveRefusal,
+        out: &mut Vec<GroupAction>,
+    ) {
+        let retry_at = self.refuse(to, request, reason, out);
+        self.remember(request, reason, retry_at.plus_ms(self.cfg.hold_ms));
     }
 
     /// Returns when asking again may help. The times are spread, so that
@@ -190,7 +200,7 @@
     }
 
     /// Remembers a refused request.
-    fn remember(&mut self, request: &ReserveRequest, reason: ReserveRefusal) {
+    fn remember(&mut self, request: &ReserveRequest, reason: ReserveRefusal, until: Timestamp) {
         let Some(class) = self.classes.index_of(&request.class) else { return };
         self.waiting.retain(|it| it.request.task != request.task);
         if self.waiting.len() == MAX_WAITING {
@@ -202,7 +212,6 @@
                 _ => return,
             }
         }
-        let until = self.now.plus_ms(1_000 + self.cfg.hold_ms);
         let request = placement_request(request, class);
         let urgent = request.urgent;
         self.waiting.push(Waiting { request, until, earmarked: None });
