Test the replay and keep checkpoints of failed appends in order

The trace store-away showed a segment with an older checkpoint after a newer one: records of an append that had no effect went back to the queue, and checkpoints that came later were written before the queue. Checkpoints of such an append now return to where checkpoints wait, unless a newer one is there.

Every check has a deliberate defect that it has to report.

The tests were not run yet.

--- a/crates/mustardcove-core/src/shard/commit.rs
+++ b/crates/mustardcove-core/src/shard/commit.rs
@@ -5,7 +5,7 @@
 //! and the latest state is computed again without them.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeSet, VecDeque, btree_map::Entry},
     sync::Arc,
 };
 
@@ -89,6 +89,17 @@
         }
     }
 
+    /// Keeps a checkpoint of an append that had no effect, unless there is a
+    /// newer one by now: the newer one would precede it in the next append.
+    pub(super) fn keep_checkpoint(&mut self, task: TaskId, checkpoint: Checkpoint) {
+        match self.log.checkpoints.entry(task) {
+            Entry::Occupied(_) => self.unpend(task.job),
+            Entry::Vacant(it) => {
+                it.insert(checkpoint);
+            }
+        }
+    }
+
     fn apply_latest(&mut self, id: JobId, record: &Record) -> bool {
         let pending = self.overlay.remove(&id);
         let records = pending.as_ref().map_or(0, |it| it.records) + 1;
--- a/crates/mustardcove-core/src/shard/log.rs
+++ b/crates/mustardcove-core/src/shard/log.rs
@@ -342,6 +342,10 @@
         if let Some(it) = self.log.in_flight.take() {
             it.proven.into_iter().for_each(|what| self.need_proof(what, 0));
             for entry in it.entries.into_iter().rev() {
+                if let Record::Checkpointed { task, checkpoint } = entry.record {
+                    self.keep_checkpoint(task, checkpoint);
+                    continue;
+                }
                 self.log.queue_bytes += entry.encoded.len();
                 self.log.queue.push_front(entry);
             }
--- a/crates/mustardcove-replay/src/lib.rs
+++ b/crates/mustardcove-replay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod checks;
 pub mod compare;
+pub mod defect;
 pub mod outcome;
 mod plan;
 pub mod policy;
@@ -24,5 +25,12 @@
 ///
 /// The same trace, policy and seed give the same report.
 pub fn run(trace: &Arc<Trace>, policy: PolicyKind, seed: u64) -> Report {
-    world::World::new(Arc::clone(trace), policy, seed).run()
+    world::World::new(Arc::clone(trace), policy, seed, None).run()
+}
+
+/// Runs a trace with a model that is wrong on purpose, in order to see whether
+/// the checks report it.
+pub fn run_with_defect(trace: &Arc<Trace>, defect: defect::Defect) -> Report {
+    let (policy, seed) = (PolicyKind::Mustardcove, trace.header.seed);
+    world::World::new(Arc::clone(trace), policy, seed, Some(defect)).run()
 }
--- a/crates/mustardcove-replay/src/world.rs
+++ b/crates/mustardcove-replay/src/world.rs
@@ -35,6 +35,7 @@
 };
 use crate::{
     checks::Checks,
+    defect::Defect,
     plan,
     policy::{Factory, PolicyKind},
     report::{Measures, Report},
@@ -67,6 +68,7 @@
     pub(crate) trace: Arc<Trace>,
     factory: Factory,
     seed: u64,
+    defect: Option<Defect>,
     now_us: u64,
     queue: Queue,
     net: Net,
@@ -89,13 +91,19 @@
 
 impl World {
     /// Returns a world in which every process is about to start.
-    pub(crate) fn new(trace: Arc<Trace>, policy: PolicyKind, seed: u64) -> World {
+    pub(crate) fn new(
+        trace: Arc<Trace>,
+        policy: PolicyKind,
+        seed: u64,
+        defect: Option<Defect>,
+    ) -> World {
         let header = &trace.header;
         let infos = plan::workers(header);
         let factory = Factory { kind: policy, truth: plan::true_slowdowns(header) };
         let mut world = World {
             factory,
             seed,
+            defect,
             now_us: START_MS * 1_000,
             queue: Queue::default(),
             net: Net::new(header),
--- a/crates/mustardcove-replay/src/world/faults.rs
+++ b/crates/mustardcove-replay/src/world/faults.rs
@@ -4,6 +4,7 @@
 use mustardcove_core::ownership::ProcessKind;
 
 use super::{ProcessIndex, World, process::ProcessEvent, queue::Event};
+use crate::defect::Defect;
 use crate::trace::{
     ProcessAction, ProcessEvent as TraceProcessEvent, RackAction, RegionAction, RegionEvent,
     StoreAction, StoreEvent, TraceEvent, WorkerAction, WorkerEvent,
@@ -55,8 +56,11 @@
             WorkerAction::Failure => self.set_worker_alive(worker, false),
             WorkerAction::Restart => self.set_worker_alive(worker, true),
             WorkerAction::Leaving => {
-                self.fleet.workers[worker].state.info.leaving = true;
                 self.fleet.workers[worker].leaving_since_us = Some(self.now_us);
+                if self.defect == Some(Defect::SilentLeaving) {
+                    return;
+                }
+                self.fleet.workers[worker].state.info.leaving = true;
                 self.schedule_list();
             }
             WorkerAction::FailsEverything => {
@@ -132,6 +136,9 @@
             return;
         }
         self.processes[index].stopping_since_us = Some(self.now_us);
+        if self.defect == Some(Defect::IgnoredStop) {
+            return;
+        }
         match self.processes[index].plan.kind {
             ProcessKind::Scheduler => self.node_event(index, NodeEvent::Drain),
             ProcessKind::Entry => self.stop_entry(index),
--- a/crates/mustardcove-replay/src/world/fleet.rs
+++ b/crates/mustardcove-replay/src/world/fleet.rs
@@ -3,13 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use mustardcove_core::{
-    id::{GroupId, JobId, RackId, TaskId, WorkerId},
+    id::{AttemptNumber, GroupId, JobId, RackId, TaskId, WorkerId},
+    job::Checkpoint,
     node::NodeCall,
     ownership::record::group_of,
     size::Resources,
     time::Timestamp,
     verdict::Verdict,
-    worker::{StopMode, TaskStatus, WorkerError, WorkerInfo, WorkerOp, WorkerReply, WorkerResult},
+    worker::{
+        StopMode, TaskEvent, TaskStatus, WorkerError, WorkerInfo, WorkerOp, WorkerReply,
+        WorkerResult,
+    },
 };
 use mustardcove_platform::memory::{FleetConfig, RunLedger, worker_state::WorkerState};
 
@@ -20,7 +24,7 @@
     queue::Event,
     upstream::{Serving, UpstreamRequest},
 };
-use crate::{plan, trace::Header};
+use crate::{defect::Defect, plan, trace::Header};
 
 /// Time in which a connection to a worker that is gone fails, in microseconds.
 const CONNECT_TIMEOUT_US: u64 = 300_000;
@@ -200,6 +204,7 @@
         if let Some((task, resume_from)) = begun {
             let runs = workers[worker].state.tasks().any(|it| it.task == task);
             if runs && !was_running {
+                self.break_start(worker, task);
                 self.checks.started(trace_ms, task, resume_from.as_ref());
                 self.task_started(task);
             }
@@ -212,6 +217,30 @@
         result
     }
 
+    /// Applies defects that concern a task that was just started.
+    fn break_start(&mut self, worker: WorkerPosition, task: TaskId) {
+        let now = self.now();
+        let other = (worker + 1) % self.fleet.workers.len();
+        match self.defect {
+            Some(Defect::Overcommitted) => {
+                self.fleet.workers[worker].state.info.capacity = Resources::ZERO;
+            }
+            Some(Defect::Doubled) => {
+                let other = self.fleet.workers[other].state.info.id.clone();
+                let task = TaskId { job: task.job, attempt: task.attempt.next() };
+                self.fleet.ledger.started(now, task, &other);
+            }
+            Some(Defect::ForgottenCheckpoint) => {
+                let id = self.fleet.workers[worker].state.info.id.clone();
+                let earlier = TaskId { job: task.job, attempt: AttemptNumber(0) };
+                let checkpoint = Checkpoint { token: "ms-1".to_owned(), progress_permille: 1 };
+                let event = TaskEvent::Stopped { checkpoint: Some(checkpoint) };
+                self.checks.stopped(earlier, &id, Some(&event));
+            }
+            _ => (),
+        }
+    }
+
     fn reply_from_worker(
         &mut self,
         to: ProcessIndex,
--- a/crates/mustardcove-replay/src/world/jobs.rs
+++ b/crates/mustardcove-replay/src/world/jobs.rs
@@ -14,7 +14,10 @@
 use rand::RngExt;
 
 use super::{ProcessIndex, World, process::ProcessEvent, process::Role, queue::Event};
-use crate::trace::{Arrival, CancelEvent, Stream};
+use crate::{
+    defect::Defect,
+    trace::{Arrival, CancelEvent, Stream},
+};
 
 /// Time after which a caller asks again if it was not told when, in
 /// milliseconds.
@@ -271,6 +274,10 @@
                 it.state = CallerState::Accepted;
                 it.answered_us = Some(now_us);
             }
+            CallerAnswer::Served(_) if self.defect == Some(Defect::FalseRefusal) => {
+                let refusal = Refusal::not_run(RefusalReason::Invalid, "refused on purpose");
+                self.caller_refused(caller, refusal);
+            }
             CallerAnswer::Served(body) => {
                 it.state = CallerState::Succeeded;
                 it.answered_us = Some(now_us);
--- a/crates/mustardcove-replay/src/world/operators.rs
+++ b/crates/mustardcove-replay/src/world/operators.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{ProcessIndex, World, queue::Event};
+use crate::defect::Defect;
 use crate::trace::{ConfigurationEvent, OperatorsEvent};
 
 /// How often it is seen whether a revision is in force everywhere, in
@@ -106,6 +107,10 @@
             self.checks.violation("P9", trace_ms, detail);
         }
         it.revision = revision;
+        if self.defect == Some(Defect::RevertedRevision) {
+            // The next revision, which is one higher, then counts as older.
+            it.revision = Revision(revision.0 + 1);
+        }
         let written = self.checks.pending_revisions.iter().find(|it| it.revision == revision);
         if let Some(written) = written {
             let since_us = written.written_us.max(self.processes[index].reachable_since_us);
--- a/crates/mustardcove-replay/src/world/service.rs
+++ b/crates/mustardcove-replay/src/world/service.rs
@@ -19,6 +19,8 @@
     verdict::{Refusal, RefusalReason, Verdict},
 };
 
+use crate::defect::Defect;
+
 use super::{
     ProcessIndex, World,
     jobs::CallerAnswer,
@@ -80,6 +82,9 @@
             let it = &self.callers[caller];
             (it.spec(), it.deadline(), it.kind, it.wants_cancel)
         };
+        if kind != ClassKind::Service && self.defect == Some(Defect::ForgottenJob) {
+            return self.answer_caller(caller, CallerAnswer::Accepted);
+        }
         let it = self.entry(index);
         let Some(agreement) = it.agreement.clone() else {
             return self.answer_caller(caller, CallerAnswer::Broken);
--- a/crates/mustardcove-replay/src/world/upstream.rs
+++ b/crates/mustardcove-replay/src/world/upstream.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{ProcessIndex, WorkerPosition, World, process::ProcessEvent, queue::Event};
+use crate::defect::Defect;
 
 /// Bytes of a request besides its body, and of an answer besides its body.
 const REQUEST_BYTES: u64 = 400;
@@ -154,7 +155,9 @@
         self.advance_worker(worker);
         self.end_serving(worker, &it);
         let end = if it.completes {
-            UpstreamEnd::Answered(self.callers[it.request.caller].expected_answer())
+            let is_swapped = self.defect == Some(Defect::SwappedAnswers);
+            let caller = it.request.caller.saturating_sub(usize::from(is_swapped));
+            UpstreamEnd::Answered(self.callers[caller].expected_answer())
         } else {
             UpstreamEnd::Failed { verdict: Verdict::MayHaveRun, overloaded: true, sign: None }
         };
@@ -170,6 +173,10 @@
         let state = &mut fleet.workers[worker].state;
         if let Some(task) = it.request.task {
             fleet.ledger.ended(task, &state.info.id, it.completes);
+            if self.defect == Some(Defect::Repeated) {
+                let task = TaskId { job: task.job, attempt: task.attempt.next() };
+                fleet.ledger.ended(task, &state.info.id, it.completes);
+            }
         }
         if let Some(count) = state.serving.get_mut(&it.request.class) {
             *count = count.saturating_sub(1);
