Bound the losses that one choice computes

Cause: the first choice after a takeover, or a rare class that brings workers to another load level, computed the losses of every worker in one choice. Change: a choice computes about 24 missing figures once it has found a worker that need not be avoided; the next choices go on. No benchmark covers a first choice.

--- a/crates/mustardcove-core/src/placement/score.rs
+++ b/crates/mustardcove-core/src/placement/score.rs
@@ -51,6 +51,11 @@
 /// changed; it bounds the time of a choice.
 const RENEWALS_PER_CHOICE: usize = 6;
 
+/// Most workers whose figures one choice computes because they are missing. The
+/// others are left for the next choices, once a worker that need not be avoided
+/// is found.
+const UNKNOWN_PER_CHOICE: usize = 24;
+
 /// Workers whose figures each choice brings up to date in turn, so that no
 /// figure rests on an old table for long.
 const ROTATION_PER_CHOICE: usize = 3;
@@ -98,6 +103,7 @@
         let by_level = LoadLevel::ALL.map(|it| self.losses.column(request.class, it));
         self.columns.score_all(needs, by_level);
         let mut renewals = 0;
+        let mut computed = 0;
         let mut best = None;
         let mut best_score = f32::INFINITY;
         for (index, view) in workers.iter().enumerate() {
@@ -106,6 +112,10 @@
             }
             let level = level_with(view, request.resources);
             let known = self.losses.is_known(index, level);
+            if !known && UNKNOWN_PER_CHOICE <= computed && best_score < AVOIDED {
+                continue;
+            }
+            computed += usize::from(!known);
             let renewable = renewals < RENEWALS_PER_CHOICE;
             if !known || (renewable && !self.losses.is_current(index, view, level)) {
                 renewals += usize::from(known);
