Cover earlier requests with the key in refusals without an upstream

Cause: a guarded request that found no upstream got the stored answer of its key without a comparison of the bodies, and otherwise 'not run' even if an earlier request with the key may have run. A connection on which nothing was asked also held up a stop for up to 10 s. Change: such a refusal says 'may have run' unless the shard says that the key was never sent; connections without a request end with the drain.

--- a/crates/mustardcove-entry/src/dispatch/guarded.rs
+++ b/crates/mustardcove-entry/src/dispatch/guarded.rs
@@ -21,6 +21,10 @@
     upstream::{Answer, AttemptError},
 };
 
+/// Time that the shard owner gets to say whether a key is known when no
+/// upstream has room, in milliseconds.
+const KNOWN_TIMEOUT_MS: u64 = 200;
+
 /// What the shard owner says to an `Admit`.
 enum Admission {
     /// This process sends the attempt.
@@ -79,9 +83,7 @@
             let ticket =
                 match pool.acquire(self.call.class.urgent, self.call.deadline, &avoid).await {
                     Ok(ticket) => ticket,
-                    // A key that was used before has its answer without any
-                    // upstream, so the shard is asked before refusing.
-                    Err(refusal) => return self.known_or(refusal).await,
+                    Err(refusal) => return Err(self.covering_earlier(refusal).await),
                 };
             let choice = ticket.choice();
             let task = match self.admit(&ticket).await? {
@@ -181,22 +183,31 @@
         }
     }
 
-    /// Returns the answer of an earlier request with the same key, or the
-    /// refusal if there was none.
-    async fn known_or(&self, refusal: Refusal) -> Result<Answer, Refusal> {
+    /// Returns the refusal of a request for which no upstream has room, with a
+    /// verdict that covers earlier requests with the same key.
+    ///
+    /// An earlier answer is not returned here: only `Admit` compares bodies,
+    /// and the key may have been used for another one.
+    async fn covering_earlier(&self, refusal: Refusal) -> Refusal {
         let body = ShardRequest::Query {
             job: self.spec.id(),
             wait_until: None,
             member: Some(self.call.member.clone()),
         };
-        match self.request(body).await {
-            Ok(ShardResponse::Status { status } | ShardResponse::Accepted { status, .. })
-                if !matches!(status.state, JobState::Queued { .. }) =>
-            {
-                self.follow(status).await
+        // The refusal is final and must not wait long for a better verdict.
+        let latest = self.entry.clock().now().plus_ms(KNOWN_TIMEOUT_MS).min(self.call.deadline);
+        let never_sent = match self.entry.shards().request(self.shard, body, latest).await {
+            Ok(ShardResponse::Refused(it)) => it.reason == RefusalReason::NotFound,
+            Ok(ShardResponse::Status { status }) => {
+                matches!(status.state, JobState::Queued { .. })
             }
-            _ => Err(refusal),
+            _ => false,
+        };
+        if never_sent {
+            return refusal;
         }
+        let detail = format!("{}; an earlier request with the key may have run", refusal.detail);
+        Refusal { verdict: Verdict::MayHaveRun, detail, ..refusal }
     }
 
     /// Records a failed attempt and returns if another one may follow.
--- a/crates/mustardcove-entry/src/server.rs
+++ b/crates/mustardcove-entry/src/server.rs
@@ -54,11 +54,17 @@
         let service = TowerToHyperService::new(router.clone());
         let builders = Arc::clone(&builders);
         let watcher = graceful.watcher();
+        let draining = entry.draining().clone();
         tokio::spawn(async move {
             let _permit = permit;
             // A connection on which nothing arrives would be held for ever:
             // the header time-out begins only with the protocol.
-            let preface = tokio::time::timeout(receive_timeout, is_http2(&stream)).await;
+            let preface = tokio::time::timeout(receive_timeout, is_http2(&stream));
+            let preface = tokio::select! {
+                preface = preface => preface,
+                // Nothing was asked on it yet, so nothing is lost.
+                () = draining.cancelled() => return,
+            };
             let Ok(Some(is_http2)) = preface else { return };
             // Errors of single connections are the caller's; each request on
             // them has been recorded.
--- a/crates/mustardcove-entry/tests/graceful_stop.rs
+++ b/crates/mustardcove-entry/tests/graceful_stop.rs
@@ -48,11 +48,15 @@
     let url = rig.url(&format!("/v1/jobs/{}?wait_ms=3000", view["job"].as_str().unwrap()));
     let waiting = tokio::spawn(refused(rig.http.get(url).bearer_auth(TOKEN)));
     tokio::time::sleep(Duration::from_millis(100)).await;
+    // A connection on which nothing was asked must not hold up the stop.
+    let _silent = tokio::net::TcpStream::connect(rig.address).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
     let began = Instant::now();
     rig.entry.draining().cancel();
     let (status, refusal) = waiting.await.unwrap();
     assert_eq!((status, refusal.reason), (503, RefusalReason::ShuttingDown));
     assert!(began.elapsed() < Duration::from_millis(500));
+    tokio::time::timeout(Duration::from_secs(2), rig.server).await.expect("no end").unwrap();
 }
 
 #[tokio::test]
--- a/crates/mustardcove-entry/tests/same_key_entry.rs
+++ b/crates/mustardcove-entry/tests/same_key_entry.rs
@@ -93,6 +93,29 @@
     assert_eq!(upstream.runs("two"), 0);
 }
 
+#[tokio::test]
+async fn known_key_is_never_called_not_run() {
+    let upstream = TestUpstream::start().await;
+    let rigs = two_entries(&upstream).await;
+    let call = |body| rigs[0].call("booking", "", body).header("idempotency-key", "k");
+    answered(call("one")).await;
+    upstream.stop().await;
+    let pool = rigs[0].entry.pool(&"press".parse().unwrap()).unwrap();
+    while pool.views(1).1[0].accepting {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    for body in ["one", "two"] {
+        // Without an upstream the bodies cannot be compared, so neither gets
+        // the first answer, and nobody is told that the work did not run.
+        let (status, refusal) = refused(call(body)).await;
+        assert_eq!((status, refusal.reason), (503, RefusalReason::NoUpstream));
+        assert_eq!(refusal.verdict, Verdict::MayHaveRun, "{refusal:?}");
+    }
+    let (_, refusal) =
+        refused(rigs[0].call("booking", "", "x").header("idempotency-key", "n")).await;
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+}
+
 #[tokio::test]
 async fn submission_is_accepted_once() {
     let upstream = TestUpstream::start().await;
