Test real scheduler processes under kills, pauses, stops and an outage

Cause: the deterministic tests do not show that the processes keep what the machines promise. Change: seven scheduler processes run against the stand-ins while callers make requests; two are killed, one is paused past its session, two are stopped, and the store goes away while one dies. Ports are chosen by the system when they are bound: a port chosen beforehand was sometimes taken by an outgoing connection, and the deployment did not settle. Job ids are text in JSON, since dumps with 128-bit numbers were refused.

--- a/crates/mustardcove-core/src/id.rs
+++ b/crates/mustardcove-core/src/id.rs
@@ -7,7 +7,7 @@
 
 use std::{fmt, str::FromStr, sync::Arc};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use xxhash_rust::xxh3::xxh3_128_with_seed;
 
 /// Longest name accepted for any operator-chosen identifier, in bytes.
@@ -202,10 +202,33 @@
 ///
 /// Any entry instance computes the same identifier for the same submission,
 /// so a repeated submission reaches the shard that holds the first answer.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+///
+/// In JSON it is hexadecimal text, because JSON numbers of 128 bits lose
+/// digits or are refused; in binary encodings it is an integer.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobId(pub u128);
 
+impl Serialize for JobId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for JobId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            text.parse().map_err(de::Error::custom)
+        } else {
+            u128::deserialize(deserializer).map(JobId)
+        }
+    }
+}
+
 impl JobId {
     /// Seed of the hash; a change would move every job to another shard.
     const HASH_SEED: u64 = 0x6d75_7374_6172_6400;
--- a/crates/mustardcove-dev/src/cluster.rs
+++ b/crates/mustardcove-dev/src/cluster.rs
@@ -1,6 +1,6 @@
 //! One deployment: stand-ins for the platform and all processes, on loopback.
 
-use std::{net::TcpListener, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use eyre::{WrapErr as _, bail};
 use mustardcove_core::{
@@ -23,7 +23,10 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::deployment::{Deployment, INSTANCES};
+use crate::deployment::{Deployment, INSTANCES, token_digest};
+
+/// Token of the operators of the development deployments.
+pub const OPERATOR_TOKEN: &str = "operator-development-token";
 
 /// Bound of the start of a deployment.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -47,15 +50,11 @@
     processes: JoinSet<eyre::Result<()>>,
 }
 
-/// Returns an address on loopback with a port that was free just now.
-///
-/// # Errors
+/// Address on loopback with a port that the system chooses when it is bound.
 ///
-/// Returns an error if no port can be bound.
-pub fn free_address() -> std::io::Result<String> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    Ok(listener.local_addr()?.to_string())
-}
+/// A port that is chosen beforehand may be taken by an outgoing connection of
+/// another process until it is bound.
+const ANY_PORT: &str = "127.0.0.1:0";
 
 /// Where the processes of a deployment find the platform.
 #[derive(Clone, Debug)]
@@ -67,27 +66,22 @@
 }
 
 /// Returns the settings that both programs share.
-///
-/// # Errors
-///
-/// Returns an error if no port can be bound.
 pub fn common_settings(
     deployment: &Deployment,
     platform: &Platform,
     kind: &str,
     number: usize,
-) -> std::io::Result<String> {
+) -> String {
     let (domain, region) = &deployment.domains[number % deployment.domains.len()];
-    let (admin, peer) = (free_address()?, free_address()?);
-    Ok(format!(
+    format!(
         "[process]\n\
          name = {name}-{kind}-{number}\n\
          region = {region}\n\
          failure_domain = {domain}\n\
          [admin]\n\
-         listen = {admin}\n\
+         listen = {ANY_PORT}\n\
          [peer]\n\
-         listen = {peer}\n\
+         listen = {ANY_PORT}\n\
          [store]\n\
          address = {store}\n\
          [instances]\n\
@@ -95,7 +89,13 @@
         name = deployment.name,
         store = platform.store,
         instances = platform.instances,
-    ))
+    )
+}
+
+/// The part of an entry's dump that is used here.
+#[derive(Debug, serde::Deserialize)]
+struct EntryDump {
+    api_address: String,
 }
 
 impl Cluster {
@@ -111,6 +111,26 @@
         clock: Clock,
         seed: u64,
         log: &Logger,
+    ) -> eyre::Result<Cluster> {
+        let mut cluster = Cluster::start_platform(deployment, clock, seed).await?;
+        for number in 0..INSTANCES {
+            cluster.start_scheduler(number, clock, log)?;
+        }
+        cluster.start_entries(clock, log)?;
+        cluster.wait_until_settled().await?;
+        Ok(cluster)
+    }
+
+    /// Starts the stand-ins alone and writes the agreement; the processes are
+    /// started by the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port cannot be bound.
+    pub async fn start_platform(
+        deployment: Deployment,
+        clock: Clock,
+        seed: u64,
     ) -> eyre::Result<Cluster> {
         let store = StoreStandin::start(clock, seed).await?;
         let instances = InstancesStandin::start(clock).await?;
@@ -127,7 +147,7 @@
         );
         let workers = fleet.add_shared(deployment.workers.clone()).await?;
         instances.list().set_workers(workers);
-        let mut cluster = Cluster {
+        let cluster = Cluster {
             deployment,
             store,
             instances,
@@ -137,14 +157,38 @@
             processes: JoinSet::new(),
         };
         cluster.put_agreement(clock).await?;
+        Ok(cluster)
+    }
+
+    /// Starts the entry processes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port cannot be bound.
+    pub fn start_entries(&mut self, clock: Clock, log: &Logger) -> eyre::Result<()> {
         for number in 0..INSTANCES {
-            cluster.start_scheduler(number, clock, log)?;
-            cluster.start_entry(number, clock, log)?;
+            self.start_entry(number, clock, log)?;
         }
-        tokio::time::timeout(START_TIMEOUT, cluster.settled())
+        Ok(())
+    }
+
+    /// Waits until all processes are ready and every group has an owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub async fn wait_until_settled(&mut self) -> eyre::Result<()> {
+        tokio::time::timeout(START_TIMEOUT, self.settled())
             .await
             .wrap_err("the deployment did not settle in time")?;
-        Ok(cluster)
+        for record in self.sessions().await {
+            if record.kind == ProcessKind::Entry {
+                let url = format!("http://{}/dump", record.admin_address);
+                let dump: EntryDump = reqwest::get(url).await?.json().await?;
+                self.entries.push(dump.api_address);
+            }
+        }
+        Ok(())
     }
 
     /// Returns where processes find the platform.
@@ -156,7 +200,7 @@
     }
 
     fn start_scheduler(&mut self, number: usize, clock: Clock, log: &Logger) -> eyre::Result<()> {
-        let text = common_settings(&self.deployment, &self.platform(), "sched", number)?;
+        let text = common_settings(&self.deployment, &self.platform(), "sched", number);
         let settings = Settings::parse(&mustardcove_sched::settings::PROGRAM, "sched", &text)?;
         let log = log.new(o!("process" => format!("{}-sched-{number}", self.deployment.name)));
         let stop = self.stop.clone();
@@ -167,13 +211,13 @@
     }
 
     fn start_entry(&mut self, number: usize, clock: Clock, log: &Logger) -> eyre::Result<()> {
-        let listen = free_address()?;
-        let mut text = common_settings(&self.deployment, &self.platform(), "entry", number)?;
-        text.push_str(&format!("[api]\nlisten = {listen}\n"));
+        let mut text = common_settings(&self.deployment, &self.platform(), "entry", number);
+        let digest = token_digest(OPERATOR_TOKEN);
+        text.push_str(&format!("[api]\nlisten = {ANY_PORT}\n"));
+        text.push_str(&format!("[operators]\ntoken_digests = {digest}\n"));
         let settings = Settings::parse(&mustardcove_entry::settings::PROGRAM, "entry", &text)?;
         let log = log.new(o!("process" => format!("{}-entry-{number}", self.deployment.name)));
         let stop = self.stop.clone();
-        self.entries.push(listen);
         self.processes.spawn(async move {
             mustardcove_entry::process::run(settings, log, clock, stop).await.map(|_| ())
         });
@@ -199,7 +243,6 @@
         }
     }
 
-    /// Waits until all processes have a session and all groups an owner.
     async fn settled(&self) {
         let groups = self.deployment.domains.len();
         loop {
--- a/crates/mustardcove-dev/src/deployment.rs
+++ b/crates/mustardcove-dev/src/deployment.rs
@@ -115,21 +115,24 @@
     }
 }
 
+/// Returns the digest of a token as records and settings hold it.
+pub fn token_digest(token: &str) -> String {
+    Sha256::digest(token.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn record(
     member: &MemberId,
     token: &str,
     service: Service,
     classes: Vec<Class>,
 ) -> AgreementRecord {
-    let digest = Sha256::digest(token.as_bytes());
-    let digest = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     let member = MemberV2 {
         id: member.clone(),
         cap: Resources::new(1_000_000, 4_000 * 1_024, 0),
         max_requests: 2_048,
         services: vec![service],
         classes,
-        token_digests: vec![digest],
+        token_digests: vec![token_digest(token)],
         evict_over_cap: true,
     };
     let members = BTreeMap::from([(member.id.clone(), MemberRecord::V2(member))]);
--- a/crates/mustardcove-dev/src/main.rs
+++ b/crates/mustardcove-dev/src/main.rs
@@ -8,7 +8,7 @@
 
 use clap::{Parser, ValueEnum};
 use mustardcove_dev::{
-    cluster::Cluster,
+    cluster::{Cluster, OPERATOR_TOKEN},
     deployment::{Deployment, bindery, cotetul},
     load::{self, Run},
     report::Report,
@@ -148,6 +148,7 @@
     for cluster in clusters {
         let Deployment { name, member, token, .. } = &cluster.deployment;
         say(&format!("\n{name}: member {member}, token {token}"))?;
+        say(&format!("  operators' token: {OPERATOR_TOKEN}"))?;
         say(&format!("  callers' API: http://{}", cluster.entries[0]))?;
         for session in cluster.sessions().await {
             let (process, address) = (&session.process, &session.admin_address);
--- a/crates/mustardcove-entry/src/process.rs
+++ b/crates/mustardcove-entry/src/process.rs
@@ -53,17 +53,23 @@
 struct EntryDumps<C> {
     entry: Arc<Entry<C>>,
     peers: Peers,
+    api_address: SocketAddr,
 }
 
 impl<C> Clone for EntryDumps<C> {
     fn clone(&self) -> EntryDumps<C> {
-        EntryDumps { entry: Arc::clone(&self.entry), peers: self.peers.clone() }
+        EntryDumps {
+            entry: Arc::clone(&self.entry),
+            peers: self.peers.clone(),
+            api_address: self.api_address,
+        }
     }
 }
 
 impl<C: ShardClient> DumpSource for EntryDumps<C> {
     async fn dump(&self, limit: usize) -> Dump {
         let mut dump = Dump::new(limit);
+        dump.value("api_address", &self.api_address);
         dump.value("entry", &dump_of(&self.entry));
         dump.rows("peers", self.peers.status());
         dump
@@ -99,7 +105,7 @@
     let started = start(&settings, &log, clock, &metrics, admin_address).await?;
     info!(started.entry.log(), "entry starts"; "api_address" => %api_listener.local_addr()?,
         "admin_address" => %admin_address, "peer_address" => %started.peers.address());
-    let tree = tree(settings, clock, metrics, started, admin_listener, api_listener);
+    let tree = tree(settings, clock, metrics, started, admin_listener, api_listener)?;
     Ok(tree.run_process(stop).await)
 }
 
@@ -155,9 +161,10 @@
     started: Started,
     admin_listener: TcpListener,
     api_listener: TcpListener,
-) -> Supervisor {
+) -> std::io::Result<Supervisor> {
     let Started { entry, closed, peers, peer_events, record, sessions } = started;
     let (sessions_tx, sessions) = sessions;
+    let api_address = api_listener.local_addr()?;
     let log = entry.log().clone();
     let mut tree = Supervisor::new(common::restart_policy(&settings), log, metrics.clone());
     let store_address = settings.address("store.address").to_string();
@@ -166,7 +173,7 @@
         HttpLimits { local_address: common::local_address(&settings), ..HttpLimits::default() };
 
     let readiness = Readiness::default();
-    let source = EntryDumps { entry: Arc::clone(&entry), peers: peers.clone() };
+    let source = EntryDumps { entry: Arc::clone(&entry), peers: peers.clone(), api_address };
     let limit = settings.bytes("admin.dump_limit");
     let operators = Operators {
         entry: Arc::clone(&entry),
@@ -236,7 +243,7 @@
             () = drain => unreachable!("the wait after the drain never ends"),
         }
     });
-    tree
+    Ok(tree)
 }
 
 /// Adds a child that owns its parts and so can be started only once.
--- /dev/null
+++ b/crates/mustardcove-sched/tests/process_failures.rs
@@ -0,0 +1,166 @@
+//! Guards against work that is lost or runs twice when real scheduler
+//! processes are killed, paused past their lease, stopped or cut off.
+//!
+//! Seven scheduler processes run against the stand-ins on loopback. Callers
+//! make requests all the time; every test ends by itself.
+
+use std::{
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use mustardcove_dev::{
+    cluster::{Cluster, common_settings},
+    deployment::{Deployment, INSTANCES, bindery, cotetul},
+    load::{self, Run},
+    report::Report,
+};
+use mustardcove_platform::Clock;
+use slog::{Discard, Logger, o};
+
+/// How long callers make requests.
+const LENGTH: Duration = Duration::from_secs(12);
+
+/// Bound of a planned stop.
+const STOP_BOUND: Duration = Duration::from_secs(10);
+
+/// Real scheduler processes; they end with the test, whatever its result.
+struct Schedulers {
+    children: Vec<Child>,
+    dir: PathBuf,
+}
+
+impl Schedulers {
+    fn start(cluster: &Cluster, test: &str) -> Schedulers {
+        let dir = std::env::temp_dir().join(format!("mustardcove-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let start = |number: usize| {
+            let platform = cluster.platform();
+            let text = common_settings(&cluster.deployment, &platform, "sched", number);
+            let path = dir.join(format!("sched-{number}.ini"));
+            std::fs::write(&path, text).unwrap();
+            Command::new(env!("CARGO_BIN_EXE_mustardcove-sched"))
+                .arg("--config")
+                .arg(&path)
+                .stdout(Stdio::null())
+                .spawn()
+                .unwrap()
+        };
+        let children = (0..INSTANCES).map(start).collect();
+        Schedulers { children, dir }
+    }
+
+    fn signal(&self, number: usize, signal: &str) {
+        let pid = self.children[number].id();
+        let sent = Command::new("sh").arg("-c").arg(format!("kill -{signal} {pid}")).status();
+        assert!(sent.unwrap().success(), "signal {signal}");
+    }
+
+    /// Waits for the end of a process within the bound of a planned stop.
+    async fn wait(&mut self, number: usize) -> bool {
+        let until = Instant::now() + STOP_BOUND;
+        while Instant::now() < until {
+            if let Some(status) = self.children[number].try_wait().unwrap() {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+}
+
+impl Drop for Schedulers {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            child.kill().ok();
+            child.wait().ok();
+        }
+        std::fs::remove_dir_all(&self.dir).ok();
+    }
+}
+
+async fn start(deployment: Deployment, test: &str) -> (Cluster, Schedulers) {
+    let clock = Clock::start();
+    let log = Logger::root(Discard, o!());
+    let mut cluster = Cluster::start_platform(deployment, clock, 1).await.unwrap();
+    let schedulers = Schedulers::start(&cluster, test);
+    cluster.start_entries(clock, &log).unwrap();
+    cluster.wait_until_settled().await.unwrap();
+    (cluster, schedulers)
+}
+
+fn callers(cluster: &Cluster, test: &str) -> tokio::task::JoinHandle<Report> {
+    tokio::spawn(load::run(Run {
+        deployment: cluster.deployment.clone(),
+        entries: cluster.entries.clone(),
+        name: test.to_owned(),
+        length: LENGTH,
+        seed: 7,
+    }))
+}
+
+/// Checks what must hold whatever failed.
+#[expect(clippy::print_stderr, reason = "the report explains a failed check")]
+fn check(cluster: &Cluster, report: &Report) {
+    eprintln!("{report}");
+    let runs = cluster.fleet.fleet().ledger();
+    assert!(runs.overlaps.is_empty(), "work ran in two places: {:?}", runs.overlaps);
+    assert!(runs.overcommits.is_empty(), "overcommitted: {:?}", runs.overcommits);
+    assert!(runs.repeated_attempts.is_empty(), "repeated: {:?}", runs.repeated_attempts);
+    assert_eq!(runs.completed_more_than_once().len(), 0, "jobs that completed twice");
+    for (class, it) in &report.classes {
+        assert_eq!(it.lost(), 0, "{class}: requests without an answer");
+        assert_eq!(it.wrong, 0, "{class}: answers of other requests");
+        assert_eq!(it.unfinished, 0, "{class}: accepted jobs that did not end");
+        assert_eq!(it.failed, 0, "{class}: jobs that failed");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_processes() {
+    let (cluster, mut schedulers) = start(bindery(), "killed").await;
+    let report = callers(&cluster, "killed");
+    for number in [2, 5] {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        schedulers.children[number].kill().unwrap();
+    }
+    check(&cluster, &report.await.unwrap());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_process() {
+    let (cluster, schedulers) = start(bindery(), "paused").await;
+    let report = callers(&cluster, "paused");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    schedulers.signal(1, "STOP");
+    // Longer than the session, so that successors own what the process had.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    schedulers.signal(1, "CONT");
+    check(&cluster, &report.await.unwrap());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_processes() {
+    let (cluster, mut schedulers) = start(cotetul(), "stopped").await;
+    let report = callers(&cluster, "stopped");
+    for number in [0, 3] {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        schedulers.signal(number, "TERM");
+        assert!(schedulers.wait(number).await, "the planned stop was not graceful");
+    }
+    check(&cluster, &report.await.unwrap());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage() {
+    let (cluster, mut schedulers) = start(cotetul(), "outage").await;
+    let report = callers(&cluster, "outage");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.store.store().set_faults(|it| it.outage = true);
+    // A process dies while nothing can be taken over.
+    schedulers.children[4].kill().unwrap();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    cluster.store.store().set_faults(|it| it.outage = false);
+    check(&cluster, &report.await.unwrap());
+}
