--- a/crates/mustardcove-core/src/eviction.rs
+++ b/crates/mustardcove-core/src/eviction.rs
@@ -12,7 +12,6 @@
 use crate::{
     class::{ClassIndex, ClassKind, ClassTable},
     id::JobId,
-    interference::SlowdownTable,
     placement::{EvictionChoice, PlacementRequest, RunningTask, WorkerIndex, WorkerView},
     size::Resources,
     time::Timestamp,
@@ -20,7 +19,7 @@
 };
 
 use self::relief::SlowServices;
-pub use self::{cost::eviction_cost, room::RoomPlan};
+pub use self::{cost::eviction_cost, relief::Knowledge, room::RoomPlan};
 
 mod cost;
 mod relief;
@@ -93,7 +92,7 @@
         &mut self,
         now: Timestamp,
         classes: &ClassTable,
-        slowdowns: &SlowdownTable,
+        knowledge: Knowledge<'_>,
         workers: &[WorkerView],
         waiting: &[PlacementRequest],
     ) -> Vec<EvictionChoice> {
@@ -126,7 +125,7 @@
             }
             room.charge(best.worker, request.resources);
         }
-        self.relieve(now, classes, slowdowns, workers, restart_ms, &mut room, &mut choices);
+        self.relieve(now, classes, knowledge, workers, restart_ms, &mut room, &mut choices);
         choices
     }
 
@@ -135,7 +134,7 @@
         &mut self,
         now: Timestamp,
         classes: &ClassTable,
-        slowdowns: &SlowdownTable,
+        knowledge: Knowledge<'_>,
         workers: &[WorkerView],
         restart_ms: u64,
         room: &mut RoomPlan,
@@ -156,7 +155,7 @@
                 .iter()
                 .map(|task| self.cost(now, classes, workers, worker, task, room, restart_ms));
             let costs: Vec<Option<f64>> = costs.collect();
-            let Some(index) = relief::most_worthwhile(now, classes, slowdowns, view, &costs) else {
+            let Some(index) = relief::most_worthwhile(now, classes, knowledge, view, &costs) else {
                 continue;
             };
             let task = &view.tasks[index];
--- a/crates/mustardcove-core/src/placement/learned.rs
+++ b/crates/mustardcove-core/src/placement/learned.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     class::{ClassIndex, ClassTable},
-    eviction::EvictionPlanner,
+    eviction::{EvictionPlanner, Knowledge},
     interference::{InterferenceTable, LoadLevel, SlowdownSample},
     placement::{
         EvictionChoice, PlacementPolicy, PlacementRequest, WorkerIndex, WorkerView, score::Scorer,
@@ -109,7 +109,8 @@
         self.advance(now, classes);
         let slowdowns = self.table.slowdowns();
         self.scorer.refresh(now, slowdowns, self.table.generation(), classes, workers);
-        self.planner.plan(now, classes, slowdowns, workers, waiting)
+        let knowledge = Knowledge::Learned(&self.table);
+        self.planner.plan(now, classes, knowledge, workers, waiting)
     }
 
     fn export(&self) -> Bytes {
--- a/crates/mustardcove-core/src/shard.rs
+++ b/crates/mustardcove-core/src/shard.rs
@@ -177,6 +177,7 @@
     rng: ChaCha8Rng,
     now: Timestamp,
     phase: Phase,
+    ready_at: Timestamp,
     /// The process that owns the shard after this one, if known.
     successor: Option<ProcessId>,
     committed: Ledger,
@@ -201,6 +202,10 @@
     ///
     /// `seed` must differ between any two instances, also of other processes:
     /// write tokens and call identifiers are derived from it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `shards` is zero.
     pub fn new(
         id: ShardId,
         shards: u16,
@@ -209,6 +214,7 @@
         seed: u64,
         now: Timestamp,
     ) -> Shard {
+        assert!(0 < shards, "a deployment has at least one shard");
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (next_call, next_token) = (rng.random::<u64>() >> 1, rng.random::<u64>() >> 1);
         Shard {
@@ -219,6 +225,7 @@
             rng,
             now,
             phase: Phase::New,
+            ready_at: now,
             successor: None,
             committed: Ledger::new(),
             overlay: BTreeMap::new(),
@@ -292,6 +299,15 @@
 
     /// Does what is due by now, whatever the event was.
     fn advance(&mut self, out: &mut Vec<ShardAction>) {
+        self.do_due(out);
+        // The store found to be away gives jobs back to a state whose deadline
+        // may have passed.
+        if self.next_deadline().is_some_and(|it| it <= self.now) {
+            self.do_due(out);
+        }
+    }
+
+    fn do_due(&mut self, out: &mut Vec<ShardAction>) {
         match self.phase {
             Phase::New | Phase::Dropped => return,
             Phase::Recovering => self.run_recovery(out),
--- a/crates/mustardcove-core/src/shard/tasks.rs
+++ b/crates/mustardcove-core/src/shard/tasks.rs
@@ -30,6 +30,10 @@
 /// milliseconds.
 const NEVER_FITS_MS: u64 = 60_000;
 
+/// Longest account of a failure and longest checkpoint token that are stored,
+/// in bytes. Workers choose both, and a segment must fit into the store.
+const MAX_TEXT_BYTES: usize = 4096;
+
 /// What this owner knows of an attempt that a message names.
 enum Standing {
     /// It is the current attempt and bound in the group that speaks.
@@ -70,7 +74,9 @@
             GroupToShard::Checkpointed { task, checkpoint } => {
                 if let Standing::Current = self.standing(&from, task) {
                     self.confirm(task.job);
-                    self.push_checkpoint(task, checkpoint);
+                    if is_storable(&checkpoint) {
+                        self.push_checkpoint(task, checkpoint);
+                    }
                 }
             }
             GroupToShard::Finished { task, outcome } => {
@@ -137,6 +143,7 @@
         deadline: Timestamp,
         out: &mut Vec<ShardAction>,
     ) {
+        self.end_hold();
         let latest = self.latest(task.job);
         if latest.is_some_and(|it| is_bound_in(it, &from, task)) {
             return;
@@ -167,6 +174,7 @@
         reason: ReserveRefusal,
         retry_at: Timestamp,
     ) {
+        self.end_hold();
         let Some(soft) = self.queue.get_mut(task.job) else { return };
         if !matches!(&soft.step, Step::Asked { group, .. } if *group == from) {
             return;
@@ -211,6 +219,7 @@
         refusal: Refusal,
         out: &mut Vec<ShardAction>,
     ) {
+        let refusal = storable(refusal);
         if refusal.verdict == Verdict::NotRun {
             return self.on_lost(from, task, Evidence::RefusedByWorker, out);
         }
@@ -234,6 +243,7 @@
         checkpoint: Option<Checkpoint>,
         out: &mut Vec<ShardAction>,
     ) {
+        let checkpoint = checkpoint.filter(is_storable);
         self.end_attempt(from, Record::Evicted { task, checkpoint }, task, out);
     }
 
@@ -306,6 +316,17 @@
     }
 }
 
+/// Cuts the account of a failure to what is stored.
+pub(super) fn storable(mut refusal: Refusal) -> Refusal {
+    let end = refusal.detail.floor_char_boundary(MAX_TEXT_BYTES);
+    refusal.detail.truncate(end);
+    refusal
+}
+
+fn is_storable(checkpoint: &Checkpoint) -> bool {
+    checkpoint.token.len() <= MAX_TEXT_BYTES
+}
+
 fn acknowledgement(group: GroupId, task: TaskId) -> Effect {
     Effect::Tell { group, body: Box::new(ShardToGroup::Acknowledge { task }) }
 }
--- a/crates/mustardcove-core/src/shard/validate.rs
+++ b/crates/mustardcove-core/src/shard/validate.rs
@@ -65,7 +65,9 @@
             let detail = format!("the job needs {}; the cap is {}", spec.resources, member.cap);
             return refuse(RefusalReason::OverCap, detail);
         }
-        if path == Path::Task && !self.groups.could_hold(spec.resources) {
+        let is_fleet_known = self.cfg.settle_ms <= self.now.ms_since(self.ready_at);
+        let can_run = !is_fleet_known || self.groups.could_hold(spec.resources);
+        if path == Path::Task && !can_run {
             let detail = format!("no worker could hold {}", spec.resources);
             return refuse(RefusalReason::NeverRunnable, detail);
         }
@@ -81,7 +83,7 @@
         if self.is_store_down() {
             return Err(self.store_unavailable());
         }
-        let share = self.cfg.max_state_bytes / usize::from(self.shards.max(1));
+        let share = self.cfg.max_state_bytes / usize::from(self.shards);
         let detail = if self.cfg.max_done <= self.committed.done_count() {
             "too many finished jobs are remembered"
         } else if share <= self.committed.approximate_bytes() {
--- a/crates/mustardcove-core/tests/lost_worker.rs
+++ b/crates/mustardcove-core/tests/lost_worker.rs
@@ -9,6 +9,8 @@
 mod group_doubles;
 #[path = "support/group_world.rs"]
 mod group_world;
+#[path = "support/shard_double.rs"]
+mod shard_double;
 #[path = "support/worker_double.rs"]
 mod worker_double;
 
@@ -62,6 +64,26 @@
     assert_eq!(world.jobs[&job].lost, [Evidence::LeaseExpired]);
 }
 
+#[test]
+fn unconfirmed_start_outlasts_clock_error() {
+    let mut world = warm_world(9);
+    world.workers.iter_mut().for_each(|it| it.clock_error = -490);
+    // The start reaches its worker, and nothing else does from then on.
+    world.reachable[0] = false;
+    world.reachable[3] = false;
+    world.refused_chance = 0.0;
+    world.delay_starts_ms = 50;
+    let job = world.submit("scan", 0, 1, 255);
+    while world.workers.iter().all(|it| it.tasks.keys().all(|it| it.job != job)) {
+        world.advance(50);
+    }
+    world.delay_starts_ms = 0;
+    // A second attempt while the first still runs fails the world's checks.
+    assert_eq!(lost_within(&mut world, job, 5_000), Some(Evidence::LeaseExpired));
+    world.advance(5_000);
+    assert!(world.jobs[&job].started);
+}
+
 #[test]
 fn refused_connection_frees_at_once() {
     let mut world = warm_world(2);
@@ -78,6 +100,8 @@
     let (job, at) = running(&mut world, "watch");
     // The short lease of the start is renewed before the worker dies.
     world.advance(2_000);
+    // Its clock is late, so it runs the task for longer than others think.
+    world.workers[at].clock_error = -490;
     world.reachable[at] = false;
     let died_at = world.now;
     assert_eq!(lost_within(&mut world, job, 10_000), Some(Evidence::LeaseExpired));
