--- /dev/null
+++ b/crates/mustardcove-replay/src/world/service/guarded.rs
@@ -0,0 +1,136 @@
+//! Answers of the owners of shards: jobs, admissions and stored outcomes.
+
+use mustardcove_core::{
+    id::JobId,
+    job::{JobState, Outcome},
+    message::{ShardRequest, ShardResponse},
+    routing::{Choice, RouteOutcome},
+    verdict::{Refusal, RefusalReason, Verdict},
+};
+
+use super::{Stage, World};
+use crate::world::{ProcessIndex, jobs::CallerAnswer, requests::ShardCall};
+
+impl World {
+    /// Handles the end of a request to the owner of a shard.
+    pub(in crate::world) fn shard_done(
+        &mut self,
+        index: ProcessIndex,
+        call: ShardCall,
+        result: Result<ShardResponse, Refusal>,
+    ) {
+        let id = call.ask;
+        let Some(ask) = self.entry(index).asks.get(&id) else { return };
+        match ask.stage.clone() {
+            Stage::Job => self.job_answered(index, id, result),
+            Stage::Admitting(choice) => self.admitted(index, id, choice, result),
+            Stage::Completing(body) => self.end_ask(index, id, CallerAnswer::Served(body)),
+            Stage::Failing(refusal, overloaded) => {
+                self.decide_retry(index, id, refusal, overloaded);
+            }
+            Stage::Following => self.followed(index, id, result),
+            Stage::Pooled | Stage::Sent { .. } | Stage::Waiting => (),
+        }
+    }
+
+    fn job_answered(
+        &mut self,
+        index: ProcessIndex,
+        id: u64,
+        result: Result<ShardResponse, Refusal>,
+    ) {
+        match result {
+            Ok(ShardResponse::Accepted { status, .. } | ShardResponse::Status { status }) => {
+                self.check_status(index, id, status.job);
+                self.end_ask(index, id, CallerAnswer::Accepted);
+            }
+            Ok(ShardResponse::Refused(refusal)) | Err(refusal) => {
+                self.refuse_ask(index, id, refusal);
+            }
+            Ok(_) => (),
+        }
+    }
+
+    /// Checks P4: an answer of a shard is about the job that was asked for.
+    fn check_status(&mut self, index: ProcessIndex, id: u64, job: JobId) {
+        let trace_ms = self.trace_ms();
+        let asked = self.entry(index).asks.get(&id).map(|it| it.spec.id());
+        if asked != Some(job) {
+            self.checks.violation("P4", trace_ms, format!("an answer is about job {job}"));
+        }
+    }
+
+    fn admitted(
+        &mut self,
+        index: ProcessIndex,
+        id: u64,
+        choice: Choice,
+        result: Result<ShardResponse, Refusal>,
+    ) {
+        match result {
+            Ok(ShardResponse::Admitted { task }) => {
+                self.check_status(index, id, task.job);
+                self.dispatch(index, id, choice, Some(task));
+            }
+            Ok(ShardResponse::Accepted { status, .. } | ShardResponse::Status { status }) => {
+                self.check_status(index, id, status.job);
+                self.end_route(index, id, choice, RouteOutcome::Abandoned);
+                self.set_stage(index, id, Stage::Following);
+                self.follow(index, id, &status.state);
+            }
+            Ok(ShardResponse::Refused(refusal)) | Err(refusal) => {
+                self.end_route(index, id, choice, RouteOutcome::Abandoned);
+                self.refuse_ask(index, id, refusal);
+            }
+            Ok(_) => self.end_route(index, id, choice, RouteOutcome::Abandoned),
+        }
+    }
+
+    /// Answers from the outcome of an earlier request, or waits for it.
+    fn follow(&mut self, index: ProcessIndex, id: u64, state: &JobState) {
+        let Some(ask) = self.entry(index).asks.get(&id) else { return };
+        let (deadline, spec) = (ask.deadline, ask.spec.clone());
+        let outcome = match state {
+            JobState::Done { outcome, .. } => outcome.clone(),
+            _ => {
+                let body = ShardRequest::Query {
+                    job: spec.id(),
+                    wait_until: Some(deadline.minus_ms(100)),
+                    member: Some(spec.member.clone()),
+                };
+                let shard = spec.id().shard(self.trace.header.shards);
+                self.shard_request(index, id, shard, body, deadline);
+                return self.set_timer(index, id, deadline);
+            }
+        };
+        match outcome {
+            Outcome::Succeeded { result } => {
+                self.end_ask(index, id, CallerAnswer::Served(result));
+            }
+            Outcome::Failed { refusal } => self.refuse_ask(index, id, refusal),
+            Outcome::Cancelled => {
+                let refusal = Refusal::not_run(RefusalReason::Cancelled, "cancelled");
+                self.refuse_ask(index, id, refusal);
+            }
+        }
+    }
+
+    fn followed(&mut self, index: ProcessIndex, id: u64, result: Result<ShardResponse, Refusal>) {
+        match result {
+            Ok(ShardResponse::Status { status } | ShardResponse::Accepted { status, .. })
+                if matches!(status.state, JobState::Done { .. }) =>
+            {
+                self.follow(index, id, &status.state);
+            }
+            Err(refusal) => {
+                let refusal = Refusal { verdict: Verdict::MayHaveRun, ..refusal };
+                self.refuse_ask(index, id, refusal);
+            }
+            _ => {
+                let detail = "an earlier request with the same key is under way";
+                let refusal = Refusal::may_have_run(RefusalReason::DeadlineExceeded, detail);
+                self.refuse_ask(index, id, refusal);
+            }
+        }
+    }
+}
