--- a/crates/mustardcove-core/src/placement/score.rs
+++ b/crates/mustardcove-core/src/placement/score.rs
@@ -40,7 +40,9 @@
 const KNOWN_HARM: f64 = 0.05;
 
 /// Run time by which the patience of short tasks is counted at least, in
-/// milliseconds.
+/// milliseconds. A task waits for a better place for as long as it runs, and at
+/// least for this time; where every worker holds what it hurts, a longer wait
+/// gains nothing, and accepted work would stay queued on an idle fleet.
 const MIN_PATIENCE_MS: u64 = 30_000;
 
 /// Most workers among which one choice explores; looking at how much is known
@@ -80,8 +82,8 @@
     /// Returns the best worker with room, or `None` if none has room or if the
     /// task had better wait.
     ///
-    /// A task that is not urgent waits if it is known to hurt others and they
-    /// would lose more than the task gets done. `generation` changes whenever
+    /// A task that is not urgent waits for a limited time if it is known to hurt
+    /// others and they would lose more than the task gets done. `generation` changes whenever
     /// `table` does.
     pub(super) fn best(
         &mut self,
@@ -134,7 +136,9 @@
         let level = level_with(&workers[index], request.resources);
         let best_loss = self.losses.loss(index, level, request.class);
         let patience = patience(now, request) * self.losses.worth(request.class);
-        if !request.urgent && patience < best_loss && hurts(table, request, &workers[index]) {
+        let longest = request.expected_run_ms.max(MIN_PATIENCE_MS);
+        let may_wait = !request.urgent && now.ms_since(request.queued_since) < longest;
+        if may_wait && patience < best_loss && hurts(table, request, &workers[index]) {
             return None;
         }
         self.spread.add(request, index);
--- a/crates/mustardcove-dev/src/cluster.rs
+++ b/crates/mustardcove-dev/src/cluster.rs
@@ -8,7 +8,7 @@
     configuration::{Change, ChangeStep},
     id::WriteToken,
     ownership::{
-        ProcessKind, SessionRecord,
+        ClaimRecord, ProcessKind, SessionRecord,
         record::{CLAIM_PREFIX, SESSION_PREFIX, decode},
     },
     store::{StoreOp, StoreReply},
@@ -283,6 +283,11 @@
         self.list(SESSION_PREFIX).await
     }
 
+    /// Returns the claims on the worker groups.
+    pub async fn claims(&self) -> Vec<ClaimRecord> {
+        self.list(CLAIM_PREFIX).await
+    }
+
     /// Stops all processes gracefully.
     ///
     /// # Errors
--- a/crates/mustardcove-dev/src/load.rs
+++ b/crates/mustardcove-dev/src/load.rs
@@ -27,8 +27,9 @@
 /// Longest wait of one request for the result of a job, in milliseconds.
 const WAIT_MS: u64 = 5_000;
 
-/// Time that jobs get to end after the last one was submitted.
-const FINISH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time that jobs get to end after the last one was submitted. Placement may
+/// hold a short job back for up to 30 s, until a better place is free.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Attempts of a caller at one request; each follows the verdict of the last.
 const MAX_ATTEMPTS: u32 = 5;
