--- a/crates/mustardcove-core/src/quota/calls.rs
+++ b/crates/mustardcove-core/src/quota/calls.rs
@@ -5,6 +5,7 @@
 use super::{
     Demand, Flight, IDLE_RETURN_MS, LIST_LIMIT, MAX_CALL_INTERVAL_MS, MIN_CALL_INTERVAL_MS,
     MemberQuota, QUOTA_PREFIX, QuotaRecord, Quotas, RELIST_MS, Wish, must_lower, quota_key,
+    record::quarter,
 };
 use crate::{
     id::{CallId, MemberId, WriteToken},
@@ -233,7 +234,11 @@
         let blank = QuotaRecord::new(&terms, self.process.clone());
         let record = quota.record.as_ref().unwrap_or(&blank);
         let current = record.amount(&self.group);
-        let keep = if window_over { quota.peak } else { current };
+        let keep = match window_over {
+            false => current,
+            true if record.has_slack() => quota.peak.saturating_add(quarter(quota.peak)),
+            true => quota.peak,
+        };
         let mut demands: Vec<&Demand> = quota.demands.values().collect();
         demands.sort_by_key(|it| (!it.urgent, it.queued_since));
         let demand: Vec<Resources> = demands.iter().map(|it| it.resources).collect();
--- a/crates/mustardcove-core/src/quota/record.rs
+++ b/crates/mustardcove-core/src/quota/record.rs
@@ -19,6 +19,17 @@
 /// divisor: one eighth. It spares calls while a member's work grows.
 const HEADROOM_DIVISOR: u64 = 8;
 
+/// Returns a quarter of an amount. Groups keep so much beyond their use while
+/// the cap has slack: use that rises and falls a little would otherwise cost a
+/// write each way.
+pub(super) fn quarter(amount: Resources) -> Resources {
+    Resources {
+        cpu: Millicores(amount.cpu.0 / 4),
+        memory: MemoryMib(amount.memory.0 / 4),
+        accelerators: Accelerators(amount.accelerators.0 / 4),
+    }
+}
+
 /// Returns the key of a member's quota record.
 pub fn quota_key(member: &MemberId) -> String {
     format!("{QUOTA_PREFIX}{member}")
@@ -103,6 +114,13 @@
         self.allotments.values().fold(Resources::ZERO, |sum, it| sum.saturating_add(it.amount))
     }
 
+    /// Reports whether so much of the cap is left that groups may keep some of
+    /// their allotment beyond what they use.
+    pub fn has_slack(&self) -> bool {
+        let left = self.cap.saturating_sub(self.allotted());
+        self.pending.is_none() && quarter(self.cap).fits_in(left)
+    }
+
     /// Returns the allotment of a group, zero if it has none.
     pub fn amount(&self, group: &GroupId) -> Resources {
         self.allotments.get(group).map_or(Resources::ZERO, |it| it.amount)
