--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -148,7 +148,9 @@
         not_after: Timestamp,
         extra_wait: Duration,
     ) -> Result<Answer, CallError> {
-        self.call(Method::POST, uri, body, not_after, extra_wait).await
+        let gate = Gate::new(self.clock, not_after);
+        let body = GatedBody::new(gate.clone(), body);
+        self.call(Method::POST, uri, gate, body, extra_wait).await
     }
 
     /// Gets a whole answer within the limits.
@@ -157,19 +159,20 @@
     ///
     /// Returns an error if no whole answer arrived.
     pub async fn get(&self, uri: &str) -> Result<Answer, CallError> {
-        self.call(Method::GET, uri, Bytes::new(), Timestamp::MAX, Duration::ZERO).await
+        let gate = Gate::new(self.clock, Timestamp::MAX);
+        let body = GatedBody::none(gate.clone());
+        self.call(Method::GET, uri, gate, body, Duration::ZERO).await
     }
 
     async fn call(
         &self,
         method: Method,
         uri: &str,
-        body: Bytes,
-        not_after: Timestamp,
+        gate: Gate,
+        body: GatedBody,
         extra_wait: Duration,
     ) -> Result<Answer, CallError> {
-        let gate = Gate::new(self.clock, not_after);
-        let exchange = self.exchange(method, uri, GatedBody::new(gate.clone(), body));
+        let exchange = self.exchange(method, uri, body);
         let wait = self.limits.answer_timeout + extra_wait;
         let result = match tokio::time::timeout(wait, exchange).await {
             Ok(result) => result.map_err(|it| format!("{it:#}")),
--- a/crates/mustardcove-platform/src/http/gate.rs
+++ b/crates/mustardcove-platform/src/http/gate.rs
@@ -96,6 +96,12 @@
         assert!(!bytes.is_empty(), "a gated body must not be empty");
         GatedBody { gate, bytes: Some(bytes) }
     }
+
+    /// Returns the body of a read, which has none. The gate stays open, so a
+    /// read that fails counts as not run, which is true of every read.
+    pub fn none(gate: Gate) -> GatedBody {
+        GatedBody { gate, bytes: None }
+    }
 }
 
 impl Body for GatedBody {
