--- a/crates/mustardcove-runtime/src/process.rs
+++ b/crates/mustardcove-runtime/src/process.rs
@@ -1,16 +1,19 @@
 //! What a process sets up before its own work.
 
-use std::io;
+use std::{io, process::ExitCode};
 
+use eyre::WrapErr as _;
 use mustardcove_core::id::ProcessId;
 use mustardcove_platform::Clock;
 use slog::{Logger, info, o};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     admin::Readiness,
     logging::{self, LogGuard},
     metrics::Metrics,
-    settings::{Settings, common},
+    settings::{ConfigArgs, Loaded, Program, Settings, common},
+    signals,
     supervisor::Supervisor,
 };
 
@@ -65,3 +68,47 @@
     let id = format!("{}.{}", settings.text("process.name"), clock.now());
     id.parse().expect("the settings admit only names that leave room for the suffix")
 }
+
+/// Runs a program: reads its settings, starts its log, listens to signals and
+/// calls `run`. Returns 2 if the settings are wrong.
+#[expect(clippy::print_stdout, clippy::print_stderr, reason = "the log is not started yet")]
+pub fn run_program<F, Fut>(args: &ConfigArgs, program: &Program, run: F) -> ExitCode
+where
+    F: FnOnce(Settings, Logger, Clock, CancellationToken) -> Fut,
+    Fut: Future<Output = eyre::Result<ExitCode>>,
+{
+    let settings = match args.load(program) {
+        Ok(Loaded::Run(settings)) => settings,
+        Ok(Loaded::Print(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(2);
+        }
+    };
+    match run_until_stopped(settings, run) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{}: {error:#}", program.name);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_until_stopped<F, Fut>(settings: Settings, run: F) -> eyre::Result<ExitCode>
+where
+    F: FnOnce(Settings, Logger, Clock, CancellationToken) -> Fut,
+    Fut: Future<Output = eyre::Result<ExitCode>>,
+{
+    let clock = Clock::start();
+    // The guard outlives the runtime, so that its last lines are written.
+    let (log, _guard) = logging::start(&common::log_config(&settings), clock, io::stdout());
+    logging::log_panics(log.clone());
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(async {
+        let stop = signals::listen(log.clone()).wrap_err("cannot install signal handlers")?;
+        run(settings, log, clock, stop).await
+    })
+}
