Let callers lengthen leases only after the leader has heard of the answers

Three rolling stops kept tasks that last away for 10.9 s.

Ruled out: leaving the end where it is whenever a worker is silent. A caller that is cut off from the leader may hear from the worker again and lengthen its leases for LEADER_SILENT_MS.

Now a caller lengthens leases only once the leader has confirmed that it knows of the worker's answers, so the loss of one that was never confirmed, or whose silence was reported, moves nothing. A caller that granted nothing reports no end. The rule stands in the planner's worker record only.

The test of replaced callers found a second fault: a caller that was given up tells a restarted worker to forget ends by the numbers of its earlier life, so ends are lost unseen and tasks run again. A worker is told to forget only within 1 s of an answer, which no restart fits into.

"Workers assigned" is logged on a change only.

--- a/crates/mustardcove-core/src/fleet/agent.rs
+++ b/crates/mustardcove-core/src/fleet/agent.rs
@@ -5,6 +5,11 @@
 //! derives from it again by when, on its own clock, everything on the worker
 //! has ended even if no further answer arrives. A worker that does not answer
 //! gets no longer lease, so that this point stays where it is.
+//!
+//! A caller that is lost may have lengthened leases after its last report, so
+//! its loss puts that point off. To keep the loss of several callers, one after
+//! the other, from putting it off each time, a caller lengthens leases only
+//! once the leader has confirmed that it heard of the worker's answers.
 
 use super::{
     id::{EndNumber, Life},
@@ -22,6 +27,10 @@
 /// An order that was not sent to the worker this long after it arrived is
 /// dropped, in milliseconds, so that a caller that was paused sends nothing.
 pub const ORDER_VALID_MS: u64 = 1_000;
+/// A worker is told to forget ends only this long after its last answer, in
+/// milliseconds: less than a restart takes, since the numbers of the ends
+/// begin again in its next life.
+pub const FORGET_VALID_MS: u64 = 1_000;
 /// Slowest clock of a worker, in percent of true time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// The longest time from the decision to start a task to the end of the lease
@@ -44,8 +53,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerLease {
     life: Life,
-    /// When leases that other processes granted before have ended.
-    orphans_over_by: Timestamp,
     /// The worker's clock in its last answer, in milliseconds, and when that
     /// arrived.
     answer: Option<(u64, Timestamp)>,
@@ -55,13 +62,8 @@
 
 impl WorkerLease {
     /// Returns the state of a caller that begins to call a worker.
-    pub fn new(now: Timestamp) -> WorkerLease {
-        WorkerLease {
-            life: Life::default(),
-            orphans_over_by: now.plus_ms(MAX_ORPHAN_LEASE_MS),
-            answer: None,
-            granted_until: 0,
-        }
+    pub fn new() -> WorkerLease {
+        WorkerLease { life: Life::default(), answer: None, granted_until: 0 }
     }
 
     /// Notes an answer of a life of the worker.
@@ -82,16 +84,25 @@
         Some(until)
     }
 
-    /// Returns when every lease granted so far has ended, at the latest. A
-    /// worker that does not answer leaves this point where it is.
-    pub fn over_by(&self) -> Timestamp {
-        match self.answer {
-            Some((clock_ms, at)) if 0 < self.granted_until => {
-                let left = self.granted_until.saturating_sub(clock_ms);
-                at.plus_ms(left * 100 / SLOWEST_CLOCK_PERCENT)
-            }
-            Some(_) | None => self.orphans_over_by,
-        }
+    /// Returns whether the last answer is so recent that the worker cannot
+    /// have restarted since.
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        self.answer.is_some_and(|(_, at)| now.ms_since(at) < FORGET_VALID_MS)
+    }
+
+    /// Returns when every lease granted here has ended, at the latest; `None`
+    /// if none was. A worker that does not answer leaves this point where it
+    /// is.
+    pub fn over_by(&self) -> Option<Timestamp> {
+        let (clock_ms, at) = self.answer.filter(|_| 0 < self.granted_until)?;
+        let left = self.granted_until.saturating_sub(clock_ms);
+        Some(at.plus_ms(left * 100 / SLOWEST_CLOCK_PERCENT))
+    }
+}
+
+impl Default for WorkerLease {
+    fn default() -> WorkerLease {
+        WorkerLease::new()
     }
 }
 
@@ -109,7 +120,8 @@
 /// How long a worker may hold a look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LookWait {
-    /// It answers at once: nothing is known of it, or it did not answer.
+    /// It answers at once: it did not answer before, or the leader has not
+    /// confirmed its answers.
     None,
     /// Until a run ends or the lease has to be renewed.
     Busy,
@@ -129,20 +141,45 @@
     forget_through: EndNumber,
     is_busy: bool,
     failed_looks: u32,
+    /// Since when the worker has answered without being silent.
+    answering_since: Option<Timestamp>,
+    /// The value of `answering_since` that the leader has heard of.
+    confirmed: Option<Timestamp>,
+}
+
+/// What the leader is told of an answered look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// When everything that runs there has ended unless the worker answers
+    /// again.
+    pub lease_over_by: Timestamp,
+    /// See [`Look::answering_since`](super::message::Look::answering_since).
+    pub answering_since: Timestamp,
 }
 
 impl WorkerCalls {
     /// Returns the state of a caller that begins to call a worker.
-    pub fn new(now: Timestamp) -> WorkerCalls {
+    pub fn new() -> WorkerCalls {
         WorkerCalls {
-            lease: WorkerLease::new(now),
+            lease: WorkerLease::new(),
             life: None,
             forget_through: EndNumber::default(),
             is_busy: false,
             failed_looks: 0,
+            answering_since: None,
+            confirmed: None,
         }
     }
 
+    /// Notes which answers the leader has heard of.
+    pub fn confirm(&mut self, answering_since: Option<Timestamp>) {
+        self.confirmed = answering_since;
+    }
+
+    fn is_confirmed(&self) -> bool {
+        self.answering_since.is_some() && self.confirmed == self.answering_since
+    }
+
     /// Returns whether something runs there, or was ordered since the last
     /// look.
     pub fn is_busy(&self) -> bool {
@@ -152,28 +189,30 @@
     /// Returns what the next look asks for. With `may_extend`, the leader was
     /// heard of lately.
     pub fn next_look(&mut self, may_extend: bool, now: Timestamp) -> NextLook {
-        let extends = may_extend && self.is_busy && self.failed_looks == 0;
+        let extends = may_extend && self.is_busy && self.failed_looks == 0 && self.is_confirmed();
         let lease_until = if extends { self.lease.grant(now) } else { None };
-        let wait = if self.life.is_none() || 0 < self.failed_looks {
+        let wait = if !self.is_confirmed() || 0 < self.failed_looks {
             LookWait::None
         } else if self.is_busy {
             LookWait::Busy
         } else {
             LookWait::Idle
         };
-        NextLook { lease_until, forget_through: self.forget_through, wait }
+        let may_forget = self.failed_looks == 0 && self.lease.is_fresh(now);
+        let forget_through = if may_forget { self.forget_through } else { EndNumber::default() };
+        NextLook { lease_until, forget_through, wait }
     }
 
-    /// Notes an answered look. Returns when everything that runs there has
-    /// ended unless the worker answers again.
+    /// Notes an answered look, and returns what the leader is told.
     pub fn look_answered(
         &mut self,
         life: Life,
         clock_ms: u64,
         has_runs: bool,
         now: Timestamp,
-    ) -> Timestamp {
+    ) -> Answered {
         self.failed_looks = 0;
+        let answering_since = *self.answering_since.get_or_insert(now);
         if self.life != Some(life) {
             self.life = Some(life);
             self.forget_through = EndNumber::default();
@@ -181,16 +220,19 @@
         self.lease.answered(life, clock_ms, now);
         self.is_busy = has_runs;
         let next_grant = LOOK_GAP_MS + LEASE_MS * 100 / SLOWEST_CLOCK_PERCENT;
-        self.lease.over_by().max(now.plus_ms(next_grant))
+        let next_over_by = now.plus_ms(next_grant);
+        let lease_over_by = self.lease.over_by().map_or(next_over_by, |it| it.max(next_over_by));
+        Answered { lease_over_by, answering_since }
     }
 
     /// Notes a look without an answer, and returns what the leader is told.
     pub fn look_failed(&mut self) -> WorkerReport {
         self.failed_looks += 1;
-        WorkerReport::Missed {
-            lease_over_by: self.lease.over_by(),
-            is_silent: SILENT_AFTER <= self.failed_looks,
+        let is_silent = SILENT_AFTER <= self.failed_looks;
+        if is_silent {
+            self.answering_since = None;
         }
+        WorkerReport::Missed { lease_over_by: self.lease.over_by(), is_silent }
     }
 
     /// Returns the end of the lease that a start grants; `None` if the worker
@@ -207,3 +249,9 @@
         }
     }
 }
+
+impl Default for WorkerCalls {
+    fn default() -> WorkerCalls {
+        WorkerCalls::new()
+    }
+}
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -140,6 +140,9 @@
     pub worker: WorkerId,
     /// Its address.
     pub address: SocketAddr,
+    /// The [`Look::answering_since`] of the receiver's last report that the
+    /// leader knows of; the receiver lengthens leases only while it holds.
+    pub confirmed: Option<Timestamp>,
 }
 
 /// A call to a worker.
@@ -203,8 +206,9 @@
     Look(Look),
     /// It did not answer a look.
     Missed {
-        /// When everything that runs there has ended unless it answers again.
-        lease_over_by: Timestamp,
+        /// When every lease that the sender granted has ended; `None` if it
+        /// granted none.
+        lease_over_by: Option<Timestamp>,
         /// Whether it has not answered for several looks.
         is_silent: bool,
     },
@@ -244,6 +248,10 @@
     pub life: Life,
     /// When everything that runs there has ended unless it answers again.
     pub lease_over_by: Timestamp,
+    /// Since when the worker has answered the sender without being silent. It
+    /// stays on the sender's clock, since it only comes back in
+    /// [`WorkerContact::confirmed`].
+    pub answering_since: Timestamp,
     /// What runs.
     pub running: Vec<RunningTask>,
     /// Ends that were not forgotten, in order.
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -340,17 +340,18 @@
             return *index;
         }
         let index = self.workers.len();
-        self.workers.push(Worker::new(listing));
+        self.workers.push(Worker::new(listing, self.uncertain_until));
         self.worker_index.insert(id.clone(), index);
         self.decide(DecisionKind::WorkerListed, None, Some(id), || "listed=true".into());
         index
     }
 
     /// Returns the workers that are to be called: those that are listed, and
-    /// those on which something may still run.
-    pub fn callable_workers(&self) -> impl Iterator<Item = &WorkerListing> {
+    /// those on which something may still run. The second part is what their
+    /// caller is told to be confirmed.
+    pub fn callable_workers(&self) -> impl Iterator<Item = (&WorkerListing, Option<Timestamp>)> {
         let is_callable = |it: &&Worker| it.is_listed || !it.charged.is_empty();
-        self.workers.iter().filter(is_callable).map(|it| &it.listing)
+        self.workers.iter().filter(is_callable).map(|it| (&it.listing, it.answering_since))
     }
 
     /// Notes that the process that called these workers is gone. It may have
@@ -362,8 +363,7 @@
     ) {
         for id in workers {
             if let Some(index) = self.worker_index.get(id) {
-                let worker = &mut self.workers[*index];
-                worker.ordered_over_by = worker.ordered_over_by.max(lease_over_by);
+                self.workers[*index].caller_lost(lease_over_by);
             }
         }
     }
--- a/crates/mustardcove-core/src/fleet/planner/ends.rs
+++ b/crates/mustardcove-core/src/fleet/planner/ends.rs
@@ -55,7 +55,9 @@
         match report {
             WorkerReport::Look(look) => self.look(index, look, now),
             WorkerReport::Missed { lease_over_by, is_silent } => {
-                self.workers[index].lease_over_by = lease_over_by;
+                if let Some(lease_over_by) = lease_over_by {
+                    self.workers[index].lease_over_by = lease_over_by;
+                }
                 if is_silent {
                     self.silent(index);
                 }
@@ -82,6 +84,7 @@
 
     fn silent(&mut self, index: WorkerIndex) {
         let worker = &mut self.workers[index];
+        worker.answering_since = None;
         let lease_over_by = worker.runs_over_by();
         if !worker.is_silent {
             worker.is_silent = true;
@@ -109,6 +112,7 @@
         let worker = &mut self.workers[index];
         worker.looked_at = Some(now);
         worker.lease_over_by = look.lease_over_by;
+        worker.answering_since = Some(look.answering_since);
         for end in &look.ended {
             if self.workers[index].seen_end < end.number {
                 self.workers[index].seen_end = end.number;
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -87,6 +87,9 @@
     /// When every lease has ended that an ordered start may still begin, or
     /// that a process which no longer calls the worker may have granted.
     pub(super) ordered_over_by: Timestamp,
+    /// The answers to its caller that are known here; while there are none,
+    /// the caller lengthens no lease.
+    pub(super) answering_since: Option<Timestamp>,
     pub(super) charged: BTreeMap<TaskKey, Charged>,
     pub(super) used: Resources,
     /// Processor demand of runs that fill.
@@ -111,7 +114,9 @@
 }
 
 impl Worker {
-    pub(super) fn new(listing: WorkerListing) -> Worker {
+    /// Returns a worker on which leases of earlier terms may last until
+    /// `earlier_over_by`.
+    pub(super) fn new(listing: WorkerListing, earlier_over_by: Timestamp) -> Worker {
         Worker {
             listing,
             is_listed: true,
@@ -119,7 +124,8 @@
             looked_at: None,
             is_silent: false,
             lease_over_by: Timestamp::default(),
-            ordered_over_by: Timestamp::default(),
+            ordered_over_by: earlier_over_by,
+            answering_since: None,
             charged: BTreeMap::new(),
             used: Resources::ZERO,
             fill_cpu: 0,
@@ -175,6 +181,14 @@
         self.trust = Trust::default();
     }
 
+    /// Notes that its caller is lost, which may have lengthened leases until
+    /// `lease_over_by` if its answers were known here.
+    pub(super) fn caller_lost(&mut self, lease_over_by: Timestamp) {
+        if self.answering_since.take().is_some() {
+            self.ordered_over_by = self.ordered_over_by.max(lease_over_by);
+        }
+    }
+
     /// Returns when everything that runs there has ended unless the worker
     /// answers again.
     pub(super) fn runs_over_by(&self) -> Timestamp {
--- a/crates/mustardcove-core/tests/planner_steps.rs
+++ b/crates/mustardcove-core/tests/planner_steps.rs
@@ -92,6 +92,7 @@
     let look = Look {
         life: Life(1),
         lease_over_by: START.plus_ms(4_000),
+        answering_since: START,
         running: Vec::new(),
         ended: vec![end],
     };
@@ -107,8 +108,13 @@
     let number = |claims| {
         let mut planner = Planner::new(Term(claims), claims, manifest(3), START);
         planner.list_workers(vec![fleet_world::listing("w0", 4_000, Life(1))], true);
-        let look =
-            Look { life: Life(1), lease_over_by: START, running: Vec::new(), ended: Vec::new() };
+        let look = Look {
+            life: Life(1),
+            lease_over_by: START,
+            answering_since: START,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
         planner.report(&"w0".parse().unwrap(), WorkerReport::Look(look), START);
         planner.submit(submission(1, vec![step(1, 500, &[])], START), true, START);
         planner.tick(START);
@@ -240,6 +246,7 @@
     let look = || Look {
         life: Life(1),
         lease_over_by: START.plus_ms(4_000),
+        answering_since: START,
         running: running.clone(),
         ended: Vec::new(),
     };
--- a/crates/mustardcove-core/tests/planner_trust.rs
+++ b/crates/mustardcove-core/tests/planner_trust.rs
@@ -45,6 +45,7 @@
         let look = Look {
             life: Life(1),
             lease_over_by: self.now.plus_ms(4_000),
+            answering_since: START,
             running: running.collect(),
             ended,
         };
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -9,7 +9,7 @@
 
 use mustardcove_core::{
     fleet::{
-        agent::{MAX_ORPHAN_LEASE_MS, NextLook, WorkerCalls},
+        agent::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, NextLook, WorkerCalls},
         id::{EndNumber, Life, ManifestVersion, RunNumber, SubmissionId, TaskKey, Term},
         manifest::{Manifest, Queue, Service},
         message::{EndKind, EndedRun, Look, Order, RunningTask, StartOutcome, WorkerReport},
@@ -126,6 +126,8 @@
     barred: BTreeMap<TaskKey, RunNumber>,
     /// Until then, no call reaches it.
     pub(crate) cut_until: Timestamp,
+    /// Until then, only callers that were given up reach it.
+    pub(crate) hidden_until: Timestamp,
 }
 
 impl SimWorker {
@@ -142,6 +144,7 @@
             next_end: 1,
             barred: BTreeMap::new(),
             cut_until: Timestamp(0),
+            hidden_until: Timestamp(0),
         }
     }
 
@@ -203,9 +206,20 @@
     calls: Vec<WorkerCalls>,
     /// When the failure of a look is noticed; no other look begins before.
     fails_at: Vec<Option<Timestamp>>,
+    /// Callers that were given up and do not know it yet.
+    orphans: Vec<Orphan>,
     is_over: bool,
 }
 
+/// A caller whose reports no longer reach its leader.
+#[derive(Debug)]
+struct Orphan {
+    worker: usize,
+    calls: WorkerCalls,
+    /// It heard from its leader until then.
+    heard_until: Timestamp,
+}
+
 /// The world.
 #[derive(Debug)]
 pub(crate) struct World {
@@ -225,6 +239,8 @@
     /// Share of calls that go wrong, in percent.
     pub(crate) trouble_percent: u32,
     pub(crate) failure_percent: u32,
+    /// How long a worker that restarts is away.
+    pub(crate) restart_ms: u64,
     pub(crate) shown: BTreeMap<SubmissionId, SubmissionState>,
     pub(crate) faults: Vec<String>,
     pub(crate) starts: usize,
@@ -252,6 +268,7 @@
             acknowledged: BTreeSet::new(),
             trouble_percent: 0,
             failure_percent: 0,
+            restart_ms: 0,
             shown: BTreeMap::new(),
             faults: Vec::new(),
             starts: 0,
@@ -281,8 +298,9 @@
         let count = self.workers.len();
         self.leaders.push(Leader {
             planner,
-            calls: vec![WorkerCalls::new(self.now); count],
+            calls: vec![WorkerCalls::new(); count],
             fails_at: vec![None; count],
+            orphans: Vec::new(),
             is_over: false,
         });
     }
@@ -310,6 +328,7 @@
         self.lives += 1;
         let name = format!("w{worker}");
         self.workers[worker] = SimWorker::new(&name, self.lives, 98, self.now);
+        self.workers[worker].cut_until = self.now.plus_ms(self.restart_ms);
     }
 
     pub(crate) fn advance(&mut self, ms: u64) {
@@ -335,7 +354,7 @@
             return;
         }
         let fate = self.fate();
-        let (now, is_cut) = (self.now, self.now < self.workers[worker].cut_until);
+        let (now, is_cut) = (self.now, self.is_cut(worker));
         let state = &mut self.leaders[leader];
         let term = state.planner.term();
         let next = state.calls[worker].next_look(true, now);
@@ -356,8 +375,70 @@
         let clock = self.workers[worker].clock(now);
         let state = &mut self.leaders[leader];
         let has_runs = !look.running.is_empty();
-        let lease_over_by = state.calls[worker].look_answered(look.life, clock, has_runs, now);
-        state.planner.report(&id, WorkerReport::Look(Look { lease_over_by, ..look }), now);
+        let answered = state.calls[worker].look_answered(look.life, clock, has_runs, now);
+        let look = Look {
+            lease_over_by: answered.lease_over_by,
+            answering_since: answered.answering_since,
+            ..look
+        };
+        state.planner.report(&id, WorkerReport::Look(look), now);
+    }
+
+    /// Gives a worker another caller. The one before keeps calling until it
+    /// has not heard of its leader for too long.
+    pub(crate) fn replace_caller(&mut self, leader: usize, worker: usize) {
+        let (now, id) = (self.now, self.workers[worker].id.clone());
+        let state = &mut self.leaders[leader];
+        let calls = std::mem::take(&mut state.calls[worker]);
+        state.orphans.push(Orphan { worker, calls, heard_until: now });
+        state.fails_at[worker] = None;
+        state.planner.agent_lost([&id], now.plus_ms(MAX_ORPHAN_LEASE_MS));
+    }
+
+    fn look_orphaned(&mut self, leader: usize) {
+        let now = self.now;
+        let mut orphans = std::mem::take(&mut self.leaders[leader].orphans);
+        let term = self.leaders[leader].planner.term();
+        orphans.retain(|it| now.ms_since(it.heard_until) < LEADER_SILENT_MS);
+        for orphan in &mut orphans {
+            if 0 < self.rng.random_range(0..8u32) {
+                continue;
+            }
+            let next = orphan.calls.next_look(true, now);
+            let is_cut = now < self.workers[orphan.worker].cut_until;
+            let fate = if is_cut { Fate::Lost } else { self.fate() };
+            match fate {
+                Fate::Answered => {
+                    if let Some(look) = self.hold(leader, orphan.worker, term, next) {
+                        let clock = self.workers[orphan.worker].clock(now);
+                        let has_runs = !look.running.is_empty();
+                        orphan.calls.look_answered(look.life, clock, has_runs, now);
+                    }
+                }
+                Fate::AnswerLost => {
+                    self.hold(leader, orphan.worker, term, next);
+                    orphan.calls.look_failed();
+                }
+                Fate::Late | Fate::Lost => {
+                    orphan.calls.look_failed();
+                }
+            }
+        }
+        self.leaders[leader].orphans = orphans;
+    }
+
+    /// Tells a leader's callers which answers are known to it.
+    fn confirm(&mut self, leader: usize) {
+        let state = &mut self.leaders[leader];
+        for (listing, answering_since) in state.planner.callable_workers() {
+            let worker = self.workers.iter().position(|it| it.id == listing.worker);
+            state.calls[worker.expect("a worker")].confirm(answering_since);
+        }
+    }
+
+    fn is_cut(&self, worker: usize) -> bool {
+        let worker = &self.workers[worker];
+        self.now < worker.cut_until.max(worker.hidden_until)
     }
 
     fn look_failed(&mut self, leader: usize, worker: usize) {
@@ -368,10 +449,10 @@
     }
 
     fn hold(&mut self, leader: usize, worker: usize, term: Term, next: NextLook) -> Option<Look> {
+        let now = self.now;
         let it = &mut self.workers[worker];
         if term < it.fence {
             let id = it.id.clone();
-            let now = self.now;
             self.leaders[leader].planner.report(&id, WorkerReport::Fenced, now);
             return None;
         }
@@ -396,6 +477,7 @@
         Some(Look {
             life: it.life,
             lease_over_by: Timestamp(0),
+            answering_since: now,
             running: running.collect(),
             ended: it.ended.clone(),
         })
@@ -475,8 +557,7 @@
         order: &Order,
         end_by: u64,
     ) -> Option<WorkerReport> {
-        let is_cut = self.now < self.workers[worker].cut_until;
-        let fate = if is_cut { Fate::Lost } else { self.fate() };
+        let fate = if self.is_cut(worker) { Fate::Lost } else { self.fate() };
         let outcome = match fate {
             Fate::Answered => Some(self.apply(worker, term, order, end_by)),
             Fate::AnswerLost => {
@@ -595,7 +676,11 @@
                         self.look(leader, worker);
                     }
                 }
+                self.look_orphaned(leader);
                 self.plan(leader);
+                if self.rng.random_range(0..2u32) == 0 {
+                    self.confirm(leader);
+                }
                 if self.rng.random_range(0..4u32) == 0 {
                     self.flush(leader);
                 }
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -81,6 +81,7 @@
         let look = Look {
             life: Life(1),
             lease_over_by: self.now.plus_ms(4_000),
+            answering_since: START,
             running: running.collect(),
             ended,
         };
@@ -164,6 +165,7 @@
         let look = Look {
             life: Life(life),
             lease_over_by: self.now.plus_ms(4_000),
+            answering_since: START,
             running: running.iter().map(row).collect(),
             ended: Vec::new(),
         };
--- a/crates/mustardcove-core/tests/worker_leases.rs
+++ b/crates/mustardcove-core/tests/worker_leases.rs
@@ -1,43 +1,152 @@
-//! What the leader is told of leases at a worker.
+//! What the leader is told of leases at a worker, and what it makes of that.
 
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use fleet_world::{manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        agent::{LEASE_MS, LOOK_GAP_MS, MAX_ORPHAN_LEASE_MS, WorkerCalls},
-        id::Life,
+        agent::{
+            FORGET_VALID_MS, LEASE_MS, LOOK_GAP_MS, MAX_ORPHAN_LEASE_MS, MAX_START_LEASE_MS,
+            WorkerCalls,
+        },
+        id::{EndNumber, Life},
         message::WorkerReport,
     },
+    id::WorkerId,
     time::Timestamp,
 };
+use planner_rig::{Rig, START};
 
-const START: Timestamp = Timestamp(100_000);
-
-fn over_by(report: WorkerReport) -> Timestamp {
+fn over_by(report: WorkerReport) -> Option<Timestamp> {
     match report {
         WorkerReport::Missed { lease_over_by, .. } => lease_over_by,
         other => panic!("not a missed look: {other:?}"),
     }
 }
 
+/// Returns the calls of a process whose worker answered with runs.
+fn confirmed_calls() -> WorkerCalls {
+    let mut calls = WorkerCalls::new();
+    let answered = calls.look_answered(Life(1), 0, true, START);
+    calls.confirm(Some(answered.answering_since));
+    calls
+}
+
 /// Guards against a lease whose end moves on with every failed look: what runs
 /// on a lost worker was then never started again.
 #[test]
 fn silence_moves_nothing() {
-    let mut calls = WorkerCalls::new(START);
+    let mut calls = confirmed_calls();
+    calls.next_look(true, START);
     let first = over_by(calls.look_failed());
     calls.next_look(true, START.plus_ms(5_000));
     let later = over_by(calls.look_failed());
     assert_eq!(first, later);
-    assert_eq!(first, START.plus_ms(MAX_ORPHAN_LEASE_MS));
+    assert!(first.is_some_and(|it| START.plus_ms(LEASE_MS) <= it));
+}
+
+/// A caller that granted nothing says nothing about the end of leases that
+/// others granted.
+#[test]
+fn nothing_granted() {
+    let mut calls = WorkerCalls::new();
+    calls.next_look(true, START);
+    assert_eq!(over_by(calls.look_failed()), None);
 }
 
 /// Guards against taking a lease that another process granted for one that is
 /// over: what it covers was started a second time.
 #[test]
 fn foreign_leases() {
-    let mut calls = WorkerCalls::new(START);
+    let mut calls = WorkerCalls::new();
     calls.next_look(true, START);
-    let over_by = calls.look_answered(Life(1), 700, true, START);
-    assert!(START.plus_ms(LEASE_MS) <= over_by);
+    let answered = calls.look_answered(Life(1), 700, true, START);
+    assert!(START.plus_ms(LEASE_MS) <= answered.lease_over_by);
+}
+
+/// Guards against a lease that the leader cannot know of: a caller that is
+/// lost after its worker answered again, or a new one, grants none before its
+/// report has arrived.
+#[test]
+fn grants_confirmed() {
+    let mut calls = WorkerCalls::new();
+    let first = calls.look_answered(Life(1), 0, true, START);
+    assert_eq!(calls.next_look(true, START).lease_until, None);
+    calls.confirm(Some(first.answering_since));
+    assert!(calls.next_look(true, START).lease_until.is_some());
+    calls.look_failed();
+    calls.look_failed();
+    let later = START.plus_ms(3_000);
+    let second = calls.look_answered(Life(1), 3_000, true, later);
+    assert_eq!(calls.next_look(true, later).lease_until, None);
+    calls.confirm(Some(second.answering_since));
+    assert!(calls.next_look(true, later).lease_until.is_some());
+}
+
+/// Starts a task that lasts on the only worker, and lets it answer once.
+fn lasting_task() -> (Rig, WorkerId) {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 100)]);
+    let mut lasting = step(1, 500, &[]);
+    lasting.is_long_running = true;
+    rig.submit(submission(1, vec![lasting], START));
+    let worker = rig.plan()[0].0.clone();
+    rig.pass(1_000);
+    rig.look_all();
+    (rig, worker)
+}
+
+fn missed(lease_over_by: Option<Timestamp>) -> WorkerReport {
+    WorkerReport::Missed { lease_over_by, is_silent: true }
+}
+
+/// Returns how long the planner lets a run on a silent worker stand.
+fn given_up_after_ms(rig: &mut Rig) -> u64 {
+    let since = rig.now;
+    rig.list(|it| it.capacity = mustardcove_core::size::Resources::new(4_000, 1 << 20, 0));
+    while rig.plan().is_empty() {
+        rig.pass(50);
+        let awake: WorkerId = "w1".parse().expect("a valid name");
+        rig.look(&awake, Vec::new());
+        assert!(rig.now.ms_since(since) < 60_000, "the run is never given up");
+    }
+    rig.now.ms_since(since)
+}
+
+/// Guards against a silent worker whose leases end later with each change of
+/// the process that calls it: tasks that last stayed away for over 10 s.
+#[test]
+fn callers_lost() {
+    let (mut rig, worker) = lasting_task();
+    let over_by = rig.now.plus_ms(LEASE_MS);
+    rig.planner.report(&worker, missed(Some(over_by)), rig.now);
+    let began = rig.now;
+    for _ in 0..3 {
+        rig.pass(1_000);
+        let lost_over_by = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
+        rig.planner.agent_lost([&worker], lost_over_by);
+        rig.planner.report(&worker, missed(None), rig.now);
+        rig.planner.tick(rig.now);
+    }
+    given_up_after_ms(&mut rig);
+    let away_ms = rig.now.ms_since(began);
+    assert!(away_ms <= MAX_START_LEASE_MS, "given up after {away_ms} ms");
+}
+
+/// Guards against giving up a run whose lease a lost caller may have
+/// lengthened after its last report.
+#[test]
+fn caller_lost_unheard() {
+    let (mut rig, worker) = lasting_task();
+    let lost_over_by = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
+    rig.planner.agent_lost([&worker], lost_over_by);
+    rig.planner.report(&worker, missed(None), rig.now);
+    let after_ms = given_up_after_ms(&mut rig);
+    assert!(MAX_ORPHAN_LEASE_MS <= after_ms, "given up after {after_ms} ms");
 }
 
 /// Guards against an end of the lease that does not cover a look which takes
@@ -45,9 +154,7 @@
 /// lease would have ended.
 #[test]
 fn lost_answer() {
-    let mut calls = WorkerCalls::new(START);
-    calls.next_look(true, START);
-    calls.look_answered(Life(1), 0, true, START);
+    let mut calls = confirmed_calls();
     let mut now = START.plus_ms(LOOK_GAP_MS);
     calls.next_look(true, now);
     for _ in 0..2 {
@@ -55,7 +162,9 @@
         calls.look_failed();
         calls.next_look(true, now);
     }
-    let told = calls.look_answered(Life(1), now.ms_since(START), true, now);
+    let answered = calls.look_answered(Life(1), now.ms_since(START), true, now);
+    calls.confirm(Some(answered.answering_since));
+    let told = answered.lease_over_by;
     now = now.plus_ms(LOOK_GAP_MS);
     let next = calls.next_look(true, now);
     // The worker's clock shows milliseconds since START and is exact.
@@ -66,8 +175,7 @@
 /// A worker that does not answer gets no longer lease.
 #[test]
 fn no_grant_unheard() {
-    let mut calls = WorkerCalls::new(START);
-    calls.look_answered(Life(1), 0, true, START);
+    let mut calls = confirmed_calls();
     calls.look_failed();
     assert_eq!(calls.next_look(true, START.plus_ms(500)).lease_until, None);
 }
@@ -75,7 +183,21 @@
 /// A caller that has not heard of its leader lengthens no lease.
 #[test]
 fn leader_unheard() {
-    let mut calls = WorkerCalls::new(START);
-    calls.look_answered(Life(1), 0, true, START);
+    let mut calls = confirmed_calls();
     assert_eq!(calls.next_look(false, START.plus_ms(500)).lease_until, None);
 }
+
+/// Guards against ends of a worker's next life that are forgotten unseen: their
+/// numbers begin again, so the last number of this life covers them.
+#[test]
+fn forget_fresh() {
+    let mut calls = confirmed_calls();
+    calls.forget(Life(1), EndNumber(7));
+    assert_eq!(calls.next_look(true, START).forget_through, EndNumber(7));
+    let stale = START.plus_ms(FORGET_VALID_MS);
+    assert_eq!(calls.next_look(true, stale).forget_through, EndNumber(0));
+    calls.look_answered(Life(1), 1_000, true, stale);
+    assert_eq!(calls.next_look(true, stale).forget_through, EndNumber(7));
+    calls.look_failed();
+    assert_eq!(calls.next_look(true, stale).forget_through, EndNumber(0));
+}
--- a/crates/mustardcove-node/src/agent.rs
+++ b/crates/mustardcove-node/src/agent.rs
@@ -115,20 +115,24 @@
     reports: &mpsc::UnboundedSender<(Term, WorkerId, WorkerReport)>,
     assigned: &mut BTreeMap<WorkerId, Assigned>,
 ) {
+    let before = assigned.len();
     let kept = |worker: &WorkerId, it: &mut Assigned| {
         workers.iter().any(|new| new.worker == *worker && new.address == it.caller.target.address)
     };
     assigned.retain(kept);
+    let (gone, mut begun) = (before - assigned.len(), 0);
     for contact in workers {
-        if assigned.contains_key(&contact.worker) {
+        if let Some(it) = assigned.get(&contact.worker) {
+            it.caller.calls().confirm(contact.confirmed);
             continue;
         }
+        begun += 1;
         let worker = contact.worker.clone();
         let target = Target { worker: contact.worker, address: contact.address, term };
         let caller = Arc::new(Caller {
             shared: shared.clone(),
             target,
-            calls: Mutex::new(WorkerCalls::new(shared.now())),
+            calls: Mutex::new(WorkerCalls::new()),
             ordered: Notify::new(),
             reports: reports.clone(),
         });
@@ -140,7 +144,10 @@
         });
         assigned.insert(worker, Assigned { caller, _stop: stop.drop_guard() });
     }
-    info!(shared.log, "workers assigned"; "term" => %term, "workers" => assigned.len());
+    if 0 < gone + begun {
+        info!(shared.log, "workers assigned"; "term" => %term, "workers" => assigned.len(),
+            "begun" => begun, "gone" => gone);
+    }
 }
 
 impl Caller {
@@ -175,7 +182,8 @@
     /// Looks at the worker once. Returns whether it answered.
     async fn look(&self) -> bool {
         let may_extend = self.shared.may_extend_leases();
-        let next = self.calls().next_look(may_extend, self.shared.now());
+        let asked_at = self.shared.now();
+        let next = self.calls().next_look(may_extend, asked_at);
         let call = LookCall {
             lease_until: next.lease_until,
             forget_through: next.forget_through,
@@ -184,6 +192,7 @@
                 LookWait::Busy => BUSY_WAIT,
                 LookWait::Idle => IDLE_WAIT,
             },
+            not_after: asked_at.plus_ms(ORDER_VALID_MS),
         };
         let listed = self.shared.workers.look(&self.target, call).await;
         let now = self.shared.now();
@@ -191,11 +200,12 @@
         match listed {
             Ok(listed) => {
                 let has_runs = !listed.running.is_empty();
-                let lease_over_by =
+                let answered =
                     self.calls().look_answered(listed.life, listed.clock_ms, has_runs, now);
                 self.tell(WorkerReport::Look(Look {
                     life: listed.life,
-                    lease_over_by,
+                    lease_over_by: answered.lease_over_by,
+                    answering_since: answered.answering_since,
                     running: listed.running,
                     ended: listed.ended,
                 }));
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -238,7 +238,7 @@
             match &mut report {
                 WorkerReport::Look(look) => look.lease_over_by = moved(look.lease_over_by),
                 WorkerReport::Missed { lease_over_by, .. } => {
-                    *lease_over_by = moved(*lease_over_by)
+                    *lease_over_by = lease_over_by.map(moved);
                 }
                 WorkerReport::Fenced
                 | WorkerReport::PaceLost { .. }
--- a/crates/mustardcove-node/src/leader/callers.rs
+++ b/crates/mustardcove-node/src/leader/callers.rs
@@ -191,21 +191,29 @@
             .filter(|it| self.is_heard(it, now))
             .map(|it| self.caller(&it.record))
             .collect();
-        let listings: Vec<_> = planner.callable_workers().collect();
-        let workers = listings.iter().map(|it| (&it.worker, &it.domain));
+        let callable: Vec<_> = planner.callable_workers().collect();
+        let workers = callable.iter().map(|(it, _)| (&it.worker, &it.domain));
         let assigned = assign(&callers, &self.shared.settings.regions, workers);
-        let mut lost = Vec::new();
-        for (worker, caller) in &self.caller_of {
-            if assigned.get(worker) != Some(caller) {
-                lost.push(worker.clone());
-            }
-        }
+        let mut lost: Vec<WorkerId> = (self.caller_of.iter())
+            .filter(|(worker, caller)| assigned.get(*worker) != Some(*caller))
+            .map(|(worker, _)| worker.clone())
+            .collect();
         let mut wanted: BTreeMap<ProcessId, BTreeMap<WorkerId, WorkerContact>> =
             callers.iter().map(|it| (it.process.clone(), BTreeMap::new())).collect();
-        for listing in listings {
+        for (listing, answering_since) in callable {
             let Some(caller) = assigned.get(&listing.worker) else { continue };
-            let contact =
-                WorkerContact { worker: listing.worker.clone(), address: listing.address };
+            let told = self.processes.get(caller).and_then(|it| it.told.get(&listing.worker));
+            let keeps_caller = self.caller_of.get(&listing.worker) == Some(caller);
+            let keeps_address = told.is_none_or(|it| it.address == listing.address);
+            // At another address the same process begins with nothing known.
+            if keeps_caller && !keeps_address {
+                lost.push(listing.worker.clone());
+            }
+            let contact = WorkerContact {
+                worker: listing.worker.clone(),
+                address: listing.address,
+                confirmed: answering_since.filter(|_| keeps_caller && keeps_address),
+            };
             let of_caller = wanted.entry(caller.clone()).or_default();
             of_caller.insert(listing.worker.clone(), contact);
         }
