--- a/crates/mustardcove-core/src/fleet/answers.rs
+++ b/crates/mustardcove-core/src/fleet/answers.rs
@@ -16,26 +16,16 @@
 pub struct Answers {
     term: Term,
     states: HashMap<SubmissionId, SubmissionState>,
-    is_complete: bool,
 }
 
 impl Answers {
     /// Takes states from the leader of a term; those of an older term are
     /// ignored.
-    pub fn apply(
-        &mut self,
-        term: Term,
-        states: &[(SubmissionId, SubmissionState)],
-        is_complete: bool,
-    ) {
+    pub fn apply(&mut self, term: Term, states: &[(SubmissionId, SubmissionState)]) {
         if term < self.term {
             return;
         }
-        if self.term < term {
-            self.term = term;
-            self.is_complete = false;
-        }
-        self.is_complete |= is_complete;
+        self.term = term;
         for (id, state) in states {
             self.note(*id, *state);
         }
--- a/crates/mustardcove-core/src/fleet/id.rs
+++ b/crates/mustardcove-core/src/fleet/id.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::id::{ParseIdError, number_id};
+
 /// A submission, named by its caller with 16 hexadecimal digits.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -105,53 +107,27 @@
     }
 }
 
-macro_rules! number {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
-            Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name(pub u64);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseIntError;
-
-            fn from_str(text: &str) -> Result<$name, ParseIntError> {
-                text.parse().map($name)
-            }
-        }
-    };
-}
-
-number! {
+number_id! {
     /// One leadership: the store's revision of the leader record.
     ///
     /// Revisions only rise, so a term serves as fencing token at workers.
-    Term
+    Term, u64, "term"
 }
-number! {
+number_id! {
     /// The number of a start of a task; later starts have higher numbers.
-    RunNumber
+    RunNumber, u64, "run number"
 }
-number! {
+number_id! {
     /// The number of an end in one life of a worker.
-    EndNumber
+    EndNumber, u64, "end number"
 }
-number! {
+number_id! {
     /// When a life of a worker began, in Unix milliseconds of its own clock.
     ///
     /// A worker that restarts under the same id has another one.
-    Life
+    Life, u64, "life of a worker"
 }
-number! {
+number_id! {
     /// The version of a manifest; versions rise, not always by one.
-    ManifestVersion
+    ManifestVersion, u64, "manifest version"
 }
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -44,9 +44,6 @@
         term: Term,
         /// States that changed.
         states: Vec<(SubmissionId, SubmissionState)>,
-        /// Whether these and all earlier ones of the term are everything that
-        /// the leader knows.
-        is_complete: bool,
     },
     /// From the leader: it gives its role back.
     Left {
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -13,6 +13,7 @@
 
 mod disturbance;
 mod ends;
+mod figures;
 mod pace;
 mod placing;
 mod schedule;
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -111,8 +111,13 @@
         self.give_up_unconfirmed(now);
         self.repeat_stops(now);
         self.end_leases(now);
-        self.place(now);
-        self.move_hindered(now);
+        let open: Vec<WorkerIndex> = (0..self.workers.len())
+            .filter(|it| placing::is_open(&self.workers[*it], now))
+            .collect();
+        if !open.is_empty() {
+            self.place(&open, now);
+            self.move_hindered(&open, now);
+        }
     }
 
     pub(super) fn begin_due(&mut self, id: SubmissionId, now: Timestamp) {
@@ -170,13 +175,7 @@
         self.uncertain_until <= now || self.workers.iter().all(is_fenced)
     }
 
-    fn place(&mut self, now: Timestamp) {
-        let open: Vec<WorkerIndex> = (0..self.workers.len())
-            .filter(|it| placing::is_open(&self.workers[*it], now))
-            .collect();
-        if open.is_empty() {
-            return;
-        }
+    fn place(&mut self, open: &[WorkerIndex], now: Timestamp) {
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|it| it.rank);
         let mut round = self.begin_round(open, &candidates);
@@ -187,7 +186,7 @@
 
     /// Drops what is kept free for steps that wait no more, and returns the
     /// state of a round.
-    fn begin_round(&mut self, open: Vec<WorkerIndex>, candidates: &[Candidate]) -> Round {
+    fn begin_round(&mut self, open: &[WorkerIndex], candidates: &[Candidate]) -> Round {
         let worthwhile: BTreeSet<StepKey> =
             candidates.iter().filter(|it| it.rank.is_worthwhile()).map(|it| it.key).collect();
         self.reserved
@@ -200,13 +199,13 @@
             reservable: most_reserved.saturating_sub(self.reserved.len()),
             reserve_tries: MAX_RESERVE_TRIES,
             demands: Vec::new(),
-            open,
+            open: open.to_vec(),
         }
     }
 
     /// Stops tasks that fill and hardly work where they are, if another worker
     /// has room for them: the last task of a step decides when it ends.
-    fn move_hindered(&mut self, now: Timestamp) {
+    fn move_hindered(&mut self, open: &[WorkerIndex], now: Timestamp) {
         let mut moves = 0;
         for index in 0..self.workers.len() {
             let hindered = self.workers[index].charged.iter().filter(|(_, it)| {
@@ -217,8 +216,8 @@
             let hindered: Vec<(TaskKey, RunNumber)> =
                 hindered.map(|(task, it)| (*task, it.run)).collect();
             for (task, run) in hindered {
-                if self.has_better_place(index, task, run, now) {
-                    self.stop(index, task, run, "hardly works beside tasks that serve", now);
+                if self.has_better_place(index, task, run, open, now) {
+                    self.stop_here(index, task, run, "hardly works beside tasks that serve", now);
                     moves += 1;
                 }
                 if moves == MAX_MOVES {
@@ -229,19 +228,22 @@
     }
 
     fn has_better_place(
-        &mut self,
+        &self,
         index: WorkerIndex,
         task: TaskKey,
         run: RunNumber,
+        open: &[WorkerIndex],
         now: Timestamp,
     ) -> bool {
+        if !self.is_current(index, task, run) || self.stops.contains_key(&(index, task, run)) {
+            return false;
+        }
         let Some(work) = self.work.get(&task.step.submission) else { return false };
-        let submission = work.submission.clone();
-        let spec = &submission.steps[usize::from(task.step.step)];
-        let is_current = work.task(task).and_then(|it| it.run()).is_some_and(|it| {
-            it.run == run && it.is_confirmed && (spec.saves_progress || it.percent < SUNK_PERCENT)
+        let spec = &work.submission.steps[usize::from(task.step.step)];
+        let is_movable = work.task(task).and_then(|it| it.run()).is_some_and(|it| {
+            it.is_confirmed && (spec.saves_progress || it.percent < SUNK_PERCENT)
         });
-        if !is_current || self.stops.contains_key(&(index, task, run)) {
+        if !is_movable {
             return false;
         }
         let batch = Batch {
@@ -252,17 +254,8 @@
             placed: BTreeMap::new(),
             is_scarce: false,
         };
-        let others: Vec<WorkerIndex> = (0..self.workers.len())
-            .filter(|it| *it != index && placing::is_open(&self.workers[*it], now))
-            .collect();
-        if self.choose(&batch, spec, None, &others, now).is_none() {
-            return false;
-        }
-        let slot = self.work.get_mut(&task.step.submission).and_then(|it| it.task_mut(task));
-        if let Some(slot) = slot {
-            slot.avoid = Some(index);
-        }
-        true
+        let others: Vec<WorkerIndex> = open.iter().copied().filter(|it| *it != index).collect();
+        self.choose(&batch, spec, None, &others, now).is_some()
     }
 
     /// Returns the steps that wait, and forgets those that do not.
--- a/crates/mustardcove-core/src/id.rs
+++ b/crates/mustardcove-core/src/id.rs
@@ -20,6 +20,12 @@
     text: String,
 }
 
+impl ParseIdError {
+    pub(crate) fn new(kind: &'static str, text: &str) -> ParseIdError {
+        ParseIdError { kind, text: text.to_owned() }
+    }
+}
+
 impl fmt::Display for ParseIdError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:?} is not a valid {}", self.text, self.kind)
@@ -154,13 +160,14 @@
             type Err = ParseIdError;
 
             fn from_str(text: &str) -> Result<Self, ParseIdError> {
-                let error = |_| ParseIdError { kind: $kind, text: text.to_owned() };
-                text.parse().map(Self).map_err(error)
+                text.parse().map(Self).map_err(|_| ParseIdError::new($kind, text))
             }
         }
     };
 }
 
+pub(crate) use number_id;
+
 number_id! {
     /// A shard of the job ledger.
     ShardId, u16, "shard id"
--- a/crates/mustardcove-core/tests/shown_states.rs
+++ b/crates/mustardcove-core/tests/shown_states.rs
@@ -13,11 +13,11 @@
 #[test]
 fn never_back() {
     let mut answers = Answers::default();
-    answers.apply(Term(1), &[(ID, Running)], false);
-    answers.apply(Term(2), &[(ID, Queued)], true);
+    answers.apply(Term(1), &[(ID, Running)]);
+    answers.apply(Term(2), &[(ID, Queued)]);
     assert_eq!(answers.state(ID), Some(Running));
-    answers.apply(Term(2), &[(ID, Completed)], false);
-    answers.apply(Term(2), &[(ID, Running)], false);
+    answers.apply(Term(2), &[(ID, Completed)]);
+    answers.apply(Term(2), &[(ID, Running)]);
     assert_eq!(answers.state(ID), Some(Completed));
 }
 
@@ -25,7 +25,7 @@
 #[test]
 fn earlier_term() {
     let mut answers = Answers::default();
-    answers.apply(Term(2), &[(ID, Queued)], true);
-    answers.apply(Term(1), &[(ID, Running)], false);
+    answers.apply(Term(2), &[(ID, Queued)]);
+    answers.apply(Term(1), &[(ID, Running)]);
     assert_eq!(answers.state(ID), Some(Queued));
 }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -363,11 +363,7 @@
         }
         if !actions.states.is_empty() {
             let (term, states) = (self.term, actions.states);
-            self.callers.broadcast(|| FleetMessage::States {
-                term,
-                states: states.clone(),
-                is_complete: false,
-            });
+            self.callers.broadcast(|| FleetMessage::States { term, states: states.clone() });
         }
     }
 
@@ -406,12 +402,8 @@
     /// Sends all states to a process that has none of this term.
     fn sync(&self, process: &ProcessId) {
         let states = self.planner.shown_states();
-        let chunks = states.chunks(STATES_PER_MESSAGE);
-        let last = chunks.len().saturating_sub(1);
-        for (i, chunk) in chunks.enumerate() {
-            let is_complete = i == last;
-            let states = chunk.to_vec();
-            let message = FleetMessage::States { term: self.term, states, is_complete };
+        for chunk in states.chunks(STATES_PER_MESSAGE) {
+            let message = FleetMessage::States { term: self.term, states: chunk.to_vec() };
             self.shared.send(process, message);
         }
     }
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::Arc,
     time::Duration,
 };
 
@@ -34,8 +33,8 @@
         self.beat();
         let shared = self.shared.clone();
         let (work, progress, learned) = tokio::join!(
-            read_prefix(&shared, WORK_PREFIX),
-            read_prefix(&shared, PROGRESS_PREFIX),
+            shared.store.range(WORK_PREFIX, false),
+            shared.store.range(PROGRESS_PREFIX, false),
             shared.store.get(LEARNED_KEY),
         );
         self.restore_learned(learned);
@@ -72,7 +71,7 @@
     }
 
     async fn read(&self, prefix: &str) -> Result<(Vec<Item>, u64), &'static str> {
-        let first = read_prefix(&self.shared, prefix).await;
+        let first = self.shared.store.range(prefix, false).await;
         self.or_again(prefix, first).await
     }
 
@@ -99,7 +98,7 @@
                 return Err("another process leads");
             }
             tokio::time::sleep(RETRY_PAUSE).await;
-            result = read_prefix(&self.shared, prefix).await;
+            result = self.shared.store.range(prefix, false).await;
         }
     }
 
@@ -151,10 +150,6 @@
     }
 }
 
-async fn read_prefix(shared: &Arc<Shared>, prefix: &str) -> Result<(Vec<Item>, u64), StoreFault> {
-    shared.store.range(prefix, false).await
-}
-
 /// Reads a submission with its progress and whether it was cancelled.
 pub(super) async fn read_submission(shared: &Shared, id: SubmissionId) -> LookedUp {
     let Some(item) = shared.store.get(&record::key_of(SUBMISSION_PREFIX, id)).await? else {
--- a/crates/mustardcove-node/src/links.rs
+++ b/crates/mustardcove-node/src/links.rs
@@ -85,8 +85,8 @@
                 let _ = routes.agent.send(AgentInput::Orders { term, orders }).await;
             }
         }
-        FleetMessage::States { term, states, is_complete } => {
-            shared.answers().apply(term, &states, is_complete);
+        FleetMessage::States { term, states } => {
+            shared.answers().apply(term, &states);
         }
         FleetMessage::Taken { submissions, cancelled } => {
             shared.outbox.taken(&submissions, &cancelled);
