--- a/crates/mustardcove-core/src/fleet/agent.rs
+++ b/crates/mustardcove-core/src/fleet/agent.rs
@@ -49,8 +49,9 @@
 /// answer may be lost.
 const SILENT_AFTER: u32 = 2;
 
-/// What is known of a worker's clock and of the leases granted by it.
-#[derive(Clone, Copy, Debug)]
+/// What a caller knows of a worker's clock and of the leases that it granted;
+/// by default it has not called yet.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct WorkerLease {
     life: Life,
     /// The worker's clock in its last answer, in milliseconds, and when that
@@ -61,11 +62,6 @@
 }
 
 impl WorkerLease {
-    /// Returns the state of a caller that begins to call a worker.
-    pub fn new() -> WorkerLease {
-        WorkerLease { life: Life::default(), answer: None, granted_until: 0 }
-    }
-
     /// Notes an answer of a life of the worker.
     pub fn answered(&mut self, life: Life, clock_ms: u64, now: Timestamp) {
         if self.life != life {
@@ -100,12 +96,6 @@
     }
 }
 
-impl Default for WorkerLease {
-    fn default() -> WorkerLease {
-        WorkerLease::new()
-    }
-}
-
 /// What a look asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NextLook {
@@ -134,7 +124,7 @@
 /// The leader is told of an answered look with the end of the lease that the
 /// next look will grant: if that look takes effect and its answer is lost, the
 /// leader hears of it only after the time-out.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct WorkerCalls {
     lease: WorkerLease,
     life: Option<Life>,
@@ -158,19 +148,6 @@
 }
 
 impl WorkerCalls {
-    /// Returns the state of a caller that begins to call a worker.
-    pub fn new() -> WorkerCalls {
-        WorkerCalls {
-            lease: WorkerLease::new(),
-            life: None,
-            forget_through: EndNumber::default(),
-            is_busy: false,
-            failed_looks: 0,
-            answering_since: None,
-            confirmed: None,
-        }
-    }
-
     /// Notes which answers the leader has heard of.
     pub fn confirm(&mut self, answering_since: Option<Timestamp>) {
         self.confirmed = answering_since;
@@ -249,9 +226,3 @@
         }
     }
 }
-
-impl Default for WorkerCalls {
-    fn default() -> WorkerCalls {
-        WorkerCalls::new()
-    }
-}
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -298,7 +298,7 @@
         let count = self.workers.len();
         self.leaders.push(Leader {
             planner,
-            calls: vec![WorkerCalls::new(); count],
+            calls: vec![WorkerCalls::default(); count],
             fails_at: vec![None; count],
             orphans: Vec::new(),
             is_over: false,
--- a/crates/mustardcove-core/tests/worker_leases.rs
+++ b/crates/mustardcove-core/tests/worker_leases.rs
@@ -31,7 +31,7 @@
 
 /// Returns the calls of a process whose worker answered with runs.
 fn confirmed_calls() -> WorkerCalls {
-    let mut calls = WorkerCalls::new();
+    let mut calls = WorkerCalls::default();
     let answered = calls.look_answered(Life(1), 0, true, START);
     calls.confirm(Some(answered.answering_since));
     calls
@@ -54,7 +54,7 @@
 /// others granted.
 #[test]
 fn nothing_granted() {
-    let mut calls = WorkerCalls::new();
+    let mut calls = WorkerCalls::default();
     calls.next_look(true, START);
     assert_eq!(over_by(calls.look_failed()), None);
 }
@@ -63,7 +63,7 @@
 /// over: what it covers was started a second time.
 #[test]
 fn foreign_leases() {
-    let mut calls = WorkerCalls::new();
+    let mut calls = WorkerCalls::default();
     calls.next_look(true, START);
     let answered = calls.look_answered(Life(1), 700, true, START);
     assert!(START.plus_ms(LEASE_MS) <= answered.lease_over_by);
@@ -74,7 +74,7 @@
 /// report has arrived.
 #[test]
 fn grants_confirmed() {
-    let mut calls = WorkerCalls::new();
+    let mut calls = WorkerCalls::default();
     let first = calls.look_answered(Life(1), 0, true, START);
     assert_eq!(calls.next_look(true, START).lease_until, None);
     calls.confirm(Some(first.answering_since));
--- a/crates/mustardcove-node/src/agent.rs
+++ b/crates/mustardcove-node/src/agent.rs
@@ -132,7 +132,7 @@
         let caller = Arc::new(Caller {
             shared: shared.clone(),
             target,
-            calls: Mutex::new(WorkerCalls::new()),
+            calls: Mutex::new(WorkerCalls::default()),
             ordered: Notify::new(),
             reports: reports.clone(),
         });
