Share what the planner and the node wrote twice, and drop what nothing reads

- Submission::chains_ms serves the objective and the rank.
The chain of a step is kept with its occurrence; it was computed for each waiting step in each round.
- step_keys, task_mut, current_run, Batch::new, Round::usable, placing::is_eligible and Serving::highest_excess each replace two to four copies.
A round looks at the steps that workers are kept for only, not at all that wait, and borrows the list of open workers.
- One durable::decode logs any record that cannot be read.
The line is "unreadable record" with its kind, at level error; it was five lines, two of them warnings.
- durable::store_here replaces a wrapper and a parameter with one value; lock serves agent and outbox; on_slowest_clock replaces four copies of a formula.
- The tests of waiting work share one fleet.
With no worker kept free, lasting tasks first, or no preference for an image, large_tasks, lasting_after_ending and images_apart fail as before.

--- a/crates/mustardcove-core/src/fleet/agent.rs
+++ b/crates/mustardcove-core/src/fleet/agent.rs
@@ -33,13 +33,19 @@
 pub const FORGET_VALID_MS: u64 = 1_000;
 /// Slowest clock of a worker, in percent of true time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
+/// True time that a lease may last on the slowest clock, in milliseconds.
+const LONGEST_LEASE_MS: u64 = on_slowest_clock(LEASE_MS);
 /// The longest time from the decision to start a task to the end of the lease
 /// that the start grants, in milliseconds.
-pub const MAX_START_LEASE_MS: u64 = ORDER_VALID_MS + LEASE_MS * 100 / SLOWEST_CLOCK_PERCENT + 500;
+pub const MAX_START_LEASE_MS: u64 = ORDER_VALID_MS + LONGEST_LEASE_MS + 500;
 /// The longest time from the loss of a caller to the end of the last lease
 /// that it may have granted, in milliseconds.
-pub const MAX_ORPHAN_LEASE_MS: u64 =
-    LEADER_SILENT_MS + LEASE_MS * 100 / SLOWEST_CLOCK_PERCENT + 500;
+pub const MAX_ORPHAN_LEASE_MS: u64 = LEADER_SILENT_MS + LONGEST_LEASE_MS + 500;
+
+/// Returns the true time in which the slowest clock of a worker shows `ms`.
+const fn on_slowest_clock(ms: u64) -> u64 {
+    ms * 100 / SLOWEST_CLOCK_PERCENT
+}
 
 /// Shortest time between the starts of two looks at a worker, in milliseconds:
 /// users pay for each look, and ends that are seen later only delay the next
@@ -92,7 +98,7 @@
     pub fn over_by(&self) -> Option<Timestamp> {
         let (clock_ms, at) = self.answer.filter(|_| 0 < self.granted_until)?;
         let left = self.granted_until.saturating_sub(clock_ms);
-        Some(at.plus_ms(left * 100 / SLOWEST_CLOCK_PERCENT))
+        Some(at.plus_ms(on_slowest_clock(left)))
     }
 }
 
@@ -196,7 +202,7 @@
         }
         self.lease.answered(life, clock_ms, now);
         self.is_busy = has_runs;
-        let next_grant = LOOK_GAP_MS + LEASE_MS * 100 / SLOWEST_CLOCK_PERCENT;
+        let next_grant = LOOK_GAP_MS + LONGEST_LEASE_MS;
         let next_over_by = now.plus_ms(next_grant);
         let lease_over_by = self.lease.over_by().map_or(next_over_by, |it| it.max(next_over_by));
         Answered { lease_over_by, answering_since }
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -33,7 +33,7 @@
 use self::{
     disturbance::Disturbance,
     tickets::Tickets,
-    work::{Work, WorkerIndex},
+    work::{Run, Task, Work, WorkerIndex},
     workers::{ChargeKind, Charged, Worker},
 };
 pub use self::{
@@ -259,9 +259,8 @@
             format!("queue={} certain={is_certain}", work.queue.name)
         });
         self.actions.states.push((id, work.state));
-        let steps: Vec<StepKey> = (work.occurrences.iter())
-            .flat_map(|it| (0..it.steps.len()).map(|s| work.submission.task(it.number, s, 0).step))
-            .collect();
+        let steps: Vec<StepKey> =
+            (work.occurrences.iter()).flat_map(|it| work.submission.step_keys(it.number)).collect();
         self.work.insert(id, work);
         self.waiting.extend(steps);
         self.scheduled.insert(id);
@@ -445,14 +444,12 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Returns counts for the metrics: waiting steps, placed runs, workers
-    /// that are open, and workers that were looked at.
+    /// Returns counts for the metrics.
     pub fn counts(&self, now: Timestamp) -> PlanCounts {
         PlanCounts {
             waiting_steps: self.waiting.len(),
             runs: self.workers.iter().map(|it| it.charged.len()).sum(),
             open_workers: self.workers.iter().filter(|it| placing::is_open(it, now)).count(),
-            known_workers: self.workers.iter().filter(|it| it.life.is_some()).count(),
         }
     }
 
@@ -483,6 +480,16 @@
         }
     }
 
+    fn task_mut(&mut self, task: TaskKey) -> Option<&mut Task> {
+        self.work.get_mut(&task.step.submission)?.task_mut(task)
+    }
+
+    /// Returns a run if the plan has the task there.
+    fn current_run(&self, index: WorkerIndex, task: TaskKey, run: RunNumber) -> Option<&Run> {
+        let current = self.work.get(&task.step.submission)?.task(task)?.run()?;
+        (current.worker == index && current.run == run).then_some(current)
+    }
+
     fn worker_id(&self, index: WorkerIndex) -> WorkerId {
         self.workers[index].listing.worker.clone()
     }
@@ -500,8 +507,8 @@
         let runs: Vec<(TaskKey, WorkerIndex, RunNumber)> =
             work.runs().map(|(task, it)| (task, it.worker, it.run)).collect();
         for occurrence in &work.occurrences {
-            for step in 0..occurrence.steps.len() {
-                self.tickets.forget(work.submission.task(occurrence.number, step, 0).step);
+            for step in work.submission.step_keys(occurrence.number) {
+                self.tickets.forget(step);
             }
         }
         work.occurrences.clear();
@@ -566,8 +573,6 @@
     pub runs: usize,
     /// Workers that take new work.
     pub open_workers: usize,
-    /// Workers that were looked at in this term.
-    pub known_workers: usize,
 }
 
 /// Returns how a step's tasks use the processor.
--- a/crates/mustardcove-core/src/fleet/planner/ends.rs
+++ b/crates/mustardcove-core/src/fleet/planner/ends.rs
@@ -116,8 +116,8 @@
             self.workers[index].charged.iter().map(|(task, it)| (*task, it.run)).collect();
         let mut lost = 0;
         for (task, run) in charged {
-            let slot = self.work.get_mut(&task.step.submission).and_then(|it| it.task_mut(task));
-            let current = slot.and_then(|it| it.run_mut()).filter(|it| it.run == run);
+            let current =
+                self.task_mut(task).and_then(|it| it.run_mut()).filter(|it| it.run == run);
             match current {
                 Some(current) if current.worker == index && !current.is_seen => {
                     current.is_confirmed = false;
@@ -192,8 +192,7 @@
     }
 
     pub(super) fn is_current(&self, index: WorkerIndex, task: TaskKey, run: RunNumber) -> bool {
-        let current = self.work.get(&task.step.submission).and_then(|it| it.task(task)?.run());
-        current.is_some_and(|it| it.worker == index && it.run == run)
+        self.current_run(index, task, run).is_some()
     }
 
     fn done(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
@@ -244,8 +243,7 @@
         if occurrence.is_done() {
             work.occurrences.retain(|it| it.number != step.occurrence);
         } else {
-            let steps = 0..submission.steps.len();
-            self.waiting.extend(steps.map(|it| submission.task(step.occurrence, it, 0).step));
+            self.waiting.extend(submission.step_keys(step.occurrence));
         }
         if self.work.get(&id).is_some_and(Work::is_over) {
             self.finish(id, SubmissionState::Completed, "all tasks are done", now);
@@ -437,8 +435,8 @@
 
     /// Counts a look that does not list a run; returns whether it is over.
     fn is_missing(&mut self, index: WorkerIndex, task: TaskKey, run: RunNumber) -> bool {
-        let slot = self.work.get_mut(&task.step.submission).and_then(|it| it.task_mut(task));
-        let Some(current) = slot.and_then(|it| it.run_mut()) else { return true };
+        let current = self.task_mut(task).and_then(|it| it.run_mut());
+        let Some(current) = current else { return true };
         if current.worker != index || current.run != run {
             return true;
         }
@@ -476,8 +474,7 @@
         match outcome {
             StartOutcome::Started => {
                 self.unconfirmed.remove(&(index, task, run));
-                let slot = self.work.get_mut(&task.step.submission);
-                if let Some(run) = slot.and_then(|it| it.task_mut(task)?.run_mut()) {
+                if let Some(run) = self.task_mut(task).and_then(|it| it.run_mut()) {
                     run.is_confirmed = true;
                     run.progressed_at = now;
                 }
@@ -491,10 +488,7 @@
             StartOutcome::NoRoom => {
                 self.workers[index].full_until = now.plus_ms(NO_ROOM_MS);
             }
-            StartOutcome::NotRun => {
-                self.workers[index].full_until = now.plus_ms(NOT_HEALTHY_MS);
-            }
-            StartOutcome::Invalid => {
+            StartOutcome::NotRun | StartOutcome::Invalid => {
                 self.workers[index].full_until = now.plus_ms(NOT_HEALTHY_MS);
             }
             StartOutcome::TooLate | StartOutcome::NoTicket => {}
--- a/crates/mustardcove-core/src/fleet/planner/figures.rs
+++ b/crates/mustardcove-core/src/fleet/planner/figures.rs
@@ -87,8 +87,7 @@
         if !self.is_current(index, task, run) {
             return;
         }
-        let slot = self.work.get_mut(&task.step.submission).and_then(|it| it.task_mut(task));
-        if let Some(slot) = slot {
+        if let Some(slot) = self.task_mut(task) {
             slot.avoid = Some(index);
         }
         self.stop(index, task, run, why, now);
--- a/crates/mustardcove-core/src/fleet/planner/pace.rs
+++ b/crates/mustardcove-core/src/fleet/planner/pace.rs
@@ -10,6 +10,8 @@
 /// Part of a serving task's limit that is used, as its load rises between two
 /// looks.
 const LIMIT_USED: f32 = 0.98;
+/// Lowest utilisation that is divided by.
+const MIN_LOAD: f32 = 0.05;
 /// Lowest pace, in percent; below it a task hardly progresses.
 const MIN_PERCENT: u8 = 5;
 /// A pace is changed only by at least this many percent of itself, since each
@@ -37,6 +39,14 @@
     pub(super) fill_excess: f32,
 }
 
+impl Serving {
+    /// Returns by how much neighbours may raise the utilisation, as a factor
+    /// beyond 1, if this part of the limit is used.
+    pub(super) fn highest_excess(&self, limit_used: f32) -> f32 {
+        self.limit * limit_used / self.load.max(MIN_LOAD) - 1.0
+    }
+}
+
 /// Returns the pace of each fill, given by its pressure on a serving image and
 /// the share of processors that it uses at full pace.
 pub(super) fn paces(
@@ -46,7 +56,7 @@
 ) -> Vec<u8> {
     let mut paces = vec![1.0f32; fills.len()];
     for task in serving {
-        let allowed = task.limit * LIMIT_USED / task.load.max(0.05) - 1.0 - task.other_excess;
+        let allowed = task.highest_excess(LIMIT_USED) - task.other_excess;
         let of = |i: usize| {
             let (image, share) = fills[i];
             (pressure(task.image, image), share)
--- a/crates/mustardcove-core/src/fleet/planner/placing.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placing.rs
@@ -33,10 +33,6 @@
 /// Score that a worker gains by serving the task's image alone, above any
 /// difference in free room: the next images find workers without any.
 const SAME_IMAGE: i64 = 100_000;
-/// Part of a serving task's limit up to which a fill may raise its
-/// utilisation: its load rises while the fill runs.
-const LIMIT_USED: f32 = 1.0;
-
 /// Share of the processors that is taken from which on room is scarce, in
 /// percent: the rest is about one task for each worker.
 const SCARCE_PERCENT: u64 = 88;
@@ -71,13 +67,16 @@
         && worker.trust.may_start(now)
 }
 
+/// Returns whether a worker is of the pool and the kind that a step needs.
+pub(super) fn is_eligible(worker: &Worker, step: &StepSpec, service: &str) -> bool {
+    let has_label = |it: &String| worker.has_label(it);
+    worker.listing.service == service && step.requirement.as_ref().is_none_or(has_label)
+}
+
 /// Returns the score of a worker, or `None` if it cannot run the task now.
 pub(super) fn score(worker: &Worker, index: usize, req: Request<'_>) -> Option<i64> {
     let step = req.step;
-    if worker.listing.service != req.service || !step.charge().fits_in(worker.free()) {
-        return None;
-    }
-    if step.requirement.as_ref().is_some_and(|it| !worker.has_label(it)) {
+    if !is_eligible(worker, step, req.service) || !step.charge().fits_in(worker.free()) {
         return None;
     }
     if step.max_per_worker.is_some_and(|it| it <= req.same_step) {
@@ -166,7 +165,7 @@
     for task in &worker.serving {
         let pressure = req.disturbance.pressure(task.image, req.image);
         let excess = task.other_excess + task.fill_excess + pressure * added;
-        let room = task.limit * LIMIT_USED / task.load.max(0.05) - 1.0 - excess;
+        let room = task.highest_excess(1.0) - excess;
         if room < 0.0 {
             return None;
         }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -1,11 +1,7 @@
 //! What the passing of time brings: due occurrences, overdue runs and stops,
 //! and the placing of waiting tasks.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{borrow::Cow, cmp::Reverse, collections::BTreeMap, sync::Arc};
 
 use super::{
     DecisionKind, LEASE_MARGIN_MS, Planner, RunKey, STOP_RETRY_MS, UNCONFIRMED_MS, charge_kind,
@@ -56,8 +52,8 @@
 ///
 /// Demands for which no worker was found are remembered. What asks for at
 /// least as much of the same is not tried, so that a long backlog costs little.
-struct Round {
-    open: Vec<WorkerIndex>,
+struct Round<'a> {
+    open: &'a [WorkerIndex],
     /// The open workers that are not kept free for a step.
     unreserved: Vec<WorkerIndex>,
     is_scarce: bool,
@@ -68,7 +64,19 @@
     demands: Vec<(String, StepSpec)>,
 }
 
-impl Round {
+impl Round<'_> {
+    /// Returns the workers on which a step may start that has `kept` ones kept
+    /// free for it.
+    fn usable(&self, spec: &StepSpec, rank: Rank, kept: &[WorkerIndex]) -> Cow<'_, [WorkerIndex]> {
+        if spec.fills || rank.may_use_reserved(spec.is_long_running) {
+            Cow::Borrowed(self.open)
+        } else if kept.is_empty() {
+            Cow::Borrowed(&self.unreserved)
+        } else {
+            self.unreserved.iter().chain(kept).copied().collect()
+        }
+    }
+
     fn covers(&self, service: &str, step: &StepSpec) -> bool {
         let is_alike = |it: &StepSpec| {
             it.fills == step.fills
@@ -89,6 +97,7 @@
 }
 
 /// The tasks of a step that wait for a worker.
+#[derive(Clone)]
 struct Batch {
     key: StepKey,
     service: String,
@@ -101,6 +110,19 @@
     is_scarce: bool,
 }
 
+impl Batch {
+    fn new(key: StepKey, work: &Work, is_scarce: bool) -> Batch {
+        Batch {
+            key,
+            service: work.queue.service.clone(),
+            needs_ticket: work.queue.needs_ticket,
+            tasks: Vec::new(),
+            placed: BTreeMap::new(),
+            is_scarce,
+        }
+    }
+}
+
 impl Planner {
     /// Does what is due and places what can be placed.
     pub fn tick(&mut self, now: Timestamp) {
@@ -127,8 +149,7 @@
             self.scheduled.remove(&id);
         }
         for occurrence in begun {
-            let steps = 0..work.submission.steps.len();
-            self.waiting.extend(steps.map(|it| work.submission.task(occurrence, it, 0).step));
+            self.waiting.extend(work.submission.step_keys(occurrence));
         }
     }
 
@@ -178,7 +199,7 @@
     fn place(&mut self, open: &[WorkerIndex], now: Timestamp) {
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|it| it.rank);
-        let mut round = self.begin_round(open, &candidates);
+        let mut round = self.begin_round(open, now);
         for candidate in candidates {
             self.place_step(&candidate, &mut round, now);
         }
@@ -186,20 +207,23 @@
 
     /// Drops what is kept free for steps that wait no more, and returns the
     /// state of a round.
-    fn begin_round(&mut self, open: &[WorkerIndex], candidates: &[Candidate]) -> Round {
-        let worthwhile: BTreeSet<StepKey> =
-            candidates.iter().filter(|it| it.rank.is_worthwhile()).map(|it| it.key).collect();
-        self.reserved
-            .retain(|worker, key| worthwhile.contains(key) && open.binary_search(worker).is_ok());
+    fn begin_round<'a>(&mut self, open: &'a [WorkerIndex], now: Timestamp) -> Round<'a> {
+        let mut reserved = std::mem::take(&mut self.reserved);
+        reserved.retain(|worker, key| {
+            let waiting = self.waiting_step(*key);
+            waiting.is_some_and(|it| it.rank(now).is_worthwhile())
+                && open.binary_search(worker).is_ok()
+        });
+        self.reserved = reserved;
         let is_free = |it: &WorkerIndex| !self.reserved.contains_key(it);
         let most_reserved = (open.len() * MAX_RESERVED_PERCENT).div_ceil(100);
         Round {
+            open,
             unreserved: open.iter().copied().filter(is_free).collect(),
             is_scarce: placing::is_scarce(open.iter().map(|it| &self.workers[*it])),
             reservable: most_reserved.saturating_sub(self.reserved.len()),
             reserve_tries: MAX_RESERVE_TRIES,
             demands: Vec::new(),
-            open: open.to_vec(),
         }
     }
 
@@ -235,25 +259,17 @@
         open: &[WorkerIndex],
         now: Timestamp,
     ) -> bool {
-        if !self.is_current(index, task, run) || self.stops.contains_key(&(index, task, run)) {
-            return false;
-        }
+        let Some(current) = self.current_run(index, task, run) else { return false };
         let Some(work) = self.work.get(&task.step.submission) else { return false };
         let spec = &work.submission.steps[usize::from(task.step.step)];
-        let is_movable = work.task(task).and_then(|it| it.run()).is_some_and(|it| {
-            it.is_confirmed && (spec.saves_progress || it.percent < SUNK_PERCENT)
-        });
+        let is_movable = current.is_confirmed
+            && (spec.saves_progress || current.percent < SUNK_PERCENT)
+            && !self.stops.contains_key(&(index, task, run));
         if !is_movable {
             return false;
         }
-        let batch = Batch {
-            key: task.step,
-            needs_ticket: work.queue.needs_ticket,
-            service: work.queue.service.clone(),
-            tasks: Vec::new(),
-            placed: BTreeMap::new(),
-            is_scarce: false,
-        };
+        // Scarce room changes nothing for work that fills.
+        let batch = Batch::new(task.step, work, false);
         let others: Vec<WorkerIndex> = open.iter().copied().filter(|it| *it != index).collect();
         self.choose(&batch, spec, None, &others, now).is_some()
     }
@@ -284,7 +300,7 @@
             priority: work.queue.priority,
             due_at: occurrence.due_at,
             objective_at: occurrence.objective_at,
-            chain_left_ms: chain_from(&work.submission, usize::from(key.step)),
+            chain_left_ms: step.chain_ms,
             is_long_running: spec.is_long_running,
             may_have_run: !work.is_certain
                 || step.tasks.iter().any(|it| it.is_waiting() && it.last_run != RunNumber(0)),
@@ -292,21 +308,14 @@
         })
     }
 
-    fn batch(&self, key: StepKey, now: Timestamp) -> Option<Batch> {
+    fn batch(&self, key: StepKey, is_scarce: bool, now: Timestamp) -> Option<Batch> {
         let work = self.work.get(&key.submission)?;
         let spec = &work.submission.steps[usize::from(key.step)];
         if !work.is_certain && !self.is_all_fenced(&work.queue.service, now) {
             return None;
         }
         let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
-        let mut batch = Batch {
-            key,
-            needs_ticket: work.queue.needs_ticket,
-            service: work.queue.service.clone(),
-            tasks: Vec::new(),
-            placed: BTreeMap::new(),
-            is_scarce: false,
-        };
+        let mut batch = Batch::new(key, work, is_scarce);
         for (i, task) in step.tasks.iter().enumerate() {
             match &task.phase {
                 Phase::Waiting if task.not_before <= now => {
@@ -321,7 +330,7 @@
         (!batch.tasks.is_empty() && !is_incomplete).then_some(batch)
     }
 
-    fn place_step(&mut self, candidate: &Candidate, round: &mut Round, now: Timestamp) {
+    fn place_step(&mut self, candidate: &Candidate, round: &mut Round<'_>, now: Timestamp) {
         let key = candidate.key;
         let Some(work) = self.work.get(&key.submission) else { return };
         let submission = work.submission.clone();
@@ -338,26 +347,17 @@
             }
             return;
         }
-        let Some(mut batch) = self.batch(key, now) else { return };
-        batch.is_scarce = round.is_scarce;
-        let with_kept: Vec<WorkerIndex>;
-        let open = if spec.fills || candidate.rank.may_use_reserved(spec.is_long_running) {
-            &round.open
-        } else if kept.is_empty() {
-            &round.unreserved
-        } else {
-            with_kept = round.unreserved.iter().copied().chain(kept.iter().copied()).collect();
-            &with_kept
-        };
+        let Some(mut batch) = self.batch(key, round.is_scarce, now) else { return };
+        let open = round.usable(spec, candidate.rank, &kept);
         let tasks = std::mem::take(&mut batch.tasks);
         let mut chosen: Vec<(u16, WorkerIndex)> = Vec::with_capacity(tasks.len());
+        let mut is_refused = false;
         for (index, avoid) in tasks.iter().copied() {
-            let Some(worker) = self.choose(&batch, spec, avoid, open, now) else {
+            let Some(worker) = self.choose(&batch, spec, avoid, &open, now) else {
                 if batch.needs_ticket {
-                    self.ask_for(&batch, spec, open, now);
-                } else if batch.placed.is_empty() {
-                    round.note(&batch.service, spec);
+                    self.ask_for(&batch, spec, &open, now);
                 }
+                is_refused = !batch.needs_ticket && batch.placed.is_empty();
                 break;
             };
             let task = TaskKey { step: key, index };
@@ -368,6 +368,9 @@
             *batch.placed.entry(worker).or_default() += 1;
             chosen.push((index, worker));
         }
+        if is_refused {
+            round.note(&batch.service, spec);
+        }
         let left = tasks.len() - chosen.len();
         if spec.is_gang && 0 < left {
             for (index, worker) in chosen.drain(..) {
@@ -398,7 +401,7 @@
         service: &str,
         spec: &StepSpec,
         tasks: usize,
-        round: &mut Round,
+        round: &mut Round<'_>,
     ) {
         let members = usize::from(spec.count);
         let count = if spec.is_gang { members } else { tasks.min(round.reservable) };
@@ -409,11 +412,10 @@
         let charge = spec.charge();
         let is_suited = |it: &WorkerIndex| {
             let worker = &self.workers[*it];
-            let has_label = spec.requirement.as_ref().is_none_or(|it| worker.has_label(it));
             // A hole that a single end leaves need not be kept.
             let needs_keeping = spec.is_gang || !charge.fits_in(placing::room_after_one(worker));
             let fits_soon = charge.fits_in(placing::room_soon(worker));
-            worker.listing.service == service && has_label && needs_keeping && fits_soon
+            placing::is_eligible(worker, spec, service) && needs_keeping && fits_soon
         };
         let mut kept: Vec<WorkerIndex> =
             round.unreserved.iter().copied().filter(is_suited).collect();
@@ -430,14 +432,7 @@
 
     /// Asks for permission to run a step on workers that could.
     fn ask_for(&mut self, batch: &Batch, spec: &StepSpec, open: &[WorkerIndex], now: Timestamp) {
-        let unrestricted = Batch {
-            key: batch.key,
-            service: batch.service.clone(),
-            needs_ticket: false,
-            tasks: Vec::new(),
-            placed: batch.placed.clone(),
-            is_scarce: batch.is_scarce,
-        };
+        let unrestricted = Batch { needs_ticket: false, ..batch.clone() };
         let mut rest = open.to_vec();
         let mut candidates = Vec::new();
         while let Some(best) = self.choose(&unrestricted, spec, None, &rest, now) {
@@ -541,15 +536,3 @@
     let last = step.and_then(|it| it.tasks.iter().map(|it| it.last_run).max());
     next_run(last.unwrap_or_default(), base)
 }
-
-/// Returns the longest chain of estimated work from a step on.
-fn chain_from(submission: &Submission, first: usize) -> u64 {
-    let mut ends: Vec<Option<u64>> = vec![None; submission.steps.len()];
-    for (i, step) in submission.steps.iter().enumerate().skip(first) {
-        let before = step.after.iter().filter_map(|it| ends[usize::from(*it)]).max();
-        if i == first || before.is_some() {
-            ends[i] = Some(before.unwrap_or(0) + step.estimate_ms);
-        }
-    }
-    ends.into_iter().flatten().max().unwrap_or(0)
-}
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -50,6 +50,8 @@
     pub(super) tasks: Vec<Task>,
     /// Tasks that are not done.
     pub(super) left: usize,
+    /// Estimated work on the longest chain from this step on, in milliseconds.
+    pub(super) chain_ms: u64,
 }
 
 /// A task.
@@ -137,11 +139,13 @@
 impl Occurrence {
     pub(super) fn new(submission: &Submission, number: u32) -> Occurrence {
         let due_at = submission.schedule.map_or(submission.accepted_at, |it| it.due_at(number));
-        let steps = submission.steps.iter().map(|it| {
+        let chains = submission.chains_ms();
+        let longest = chains.iter().copied().max().unwrap_or(0);
+        let objective_at = objective_at(submission, longest, due_at);
+        let steps = submission.steps.iter().zip(chains).map(|(it, chain_ms)| {
             let count = usize::from(it.count);
-            Step { is_ready: false, tasks: vec![Task::default(); count], left: count }
+            Step { is_ready: false, tasks: vec![Task::default(); count], left: count, chain_ms }
         });
-        let objective_at = objective_at(submission, due_at);
         let mut occurrence = Occurrence { number, steps: steps.collect(), due_at, objective_at };
         occurrence.refresh_ready(submission);
         occurrence
@@ -267,8 +271,7 @@
         step.tasks.get_mut(usize::from(key.index))
     }
 
-    /// Returns whether a task of an occurrence that has begun, is not done and
-    /// has no such run could still start.
+    /// Returns whether every occurrence has begun and is done.
     pub(super) fn is_over(&self) -> bool {
         self.next_occurrence == self.submission.occurrences() && self.occurrences.is_empty()
     }
@@ -285,8 +288,9 @@
     }
 }
 
-/// Returns when the objective of work that became due at `due_at` ends.
-fn objective_at(submission: &Submission, due_at: Timestamp) -> Timestamp {
-    let chain = submission.chain_ms() as f64 * submission.queue.stretch;
+/// Returns when the objective of work that became due at `due_at` ends, whose
+/// longest chain takes `chain_ms`.
+fn objective_at(submission: &Submission, chain_ms: u64, due_at: Timestamp) -> Timestamp {
+    let chain = chain_ms as f64 * submission.queue.stretch;
     due_at.plus_ms(chain as u64 + submission.queue.slack_ms)
 }
--- a/crates/mustardcove-core/src/fleet/submission.rs
+++ b/crates/mustardcove-core/src/fleet/submission.rs
@@ -177,14 +177,21 @@
         self.steps.iter().any(|it| it.is_long_running)
     }
 
-    /// Returns the longest chain of estimated work, in milliseconds.
-    pub fn chain_ms(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let start = step.after.iter().map(|it| ends[usize::from(*it)]).max().unwrap_or(0);
-            ends.push(start + step.estimate_ms);
+    /// Returns for each step the longest chain of estimated work that begins
+    /// with it, in milliseconds. The longest of them is that of the whole
+    /// submission.
+    pub fn chains_ms(&self) -> Vec<u64> {
+        let mut following = vec![0; self.steps.len()];
+        let mut chains = vec![0; self.steps.len()];
+        // Steps only follow earlier ones.
+        for (i, step) in self.steps.iter().enumerate().rev() {
+            chains[i] = step.estimate_ms + following[i];
+            for before in &step.after {
+                let longest = &mut following[usize::from(*before)];
+                *longest = chains[i].max(*longest);
+            }
         }
-        ends.into_iter().max().unwrap_or(0)
+        chains
     }
 
     /// Returns the number of occurrences.
@@ -192,6 +199,11 @@
         self.schedule.map_or(1, |it| it.count)
     }
 
+    /// Returns the keys of an occurrence's steps.
+    pub fn step_keys(&self, occurrence: u32) -> impl Iterator<Item = StepKey> {
+        (0..self.steps.len()).map(move |it| self.task(occurrence, it, 0).step)
+    }
+
     /// Returns a task's key.
     pub fn task(&self, occurrence: u32, step: usize, index: usize) -> TaskKey {
         let step = StepKey { submission: self.id, occurrence, step: step as u16 };
--- a/crates/mustardcove-core/tests/planner_waiting.rs
+++ b/crates/mustardcove-core/tests/planner_waiting.rs
@@ -14,7 +14,7 @@
     fleet::{
         id::{SubmissionId, TaskKey},
         message::EndKind,
-        submission::SubmissionState,
+        submission::{StepSpec, SubmissionState},
     },
     id::WorkerId,
     time::Timestamp,
@@ -23,37 +23,77 @@
 
 /// How long each task works, in milliseconds.
 const WORK_MS: u64 = 800;
+/// The submissions of the tests below; smaller numbers than any other.
+const LARGE: u64 = 1;
+const LASTING: u64 = 2;
+/// The first submission of a burst.
+const FIRST_OF_BURST: u64 = 10;
 /// Objective of the submissions below: twice a chain of 800 ms and 1,000 ms.
 const OBJECTIVE_MS: u64 = 2 * 800 + 1_000;
 
+/// A fleet of two workers on which each task that ends works `WORK_MS`.
+struct Busy {
+    rig: Rig,
+    ends: Vec<(Timestamp, WorkerId, TaskKey)>,
+    next_small: u64,
+}
+
+impl Busy {
+    fn new() -> Busy {
+        let rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
+        Busy { rig, ends: Vec::new(), next_small: 1_000 }
+    }
+
+    /// Passes 50 ms, in which a submission may arrive. Returns the tasks that
+    /// were started.
+    fn pass(&mut self, arriving: Option<(u64, StepSpec)>) -> Vec<TaskKey> {
+        self.rig.pass(50);
+        if let Some((id, step)) = arriving {
+            self.rig.submit(submission(id, vec![step], self.rig.now));
+        }
+        let now = self.rig.now;
+        let ended: Vec<_> = self.ends.extract_if(.., |it| it.0 <= now).collect();
+        for (_, worker, task) in ended {
+            self.rig.end(&worker, task, EndKind::Done);
+        }
+        self.rig.look_all();
+        let starts = self.rig.plan();
+        let ending = starts.iter().filter(|it| it.1.task.step.submission.0 != LASTING);
+        let ends_at = now.plus_ms(WORK_MS);
+        self.ends.extend(ending.map(|it| (ends_at, it.0.clone(), it.1.task)));
+        starts.into_iter().map(|it| it.1.task).collect()
+    }
+
+    /// Passes time in which a small submission arrives every 50 ms: 1.6 times
+    /// what the fleet can do. Returns whether a submission's task was started.
+    fn starts(&mut self, id: u64, ms: u64) -> bool {
+        (0..ms / 50).any(|_| {
+            self.next_small += 1;
+            let started = self.pass(Some((self.next_small, step(1, 800, &[]))));
+            started.iter().any(|it| it.step.submission.0 == id)
+        })
+    }
+}
+
 /// Plays a burst: `per_second` submissions of one step for some seconds on a
 /// fleet that serves fewer. Returns when each was completed.
 fn burst(per_second: u64, seconds: u64) -> BTreeMap<SubmissionId, (Timestamp, Timestamp)> {
-    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
-    let mut ends: Vec<(Timestamp, WorkerId, TaskKey)> = Vec::new();
+    let mut busy = Busy::new();
     let mut accepted = BTreeMap::new();
     let mut completed = BTreeMap::new();
     for tick in 0..(seconds + 12) * 20 {
-        rig.pass(50);
-        if tick < seconds * 20 && tick.is_multiple_of((20 / per_second).max(1)) {
-            let id = accepted.len() as u64;
-            accepted.insert(SubmissionId(id), rig.now);
-            rig.submit(submission(id, vec![step(4, 1_000, &[])], rig.now));
+        let arrives = tick < seconds * 20 && tick.is_multiple_of((20 / per_second).max(1));
+        let id = FIRST_OF_BURST + accepted.len() as u64;
+        busy.pass(arrives.then(|| (id, step(4, 1_000, &[]))));
+        let now = busy.rig.now;
+        if arrives {
+            accepted.insert(SubmissionId(id), now);
         }
-        let (due, later): (Vec<_>, Vec<_>) = ends.into_iter().partition(|it| it.0 <= rig.now);
-        ends = later;
-        for (_, worker, task) in due {
-            rig.end(&worker, task, EndKind::Done);
-        }
-        rig.look_all();
-        for (worker, start) in rig.plan() {
-            ends.push((rig.now.plus_ms(WORK_MS), worker, start.task));
-        }
-        rig.store();
-        rig.plan();
-        for (id, state) in &rig.states {
+        busy.rig.store();
+        busy.rig.plan();
+        for (id, state) in &busy.rig.states {
             if *state == SubmissionState::Completed {
-                completed.entry(*id).or_insert(rig.now);
+                completed.entry(*id).or_insert(now);
             }
         }
     }
@@ -81,49 +121,6 @@
     assert_eq!(served.len(), 20);
 }
 
-/// A fleet that runs `WORK_MS` for each task that ends.
-struct Busy {
-    rig: Rig,
-    ends: Vec<(Timestamp, WorkerId, TaskKey)>,
-    next_small: u64,
-}
-
-impl Busy {
-    fn new() -> Busy {
-        let rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
-        Busy { rig, ends: Vec::new(), next_small: 1_000 }
-    }
-
-    /// Passes 50 ms in which one small submission arrives: 1.6 times what the
-    /// fleet can do. Returns the tasks that were started.
-    fn pass(&mut self) -> Vec<TaskKey> {
-        self.rig.pass(50);
-        let ended: Vec<_> = self.ends.extract_if(.., |it| it.0 <= self.rig.now).collect();
-        for (_, worker, task) in ended {
-            self.rig.end(&worker, task, EndKind::Done);
-        }
-        self.rig.look_all();
-        self.next_small += 1;
-        self.rig.submit(submission(self.next_small, vec![step(1, 800, &[])], self.rig.now));
-        let mut started = Vec::new();
-        for (worker, start) in self.rig.plan() {
-            started.push(start.task);
-            if start.task.step.submission.0 != LASTING {
-                self.ends.push((self.rig.now.plus_ms(WORK_MS), worker, start.task));
-            }
-        }
-        started
-    }
-
-    /// Passes time, and returns whether a submission's task was started.
-    fn starts(&mut self, id: u64, ms: u64) -> bool {
-        (0..ms / 50).any(|_| self.pass().iter().any(|it| it.step.submission.0 == id))
-    }
-}
-
-const LARGE: u64 = 1;
-const LASTING: u64 = 2;
-
 /// Guards against large tasks that never find room because small ones take
 /// every hole first: on the users' platform 1,200 tasks waited while three in
 /// four starts were later and smaller.
@@ -136,10 +133,8 @@
     assert!(busy.starts(LARGE, OBJECTIVE_MS), "the large task did not start in time");
 }
 
-fn lasting(now: Timestamp) -> std::sync::Arc<mustardcove_core::fleet::submission::Submission> {
-    let mut step = step(1, 800, &[]);
-    step.is_long_running = true;
-    submission(LASTING, vec![step], now)
+fn lasting() -> StepSpec {
+    StepSpec { is_long_running: true, ..step(1, 800, &[]) }
 }
 
 /// Guards against new tasks that last and take the room of work that ends: it
@@ -148,22 +143,12 @@
 fn lasting_after_ending() {
     let mut busy = Busy::new();
     busy.starts(LASTING, 3_000);
-    let submission = lasting(busy.rig.now);
+    let submission = submission(LASTING, vec![lasting()], busy.rig.now);
     busy.rig.submit(submission);
     assert!(!busy.starts(LASTING, 3_000), "it took the room of work that ends");
     // The load ends, and the work that waits is done.
-    let starts_now = (0..400).any(|_| {
-        busy.rig.pass(50);
-        let ended: Vec<_> = busy.ends.extract_if(.., |it| it.0 <= busy.rig.now).collect();
-        for (_, worker, task) in ended {
-            busy.rig.end(&worker, task, EndKind::Done);
-        }
-        busy.rig.look_all();
-        let starts = busy.rig.plan();
-        let ends_at = busy.rig.now.plus_ms(WORK_MS);
-        busy.ends.extend(starts.iter().map(|it| (ends_at, it.0.clone(), it.1.task)));
-        starts.iter().any(|it| it.1.task.step.submission.0 == LASTING)
-    });
+    let starts_now =
+        (0..400).any(|_| busy.pass(None).iter().any(|it| it.step.submission.0 == LASTING));
     assert!(starts_now, "it did not start when the load had ended");
 }
 
@@ -171,7 +156,7 @@
 #[test]
 fn lasting_comes_back() {
     let mut busy = Busy::new();
-    let submission = lasting(busy.rig.now);
+    let submission = submission(LASTING, vec![lasting()], busy.rig.now);
     busy.rig.submit(submission);
     assert!(busy.starts(LASTING, 1_000));
     busy.starts(LARGE, 3_000);
--- a/crates/mustardcove-node/src/agent.rs
+++ b/crates/mustardcove-node/src/agent.rs
@@ -27,7 +27,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::shared::{Shared, boot_ms};
+use crate::shared::{Shared, boot_ms, lock};
 
 /// How long a worker on which something runs holds a look. It also renews the
 /// lease, which lasts several times longer.
@@ -152,7 +152,7 @@
 
 impl Caller {
     fn calls(&self) -> MutexGuard<'_, WorkerCalls> {
-        self.calls.lock().unwrap_or_else(|it| it.into_inner())
+        lock(&self.calls)
     }
 
     fn tell(&self, report: WorkerReport) {
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -18,6 +18,7 @@
     time::Timestamp,
     verdict::Verdict,
 };
+use serde::de::DeserializeOwned;
 use slog::{error, info, warn};
 
 use crate::shared::Shared;
@@ -32,7 +33,7 @@
 
 /// Makes a change last, by this process or by one that reaches the store.
 pub async fn store(shared: &Arc<Shared>, change: StoreChange, deadline: Timestamp) -> StoreOutcome {
-    let mut outcome = write_until(shared, &change, deadline, REFUSALS_BEFORE_PEER).await;
+    let mut outcome = store_here(shared, &change, deadline).await;
     if outcome == StoreOutcome::NotStored || outcome == StoreOutcome::MayBeStored {
         let by_peer = store_by_peer(shared, &change, deadline).await;
         outcome = match (outcome, by_peer) {
@@ -44,20 +45,11 @@
     outcome
 }
 
-/// Writes a change that another process asked for, without asking a third.
-pub async fn store_for_peer(
-    shared: &Arc<Shared>,
-    change: StoreChange,
-    deadline: Timestamp,
-) -> StoreOutcome {
-    write_until(shared, &change, deadline, REFUSALS_BEFORE_PEER).await
-}
-
-async fn write_until(
+/// Makes a change last by this process, without asking another.
+pub async fn store_here(
     shared: &Arc<Shared>,
     change: &StoreChange,
     deadline: Timestamp,
-    max_refusals: u32,
 ) -> StoreOutcome {
     let mut may_be_stored = false;
     let mut refusals = 0;
@@ -81,7 +73,7 @@
             }
         }
         let is_late = deadline <= shared.now().plus_ms(pause.as_millis() as u64);
-        if is_late || (max_refusals <= refusals && !shared.reaches_store()) {
+        if is_late || (REFUSALS_BEFORE_PEER <= refusals && !shared.reaches_store()) {
             return if may_be_stored { StoreOutcome::MayBeStored } else { StoreOutcome::NotStored };
         }
         tokio::time::sleep(pause).await;
@@ -176,23 +168,24 @@
     Ok(Some(state))
 }
 
-/// Returns the progress in an item; one that cannot be read is logged.
-pub fn decode_progress(shared: &Shared, item: &Item) -> Option<ProgressRecord> {
+/// Returns the record in an item; one that cannot be read is logged.
+pub fn decode<T: DeserializeOwned>(shared: &Shared, what: &'static str, item: &Item) -> Option<T> {
     match record::decode(&item.value) {
-        Ok(progress) => Some(progress),
+        Ok(record) => Some(record),
         Err(error) => {
-            error!(shared.log, "unreadable progress"; "key" => &item.key,
+            error!(shared.log, "unreadable record"; "kind" => what, "key" => &item.key,
                 "revision" => item.revision, "error" => %error);
             None
         }
     }
 }
 
-/// Returns the submission in the bytes of a record.
-///
-/// # Errors
-///
-/// Returns an error if the bytes are no submission.
-pub fn decode_submission(bytes: &[u8]) -> Result<Arc<Submission>, record::UnreadableRecord> {
-    record::decode(bytes).map(Arc::new)
+/// Returns the progress in an item; one that cannot be read is logged.
+pub fn decode_progress(shared: &Shared, item: &Item) -> Option<ProgressRecord> {
+    decode(shared, "progress", item)
+}
+
+/// Returns the submission in an item; one that cannot be read is logged.
+pub fn decode_submission(shared: &Shared, item: &Item) -> Option<Arc<Submission>> {
+    decode(shared, "submission", item)
 }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -32,7 +32,7 @@
     id::{ProcessId, WorkerId},
     time::Timestamp,
 };
-use slog::{debug, error, info, warn};
+use slog::{debug, info, warn};
 use tokio::{sync::mpsc, time::Instant};
 
 use self::{callers::Callers, writing::Flushed};
@@ -312,14 +312,10 @@
             }
         } else if let Some(id) = record::id_of(CANCEL_PREFIX, &item.key) {
             self.planner.cancel(id, now);
-        } else if record::id_of(SUBMISSION_PREFIX, &item.key).is_some() {
-            match durable::decode_submission(&item.value) {
-                Ok(submission) => self.planner.submit(submission, false, now),
-                Err(error) => {
-                    error!(self.shared.log, "unreadable submission"; "key" => &item.key,
-                        "revision" => item.revision, "error" => %error);
-                }
-            }
+        } else if record::id_of(SUBMISSION_PREFIX, &item.key).is_some()
+            && let Some(submission) = durable::decode_submission(&self.shared, item)
+        {
+            self.planner.submit(submission, false, now);
         }
     }
 
@@ -446,7 +442,7 @@
         async move {
             let mut unreadable = 0;
             loop {
-                let result = shared.store.range(WORKERS_PREFIX, false).await;
+                let result = shared.store.range(WORKERS_PREFIX).await;
                 let listings = result.map(|(items, _)| {
                     let listings: Vec<WorkerListing> =
                         items.iter().filter_map(discovery::decode).collect();
@@ -475,15 +471,13 @@
                         after = revision;
                         Some(Found::Changes(events))
                     }
-                    Ok(Watched::HistoryDropped) => {
-                        match shared.store.range(WORK_PREFIX, false).await {
-                            Ok((items, revision)) => {
-                                after = revision;
-                                Some(Found::Everything(items))
-                            }
-                            Err(_) => None,
+                    Ok(Watched::HistoryDropped) => match shared.store.range(WORK_PREFIX).await {
+                        Ok((items, revision)) => {
+                            after = revision;
+                            Some(Found::Everything(items))
                         }
-                    }
+                        Err(_) => None,
+                    },
                     Err(fault) => {
                         shared.metrics.store_fault();
                         debug!(shared.log, "watch of submissions failed"; "error" => %fault);
--- a/crates/mustardcove-node/src/leader/callers.rs
+++ b/crates/mustardcove-node/src/leader/callers.rs
@@ -12,14 +12,14 @@
         id::Term,
         message::{FleetMessage, WorkerContact},
         planner::Planner,
-        record::{self, ProcessRecord},
+        record::ProcessRecord,
     },
     id::{ProcessId, WorkerId},
     time::Timestamp,
 };
 use slog::{info, warn};
 
-use crate::shared::Shared;
+use crate::{durable, shared::Shared};
 
 /// A process that was not heard of for this long is lost, in milliseconds:
 /// three times the longest pause between two reports.
@@ -66,14 +66,8 @@
     pub(super) fn registered(&mut self, items: &[Item], now: Timestamp) {
         let mut listed = BTreeSet::new();
         for item in items {
-            let record = match record::decode::<ProcessRecord>(&item.value) {
-                Ok(record) => record,
-                Err(error) => {
-                    warn!(self.shared.log, "unreadable process record"; "key" => &item.key,
-                        "error" => %error);
-                    continue;
-                }
-            };
+            let record: Option<ProcessRecord> = durable::decode(&self.shared, "process", item);
+            let Some(record) = record else { continue };
             listed.insert(record.process.clone());
             self.joined(record);
         }
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -13,7 +13,7 @@
         PROGRESS_PREFIX, ProgressRecord, SUBMISSION_PREFIX, WORK_PREFIX,
     },
 };
-use slog::{error, warn};
+use slog::warn;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{Found, Leader, LookedUp, RETRY_PAUSE};
@@ -33,8 +33,8 @@
         self.beat();
         let shared = self.shared.clone();
         let (work, progress, learned) = tokio::join!(
-            shared.store.range(WORK_PREFIX, false),
-            shared.store.range(PROGRESS_PREFIX, false),
+            shared.store.range(WORK_PREFIX),
+            shared.store.range(PROGRESS_PREFIX),
             shared.store.get(LEARNED_KEY),
         );
         self.restore_learned(learned);
@@ -63,15 +63,14 @@
                 return;
             }
         };
-        match record::decode::<LearnedRecord>(&item.value) {
-            Ok(learned) => self.planner.restore_learned(&learned),
-            Err(error) => warn!(self.shared.log, "what was learned is not readable";
-                "revision" => item.revision, "error" => %error),
+        let learned: Option<LearnedRecord> = durable::decode(&self.shared, "learned", &item);
+        if let Some(learned) = learned {
+            self.planner.restore_learned(&learned);
         }
     }
 
     async fn read(&self, prefix: &str) -> Result<(Vec<Item>, u64), &'static str> {
-        let first = self.shared.store.range(prefix, false).await;
+        let first = self.shared.store.range(prefix).await;
         self.or_again(prefix, first).await
     }
 
@@ -98,7 +97,7 @@
                 return Err("another process leads");
             }
             tokio::time::sleep(RETRY_PAUSE).await;
-            result = self.shared.store.range(prefix, false).await;
+            result = self.shared.store.range(prefix).await;
         }
     }
 
@@ -114,13 +113,9 @@
                 continue;
             }
             let Some(id) = record::id_of(SUBMISSION_PREFIX, &item.key) else { continue };
-            match durable::decode_submission(&item.value) {
-                Ok(submission) => {
-                    let known = progress.get(&id).map(|(it, revision)| (it, *revision));
-                    self.planner.restore(submission, false, known, now);
-                }
-                Err(error) => error!(self.shared.log, "unreadable submission";
-                    "key" => &item.key, "revision" => item.revision, "error" => %error),
+            if let Some(submission) = durable::decode_submission(&self.shared, item) {
+                let known = progress.get(&id).map(|(it, revision)| (it, *revision));
+                self.planner.restore(submission, false, known, now);
             }
             if cancelled.contains(&id) {
                 self.planner.cancel(id, now);
@@ -140,7 +135,7 @@
             loop {
                 tokio::time::sleep(PROCESSES_INTERVAL).await;
                 // A failure shows in the other calls to the store.
-                if let Ok((items, _)) = shared.store.range(PROCESS_PREFIX, false).await
+                if let Ok((items, _)) = shared.store.range(PROCESS_PREFIX).await
                     && found.send(Found::Processes(items)).is_err()
                 {
                     return;
@@ -150,18 +145,12 @@
     }
 }
 
-/// Reads a submission with its progress and whether it was cancelled.
+/// Reads a submission with its progress.
 pub(super) async fn read_submission(shared: &Shared, id: SubmissionId) -> LookedUp {
     let Some(item) = shared.store.get(&record::key_of(SUBMISSION_PREFIX, id)).await? else {
         return Ok(None);
     };
-    let submission = match durable::decode_submission(&item.value) {
-        Ok(submission) => submission,
-        Err(error) => {
-            error!(shared.log, "unreadable submission"; "key" => &item.key, "error" => %error);
-            return Ok(None);
-        }
-    };
+    let Some(submission) = durable::decode_submission(shared, &item) else { return Ok(None) };
     let progress = shared.store.get(&record::key_of(PROGRESS_PREFIX, id)).await?;
     let progress =
         progress.and_then(|it| Some((durable::decode_progress(shared, &it)?, it.revision)));
--- a/crates/mustardcove-node/src/links.rs
+++ b/crates/mustardcove-node/src/links.rs
@@ -101,7 +101,7 @@
             let shared = shared.clone();
             tokio::spawn(async move {
                 let deadline = shared.now().plus_ms(WRITE_FOR_PEER_MS);
-                let outcome = durable::store_for_peer(&shared, change, deadline).await;
+                let outcome = durable::store_here(&shared, &change, deadline).await;
                 shared.send(&from, FleetMessage::Stored { request, outcome });
             });
         }
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -10,10 +10,11 @@
     message::FleetMessage,
     record::{self, LEADER_KEY, LeaderRecord, PROCESS_PREFIX, ProcessRecord},
 };
-use slog::{error, info, warn};
+use slog::{info, warn};
 use tokio::sync::mpsc;
 
 use crate::{
+    durable,
     leader::{self, LeaderInput},
     shared::{Leadership, Shared},
 };
@@ -69,7 +70,8 @@
         }
     };
     shared.store_answered();
-    let Some(leader) = item.and_then(|it| decode_leader(shared, &it)) else { return };
+    let leader = item.and_then(|it| decode_leader(shared, &it));
+    let Some(leader) = leader else { return };
     if let Ok(address) = leader.address.parse() {
         shared.peers.add_peer(leader.process.clone(), address, leader.region);
         shared.send(&leader.process, FleetMessage::Joined(own_record(shared)));
@@ -77,14 +79,7 @@
 }
 
 fn decode_leader(shared: &Shared, item: &Item) -> Option<LeaderRecord> {
-    match record::decode(&item.value) {
-        Ok(leader) => Some(leader),
-        Err(error) => {
-            error!(shared.log, "unreadable leader record"; "revision" => item.revision,
-                "error" => %error);
-            None
-        }
-    }
+    durable::decode(shared, "leader", item)
 }
 
 /// Claims the leadership whenever that is due, and leads while it is held.
--- a/crates/mustardcove-node/src/outbox.rs
+++ b/crates/mustardcove-node/src/outbox.rs
@@ -16,6 +16,8 @@
 };
 use tokio::sync::Notify;
 
+use crate::shared::lock;
+
 #[derive(Debug)]
 struct Waiting {
     submission: Arc<Submission>,
@@ -39,7 +41,7 @@
 
 impl Outbox {
     fn lock(&self) -> MutexGuard<'_, Content> {
-        self.content.lock().unwrap_or_else(|it| it.into_inner())
+        lock(&self.content)
     }
 
     /// Adds a submission.
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -123,7 +123,9 @@
     pub stop: CancellationToken,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// Locks a mutex. One that is poisoned is taken as it is, since a part that
+/// panics ends the process.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|it| it.into_inner())
 }
 
