Log and count submissions that have no run although they could have one

Once a second the planner now finds the submissions without a run although a step is ready, counts them in the metric blocked_submissions, and explains the three oldest in the log, with the number of workers by obstacle. Placement takes its decisions as before: the checks of a worker return the obstacle instead of nothing.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -12,6 +12,7 @@
 //! from two polls after confirming it, restarts, or does not answer until
 //! every lease that it was given has expired.
 
+mod blocked;
 mod circuit_breaker;
 mod interference;
 mod measurements;
@@ -32,6 +33,7 @@
 use strum::{Display, IntoStaticStr};
 
 use self::{
+    blocked::BlockedSubmissions,
     interference::InterferenceModel,
     tickets::Tickets,
     work::{Run, Task, Work, WorkerIndex},
@@ -115,6 +117,8 @@
     RunAdopted,
     /// A submission reached a final state.
     Finished,
+    /// A submission has had no run for a while although it could have one.
+    SubmissionBlocked,
     /// A worker gets no new work for some time.
     #[strum(serialize = "worker_closed")]
     WorkerSuspended,
@@ -171,6 +175,7 @@
     earlier_leases_expire_by: Timestamp,
     interference: InterferenceModel,
     tickets: Tickets,
+    blocked: BlockedSubmissions,
     actions: Actions,
 }
 
@@ -205,6 +210,7 @@
             earlier_leases_expire_by,
             interference: InterferenceModel::default(),
             tickets: Tickets::default(),
+            blocked: BlockedSubmissions::default(),
             actions: Actions::default(),
         }
     }
@@ -465,6 +471,7 @@
     pub fn counts(&self, now: Timestamp) -> PlanCounts {
         PlanCounts {
             waiting_steps: self.waiting.len(),
+            blocked_submissions: self.blocked.count(),
             placed_runs: self.workers.iter().map(|it| it.allocations.len()).sum(),
             schedulable_workers: self
                 .workers
@@ -591,6 +598,9 @@
 pub struct PlanCounts {
     /// Steps that may have tasks to place.
     pub waiting_steps: usize,
+    /// Submissions that have had no run for a while although they could have
+    /// one.
+    pub blocked_submissions: usize,
     /// Runs that hold capacity.
     pub placed_runs: usize,
     /// Workers that accept new work.
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -12,6 +12,8 @@
 //! where none is: started there it would only slow down other best-effort work
 //! without ending any of it earlier.
 
+use strum::Display;
+
 use super::{
     interference::{ImageId, InterferenceModel},
     workers::{Allocation, Worker, WorkloadKind},
@@ -59,15 +61,64 @@
     pub(super) is_scarce: bool,
 }
 
+/// Why a worker cannot be given a task now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Obstacle {
+    /// Service discovery does not list it.
+    Unlisted,
+    /// It is about to leave.
+    Draining,
+    /// It does not answer polls.
+    Silent,
+    /// It answers as another incarnation than service discovery lists.
+    OtherIncarnation,
+    /// The leader has no recent poll of it.
+    NotPolled,
+    /// It refused a start a moment ago.
+    Refusing,
+    /// Its circuit breaker is open, or it is on probation.
+    Suspended,
+    /// It is in another pool or lacks the label that the step needs.
+    Ineligible,
+    /// The demand does not fit into its free capacity.
+    NoCapacity,
+    /// It runs as many tasks of the step as are allowed on one worker.
+    StepLimit,
+    /// Too little processor time is left over for a best-effort task.
+    NoLeftover,
+    /// A best-effort task would make a latency-critical one miss its target.
+    Interference,
+    /// It is reserved for another step.
+    Reserved,
+    /// The step has no ticket for it.
+    NoTicket,
+}
+
+/// Returns why a worker accepts no new work at all, or `None` if it does.
+pub(super) fn obstacle(worker: &Worker, now: Timestamp) -> Option<Obstacle> {
+    if !worker.is_listed {
+        Some(Obstacle::Unlisted)
+    } else if worker.listing.is_draining {
+        Some(Obstacle::Draining)
+    } else if worker.is_silent {
+        Some(Obstacle::Silent)
+    } else if worker.polled_at.is_none_or(|it| MAX_POLL_AGE_MS <= now.ms_since(it)) {
+        Some(Obstacle::NotPolled)
+    } else if worker.incarnation != Some(worker.listing.incarnation) {
+        Some(Obstacle::OtherIncarnation)
+    } else if now < worker.full_until {
+        Some(Obstacle::Refusing)
+    } else if !worker.circuit_breaker.may_start(now) {
+        Some(Obstacle::Suspended)
+    } else {
+        None
+    }
+}
+
 /// Returns whether a worker accepts new work at all.
 pub(super) fn is_schedulable(worker: &Worker, now: Timestamp) -> bool {
-    worker.is_listed
-        && !worker.listing.is_draining
-        && !worker.is_silent
-        && worker.incarnation == Some(worker.listing.incarnation)
-        && worker.polled_at.is_some_and(|it| now.ms_since(it) < MAX_POLL_AGE_MS)
-        && worker.full_until <= now
-        && worker.circuit_breaker.may_start(now)
+    obstacle(worker, now).is_none()
 }
 
 /// Returns whether a worker has the pool and the label that a step needs.
@@ -76,22 +127,25 @@
     worker.listing.service == service && step.requirement.as_ref().is_none_or(has_label)
 }
 
-/// Returns the score of a worker, or `None` if it cannot run the task now.
-pub(super) fn score(worker: &Worker, index: usize, req: Request<'_>) -> Option<i64> {
+/// Returns the score of a worker, or why it cannot run the task now.
+pub(super) fn score(worker: &Worker, index: usize, req: Request<'_>) -> Result<i64, Obstacle> {
     let step = req.step;
-    if !is_eligible(worker, step, req.service) || !step.allocation().fits_in(worker.free()) {
-        return None;
+    if !is_eligible(worker, step, req.service) {
+        return Err(Obstacle::Ineligible);
+    }
+    if !step.allocation().fits_in(worker.free()) {
+        return Err(Obstacle::NoCapacity);
     }
     if step.max_per_worker.is_some_and(|it| it <= req.same_step) {
-        return None;
+        return Err(Obstacle::StepLimit);
     }
     let mut score = match req.kind {
         WorkloadKind::BestEffort => {
             let leftover = leftover_cpu(worker);
             if leftover * 100 < step.demand.cpu.0 as i64 * MIN_BEST_EFFORT_CPU_PERCENT {
-                return None;
+                return Err(Obstacle::NoLeftover);
             }
-            leftover.min(min_headroom(worker, step, req)?)
+            leftover.min(min_headroom(worker, step, req).ok_or(Obstacle::Interference)?)
         }
         WorkloadKind::LatencyCritical => {
             worker.free().cpu.0 as i64 / 4 + image_score(worker, req.image)
@@ -106,7 +160,7 @@
     if req.avoid == Some(index) {
         score -= MISFIT_PENALTY;
     }
-    Some(score)
+    Ok(score)
 }
 
 /// Returns whether most of the capacity of the workers is in use.
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -5,7 +5,7 @@
 
 use super::{
     DecisionKind, LEASE_MARGIN_MS, Planner, RunKey, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
-    placement::{self, Request},
+    placement::{self, Obstacle, Request},
     rank::{Rank, WaitingStep},
     work::{Phase, Run, Work, WorkerIndex},
     workers::{Allocation, WorkloadKind},
@@ -107,12 +107,12 @@
 
 /// The tasks of a step that wait for a worker.
 #[derive(Clone)]
-struct PendingTasks {
+pub(super) struct PendingTasks {
     key: StepKey,
     service: String,
     needs_ticket: bool,
     /// Index of each waiting task, and the worker that it avoids.
-    tasks: Vec<(u16, Option<WorkerIndex>)>,
+    pub(super) tasks: Vec<(u16, Option<WorkerIndex>)>,
     /// Number of placed tasks of the step by worker.
     placed: BTreeMap<WorkerIndex, u32>,
     /// Whether most of the capacity is in use.
@@ -149,6 +149,7 @@
             self.place(&schedulable, now);
             self.move_slowed(&schedulable, now);
         }
+        self.report_blocked(&schedulable, now);
     }
 
     pub(super) fn begin_due(&mut self, id: SubmissionId, now: Timestamp) {
@@ -203,7 +204,7 @@
 
     /// Returns whether every worker of a pool was polled in this term, or can
     /// run nothing of an earlier one.
-    fn is_all_fenced(&self, service: &str, now: Timestamp) -> bool {
+    pub(super) fn is_all_fenced(&self, service: &str, now: Timestamp) -> bool {
         let is_fenced =
             |it: &super::Worker| it.incarnation.is_some() || it.listing.service != service;
         self.earlier_leases_expire_by <= now || self.workers.iter().all(is_fenced)
@@ -328,7 +329,12 @@
         })
     }
 
-    fn pending_tasks(&self, key: StepKey, is_scarce: bool, now: Timestamp) -> Option<PendingTasks> {
+    pub(super) fn pending_tasks(
+        &self,
+        key: StepKey,
+        is_scarce: bool,
+        now: Timestamp,
+    ) -> Option<PendingTasks> {
         let work = self.work.get(&key.submission)?;
         let spec = &work.submission.steps[usize::from(key.step)];
         if !work.is_known_unstarted && !self.is_all_fenced(&work.queue.service, now) {
@@ -489,33 +495,57 @@
         schedulable: &[WorkerIndex],
         now: Timestamp,
     ) -> Option<WorkerIndex> {
-        let first = pending.placed.keys().next().filter(|_| spec.wants_same_rack);
-        let rack = first.and_then(|it| self.workers[*it].listing.labels.last());
-        let image = spec.image.as_ref().and_then(|it| self.interference.known_image(it));
+        let req = self.request(pending, spec, avoid);
         let score = |index: &WorkerIndex| {
-            let worker = &self.workers[*index];
-            if !worker.circuit_breaker.may_start(now) {
-                return None;
-            }
-            if pending.needs_ticket {
-                self.tickets.ticket(pending.key, *index, worker.incarnation, now)?;
-            }
-            let req = Request {
-                step: spec,
-                service: &pending.service,
-                kind: workload_kind(spec),
-                image,
-                interference: &self.interference,
-                avoid,
-                rack: rack.map(String::as_str),
-                same_step: pending.placed.get(index).copied().unwrap_or(0),
-                is_scarce: pending.is_scarce,
-            };
-            placement::score(worker, *index, req).map(|it| (it, *index))
+            let score = self.score(pending, req, *index, now).ok()?;
+            Some((score, *index))
         };
         schedulable.iter().filter_map(score).max().map(|it| it.1)
     }
 
+    pub(super) fn request<'a>(
+        &'a self,
+        pending: &'a PendingTasks,
+        spec: &'a StepSpec,
+        avoid: Option<WorkerIndex>,
+    ) -> Request<'a> {
+        let first = pending.placed.keys().next().filter(|_| spec.wants_same_rack);
+        let rack = first.and_then(|it| self.workers[*it].listing.labels.last());
+        Request {
+            step: spec,
+            service: &pending.service,
+            kind: workload_kind(spec),
+            image: spec.image.as_ref().and_then(|it| self.interference.known_image(it)),
+            interference: &self.interference,
+            avoid,
+            rack: rack.map(String::as_str),
+            same_step: 0,
+            is_scarce: pending.is_scarce,
+        }
+    }
+
+    /// Returns the score of a worker for a task of a step, or why the worker
+    /// cannot run it now.
+    pub(super) fn score(
+        &self,
+        pending: &PendingTasks,
+        req: Request<'_>,
+        index: WorkerIndex,
+        now: Timestamp,
+    ) -> Result<i64, Obstacle> {
+        let worker = &self.workers[index];
+        if !worker.circuit_breaker.may_start(now) {
+            return Err(Obstacle::Suspended);
+        }
+        if pending.needs_ticket
+            && self.tickets.ticket(pending.key, index, worker.incarnation, now).is_none()
+        {
+            return Err(Obstacle::NoTicket);
+        }
+        let same_step = pending.placed.get(&index).copied().unwrap_or(0);
+        placement::score(worker, index, Request { same_step, ..req })
+    }
+
     fn start(
         &mut self,
         submission: &Arc<Submission>,
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -23,6 +23,7 @@
     polls: Counter<u64>,
     orders: Counter<u64>,
     waiting_steps: Gauge<u64>,
+    blocked_submissions: Gauge<u64>,
     placed_runs: Gauge<u64>,
     schedulable_workers: Gauge<u64>,
 }
@@ -44,6 +45,10 @@
             polls: counter("worker_looks", "Looks at workers by result."),
             orders: counter("worker_orders", "Orders to workers by kind and outcome."),
             waiting_steps: gauge("waiting_steps", "Steps with tasks that wait, at the leader."),
+            blocked_submissions: gauge(
+                "blocked_submissions",
+                "Submissions without a run although they could have one, at the leader.",
+            ),
             placed_runs: gauge("placed_runs", "Runs that take capacity, at the leader."),
             schedulable_workers: gauge(
                 "open_workers",
@@ -79,6 +84,7 @@
     /// Sets the gauges that describe the plan.
     pub fn record_plan(&self, counts: PlanCounts) {
         self.waiting_steps.record(counts.waiting_steps as u64, &[]);
+        self.blocked_submissions.record(counts.blocked_submissions as u64, &[]);
         self.placed_runs.record(counts.placed_runs as u64, &[]);
         self.schedulable_workers.record(counts.schedulable_workers as u64, &[]);
     }
