Bound how long best-effort submissions wait on a mostly unreserved pool

Cause: best-effort placement rejects a worker where little processor time is left over or where the learned interference predicts a missed target. With other best-effort work running, this holds for every worker at once, and nothing bounded how long. The class of fault: a condition for efficiency used as a condition for running at all.

A best-effort submission that has had no run for a second, in a pool of which less than 60 % is reserved, now gets one run where it does the least harm, at up to a fifth of its pace, and the next one when that ends, until the pool fills up. The run counts with that fifth of its demand, so work that is on time still finds the processor time that is left over, and its pace follows the load of its neighbours like any other. The bound is lifted once there is processor time for it.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -502,6 +502,7 @@
             tail_target_ms: step.tail_target_ms.filter(|_| step.is_long_running),
             measurement: 0,
             pace: 100,
+            max_pace: 100,
             pace_set_at: Timestamp::default(),
             over_target_since: None,
             unexplained_excess: 0.0,
--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -1,11 +1,22 @@
 //! Submissions that have no run although one of their steps is ready.
 //!
-//! Most wait for capacity. Those that wait beside free capacity show a fault,
-//! so the planner checks once a second which submissions have had no run for
-//! a while, and logs for a few of them what keeps each worker from running
-//! them. Checking on each tick would cost more than placing the tasks.
+//! Most wait for capacity. Best-effort work may also wait beside free capacity,
+//! because other best-effort work uses all the processor time that is left
+//! over, or because it would make latency-critical tasks miss their targets.
+//! Neither ends by itself, so while most of the pool is unreserved, a
+//! submission that has waited for too long gets a run where it does the least
+//! harm. It gets only one at a time and at a low pace, since more would slow
+//! down the work that is ahead of it. Its next run follows at once, until the
+//! submission ends or the pool fills up.
+//!
+//! For a few of the blocked submissions, the log says what keeps each worker
+//! from running them. Checks are done a few times a second only, as each goes
+//! through all submissions.
 
-use std::{collections::BTreeMap, fmt::Write as _};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write as _,
+};
 
 use super::{
     DecisionKind, Planner,
@@ -14,16 +25,27 @@
 };
 use crate::{
     fleet::id::{StepKey, SubmissionId, TaskKey},
+    size::Resources,
     time::Timestamp,
 };
 
 /// Time between two checks, in milliseconds.
-const CHECK_INTERVAL_MS: u64 = 1_000;
+const CHECK_INTERVAL_MS: u64 = 500;
 /// Time without a run after which a submission counts as blocked, in
-/// milliseconds: longer than a usual start with a repeated call takes.
+/// milliseconds. Users accept 3 s, in which a lost start has to be repeated.
 const BLOCKED_AFTER_MS: u64 = 1_000;
-/// Most submissions explained in one check, which bounds the log and the
-/// processor time under overload.
+/// Share of a pool's capacity that is reserved at most while blocked
+/// best-effort work is started on it, in percent. Users expect its start while
+/// less than half is reserved; the leader's view is a little older, and lacks
+/// workers that it does not reach.
+const MAX_RESERVED_PERCENT: u64 = 60;
+/// Most starved submissions placed in one round, which bounds its time: each is
+/// scored on every worker.
+const MAX_STARTED: usize = 200;
+/// Time between two explanations in the log, in milliseconds.
+const EXPLAIN_INTERVAL_MS: u64 = 1_000;
+/// Most submissions explained at once, which bounds the log and the processor
+/// time under overload.
 const MAX_EXPLAINED: usize = 3;
 
 /// Submissions without a run, as of the last check.
@@ -32,7 +54,10 @@
     /// Since when each of them has had no run.
     since: BTreeMap<SubmissionId, Timestamp>,
     count: usize,
+    /// Best-effort submissions that were blocked on a mostly unreserved pool.
+    starved: BTreeSet<SubmissionId>,
     check_at: Timestamp,
+    explain_at: Timestamp,
 }
 
 impl BlockedSubmissions {
@@ -43,13 +68,73 @@
 }
 
 impl Planner {
-    /// Finds the submissions that are blocked, and logs why some of them are:
-    /// those that have waited longest.
-    pub(super) fn report_blocked(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
-        if now < self.blocked.check_at {
-            return;
+    /// Finds the submissions that are blocked, logs why some of them are, and
+    /// keeps one run of the best-effort ones going while most of their pool is
+    /// unreserved.
+    pub(super) fn handle_blocked(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
+        if self.blocked.check_at <= now {
+            self.blocked.check_at = now.plus_ms(CHECK_INTERVAL_MS);
+            let blocked = self.find_blocked(now);
+            if !blocked.is_empty() && self.blocked.explain_at <= now {
+                self.blocked.explain_at = now.plus_ms(EXPLAIN_INTERVAL_MS);
+                self.explain_blocked(&blocked, schedulable, now);
+            }
+            let best_effort = blocked.iter().filter(|it| self.is_best_effort(it.1));
+            let starved: Vec<SubmissionId> = best_effort.map(|it| it.1.submission).collect();
+            self.blocked.starved.extend(starved);
+        }
+        self.start_starved(schedulable, now);
+    }
+
+    fn explain_blocked(
+        &mut self,
+        blocked: &[(Timestamp, StepKey)],
+        schedulable: &[WorkerIndex],
+        now: Timestamp,
+    ) {
+        for (since, key) in blocked.iter().take(MAX_EXPLAINED) {
+            let inputs = self.explain(*key, *since, schedulable, now);
+            let submission = Some(key.submission);
+            self.log_decision(DecisionKind::SubmissionBlocked, submission, None, || inputs);
+        }
+    }
+
+    /// Starts one task of each starved submission that has no run.
+    fn start_starved(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
+        let starved = std::mem::take(&mut self.blocked.starved);
+        let mut is_open: BTreeMap<String, bool> = BTreeMap::new();
+        let mut tries = 0;
+        for id in starved {
+            let Some(work) = self.work.get(&id).filter(|it| !it.state.is_final()) else { continue };
+            let service = &work.queue.service;
+            if !is_open.contains_key(service) {
+                let percent = self.reserved_percent(service, schedulable);
+                is_open.insert(service.clone(), percent < MAX_RESERVED_PERCENT);
+            }
+            if !is_open[service] {
+                continue;
+            }
+            let mut has_run = work.runs().next().is_some();
+            if !has_run && tries < MAX_STARTED {
+                tries += 1;
+                let step = self.idle_step(work);
+                has_run = step.is_some_and(|it| self.start_one(it, schedulable, now));
+            }
+            // One that fits nowhere now is tried again after the next check.
+            if has_run {
+                self.blocked.starved.insert(id);
+            }
         }
-        self.blocked.check_at = now.plus_ms(CHECK_INTERVAL_MS);
+    }
+
+    fn is_best_effort(&self, key: StepKey) -> bool {
+        let step = self.work.get(&key.submission).map(|it| &it.submission.steps);
+        step.is_some_and(|it| it[usize::from(key.step)].is_best_effort)
+    }
+
+    /// Returns the first ready step of each blocked submission, and since when
+    /// it has had no run; the longest waits first.
+    fn find_blocked(&mut self, now: Timestamp) -> Vec<(Timestamp, StepKey)> {
         let earlier = std::mem::take(&mut self.blocked.since);
         let mut blocked: Vec<(Timestamp, StepKey)> = Vec::new();
         for (id, work) in &self.work {
@@ -62,13 +147,44 @@
         }
         self.blocked.count = blocked.len();
         blocked.sort_unstable();
-        blocked.truncate(MAX_EXPLAINED);
-        for (since, key) in blocked {
-            let inputs = self.explain(key, since, schedulable, now);
-            self.log_decision(DecisionKind::SubmissionBlocked, Some(key.submission), None, || {
-                inputs
-            });
+        blocked
+    }
+
+    /// Returns the reserved share of the capacity of a pool's schedulable
+    /// workers, in percent: that of the dimension with the largest share.
+    fn reserved_percent(&self, service: &str, schedulable: &[WorkerIndex]) -> u64 {
+        let workers = schedulable.iter().map(|it| &self.workers[*it]);
+        let (mut used, mut capacity) = (Resources::ZERO, Resources::ZERO);
+        for worker in workers.filter(|it| it.listing.service == service) {
+            used = used.saturating_add(worker.used);
+            capacity = capacity.saturating_add(worker.listing.capacity);
+        }
+        let percent = |used: u64, capacity: u64| (used * 100).checked_div(capacity).unwrap_or(0);
+        percent(used.cpu.0, capacity.cpu.0).max(percent(used.memory.0, capacity.memory.0))
+    }
+
+    /// Starts one task of a best-effort step, or a gang as a whole, where it does
+    /// the least harm. Returns whether it fits anywhere.
+    fn start_one(&mut self, key: StepKey, schedulable: &[WorkerIndex], now: Timestamp) -> bool {
+        let Some(work) = self.work.get(&key.submission) else { return false };
+        let submission = work.submission.clone();
+        let spec = &submission.steps[usize::from(key.step)];
+        if !spec.is_best_effort {
+            return false;
+        }
+        let Some(mut pending) = self.pending_tasks(key, false, now) else { return false };
+        pending.is_starved = true;
+        if !spec.is_gang {
+            pending.tasks.truncate(1);
+        }
+        let tasks = pending.tasks.len();
+        let mut chosen = self.allocate_tasks(&mut pending, spec, schedulable, now);
+        if chosen.len() < tasks {
+            self.release_tasks(key, &mut chosen);
+            return false;
         }
+        self.start(&submission, &pending, &chosen, now);
+        true
     }
 
     /// Returns the first ready step of a submission of which no run is known
@@ -154,9 +270,7 @@
                 let _ = write!(text, " {obstacle}={workers}");
             }
         }
-        let used = schedulable.iter().map(|it| self.workers[*it].used.cpu.0).sum::<u64>();
-        let capacity = schedulable.iter().map(|it| self.workers[*it].listing.capacity.cpu.0);
-        let used_percent = (used * 100).checked_div(capacity.sum()).unwrap_or(0);
+        let used_percent = self.reserved_percent(&work.queue.service, schedulable);
         let _ = write!(text, " used_percent={used_percent}");
         text
     }
--- a/crates/mustardcove-core/src/fleet/planner/measurements.rs
+++ b/crates/mustardcove-core/src/fleet/planner/measurements.rs
@@ -46,6 +46,7 @@
     pub(super) fn adjust_pace(&mut self, index: WorkerIndex, now: Timestamp) {
         self.learn_interference(index, now);
         self.refresh_latency_critical(index, now);
+        self.lift_max_paces(index);
         let worker = &self.workers[index];
         let best_effort =
             worker.allocations.iter().filter(|it| it.1.kind == WorkloadKind::BestEffort);
@@ -77,6 +78,8 @@
             })
         };
         for ((task, allocation), percent) in best_effort.into_iter().zip(paces) {
+            let percent =
+                if must_halt { percent } else { limit_pace(percent, allocation.max_pace) };
             let is_settled = must_halt || PACE_SETTLE_MS <= now.ms_since(allocation.pace_set_at);
             if is_settled && pace::is_worth_changing(allocation.pace, percent) {
                 self.set_pace(index, task, allocation.run, percent, now);
@@ -84,6 +87,18 @@
         }
     }
 
+    /// Lifts the bound on the pace of the runs that were started without
+    /// processor time, as far as there is some now.
+    fn lift_max_paces(&mut self, index: WorkerIndex) {
+        let worker = &mut self.workers[index];
+        let limited = worker.allocations.iter().filter(|it| it.1.max_pace < 100);
+        let limited: Vec<TaskKey> = limited.map(|it| *it.0).collect();
+        for task in limited {
+            let leftover = placement::leftover_cpu(worker);
+            worker.lift_max_pace(task, leftover);
+        }
+    }
+
     /// Stops a run so that its task starts on another worker.
     pub(super) fn stop_and_move(
         &mut self,
@@ -193,3 +208,10 @@
         self.actions.orders.push((worker, Order::Pace { task, run, percent }));
     }
 }
+
+/// Returns the pace of a run, given its pace as a share of the highest one that
+/// it may have; in percent.
+fn limit_pace(percent: u8, max_pace: u8) -> u8 {
+    let limited = u32::from(percent) * u32::from(max_pace) / 100;
+    (limited as u8).max(1)
+}
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -10,7 +10,8 @@
 //!
 //! Best-effort work goes where most processor time is left over, and waits
 //! where none is: started there it would only slow down other best-effort work
-//! without ending any of it earlier.
+//! without ending any of it earlier. A submission for which that wait becomes
+//! too long is placed all the same; see the `blocked` module.
 
 use strum::Display;
 
@@ -59,6 +60,10 @@
     pub(super) same_step: u32,
     /// Whether most of the capacity is in use.
     pub(super) is_scarce: bool,
+    /// Whether the task is best-effort work of a submission that has had no
+    /// run for too long, which is placed where it does the least harm instead
+    /// of nowhere.
+    pub(super) is_starved: bool,
 }
 
 /// Why a worker cannot be given a task now.
@@ -142,10 +147,14 @@
     let mut score = match req.kind {
         WorkloadKind::BestEffort => {
             let leftover = leftover_cpu(worker);
-            if leftover * 100 < step.demand.cpu.0 as i64 * MIN_BEST_EFFORT_CPU_PERCENT {
+            let headroom = min_headroom(worker, step, req);
+            if !req.is_starved && !is_enough_left_over(leftover, step.demand.cpu.0) {
                 return Err(Obstacle::NoLeftover);
             }
-            leftover.min(min_headroom(worker, step, req).ok_or(Obstacle::Interference)?)
+            if !req.is_starved && headroom < 0 {
+                return Err(Obstacle::Interference);
+            }
+            leftover.min(headroom)
         }
         WorkloadKind::LatencyCritical => {
             worker.free().cpu.0 as i64 / 4 + image_score(worker, req.image)
@@ -191,12 +200,18 @@
 
 /// Returns the processor time that best-effort tasks can expect on a worker,
 /// less the demand of those there, in millicores.
-fn leftover_cpu(worker: &Worker) -> i64 {
+pub(super) fn leftover_cpu(worker: &Worker) -> i64 {
     let batch = worker.used.cpu.0 - worker.latency_critical_cpu.min(worker.used.cpu.0);
     let capacity = worker.listing.capacity.cpu.0 as i64;
     capacity - (batch + worker.latency_critical_use + worker.best_effort_cpu) as i64
 }
 
+/// Returns whether the processor time left over on a worker is enough for a
+/// best-effort task that demands `cpu`, both in millicores.
+pub(super) fn is_enough_left_over(leftover: i64, cpu: u64) -> bool {
+    cpu as i64 * MIN_BEST_EFFORT_CPU_PERCENT <= leftover * 100
+}
+
 /// Returns the contribution of the images on a worker to the score for a
 /// latency-critical task.
 fn image_score(worker: &Worker, image: Option<ImageId>) -> i64 {
@@ -216,9 +231,9 @@
 }
 
 /// Returns the smallest headroom that the best-effort task would leave any
-/// latency-critical task, in millicores that could be added, or `None` if one
+/// latency-critical task, in millicores that could be added; negative if one
 /// of them would miss its target.
-fn min_headroom(worker: &Worker, step: &StepSpec, req: Request<'_>) -> Option<i64> {
+fn min_headroom(worker: &Worker, step: &StepSpec, req: Request<'_>) -> i64 {
     let capacity = worker.listing.capacity.cpu.0.max(1) as f32;
     let added = step.demand.cpu.0 as f32 / capacity;
     let mut min = 1.0f32;
@@ -226,12 +241,10 @@
         let pressure = req.interference.pressure(task.image, req.image);
         let excess = task.other_excess + task.best_effort_excess + pressure * added;
         let headroom = task.max_excess(1.0) - excess;
-        if headroom < 0.0 {
-            return None;
-        }
         // Converts headroom into the share of processors at which this task's
         // pressure uses it up.
         min = min.min(headroom / pressure.max(0.2));
     }
-    Some((min * capacity) as i64)
+    // Rounds down, so that any overload is negative.
+    (min * capacity).floor() as i64
 }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -33,6 +33,11 @@
 /// sees.
 const MAX_MOVES: u32 = 4;
 
+/// Highest pace of a best-effort run that is started although no processor time
+/// is left over, in percent: enough to progress, and little beside the runs
+/// that are on time.
+const STARVED_PACE_PERCENT: u8 = 20;
+
 /// Most workers considered for a request to the recommendation service.
 const MAX_TICKET_CANDIDATES: usize = 60;
 
@@ -117,6 +122,8 @@
     placed: BTreeMap<WorkerIndex, u32>,
     /// Whether most of the capacity is in use.
     is_scarce: bool,
+    /// See [`Request::is_starved`].
+    pub(super) is_starved: bool,
 }
 
 impl PendingTasks {
@@ -128,6 +135,7 @@
             tasks: Vec::new(),
             placed: BTreeMap::new(),
             is_scarce,
+            is_starved: false,
         }
     }
 }
@@ -149,7 +157,7 @@
             self.place(&schedulable, now);
             self.move_slowed(&schedulable, now);
         }
-        self.report_blocked(&schedulable, now);
+        self.handle_blocked(&schedulable, now);
     }
 
     pub(super) fn begin_due(&mut self, id: SubmissionId, now: Timestamp) {
@@ -378,33 +386,14 @@
         }
         let Some(mut pending) = self.pending_tasks(key, round.is_scarce, now) else { return };
         let schedulable = round.usable(spec, candidate.rank, &reserved);
-        let tasks = std::mem::take(&mut pending.tasks);
-        let mut chosen: Vec<(u16, WorkerIndex)> = Vec::with_capacity(tasks.len());
-        let mut found_none = false;
-        for (index, avoid) in tasks.iter().copied() {
-            let Some(worker) = self.choose(&pending, spec, avoid, &schedulable, now) else {
-                if pending.needs_ticket {
-                    self.request_tickets_for(&pending, spec, &schedulable, now);
-                }
-                found_none = !pending.needs_ticket && pending.placed.is_empty();
-                break;
-            };
-            let task = TaskKey { step: key, index };
-            let allocation = self.allocation_for(spec, RunNumber::default());
-            self.workers[worker].allocate(task, allocation);
-            self.workers[worker].circuit_breaker.record_start(now);
-            self.refresh_latency_critical(worker, now);
-            *pending.placed.entry(worker).or_default() += 1;
-            chosen.push((index, worker));
-        }
-        if found_none {
+        let waiting = pending.tasks.len();
+        let mut chosen = self.allocate_tasks(&mut pending, spec, &schedulable, now);
+        if chosen.is_empty() && !pending.needs_ticket && pending.placed.is_empty() {
             round.record_unplaceable(&pending.service, spec);
         }
-        let unplaced = tasks.len() - chosen.len();
+        let unplaced = waiting - chosen.len();
         if spec.is_gang && 0 < unplaced {
-            for (index, worker) in chosen.drain(..) {
-                self.workers[worker].release(TaskKey { step: key, index });
-            }
+            self.release_tasks(key, &mut chosen);
         }
         if 0 < unplaced && may_reserve {
             self.reserve(
@@ -416,7 +405,57 @@
             );
         }
         if !chosen.is_empty() {
-            self.start(&submission, key, &chosen, now);
+            self.start(&submission, &pending, &chosen, now);
+        }
+    }
+
+    /// Allocates capacity for the pending tasks in turn, until one fits nowhere,
+    /// and returns the worker of each. Requests tickets if only those are
+    /// missing.
+    pub(super) fn allocate_tasks(
+        &mut self,
+        pending: &mut PendingTasks,
+        spec: &StepSpec,
+        schedulable: &[WorkerIndex],
+        now: Timestamp,
+    ) -> Vec<(u16, WorkerIndex)> {
+        let tasks = std::mem::take(&mut pending.tasks);
+        let mut chosen = Vec::with_capacity(tasks.len());
+        for (index, avoid) in tasks {
+            let Some(worker) = self.choose(pending, spec, avoid, schedulable, now) else {
+                if pending.needs_ticket {
+                    self.request_tickets_for(pending, spec, schedulable, now);
+                }
+                break;
+            };
+            let task = TaskKey { step: pending.key, index };
+            let allocation = self.pending_allocation(pending, spec);
+            self.workers[worker].allocate(task, allocation);
+            self.workers[worker].circuit_breaker.record_start(now);
+            self.refresh_latency_critical(worker, now);
+            *pending.placed.entry(worker).or_default() += 1;
+            chosen.push((index, worker));
+        }
+        chosen
+    }
+
+    /// Returns the allocation of each of the pending tasks.
+    fn pending_allocation(&mut self, pending: &PendingTasks, spec: &StepSpec) -> Allocation {
+        let allocation = self.allocation_for(spec, RunNumber::default());
+        if !pending.is_starved {
+            return allocation;
+        }
+        Allocation {
+            cpu: allocation.cpu * u64::from(STARVED_PACE_PERCENT) / 100,
+            max_pace: STARVED_PACE_PERCENT,
+            ..allocation
+        }
+    }
+
+    /// Releases what was allocated for tasks that are not started after all.
+    pub(super) fn release_tasks(&mut self, key: StepKey, chosen: &mut Vec<(u16, WorkerIndex)>) {
+        for (index, worker) in chosen.drain(..) {
+            self.workers[worker].release(TaskKey { step: key, index });
         }
     }
 
@@ -521,6 +560,7 @@
             rack: rack.map(String::as_str),
             same_step: 0,
             is_scarce: pending.is_scarce,
+            is_starved: pending.is_starved,
         }
     }
 
@@ -546,16 +586,17 @@
         placement::score(worker, index, Request { same_step, ..req })
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         submission: &Arc<Submission>,
-        key: StepKey,
+        pending: &PendingTasks,
         chosen: &[(u16, WorkerIndex)],
         now: Timestamp,
     ) {
+        let key = pending.key;
         let spec = &submission.steps[usize::from(key.step)];
         let run_base = self.run_base;
-        let allocation = self.allocation_for(spec, RunNumber::default());
+        let allocation = self.pending_allocation(pending, spec);
         let Some(work) = self.work.get_mut(&key.submission) else { return };
         let becomes_running = work.state == SubmissionState::Queued;
         if becomes_running {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -5,7 +5,9 @@
     net::SocketAddr,
 };
 
-use super::{circuit_breaker::CircuitBreaker, interference::ImageId, pace::LatencyCriticalTask};
+use super::{
+    circuit_breaker::CircuitBreaker, interference::ImageId, pace::LatencyCriticalTask, placement,
+};
 use crate::{
     fleet::id::{EndNumber, Incarnation, RunNumber, TaskKey},
     id::{FailureDomainId, WorkerId},
@@ -39,7 +41,8 @@
 pub(super) struct Allocation {
     pub(super) run: RunNumber,
     pub(super) resources: Resources,
-    /// Processor demand, whether or not it counts against the capacity.
+    /// Processor demand at the highest pace that it may have, whether or not it
+    /// counts against the capacity.
     pub(super) cpu: u64,
     pub(super) kind: WorkloadKind,
     /// The image that it runs, if its step names one.
@@ -51,6 +54,9 @@
     pub(super) measurement: u32,
     /// Its pace: the share of time at which it works, in percent.
     pub(super) pace: u8,
+    /// The highest pace that it may have, in percent: below 100 for a run that
+    /// was started although no processor time was left over.
+    pub(super) max_pace: u8,
     /// When the pace was last changed.
     pub(super) pace_set_at: Timestamp,
     /// Since when its tail latency has exceeded its target in every poll.
@@ -175,6 +181,19 @@
         }
     }
 
+    /// Lifts the bound on the pace of a best-effort run if enough processor time
+    /// is left over for it.
+    pub(super) fn lift_max_pace(&mut self, task: TaskKey, leftover: i64) {
+        let Some(allocation) = self.allocations.get_mut(&task) else { return };
+        let cpu = allocation.cpu * 100 / u64::from(allocation.max_pace);
+        let added = cpu - allocation.cpu;
+        if placement::is_enough_left_over(leftover, added) {
+            allocation.cpu = cpu;
+            allocation.max_pace = 100;
+            self.best_effort_cpu += added;
+        }
+    }
+
     /// Begins a new incarnation, of which no run or end is recorded yet.
     pub(super) fn begin_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = Some(incarnation);
--- a/crates/mustardcove-core/tests/best_effort_starved.rs
+++ b/crates/mustardcove-core/tests/best_effort_starved.rs
@@ -195,6 +195,8 @@
             rig.planner.cancel(SubmissionId(id), rig.now);
         }
     }
-    simulate(&mut rig, 0, 1, 1);
+    let outcome = simulate(&mut rig, 0, 1, 2);
     assert_eq!(runs_of(&rig, waiting), 8);
+    let slowed = outcome.paces.iter().filter(|it| *it.1 < 100).count();
+    assert_eq!(slowed, 0, "the first run is at its full pace again: {:?}", outcome.paces);
 }
