Set the pace of adopted best-effort runs

Callers saw best-effort submissions that hardly progressed after a change of the leader. Cause: an adopted run was recorded with a pace of 100 %, whatever the leader before had set. If the new leader wanted 100 %, it sent no order, so the run stayed slow; a halted one was taken for a stalled one, stopped, and counted against its worker.

An adopted best-effort run now has an unknown pace until the first order.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -4,6 +4,7 @@
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
     pace,
     work::{Phase, Run, Work, WorkerIndex},
+    workers::WorkloadKind,
 };
 use crate::{
     fleet::{
@@ -357,7 +358,12 @@
         let Some(slot) = work.task_mut(row.task) else { return };
         slot.last_run = slot.last_run.max(row.run);
         slot.phase = Phase::Placed(Run { is_confirmed: true, ..Run::new(index, row.run, now) });
-        let allocation = self.allocation_for(&spec, row.run);
+        let mut allocation = self.allocation_for(&spec, row.run);
+        if allocation.kind == WorkloadKind::BestEffort {
+            // An earlier leader may have slowed it down.
+            allocation.pace = pace::UNKNOWN_PACE;
+            allocation.pace_set_at = now;
+        }
         self.workers[index].allocate(row.task, allocation);
         let id = row.task.step.submission;
         if becomes_running {
