Keep cancellations that arrive before their submissions

What callers saw: possibly nothing yet. A cancellation that was answered with success could be ignored by the leader, so that the tasks of the submission started and ran on.

Cause: Planner::cancel ignored a submission that is not in the plan. After the store has dropped its history, the leader reads all work records and applies them in the order of their keys, in which cancellations come before submissions. If the process that accepted both had died before it sent them, the leader planned the submission and never learned that it was cancelled.

Evidence: the new test cancelled_before_planned failed before with "a cancelled task starts".

The planner now remembers such a cancellation and applies it when the submission enters the plan, so that the order does not matter, whichever way the two arrive. All tests of mustardcove-core passed.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -168,6 +168,9 @@
     dirty: BTreeSet<SubmissionId>,
     /// Final states that are published once their change is stored.
     unpublished: Vec<(u64, SubmissionId, SubmissionState)>,
+    /// Cancelled submissions that are not in the plan yet. Records that are
+    /// read by key come in another order than they were written.
+    cancelled_early: BTreeSet<SubmissionId>,
     /// Submissions that are being looked up in the store.
     looked_up: BTreeSet<SubmissionId>,
     /// Until this time, a worker that was not polled yet may run work of an
@@ -206,6 +209,7 @@
             change: 0,
             dirty: BTreeSet::new(),
             unpublished: Vec::new(),
+            cancelled_early: BTreeSet::new(),
             looked_up: BTreeSet::new(),
             earlier_leases_expire_by,
             interference: InterferenceModel::default(),
@@ -281,6 +285,9 @@
         self.waiting.extend(steps);
         self.scheduled.insert(id);
         self.begin_due(id, now);
+        if self.cancelled_early.remove(&id) {
+            self.cancel(id, now);
+        }
     }
 
     /// Handles a lookup that found no submission: its runs are stopped.
@@ -297,9 +304,13 @@
         self.work.contains_key(&id)
     }
 
-    /// Cancels a submission whose cancellation is stored.
+    /// Cancels a submission whose cancellation is stored. The submission may
+    /// enter the plan later.
     pub fn cancel(&mut self, id: SubmissionId, now: Timestamp) {
-        let Some(work) = self.work.get(&id) else { return };
+        let Some(work) = self.work.get(&id) else {
+            self.cancelled_early.insert(id);
+            return;
+        };
         if !work.state.is_final() {
             self.finish(id, SubmissionState::Cancelled, "by its caller", now);
         }
