Bound the share of workers that are suspended for failures

Submissions that can never be done fail wherever they run, and any two failures suspend a worker, for up to 8 s and then for 6 s of probation. A few of them had every worker suspended, or every worker with a label. Then no run could be done anywhere, so nothing cleared the suspensions. Long-running tasks that always fail have no limit of attempts and kept this up for good.

At most half of the workers of a pool, and half of those there with the same label, may now be suspended or on probation at once, and always one of them. A worker beyond that counts its failures and is suspended as soon as the share allows it.

Evidence: three of the four new tests failed before, each with "submission 1 waited 10000 ms" (the longest that they wait): hopeless_submissions, hopeless_long_running, workers_of_one_label. The fourth, failing_workers, passed before and after: two failing workers of six get no more runs than before.

Half of a pool that fails everything is the case that pays for the bound.

Ruled out: to withdraw failures from workers once a task has failed on a second one.

A worker that is the only one with its label may still be suspended.

--- a/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
+++ b/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
@@ -7,6 +7,12 @@
 //! pause, until one of them is done or none has failed for a while. Runs that
 //! it has already are left alone: long-running tasks may be healthy where
 //! others fail.
+//!
+//! A failure may also be the task's own fault, and a single failure does not
+//! tell which. The share of workers that are suspended or on probation is
+//! therefore bounded, for each pool and each label in it: submissions that can
+//! never be done would otherwise suspend every worker, and none would be left
+//! on which a run could be done.
 
 use crate::time::Timestamp;
 
@@ -16,6 +22,9 @@
 /// Duration of the first suspension, in milliseconds; shorter than the faults
 /// that the platform describes, so that the worker is probed before they end.
 const FIRST_SUSPENSION_MS: u64 = 2_000;
+/// Most workers of a group that may be suspended or on probation at once, in
+/// percent, though always one of them.
+const MAX_SUSPENDED_PERCENT: usize = 50;
 /// Longest suspension, in milliseconds.
 const MAX_SUSPENSION_MS: u64 = 8_000;
 
@@ -42,10 +51,10 @@
     }
 
     /// Records a run that failed or stalled. Returns whether this suspends the
-    /// worker.
-    pub(super) fn record_failure(&mut self, now: Timestamp) -> bool {
+    /// worker; without `may_suspend`, it does not.
+    pub(super) fn record_failure(&mut self, may_suspend: bool, now: Timestamp) -> bool {
         self.failures += 1;
-        if self.failures < FAILURE_THRESHOLD || now < self.suspended_until {
+        if self.failures < FAILURE_THRESHOLD || now < self.suspended_until || !may_suspend {
             return false;
         }
         let ms = FIRST_SUSPENSION_MS << self.suspensions.min(8);
@@ -61,11 +70,21 @@
         self.probed_at = now;
     }
 
+    /// Returns whether the worker is suspended or on probation.
+    pub(super) fn is_restricted(&self, now: Timestamp) -> bool {
+        0 < self.suspensions && now.ms_since(self.suspended_until) < PROBATION_MS
+    }
+
     /// Returns whether the worker may be given a run.
     pub(super) fn may_start(&self, now: Timestamp) -> bool {
-        let is_on_probation =
-            0 < self.suspensions && now.ms_since(self.suspended_until) < PROBATION_MS;
         self.suspended_until <= now
-            && (!is_on_probation || PROBE_INTERVAL_MS <= now.ms_since(self.probed_at))
+            && (!self.is_restricted(now) || PROBE_INTERVAL_MS <= now.ms_since(self.probed_at))
     }
 }
+
+/// Returns whether one more worker of a group may be suspended, of which
+/// `restricted` are suspended or on probation.
+pub(super) fn may_suspend(restricted: usize, workers: usize) -> bool {
+    let most = (workers * MAX_SUSPENDED_PERCENT / 100).max(1);
+    restricted < most
+}
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -2,7 +2,7 @@
 
 use super::{
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
-    pace,
+    circuit_breaker, pace,
     work::{Phase, Run, Work, WorkerIndex},
 };
 use crate::{
@@ -177,24 +177,50 @@
     }
 
     fn update_circuit_breaker(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
-        let circuit_breaker = &mut self.workers[index].circuit_breaker;
-        let is_suspended = match end.kind {
-            EndKind::Done => {
-                circuit_breaker.record_success();
-                false
-            }
-            EndKind::Failed => circuit_breaker.record_failure(now),
-            _ => false,
-        };
-        if is_suspended {
+        match end.kind {
+            EndKind::Done => self.workers[index].circuit_breaker.record_success(),
+            EndKind::Failed => self.record_failure(index, end.task, end.kind.into(), now),
+            _ => {}
+        }
+    }
+
+    /// Records a run that failed or stalled, and suspends the worker if it may
+    /// be at fault.
+    fn record_failure(&mut self, index: WorkerIndex, task: TaskKey, how: &str, now: Timestamp) {
+        let may_suspend = self.may_suspend(index, now);
+        if self.workers[index].circuit_breaker.record_failure(may_suspend, now) {
             let id = self.worker_id(index);
-            let submission = Some(end.task.step.submission);
+            let submission = Some(task.step.submission);
             self.log_decision(DecisionKind::WorkerSuspended, submission, Some(id), || {
-                format!("task={} how={}", end.task, end.kind)
+                format!("task={task} how={how}")
             });
         }
     }
 
+    /// Returns whether a worker may be suspended: enough others of its pool,
+    /// and of those there with each of its labels, accept work.
+    fn may_suspend(&self, index: WorkerIndex, now: Timestamp) -> bool {
+        let worker = &self.workers[index];
+        if worker.circuit_breaker.is_restricted(now) {
+            return true;
+        }
+        let is_enough_left = |label: Option<&String>| {
+            let group = self.workers.iter().filter(|it| {
+                let is_up = it.is_listed && !it.is_silent && !it.listing.is_draining;
+                is_up
+                    && it.listing.service == worker.listing.service
+                    && label.is_none_or(|label| it.has_label(label))
+            });
+            let (mut restricted, mut workers) = (0, 0);
+            for it in group {
+                workers += 1;
+                restricted += usize::from(it.circuit_breaker.is_restricted(now));
+            }
+            circuit_breaker::may_suspend(restricted, workers)
+        };
+        is_enough_left(None) && worker.listing.labels.iter().all(|it| is_enough_left(Some(it)))
+    }
+
     pub(super) fn is_current(&self, index: WorkerIndex, task: TaskKey, run: RunNumber) -> bool {
         self.current_run(index, task, run).is_some()
     }
@@ -401,7 +427,7 @@
         });
         if !is_long_running && STALL_TIMEOUT_MS <= stalled_ms && !is_paced_down {
             slot.avoid = Some(index);
-            self.workers[index].circuit_breaker.record_failure(now);
+            self.record_failure(index, row.task, "no progress", now);
             self.stop(index, row.task, row.run, "no progress", now);
         }
     }
--- /dev/null
+++ b/crates/mustardcove-core/tests/planner_suspension.rs
@@ -0,0 +1,132 @@
+//! How many workers may be suspended at once.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use fleet_world::{manifest, step, submission};
+use mustardcove_core::{
+    fleet::{
+        id::{SubmissionId, TaskKey},
+        message::EndKind,
+        submission::StepSpec,
+    },
+    id::WorkerId,
+};
+use planner_rig::Rig;
+
+/// Processors of each worker, in millicores.
+const CPU: u64 = 8_000;
+const WORKERS: [(&str, u64); 6] =
+    [("w0", CPU), ("w1", CPU), ("w2", CPU), ("w3", CPU), ("w4", CPU), ("w5", CPU)];
+/// Longest time that accepted work may have no run beside free capacity, in
+/// milliseconds, by the users' rules.
+const MAX_IDLE_MS: u64 = 3_000;
+const STEP_MS: u64 = 100;
+/// Ids from which submissions cannot be done.
+const HOPELESS: u64 = 1_000;
+
+/// Advances time by `STEP_MS`: the runs of hopeless submissions fail, and the
+/// others are done.
+fn advance(rig: &mut Rig) -> Vec<SubmissionId> {
+    rig.advance(STEP_MS);
+    let running: Vec<(TaskKey, WorkerId)> = rig.running().into_iter().collect();
+    for (task, worker) in running {
+        let is_hopeless = HOPELESS <= task.step.submission.0;
+        let kind = if is_hopeless { EndKind::Failed } else { EndKind::Done };
+        rig.end(&worker, task, kind);
+    }
+    rig.poll_all();
+    let starts = rig.plan();
+    rig.store();
+    starts.into_iter().map(|it| it.1.task.step.submission).collect()
+}
+
+/// Returns how long a new submission waits for its first start, up to 10 s.
+fn wait_ms(rig: &mut Rig, id: u64, step: StepSpec) -> u64 {
+    rig.submit(submission(id, vec![step], rig.now));
+    let is_started = |_: &u64| advance(rig).contains(&SubmissionId(id));
+    (1..100).find(is_started).unwrap_or(100) * STEP_MS
+}
+
+/// Guards against work that waits on an idle fleet because submissions that
+/// can never be done have every worker suspended: a worker was suspended by
+/// any two failures, up to 8 s at a time.
+#[test]
+fn hopeless_submissions() {
+    let mut rig = Rig::new(manifest(3), &WORKERS);
+    for id in HOPELESS..HOPELESS + 40 {
+        rig.submit(submission(id, vec![step(6, 1_000, &[])], rig.now));
+    }
+    for _ in 0..3 {
+        advance(&mut rig);
+    }
+    for id in 1..8 {
+        let waited_ms = wait_ms(&mut rig, id, step(1, 1_000, &[]));
+        assert!(waited_ms <= MAX_IDLE_MS, "submission {id} waited {waited_ms} ms");
+    }
+}
+
+/// Guards against the same through long-running tasks that always fail. They
+/// have no limit of attempts, so they had every worker suspended for good.
+#[test]
+fn hopeless_long_running() {
+    let mut rig = Rig::new(manifest(3), &WORKERS);
+    let step_of = |count| StepSpec { is_long_running: true, ..step(count, 500, &[]) };
+    rig.submit(submission(HOPELESS, vec![step_of(12)], rig.now));
+    for _ in 0..300 {
+        advance(&mut rig);
+    }
+    for id in 1..8 {
+        let waited_ms = wait_ms(&mut rig, id, step(1, 1_000, &[]));
+        assert!(waited_ms <= MAX_IDLE_MS, "submission {id} waited {waited_ms} ms");
+    }
+}
+
+/// Guards against work that needs a label and waits because exactly the
+/// workers with that label are suspended.
+#[test]
+fn workers_of_one_label() {
+    let mut rig = Rig::new(manifest(3), &WORKERS);
+    rig.update_listings(|it| {
+        let rack = if it.worker.as_str() < "w2" { "r1" } else { "r2" };
+        it.labels = vec!["a".to_owned(), rack.to_owned()];
+    });
+    let labelled =
+        |count| StepSpec { requirement: Some("r1".to_owned()), ..step(count, 1_000, &[]) };
+    for id in HOPELESS..HOPELESS + 10 {
+        rig.submit(submission(id, vec![labelled(4)], rig.now));
+    }
+    for _ in 0..3 {
+        advance(&mut rig);
+    }
+    for id in 1..8 {
+        let waited_ms = wait_ms(&mut rig, id, labelled(1));
+        assert!(waited_ms <= MAX_IDLE_MS, "submission {id} waited {waited_ms} ms");
+    }
+}
+
+/// Guards against a bound that lets failing workers use up attempts: a third
+/// of the workers may fail everything, and each gets few runs.
+#[test]
+fn failing_workers() {
+    let mut rig = Rig::new(manifest(50), &WORKERS);
+    let is_failing = |it: &WorkerId| it.as_str() < "w2";
+    let mut failed = 0;
+    for id in 1..=100u64 {
+        rig.submit(submission(id, vec![step(4, 1_000, &[])], rig.now));
+        rig.advance(STEP_MS);
+        let running: Vec<(TaskKey, WorkerId)> = rig.running().into_iter().collect();
+        for (task, worker) in running {
+            failed += u64::from(is_failing(&worker));
+            let kind = if is_failing(&worker) { EndKind::Failed } else { EndKind::Done };
+            rig.end(&worker, task, kind);
+        }
+        rig.poll_all();
+        rig.plan();
+    }
+    assert!(failed <= 12, "{failed} of 400 runs failed in 10 s on two failing workers");
+}
