Count a stalled run once against its worker

A run without progress for 2.5 s is stopped, and counts as a failure of its worker. Each further poll that listed the run, until the stop had taken effect, counted it again, so that one stalled task suspended its worker, though the circuit breaker asks for two failures.

Evidence: the test stall_counted_once failed before ("one stall suspends no worker", left: 1, right: 0) and passes now. In that test the worker answers polls every 250 ms and its stop takes longer than two polls; the users' workers take up to 400 ms for a stop.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -425,7 +425,8 @@
             it.over_target_since = is_over_target.then(|| it.over_target_since.unwrap_or(now));
             it.pace < 50 || now.ms_since(it.pace_set_at) < STALL_TIMEOUT_MS
         });
-        if !is_long_running && STALL_TIMEOUT_MS <= stalled_ms && !is_paced_down {
+        let is_stalled = !is_long_running && STALL_TIMEOUT_MS <= stalled_ms && !is_paced_down;
+        if is_stalled && !self.stops.contains_key(&(index, row.task, row.run)) {
             slot.avoid = Some(index);
             self.record_failure(index, row.task, "no progress", now);
             self.stop(index, row.task, row.run, "no progress", now);
--- /dev/null
+++ b/crates/mustardcove-core/tests/planner_stalls.rs
@@ -0,0 +1,54 @@
+//! Runs that make no progress.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use fleet_world::{manifest, step, submission};
+use mustardcove_core::fleet::{message::Order, planner::DecisionKind, submission::StepSpec};
+use planner_rig::Rig;
+
+/// Time between two polls, in milliseconds.
+const POLL_MS: u64 = 250;
+/// Time without progress after which any short task is given up, in
+/// milliseconds.
+const STALLED_MS: u64 = 2_750;
+
+/// What the planner did while the workers answered polls and carried out no
+/// order.
+#[derive(Default)]
+struct Reaction {
+    stops: usize,
+    suspended: usize,
+}
+
+fn watch(rig: &mut Rig, ms: u64) -> Reaction {
+    let mut reaction = Reaction::default();
+    for _ in 0..ms / POLL_MS {
+        rig.advance(POLL_MS);
+        rig.poll_all();
+        rig.planner.tick(rig.now);
+        let actions = rig.planner.take_actions();
+        let stops = actions.orders.iter().filter(|it| matches!(it.1, Order::Stop { .. }));
+        reaction.stops += stops.count();
+        let kinds = actions.decisions.iter().map(|it| it.kind);
+        reaction.suspended += kinds.filter(|it| *it == DecisionKind::WorkerSuspended).count();
+    }
+    reaction
+}
+
+/// Guards against a worker that is suspended because of one stalled run: each
+/// poll that listed it until its stop had taken effect counted as one more.
+#[test]
+fn stall_counted_once() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
+    rig.submit(submission(1, vec![step(1, 1_000, &[])], rig.now));
+    assert_eq!(rig.plan().len(), 1);
+    let reaction = watch(&mut rig, STALLED_MS + 4 * POLL_MS);
+    assert!(1 <= reaction.stops, "the stalled run is stopped");
+    assert_eq!(reaction.suspended, 0, "one stall suspends no worker");
+    assert_eq!(rig.planner.counts(rig.now).schedulable_workers, 2);
+}
