Give long tasks more time before they count as stalled

A run whose percentage does not change for 2.5 s was taken for stalled. Progress is whole percent, so each task of more than 250 s was stopped every 2.5 s, and two such stops suspended a worker.

The time is now longer by 4 % of the caller's estimate: four times what one percent takes, for workers that are slow or far from the data. For the tasks of the users' sites, at most 5.4 s of work, that is 0.2 s more.

Evidence: the test long_task failed before ("stopped at 1 percent", left: 2, right: 0) and passes now.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -29,6 +29,10 @@
 /// Time without progress after which a run is given up, in milliseconds:
 /// longer than a restore and the age of two polls.
 const STALL_TIMEOUT_MS: u64 = 2_500;
+/// Part of a task's estimated duration by which that time is longer, in
+/// percent. Progress is reported in whole percent, so a long task shows none
+/// for a hundredth of its duration, and for several on a slow worker.
+const STALL_ESTIMATE_PERCENT: u64 = 4;
 
 impl Planner {
     /// Handles a report of the process that polls the worker.
@@ -398,8 +402,10 @@
 
     fn update_progress(&mut self, index: WorkerIndex, row: &RunningTask, now: Timestamp) {
         let Some(work) = self.work.get_mut(&row.task.step.submission) else { return };
-        let is_long_running =
-            work.submission.steps[usize::from(row.task.step.step)].is_long_running;
+        let spec = &work.submission.steps[usize::from(row.task.step.step)];
+        let is_long_running = spec.is_long_running;
+        let stall_timeout_ms =
+            STALL_TIMEOUT_MS + spec.estimate_ms.saturating_mul(STALL_ESTIMATE_PERCENT) / 100;
         let Some(slot) = work.task_mut(row.task) else { return };
         if row.checkpoint.is_some() {
             slot.checkpoint.clone_from(&row.checkpoint);
@@ -423,9 +429,9 @@
                 bound <= row.measurement
             });
             it.over_target_since = is_over_target.then(|| it.over_target_since.unwrap_or(now));
-            it.pace < 50 || now.ms_since(it.pace_set_at) < STALL_TIMEOUT_MS
+            it.pace < 50 || now.ms_since(it.pace_set_at) < stall_timeout_ms
         });
-        let is_stalled = !is_long_running && STALL_TIMEOUT_MS <= stalled_ms && !is_paced_down;
+        let is_stalled = !is_long_running && stall_timeout_ms <= stalled_ms && !is_paced_down;
         if is_stalled && !self.stops.contains_key(&(index, row.task, row.run)) {
             slot.avoid = Some(index);
             self.record_failure(index, row.task, "no progress", now);
--- a/crates/mustardcove-core/tests/planner_stalls.rs
+++ b/crates/mustardcove-core/tests/planner_stalls.rs
@@ -52,3 +52,20 @@
     assert_eq!(reaction.suspended, 0, "one stall suspends no worker");
     assert_eq!(rig.planner.counts(rig.now).schedulable_workers, 2);
 }
+
+/// Guards against a long task that never ends: at one percent in 4 s it was
+/// taken for stalled and started again every 2.5 s.
+#[test]
+fn long_task() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
+    let long = StepSpec { estimate_ms: 400_000, ..step(1, 1_000, &[]) };
+    rig.submit(submission(1, vec![long], rig.now));
+    let (worker, start) = rig.plan().remove(0);
+    for percent in 1..10 {
+        let reaction = watch(&mut rig, 4_000);
+        assert_eq!(reaction.stops, 0, "stopped at {percent} percent");
+        rig.set_measurement(&worker, start.task, 1_000, percent);
+    }
+    let reaction = watch(&mut rig, 30_000);
+    assert!(1 <= reaction.stops, "it is stopped once it does stall");
+}
