Do not count a gang that waits against the workers of its members

The members of a gang make no progress until all of them run. If one start is lost, the others are stopped after 2.5 s, before the worker gives them up after 3 s, and each counted as a failure of its worker. Two such gangs suspended every worker that had a member of both.

A gang without progress is still stopped, and its tasks still avoid those workers, but no failure is counted.

Evidence: the test waiting_gang failed before (left: 1, right: 0) and passes now.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -403,7 +403,7 @@
     fn update_progress(&mut self, index: WorkerIndex, row: &RunningTask, now: Timestamp) {
         let Some(work) = self.work.get_mut(&row.task.step.submission) else { return };
         let spec = &work.submission.steps[usize::from(row.task.step.step)];
-        let is_long_running = spec.is_long_running;
+        let (is_long_running, is_gang) = (spec.is_long_running, spec.is_gang);
         let stall_timeout_ms =
             STALL_TIMEOUT_MS + spec.estimate_ms.saturating_mul(STALL_ESTIMATE_PERCENT) / 100;
         let Some(slot) = work.task_mut(row.task) else { return };
@@ -434,7 +434,11 @@
         let is_stalled = !is_long_running && stall_timeout_ms <= stalled_ms && !is_paced_down;
         if is_stalled && !self.stops.contains_key(&(index, row.task, row.run)) {
             slot.avoid = Some(index);
-            self.record_failure(index, row.task, "no progress", now);
+            // A member of a gang makes no progress while another one is
+            // missing or stalls.
+            if !is_gang {
+                self.record_failure(index, row.task, "no progress", now);
+            }
             self.stop(index, row.task, row.run, "no progress", now);
         }
     }
--- a/crates/mustardcove-core/tests/planner_stalls.rs
+++ b/crates/mustardcove-core/tests/planner_stalls.rs
@@ -69,3 +69,17 @@
     let reaction = watch(&mut rig, 30_000);
     assert!(1 <= reaction.stops, "it is stopped once it does stall");
 }
+
+/// Guards against workers that are suspended because of gangs that wait for a
+/// missing member: that is not the fault of those where the others wait.
+#[test]
+fn waiting_gang() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000), ("w2", 4_000)]);
+    let gang = StepSpec { is_gang: true, max_per_worker: Some(1), ..step(3, 1_000, &[]) };
+    rig.submit(submission(1, vec![gang.clone()], rig.now));
+    rig.submit(submission(2, vec![gang], rig.now));
+    assert_eq!(rig.plan().len(), 6);
+    let reaction = watch(&mut rig, STALLED_MS + POLL_MS);
+    assert!(1 <= reaction.stops, "the waiting members are stopped");
+    assert_eq!(reaction.suspended, 0);
+}
