Bound suspensions by pool and kind, not by rack

With a bound on suspended workers for each label, half of a rack on which everything fails stays in use. Workers of one rack may well fail together, so only the pool and the kind of the workers bound suspensions now.

--- a/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
+++ b/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
@@ -10,7 +10,7 @@
 //!
 //! A failure may also be the task's own fault, and a single failure does not
 //! tell which. The share of workers that are suspended or on probation is
-//! therefore bounded, for each pool and each label in it: submissions that can
+//! therefore bounded, for each pool and each kind of workers in it: submissions that can
 //! never be done would otherwise suspend every worker, and none would be left
 //! on which a run could be done.
 
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -203,18 +203,19 @@
     }
 
     /// Returns whether a worker may be suspended: enough others of its pool,
-    /// and of those there with each of its labels, accept work.
+    /// and of those there of its kind, accept work. Workers of one rack may
+    /// fail together, so the rack does not bound it.
     fn may_suspend(&self, index: WorkerIndex, now: Timestamp) -> bool {
         let worker = &self.workers[index];
         if worker.circuit_breaker.is_restricted(now) {
             return true;
         }
-        let is_enough_left = |label: Option<&String>| {
+        let is_enough_left = |kind: Option<&String>| {
             let group = self.workers.iter().filter(|it| {
                 let is_up = it.is_listed && !it.is_silent && !it.listing.is_draining;
                 is_up
                     && it.listing.service == worker.listing.service
-                    && label.is_none_or(|label| it.has_label(label))
+                    && kind.is_none_or(|kind| it.has_label(kind))
             });
             let (mut restricted, mut workers) = (0, 0);
             for it in group {
@@ -223,7 +224,8 @@
             }
             circuit_breaker::may_suspend(restricted, workers)
         };
-        is_enough_left(None) && worker.listing.labels.iter().all(|it| is_enough_left(Some(it)))
+        let kind = worker.listing.labels.first();
+        is_enough_left(None) && (kind.is_none() || is_enough_left(kind))
     }
 
     pub(super) fn is_current(&self, index: WorkerIndex, task: TaskKey, run: RunNumber) -> bool {
