Keep ends of runs whose submission is not planned yet

What callers saw: possibly a task that ran again after it was done (TWICE), or more attempts than its queue allows (BUDGET), after a change of the leader.

Cause: a leader can learn of an end before it learns of the submission: the submission was stored after the leader had read the records, a leader that was being replaced started it, and the watch is late or the store is away. run_done and run_failed then returned early, but the end counted as processed and was acknowledged with the next write, so that its worker forgot it. Once the submission arrived, the task was started again. A listed run of such a submission has always been looked up; an end was not.

The end is now kept, and not acknowledged, until its submission is planned or a lookup finds none; then it is applied like any other end. The allocation is still released at once. Later ends of the same worker are processed meanwhile, and acknowledged after it, since acknowledgements go by number.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -44,9 +44,9 @@
     workers::WorkerListing,
 };
 use super::{
-    id::{RunNumber, StepKey, SubmissionId, TaskKey, Term},
+    id::{Incarnation, RunNumber, StepKey, SubmissionId, TaskKey, Term},
     manifest::{Manifest, Queue},
-    message::Order,
+    message::{EndedRun, Order},
     record::{LearnedInterference, ProgressRecord},
     submission::{StepSpec, Submission, SubmissionState},
 };
@@ -75,8 +75,8 @@
     pub orders: Vec<(WorkerId, Order)>,
     /// States to publish to callers.
     pub states: Vec<(SubmissionId, SubmissionState)>,
-    /// Submissions that workers run and the plan does not contain, to be read
-    /// from the store.
+    /// Submissions that workers run or ran and the plan does not contain, to be
+    /// read from the store.
     pub submission_lookups: Vec<SubmissionId>,
     /// Requests to the recommendation service.
     pub ticket_requests: Vec<TicketRequest>,
@@ -145,6 +145,18 @@
 
 type RunKey = (WorkerIndex, TaskKey, RunNumber);
 
+/// Stands for the change of an end whose submission is not planned yet, which
+/// is never stored, so that the end is not acknowledged.
+const UNKNOWN_CHANGE: u64 = u64::MAX;
+
+/// An end of a run whose submission is not in the plan yet.
+#[derive(Clone, Debug)]
+struct UnplannedEnd {
+    worker: WorkerIndex,
+    incarnation: Option<Incarnation>,
+    end: EndedRun,
+}
+
 /// The plan of one term; see the module documentation.
 #[derive(Debug)]
 pub struct Planner {
@@ -171,6 +183,8 @@
     /// Cancelled submissions that are not in the plan yet. Records that are
     /// read by key come in another order than they were written.
     cancelled_early: BTreeSet<SubmissionId>,
+    /// Ends that are applied once their submission has been looked up.
+    unplanned_ends: BTreeMap<SubmissionId, Vec<UnplannedEnd>>,
     /// Submissions that are being looked up in the store.
     looked_up: BTreeSet<SubmissionId>,
     /// Until this time, a worker that was not polled yet may run work of an
@@ -210,6 +224,7 @@
             dirty: BTreeSet::new(),
             unpublished: Vec::new(),
             cancelled_early: BTreeSet::new(),
+            unplanned_ends: BTreeMap::new(),
             looked_up: BTreeSet::new(),
             earlier_leases_expire_by,
             interference: InterferenceModel::default(),
@@ -285,18 +300,21 @@
         self.waiting.extend(steps);
         self.scheduled.insert(id);
         self.begin_due(id, now);
+        self.resolve_unplanned_ends(id, now);
         if self.cancelled_early.remove(&id) {
             self.cancel(id, now);
         }
     }
 
-    /// Handles a lookup that found no submission: its runs are stopped.
+    /// Handles a lookup that found no submission: its runs are stopped, and
+    /// its ends have no effect.
     pub fn submission_not_found(&mut self, id: SubmissionId, now: Timestamp) {
         self.looked_up.remove(&id);
         let runs: Vec<RunKey> = self.allocated_runs(id);
         for (worker, task, run) in runs {
             self.stop(worker, task, run, "no such submission", now);
         }
+        self.resolve_unplanned_ends(id, now);
     }
 
     /// Returns whether a submission is in the plan.
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -2,12 +2,12 @@
 
 use super::{
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
-    pace,
+    UNKNOWN_CHANGE, UnplannedEnd, pace,
     work::{Phase, Run, Work, WorkerIndex},
 };
 use crate::{
     fleet::{
-        id::{RunNumber, StepKey, TaskKey},
+        id::{RunNumber, StepKey, SubmissionId, TaskKey},
         message::{EndKind, EndedRun, PollResult, RunningTask, StartOutcome, WorkerReport},
         submission::SubmissionState,
     },
@@ -160,6 +160,23 @@
             self.workers[index].release(end.task);
         }
         self.update_circuit_breaker(index, end, now);
+        let id = end.task.step.submission;
+        let counts = matches!(end.kind, EndKind::Done | EndKind::Failed);
+        if counts && !self.work.contains_key(&id) {
+            let incarnation = self.workers[index].incarnation;
+            let unplanned = UnplannedEnd { worker: index, incarnation, end: end.clone() };
+            self.unplanned_ends.entry(id).or_default().push(unplanned);
+            self.workers[index].unstored_ends.push_back((end.number, UNKNOWN_CHANGE));
+            self.request_lookup(id);
+            return;
+        }
+        self.apply_end(index, end, now);
+        let change = self.change;
+        self.workers[index].unstored_ends.push_back((end.number, change));
+    }
+
+    /// Applies an end to the task that it belongs to.
+    fn apply_end(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
         match end.kind {
             EndKind::Done => self.run_done(index, end, now),
             EndKind::Failed => self.run_failed(index, end, now),
@@ -172,8 +189,24 @@
                 }
             }
         }
-        let change = self.change;
-        self.workers[index].unstored_ends.push_back((end.number, change));
+    }
+
+    /// Applies the ends that were listed before their submission was planned,
+    /// or drops them if there is no such submission, and lets them be
+    /// acknowledged.
+    pub(super) fn resolve_unplanned_ends(&mut self, id: SubmissionId, now: Timestamp) {
+        for it in self.unplanned_ends.remove(&id).unwrap_or_default() {
+            self.apply_end(it.worker, &it.end, now);
+            let change = self.change;
+            let worker = &mut self.workers[it.worker];
+            if worker.incarnation != it.incarnation {
+                continue;
+            }
+            let mut unstored = worker.unstored_ends.iter_mut();
+            if let Some(unstored) = unstored.find(|unstored| unstored.0 == it.end.number) {
+                unstored.1 = change;
+            }
+        }
     }
 
     fn update_circuit_breaker(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
@@ -341,6 +374,10 @@
         if !self.workers[index].allocations.contains_key(&row.task) {
             self.workers[index].allocate(row.task, unknown);
         }
+        self.request_lookup(id);
+    }
+
+    fn request_lookup(&mut self, id: SubmissionId) {
         if self.looked_up.insert(id) {
             self.actions.submission_lookups.push(id);
         }
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -33,6 +33,8 @@
     pub(crate) now: Timestamp,
     pub(crate) states: BTreeMap<SubmissionId, SubmissionState>,
     pub(crate) orders: Vec<(WorkerId, Order)>,
+    /// Submissions that the planner wants to be looked up.
+    pub(crate) lookups: Vec<SubmissionId>,
     workers: BTreeMap<WorkerId, WorkerState>,
     listings: Vec<WorkerListing>,
 }
@@ -46,6 +48,7 @@
             now: START,
             states: BTreeMap::new(),
             orders: Vec::new(),
+            lookups: Vec::new(),
             workers: listings
                 .iter()
                 .map(|it| (it.worker.clone(), WorkerState::default()))
@@ -119,6 +122,7 @@
         self.planner.tick(self.now);
         let actions: Actions = self.planner.take_actions();
         self.states.extend(actions.states);
+        self.lookups.extend(actions.submission_lookups);
         let mut starts = Vec::new();
         for (worker, order) in actions.orders {
             let state = self.workers.get_mut(&worker).expect("a worker");
