Drop messages for the leader task that do not fit into its queue

What callers saw: possibly a few seconds without starts, because a process that had been replaced as the leader took the leadership back.

Cause: the task that dispatches all messages of a process waited for a place in the queue of the leader task. That task does not receive while it reads the records of earlier leaders, which lasts as long as the store does not answer, nor after its term. With a full queue, the process handled no message at all: no heartbeat of its successor, no orders for the workers that it polls, no acknowledgement for its outbox. After its term nothing emptied the queue, so it claimed the leadership again, because it heard of no other leader.

A message that does not fit is now dropped and counted in the new metric leader_inputs_dropped. This is safe because the transport does not guarantee delivery either: outboxes, reports and assignments are repeated.

--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -13,7 +13,7 @@
 };
 use mustardcove_runtime::peer::PeerEvent;
 use slog::{info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{self, error::TrySendError};
 
 use crate::{
     durable,
@@ -50,18 +50,29 @@
                         "graceful" => graceful);
                     shared.update_candidacy(Candidacy::connection_broke);
                 }
-                to_leader(&shared, &routes, LeaderInput::Down { process }).await;
+                to_leader(&shared, &routes, LeaderInput::Down { process });
             }
         }
     }
 }
 
 /// Passes an input to the leader task; drops it while this process does not
-/// lead.
-async fn to_leader(shared: &Shared, routes: &Routes, input: LeaderInput) {
+/// lead, or if the queue is full.
+///
+/// The leader task does not receive while it reads the records of earlier
+/// leaders, which lasts as long as the store does not answer, nor after its
+/// term. Waiting for it would keep the heartbeats of its successor and the
+/// orders for this process's workers from being handled. Senders repeat what
+/// must arrive.
+fn to_leader(shared: &Shared, routes: &Routes, input: LeaderInput) {
     let is_leader = shared.leadership.borrow().leader.as_ref() == Some(&shared.process);
-    if is_leader && routes.leader.send(input).await.is_err() {
-        warn!(shared.log, "leader task has ended");
+    if !is_leader {
+        return;
+    }
+    match routes.leader.try_send(input) {
+        Ok(()) => {}
+        Err(TrySendError::Full(_)) => shared.metrics.leader_input_dropped(),
+        Err(TrySendError::Closed(_)) => warn!(shared.log, "leader task has ended"),
     }
 }
 
@@ -95,7 +106,7 @@
         | FleetMessage::Report { .. }
         | FleetMessage::Submitted(_)
         | FleetMessage::Cancelled(_) => {
-            to_leader(shared, routes, LeaderInput::Message { from, message }).await;
+            to_leader(shared, routes, LeaderInput::Message { from, message });
         }
         FleetMessage::Store { request, change } => {
             let shared = shared.clone();
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -22,6 +22,7 @@
     store_faults: Counter<u64>,
     polls: Counter<u64>,
     orders: Counter<u64>,
+    leader_inputs_dropped: Counter<u64>,
     waiting_steps: Gauge<u64>,
     blocked_submissions: Gauge<u64>,
     placed_runs: Gauge<u64>,
@@ -44,6 +45,10 @@
             store_faults: counter("store_faults", "Store calls without a usable answer."),
             polls: counter("worker_looks", "Looks at workers by result."),
             orders: counter("worker_orders", "Orders to workers by kind and outcome."),
+            leader_inputs_dropped: counter(
+                "leader_inputs_dropped",
+                "Messages for the leader task that did not fit into its queue.",
+            ),
             waiting_steps: gauge("waiting_steps", "Steps with tasks that wait, at the leader."),
             blocked_submissions: gauge(
                 "blocked_submissions",
@@ -81,6 +86,11 @@
         self.orders.add(1, &labels);
     }
 
+    /// Counts a message for the leader task that did not fit into its queue.
+    pub fn leader_input_dropped(&self) {
+        self.leader_inputs_dropped.add(1, &[]);
+    }
+
     /// Sets the gauges that describe the plan.
     pub fn record_plan(&self, counts: PlanCounts) {
         self.waiting_steps.record(counts.waiting_steps as u64, &[]);
