Send all states only to a process that has reported again

What callers saw: a process that was cut off from the leader for some seconds could answer "queued" or "running" for good about submissions that had ended meanwhile.

Cause: when its last connection to a process was lost, the leader marked the process to be sent the states of all submissions, and sent them with the next heartbeat, at most 250 ms later. If the process was still cut off, the transport dropped the messages, but the process counted as synchronized. Later changes were sent, earlier ones never.

The states now wait for the first report that arrives after the loss, which shows that messages get through again.

--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -42,6 +42,9 @@
     record: ProcessRecord,
     last_report_at: Option<Timestamp>,
     reached_store_at: Option<Timestamp>,
+    /// Whether it has reported since its last connection was lost. Before,
+    /// messages to it may be dropped.
+    is_connected: bool,
     /// Whether it was sent the states of all submissions in this term.
     is_synced: bool,
     /// The workers of the last assignment sent to it.
@@ -108,6 +111,7 @@
         let process = Process {
             last_report_at: None,
             reached_store_at: None,
+            is_connected: false,
             is_synced: false,
             sent_assignment: BTreeMap::new(),
             assignment_sent_at: Timestamp::default(),
@@ -133,6 +137,7 @@
             info!(self.shared.log, "process joined"; "joined" => %process, "term" => %self.term);
         }
         it.last_report_at = Some(now);
+        it.is_connected = true;
         if reaches_store {
             it.reached_store_at = Some(now);
         }
@@ -142,6 +147,7 @@
     /// lost unless it reports within [`RECONNECT_GRACE_MS`].
     pub(super) fn connection_lost(&mut self, process: &ProcessId, now: Timestamp) {
         let Some(it) = self.processes.get_mut(process) else { return };
+        it.is_connected = false;
         it.is_synced = false;
         it.assignment_sent_at = Timestamp::default();
         let latest = now.minus_ms(LOST_AFTER_MS - RECONNECT_GRACE_MS);
@@ -163,12 +169,12 @@
         self.processes.values().filter(reaches).map(|it| it.record.process.clone()).collect()
     }
 
-    /// Returns the processes that have reported and were not sent all states
-    /// yet, and marks them as sent.
+    /// Returns the connected processes that were not sent all states yet, and
+    /// marks them as sent.
     pub(super) fn take_unsynced(&mut self) -> Vec<ProcessId> {
         let mut unsynced = Vec::new();
         for process in self.processes.values_mut() {
-            if process.last_report_at.is_some() && !process.is_synced {
+            if process.is_connected && !process.is_synced {
                 process.is_synced = true;
                 unsynced.push(process.record.process.clone());
             }
