Treat a submission that was stored before as possibly started

What callers saw: possibly a task that ran twice at once (TWICE) after a change of the leader.

Cause: a process that was sent a submission again, for example because the first answer was lost, finds that its key exists, and told the leader that no other leader can have started it. The process that stored the submission may have told an earlier leader, which may still run it. The leader then did not wait for that leader's leases.

Evidence: repeated_submission_may_have_started failed before, at the assertion of may_have_started. new_submission_has_not_started passes before and after: new submissions still start without a wait.

A write whose condition failed, because the key exists, now marks the entry of the outbox as possibly started. An entry that is added again keeps the first term in which it was sent.

--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -57,12 +57,15 @@
     let mut pause = RETRY_PAUSE;
     loop {
         match write_once(shared, change).await {
-            Ok(outcome) => {
+            Ok(written) => {
                 shared.store_answered();
-                if outcome == StoreOutcome::Stored {
-                    announce(shared, change);
-                }
-                return outcome;
+                return match written {
+                    Written::Now | Written::Earlier => {
+                        announce(shared, change, written == Written::Now);
+                        StoreOutcome::Stored
+                    }
+                    Written::NoSuchSubmission => StoreOutcome::NoSuchSubmission,
+                };
             }
             Err(fault) => {
                 shared.metrics.store_fault();
@@ -91,27 +94,40 @@
     }
 }
 
-async fn write_once(shared: &Shared, change: &StoreChange) -> Result<StoreOutcome, StoreFault> {
+/// Result of one attempt to write a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    /// It took effect.
+    Now,
+    /// The change was stored before, by this or another process.
+    Earlier,
+    /// There is no submission to cancel.
+    NoSuchSubmission,
+}
+
+async fn write_once(shared: &Shared, change: &StoreChange) -> Result<Written, StoreFault> {
     if let StoreChange::Cancel(id) = change
         && find_state(shared, *id).await?.is_none()
     {
-        return Ok(StoreOutcome::NoSuchSubmission);
+        return Ok(Written::NoSuchSubmission);
     }
     let (key, value) = encode_change(change);
     let write = Write::default().expect(key.clone(), 0).set(key, &value);
     // A conflict means that the key exists already, as it should.
     match shared.store.write(&write).await? {
-        WriteOutcome::Committed(_) | WriteOutcome::Conflict(_) => Ok(StoreOutcome::Stored),
+        WriteOutcome::Committed(_) => Ok(Written::Now),
+        WriteOutcome::Conflict(_) => Ok(Written::Earlier),
     }
 }
 
 /// Records a stored change for callers of this process, and puts it into the
-/// outbox for the leader.
-fn announce(shared: &Shared, change: &StoreChange) {
+/// outbox for the leader. `is_new` states that no other process can have told
+/// a leader of it.
+fn announce(shared: &Shared, change: &StoreChange, is_new: bool) {
     match change {
         StoreChange::Submit(submission) => {
             shared.states().record(submission.id, SubmissionState::Queued);
-            shared.outbox.add_submission(submission.clone());
+            shared.outbox.add_submission(submission.clone(), is_new);
         }
         StoreChange::Cancel(id) => {
             shared.states().record(*id, SubmissionState::Cancelled);
--- a/crates/mustardcove-node/src/outbox.rs
+++ b/crates/mustardcove-node/src/outbox.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 struct Unacknowledged {
     submission: Arc<Submission>,
+    /// Whether only this process can have told a leader of it.
+    is_new: bool,
     /// The first term whose leader was sent the submission.
     first_term: Option<Term>,
 }
@@ -44,11 +46,14 @@
         lock(&self.content)
     }
 
-    /// Adds a submission.
-    pub fn add_submission(&self, submission: Arc<Submission>) {
-        self.lock()
-            .submissions
-            .insert(submission.id, Unacknowledged { submission, first_term: None });
+    /// Adds a submission unless it was added before. `is_new` states that only
+    /// this process can have told a leader of it.
+    pub fn add_submission(&self, submission: Arc<Submission>, is_new: bool) {
+        self.lock().submissions.entry(submission.id).or_insert(Unacknowledged {
+            submission,
+            is_new,
+            first_term: None,
+        });
         self.added.notify_one();
     }
 
@@ -85,7 +90,8 @@
             let submitted = content.submissions.values_mut().map(|it| {
                 let first_term = *it.first_term.get_or_insert(term);
                 let submission = it.submission.clone();
-                Submitted { submission, may_have_started: first_term != term }
+                let may_have_started = !it.is_new || first_term != term;
+                Submitted { submission, may_have_started }
             });
             messages.push(FleetMessage::Submitted(submitted.collect()));
         }
