Tell the leader of submissions that are found in the store

What callers saw: possibly accepted work that never runs (LOST) although every process answers that it is queued.

Cause: a state query, or a repeated submission after one, records the state that it reads from the store in the cache, and the process never tells the leader. If the process that accepted the submission has died before it told the leader, the leader learns of it by its watch only. A gap there lasts until the next leader, and nothing in the logs says so.

Evidence: found_submission_is_announced failed before with "the leader is not told".

The leader sends the states of its whole plan, so a submission without a cached state may be missing there. It is now passed to the leader unless it has ended, as possibly started, and a log line names it. The leader ignores a submission that it has planned.

--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -176,13 +176,20 @@
     if let Some(state) = shared.states().state(id) {
         return Ok(Some(state));
     }
-    let submission = shared.store.get(&record::key_of(SUBMISSION_PREFIX, id)).await?;
-    if submission.is_none() {
-        return Ok(None);
-    }
+    let item = shared.store.get(&record::key_of(SUBMISSION_PREFIX, id)).await?;
+    let Some(item) = item else { return Ok(None) };
     let progress = shared.store.get(&record::key_of(PROGRESS_PREFIX, id)).await?;
     let progress = progress.and_then(|it| decode_progress(shared, &it));
     let state = progress.map_or(SubmissionState::Queued, |it| it.state);
+    info!(shared.log, "submission without a cached state"; "submission" => %id,
+        "state" => %state, "revision" => item.revision);
+    // The leader sends the states of its whole plan, so it may not know of this
+    // submission, and the process that accepted it may have died.
+    if !state.is_final()
+        && let Some(submission) = decode_submission(shared, &item)
+    {
+        shared.outbox.add_submission(submission, false);
+    }
     shared.states().record(id, state);
     Ok(Some(state))
 }
--- a/crates/mustardcove-node/tests/stored_changes.rs
+++ b/crates/mustardcove-node/tests/stored_changes.rs
@@ -11,7 +11,7 @@
     id::{SubmissionId, Term},
     message::{FleetMessage, StoreChange, StoreOutcome, Submitted},
     record::{self, SUBMISSION_PREFIX},
-    submission::{StepSpec, Submission},
+    submission::{StepSpec, Submission, SubmissionState},
 };
 use mustardcove_node::durable;
 
@@ -41,6 +41,19 @@
     local.shared.outbox.messages(Term(term)).into_iter().flat_map(submitted).collect()
 }
 
+/// Guards against accepted work that never runs: its process has died before it
+/// told the leader, and the others answer callers without telling the leader.
+#[tokio::test]
+async fn found_submission_is_announced() {
+    let local = Local::start().await;
+    store_elsewhere(&local);
+    let state = durable::find_state(&local.shared, ID).await.expect("an answer");
+    assert_eq!(state, Some(SubmissionState::Queued));
+    let sent = sent(&local, 1);
+    assert_eq!(sent.len(), 1, "the leader is not told");
+    assert!(sent[0].may_have_started, "another process may have told an earlier leader");
+}
+
 /// Guards against a second run of a task: a repeated submission was stored by
 /// another process, which may have told an earlier leader.
 #[tokio::test]
