Log and count what keeps the leader's watch from the work records

An engineer could not tell from the logs that a leader hears of submissions by messages alone. A range that fails after the store has dropped its history was neither counted nor logged, a failed watch was logged at debug level only, which nodes do not write, and the error of a leader record that cannot be decoded was dropped. All three now give a log line, and the failed range counts in store_faults.

The line for an undecodable leader record has no test.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -315,7 +315,7 @@
     fn apply_record(&mut self, item: &Item, now: Timestamp) {
         if item.key == LEADER_KEY {
             if self.term.0 < item.revision {
-                let by = record::decode::<LeaderRecord>(&item.value).ok();
+                let by: Option<LeaderRecord> = durable::decode(&self.shared, "leader", item);
                 warn!(self.shared.log, "another process leads"; "term" => item.revision,
                     "leader" => ?by.map(|it| it.process));
                 self.end_reason = Some("another process leads");
@@ -492,11 +492,17 @@
                             after = revision;
                             Some(TaskResult::Resynced(items))
                         }
-                        Err(_) => None,
+                        Err(fault) => {
+                            shared.metrics.store_fault();
+                            warn!(shared.log, "work records not read";
+                                "why" => "history dropped", "after" => after, "error" => %fault);
+                            None
+                        }
                     },
                     Err(fault) => {
                         shared.metrics.store_fault();
-                        debug!(shared.log, "watch of submissions failed"; "error" => %fault);
+                        warn!(shared.log, "watch of work records failed"; "after" => after,
+                            "error" => %fault);
                         None
                     }
                 };
