Keep starved best-effort submissions behind work that is on time

Cause: a starved submission counted as begun after its first run, and begun submissions precede new ones, so the pool's time was spread over all of them; and each of their runs took a fifth of its demand. Now only placement by rank begins a submission, and starved runs get the lowest pace.

--- a/crates/mustardcove-core/src/fleet/planner/pace.rs
+++ b/crates/mustardcove-core/src/fleet/planner/pace.rs
@@ -13,7 +13,7 @@
 /// Lower bound on the loads that are divided by.
 const MIN_LOAD: f32 = 0.05;
 /// Lowest pace, in percent; below it a task hardly progresses.
-const MIN_PERCENT: u8 = 5;
+pub(super) const MIN_PERCENT: u8 = 5;
 /// Smallest change of a pace that is sent, in percent of the pace, since each
 /// change is a call.
 const MIN_CHANGE_PERCENT: u32 = 20;
--- a/crates/mustardcove-core/src/fleet/planner/rank.rs
+++ b/crates/mustardcove-core/src/fleet/planner/rank.rs
@@ -52,7 +52,7 @@
     pub(super) is_long_running: bool,
     /// Whether a waiting task may have run before.
     pub(super) may_have_run: bool,
-    /// Whether no task of the submission was placed yet.
+    /// Whether no task of the submission was placed by its rank yet.
     pub(super) is_new: bool,
 }
 
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -424,6 +424,7 @@
         if becomes_running {
             work.state = SubmissionState::Running;
         }
+        work.is_begun = true;
         let Some(slot) = work.task_mut(row.task) else { return };
         slot.last_run = slot.last_run.max(row.run);
         slot.phase = Phase::Placed(Run { is_confirmed: true, ..Run::new(index, row.run, now) });
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -4,7 +4,7 @@
 use std::{borrow::Cow, cmp::Reverse, collections::BTreeMap, sync::Arc};
 
 use super::{
-    DecisionKind, LEASE_MARGIN_MS, Planner, RunKey, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
+    DecisionKind, LEASE_MARGIN_MS, Planner, RunKey, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS, pace,
     placement::{self, Obstacle, Request},
     rank::{Rank, WaitingStep},
     work::{Phase, Run, Work, WorkerIndex},
@@ -33,11 +33,6 @@
 /// sees.
 const MAX_MOVES: u32 = 4;
 
-/// Highest pace of a best-effort run that is started although no processor time
-/// is left over, in percent: enough to progress, and little beside the runs
-/// that are on time.
-const STARVED_PACE_PERCENT: u8 = 20;
-
 /// Most workers considered for a request to the recommendation service.
 const MAX_TICKET_CANDIDATES: usize = 60;
 
@@ -333,7 +328,7 @@
             is_long_running: spec.is_long_running,
             may_have_run: !work.is_known_unstarted
                 || step.tasks.iter().any(|it| it.is_waiting() && it.last_run != RunNumber(0)),
-            is_new: work.state == SubmissionState::Queued,
+            is_new: !work.is_begun,
         })
     }
 
@@ -439,15 +434,17 @@
         chosen
     }
 
-    /// Returns the allocation of each of the pending tasks.
+    /// Returns the allocation of each of the pending tasks. A starved one gets
+    /// the lowest pace, so that hundreds of them take little from the runs that
+    /// are on time.
     fn pending_allocation(&mut self, pending: &PendingTasks, spec: &StepSpec) -> Allocation {
         let allocation = self.allocation_for(spec, RunNumber::default());
         if !pending.is_starved {
             return allocation;
         }
         Allocation {
-            cpu: allocation.cpu * u64::from(STARVED_PACE_PERCENT) / 100,
-            max_pace: STARVED_PACE_PERCENT,
+            cpu: allocation.cpu * u64::from(pace::MIN_PERCENT) / 100,
+            max_pace: pace::MIN_PERCENT,
             ..allocation
         }
     }
@@ -603,6 +600,7 @@
             work.state = SubmissionState::Running;
             self.actions.states.push((key.submission, SubmissionState::Running));
         }
+        work.is_begun |= !pending.is_starved;
         let waited_ms = now.ms_since(work.known_since);
         let gang_run = spec.is_gang.then(|| next_gang_run(work, key, run_base));
         for (index, worker) in chosen.iter().copied() {
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -25,6 +25,9 @@
     /// Occurrences that have begun and are not done, by number.
     pub(super) occurrences: Vec<Occurrence>,
     pub(super) next_occurrence: u32,
+    /// Whether a task was placed by its rank. Runs of starved submissions do
+    /// not count, so that these do not precede work that can be on time.
+    pub(super) is_begun: bool,
     /// Whether no earlier leader can have started a task of it.
     pub(super) is_known_unstarted: bool,
     /// Revision of the progress record, 0 while there is none.
@@ -209,6 +212,7 @@
             state: SubmissionState::Queued,
             occurrences: Vec::new(),
             next_occurrence: 0,
+            is_begun: false,
             is_known_unstarted,
             progress_revision: 0,
             known_since: now,
@@ -218,6 +222,7 @@
     /// Restores the progress that an earlier leader recorded.
     pub(super) fn restore(&mut self, progress: &ProgressRecord, revision: u64) {
         self.state = progress.state;
+        self.is_begun = progress.state != SubmissionState::Queued;
         self.next_occurrence = progress.next_occurrence;
         self.progress_revision = revision;
         for recorded in &progress.occurrences {
