Let blocked work use suspended workers while most of the pool is free

The bound on suspended workers leaves cases in which only suspended workers have capacity for a task: a third of the pool in use on the other workers, a gang that needs more of a label, or the only worker with a label. Hopeless long-running tasks renew such suspensions for good, so the wait had no bound.

A step whose submission has had no run for a second or two, and that was not started in the last 2 s, may now use suspended workers if no other has capacity and under half of the pool is in use: one task, or a whole gang.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -65,6 +65,11 @@
     pub(super) fn count(&self) -> usize {
         self.count
     }
+
+    /// Returns whether a submission has had no run for a while.
+    pub(super) fn is_blocked(&self, id: SubmissionId, now: Timestamp) -> bool {
+        self.since.get(&id).is_some_and(|it| BLOCKED_AFTER_MS <= now.ms_since(*it))
+    }
 }
 
 impl Planner {
@@ -178,7 +183,7 @@
             pending.tasks.truncate(1);
         }
         let tasks = pending.tasks.len();
-        let mut chosen = self.allocate_tasks(&mut pending, spec, schedulable, now);
+        let mut chosen = self.allocate_tasks(&mut pending, spec, schedulable, &[], now);
         if chosen.len() < tasks {
             self.release_tasks(key, &mut chosen);
             return false;
--- a/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
+++ b/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
@@ -12,7 +12,8 @@
 //! tell which. The share of workers that are suspended or on probation is
 //! therefore bounded, for each pool and each kind of workers in it: submissions that can
 //! never be done would otherwise suspend every worker, and none would be left
-//! on which a run could be done.
+//! on which a run could be done. Work that fits only on suspended workers may
+//! use them after a while, as long as most of the pool is free.
 
 use crate::time::Timestamp;
 
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -174,14 +174,23 @@
 
 /// Returns whether most of the capacity of the workers is in use.
 pub(super) fn is_scarce<'a>(workers: impl Iterator<Item = &'a Worker>) -> bool {
-    let (mut used, mut capacity) = (0, 0);
-    for worker in workers {
-        used += worker.used.cpu.0;
-        capacity += worker.listing.capacity.cpu.0;
-    }
+    let (used, capacity) = used_cpu(workers);
     capacity * SCARCE_USE_PERCENT <= used * 100
 }
 
+/// Returns whether under half of the capacity of the workers is in use.
+pub(super) fn is_mostly_free<'a>(workers: impl Iterator<Item = &'a Worker>) -> bool {
+    let (used, capacity) = used_cpu(workers);
+    used * 2 < capacity
+}
+
+/// Returns the processors of the workers in use and in total, in millicores.
+fn used_cpu<'a>(workers: impl Iterator<Item = &'a Worker>) -> (u64, u64) {
+    workers.fold((0, 0), |(used, capacity), it| {
+        (used + it.used.cpu.0, capacity + it.listing.capacity.cpu.0)
+    })
+}
+
 /// Returns the capacity that a worker has free once its batch work has ended.
 pub(super) fn capacity_after_batch(worker: &Worker) -> Resources {
     batch_allocations(worker).fold(worker.free(), |sum, it| sum.saturating_add(it.resources))
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -45,6 +45,10 @@
 /// costs little.
 const MAX_RESERVE_TRIES: u32 = 40;
 
+/// Time after the last start of a step from which it may use suspended workers
+/// again, in milliseconds: its tasks have few attempts.
+const SUSPENDED_START_INTERVAL_MS: u64 = 2_000;
+
 /// A step that waits, with its rank.
 struct Candidate {
     rank: Rank,
@@ -60,6 +64,10 @@
     schedulable: &'a [WorkerIndex],
     /// The schedulable workers that are not reserved for a step.
     unreserved: Vec<WorkerIndex>,
+    /// Workers that accept no work only because their runs failed.
+    suspended: Vec<WorkerIndex>,
+    /// Whether under half of the capacity is in use.
+    is_mostly_free: bool,
     is_scarce: bool,
     /// How many more workers may be reserved.
     reservable: usize,
@@ -119,6 +127,8 @@
     is_scarce: bool,
     /// See [`Request::is_starved`].
     pub(super) is_starved: bool,
+    /// Whether they may start on suspended workers.
+    may_use_suspended: bool,
 }
 
 impl PendingTasks {
@@ -131,6 +141,7 @@
             placed: BTreeMap::new(),
             is_scarce,
             is_starved: false,
+            may_use_suspended: false,
         }
     }
 }
@@ -148,8 +159,8 @@
         let schedulable: Vec<WorkerIndex> = (0..self.workers.len())
             .filter(|it| placement::is_schedulable(&self.workers[*it], now))
             .collect();
+        self.place(&schedulable, now);
         if !schedulable.is_empty() {
-            self.place(&schedulable, now);
             self.move_slowed(&schedulable, now);
         }
         self.handle_blocked(&schedulable, now);
@@ -232,10 +243,17 @@
         });
         self.reserved = reserved;
         let is_free = |it: &WorkerIndex| !self.reserved.contains_key(it);
+        let is_suspended = |it: &WorkerIndex| {
+            placement::obstacle(&self.workers[*it], now) == Some(Obstacle::Suspended)
+        };
+        let suspended: Vec<WorkerIndex> = (0..self.workers.len()).filter(is_suspended).collect();
+        let usable = schedulable.iter().chain(&suspended).map(|it| &self.workers[*it]);
         let max_reserved = (schedulable.len() * MAX_RESERVED_PERCENT).div_ceil(100);
         Round {
             schedulable,
             unreserved: schedulable.iter().copied().filter(is_free).collect(),
+            is_mostly_free: placement::is_mostly_free(usable),
+            suspended,
             is_scarce: placement::is_scarce(schedulable.iter().map(|it| &self.workers[*it])),
             reservable: max_reserved.saturating_sub(self.reserved.len()),
             reserve_tries: MAX_RESERVE_TRIES,
@@ -370,7 +388,10 @@
             && !needs_ticket
             && candidate.rank.is_worthwhile();
         let reserved = if may_reserve { self.reserved_for(key) } else { Vec::new() };
-        if !needs_ticket && reserved.is_empty() && round.is_unplaceable(&work.queue.service, spec) {
+        let may_use_suspended =
+            round.is_mostly_free && !round.suspended.is_empty() && self.is_overdue(key, now);
+        let may_skip = !needs_ticket && !may_use_suspended && reserved.is_empty();
+        if may_skip && round.is_unplaceable(&work.queue.service, spec) {
             if may_reserve {
                 let service = work.queue.service.clone();
                 let tasks =
@@ -380,9 +401,11 @@
             return;
         }
         let Some(mut pending) = self.pending_tasks(key, round.is_scarce, now) else { return };
+        pending.may_use_suspended = may_use_suspended;
         let schedulable = round.usable(spec, candidate.rank, &reserved);
+        let suspended: &[WorkerIndex] = if may_use_suspended { &round.suspended } else { &[] };
         let waiting = pending.tasks.len();
-        let mut chosen = self.allocate_tasks(&mut pending, spec, &schedulable, now);
+        let mut chosen = self.allocate_tasks(&mut pending, spec, &schedulable, suspended, now);
         if chosen.is_empty() && !pending.needs_ticket && pending.placed.is_empty() {
             round.record_unplaceable(&pending.service, spec);
         }
@@ -406,18 +429,25 @@
 
     /// Allocates capacity for the pending tasks in turn, until one fits nowhere,
     /// and returns the worker of each. Requests tickets if only those are
-    /// missing.
+    /// missing. One task, or a whole gang, may use the suspended workers.
     pub(super) fn allocate_tasks(
         &mut self,
         pending: &mut PendingTasks,
         spec: &StepSpec,
         schedulable: &[WorkerIndex],
+        suspended: &[WorkerIndex],
         now: Timestamp,
     ) -> Vec<(u16, WorkerIndex)> {
         let tasks = std::mem::take(&mut pending.tasks);
         let mut chosen = Vec::with_capacity(tasks.len());
         for (index, avoid) in tasks {
-            let Some(worker) = self.choose(pending, spec, avoid, schedulable, now) else {
+            let mut worker = self.choose(pending, spec, avoid, schedulable, now);
+            // A gang needs all its members; otherwise one task shows whether
+            // the workers still fail.
+            if worker.is_none() && (spec.is_gang || chosen.is_empty()) {
+                worker = self.choose(pending, spec, avoid, suspended, now);
+            }
+            let Some(worker) = worker else {
                 if pending.needs_ticket {
                     self.request_tickets_for(pending, spec, schedulable, now);
                 }
@@ -456,6 +486,16 @@
         }
     }
 
+    /// Returns whether a step has had no run for so long that it may use
+    /// suspended workers if no others have capacity for it.
+    fn is_overdue(&self, key: StepKey, now: Timestamp) -> bool {
+        let work = self.work.get(&key.submission);
+        let occurrence = work.and_then(|it| it.occurrence(key.occurrence));
+        let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
+        self.blocked.is_blocked(key.submission, now)
+            && step.is_some_and(|it| SUSPENDED_START_INTERVAL_MS <= now.ms_since(it.started_at))
+    }
+
     fn reserved_for(&self, key: StepKey) -> Vec<WorkerIndex> {
         self.reserved.iter().filter(|it| *it.1 == key).map(|it| *it.0).collect()
     }
@@ -571,7 +611,7 @@
         now: Timestamp,
     ) -> Result<i64, Obstacle> {
         let worker = &self.workers[index];
-        if !worker.circuit_breaker.may_start(now) {
+        if !pending.may_use_suspended && !worker.circuit_breaker.may_start(now) {
             return Err(Obstacle::Suspended);
         }
         if pending.needs_ticket
@@ -601,6 +641,9 @@
             self.actions.states.push((key.submission, SubmissionState::Running));
         }
         work.is_begun |= !pending.is_starved;
+        if let Some(occurrence) = work.occurrence_mut(key.occurrence) {
+            occurrence.steps[usize::from(key.step)].started_at = now;
+        }
         let waited_ms = now.ms_since(work.known_since);
         let gang_run = spec.is_gang.then(|| next_gang_run(work, key, run_base));
         for (index, worker) in chosen.iter().copied() {
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -53,6 +53,8 @@
     pub(super) tasks: Vec<Task>,
     /// Tasks that are not done.
     pub(super) unfinished: usize,
+    /// When tasks of it were last ordered to start.
+    pub(super) started_at: Timestamp,
     /// Estimated length of the critical path that begins with this step, in
     /// milliseconds.
     pub(super) critical_path_ms: u64,
@@ -152,6 +154,7 @@
                 is_ready: false,
                 tasks: vec![Task::default(); count],
                 unfinished: count,
+                started_at: Timestamp::default(),
                 critical_path_ms,
             }
         });
--- a/crates/mustardcove-core/tests/planner_suspension.rs
+++ b/crates/mustardcove-core/tests/planner_suspension.rs
@@ -26,14 +26,17 @@
 /// milliseconds, by the users' rules.
 const MAX_IDLE_MS: u64 = 3_000;
 const STEP_MS: u64 = 100;
+/// Id of a submission whose tasks run for the whole test.
+const LASTING: u64 = 900;
 /// Ids from which submissions cannot be done.
 const HOPELESS: u64 = 1_000;
 
 /// Advances time by `STEP_MS`: the runs of hopeless submissions fail, and the
-/// others are done.
+/// others are done, apart from those of `LASTING`.
 fn advance(rig: &mut Rig) -> Vec<SubmissionId> {
     rig.advance(STEP_MS);
-    let running: Vec<(TaskKey, WorkerId)> = rig.running().into_iter().collect();
+    let mut running: Vec<(TaskKey, WorkerId)> = rig.running().into_iter().collect();
+    running.retain(|it| it.0.step.submission.0 != LASTING);
     for (task, worker) in running {
         let is_hopeless = HOPELESS <= task.step.submission.0;
         let kind = if is_hopeless { EndKind::Failed } else { EndKind::Done };
@@ -150,3 +153,23 @@
     let failed = failed_runs(&mut rig);
     assert!(failed <= 12, "{failed} of 400 runs failed in 10 s on two failing workers");
 }
+
+/// Guards against work that waits because exactly the workers with capacity
+/// for it are suspended: a third of the pool is in use, on the other workers.
+#[test]
+fn only_suspended_fit() {
+    let mut rig = Rig::new(manifest(3), &WORKERS);
+    let lasting = StepSpec { is_long_running: true, ..step(3, 5_000, &[]) };
+    let lasting = StepSpec { max_per_worker: Some(1), ..lasting };
+    rig.submit(submission(LASTING, vec![lasting], rig.now));
+    advance(&mut rig);
+    let hopeless = StepSpec { is_long_running: true, ..step(6, 4_000, &[]) };
+    rig.submit(submission(HOPELESS, vec![hopeless], rig.now));
+    for _ in 0..100 {
+        advance(&mut rig);
+    }
+    for id in 1..8 {
+        let waited_ms = wait_ms(&mut rig, id, step(1, 4_000, &[]));
+        assert!(waited_ms <= MAX_IDLE_MS, "submission {id} waited {waited_ms} ms");
+    }
+}
