Bound the waits that the review of starved submissions found

Callers would still have seen best-effort submissions without a run, or with one that does not progress, on a mostly unreserved pool.

- hopeless_ahead: 200 submissions that fit nowhere kept all others from being tried.
Those that were not tried are now the first of the next round.
- start_unanswered: a run without confirmation counted as one in start_starved and as none in find_blocked.
Another task is now tried a second after an unconfirmed start.
- worker_silent: a run on a silent worker counted as alive.
- mixed_steps: only the first ready step was considered.
- hung_at_low_pace: a run below half of its pace never counted as stalled.
The time allowed now grows with the pace, and such a stall does not count against the worker.
- pace_lost_with_poller: orders of pace lost with a poller were not repeated.
The loss of a poller makes the paces on its workers unknown.
- lifted_beside_interference: the bound on the pace was lifted beside predicted interference.

best_effort_starved also asserts that starved runs are slowed down and get their full pace back: mutations that dropped either had passed.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -21,7 +21,7 @@
 use super::{
     DecisionKind, Planner,
     placement::{self, Obstacle},
-    work::{Phase, Step, Work, WorkerIndex},
+    work::{Phase, Step, Task, Work, WorkerIndex},
 };
 use crate::{
     fleet::id::{StepKey, SubmissionId, TaskKey},
@@ -84,8 +84,11 @@
                 self.blocked.explain_at = now.plus_ms(EXPLAIN_INTERVAL_MS);
                 self.explain_blocked(&blocked, schedulable, now);
             }
-            let best_effort = blocked.iter().filter(|it| self.is_best_effort(it.1));
-            let starved: Vec<SubmissionId> = best_effort.map(|it| it.1.submission).collect();
+            let ids = blocked.iter().map(|it| it.1.submission);
+            let is_starved = |it: &SubmissionId| {
+                self.work.get(it).and_then(|it| self.starved_step(it)).is_some()
+            };
+            let starved: Vec<SubmissionId> = ids.filter(is_starved).collect();
             self.blocked.starved.extend(starved);
         }
         self.start_starved(schedulable, now);
@@ -119,22 +122,35 @@
             if !is_open[service] {
                 continue;
             }
-            let mut has_run = work.runs().next().is_some();
-            if !has_run && tries < MAX_STARTED {
+            // Those that were not tried are the first of the next round.
+            let is_waiting = self.idle_step(work).is_some() && !is_starting(work, now);
+            let is_kept = if is_waiting && tries < MAX_STARTED {
                 tries += 1;
-                let step = self.idle_step(work);
-                has_run = step.is_some_and(|it| self.start_one(it, schedulable, now));
-            }
-            // One that fits nowhere now is tried again after the next check.
-            if has_run {
+                // One that fits nowhere is tried again after the next check.
+                let step = self.starved_step(work);
+                step.is_some_and(|it| self.start_one(it, schedulable, now))
+            } else {
+                true
+            };
+            if is_kept {
                 self.blocked.starved.insert(id);
             }
         }
     }
 
-    fn is_best_effort(&self, key: StepKey) -> bool {
-        let step = self.work.get(&key.submission).map(|it| &it.submission.steps);
-        step.is_some_and(|it| it[usize::from(key.step)].is_best_effort)
+    /// Returns the first ready best-effort step of a submission that has a
+    /// waiting task.
+    fn starved_step(&self, work: &Work) -> Option<StepKey> {
+        let is_starved = |key: &StepKey| {
+            let spec = &work.submission.steps[usize::from(key.step)];
+            let occurrence = work.occurrence(key.occurrence);
+            let step = occurrence.map(|it| &it.steps[usize::from(key.step)]);
+            spec.is_best_effort
+                && step.is_some_and(|it| it.is_ready && it.tasks.iter().any(Task::is_waiting))
+        };
+        let numbers = work.occurrences.iter().map(|it| it.number);
+        let mut keys = numbers.flat_map(|it| work.submission.step_keys(it));
+        keys.find(is_starved)
     }
 
     /// Returns the first ready step of each blocked submission, and since when
@@ -174,9 +190,6 @@
         let Some(work) = self.work.get(&key.submission) else { return false };
         let submission = work.submission.clone();
         let spec = &submission.steps[usize::from(key.step)];
-        if !spec.is_best_effort {
-            return false;
-        }
         let Some(mut pending) = self.pending_tasks(key, false, now) else { return false };
         pending.is_starved = true;
         if !spec.is_gang {
@@ -213,7 +226,9 @@
         step.tasks.iter().enumerate().any(|(i, task)| {
             task.run().is_some_and(|run| {
                 let stop = (run.worker, TaskKey { step: key, index: i as u16 }, run.run);
-                run.is_confirmed && !self.stops.contains_key(&stop)
+                run.is_confirmed
+                    && !self.workers[run.worker].is_silent
+                    && !self.stops.contains_key(&stop)
             })
         })
     }
@@ -261,7 +276,8 @@
             let mut obstacles: BTreeMap<Obstacle, u32> = BTreeMap::new();
             let mut usable = 0;
             for index in 0..self.workers.len() {
-                let is_reserved = self.reserved.get(&index).is_some_and(|it| *it != key);
+                let is_reserved =
+                    !spec.is_best_effort && self.reserved.get(&index).is_some_and(|it| *it != key);
                 let obstacle = placement::obstacle(&self.workers[index], now)
                     .or_else(|| self.score(&pending, req, index, now).err())
                     .or(is_reserved.then_some(Obstacle::Reserved));
@@ -280,3 +296,10 @@
         text
     }
 }
+
+/// Returns whether a run of a submission was ordered so recently that it may
+/// still be confirmed.
+fn is_starting(work: &Work, now: Timestamp) -> bool {
+    let runs = work.runs().map(|it| it.1);
+    runs.map(|it| now.ms_since(it.ordered_at)).any(|it| it < BLOCKED_AFTER_MS)
+}
--- a/crates/mustardcove-core/src/fleet/planner/measurements.rs
+++ b/crates/mustardcove-core/src/fleet/planner/measurements.rs
@@ -78,8 +78,7 @@
             })
         };
         for ((task, allocation), percent) in best_effort.into_iter().zip(paces) {
-            let percent =
-                if must_halt { percent } else { limit_pace(percent, allocation.max_pace) };
+            let percent = percent.min(allocation.max_pace);
             let is_settled = must_halt || PACE_SETTLE_MS <= now.ms_since(allocation.pace_set_at);
             if is_settled && pace::is_worth_changing(allocation.pace, percent) {
                 self.set_pace(index, task, allocation.run, percent, now);
@@ -94,8 +93,7 @@
         let limited = worker.allocations.iter().filter(|it| it.1.max_pace < 100);
         let limited: Vec<TaskKey> = limited.map(|it| *it.0).collect();
         for task in limited {
-            let leftover = placement::leftover_cpu(worker);
-            worker.lift_max_pace(task, leftover);
+            worker.lift_max_pace(task, &self.interference);
         }
     }
 
@@ -208,10 +206,3 @@
         self.actions.orders.push((worker, Order::Pace { task, run, percent }));
     }
 }
-
-/// Returns the pace of a run, given its pace as a share of the highest one that
-/// it may have; in percent.
-fn limit_pace(percent: u8, max_pace: u8) -> u8 {
-    let limited = u32::from(percent) * u32::from(max_pace) / 100;
-    (limited as u8).max(1)
-}
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -147,7 +147,7 @@
     let mut score = match req.kind {
         WorkloadKind::BestEffort => {
             let leftover = leftover_cpu(worker);
-            let headroom = min_headroom(worker, step, req);
+            let headroom = min_headroom(worker, req.interference, req.image, step.demand.cpu.0);
             if !req.is_starved && !is_enough_left_over(leftover, step.demand.cpu.0) {
                 return Err(Obstacle::NoLeftover);
             }
@@ -239,15 +239,20 @@
     allocation.cpu as f32 / worker.listing.capacity.cpu.0.max(1) as f32
 }
 
-/// Returns the smallest headroom that the best-effort task would leave any
-/// latency-critical task, in millicores that could be added; negative if one
-/// of them would miss its target.
-fn min_headroom(worker: &Worker, step: &StepSpec, req: Request<'_>) -> i64 {
+/// Returns the smallest headroom that a best-effort task which adds `cpu`
+/// millicores would leave any latency-critical task, in millicores that could
+/// be added; negative if one of them would miss its target.
+pub(super) fn min_headroom(
+    worker: &Worker,
+    interference: &InterferenceModel,
+    image: Option<ImageId>,
+    cpu: u64,
+) -> i64 {
     let capacity = worker.listing.capacity.cpu.0.max(1) as f32;
-    let added = step.demand.cpu.0 as f32 / capacity;
+    let added = cpu as f32 / capacity;
     let mut min = 1.0f32;
     for task in &worker.latency_critical {
-        let pressure = req.interference.pressure(task.image, req.image);
+        let pressure = interference.pressure(task.image, image);
         let excess = task.other_excess + task.best_effort_excess + pressure * added;
         let headroom = task.max_excess(1.0) - excess;
         // Converts headroom into the share of processors at which this task's
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -34,6 +34,8 @@
 /// percent. Progress is reported in whole percent, so a long task shows none
 /// for a hundredth of its duration, and for several on a slow worker.
 const STALL_ESTIMATE_PERCENT: u64 = 4;
+/// Pace from which a stalled run counts against its worker, in percent.
+const MIN_BLAMED_PACE_PERCENT: u8 = 50;
 
 impl Planner {
     /// Handles a report of the process that polls the worker.
@@ -450,8 +452,7 @@
         let Some(work) = self.work.get_mut(&row.task.step.submission) else { return };
         let spec = &work.submission.steps[usize::from(row.task.step.step)];
         let (is_long_running, is_gang) = (spec.is_long_running, spec.is_gang);
-        let stall_timeout_ms =
-            STALL_TIMEOUT_MS + spec.estimate_ms.saturating_mul(STALL_ESTIMATE_PERCENT) / 100;
+        let estimate_ms = spec.estimate_ms;
         let Some(slot) = work.task_mut(row.task) else { return };
         if row.checkpoint.is_some() {
             slot.checkpoint.clone_from(&row.checkpoint);
@@ -466,7 +467,9 @@
         run.missed_polls = 0;
         let stalled_ms = now.ms_since(run.progressed_at);
         let allocation = self.workers[index].allocations.get_mut(&row.task);
-        let is_paced_down = allocation.is_some_and(|it| {
+        let pace = allocation.as_ref().map_or(100, |it| it.pace.min(100));
+        let stall_timeout_ms = stall_timeout_ms(estimate_ms, pace);
+        let is_pace_new = allocation.is_some_and(|it| {
             it.measurement = row.measurement;
             let is_over_target = it.tail_target_ms.is_some_and(|target| {
                 // Tails are noisy, so the time over the target ends only
@@ -475,14 +478,15 @@
                 bound <= row.measurement
             });
             it.over_target_since = is_over_target.then(|| it.over_target_since.unwrap_or(now));
-            it.pace < 50 || now.ms_since(it.pace_set_at) < stall_timeout_ms
+            now.ms_since(it.pace_set_at) < stall_timeout_ms
         });
-        let is_stalled = !is_long_running && stall_timeout_ms <= stalled_ms && !is_paced_down;
+        let is_stalled =
+            !is_long_running && 0 < pace && stall_timeout_ms <= stalled_ms && !is_pace_new;
         if is_stalled && !self.stops.contains_key(&(index, row.task, row.run)) {
             slot.avoid = Some(index);
             // A member of a gang makes no progress while another one is
-            // missing or stalls.
-            if !is_gang {
+            // missing or stalls, and a slow run may only lack processor time.
+            if !is_gang && MIN_BLAMED_PACE_PERCENT <= pace {
                 self.record_failure(index, row.task, "no progress", now);
             }
             self.stop(index, row.task, row.run, "no progress", now);
@@ -590,3 +594,10 @@
         self.run_lost(index, task, outcome.into(), now);
     }
 }
+
+/// Returns the time without progress after which a run is given up, in
+/// milliseconds, given its task's estimated duration and its pace.
+fn stall_timeout_ms(estimate_ms: u64, pace_percent: u8) -> u64 {
+    let pace_percent = u64::from(pace_percent).max(1);
+    STALL_TIMEOUT_MS + estimate_ms.saturating_mul(STALL_ESTIMATE_PERCENT) / pace_percent
+}
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -406,7 +406,9 @@
         let suspended: &[WorkerIndex] = if may_use_suspended { &round.suspended } else { &[] };
         let waiting = pending.tasks.len();
         let mut chosen = self.allocate_tasks(&mut pending, spec, &schedulable, suspended, now);
-        if chosen.is_empty() && !pending.needs_ticket && pending.placed.is_empty() {
+        // What a gang's own members take is free again for others.
+        let fits_nowhere = if spec.is_gang { chosen.is_empty() } else { chosen.len() < waiting };
+        if fits_nowhere && !pending.needs_ticket {
             round.record_unplaceable(&pending.service, spec);
         }
         let unplaced = waiting - chosen.len();
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -6,7 +6,10 @@
 };
 
 use super::{
-    circuit_breaker::CircuitBreaker, interference::ImageId, pace::LatencyCriticalTask, placement,
+    circuit_breaker::CircuitBreaker,
+    interference::{ImageId, InterferenceModel},
+    pace::{self, LatencyCriticalTask},
+    placement,
 };
 use crate::{
     fleet::id::{EndNumber, Incarnation, RunNumber, TaskKey},
@@ -181,13 +184,17 @@
         }
     }
 
-    /// Lifts the bound on the pace of a best-effort run if enough processor time
-    /// is left over for it.
-    pub(super) fn lift_max_pace(&mut self, task: TaskKey, leftover: i64) {
-        let Some(allocation) = self.allocations.get_mut(&task) else { return };
+    /// Lifts the bound on the pace of a best-effort run, if enough processor
+    /// time is left over for it and no target would be missed.
+    pub(super) fn lift_max_pace(&mut self, task: TaskKey, interference: &InterferenceModel) {
+        let Some(allocation) = self.allocations.get(&task) else { return };
         let cpu = allocation.cpu * 100 / u64::from(allocation.max_pace);
         let added = cpu - allocation.cpu;
-        if placement::is_enough_left_over(leftover, added) {
+        let is_enough = placement::is_enough_left_over(placement::leftover_cpu(self), added);
+        if !is_enough || placement::min_headroom(self, interference, allocation.image, added) < 0 {
+            return;
+        }
+        if let Some(allocation) = self.allocations.get_mut(&task) {
             allocation.cpu = cpu;
             allocation.max_pace = 100;
             self.best_effort_cpu += added;
@@ -211,6 +218,11 @@
         if self.responsive_since.take().is_some() {
             self.ordered_leases_expire_by = self.ordered_leases_expire_by.max(leases_expire_by);
         }
+        // Orders of pace may have been lost with it.
+        let allocations = self.allocations.values_mut();
+        for it in allocations.filter(|it| it.kind == WorkloadKind::BestEffort) {
+            it.pace = pace::UNKNOWN_PACE;
+        }
     }
 
     /// Returns the time by which every run there has ended unless the worker
--- a/crates/mustardcove-core/tests/best_effort_starved.rs
+++ b/crates/mustardcove-core/tests/best_effort_starved.rs
@@ -155,6 +155,8 @@
     let outcome = simulate(&mut rig, 40, 1, 12);
     assert!(outcome.longest_idle_ms < MAX_IDLE_MS, "no run for {} ms", outcome.longest_idle_ms);
     assert_eq!(outcome.started.len(), 40);
+    let slowed = outcome.paces.values().filter(|it| **it <= 5).count();
+    assert!(30 <= slowed, "runs without processor time are slowed down: {:?}", outcome.paces);
 }
 
 /// Guards against best-effort runs that are started beside predicted
@@ -197,6 +199,6 @@
     }
     let outcome = simulate(&mut rig, 0, 1, 2);
     assert_eq!(runs_of(&rig, waiting), 8);
-    let slowed = outcome.paces.iter().filter(|it| *it.1 < 100).count();
-    assert_eq!(slowed, 0, "the first run is at its full pace again: {:?}", outcome.paces);
+    let paces: BTreeSet<u8> = outcome.paces.values().copied().collect();
+    assert_eq!(paces, BTreeSet::from([100]), "the first run is at its full pace again");
 }
