Record the workers in use, so that a new leader polls all of them

Cause, confirmed by the test short_list: Planner::is_all_fenced takes the list of service discovery for the whole fleet. That list lacks workers whose entry lapsed or whose registration was lost.

Change: a leader uses a worker only once it is in the roster, records in the store that are written on the condition that the process still leads. A new leader polls every recorded worker at its recorded address, listed or not, before it places work again that may have run. Without a readable roster it waits for the end of the leases. The cost of a plain change of the leader is one more reading beside the others; a new worker waits for one write.

Weighed: waiting until the store has answered for the settle time (2.5 s without starts after every loss of a leader, and no help against a single lost registration); asking the pollers (lost with them when many processes stop).

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -6,8 +6,8 @@
 //! them. Workers keep the highest fencing token that they have seen, list what
 //! runs, and keep each end until it is acknowledged. A new leader therefore
 //! needs no record of starts: it fences each worker with its first poll, whose
-//! answer lists what runs. Only submissions, cancellations and progress are
-//! kept in the store.
+//! answer lists what runs. Only submissions, cancellations, progress and the
+//! list of workers in use are kept in the store.
 //!
 //! One planner sees all free capacity, so placement needs no negotiation
 //! between owners. The price is that nothing starts between the loss of a
@@ -21,5 +21,6 @@
 pub mod planner;
 pub mod poller;
 pub mod record;
+pub mod roster;
 pub mod state_cache;
 pub mod submission;
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -190,6 +190,9 @@
     /// Until this time, a worker that was not polled yet may run work of an
     /// earlier leader.
     earlier_leases_expire_by: Timestamp,
+    /// Whether every worker that may run work of an earlier leader is in the
+    /// plan.
+    is_fleet_complete: bool,
     interference: InterferenceModel,
     tickets: Tickets,
     blocked: BlockedSubmissions,
@@ -227,6 +230,7 @@
             unplanned_ends: BTreeMap::new(),
             looked_up: BTreeSet::new(),
             earlier_leases_expire_by,
+            is_fleet_complete: true,
             interference: InterferenceModel::default(),
             tickets: Tickets::default(),
             blocked: BlockedSubmissions::default(),
@@ -239,6 +243,11 @@
         self.term
     }
 
+    /// Returns whether there was no leader before this one.
+    pub fn is_first_term(&self) -> bool {
+        self.run_base == 0
+    }
+
     /// Applies a newer manifest.
     pub fn set_manifest(&mut self, manifest: Arc<Manifest>) {
         if manifest.version <= self.manifest.version {
@@ -398,11 +407,37 @@
         index
     }
 
+    /// Adds the workers that earlier leaders used, which service discovery may
+    /// not list at present; `None` if they left no record of them.
+    pub fn restore_workers(&mut self, recorded: Option<Vec<WorkerListing>>) {
+        self.is_fleet_complete = recorded.is_some();
+        for listing in recorded.unwrap_or_default() {
+            let index = self.update_worker(listing);
+            let worker = &mut self.workers[index];
+            worker.is_listed = false;
+            worker.may_run_earlier_work = worker.incarnation.is_none();
+        }
+    }
+
+    /// Returns whether nothing can run on a worker that service discovery does
+    /// not list, and no end there waits to be acknowledged.
+    pub fn is_unused(&self, worker: &WorkerId, now: Timestamp) -> bool {
+        let Some(index) = self.worker_index.get(worker) else { return true };
+        let worker = &self.workers[*index];
+        let is_fenced = worker.incarnation.is_some() || self.earlier_leases_expire_by <= now;
+        is_fenced
+            && !worker.is_listed
+            && worker.allocations.is_empty()
+            && worker.unstored_ends.is_empty()
+    }
+
     /// Returns the workers to poll: those that are listed, and those on which
     /// something may still run. The second part is the start of responsiveness
     /// that the worker's poller is told is confirmed.
     pub fn workers_to_poll(&self) -> impl Iterator<Item = (&WorkerListing, Option<Timestamp>)> {
-        let needs_polling = |it: &&Worker| it.is_listed || !it.allocations.is_empty();
+        let needs_polling = |it: &&Worker| {
+            it.is_listed || it.may_run_earlier_work || !it.allocations.is_empty()
+        };
         self.workers.iter().filter(needs_polling).map(|it| (&it.listing, it.responsive_since))
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -100,6 +100,7 @@
         }
         let worker = &mut self.workers[index];
         worker.polled_at = Some(now);
+        worker.may_run_earlier_work = false;
         worker.leases_expire_by = poll.leases_expire_by;
         worker.responsive_since = Some(poll.responsive_since);
         for end in &poll.ended {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -156,6 +156,7 @@
         self.stop_unconfirmed(now);
         self.retry_stops(now);
         self.expire_leases(now);
+        self.expire_earlier_work(now);
         let schedulable: Vec<WorkerIndex> = (0..self.workers.len())
             .filter(|it| placement::is_schedulable(&self.workers[*it], now))
             .collect();
@@ -216,12 +217,24 @@
         }
     }
 
+    /// Ends the wait for workers that are known from an earlier leader's record
+    /// only, once nothing of that leader can run there.
+    fn expire_earlier_work(&mut self, now: Timestamp) {
+        if now < self.earlier_leases_expire_by {
+            return;
+        }
+        for worker in &mut self.workers {
+            worker.may_run_earlier_work = false;
+        }
+    }
+
     /// Returns whether every worker of a pool was polled in this term, or can
     /// run nothing of an earlier one.
     pub(super) fn is_all_fenced(&self, service: &str, now: Timestamp) -> bool {
         let is_fenced =
             |it: &super::Worker| it.incarnation.is_some() || it.listing.service != service;
-        self.earlier_leases_expire_by <= now || self.workers.iter().all(is_fenced)
+        self.earlier_leases_expire_by <= now
+            || (self.is_fleet_complete && self.workers.iter().all(is_fenced))
     }
 
     fn place(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -5,6 +5,8 @@
     net::SocketAddr,
 };
 
+use serde::{Deserialize, Serialize};
+
 use super::{
     circuit_breaker::CircuitBreaker,
     interference::{ImageId, InterferenceModel},
@@ -19,7 +21,7 @@
 };
 
 /// A worker as service discovery lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkerListing {
     /// The worker.
     pub worker: WorkerId,
@@ -87,6 +89,9 @@
     pub(super) listing: WorkerListing,
     /// Whether service discovery lists it at present.
     pub(super) is_listed: bool,
+    /// Whether it is known from the record of an earlier leader and may still
+    /// run work of that leader.
+    pub(super) may_run_earlier_work: bool,
     /// The incarnation that the runs belong to; `None` before the first poll.
     pub(super) incarnation: Option<Incarnation>,
     /// When the last poll was answered.
@@ -132,6 +137,7 @@
         Worker {
             listing,
             is_listed: true,
+            may_run_earlier_work: false,
             incarnation: None,
             polled_at: None,
             is_silent: false,
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -28,6 +28,10 @@
 pub const PROGRESS_PREFIX: &str = "progress/";
 /// Prefix of the keys of process records.
 pub const PROCESS_PREFIX: &str = "process/";
+/// Prefix of the keys of the roster's segments.
+pub const ROSTER_PREFIX: &str = "roster/";
+/// Most segments of the roster: a key with a higher number is not ours.
+const MAX_ROSTER_SEGMENTS: usize = 1_024;
 
 /// The key of the interference that leaders have learned.
 pub const LEARNED_KEY: &str = "learned";
@@ -42,6 +46,17 @@
     key.strip_prefix(prefix)?.parse().ok()
 }
 
+/// Returns the key of a segment of the roster.
+pub fn roster_key(segment: usize) -> String {
+    format!("{ROSTER_PREFIX}{segment}")
+}
+
+/// Returns the number of the roster's segment that is stored at a key.
+pub fn roster_segment_of(key: &str) -> Option<usize> {
+    let segment = key.strip_prefix(ROSTER_PREFIX)?.parse().ok()?;
+    (segment < MAX_ROSTER_SEGMENTS).then_some(segment)
+}
+
 /// The current leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderRecord {
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -16,6 +16,7 @@
         planner::{Planner, WorkerListing},
         poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, NextPoll, WorkerPoller},
         record::ProgressRecord,
+        roster::{Roster, RosterSegment},
         submission::{StepSpec, Submission, SubmissionState},
     },
     id::WorkerId,
@@ -205,6 +206,7 @@
 #[derive(Debug)]
 pub(crate) struct Leader {
     pub(crate) planner: Planner,
+    roster: Roster,
     pollers: Vec<WorkerPoller>,
     /// When the failure of a poll is noticed; no other poll begins before.
     fails_at: Vec<Option<Timestamp>>,
@@ -232,6 +234,12 @@
     pub(crate) submissions: BTreeMap<SubmissionId, Arc<Submission>>,
     pub(crate) cancelled: BTreeSet<SubmissionId>,
     progress: BTreeMap<SubmissionId, (ProgressRecord, u64)>,
+    /// The stored segments of the roster.
+    roster: BTreeMap<usize, (RosterSegment, u64)>,
+    /// Workers that service discovery lacks, and whether the store has answered
+    /// for so long that missing workers count as gone.
+    pub(crate) unlisted: BTreeSet<usize>,
+    pub(crate) is_store_settled: bool,
     revision: u64,
     pub(crate) term: Term,
     claims: u64,
@@ -263,6 +271,9 @@
             submissions: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             progress: BTreeMap::new(),
+            roster: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
+            is_store_settled: true,
             revision: 10,
             term: Term(0),
             claims: 0,
@@ -298,9 +309,15 @@
                 planner.cancel(*id, self.now);
             }
         }
+        let mut roster = Roster::default();
+        for (segment, (value, revision)) in &self.roster {
+            roster.restore(*segment, value.clone(), *revision);
+        }
+        planner.restore_workers(Some(roster.workers()));
         let count = self.workers.len();
         self.leaders.push(Leader {
             planner,
+            roster,
             pollers: vec![WorkerPoller::default(); count],
             fails_at: vec![None; count],
             orphans: Vec::new(),
@@ -506,10 +523,13 @@
     /// Lets a leader plan, and carries out its orders.
     pub(crate) fn plan(&mut self, leader: usize) {
         let now = self.now;
+        let listed = self.workers.iter().enumerate().filter(|(i, _)| !self.unlisted.contains(i));
         let listings: Vec<WorkerListing> =
-            self.workers.iter().map(|it| listing(it.id.as_str(), 4_000, it.incarnation)).collect();
+            listed.map(|(_, it)| listing(it.id.as_str(), 4_000, it.incarnation)).collect();
+        let usable = self.record_workers(leader, listings);
+        let is_settled = self.is_store_settled;
         let planner = &mut self.leaders[leader].planner;
-        planner.update_workers(listings, true);
+        planner.update_workers(usable, is_settled);
         planner.tick(now);
         let actions = planner.take_actions();
         if actions.is_superseded {
@@ -532,6 +552,31 @@
         }
     }
 
+    /// Records the listed workers if the leader still leads, and returns those
+    /// that it may use.
+    fn record_workers(
+        &mut self,
+        leader: usize,
+        listings: Vec<WorkerListing>,
+    ) -> Vec<WorkerListing> {
+        let state = &mut self.leaders[leader];
+        state.roster.update(listings.clone());
+        let now = self.now;
+        let is_unused = |it: &&WorkerId| state.planner.is_unused(it, now);
+        let unused: Vec<WorkerId> = state.roster.worker_ids().filter(is_unused).cloned().collect();
+        for worker in unused {
+            state.roster.remove(&worker);
+        }
+        for write in state.roster.changes() {
+            if state.planner.term() == self.term {
+                self.revision += 1;
+                self.roster.insert(write.segment, (write.value.clone(), self.revision));
+                state.roster.stored(write, self.revision);
+            }
+        }
+        state.roster.update(listings)
+    }
+
     fn order(&mut self, leader: usize, worker: usize, order: Order) {
         let now = self.now;
         let state = &mut self.leaders[leader];
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -9,6 +9,8 @@
 mod pollers;
 mod progress;
 mod recovery;
+mod rows;
+mod workers;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -27,6 +29,7 @@
             self, CANCEL_PREFIX, LEADER_KEY, LeaderRecord, ProgressRecord, SUBMISSION_PREFIX,
             WORK_PREFIX,
         },
+        roster::Roster,
         submission::Submission,
     },
     id::{ProcessId, WorkerId},
@@ -35,7 +38,7 @@
 use slog::{debug, info, warn};
 use tokio::{sync::mpsc, time::Instant};
 
-use self::{pollers::Pollers, progress::FlushResult};
+use self::{pollers::Pollers, progress::FlushResult, workers::RosterWritten};
 use crate::{durable, shared::Shared};
 
 /// Time for which inputs are collected before the planner runs.
@@ -92,6 +95,8 @@
     TicketsReceived(TicketReply),
     /// A write of progress ended.
     Flushed(FlushResult),
+    /// A write of the roster ended.
+    RosterWritten(RosterWritten),
     /// The records of the registered processes.
     Processes(Vec<Item>),
 }
@@ -106,6 +111,12 @@
     term: Term,
     planner: Planner,
     pollers: Pollers,
+    roster: Roster,
+    /// The last list of service discovery.
+    listed: Vec<WorkerListing>,
+    is_storing_roster: bool,
+    /// No write of the roster before this time.
+    store_roster_at: Timestamp,
     results: mpsc::UnboundedSender<TaskResult>,
     is_flushing: bool,
     flush_at: Timestamp,
@@ -136,6 +147,10 @@
         term,
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
         pollers: Pollers::new(shared.clone(), term),
+        roster: Roster::default(),
+        listed: Vec::new(),
+        is_storing_roster: false,
+        store_roster_at: now,
         results,
         is_flushing: false,
         flush_at: now,
@@ -265,7 +280,8 @@
                 self.store_answered(now);
                 let since = self.store_healthy_since.unwrap_or(now);
                 let may_remove = ENTRIES_SETTLE_MS <= now.ms_since(since);
-                self.planner.update_workers(listings, may_remove);
+                self.listed.clone_from(&listings);
+                self.workers_listed(listings, may_remove, now);
             }
             TaskResult::Workers(Err(fault)) => self.store_failed("workers not read", &fault),
             TaskResult::Changes(events) => {
@@ -295,6 +311,7 @@
             }
             TaskResult::TicketsReceived(reply) => self.planner.tickets_received(reply, now),
             TaskResult::Flushed(result) => self.flush_ended(result, now),
+            TaskResult::RosterWritten(result) => self.roster_written(result, now),
             TaskResult::Processes(items) => self.pollers.update_registered(&items, now),
         }
     }
@@ -341,6 +358,7 @@
         let actions = self.planner.take_actions();
         self.execute(actions);
         self.flush(now);
+        self.store_roster(now);
     }
 
     fn execute(&mut self, actions: Actions) {
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use mustardcove_adapter::store::{Item, MAX_WRITE_ROWS, Write, WriteOutcome};
+use mustardcove_adapter::store::Write;
 use mustardcove_core::{
     fleet::{
         id::{SubmissionId, Term},
@@ -11,9 +11,12 @@
     },
     time::Timestamp,
 };
-use slog::{debug, warn};
+use slog::debug;
 
-use super::{Leader, TaskResult};
+use super::{
+    Leader, TaskResult,
+    rows::{Row, RowOutcome, write_rows},
+};
 use crate::shared::Shared;
 
 /// Time between two writes of progress, in milliseconds: long enough to spare
@@ -25,10 +28,6 @@
 const URGENT_FLUSH_INTERVAL_MS: u64 = 25;
 /// Pause after a failed write, in milliseconds.
 const FLUSH_RETRY_MS: u64 = 250;
-/// Most records in one write: each takes a row for its condition and one for
-/// its value, and the condition on the leader record takes one row.
-const RECORDS_PER_WRITE: usize = (MAX_WRITE_ROWS - 1) / 2;
-
 /// Progress records, each with the revision that it replaces.
 type Records = Vec<(SubmissionId, ProgressRecord, u64)>;
 
@@ -110,61 +109,26 @@
 }
 
 async fn write_all(shared: &Arc<Shared>, term: Term, change: u64, records: Records) -> FlushResult {
-    let mut result =
-        FlushResult { change, stored: Vec::new(), failed: Vec::new(), is_superseded: false };
-    for records in records.chunks(RECORDS_PER_WRITE) {
-        write_chunk(shared, term, records, &mut result).await;
-        if result.is_superseded {
-            break;
+    let rows: Vec<Row> = (records.iter())
+        .map(|(id, progress, revision)| Row {
+            key: record::key_of(PROGRESS_PREFIX, *id),
+            value: record::encode(progress),
+            revision: *revision,
+        })
+        .collect();
+    let written = write_rows(shared, term, &rows).await;
+    let mut result = FlushResult {
+        change,
+        stored: Vec::new(),
+        failed: Vec::new(),
+        is_superseded: written.is_superseded,
+    };
+    for ((id, ..), outcome) in records.iter().zip(written.outcomes) {
+        match outcome {
+            RowOutcome::Stored(revision) => result.stored.push((*id, revision)),
+            RowOutcome::Conflict(revision) => result.failed.push((*id, Some(revision))),
+            RowOutcome::Unknown => result.failed.push((*id, None)),
         }
     }
     result
 }
-
-async fn write_chunk(
-    shared: &Arc<Shared>,
-    term: Term,
-    records: &[(SubmissionId, ProgressRecord, u64)],
-    result: &mut FlushResult,
-) {
-    let mut write = Write::default().expect(LEADER_KEY, term.0);
-    for (id, progress, revision) in records {
-        let key = record::key_of(PROGRESS_PREFIX, *id);
-        write = write.expect(key.clone(), *revision).set(key, &record::encode(progress));
-    }
-    match shared.store.write(&write).await {
-        Ok(WriteOutcome::Committed(revision)) => {
-            shared.store_answered();
-            result.stored.extend(records.iter().map(|it| (it.0, revision)));
-        }
-        Ok(WriteOutcome::Conflict(items)) => {
-            shared.store_answered();
-            record_conflict(term, records, &items, result);
-        }
-        Err(fault) => {
-            // The write may have taken effect. The next one then conflicts, and
-            // its answer holds the revisions.
-            shared.metrics.store_fault();
-            warn!(shared.log, "progress not stored"; "records" => records.len(),
-                "error" => %fault);
-            result.failed.extend(records.iter().map(|it| (it.0, None)));
-        }
-    }
-}
-
-/// Records the current revisions of the records after a conflict, which an
-/// earlier write with an unknown outcome may have caused.
-fn record_conflict(
-    term: Term,
-    records: &[(SubmissionId, ProgressRecord, u64)],
-    items: &[Item],
-    result: &mut FlushResult,
-) {
-    let leader = items.iter().find(|it| it.key == LEADER_KEY);
-    result.is_superseded |= leader.is_none_or(|it| it.revision != term.0);
-    for (id, ..) in records {
-        let key = record::key_of(PROGRESS_PREFIX, *id);
-        let revision = items.iter().find(|it| it.key == key).map_or(0, |it| it.revision);
-        result.failed.push((*id, Some(revision)));
-    }
-}
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -10,7 +10,7 @@
     id::SubmissionId,
     record::{
         self, CANCEL_PREFIX, LEADER_KEY, LEARNED_KEY, LearnedInterference, PROCESS_PREFIX,
-        PROGRESS_PREFIX, ProgressRecord, SUBMISSION_PREFIX, WORK_PREFIX,
+        PROGRESS_PREFIX, ProgressRecord, ROSTER_PREFIX, SUBMISSION_PREFIX, WORK_PREFIX,
     },
 };
 use slog::warn;
@@ -33,12 +33,15 @@
         self.pollers.update_registered(&processes, self.shared.now());
         self.send_heartbeat();
         let shared = self.shared.clone();
-        let (work, progress, learned) = tokio::join!(
+        let (roster, work, progress, learned) = tokio::join!(
+            shared.store.range(ROSTER_PREFIX),
             shared.store.range(WORK_PREFIX),
             shared.store.range(PROGRESS_PREFIX),
             shared.store.get(LEARNED_KEY),
         );
         self.restore_learned_interference(learned);
+        let (roster, _) = self.retry_read(ROSTER_PREFIX, roster).await?;
+        self.restore_roster(&roster);
         let (work, after) = self.retry_read(WORK_PREFIX, work).await?;
         let (progress, _) = self.retry_read(PROGRESS_PREFIX, progress).await?;
         self.restore(&work, &progress);
--- /dev/null
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -0,0 +1,129 @@
+//! The workers that the leader may use: those that service discovery lists and
+//! that are recorded in the store; see
+//! [`roster`](mustardcove_core::fleet::roster).
+
+use std::sync::Arc;
+
+use mustardcove_adapter::store::Item;
+use mustardcove_core::{
+    fleet::{
+        id::Term,
+        planner::WorkerListing,
+        record,
+        roster::{RosterSegment, RosterWrite},
+    },
+    id::WorkerId,
+    time::Timestamp,
+};
+
+use super::{
+    Leader, TaskResult,
+    rows::{Row, RowOutcome, Written, write_rows},
+};
+use crate::{durable, shared::Shared};
+
+/// Pause after a write that failed, in milliseconds.
+const ROSTER_RETRY_MS: u64 = 250;
+
+/// A write of the roster that has ended.
+pub(super) struct RosterWritten {
+    writes: Vec<RosterWrite>,
+    written: Written,
+}
+
+impl Leader {
+    /// Restores the workers that earlier leaders recorded. Without a readable
+    /// record, work that may have run waits until its leases have expired.
+    pub(super) fn restore_roster(&mut self, items: &[Item]) {
+        let mut is_complete = true;
+        for item in items {
+            let segment = record::roster_segment_of(&item.key);
+            let value: Option<RosterSegment> = durable::decode(&self.shared, "roster", item);
+            match (segment, value) {
+                (Some(segment), Some(value)) => {
+                    self.roster.restore(segment, value, item.revision);
+                }
+                _ => is_complete = false,
+            }
+        }
+        let is_first = self.planner.is_first_term();
+        let is_known = is_complete && (is_first || !self.roster.is_empty());
+        self.planner.restore_workers(is_known.then(|| self.roster.workers()));
+    }
+
+    /// Passes on the listed workers that are recorded, and records the others.
+    pub(super) fn workers_listed(
+        &mut self,
+        listings: Vec<WorkerListing>,
+        may_remove: bool,
+        now: Timestamp,
+    ) {
+        let usable = self.roster.update(listings);
+        self.planner.update_workers(usable, may_remove);
+        if may_remove {
+            let is_unused = |it: &&WorkerId| self.planner.is_unused(it, now);
+            let unused: Vec<WorkerId> =
+                self.roster.worker_ids().filter(is_unused).cloned().collect();
+            for worker in unused {
+                self.roster.remove(&worker);
+            }
+        }
+        self.store_roster(now);
+    }
+
+    /// Starts to write changes of the roster, unless a write is in flight.
+    pub(super) fn store_roster(&mut self, now: Timestamp) {
+        if self.is_storing_roster || now < self.store_roster_at {
+            return;
+        }
+        let writes = self.roster.changes();
+        if writes.is_empty() {
+            return;
+        }
+        self.is_storing_roster = true;
+        let (shared, results, term) = (self.shared.clone(), self.results.clone(), self.term);
+        tokio::spawn(async move {
+            let written = write_roster(&shared, term, &writes).await;
+            // The receiver is dropped when the term ends.
+            let _ = results.send(TaskResult::RosterWritten(RosterWritten { writes, written }));
+        });
+    }
+
+    /// Handles the end of a write of the roster.
+    pub(super) fn roster_written(&mut self, result: RosterWritten, now: Timestamp) {
+        self.is_storing_roster = false;
+        if result.written.is_superseded {
+            self.end_reason = Some("another process leads");
+            return;
+        }
+        for (write, outcome) in result.writes.into_iter().zip(result.written.outcomes) {
+            match outcome {
+                RowOutcome::Stored(revision) => self.roster.stored(write, revision),
+                RowOutcome::Conflict(revision) => {
+                    self.roster.not_stored(write.segment, Some(revision));
+                    self.store_roster_at = now.plus_ms(ROSTER_RETRY_MS);
+                }
+                RowOutcome::Unknown => {
+                    self.roster.not_stored(write.segment, None);
+                    self.store_roster_at = now.plus_ms(ROSTER_RETRY_MS);
+                }
+            }
+        }
+        let listed = std::mem::take(&mut self.listed);
+        let usable = self.roster.update(listed.clone());
+        self.listed = listed;
+        // Workers that the last list lacks were handled when it was read.
+        self.planner.update_workers(usable, false);
+    }
+}
+
+async fn write_roster(shared: &Arc<Shared>, term: Term, writes: &[RosterWrite]) -> Written {
+    let rows: Vec<Row> = (writes.iter())
+        .map(|it| Row {
+            key: record::roster_key(it.segment),
+            value: record::encode(&it.value),
+            revision: it.revision,
+        })
+        .collect();
+    write_rows(shared, term, &rows).await
+}
