Score a worker again only after it has changed

Cause, from a profile of the planner with 1,100 workers (example planner_scale): each task scored every worker; each step that waited was scored on every worker in every round; reserving looked at every run of every worker; each slowed task was scored on every worker in every round; and each poll went through all pending stops, so that stops made the leader slower.

Change: one ranking for the tasks of a step; a step that found no worker is tried on those that have changed since; sums of batch work are kept; moves are looked for in a bounded part of the fleet in each round; stops are found by worker.

--- a/crates/mustardcove-core/src/fleet/id.rs
+++ b/crates/mustardcove-core/src/fleet/id.rs
@@ -82,6 +82,12 @@
     pub index: u16,
 }
 
+impl TaskKey {
+    /// The first key in the order of keys, where a range of them begins.
+    pub const MIN: TaskKey =
+        TaskKey { step: StepKey { submission: SubmissionId(0), occurrence: 0, step: 0 }, index: 0 };
+}
+
 impl fmt::Display for TaskKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.step, self.index)
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -27,7 +27,10 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use strum::{Display, IntoStaticStr};
@@ -196,6 +199,13 @@
     interference: InterferenceModel,
     tickets: Tickets,
     blocked: BlockedSubmissions,
+    /// Number of the last placement round.
+    round: u64,
+    /// The worker with which the next search for slowed tasks begins.
+    next_move_check: WorkerIndex,
+    /// Number of times that a worker was scored for a task, which is most of
+    /// the cost of planning.
+    scored_workers: AtomicU64,
     actions: Actions,
 }
 
@@ -234,6 +244,9 @@
             interference: InterferenceModel::default(),
             tickets: Tickets::default(),
             blocked: BlockedSubmissions::default(),
+            round: 0,
+            next_move_check: 0,
+            scored_workers: AtomicU64::new(0),
             actions: Actions::default(),
         }
     }
@@ -395,7 +408,8 @@
             let worker = &mut self.workers[*index];
             let is_newer = worker.listing.incarnation <= listing.incarnation;
             worker.is_listed = true;
-            if is_newer {
+            if is_newer && worker.listing != listing {
+                worker.is_changed = true;
                 worker.listing = listing;
             }
             return *index;
@@ -435,9 +449,8 @@
     /// something may still run. The second part is the start of responsiveness
     /// that the worker's poller is told is confirmed.
     pub fn workers_to_poll(&self) -> impl Iterator<Item = (&WorkerListing, Option<Timestamp>)> {
-        let needs_polling = |it: &&Worker| {
-            it.is_listed || it.may_run_earlier_work || !it.allocations.is_empty()
-        };
+        let needs_polling =
+            |it: &&Worker| it.is_listed || it.may_run_earlier_work || !it.allocations.is_empty();
         self.workers.iter().filter(needs_polling).map(|it| (&it.listing, it.responsive_since))
     }
 
@@ -542,6 +555,7 @@
                 .iter()
                 .filter(|it| placement::is_schedulable(it, now))
                 .count(),
+            scored_workers: self.scored_workers.load(Ordering::Relaxed),
         }
     }
 
@@ -670,6 +684,8 @@
     pub placed_runs: usize,
     /// Workers that accept new work.
     pub schedulable_workers: usize,
+    /// Number of times so far that a worker was scored for a task.
+    pub scored_workers: u64,
 }
 
 /// Returns how a step's tasks use the processor.
--- a/crates/mustardcove-core/src/fleet/planner/interference.rs
+++ b/crates/mustardcove-core/src/fleet/planner/interference.rs
@@ -19,6 +19,8 @@
     sync::Arc,
 };
 
+use rustc_hash::FxHashMap;
+
 use crate::{
     fleet::{id::SubmissionId, record::LearnedInterference},
     time::Timestamp,
@@ -102,8 +104,9 @@
 pub(super) struct InterferenceModel {
     images: HashMap<Arc<str>, ImageId>,
     lowest_tail: Vec<f32>,
-    /// By image of the latency-critical task and image of its neighbour.
-    pressures: HashMap<(ImageId, ImageId), f32>,
+    /// By image of the latency-critical task and image of its neighbour. Each
+    /// score of a worker reads several.
+    pressures: FxHashMap<(ImageId, ImageId), f32>,
     loads: BTreeMap<SubmissionId, LoadEstimate>,
 }
 
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -29,7 +29,7 @@
 pub(super) const MAX_POLL_AGE_MS: u64 = 3_000;
 /// Penalty of a worker on which this task is slower (rack, last failure),
 /// above any difference in load.
-const MISFIT_PENALTY: i64 = 1_000_000;
+pub(super) const MISFIT_PENALTY: i64 = 1_000_000;
 /// Penalty of a worker for each latency-critical task of another image, in
 /// millicores of free capacity: a quarter of a large worker. Best-effort work
 /// is rejected where it interferes with any of the images, so fewer images
@@ -193,18 +193,13 @@
 
 /// Returns the capacity that a worker has free once its batch work has ended.
 pub(super) fn capacity_after_batch(worker: &Worker) -> Resources {
-    batch_allocations(worker).fold(worker.free(), |sum, it| sum.saturating_add(it.resources))
+    worker.free().saturating_add(worker.batch_used)
 }
 
 /// Returns the capacity that a worker has free once its largest batch task has
 /// ended.
 pub(super) fn capacity_after_largest(worker: &Worker) -> Resources {
-    let largest = batch_allocations(worker).map(|it| it.resources).max_by_key(|it| it.cpu);
-    worker.free().saturating_add(largest.unwrap_or(Resources::ZERO))
-}
-
-fn batch_allocations(worker: &Worker) -> impl Iterator<Item = &Allocation> {
-    worker.allocations.values().filter(|it| it.kind == WorkloadKind::Batch)
+    worker.free().saturating_add(worker.largest_batch)
 }
 
 /// Returns the processor time that best-effort tasks can expect on a worker,
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -100,6 +100,7 @@
         }
         let worker = &mut self.workers[index];
         worker.polled_at = Some(now);
+        worker.is_changed = true;
         worker.may_run_earlier_work = false;
         worker.leases_expire_by = poll.leases_expire_by;
         worker.responsive_since = Some(poll.responsive_since);
@@ -146,7 +147,8 @@
         }
         // A stop that the earlier incarnation confirmed does not bind this
         // one.
-        for (_, stopping) in self.stops.iter_mut().filter(|it| it.0.0 == index) {
+        let first = (index, TaskKey::MIN, RunNumber::default());
+        for (_, stopping) in self.stops.range_mut(first..).take_while(|it| it.0.0 == index) {
             *stopping = PendingStop { is_confirmed: false, retry_at: now, missed_polls: 0 };
         }
         if !is_first {
@@ -381,12 +383,11 @@
     /// Handles a run that a worker lists.
     fn run_listed(&mut self, index: WorkerIndex, row: &RunningTask, now: Timestamp) {
         let id = row.task.step.submission;
-        let Some(work) = self.work.get_mut(&id) else {
+        let Some(work) = self.work.get(&id) else {
             self.unknown_run(index, row);
             return;
         };
         let Some(spec) = work.submission.steps.get(usize::from(row.task.step.step)) else { return };
-        let spec = spec.clone();
         let is_waiting = work.task(row.task).is_some_and(|it| it.is_waiting());
         let is_stopping = self.stops.contains_key(&(index, row.task, row.run));
         if self.is_current(index, row.task, row.run) {
@@ -395,6 +396,7 @@
         } else if is_waiting && !is_stopping {
             self.adopt(index, row, now);
         } else if !is_stopping {
+            let spec = spec.clone();
             let allocation = self.allocation_for(&spec, row.run);
             self.workers[index].allocate(row.task, allocation);
             self.stop(index, row.task, row.run, "not the planned run", now);
@@ -516,18 +518,31 @@
             }
         }
         // Stops of runs that hold no allocation here.
-        let workers = &self.workers;
-        self.stops.retain(|(worker, task, run), stopping| {
-            if *worker != index || is_listed(*task, *run) {
-                return true;
+        let stops = self.stops_at(index);
+        for (task, run) in stops {
+            if is_listed(task, run) {
+                continue;
             }
-            let is_allocated =
-                workers[index].allocations.get(task).is_some_and(|it| it.run == *run);
+            let allocations = &self.workers[index].allocations;
+            let is_allocated = allocations.get(&task).is_some_and(|it| it.run == run);
+            let Some(stopping) = self.stops.get_mut(&(index, task, run)) else { continue };
             if !is_allocated {
                 stopping.missed_polls += u32::from(stopping.is_confirmed);
             }
-            is_allocated || stopping.missed_polls < MISSED_POLLS
-        });
+            if !is_allocated && MISSED_POLLS <= stopping.missed_polls {
+                self.stops.remove(&(index, task, run));
+            }
+        }
+    }
+
+    /// Returns the runs on a worker that are being stopped.
+    fn stops_at(&self, index: WorkerIndex) -> Vec<(TaskKey, RunNumber)> {
+        let first = (index, TaskKey::MIN, RunNumber::default());
+        self.stops
+            .range(first..)
+            .take_while(|it| it.0.0 == index)
+            .map(|it| (it.0.1, it.0.2))
+            .collect()
     }
 
     /// Counts a poll that does not list a run; returns whether the run now
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -1,13 +1,18 @@
 //! Work done on each tick: due occurrences, overdue runs and stops, and the
 //! placement of waiting tasks.
 
-use std::{borrow::Cow, cmp::Reverse, collections::BTreeMap, sync::Arc};
+use std::{
+    borrow::Cow,
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    sync::{Arc, atomic::Ordering},
+};
 
 use super::{
     DecisionKind, LEASE_MARGIN_MS, Planner, RunKey, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS, pace,
     placement::{self, Obstacle, Request},
     rank::{Rank, WaitingStep},
-    work::{Phase, Run, Work, WorkerIndex},
+    work::{Phase, Run, TriedRound, Work, WorkerIndex},
     workers::{Allocation, WorkloadKind},
     workload_kind,
 };
@@ -32,6 +37,9 @@
 /// Most moves ordered at once; each changes the capacity that the next one
 /// sees.
 const MAX_MOVES: u32 = 4;
+/// Slowed tasks from which on a round looks for no more moves: each is scored
+/// on every worker.
+const MAX_MOVE_CHECKS: usize = 12;
 
 /// Most workers considered for a request to the recommendation service.
 const MAX_TICKET_CANDIDATES: usize = 60;
@@ -59,9 +67,13 @@
 ///
 /// Demands for which no worker was found are remembered, and steps that need
 /// at least as much of the same are skipped, so that a long backlog costs
-/// little.
+/// little. A step that found no worker in an earlier round is tried only on
+/// those that have changed since: a backlog of a hundred steps on a thousand
+/// workers would otherwise cost 10 ms a round.
 struct Round<'a> {
     schedulable: &'a [WorkerIndex],
+    /// The schedulable workers, those first that changed last.
+    by_change: Vec<WorkerIndex>,
     /// The schedulable workers that are not reserved for a step.
     unreserved: Vec<WorkerIndex>,
     /// Workers that accept no work only because their runs failed.
@@ -146,6 +158,43 @@
     }
 }
 
+/// The workers that can run a task of a step, best first.
+///
+/// A burst of wide steps would otherwise score every worker for every task.
+/// Placing a task changes only the score of its own worker, which is inserted
+/// again.
+#[derive(Debug)]
+struct Ranking {
+    workers: BinaryHeap<(i64, WorkerIndex)>,
+}
+
+impl Ranking {
+    fn insert(&mut self, worker: WorkerIndex, score: i64) {
+        self.workers.push((score, worker));
+    }
+
+    /// Removes and returns the best worker; the one to avoid only if no other
+    /// has a score within [`placement::MISFIT_PENALTY`] of it.
+    fn take_best(&mut self, avoid: Option<WorkerIndex>) -> Option<WorkerIndex> {
+        let (score, worker) = self.workers.pop()?;
+        if avoid != Some(worker) {
+            return Some(worker);
+        }
+        let avoided = (score - placement::MISFIT_PENALTY, worker);
+        match self.workers.pop() {
+            Some(next) if avoided < next => {
+                self.workers.push((score, worker));
+                Some(next.1)
+            }
+            Some(next) => {
+                self.workers.push(next);
+                Some(worker)
+            }
+            None => Some(worker),
+        }
+    }
+}
+
 impl Planner {
     /// Does what is due and places the tasks that can be placed.
     pub fn tick(&mut self, now: Timestamp) {
@@ -248,13 +297,17 @@
 
     /// Drops reservations of steps that no longer wait, and begins a round.
     fn begin_round<'a>(&mut self, schedulable: &'a [WorkerIndex], now: Timestamp) -> Round<'a> {
-        let mut reserved = std::mem::take(&mut self.reserved);
+        let mut reserved = self.reserved.clone();
         reserved.retain(|worker, key| {
             let waiting = self.waiting_step(*key);
             waiting.is_some_and(|it| it.rank(now).is_worthwhile())
                 && schedulable.binary_search(worker).is_ok()
         });
+        for worker in self.reserved.keys().filter(|it| !reserved.contains_key(it)) {
+            self.workers[*worker].is_changed = true;
+        }
         self.reserved = reserved;
+        let by_change = self.begin_changes(schedulable);
         let is_free = |it: &WorkerIndex| !self.reserved.contains_key(it);
         let is_suspended = |it: &WorkerIndex| {
             placement::obstacle(&self.workers[*it], now) == Some(Obstacle::Suspended)
@@ -264,6 +317,7 @@
         let max_reserved = (schedulable.len() * MAX_RESERVED_PERCENT).div_ceil(100);
         Round {
             schedulable,
+            by_change,
             unreserved: schedulable.iter().copied().filter(is_free).collect(),
             is_mostly_free: placement::is_mostly_free(usable),
             suspended,
@@ -274,12 +328,74 @@
         }
     }
 
+    /// Numbers the round, dates the changes of workers since the last one, and
+    /// returns the schedulable workers, those first that changed last.
+    fn begin_changes(&mut self, schedulable: &[WorkerIndex]) -> Vec<WorkerIndex> {
+        self.round += 1;
+        let mut is_schedulable = vec![false; self.workers.len()];
+        for index in schedulable {
+            is_schedulable[*index] = true;
+        }
+        for (worker, is_schedulable) in self.workers.iter_mut().zip(is_schedulable) {
+            let is_new = is_schedulable && !worker.was_schedulable;
+            if std::mem::take(&mut worker.is_changed) || is_new {
+                worker.changed_in = self.round;
+            }
+            worker.was_schedulable = is_schedulable;
+        }
+        let mut by_change = schedulable.to_vec();
+        by_change.sort_unstable_by_key(|it| Reverse(self.workers[*it].changed_in));
+        by_change
+    }
+
+    /// Returns the workers that have changed since a step was tried last, and
+    /// that it may use; `None` if it has to be tried on all.
+    fn changed_workers(
+        &self,
+        key: StepKey,
+        spec: &StepSpec,
+        rank: Rank,
+        round: &Round<'_>,
+    ) -> Option<Vec<WorkerIndex>> {
+        let may_use_reserved = spec.is_best_effort || rank.may_use_reserved(spec.is_long_running);
+        let occurrence = self.work.get(&key.submission)?.occurrence(key.occurrence)?;
+        let tried = occurrence.steps.get(usize::from(key.step))?.tried?;
+        // The members of a gang have to fit together.
+        if spec.is_gang || tried.may_use_reserved != may_use_reserved {
+            return None;
+        }
+        let may_use = |it: &WorkerIndex| {
+            may_use_reserved || self.reserved.get(it).is_none_or(|of| *of == key)
+        };
+        let changed = round.by_change.iter().copied();
+        let changed = changed.take_while(|it| tried.round < self.workers[*it].changed_in);
+        Some(changed.filter(may_use).collect())
+    }
+
+    /// Records that tasks of a step found no worker in this round.
+    fn record_tried(&mut self, key: StepKey, may_use_reserved: bool) {
+        let round = self.round;
+        let work = self.work.get_mut(&key.submission);
+        let occurrence = work.and_then(|it| it.occurrence_mut(key.occurrence));
+        if let Some(step) = occurrence.and_then(|it| it.steps.get_mut(usize::from(key.step))) {
+            step.tried = Some(TriedRound { round, may_use_reserved });
+        }
+    }
+
     /// Stops best-effort tasks that hardly progress where they are if another
     /// worker has capacity for them: the last task of a step decides when it
     /// ends.
+    ///
+    /// While many tasks are slow, each round looks at some of the workers only
+    /// and the next continues after them.
     fn move_slowed(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
-        let mut moves = 0;
-        for index in 0..self.workers.len() {
+        let (mut moves, mut checks) = (0, 0);
+        let count = self.workers.len();
+        let first = self.next_move_check % count.max(1);
+        for index in (0..count).map(|it| (first + it) % count) {
+            if self.workers[index].best_effort_cpu == 0 {
+                continue;
+            }
             let slowed = self.workers[index].allocations.iter().filter(|(_, it)| {
                 it.kind == WorkloadKind::BestEffort
                     && it.pace <= SLOW_PACE_PERCENT
@@ -287,6 +403,7 @@
             });
             let slowed: Vec<(TaskKey, RunNumber)> =
                 slowed.map(|(task, it)| (*task, it.run)).collect();
+            checks += slowed.len();
             for (task, run) in slowed {
                 if self.has_better_worker(index, task, run, schedulable, now) {
                     self.stop_and_move(
@@ -299,9 +416,13 @@
                     moves += 1;
                 }
                 if moves == MAX_MOVES {
-                    return;
+                    break;
                 }
             }
+            if moves == MAX_MOVES || MAX_MOVE_CHECKS <= checks {
+                self.next_move_check = index + 1;
+                return;
+            }
         }
     }
 
@@ -324,9 +445,9 @@
         }
         // Scarcity does not affect the score of best-effort work.
         let pending = PendingTasks::new(task.step, work, false);
-        let others: Vec<WorkerIndex> =
-            schedulable.iter().copied().filter(|it| *it != index).collect();
-        self.choose(&pending, spec, None, &others, now).is_some()
+        let req = self.request(&pending, spec, None);
+        let can_run = |it: &WorkerIndex| self.score(&pending, req, *it, now).is_ok();
+        schedulable.iter().any(|it| *it != index && can_run(it))
     }
 
     /// Returns the steps that wait, and drops those that do not.
@@ -415,7 +536,13 @@
         }
         let Some(mut pending) = self.pending_tasks(key, round.is_scarce, now) else { return };
         pending.may_use_suspended = may_use_suspended;
-        let schedulable = round.usable(spec, candidate.rank, &reserved);
+        let changed = (!needs_ticket && !may_use_suspended)
+            .then(|| self.changed_workers(key, spec, candidate.rank, round))
+            .flatten();
+        let schedulable = match changed {
+            Some(changed) => Cow::Owned(changed),
+            None => round.usable(spec, candidate.rank, &reserved),
+        };
         let suspended: &[WorkerIndex] = if may_use_suspended { &round.suspended } else { &[] };
         let waiting = pending.tasks.len();
         let mut chosen = self.allocate_tasks(&mut pending, spec, &schedulable, suspended, now);
@@ -423,6 +550,9 @@
         let fits_nowhere = if spec.is_gang { chosen.is_empty() } else { chosen.len() < waiting };
         if fits_nowhere && !pending.needs_ticket {
             round.record_unplaceable(&pending.service, spec);
+            let may_use_reserved =
+                spec.is_best_effort || candidate.rank.may_use_reserved(spec.is_long_running);
+            self.record_tried(key, may_use_reserved);
         }
         let unplaced = waiting - chosen.len();
         if spec.is_gang && 0 < unplaced {
@@ -455,8 +585,16 @@
     ) -> Vec<(u16, WorkerIndex)> {
         let tasks = std::mem::take(&mut pending.tasks);
         let mut chosen = Vec::with_capacity(tasks.len());
+        // Where the rack of the step's other tasks matters, each task changes
+        // every score; otherwise only that of its own worker.
+        let mut ranking =
+            (!spec.wants_same_rack).then(|| self.ranking(pending, spec, schedulable, now));
         for (index, avoid) in tasks {
-            let mut worker = self.choose(pending, spec, avoid, schedulable, now);
+            let mut worker = match &mut ranking {
+                Some(ranking) => ranking.take_best(avoid),
+                None => self.choose(pending, spec, avoid, schedulable, now),
+            };
+            let is_ranked = worker.is_some();
             // A gang needs all its members; otherwise one task shows whether
             // the workers still fail.
             if worker.is_none() && (spec.is_gang || chosen.is_empty()) {
@@ -475,10 +613,32 @@
             self.refresh_latency_critical(worker, now);
             *pending.placed.entry(worker).or_default() += 1;
             chosen.push((index, worker));
+            if let Some(ranking) = ranking.as_mut().filter(|_| is_ranked)
+                && let Ok(score) =
+                    self.score(pending, self.request(pending, spec, None), worker, now)
+            {
+                ranking.insert(worker, score);
+            }
         }
         chosen
     }
 
+    /// Returns the workers that can run a task of a step, by score.
+    fn ranking(
+        &self,
+        pending: &PendingTasks,
+        spec: &StepSpec,
+        schedulable: &[WorkerIndex],
+        now: Timestamp,
+    ) -> Ranking {
+        let req = self.request(pending, spec, None);
+        let score = |index: &WorkerIndex| {
+            let score = self.score(pending, req, *index, now).ok()?;
+            Some((score, *index))
+        };
+        Ranking { workers: schedulable.iter().filter_map(score).collect() }
+    }
+
     /// Returns the allocation of each of the pending tasks. A starved one gets
     /// the lowest pace, so that hundreds of them take little from the runs that
     /// are on time.
@@ -625,6 +785,7 @@
         index: WorkerIndex,
         now: Timestamp,
     ) -> Result<i64, Obstacle> {
+        self.scored_workers.fetch_add(1, Ordering::Relaxed);
         let worker = &self.workers[index];
         if !pending.may_use_suspended && !worker.circuit_breaker.may_start(now) {
             return Err(Obstacle::Suspended);
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -58,6 +58,18 @@
     /// Estimated length of the critical path that begins with this step, in
     /// milliseconds.
     pub(super) critical_path_ms: u64,
+    /// The last placement round that left a task of it waiting.
+    pub(super) tried: Option<TriedRound>,
+}
+
+/// A placement round in which a task fitted on no worker that its step could
+/// use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TriedRound {
+    /// The number of the round.
+    pub(super) round: u64,
+    /// Whether the step could use workers that are reserved for others.
+    pub(super) may_use_reserved: bool,
 }
 
 /// A task.
@@ -156,6 +168,7 @@
                 unfinished: count,
                 started_at: Timestamp::default(),
                 critical_path_ms,
+                tried: None,
             }
         });
         let mut occurrence = Occurrence { number, steps: steps.collect(), due_at, slo_deadline };
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -109,6 +109,10 @@
     pub(super) responsive_since: Option<Timestamp>,
     pub(super) allocations: BTreeMap<TaskKey, Allocation>,
     pub(super) used: Resources,
+    /// Capacity that batch runs hold.
+    pub(super) batch_used: Resources,
+    /// Capacity that the batch run with the most processors holds.
+    pub(super) largest_batch: Resources,
     /// Processor demand of best-effort runs.
     pub(super) best_effort_cpu: u64,
     /// Processor demand of latency-critical runs.
@@ -125,6 +129,13 @@
     /// Processor time that latency-critical tasks used at the last poll, in
     /// millicores.
     pub(super) latency_critical_use: u64,
+    /// Whether it may have become able to run a task since the last placement
+    /// round.
+    pub(super) is_changed: bool,
+    /// The last placement round before which it changed.
+    pub(super) changed_in: u64,
+    /// Whether it accepted work in the last placement round.
+    pub(super) was_schedulable: bool,
     pub(super) circuit_breaker: CircuitBreaker,
     /// The latency-critical tasks here, as of the last poll or placement.
     pub(super) latency_critical: Vec<LatencyCriticalTask>,
@@ -146,6 +157,8 @@
             responsive_since: None,
             allocations: BTreeMap::new(),
             used: Resources::ZERO,
+            batch_used: Resources::ZERO,
+            largest_batch: Resources::ZERO,
             best_effort_cpu: 0,
             latency_critical_cpu: 0,
             seen_end: EndNumber::default(),
@@ -153,6 +166,9 @@
             acknowledged_through: EndNumber::default(),
             full_until: Timestamp::default(),
             latency_critical_use: 0,
+            is_changed: true,
+            changed_in: 0,
+            was_schedulable: false,
             circuit_breaker: CircuitBreaker::default(),
             latency_critical: Vec::new(),
         }
@@ -168,7 +184,12 @@
                 self.latency_critical_cpu += allocation.cpu;
                 self.latency_critical_use += allocation.cpu / 2;
             }
-            WorkloadKind::Batch => {}
+            WorkloadKind::Batch => {
+                self.batch_used = self.batch_used.saturating_add(allocation.resources);
+                if self.largest_batch.cpu < allocation.resources.cpu {
+                    self.largest_batch = allocation.resources;
+                }
+            }
         }
         self.allocations.insert(task, allocation);
     }
@@ -176,6 +197,7 @@
     /// Releases the allocation of a task.
     pub(super) fn release(&mut self, task: TaskKey) {
         let Some(allocation) = self.allocations.remove(&task) else { return };
+        self.is_changed = true;
         self.used = self.used.saturating_sub(allocation.resources);
         match allocation.kind {
             WorkloadKind::BestEffort => self.best_effort_cpu -= allocation.cpu,
@@ -186,10 +208,19 @@
                 self.latency_critical_use =
                     self.latency_critical_use.saturating_sub(allocation.cpu / 2);
             }
-            WorkloadKind::Batch => {}
+            WorkloadKind::Batch => {
+                self.batch_used = self.batch_used.saturating_sub(allocation.resources);
+                self.largest_batch = self.find_largest_batch();
+            }
         }
     }
 
+    fn find_largest_batch(&self) -> Resources {
+        let batch = self.allocations.values().filter(|it| it.kind == WorkloadKind::Batch);
+        let largest = batch.map(|it| it.resources).max_by_key(|it| it.cpu);
+        largest.unwrap_or(Resources::ZERO)
+    }
+
     /// Lifts the bound on the pace of a best-effort run, if enough processor
     /// time is left over for it and no target would be missed.
     pub(super) fn lift_max_pace(&mut self, task: TaskKey, interference: &InterferenceModel) {
