--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -14,6 +14,7 @@
 //! leader and the first orders of the next. See `docs/platform.md`.
 
 pub mod assignment;
+pub mod cadence;
 pub mod election;
 pub mod id;
 pub mod manifest;
--- a/crates/mustardcove-core/src/fleet/assignment.rs
+++ b/crates/mustardcove-core/src/fleet/assignment.rs
@@ -43,12 +43,14 @@
     if in_region.is_empty() { pollers.iter().collect() } else { in_region }
 }
 
+/// A poller with the hash of its name.
+type Candidate<'a> = (&'a Poller, u64);
+
 /// Returns the score of a poller for a worker; the highest wins.
 ///
 /// `-weight / ln(hash)` with a hash in (0, 1) makes each poller win in
 /// proportion to its weight.
-fn score(poller: &Poller, worker: &WorkerId) -> f64 {
-    let seed = xxh3_64_with_seed(poller.name.as_bytes(), 0);
+fn score((poller, seed): Candidate<'_>, worker: &WorkerId) -> f64 {
     let hash = xxh3_64_with_seed(worker.as_str().as_bytes(), seed);
     let unit = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
     -poller.weight / unit.ln()
@@ -61,12 +63,15 @@
     workers: impl IntoIterator<Item = (&'a WorkerId, &'a FailureDomainId)>,
 ) -> BTreeMap<WorkerId, ProcessId> {
     let mut assigned = BTreeMap::new();
+    let mut candidates_of: BTreeMap<&FailureDomainId, Vec<Candidate<'_>>> = BTreeMap::new();
     for (worker, domain) in workers {
-        let candidates = nearest(pollers, domain, regions.get(domain));
-        let best = candidates
-            .into_iter()
-            .max_by(|lhs, rhs| score(lhs, worker).total_cmp(&score(rhs, worker)));
-        if let Some(best) = best {
+        let candidates = candidates_of.entry(domain).or_insert_with(|| {
+            let nearest = nearest(pollers, domain, regions.get(domain));
+            let seed = |it: &Poller| xxh3_64_with_seed(it.name.as_bytes(), 0);
+            nearest.into_iter().map(|it| (it, seed(it))).collect()
+        });
+        let scored = candidates.iter().map(|it| (score(*it, worker), it.0));
+        if let Some((_, best)) = scored.max_by(|lhs, rhs| lhs.0.total_cmp(&rhs.0)) {
             assigned.insert(worker.clone(), best.process.clone());
         }
     }
--- a/crates/mustardcove-core/src/fleet/id.rs
+++ b/crates/mustardcove-core/src/fleet/id.rs
@@ -6,6 +6,44 @@
 
 use crate::id::{ParseIdError, number_id};
 
+/// A time on the boot clock of one instance, in milliseconds.
+///
+/// The boot clock also counts the time in which the instance was suspended, so
+/// it shows that a permission has expired meanwhile. Values of different
+/// instances are not comparable.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct BootMillis(pub u64);
+
+impl BootMillis {
+    /// Returns the time since an earlier one, in milliseconds; 0 if it is
+    /// later.
+    pub fn ms_since(self, earlier: BootMillis) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the time `ms` milliseconds later.
+    pub fn plus_ms(self, ms: u64) -> BootMillis {
+        BootMillis(self.0.saturating_add(ms))
+    }
+}
+
+impl fmt::Display for BootMillis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for BootMillis {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<BootMillis, ParseIntError> {
+        text.parse().map(BootMillis)
+    }
+}
+
 /// A submission, identified by 16 hexadecimal digits that its caller chose.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -10,7 +10,9 @@
 use strum::{Display, IntoStaticStr};
 
 use super::{
-    id::{EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey, Term},
+    id::{
+        BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey, Term,
+    },
     record::ProcessRecord,
     submission::{Submission, SubmissionState},
 };
@@ -35,6 +37,8 @@
     Orders {
         /// The leader's term.
         term: Term,
+        /// As in [`Heartbeat::handled`]: the orders rest on nothing newer.
+        handled: Option<BootMillis>,
         /// The orders, in the order of execution.
         orders: Vec<(WorkerId, Order)>,
     },
@@ -63,6 +67,13 @@
         term: Term,
         /// When it was sent.
         sent_at: Timestamp,
+        /// The same on the sender's boot clock. Only the sender reads it, when
+        /// the leader returns it.
+        sent_boot_ms: BootMillis,
+        /// [`Heartbeat::sent_at`] of the last heartbeat of this term that the
+        /// sender received: everything that it had reported by then precedes
+        /// this message.
+        heartbeat_at: Option<Timestamp>,
         /// Whether the sender reached the store recently.
         reaches_store: bool,
         /// One or several reports for each worker, in order.
@@ -120,6 +131,15 @@
 pub struct Heartbeat {
     /// Its term.
     pub term: Term,
+    /// When it was sent, on the leader's clock, which reports return to show
+    /// how old they are.
+    pub sent_at: Timestamp,
+    /// The newest report of the receiver that the leader has handled, by its
+    /// [`FleetMessage::Report::sent_boot_ms`].
+    pub handled: Option<BootMillis>,
+    /// Time for which the receiver collects reports before it sends them, in
+    /// milliseconds.
+    pub report_delay_ms: u64,
     /// The version of the manifest that its plan uses.
     pub manifest: ManifestVersion,
     /// Whether the receiver may extend leases at workers.
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -59,7 +59,9 @@
 /// next term.
 const RUNS_PER_TERM: u64 = 10_000;
 /// A start that no report confirms for this long is stopped, in milliseconds:
-/// longer than the poller's attempts together.
+/// longer than the poller's attempts together. Only reports that the leader
+/// has handled count: a leader that is behind would otherwise stop what runs,
+/// and fall further behind.
 const START_CONFIRM_TIMEOUT_MS: u64 = 1_500;
 /// Time after which an unconfirmed stop is ordered again, in milliseconds:
 /// twice the grace period that workers give a task.
@@ -454,6 +456,15 @@
         self.workers.iter().filter(needs_polling).map(|it| (&it.listing, it.responsive_since))
     }
 
+    /// Records that everything which a worker's poller reported by a time has
+    /// been handled.
+    pub fn record_heard(&mut self, worker: &WorkerId, through: Timestamp) {
+        if let Some(index) = self.worker_index.get(worker) {
+            let worker = &mut self.workers[*index];
+            worker.heard_through = worker.heard_through.max(Some(through));
+        }
+    }
+
     /// Handles the loss of the process that polled these workers. It may have
     /// extended leases until `leases_expire_by`.
     pub fn poller_lost<'a>(
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -228,7 +228,10 @@
     }
 
     fn stop_unconfirmed(&mut self, now: Timestamp) {
-        let is_due = |it: (&RunKey, &Timestamp)| (*it.1 <= now).then_some(*it.0);
+        let is_due = |it: (&RunKey, &Timestamp)| {
+            let is_due = *it.1 <= now && self.workers[it.0.0].is_heard(*it.1, now);
+            is_due.then_some(*it.0)
+        };
         let due: Vec<RunKey> = self.unconfirmed.iter().filter_map(is_due).collect();
         for (worker, task, run) in due {
             self.stop(worker, task, run, "start not confirmed", now);
@@ -238,7 +241,8 @@
     fn retry_stops(&mut self, now: Timestamp) {
         for ((worker, task, run), stopping) in &mut self.stops {
             let worker = &self.workers[*worker];
-            if stopping.is_confirmed || now < stopping.retry_at || worker.is_silent {
+            let is_due = worker.is_heard(stopping.retry_at, now);
+            if stopping.is_confirmed || !is_due || worker.is_silent {
                 continue;
             }
             stopping.retry_at = now.plus_ms(STOP_RETRY_MS);
@@ -249,10 +253,15 @@
 
     /// Gives up the runs on workers that did not answer until their leases
     /// expired.
+    ///
+    /// The poller of a worker that answers goes on extending leases, whether or
+    /// not its reports have been handled yet. Only a silence that it has
+    /// reported, or its loss, bounds them.
     fn expire_leases(&mut self, now: Timestamp) {
         for index in 0..self.workers.len() {
             let worker = &self.workers[index];
             if worker.allocations.is_empty()
+                || worker.responsive_since.is_some()
                 || now < worker.runs_expire_by().plus_ms(LEASE_MARGIN_MS)
             {
                 continue;
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -107,6 +107,9 @@
     /// Since when the worker has answered its poller, as far as the leader
     /// knows; while this is `None`, the poller extends no lease.
     pub(super) responsive_since: Option<Timestamp>,
+    /// Everything that its poller reported by this time has been handled;
+    /// `None` if reports arrive without delay.
+    pub(super) heard_through: Option<Timestamp>,
     pub(super) allocations: BTreeMap<TaskKey, Allocation>,
     pub(super) used: Resources,
     /// Capacity that batch runs hold.
@@ -155,6 +158,7 @@
             leases_expire_by: Timestamp::default(),
             ordered_leases_expire_by: earlier_leases_expire_by,
             responsive_since: None,
+            heard_through: None,
             allocations: BTreeMap::new(),
             used: Resources::ZERO,
             batch_used: Resources::ZERO,
@@ -262,6 +266,12 @@
         }
     }
 
+    /// Returns whether the reports of its poller that were sent by a time have
+    /// been handled, so that what they lack did not happen.
+    pub(super) fn is_heard(&self, time: Timestamp, now: Timestamp) -> bool {
+        time <= self.heard_through.unwrap_or(now).min(now)
+    }
+
     /// Returns the time by which every run there has ended unless the worker
     /// answers again.
     pub(super) fn runs_expire_by(&self) -> Timestamp {
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -10,9 +10,15 @@
 //! its loss postpones that time. To keep the successive loss of several
 //! pollers from postponing it each time, a poller extends leases only once the
 //! leader has confirmed that it knows of the worker's answers.
+//!
+//! The leader may be behind with the reports that it receives. What it allows
+//! and orders therefore counts from the newest report that it has handled, and
+//! not from the arrival of its message: a poller that the leader has given up,
+//! while messages still reach it, extends no lease and starts nothing that the
+//! leader does not expect.
 
 use super::{
-    id::{EndNumber, Incarnation},
+    id::{BootMillis, EndNumber, Incarnation},
     message::WorkerReport,
 };
 use crate::time::Timestamp;
@@ -21,9 +27,12 @@
 /// outlasts a change of the leader and a handover between pollers, and is
 /// short because work on an unresponsive worker waits for its end.
 pub const LEASE_MS: u64 = 4_000;
-/// Time without a heartbeat of its leader after which a poller extends no
-/// lease, in milliseconds.
+/// Age of the newest report that the leader has handled from which on a poller
+/// extends no lease, in milliseconds.
 pub const LEADER_SILENT_MS: u64 = 2_000;
+/// Age of the newest report that the leader had handled when it ordered a start
+/// from which on the start is not sent to the worker, in milliseconds.
+pub const ORDER_MAX_AGE_MS: u64 = 1_500;
 /// Time after its arrival from which an order that was not sent to the worker
 /// is dropped, in milliseconds, so that a poller that was paused sends nothing
 /// outdated.
@@ -37,8 +46,9 @@
 /// True time that a lease may last on the slowest clock, in milliseconds.
 const MAX_LEASE_MS: u64 = on_slowest_clock(LEASE_MS);
 /// The longest time from the decision to start a task to the end of the lease
-/// that the start grants, in milliseconds.
-pub const MAX_START_LEASE_MS: u64 = ORDER_VALID_MS + MAX_LEASE_MS + 500;
+/// that the start grants, in milliseconds. Reports that were handled before the
+/// decision were sent before it.
+pub const MAX_START_LEASE_MS: u64 = ORDER_MAX_AGE_MS + MAX_LEASE_MS;
 /// The longest time from the loss of a poller to the end of the last lease
 /// that it may have granted, in milliseconds.
 pub const MAX_ORPHAN_LEASE_MS: u64 = LEADER_SILENT_MS + MAX_LEASE_MS + 500;
@@ -62,6 +72,33 @@
 /// that never began shows only in two polls that do not list it.
 const SHORT_POLLS_AFTER_STOP: u32 = 2;
 
+/// The leader's permission to extend leases, as a poller has received it; none
+/// before the first heartbeat.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeasePermission {
+    may_extend: bool,
+    handled: Option<BootMillis>,
+}
+
+impl LeasePermission {
+    /// Returns what a heartbeat permits.
+    pub fn new(may_extend: bool, handled: Option<BootMillis>) -> LeasePermission {
+        LeasePermission { may_extend, handled }
+    }
+
+    /// Returns whether leases may be extended.
+    pub fn is_valid(&self, now: BootMillis) -> bool {
+        self.may_extend && self.handled.is_some_and(|it| now.ms_since(it) < LEADER_SILENT_MS)
+    }
+}
+
+/// Returns until when a start may be sent to its worker that arrived now, given
+/// the newest report that the leader had handled; `None` if it is too old.
+pub fn start_deadline(handled: Option<BootMillis>, now: BootMillis) -> Option<BootMillis> {
+    let deadline = handled?.plus_ms(ORDER_MAX_AGE_MS).min(now.plus_ms(ORDER_VALID_MS));
+    (now < deadline).then_some(deadline)
+}
+
 /// A worker's clock and the leases granted to it, as recorded by its poller;
 /// the default is the state before the first call.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -6,15 +6,21 @@
 //! their own, slow clock expires. Calls can be lost, lose their answers or be
 //! carried out late.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use mustardcove_core::{
     fleet::{
-        id::{EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey, Term},
+        id::{
+            BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey,
+            Term,
+        },
         manifest::{Manifest, Queue, Service},
         message::{EndKind, EndedRun, Order, PollResult, RunningTask, StartOutcome, WorkerReport},
-        planner::{Planner, WorkerListing},
-        poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, NextPoll, WorkerPoller},
+        planner::{DecisionKind, Planner, WorkerListing},
+        poller::{
+            LEADER_SILENT_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, NextPoll, WorkerPoller,
+            start_deadline,
+        },
         record::ProgressRecord,
         roster::{Roster, RosterSegment},
         submission::{StepSpec, Submission, SubmissionState},
@@ -34,6 +40,9 @@
 /// Pool of all workers.
 pub(crate) const SERVICE: &str = "press";
 
+/// Time between two heartbeats, in milliseconds.
+const HEARTBEAT_INTERVAL_MS: u64 = 250;
+
 /// Time after which a poll without an answer has failed, in milliseconds.
 const POLL_TIMEOUT_MS: u64 = 1_200;
 
@@ -207,6 +216,14 @@
 pub(crate) struct Leader {
     pub(crate) planner: Planner,
     roster: Roster,
+    /// Reports that it has not handled, each with the time when it was sent.
+    unhandled: VecDeque<(Timestamp, WorkerId, WorkerReport)>,
+    /// How old reports are when they are handled, in milliseconds.
+    pub(crate) lag_ms: u64,
+    /// When the newest report was sent that it has handled.
+    handled: Timestamp,
+    /// It handles and orders nothing before this time.
+    pub(crate) frozen_until: Timestamp,
     pollers: Vec<WorkerPoller>,
     /// When the failure of a poll is noticed; no other poll begins before.
     fails_at: Vec<Option<Timestamp>>,
@@ -254,6 +271,8 @@
     pub(crate) published: BTreeMap<SubmissionId, SubmissionState>,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
+    /// Reasons for which leaders gave up runs or stopped them.
+    pub(crate) given_up: Vec<String>,
     incarnations: u64,
 }
 
@@ -285,6 +304,7 @@
             published: BTreeMap::new(),
             violations: Vec::new(),
             starts: 0,
+            given_up: Vec::new(),
             incarnations: 1_000,
         };
         world.elect();
@@ -318,6 +338,10 @@
         self.leaders.push(Leader {
             planner,
             roster,
+            unhandled: VecDeque::new(),
+            lag_ms: 0,
+            handled: self.now,
+            frozen_until: Timestamp(0),
             pollers: vec![WorkerPoller::default(); count],
             fails_at: vec![None; count],
             orphans: Vec::new(),
@@ -377,7 +401,9 @@
         let (now, is_unreachable) = (self.now, self.is_unreachable(worker));
         let state = &mut self.leaders[leader];
         let term = state.planner.term();
-        let next = state.pollers[worker].next_poll(true, now);
+        let permission = LeasePermission::new(true, Some(BootMillis(state.handled.0)));
+        let may_extend = permission.is_valid(BootMillis(now.0));
+        let next = state.pollers[worker].next_poll(may_extend, now);
         let listed = match fate {
             _ if is_unreachable => None,
             Fate::Lost | Fate::Delayed => None,
@@ -401,7 +427,35 @@
             responsive_since: answered.responsive_since,
             ..poll
         };
-        state.planner.report(&id, WorkerReport::Polled(poll), now);
+        self.report(leader, id, WorkerReport::Polled(poll));
+    }
+
+    /// Sends a report to a leader, which handles it once it gets to it.
+    fn report(&mut self, leader: usize, worker: WorkerId, report: WorkerReport) {
+        let now = self.now;
+        let state = &mut self.leaders[leader];
+        let is_frozen = now < state.frozen_until;
+        if state.lag_ms == 0 && state.unhandled.is_empty() && !is_frozen {
+            state.handled = now;
+            state.planner.report(&worker, report, now);
+            state.planner.record_heard(&worker, now.minus_ms(HEARTBEAT_INTERVAL_MS));
+        } else {
+            state.unhandled.push_back((now, worker, report));
+        }
+    }
+
+    /// Lets a leader handle the reports that are old enough.
+    fn handle_reports(&mut self, leader: usize) {
+        let now = self.now;
+        let state = &mut self.leaders[leader];
+        let lag_ms = state.lag_ms;
+        while let Some((sent_at, worker, report)) =
+            state.unhandled.pop_front_if(|it| lag_ms <= now.ms_since(it.0))
+        {
+            state.handled = sent_at;
+            state.planner.report(&worker, report, now);
+            state.planner.record_heard(&worker, sent_at.minus_ms(HEARTBEAT_INTERVAL_MS));
+        }
     }
 
     /// Gives a worker another poller. The one before keeps polling until it
@@ -465,7 +519,7 @@
         let id = self.workers[worker].id.clone();
         let state = &mut self.leaders[leader];
         let report = state.pollers[worker].poll_failed();
-        state.planner.report(&id, report, self.now);
+        self.report(leader, id, report);
     }
 
     fn answer_poll(
@@ -479,7 +533,7 @@
         let it = &mut self.workers[worker];
         if term < it.fence {
             let id = it.id.clone();
-            self.leaders[leader].planner.report(&id, WorkerReport::Fenced, now);
+            self.report(leader, id, WorkerReport::Fenced);
             return None;
         }
         it.fence = term;
@@ -536,6 +590,11 @@
             self.leaders[leader].is_superseded = true;
             return;
         }
+        for decision in &actions.decisions {
+            if matches!(decision.kind, DecisionKind::RunLost | DecisionKind::RunStopped) {
+                self.given_up.push(decision.inputs.clone());
+            }
+        }
         for (id, state) in actions.states {
             self.published.insert(id, state);
         }
@@ -585,8 +644,11 @@
             state.pollers[worker].acknowledge_ends(incarnation, through);
             return;
         }
+        let handled = Some(BootMillis(state.handled.0));
+        let is_in_time = start_deadline(handled, BootMillis(now.0)).is_some();
         let lease_until = match order {
-            Order::Start(_) => state.pollers[worker].grant_start_lease(now),
+            Order::Start(_) if is_in_time => state.pollers[worker].grant_start_lease(now),
+            Order::Start(_) => None,
             _ => Some(0),
         };
         let id = self.workers[worker].id.clone();
@@ -600,7 +662,7 @@
             (_, Some(lease_until)) => self.send(worker, term, &order, lease_until),
         };
         if let Some(report) = report {
-            self.leaders[leader].planner.report(&id, report, now);
+            self.report(leader, id, report);
         }
     }
 
@@ -737,6 +799,10 @@
                     }
                 }
                 self.poll_orphaned(leader);
+                if self.now < self.leaders[leader].frozen_until {
+                    continue;
+                }
+                self.handle_reports(leader);
                 self.plan(leader);
                 if self.rng.random_range(0..2u32) == 0 {
                     self.confirm(leader);
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -91,9 +91,10 @@
                 let _ = routes.poller.send(PollerInput::Assign { term, workers }).await;
             }
         }
-        FleetMessage::Orders { term, orders } => {
+        FleetMessage::Orders { term, handled, orders } => {
             if is_current(shared, term) {
-                let _ = routes.poller.send(PollerInput::Orders { term, orders }).await;
+                let orders = PollerInput::Orders { term, handled, orders };
+                let _ = routes.poller.send(orders).await;
             }
         }
         FleetMessage::States { term, states } => {
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -20,6 +20,7 @@
 };
 use mustardcove_core::{
     fleet::{
+        cadence,
         election::HEARTBEAT_INTERVAL_MS,
         id::{SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
@@ -30,7 +31,7 @@
             WORK_PREFIX,
         },
         roster::Roster,
-        submission::Submission,
+        submission::{Submission, SubmissionState},
     },
     id::{ProcessId, WorkerId},
     time::Timestamp,
@@ -60,6 +61,11 @@
 const ENTRIES_SETTLE_MS: u64 = 2_500;
 /// Time between two writes of the learned interference.
 const LEARNED_WRITE_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Most inputs that are handled before other work gets its turn.
+const MAX_INPUTS_AT_ONCE: usize = 512;
+/// Age of a report from which on the log says that the leader is behind, in
+/// milliseconds: with older ones, runs would soon count as unconfirmed.
+const LAG_LOGGED_MS: u64 = 1_200;
 /// Most states in one message.
 const STATES_PER_MESSAGE: usize = 2_000;
 
@@ -127,6 +133,15 @@
     store_healthy_since: Option<Timestamp>,
     /// Whether the state that earlier leaders stored was restored.
     is_restored: bool,
+    /// Published states that were not sent yet.
+    unsent_states: Vec<(SubmissionId, SubmissionState)>,
+    /// No states are sent before this time.
+    send_states_at: Timestamp,
+    /// Age of the oldest report that was handled since the last heartbeat, in
+    /// milliseconds. It includes the time between two heartbeats.
+    oldest_report_ms: u64,
+    /// Whether the reports before the last heartbeat were handled late.
+    is_behind: bool,
     /// Why the term has to end; `None` while it goes on.
     end_reason: Option<&'static str>,
 }
@@ -157,6 +172,10 @@
         confirmed_at: now,
         store_healthy_since: None,
         is_restored: false,
+        unsent_states: Vec::new(),
+        send_states_at: now,
+        oldest_report_ms: 0,
+        is_behind: false,
         end_reason: None,
     };
     let _tasks = match leader.take_over().await {
@@ -168,28 +187,39 @@
     let mut heartbeat_tick = tokio::time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
     let mut learned_tick = tokio::time::interval(LEARNED_WRITE_INTERVAL);
     let mut plan_at = Instant::now();
+    // No plan begins before this time.
+    let mut plan_after = Instant::now();
     loop {
         tokio::select! {
             input = inputs.recv() => match input {
                 Some(input) => {
                     leader.handle_input(input);
-                    plan_at = plan_at.min(Instant::now() + PLAN_DELAY);
+                    leader.handle_queued(inputs);
+                    plan_at = plan_at.min(plan_after.max(Instant::now() + PLAN_DELAY));
                 }
                 None => return "the process ends",
             },
             Some(result) = task_results.recv() => {
                 leader.handle_result(result);
-                plan_at = plan_at.min(Instant::now() + PLAN_DELAY);
+                plan_at = plan_at.min(plan_after.max(Instant::now() + PLAN_DELAY));
             }
+            () = shared.clock.sleep_until(leader.send_states_at),
+                if !leader.unsent_states.is_empty() => leader.send_states(),
             _ = heartbeat_tick.tick() => leader.send_heartbeat(),
             _ = learned_tick.tick() => leader.store_learned_interference(),
             () = tokio::time::sleep_until(plan_at) => {
+                let began = Instant::now();
+                leader.handle_queued(inputs);
                 leader.plan();
-                plan_at = Instant::now() + MAX_PLAN_INTERVAL;
+                let plan_ms = began.elapsed().as_millis() as u64;
+                let delay_ms = cadence::plan_delay_ms(leader.pollers.count(), plan_ms);
+                plan_after = Instant::now() + Duration::from_millis(delay_ms);
+                plan_at = plan_after.max(Instant::now() + MAX_PLAN_INTERVAL);
             }
             () = shared.stop.cancelled() => {
                 leader.plan();
-                leader.pollers.broadcast(|| FleetMessage::SteppedDown { term });
+                leader.send_states();
+                leader.pollers.broadcast(FleetMessage::SteppedDown { term });
                 return "the process stops";
             }
         }
@@ -200,6 +230,17 @@
 }
 
 impl Leader {
+    /// Handles the inputs that have arrived, so that a plan rests on the newest
+    /// reports even if the leader is behind.
+    fn handle_queued(&mut self, inputs: &mut mpsc::Receiver<LeaderInput>) {
+        for _ in 0..MAX_INPUTS_AT_ONCE {
+            match inputs.try_recv() {
+                Ok(input) => self.handle_input(input),
+                Err(_) => return,
+            }
+        }
+    }
+
     fn handle_input(&mut self, input: LeaderInput) {
         let now = self.shared.now();
         match input {
@@ -210,10 +251,25 @@
 
     fn handle_message(&mut self, from: ProcessId, message: FleetMessage, now: Timestamp) {
         match message {
-            FleetMessage::Report { term, sent_at, reaches_store, reports } => {
+            FleetMessage::Report {
+                term,
+                sent_at,
+                sent_boot_ms,
+                heartbeat_at,
+                reaches_store,
+                reports,
+            } => {
                 if term == self.term {
                     self.pollers.report_received(&from, reaches_store, now);
                     self.handle_reports(&from, sent_at, reports, now);
+                    let heard = self.pollers.report_handled(&from, sent_boot_ms, heartbeat_at);
+                    if let Some(heartbeat_at) = heartbeat_at {
+                        let age_ms = now.ms_since(heartbeat_at);
+                        self.oldest_report_ms = self.oldest_report_ms.max(age_ms);
+                        for worker in heard {
+                            self.planner.record_heard(&worker, heartbeat_at);
+                        }
+                    }
                 }
             }
             FleetMessage::Joined(record) => {
@@ -374,7 +430,8 @@
             }
         }
         for (poller, orders) in orders {
-            self.shared.send(&poller, FleetMessage::Orders { term: self.term, orders });
+            let handled = self.pollers.handled(&poller);
+            self.shared.send(&poller, FleetMessage::Orders { term: self.term, handled, orders });
         }
         for decision in &actions.decisions {
             self.log_decision(decision);
@@ -385,10 +442,21 @@
         for request in actions.ticket_requests {
             self.request_tickets(request);
         }
-        if !actions.states.is_empty() {
-            let (term, states) = (self.term, actions.states);
-            self.pollers.broadcast(|| FleetMessage::States { term, states: states.clone() });
+        self.unsent_states.extend(actions.states);
+        self.send_states();
+    }
+
+    /// Sends the states that were published since the last time, unless that
+    /// was a moment ago: each message goes to every process.
+    fn send_states(&mut self) {
+        let now = self.shared.now();
+        if self.unsent_states.is_empty() || now < self.send_states_at {
+            return;
         }
+        let delay_ms = cadence::message_delay_ms(self.pollers.count());
+        self.send_states_at = now.plus_ms(delay_ms);
+        let states = std::mem::take(&mut self.unsent_states);
+        self.pollers.broadcast(FleetMessage::States { term: self.term, states });
     }
 
     fn log_decision(&self, decision: &Decision) {
@@ -408,22 +476,41 @@
         let may_extend = is_confirmed || self.pollers.is_majority_alive(now);
         let pending = self.is_restored.then(|| self.planner.pending());
         let reaching_store = self.pollers.reaching_store(now);
-        let (term, manifest) = (self.term, self.shared.manifest_version());
-        self.pollers.broadcast(|| {
-            FleetMessage::Heartbeat(Heartbeat {
-                term,
-                manifest,
-                may_extend,
-                pending: pending.clone(),
-                reaching_store: reaching_store.clone(),
-            })
-        });
+        let heartbeat = Heartbeat {
+            term: self.term,
+            sent_at: now,
+            handled: None,
+            report_delay_ms: cadence::message_delay_ms(self.pollers.count()),
+            manifest: self.shared.manifest_version(),
+            may_extend,
+            pending,
+            reaching_store,
+        };
+        for process in self.pollers.ids() {
+            let handled = self.pollers.handled(process);
+            let heartbeat = Heartbeat { handled, ..heartbeat.clone() };
+            self.shared.send(process, FleetMessage::Heartbeat(heartbeat));
+        }
+        self.check_lag();
         for process in self.pollers.take_unsynced() {
             self.send_all_states(&process);
         }
         self.shared.metrics.record_plan(self.planner.counts(now));
     }
 
+    /// Records how old the reports are that were handled since the last
+    /// heartbeat, and logs it if the leader is behind.
+    fn check_lag(&mut self) {
+        let oldest_ms = std::mem::take(&mut self.oldest_report_ms);
+        self.shared.metrics.record_report_age(oldest_ms);
+        let is_behind = LAG_LOGGED_MS <= oldest_ms;
+        if is_behind || self.is_behind {
+            warn!(self.shared.log, "leader lags"; "oldest_report_ms" => oldest_ms,
+                "behind" => is_behind, "term" => %self.term);
+        }
+        self.is_behind = is_behind;
+    }
+
     /// Sends the states of all submissions to a process, in several messages if
     /// there are many.
     fn send_all_states(&self, process: &ProcessId) {
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
 };
 
@@ -9,9 +10,9 @@
 use mustardcove_core::{
     fleet::{
         assignment::{Poller, assign},
-        id::Term,
+        id::{BootMillis, Term},
         message::{FleetMessage, WorkerContact},
-        planner::Planner,
+        planner::{Planner, WorkerListing},
         record::ProcessRecord,
     },
     id::{ProcessId, WorkerId},
@@ -33,6 +34,8 @@
 /// Time after which an unchanged assignment is sent again, in milliseconds,
 /// since its message may have been lost.
 const ASSIGNMENT_RESEND_MS: u64 = 1_000;
+/// Most processes that a heartbeat names as reaching the store.
+const MAX_REACHING_STORE: usize = 8;
 /// Fraction of the leader's processor share that is available for polling,
 /// since the leader also plans.
 const LEADER_WEIGHT_FACTOR: f64 = 0.4;
@@ -47,6 +50,10 @@
     is_connected: bool,
     /// Whether it was sent the states of all submissions in this term.
     is_synced: bool,
+    /// The newest of its reports that was handled, by its own boot clock.
+    handled: Option<BootMillis>,
+    /// Everything that it had reported by this time was handled.
+    heard_through: Option<Timestamp>,
     /// The workers of the last assignment sent to it.
     sent_assignment: BTreeMap<WorkerId, WorkerContact>,
     assignment_sent_at: Timestamp,
@@ -59,6 +66,35 @@
     term_started_at: Timestamp,
     processes: BTreeMap<ProcessId, Process>,
     poller_of: BTreeMap<WorkerId, ProcessId>,
+    /// What the last assignment was computed from.
+    basis: AssignmentBasis,
+    next_reaching_store: usize,
+}
+
+/// What an assignment is computed from: the processes that poll, and each
+/// worker with its address and confirmed responsiveness.
+#[derive(Debug, Default, PartialEq)]
+struct AssignmentBasis {
+    pollers: Vec<ProcessId>,
+    workers: Vec<(WorkerId, SocketAddr, Option<Timestamp>)>,
+}
+
+impl AssignmentBasis {
+    /// Returns whether an assignment computed now would be the same.
+    fn is_current<'a>(
+        &self,
+        mut pollers: impl Iterator<Item = &'a ProcessId>,
+        mut workers: impl Iterator<Item = (&'a WorkerListing, Option<Timestamp>)>,
+    ) -> bool {
+        let is_same = |known: &(WorkerId, SocketAddr, Option<Timestamp>)| {
+            let Some((listing, since)) = workers.next() else { return false };
+            known.0 == listing.worker && known.1 == listing.address && known.2 == since
+        };
+        self.pollers.iter().all(|it| pollers.next() == Some(it))
+            && pollers.next().is_none()
+            && self.workers.iter().all(is_same)
+            && workers.next().is_none()
+    }
 }
 
 impl Pollers {
@@ -70,6 +106,8 @@
             term_started_at,
             processes: BTreeMap::new(),
             poller_of: BTreeMap::new(),
+            basis: AssignmentBasis::default(),
+            next_reaching_store: 0,
         }
     }
 
@@ -113,6 +151,8 @@
             reached_store_at: None,
             is_connected: false,
             is_synced: false,
+            handled: None,
+            heard_through: None,
             sent_assignment: BTreeMap::new(),
             assignment_sent_at: Timestamp::default(),
             record,
@@ -125,6 +165,38 @@
         process.last_report_at.is_some_and(|it| now.ms_since(it) < LOST_AFTER_MS)
     }
 
+    /// Returns the number of registered processes.
+    pub(super) fn count(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Returns the registered processes.
+    pub(super) fn ids(&self) -> impl Iterator<Item = &ProcessId> {
+        self.processes.keys()
+    }
+
+    /// Returns the newest report of a process that was handled.
+    pub(super) fn handled(&self, process: &ProcessId) -> Option<BootMillis> {
+        self.processes.get(process).and_then(|it| it.handled)
+    }
+
+    /// Records that a report of a process was handled. Returns the workers of
+    /// the process if more of what it reported is known to be handled now.
+    pub(super) fn report_handled(
+        &mut self,
+        process: &ProcessId,
+        sent_at: BootMillis,
+        heartbeat_at: Option<Timestamp>,
+    ) -> Vec<WorkerId> {
+        let Some(it) = self.processes.get_mut(process) else { return Vec::new() };
+        it.handled = it.handled.max(Some(sent_at));
+        if heartbeat_at <= it.heard_through {
+            return Vec::new();
+        }
+        it.heard_through = heartbeat_at;
+        it.sent_assignment.keys().cloned().collect()
+    }
+
     /// Records a report of a process, and whether that reaches the store.
     pub(super) fn report_received(
         &mut self,
@@ -160,13 +232,22 @@
         self.processes.len() < 2 * alive
     }
 
-    /// Returns the processes that reached the store recently.
-    pub(super) fn reaching_store(&self, now: Timestamp) -> Vec<ProcessId> {
+    /// Returns some of the processes that reached the store recently. Others
+    /// ask them to write, so each call returns different ones if there are
+    /// many.
+    pub(super) fn reaching_store(&mut self, now: Timestamp) -> Vec<ProcessId> {
         let reaches = |it: &&Process| {
             self.is_alive(it, now)
                 && it.reached_store_at.is_some_and(|it| now.ms_since(it) < LOST_AFTER_MS)
         };
-        self.processes.values().filter(reaches).map(|it| it.record.process.clone()).collect()
+        let mut reaching: Vec<ProcessId> =
+            self.processes.values().filter(reaches).map(|it| it.record.process.clone()).collect();
+        if MAX_REACHING_STORE < reaching.len() {
+            self.next_reaching_store = (self.next_reaching_store + 1) % reaching.len();
+            reaching.rotate_left(self.next_reaching_store);
+            reaching.truncate(MAX_REACHING_STORE);
+        }
+        reaching
     }
 
     /// Returns the connected processes that were not sent all states yet, and
@@ -191,10 +272,8 @@
     }
 
     /// Sends a message to every registered process.
-    pub(super) fn broadcast(&self, message: impl Fn() -> FleetMessage) {
-        for process in self.processes.keys() {
-            self.shared.send(process, message());
-        }
+    pub(super) fn broadcast(&self, message: FleetMessage) {
+        self.shared.send_to_all(self.processes.keys(), message);
     }
 
     /// Updates the assignment of workers. Returns the workers that have lost
@@ -203,6 +282,11 @@
         if now < self.term_started_at.plus_ms(FIRST_ASSIGNMENT_DELAY_MS) {
             return Vec::new();
         }
+        let alive = self.processes.iter().filter(|it| self.is_alive(it.1, now)).map(|it| it.0);
+        if self.basis.is_current(alive, planner.workers_to_poll()) {
+            self.resend_assignments(now);
+            return Vec::new();
+        }
         let pollers: Vec<Poller> = self
             .processes
             .values()
@@ -210,6 +294,12 @@
             .map(|it| self.to_poller(&it.record))
             .collect();
         let to_poll: Vec<_> = planner.workers_to_poll().collect();
+        self.basis = AssignmentBasis {
+            pollers: pollers.iter().map(|it| it.process.clone()).collect(),
+            workers: (to_poll.iter())
+                .map(|(it, since)| (it.worker.clone(), it.address, *since))
+                .collect(),
+        };
         let workers = to_poll.iter().map(|(it, _)| (&it.worker, &it.domain));
         let assigned = assign(&pollers, &self.shared.settings.regions, workers);
         let mut lost: Vec<WorkerId> = (self.poller_of.iter())
@@ -244,6 +334,19 @@
         lost
     }
 
+    /// Sends the assignments again that were sent too long ago.
+    fn resend_assignments(&mut self, now: Timestamp) {
+        let is_due = |it: &Process| ASSIGNMENT_RESEND_MS <= now.ms_since(it.assignment_sent_at);
+        let alive = self.processes.values().filter(|it| self.is_alive(it, now));
+        let due: Vec<(ProcessId, BTreeMap<WorkerId, WorkerContact>)> = alive
+            .filter(|it| is_due(it))
+            .map(|it| (it.record.process.clone(), it.sent_assignment.clone()))
+            .collect();
+        for (poller, workers) in due {
+            self.send_assignment(&poller, workers, now);
+        }
+    }
+
     fn to_poller(&self, record: &ProcessRecord) -> Poller {
         let is_own = record.process == self.shared.process;
         Poller {
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -22,7 +22,7 @@
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Messages that may wait for the leader task.
-const LEADER_QUEUE: usize = 1_024;
+const LEADER_QUEUE: usize = 8_192;
 
 /// Writes the process record, by which leaders find this process, and retries
 /// until the store accepts it.
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -27,6 +27,8 @@
     blocked_submissions: Gauge<u64>,
     placed_runs: Gauge<u64>,
     schedulable_workers: Gauge<u64>,
+    scored_workers: Gauge<u64>,
+    report_age_ms: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -59,6 +61,14 @@
                 "open_workers",
                 "Workers that take new work, at the leader.",
             ),
+            scored_workers: gauge(
+                "scored_workers",
+                "Number of times that a worker was scored for a task, at the leader.",
+            ),
+            report_age_ms: gauge(
+                "leader_report_age_ms",
+                "Age of the oldest report handled since the last heartbeat, at the leader.",
+            ),
             base,
         }
     }
@@ -97,5 +107,12 @@
         self.blocked_submissions.record(counts.blocked_submissions as u64, &[]);
         self.placed_runs.record(counts.placed_runs as u64, &[]);
         self.schedulable_workers.record(counts.schedulable_workers as u64, &[]);
+        self.scored_workers.record(counts.scored_workers, &[]);
+    }
+
+    /// Sets the age of the oldest report that the leader has handled lately, in
+    /// milliseconds.
+    pub fn record_report_age(&self, age_ms: u64) {
+        self.report_age_ms.record(age_ms, &[]);
     }
 }
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -14,20 +14,19 @@
 use mustardcove_adapter::workers::{PollCall, Target};
 use mustardcove_core::{
     fleet::{
-        id::Term,
+        id::{BootMillis, Term},
         message::{
             FleetMessage, Order, PollResult, StartOrder, StartOutcome, WorkerContact, WorkerReport,
         },
-        poller::{MIN_POLL_INTERVAL_MS, ORDER_VALID_MS, PollWait, WorkerPoller},
+        poller::{MIN_POLL_INTERVAL_MS, ORDER_VALID_MS, PollWait, WorkerPoller, start_deadline},
     },
     id::WorkerId,
-    time::Timestamp,
 };
 use slog::{debug, info};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::shared::{Shared, boot_ms, lock};
+use crate::shared::{Shared, boot_now, lock};
 
 /// How long a worker on which something runs holds a poll. Each poll also
 /// renews the lease, whose duration is several times longer.
@@ -38,8 +37,9 @@
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(MIN_POLL_INTERVAL_MS);
 /// Pause after a failed poll.
 const FAILED_POLL_PAUSE: Duration = Duration::from_millis(250);
-/// Time for which reports are batched before they are sent.
-const REPORT_DELAY: Duration = Duration::from_millis(8);
+/// Shortest time for which reports are collected before they are sent; the
+/// leader of a large fleet asks for a longer one.
+const MIN_REPORT_DELAY: Duration = Duration::from_millis(8);
 /// Time between two messages to the leader while there are no reports.
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -57,6 +57,8 @@
     Orders {
         /// The leader's term.
         term: Term,
+        /// The newest report that the leader had handled.
+        handled: Option<BootMillis>,
         /// The orders, each with its worker.
         orders: Vec<(WorkerId, Order)>,
     },
@@ -93,10 +95,10 @@
                 }
                 assign(&shared, term, workers, &reports, &mut assigned);
             }
-            PollerInput::Orders { term: of, orders } if of == term => {
+            PollerInput::Orders { term: of, handled, orders } if of == term => {
                 for (worker, order) in orders {
                     match assigned.get(&worker) {
-                        Some(it) => PolledWorker::execute(&it.worker, order),
+                        Some(it) => PolledWorker::execute(&it.worker, order, handled),
                         None => debug!(shared.log, "order for a worker of another process";
                             "worker" => %worker),
                     }
@@ -221,12 +223,13 @@
         }
     }
 
-    fn execute(worker: &Arc<PolledWorker>, order: Order) {
+    fn execute(worker: &Arc<PolledWorker>, order: Order, handled: Option<BootMillis>) {
         match order {
             Order::Start(order) => {
                 worker.order_received.notify_one();
                 let worker = worker.clone();
-                tokio::spawn(async move { worker.start(order).await });
+                let deadline = start_deadline(handled, boot_now());
+                tokio::spawn(async move { worker.start(order, deadline).await });
             }
             Order::Stop { task, run } => {
                 let worker = worker.clone();
@@ -256,15 +259,17 @@
         }
     }
 
-    async fn start(&self, order: StartOrder) {
-        let now = self.shared.now();
-        let boot_deadline = boot_ms() + ORDER_VALID_MS;
-        let not_after = now.plus_ms(ORDER_VALID_MS);
-        let mut outcome = self.start_once(&order, not_after).await;
+    async fn start(&self, order: StartOrder, deadline: Option<BootMillis>) {
+        let mut outcome = match deadline {
+            Some(deadline) => self.start_once(&order, deadline).await,
+            None => StartOutcome::TooLate,
+        };
         // A start is idempotent: a run that exists already is left as it is.
-        if outcome == StartOutcome::MayHaveRun && boot_ms() < boot_deadline {
-            outcome = match self.start_once(&order, not_after).await {
-                StartOutcome::NotRun => StartOutcome::MayHaveRun,
+        if let Some(deadline) = deadline.filter(|it| boot_now() < *it)
+            && outcome == StartOutcome::MayHaveRun
+        {
+            outcome = match self.start_once(&order, deadline).await {
+                StartOutcome::NotRun | StartOutcome::TooLate => StartOutcome::MayHaveRun,
                 second => second,
             };
         }
@@ -275,7 +280,12 @@
         self.send_report(WorkerReport::Start { task: order.task, run: order.run, outcome });
     }
 
-    async fn start_once(&self, order: &StartOrder, not_after: Timestamp) -> StartOutcome {
+    async fn start_once(&self, order: &StartOrder, deadline: BootMillis) -> StartOutcome {
+        let left_ms = deadline.ms_since(boot_now());
+        if left_ms == 0 {
+            return StartOutcome::TooLate;
+        }
+        let not_after = self.shared.now().plus_ms(left_ms);
         let Some(lease_until) = self.state().grant_start_lease(self.shared.now()) else {
             return StartOutcome::NotRun;
         };
@@ -298,7 +308,8 @@
             first = collected.recv() => {
                 let Some(first) = first else { return };
                 reports.push(first);
-                tokio::time::sleep(REPORT_DELAY).await;
+                let delay = Duration::from_millis(shared.report_delay_ms()).max(MIN_REPORT_DELAY);
+                tokio::time::sleep(delay).await;
                 while let Ok(next) = collected.try_recv() {
                     reports.push(next);
                 }
@@ -311,7 +322,13 @@
         let reports = reports.into_iter().filter(|it| it.0 == term).map(|it| (it.1, it.2));
         let reports = reports.collect();
         let reaches_store = shared.reaches_store();
-        let sent_at = shared.now();
-        shared.send_to_leader(FleetMessage::Report { term, sent_at, reaches_store, reports });
+        shared.send_to_leader(FleetMessage::Report {
+            term,
+            sent_at: shared.now(),
+            sent_boot_ms: boot_now(),
+            heartbeat_at: shared.heartbeat_sent_at(term),
+            reaches_store,
+            reports,
+        });
     }
 }
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -15,10 +15,10 @@
 use mustardcove_core::{
     fleet::{
         election::Candidacy,
-        id::{ManifestVersion, Term},
+        id::{BootMillis, ManifestVersion, Term},
         manifest::Manifest,
         message::{FleetMessage, Heartbeat, StoreOutcome},
-        poller::LEADER_SILENT_MS,
+        poller::LeasePermission,
         state_cache::StateCache,
     },
     id::ProcessId,
@@ -55,14 +55,16 @@
 /// Contents of the leader's last heartbeat.
 #[derive(Clone, Debug, Default)]
 pub struct LastHeartbeat {
-    /// When it arrived, on a clock that counts suspended time (see
-    /// [`boot_ms`]), in milliseconds.
-    received_at_boot_ms: u64,
-    may_extend: bool,
+    /// Its term, and when the leader sent it, on the leader's clock.
+    sent_at: Option<(Term, Timestamp)>,
+    permission: LeasePermission,
+    /// Time for which reports are collected before they are sent, in
+    /// milliseconds.
+    report_delay_ms: u64,
     /// Pending submissions by queue (host and prefix), from the last heartbeat
     /// that held these numbers.
     pending: BTreeMap<(String, String), u32>,
-    pending_at_boot_ms: u64,
+    pending_at: BootMillis,
     /// Processes that reached the store recently.
     pub reaching_store: Vec<ProcessId>,
 }
@@ -131,11 +133,10 @@
     mutex.lock().unwrap_or_else(|it| it.into_inner())
 }
 
-/// Returns the milliseconds of the boot clock, which also counts the time in
-/// which the instance was suspended.
-pub fn boot_ms() -> u64 {
+/// Returns the time on the boot clock.
+pub fn boot_now() -> BootMillis {
     let time = clock_gettime(ClockId::Boottime);
-    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+    BootMillis(time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000)
 }
 
 impl Shared {
@@ -225,15 +226,15 @@
 
     /// Records a heartbeat of the current leader.
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) {
-        let now = boot_ms();
         let mut last = self.last_heartbeat();
-        last.received_at_boot_ms = now;
-        last.may_extend = heartbeat.may_extend;
+        last.sent_at = Some((heartbeat.term, heartbeat.sent_at));
+        last.permission = LeasePermission::new(heartbeat.may_extend, heartbeat.handled);
+        last.report_delay_ms = heartbeat.report_delay_ms;
         last.reaching_store = heartbeat.reaching_store;
         if let Some(pending) = heartbeat.pending {
             let by_queue = pending.into_iter().map(|(host, prefix, n)| ((host, prefix), n));
             last.pending = by_queue.collect();
-            last.pending_at_boot_ms = now;
+            last.pending_at = boot_now();
         }
         drop(last);
         self.update_candidacy(Candidacy::heartbeat_received);
@@ -243,17 +244,26 @@
     /// number from the leader is too old.
     pub fn pending(&self, host: &str, prefix: &str) -> Option<u32> {
         let heartbeat = self.last_heartbeat();
-        let is_fresh = boot_ms().saturating_sub(heartbeat.pending_at_boot_ms) < PENDING_VALID_MS;
+        let is_fresh = boot_now().ms_since(heartbeat.pending_at) < PENDING_VALID_MS;
         let key = (host.to_owned(), prefix.to_owned());
         is_fresh.then(|| heartbeat.pending.get(&key).copied().unwrap_or(0))
     }
 
-    /// Returns whether leases at workers may be extended: the leader allows it
-    /// and its last heartbeat is recent.
+    /// Returns whether leases at workers may be extended.
     pub fn may_extend_leases(&self) -> bool {
-        let heartbeat = self.last_heartbeat();
-        heartbeat.may_extend
-            && boot_ms().saturating_sub(heartbeat.received_at_boot_ms) < LEADER_SILENT_MS
+        self.last_heartbeat().permission.is_valid(boot_now())
+    }
+
+    /// Returns when the leader of a term sent its last heartbeat, on its clock.
+    pub fn heartbeat_sent_at(&self, term: Term) -> Option<Timestamp> {
+        let sent_at = self.last_heartbeat().sent_at;
+        sent_at.filter(|it| it.0 == term).map(|it| it.1)
+    }
+
+    /// Returns for how long reports are collected before they are sent, in
+    /// milliseconds.
+    pub fn report_delay_ms(&self) -> u64 {
+        self.last_heartbeat().report_delay_ms
     }
 
     /// Records that the store answered.
@@ -275,6 +285,18 @@
         }
     }
 
+    /// Sends a message to several processes, and encodes it once.
+    pub fn send_to_all<'a>(
+        &self,
+        to: impl IntoIterator<Item = &'a ProcessId>,
+        message: FleetMessage,
+    ) {
+        let message = PeerMessage::Fleet(Box::new(message));
+        for (process, error) in self.peers.send_to_all(to, &message) {
+            debug!(self.log, "message not sent"; "to" => %process, "error" => %error);
+        }
+    }
+
     /// Sends a message to the leader, if one is known.
     pub fn send_to_leader(&self, message: FleetMessage) {
         let leader = self.leadership.borrow().leader.clone();
--- a/crates/mustardcove-node/tests/leader_queue.rs
+++ b/crates/mustardcove-node/tests/leader_queue.rs
@@ -13,6 +13,7 @@
     },
     id::ProcessId,
     message::PeerMessage,
+    time::Timestamp,
 };
 use mustardcove_node::{
     dispatch::{self, Routes},
@@ -48,6 +49,9 @@
     }
     let heartbeat = Heartbeat {
         term: Term(6),
+        sent_at: Timestamp::default(),
+        handled: None,
+        report_delay_ms: 0,
         manifest: ManifestVersion::default(),
         may_extend: true,
         pending: None,
--- a/crates/mustardcove-node/tests/states_resync.rs
+++ b/crates/mustardcove-node/tests/states_resync.rs
@@ -15,7 +15,7 @@
 use local::{free_ip, start_peers};
 use mustardcove_core::{
     fleet::{
-        id::SubmissionId,
+        id::{BootMillis, SubmissionId},
         message::FleetMessage,
         record::{self, PROCESS_PREFIX, ProcessRecord},
         submission::SubmissionState,
@@ -58,6 +58,8 @@
                         let report = FleetMessage::Report {
                             term: heartbeat.term,
                             sent_at: Timestamp::default(),
+                            sent_boot_ms: BootMillis::default(),
+                            heartbeat_at: Some(heartbeat.sent_at),
                             reaches_store: true,
                             reports: Vec::new(),
                         };
--- a/crates/mustardcove-runtime/src/peer.rs
+++ b/crates/mustardcove-runtime/src/peer.rs
@@ -132,6 +132,16 @@
         self.shared.send(to, message, None)
     }
 
+    /// Queues a one-way message to several processes, and encodes it once.
+    /// Returns the processes for which it was not queued; see [`Peers::send`].
+    pub fn send_to_all<'a>(
+        &self,
+        to: impl IntoIterator<Item = &'a ProcessId>,
+        message: &PeerMessage,
+    ) -> Vec<(&'a ProcessId, PeerError)> {
+        self.shared.send_to_all(to, message)
+    }
+
     /// Sends a request to the owner of a shard and waits for its answer.
     ///
     /// The task that receives the events must not wait here. While it waits,
--- a/crates/mustardcove-runtime/src/peer/registry.rs
+++ b/crates/mustardcove-runtime/src/peer/registry.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use mustardcove_core::{
     id::{ProcessId, RegionId, RequestId},
     message::PeerMessage,
@@ -205,11 +206,38 @@
         result
     }
 
+    pub(super) fn send_to_all<'a>(
+        &self,
+        to: impl IntoIterator<Item = &'a ProcessId>,
+        message: &PeerMessage,
+    ) -> Vec<(&'a ProcessId, PeerError)> {
+        let mut encoded = None;
+        let mut failed = Vec::new();
+        for process in to {
+            if let Err(error) = self.try_send_encoded(process, message, None, &mut encoded) {
+                self.metrics.peer_refused(error.kind().into());
+                failed.push((process, error));
+            }
+        }
+        failed
+    }
+
     fn try_send(
         &self,
         to: &ProcessId,
         message: &PeerMessage,
         request: Option<(RequestId, Gate)>,
+    ) -> Result<(), PeerError> {
+        self.try_send_encoded(to, message, request, &mut None)
+    }
+
+    /// Sends a message of which `encoded` holds the bytes once it was encoded.
+    fn try_send_encoded(
+        &self,
+        to: &ProcessId,
+        message: &PeerMessage,
+        request: Option<(RequestId, Gate)>,
+        encoded: &mut Option<Bytes>,
     ) -> Result<(), PeerError> {
         if *to == self.config.process {
             return self.deliver_to_self(message, request);
@@ -218,7 +246,13 @@
         if let Some(error) = peer.refusal(self.clock.now()) {
             return Err(error);
         }
-        let bytes = frame::encode(message, self.config.max_message_bytes)?;
+        let bytes = match encoded {
+            Some(bytes) => bytes.clone(),
+            None => {
+                let bytes = frame::encode(message, self.config.max_message_bytes)?;
+                encoded.insert(bytes).clone()
+            }
+        };
         let lane = peer.lane(LaneKind::for_message(message));
         let queued = Queued { bytes, request };
         lane.push(queued, self.config.max_queued_messages, self.config.max_queued_bytes)
