Reject submissions at once while the store is away

After a 504 a caller cannot tell whether the submission is stored, and may not send it again elsewhere.

Cause: each submission was written, at least twice, however long the store had not answered anything.

Change: after two failed calls in a row and 1.3 s without an answer the store counts as away, until the next answer, which the watch of the manifest brings. What arrives meanwhile is not written, and is rejected at once with 503 and a Retry-After, unless another process reaches the store.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -24,4 +24,5 @@
 pub mod record;
 pub mod roster;
 pub mod state_cache;
+pub mod store_health;
 pub mod submission;
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -56,6 +56,10 @@
     let mut failures = 0;
     let mut pause = RETRY_PAUSE;
     loop {
+        if shared.is_store_away() {
+            // A caller who is told so at once can come back in time.
+            return if may_be_stored { StoreOutcome::MayBeStored } else { StoreOutcome::NotStored };
+        }
         match write_once(shared, change).await {
             Ok(written) => {
                 shared.store_answered();
@@ -68,7 +72,7 @@
                 };
             }
             Err(fault) => {
-                shared.metrics.store_fault();
+                shared.store_failed();
                 may_be_stored |= fault.verdict == Verdict::MayHaveRun;
                 failures += 1;
                 let (key, _) = encode_change(change);
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -378,7 +378,7 @@
     }
 
     fn store_failed(&mut self, what: &str, fault: &StoreFault) {
-        self.shared.metrics.store_fault();
+        self.shared.store_failed();
         self.store_healthy_since = None;
         debug!(self.shared.log, "store call failed"; "what" => what, "error" => %fault);
     }
@@ -598,14 +598,14 @@
                             Some(TaskResult::Resynced(items))
                         }
                         Err(fault) => {
-                            shared.metrics.store_fault();
+                            shared.store_failed();
                             warn!(shared.log, "work records not read";
                                 "why" => "history dropped", "after" => after, "error" => %fault);
                             None
                         }
                     },
                     Err(fault) => {
-                        shared.metrics.store_fault();
+                        shared.store_failed();
                         warn!(shared.log, "watch of work records failed"; "after" => after,
                             "error" => %fault);
                         None
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -77,7 +77,7 @@
                 .expect(LEADER_KEY, term.0)
                 .set(LEARNED_KEY, &record::encode(&learned));
             if let Err(fault) = shared.store.write(&write).await {
-                shared.metrics.store_fault();
+                shared.store_failed();
                 debug!(shared.log, "learned interference not stored"; "error" => %fault);
             }
         });
--- a/crates/mustardcove-node/src/leader/rows.rs
+++ b/crates/mustardcove-node/src/leader/rows.rs
@@ -77,7 +77,7 @@
         Err(fault) => {
             // The write may have taken effect. The next one then conflicts, and
             // its answer holds the revisions.
-            shared.metrics.store_fault();
+            shared.store_failed();
             let first = rows.first().map_or("", |it| it.key.as_str());
             warn!(shared.log, "records not stored"; "records" => rows.len(), "first" => first,
                 "error" => %fault);
--- a/crates/mustardcove-node/src/manifest_watch.rs
+++ b/crates/mustardcove-node/src/manifest_watch.rs
@@ -35,7 +35,7 @@
     loop {
         let result = watch_manifest(&shared).await;
         if let Err(fault) = result {
-            shared.metrics.store_fault();
+            shared.store_failed();
             if was_reachable {
                 warn!(shared.log, "store lost"; "error" => %fault);
             }
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -117,7 +117,7 @@
             }
             Ok(None) => shared.update_candidacy(Candidacy::found_leader),
             Err(fault) => {
-                shared.metrics.store_fault();
+                shared.store_failed();
                 warn!(shared.log, "leadership not claimed"; "error" => %fault);
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -20,6 +20,7 @@
         message::{FleetMessage, Heartbeat, StoreOutcome},
         poller::LeasePermission,
         state_cache::StateCache,
+        store_health::StoreHealth,
     },
     id::ProcessId,
     message::PeerMessage,
@@ -34,10 +35,6 @@
 
 use crate::{metrics::NodeMetrics, outbox::Outbox};
 
-/// A process counts as reaching the store until the last answer is this old, in
-/// milliseconds; longer than one call with its timeout.
-const STORE_STALE_MS: u64 = 2_200;
-
 /// Age up to which the numbers of pending submissions are given to callers, in
 /// milliseconds. Users accept numbers that are two seconds old; the rest is for
 /// the age of the leader's numbers and their transfer.
@@ -104,7 +101,7 @@
     candidacy: Mutex<Candidacy>,
     candidacy_changed: Notify,
     last_heartbeat: Mutex<LastHeartbeat>,
-    store_reached_at: AtomicU64,
+    store_health: Mutex<StoreHealth>,
     next_request: AtomicU64,
     store_requests: Mutex<BTreeMap<u64, oneshot::Sender<StoreOutcome>>>,
 }
@@ -160,7 +157,7 @@
             candidacy: Mutex::new(candidacy),
             candidacy_changed: Notify::new(),
             last_heartbeat: Mutex::default(),
-            store_reached_at: AtomicU64::new(0),
+            store_health: Mutex::default(),
             next_request: AtomicU64::new(1),
             store_requests: Mutex::default(),
             process: parts.process,
@@ -268,13 +265,23 @@
 
     /// Records that the store answered.
     pub fn store_answered(&self) {
-        self.store_reached_at.store(self.now().0, Ordering::Relaxed);
+        lock(&self.store_health).record_answer(self.now());
+    }
+
+    /// Records a call to the store that was refused or not answered.
+    pub fn store_failed(&self) {
+        self.metrics.store_fault();
+        lock(&self.store_health).record_failure();
+    }
+
+    /// Returns whether the store counts as away, so that a write is not tried.
+    pub fn is_store_away(&self) -> bool {
+        lock(&self.store_health).is_away(self.now())
     }
 
     /// Returns whether the store answered recently.
     pub fn reaches_store(&self) -> bool {
-        let at = Timestamp(self.store_reached_at.load(Ordering::Relaxed));
-        self.now().ms_since(at) < STORE_STALE_MS
+        lock(&self.store_health).is_reached(self.now())
     }
 
     /// Sends a message to another process, or to this one.
