Let the leader's own region replace it first, and bound state resends

Cause: when the manifest changes, or at the start, 191 processes read it over the link between the regions and fill it for 1 to 2 s. All of them lose the leader at once, and one of them replaces it. The new leader then sends the states of all submissions to every process, which fills the link again.

Change: a process of another region than the leader's waits 1.5 s longer before it claims, within which one of the leader's own region does so if the leader is lost. States are sent again to a bounded number of processes at a time.

Test: leader_election::own_region_first.

--- a/crates/mustardcove-core/src/fleet/election.rs
+++ b/crates/mustardcove-core/src/fleet/election.rs
@@ -7,6 +7,11 @@
 //! how long to wait. A broken connection is strong evidence of a lost leader
 //! and silence is weaker, and processes with more processor time and a shorter
 //! way to the store try first.
+//!
+//! When the link between two regions is full, all processes of the other region
+//! lose the leader at once. If they replaced it, the new leader's messages
+//! would fill the link again, so the processes of the leader's own region go
+//! first.
 
 use crate::time::Timestamp;
 
@@ -19,6 +24,10 @@
 /// milliseconds: a leader is sometimes slowed down for longer than a heartbeat
 /// interval, and a needless change costs as much as this wait.
 const SILENT_WAIT_MS: u64 = 1_200;
+/// Additional wait of a process in another region than the leader, in
+/// milliseconds: a process in the leader's region claims within this time if
+/// the leader is lost.
+const OTHER_REGION_WAIT_MS: u64 = 1_500;
 /// Wait for a heartbeat after the start of a process, in milliseconds: a
 /// leader that is alive finds a new process within this time.
 const STARTED_WAIT_MS: u64 = 150;
@@ -41,6 +50,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Candidacy {
     rank_wait_ms: u64,
+    /// Additional wait because of the leader's region.
+    region_wait_ms: u64,
     claim_at: Timestamp,
 }
 
@@ -53,7 +64,11 @@
         let weakness = lacks(cpu_share, AMPLE_CPU_SHARE).max(lacks(link_mbps, AMPLE_LINK_MBPS));
         let rank = (1.0 - SPREAD) * weakness + SPREAD * spread.clamp(0.0, 1.0);
         let rank_wait_ms = (rank * RANK_WAIT_MS as f64) as u64;
-        Candidacy { rank_wait_ms, claim_at: now.plus_ms(STARTED_WAIT_MS + rank_wait_ms) }
+        Candidacy {
+            rank_wait_ms,
+            region_wait_ms: 0,
+            claim_at: now.plus_ms(STARTED_WAIT_MS + rank_wait_ms),
+        }
     }
 
     /// Records that the process has asked the leader named in the store to
@@ -63,14 +78,17 @@
         self.claim_at = self.claim_at.max(now.plus_ms(STARTED_WAIT_MS + self.rank_wait_ms));
     }
 
-    /// Handles a heartbeat of the leader.
-    pub fn heartbeat_received(&mut self, now: Timestamp) {
-        self.claim_at = now.plus_ms(SILENT_WAIT_MS + self.rank_wait_ms);
+    /// Handles a heartbeat of the leader. `is_same_region` states that the
+    /// leader is in the region of this process.
+    pub fn heartbeat_received(&mut self, is_same_region: bool, now: Timestamp) {
+        self.region_wait_ms = if is_same_region { 0 } else { OTHER_REGION_WAIT_MS };
+        self.claim_at = now.plus_ms(SILENT_WAIT_MS + self.rank_wait_ms + self.region_wait_ms);
     }
 
     /// Handles a broken connection to the leader.
     pub fn connection_broke(&mut self, now: Timestamp) {
-        self.claim_at = self.claim_at.min(now.plus_ms(BROKEN_WAIT_MS + self.rank_wait_ms));
+        let wait_ms = BROKEN_WAIT_MS + self.rank_wait_ms + self.region_wait_ms;
+        self.claim_at = self.claim_at.min(now.plus_ms(wait_ms));
     }
 
     /// Handles the leader's message that it has stepped down.
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -17,7 +17,7 @@
     submission::{Submission, SubmissionState},
 };
 use crate::{
-    id::{ProcessId, WorkerId},
+    id::{ProcessId, RegionId, WorkerId},
     time::Timestamp,
 };
 
@@ -131,6 +131,8 @@
 pub struct Heartbeat {
     /// Its term.
     pub term: Term,
+    /// The leader's region.
+    pub region: RegionId,
     /// When it was sent, on the leader's clock, which reports return to show
     /// how old they are.
     pub sent_at: Timestamp,
--- a/crates/mustardcove-core/tests/leader_election.rs
+++ b/crates/mustardcove-core/tests/leader_election.rs
@@ -28,7 +28,7 @@
 #[test]
 fn heartbeats_postpone() {
     let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
-    candidacy.heartbeat_received(NOW);
+    candidacy.heartbeat_received(true, NOW);
     assert!(NOW.plus_ms(3 * HEARTBEAT_INTERVAL_MS) < candidacy.claim_at());
 }
 
@@ -37,20 +37,36 @@
 #[test]
 fn broken_connection() {
     let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
-    candidacy.heartbeat_received(NOW);
+    candidacy.heartbeat_received(true, NOW);
     let silent = candidacy.claim_at();
     candidacy.connection_broke(NOW);
     assert!(candidacy.claim_at() < silent);
-    candidacy.heartbeat_received(NOW);
+    candidacy.heartbeat_received(true, NOW);
     assert_eq!(candidacy.claim_at(), silent, "the leader is back");
 }
 
+/// Guards against a leader that is replaced because the link to the other
+/// region is full: processes of its own region go first, however weak.
+#[test]
+fn own_region_first() {
+    let mut near = Candidacy::new(0.05, 10.0, 1.0, NOW);
+    near.heartbeat_received(true, NOW);
+    let mut far = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
+    far.heartbeat_received(false, NOW);
+    assert!(near.claim_at() < far.claim_at());
+    near.connection_broke(NOW);
+    far.connection_broke(NOW);
+    assert!(near.claim_at().plus_ms(500) < far.claim_at());
+    far.heartbeat_received(true, NOW);
+    assert!(far.claim_at() < NOW.plus_ms(2_000), "the next leader is in its region");
+}
+
 /// Guards against a needless gap after a leader has stepped down: nobody waits
 /// for its heartbeats.
 #[test]
 fn leader_stepped_down() {
     let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
-    candidacy.heartbeat_received(NOW);
+    candidacy.heartbeat_received(true, NOW);
     candidacy.leader_stepped_down(NOW);
     assert!(candidacy.claim_at() <= NOW.plus_ms(HEARTBEAT_INTERVAL_MS));
 }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -66,6 +66,9 @@
 /// Age of a report from which on the log says that the leader is behind, in
 /// milliseconds: with older ones, runs would soon count as unconfirmed.
 const LAG_LOGGED_MS: u64 = 1_200;
+/// Most states sent at each heartbeat to processes that may have missed some:
+/// about 1 MB.
+const MAX_SYNCED_STATES: usize = 60_000;
 /// Most states in one message.
 const STATES_PER_MESSAGE: usize = 2_000;
 
@@ -478,6 +481,7 @@
         let reaching_store = self.pollers.reaching_store(now);
         let heartbeat = Heartbeat {
             term: self.term,
+            region: self.shared.settings.region.clone(),
             sent_at: now,
             handled: None,
             report_delay_ms: cadence::message_delay_ms(self.pollers.count()),
@@ -492,9 +496,7 @@
             self.shared.send(process, FleetMessage::Heartbeat(heartbeat));
         }
         self.check_lag();
-        for process in self.pollers.take_unsynced() {
-            self.send_all_states(&process);
-        }
+        self.sync_states();
         self.shared.metrics.record_plan(self.planner.counts(now));
     }
 
@@ -511,6 +513,18 @@
         self.is_behind = is_behind;
     }
 
+    /// Sends the states of all submissions to processes that may have missed
+    /// some, to a bounded number at a time: after a change of the leader this
+    /// goes to every process, and would otherwise fill the link between two
+    /// regions until they lose this leader, too.
+    fn sync_states(&mut self) {
+        let states = self.planner.published_states().len().max(1);
+        let processes = (MAX_SYNCED_STATES / states).max(1);
+        for process in self.pollers.take_unsynced(processes) {
+            self.send_all_states(&process);
+        }
+    }
+
     /// Sends the states of all submissions to a process, in several messages if
     /// there are many.
     fn send_all_states(&self, process: &ProcessId) {
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -250,17 +250,16 @@
         reaching
     }
 
-    /// Returns the connected processes that were not sent all states yet, and
-    /// marks them as sent.
-    pub(super) fn take_unsynced(&mut self) -> Vec<ProcessId> {
-        let mut unsynced = Vec::new();
-        for process in self.processes.values_mut() {
-            if process.is_connected && !process.is_synced {
-                process.is_synced = true;
-                unsynced.push(process.record.process.clone());
-            }
-        }
-        unsynced
+    /// Returns up to `most` connected processes that were not sent all states
+    /// yet, and marks them as sent.
+    pub(super) fn take_unsynced(&mut self, most: usize) -> Vec<ProcessId> {
+        let unsynced = |it: &&mut Process| it.is_connected && !it.is_synced;
+        let taken = self.processes.values_mut().filter(unsynced).take(most);
+        let mark = |it: &mut Process| {
+            it.is_synced = true;
+            it.record.process.clone()
+        };
+        taken.map(mark).collect()
     }
 
     pub(super) fn poller_of(&self, worker: &WorkerId) -> Option<&ProcessId> {
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -234,7 +234,8 @@
             last.pending_at = boot_now();
         }
         drop(last);
-        self.update_candidacy(Candidacy::heartbeat_received);
+        let is_same_region = heartbeat.region == self.settings.region;
+        self.update_candidacy(|it, now| it.heartbeat_received(is_same_region, now));
     }
 
     /// Returns the number of pending submissions of a queue; `None` if the last
--- a/crates/mustardcove-node/tests/leader_queue.rs
+++ b/crates/mustardcove-node/tests/leader_queue.rs
@@ -49,6 +49,7 @@
     }
     let heartbeat = Heartbeat {
         term: Term(6),
+        region: "north".parse().expect("a valid name"),
         sent_at: Timestamp::default(),
         handled: None,
         report_delay_ms: 0,
