--- a/crates/mustardcove-core/tests/short_list.rs
+++ b/crates/mustardcove-core/tests/short_list.rs
@@ -12,8 +12,10 @@
 use mustardcove_core::{
     fleet::{
         id::{Incarnation, Term},
+        message::{PollResult, WorkerReport},
         planner::Planner,
         poller::MAX_ORPHAN_LEASE_MS,
+        record,
         roster::Roster,
     },
     time::Timestamp,
@@ -114,6 +116,16 @@
     assert_eq!(rig.starts_at(expire_by), 1);
 }
 
+fn idle_poll(now: Timestamp) -> WorkerReport {
+    WorkerReport::Polled(PollResult {
+        incarnation: Incarnation(1),
+        leases_expire_by: now.plus_ms(4_000),
+        responsive_since: now,
+        running: Vec::new(),
+        ended: Vec::new(),
+    })
+}
+
 struct PolledPlanner {
     planner: Planner,
 }
@@ -121,18 +133,10 @@
 impl PolledPlanner {
     /// Lists and polls one idle worker, and returns the number of orders.
     fn starts_at(&mut self, now: Timestamp) -> usize {
-        use mustardcove_core::fleet::message::{PollResult, WorkerReport};
         let listed = listing("w0", 4_000, Incarnation(1));
         let worker = listed.worker.clone();
         self.planner.update_workers(vec![listed], true);
-        let poll = PollResult {
-            incarnation: Incarnation(1),
-            leases_expire_by: now.plus_ms(4_000),
-            responsive_since: now,
-            running: Vec::new(),
-            ended: Vec::new(),
-        };
-        self.planner.report(&worker, WorkerReport::Polled(poll), now);
+        self.planner.report(&worker, idle_poll(now), now);
         self.planner.tick(now);
         self.planner.take_actions().orders.len()
     }
@@ -175,3 +179,34 @@
     assert_eq!(roster.update(vec![draining.clone()]), vec![draining]);
     assert!(roster.changes().is_empty());
 }
+
+/// A worker that has left stays in the record until nothing can run there. It
+/// is polled, and gets no work from a new leader.
+#[test]
+fn left_worker_unused() {
+    let begin = Timestamp(1_000_000);
+    let expire_by = begin.plus_ms(MAX_ORPHAN_LEASE_MS);
+    let mut planner = Planner::new(Term(9), 2, manifest(3), expire_by);
+    let left = listing("w9", 64_000, Incarnation(1));
+    planner.restore_workers(Some(vec![left.clone()]));
+    planner.submit(submission(1, vec![step(2, 500, &[])], begin), true, begin);
+    let is_polled =
+        |planner: &Planner| planner.workers_to_poll().any(|(it, _)| it.worker == left.worker);
+    assert!(is_polled(&planner));
+    let mut rig = PolledPlanner { planner };
+    rig.planner.report(&left.worker, idle_poll(begin), begin);
+    assert_eq!(rig.starts_at(begin), 2, "the listed worker is used");
+    let used = rig.planner.is_unused(&left.worker, begin);
+    assert!(used, "nothing was started on the worker that has left");
+    assert!(!is_polled(&rig.planner));
+}
+
+/// A key below the prefix that no leader has written is not taken for a
+/// segment, however large its number is.
+#[test]
+fn foreign_keys() {
+    assert_eq!(record::roster_segment_of(&record::roster_key(17)), Some(17));
+    for key in ["roster/99999999999", "roster/x", "roster/", "elsewhere/1"] {
+        assert_eq!(record::roster_segment_of(key), None, "{key}");
+    }
+}
