Take the expected protocol version of a test from the constant

It now names the version of the build and the next one, which is as strict: the text has to hold both.

--- a/crates/mustardcove-runtime/tests/peer_faults.rs
+++ b/crates/mustardcove-runtime/tests/peer_faults.rs
@@ -15,7 +15,7 @@
     message::{PeerMessage, ShardResponse},
     verdict::Verdict,
 };
-use mustardcove_runtime::peer::{PeerError, PeerErrorKind};
+use mustardcove_runtime::peer::{PeerError, PeerErrorKind, config::PROTOCOL_VERSION};
 use setup::{Node, SHARD, TEST_TIMEOUT, answer, cancel, cancelled, config, pair, process, start};
 use tokio::{
     io::copy_bidirectional,
@@ -158,7 +158,8 @@
     a.peers.add_peer(process("b"), b.peers.address(), "moldova".parse().unwrap());
     let error = ask(&a, 1, 2_000).await.unwrap_err();
     assert_eq!((error.kind(), error.verdict()), (PeerErrorKind::Unreachable, Verdict::NotRun));
-    assert!(error.to_string().contains("version 2, not 1"), "{error}");
+    let expected = format!("version {}, not {PROTOCOL_VERSION}", PROTOCOL_VERSION + 1);
+    assert!(error.to_string().contains(&expected), "{error}");
 }
 
 /// Guards against queues that grow without limit while messages to a peer
