Show in the log whether a silent worker crashed, was cut off or left

Cause sought: the log showed only that a worker fell silent and that its lease ended, so a crash could not be told from a cut-off. Change: pollers log once how the polls of a silent worker failed, and report that another worker answers at its address (status 421); the leader logs worker_replaced for that, and for a later worker on the same host. The plan does not act on any of it yet. Tests of core, adapter, runtime and node pass.

--- a/crates/mustardcove-core/examples/planner_scale.rs
+++ b/crates/mustardcove-core/examples/planner_scale.rs
@@ -108,6 +108,7 @@
         labels: vec![format!("kind-{}", index % 3), format!("r{}", index / 20)],
         is_draining: false,
         incarnation: Incarnation(1),
+        host: None,
     }
 }
 
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -235,6 +235,8 @@
     },
     /// It has seen a higher term.
     Fenced,
+    /// Another worker answered at its address, so that it has ended.
+    Replaced,
     /// A start was answered or given up.
     Start {
         /// The task.
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -130,6 +130,8 @@
     /// A worker restarted: it answered with another incarnation.
     #[strum(serialize = "worker_reborn")]
     WorkerRestarted,
+    /// Another worker has taken the place of one, which has ended therefore.
+    WorkerReplaced,
     /// A worker stopped answering.
     WorkerSilent,
     /// A worker answers again.
@@ -417,12 +419,36 @@
             return *index;
         }
         let index = self.workers.len();
+        let host = listing.host.as_ref().map_or("-", |it| it.as_str());
+        let inputs = format!(
+            "listed=true address={} host={host} life={}",
+            listing.address, listing.incarnation
+        );
         self.workers.push(Worker::new(listing, self.earlier_leases_expire_by));
         self.worker_index.insert(id.clone(), index);
-        self.log_decision(DecisionKind::WorkerListed, None, Some(id), || "listed=true".into());
+        self.log_decision(DecisionKind::WorkerListed, None, Some(id), || inputs);
+        self.find_replaced(index);
         index
     }
 
+    /// Finds the workers that ran on the host of a later one.
+    fn find_replaced(&mut self, index: WorkerIndex) {
+        let listing = &self.workers[index].listing;
+        let (host, incarnation) = (listing.host.clone(), listing.incarnation);
+        if host.is_none() {
+            return;
+        }
+        let is_earlier = |it: &&WorkerIndex| {
+            let listing = &self.workers[**it].listing;
+            listing.host == host && listing.incarnation < incarnation
+        };
+        let all: Vec<WorkerIndex> = (0..self.workers.len()).collect();
+        let earlier: Vec<WorkerIndex> = all.iter().filter(is_earlier).copied().collect();
+        for index in earlier {
+            self.worker_replaced(index, "host");
+        }
+    }
+
     /// Adds the workers that earlier leaders used, which service discovery may
     /// not list at present; `None` if they left no record of them.
     pub fn restore_workers(&mut self, recorded: Option<Vec<WorkerListing>>) {
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -52,6 +52,10 @@
                 }
             }
             WorkerReport::Fenced => self.actions.is_superseded = true,
+            WorkerReport::Replaced => {
+                self.worker_silent(index);
+                self.worker_replaced(index, "address");
+            }
             WorkerReport::Start { task, run, outcome } => {
                 self.start_answered(index, task, run, outcome, now);
             }
@@ -84,6 +88,20 @@
         }
     }
 
+    /// Records that another worker has taken the place of one.
+    pub(super) fn worker_replaced(&mut self, index: WorkerIndex, evidence: &str) {
+        let worker = &mut self.workers[index];
+        if std::mem::replace(&mut worker.is_replaced, true) {
+            return;
+        }
+        let runs = worker.allocations.len();
+        let is_draining = worker.listing.is_draining;
+        let id = self.worker_id(index);
+        self.log_decision(DecisionKind::WorkerReplaced, None, Some(id), || {
+            format!("evidence={evidence} runs={runs} draining={is_draining}")
+        });
+    }
+
     fn worker_polled(&mut self, index: WorkerIndex, poll: PollResult, now: Timestamp) {
         let worker = &mut self.workers[index];
         if worker.incarnation.is_some_and(|it| poll.incarnation < it) {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     fleet::id::{EndNumber, Incarnation, RunNumber, TaskKey},
-    id::{FailureDomainId, WorkerId},
+    id::{FailureDomainId, HostId, WorkerId},
     size::Resources,
     time::Timestamp,
 };
@@ -37,8 +37,11 @@
     pub labels: Vec<String>,
     /// Whether it is leaving and takes no new work.
     pub is_draining: bool,
-    /// Its incarnation, which identifies one run of the worker process.
+    /// Its incarnation, which identifies one run of the worker process. It is
+    /// the time when that began, so on one host it rises.
     pub incarnation: Incarnation,
+    /// The machine on which it runs, if its entry names one.
+    pub host: Option<HostId>,
 }
 
 /// The capacity and processor time that a run holds on a worker.
@@ -98,6 +101,8 @@
     pub(super) polled_at: Option<Timestamp>,
     /// Whether several polls in a row have failed.
     pub(super) is_silent: bool,
+    /// Whether another worker has taken its place, so that nothing runs there.
+    pub(super) is_replaced: bool,
     /// The time by which every run there has ended unless it answers again.
     pub(super) leases_expire_by: Timestamp,
     /// The time by which every lease has expired that an ordered start may
@@ -155,6 +160,7 @@
             incarnation: None,
             polled_at: None,
             is_silent: false,
+            is_replaced: false,
             leases_expire_by: Timestamp::default(),
             ordered_leases_expire_by: earlier_leases_expire_by,
             responsive_since: None,
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -273,6 +273,18 @@
         WorkerReport::PollFailed { leases_expire_by: self.lease.expires_by(), is_silent }
     }
 
+    /// Records that another worker answered a poll.
+    pub fn poll_misdirected(&mut self) {
+        self.failed_polls += 1;
+        self.responsive_since = None;
+    }
+
+    /// Returns whether the poll that has just failed is the one from which on
+    /// the worker counts as silent.
+    pub fn has_fallen_silent(&self) -> bool {
+        self.failed_polls == SILENT_AFTER_POLLS
+    }
+
     /// Returns the end of the lease that a start grants, on the worker's
     /// clock; `None` if the worker has never answered.
     pub fn grant_start_lease(&mut self, now: Timestamp) -> Option<u64> {
--- a/crates/mustardcove-core/src/id.rs
+++ b/crates/mustardcove-core/src/id.rs
@@ -120,6 +120,11 @@
     /// An instance that runs tasks.
     WorkerId, "worker id"
 }
+name_id! {
+    /// The machine on which a worker runs. It outlasts the worker: the next
+    /// worker there has another identifier, or another incarnation.
+    HostId, "host id"
+}
 name_id! {
     /// One incarnation of a process of this system.
     ///
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -112,6 +112,7 @@
         labels: vec!["a".to_owned(), "r1".to_owned()],
         is_draining: false,
         incarnation,
+        host: None,
     }
 }
 
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use mustardcove_adapter::workers::{PollCall, Target};
+use mustardcove_adapter::workers::{PollCall, PollFault, Target};
 use mustardcove_core::{
     fleet::{
         id::{BootMillis, Term},
@@ -214,15 +214,34 @@
                 true
             }
             Err(fault) => {
-                let report = self.state().poll_failed();
-                debug!(self.shared.log, "poll failed"; "worker" => %self.target.worker,
-                    "error" => %fault);
-                self.send_report(if fault.is_fenced { WorkerReport::Fenced } else { report });
+                self.poll_failed(&fault);
                 false
             }
         }
     }
 
+    fn poll_failed(&self, fault: &PollFault) {
+        let mut state = self.state();
+        let report = if fault.is_replaced {
+            state.poll_misdirected();
+            WorkerReport::Replaced
+        } else if fault.is_fenced {
+            state.poll_failed();
+            WorkerReport::Fenced
+        } else {
+            state.poll_failed()
+        };
+        if state.has_fallen_silent() {
+            info!(self.shared.log, "worker does not answer"; "worker" => %self.target.worker,
+                "error" => %fault);
+        } else {
+            debug!(self.shared.log, "poll failed"; "worker" => %self.target.worker,
+                "error" => %fault);
+        }
+        drop(state);
+        self.send_report(report);
+    }
+
     fn execute(worker: &Arc<PolledWorker>, order: Order, handled: Option<BootMillis>) {
         match order {
             Order::Start(order) => {
