--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -15,7 +15,10 @@
             Term,
         },
         manifest::{Manifest, Queue, Service},
-        message::{EndKind, EndedRun, Order, PollResult, RunningTask, StartOutcome, WorkerReport},
+        message::{
+            EndKind, EndedRun, Order, PollResult, RunningTask, StartOrder, StartOutcome,
+            WorkerReport,
+        },
         planner::{DecisionKind, Planner, WorkerListing},
         poller::{
             LEADER_SILENT_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, NextPoll, WorkerPoller,
@@ -46,6 +49,18 @@
 /// Time after which a poll without an answer has failed, in milliseconds.
 const POLL_TIMEOUT_MS: u64 = 1_200;
 
+/// Time for which a task that crashes its worker runs, in milliseconds.
+const DEADLY_RUN_MS: u64 = 10;
+
+/// Time for which service discovery goes on listing a worker that has crashed,
+/// in milliseconds.
+const ENTRY_LAPSE_MS: u64 = 4_500;
+
+/// Crashes of workers under one task after which it is judged, and the starts
+/// after them that must not happen.
+const MAX_CRASHES: usize = 3;
+const FORBIDDEN_STARTS: usize = 3;
+
 /// Share of runs that outlast several leases, in percent.
 const LONG_RUN_PERCENT: u32 = 25;
 
@@ -128,6 +143,9 @@
 pub(crate) struct SimWorker {
     pub(crate) id: WorkerId,
     pub(crate) incarnation: Incarnation,
+    /// Its capacity, in millicores.
+    pub(crate) cpu: u64,
+    pub(crate) is_draining: bool,
     started_at: Timestamp,
     clock_rate_percent: u64,
     pub(crate) fence: Term,
@@ -141,6 +159,12 @@
     pub(crate) unreachable_until: Timestamp,
     /// Only replaced pollers reach it before this time.
     pub(crate) orphans_only_until: Timestamp,
+    /// When a run there crashes it.
+    crashes_at: Option<(Timestamp, TaskKey)>,
+    /// While it is down: when it begins its next incarnation, and the number of
+    /// that if it gets another id.
+    down: Option<(Timestamp, Option<u64>)>,
+    crashed_at: Timestamp,
 }
 
 impl SimWorker {
@@ -148,6 +172,8 @@
         SimWorker {
             id: name.parse().expect("a valid name"),
             incarnation: Incarnation(incarnation),
+            cpu: 4_000,
+            is_draining: false,
             started_at: now,
             clock_rate_percent,
             fence: Term(0),
@@ -158,6 +184,9 @@
             highest_ended: BTreeMap::new(),
             unreachable_until: Timestamp(0),
             orphans_only_until: Timestamp(0),
+            crashes_at: None,
+            down: None,
+            crashed_at: Timestamp(0),
         }
     }
 
@@ -230,6 +259,9 @@
     fails_at: Vec<Option<Timestamp>>,
     /// Pollers that were replaced and have not noticed it yet.
     orphans: Vec<Orphan>,
+    /// Pollers of workers that have crashed and come back with another id, each
+    /// with the worker's place.
+    misdirected: Vec<(usize, WorkerId, WorkerPoller)>,
     is_superseded: bool,
 }
 
@@ -269,6 +301,19 @@
     pub(crate) run_failure_percent: u32,
     /// Duration of a worker's restart, in milliseconds.
     pub(crate) restart_ms: u64,
+    /// Tasks that crash each worker that starts them.
+    pub(crate) deadly: BTreeSet<TaskKey>,
+    /// Whether a worker that has crashed comes back with another id.
+    pub(crate) is_renamed: bool,
+    /// Time after which a worker that has crashed is back, in milliseconds.
+    pub(crate) crash_ms: u64,
+    /// Number of workers that crashed under each deadly task, and of its starts
+    /// after the crash of [`MAX_CRASHES`].
+    pub(crate) crashes: BTreeMap<TaskKey, (usize, usize)>,
+    /// Whether nothing reaches the store.
+    pub(crate) is_store_away: bool,
+    /// The last list of service discovery.
+    listed: Vec<WorkerListing>,
     pub(crate) published: BTreeMap<SubmissionId, SubmissionState>,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
@@ -302,6 +347,12 @@
             call_failure_percent: 0,
             run_failure_percent: 0,
             restart_ms: 0,
+            deadly: BTreeSet::new(),
+            is_renamed: false,
+            crash_ms: 3_500,
+            crashes: BTreeMap::new(),
+            is_store_away: false,
+            listed: Vec::new(),
             published: BTreeMap::new(),
             violations: Vec::new(),
             starts: 0,
@@ -346,6 +397,7 @@
             pollers: vec![WorkerPoller::default(); count],
             fails_at: vec![None; count],
             orphans: Vec::new(),
+            misdirected: Vec::new(),
             is_superseded: false,
         });
     }
@@ -376,8 +428,70 @@
         self.workers[worker].unreachable_until = self.now.plus_ms(self.restart_ms);
     }
 
+    /// Crashes a worker, which is back after `down_ms`.
+    pub(crate) fn crash(&mut self, worker: usize, down_ms: u64) {
+        self.delayed.retain(|it| it.worker != worker);
+        self.incarnations += 1;
+        let back_at = self.now.plus_ms(down_ms);
+        let renamed = self.is_renamed.then_some(self.incarnations);
+        let it = &mut self.workers[worker];
+        it.running.clear();
+        it.crashes_at = None;
+        it.down = Some((back_at, renamed));
+        it.crashed_at = self.now;
+        it.unreachable_until = it.unreachable_until.max(back_at);
+    }
+
+    /// Carries out the crashes that are due, and brings workers back.
+    fn advance_crashes(&mut self) {
+        for worker in 0..self.workers.len() {
+            let now = self.now;
+            let it = &mut self.workers[worker];
+            if let Some((_, task)) = it.crashes_at.take_if(|it| it.0 <= now) {
+                self.crashes.entry(task).or_default().0 += 1;
+                self.crash(worker, self.crash_ms);
+            }
+            let it = &mut self.workers[worker];
+            let Some((_, renamed)) = it.down.take_if(|it| it.0 <= now) else { continue };
+            self.incarnations += 1;
+            let earlier = it.id.clone();
+            let name = renamed.map_or(earlier.to_string(), |it| format!("w{worker}.{it}"));
+            let cpu = it.cpu;
+            self.workers[worker] = SimWorker::new(&name, self.incarnations, 98, now);
+            self.workers[worker].cpu = cpu;
+            if renamed.is_some() {
+                for leader in &mut self.leaders {
+                    let poller = std::mem::take(&mut leader.pollers[worker]);
+                    leader.fails_at[worker] = None;
+                    leader.misdirected.push((worker, earlier.clone(), poller));
+                }
+            }
+        }
+    }
+
+    /// Lets the pollers of workers that no longer exist poll their addresses.
+    fn poll_misdirected(&mut self, leader: usize) {
+        let state = &mut self.leaders[leader];
+        let polled: Vec<WorkerId> =
+            state.planner.workers_to_poll().map(|it| it.0.worker.clone()).collect();
+        state.misdirected.retain(|it| polled.contains(&it.1));
+        let mut pollers = std::mem::take(&mut state.misdirected);
+        for (worker, id, poller) in &mut pollers {
+            let is_down = self.workers[*worker].down.is_some() || self.is_unreachable(*worker);
+            let report = if is_down {
+                poller.poll_failed()
+            } else {
+                poller.poll_misdirected();
+                WorkerReport::Replaced
+            };
+            self.report(leader, id.clone(), report);
+        }
+        self.leaders[leader].misdirected = pollers;
+    }
+
     pub(crate) fn advance(&mut self, ms: u64) {
         self.now = self.now.plus_ms(ms);
+        self.advance_crashes();
         for worker in &mut self.workers {
             worker.advance(self.now);
         }
@@ -506,8 +620,10 @@
     fn confirm(&mut self, leader: usize) {
         let state = &mut self.leaders[leader];
         for (listing, responsive_since) in state.planner.workers_to_poll() {
-            let worker = self.workers.iter().position(|it| it.id == listing.worker);
-            state.pollers[worker.expect("a worker")].confirm(responsive_since);
+            // Others have crashed and come back with another id.
+            if let Some(worker) = self.workers.iter().position(|it| it.id == listing.worker) {
+                state.pollers[worker].confirm(responsive_since);
+            }
         }
     }
 
@@ -543,7 +659,9 @@
         }
         let acknowledged_through = next.acknowledge_through;
         for end in it.ended.iter().filter(|end| end.number <= acknowledged_through) {
-            if end.kind == EndKind::Done {
+            let id = end.task.step.submission;
+            let runs_on = self.submissions.get(&id).is_some_and(|it| it.is_long_running());
+            if end.kind == EndKind::Done && !runs_on {
                 self.acknowledged.insert(end.task);
             }
         }
@@ -578,9 +696,10 @@
     /// Lets a leader plan, and carries out its orders.
     pub(crate) fn plan(&mut self, leader: usize) {
         let now = self.now;
-        let listed = self.workers.iter().enumerate().filter(|(i, _)| !self.unlisted.contains(i));
-        let listings: Vec<WorkerListing> =
-            listed.map(|(_, it)| listing(it.id.as_str(), 4_000, it.incarnation)).collect();
+        if !self.is_store_away {
+            self.listed = self.list_workers();
+        }
+        let listings = self.listed.clone();
         let usable = self.record_workers(leader, listings);
         let is_settled = self.is_store_settled;
         let planner = &mut self.leaders[leader].planner;
@@ -607,11 +726,43 @@
             }
         }
         for (worker, order) in actions.orders {
-            let worker = self.workers.iter().position(|it| it.id == worker).expect("a worker");
-            self.order(leader, worker, order);
+            match self.workers.iter().position(|it| it.id == worker) {
+                Some(worker) => self.order(leader, worker, order),
+                None => self.misdirect(leader, worker, &order),
+            }
         }
     }
 
+    /// Returns the entries of the workers, with those that have just crashed.
+    fn list_workers(&self) -> Vec<WorkerListing> {
+        let is_listed = |(i, it): &(usize, &SimWorker)| {
+            let is_alive = it.down.is_none() || self.now < it.crashed_at.plus_ms(ENTRY_LAPSE_MS);
+            is_alive && !self.unlisted.contains(i)
+        };
+        let listed = self.workers.iter().enumerate().filter(is_listed);
+        let entry = |(i, it): (usize, &SimWorker)| WorkerListing {
+            is_draining: it.is_draining,
+            host: Some(format!("h{i}").parse().expect("a valid name")),
+            ..listing(it.id.as_str(), it.cpu, it.incarnation)
+        };
+        listed.map(entry).collect()
+    }
+
+    /// Answers an order for a worker that has crashed and come back with
+    /// another id.
+    fn misdirect(&mut self, leader: usize, worker: WorkerId, order: &Order) {
+        let report = match order {
+            Order::Start(StartOrder { task, run, .. }) => {
+                WorkerReport::Start { task: *task, run: *run, outcome: StartOutcome::NotRun }
+            }
+            Order::Stop { task, run } => {
+                WorkerReport::Stop { task: *task, run: *run, is_confirmed: false }
+            }
+            Order::Pace { .. } | Order::AcknowledgeEnds { .. } => return,
+        };
+        self.report(leader, worker, report);
+    }
+
     /// Records the listed workers if the leader still leads, and returns those
     /// that it may use.
     fn record_workers(
@@ -628,7 +779,7 @@
             state.roster.remove(&worker);
         }
         for write in state.roster.changes() {
-            if state.planner.term() == self.term {
+            if state.planner.term() == self.term && !self.is_store_away {
                 self.revision += 1;
                 self.roster.insert(write.segment, (write.value.clone(), self.revision));
                 state.roster.stored(write, self.revision);
@@ -736,6 +887,9 @@
                 }
                 let how = if fails { EndKind::Failed } else { EndKind::Done };
                 let run = SimRun { run: start.run, ends_at, how };
+                if self.deadly.contains(&start.task) {
+                    it.crashes_at = Some((now.plus_ms(DEADLY_RUN_MS), start.task));
+                }
                 let earlier = it.running.insert(start.task, run);
                 if earlier.is_some() {
                     self.violations.push(format!("{} runs twice on one worker", start.task));
@@ -757,6 +911,14 @@
 
     fn started(&mut self, task: TaskKey, worker: usize) {
         self.starts += 1;
+        if self.deadly.contains(&task) {
+            let (crashes, starts) = self.crashes.entry(task).or_default();
+            *starts += usize::from(MAX_CRASHES <= *crashes);
+            if *starts == FORBIDDEN_STARTS {
+                self.violations
+                    .push(format!("{task} has crashed {crashes} workers at {}", self.now));
+            }
+        }
         let elsewhere = self.workers.iter().enumerate();
         let elsewhere = elsewhere.filter(|(i, it)| *i != worker && it.running.contains_key(&task));
         if 0 < elsewhere.count() {
@@ -770,6 +932,9 @@
     /// Stores a leader's progress if it still leads.
     pub(crate) fn flush(&mut self, leader: usize) {
         let current = self.term;
+        if self.is_store_away {
+            return;
+        }
         let planner = &mut self.leaders[leader].planner;
         let (change, records) = planner.take_progress();
         if planner.term() != current {
@@ -800,6 +965,9 @@
                     }
                 }
                 self.poll_orphaned(leader);
+                if self.rng.random_range(0..4u32) == 0 {
+                    self.poll_misdirected(leader);
+                }
                 if self.now < self.leaders[leader].frozen_until {
                     continue;
                 }
