--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -21,6 +21,7 @@
 mod rank;
 mod reports;
 mod schedule;
+mod suspects;
 mod tickets;
 mod work;
 mod workers;
@@ -38,6 +39,8 @@
 use self::{
     blocked::BlockedSubmissions,
     interference::InterferenceModel,
+    placement::Obstacle,
+    suspects::Suspects,
     tickets::Tickets,
     work::{Run, Task, Work, WorkerIndex},
     workers::{Allocation, Worker, WorkloadKind},
@@ -116,6 +119,8 @@
     RunFailed,
     /// A run ended or was given up without its task being done.
     RunLost,
+    /// A worker has crashed under a run, which may be the reason.
+    RunCrashed,
     /// A run was ordered to stop.
     RunStopped,
     /// A run of an earlier leader was adopted.
@@ -202,6 +207,7 @@
     is_fleet_complete: bool,
     interference: InterferenceModel,
     tickets: Tickets,
+    suspects: Suspects,
     blocked: BlockedSubmissions,
     /// Number of the last placement round.
     round: u64,
@@ -247,6 +253,7 @@
             is_fleet_complete: true,
             interference: InterferenceModel::default(),
             tickets: Tickets::default(),
+            suspects: Suspects::default(),
             blocked: BlockedSubmissions::default(),
             round: 0,
             next_move_check: 0,
@@ -314,12 +321,15 @@
             work.queue = queue.clone();
         }
         if let Some((progress, revision)) = progress {
-            work.restore(progress, revision);
+            work.restore(progress, revision, now);
         }
         self.log_decision(DecisionKind::Planned, Some(id), None, || {
             format!("queue={} certain={is_known_unstarted}", work.queue.name)
         });
         self.actions.states.push((id, work.state));
+        for (task, _) in work.suspects() {
+            self.suspects.add(task);
+        }
         let steps: Vec<StepKey> =
             (work.occurrences.iter()).flat_map(|it| work.submission.step_keys(it.number)).collect();
         self.work.insert(id, work);
@@ -390,6 +400,7 @@
     ///
     /// With `may_remove`, workers that the list lacks are treated as removed.
     pub fn update_workers(&mut self, listings: Vec<WorkerListing>, may_remove: bool) {
+        self.suspects.listed();
         let mut listed: BTreeSet<WorkerIndex> = BTreeSet::new();
         for listing in listings {
             listed.insert(self.update_worker(listing));
@@ -417,6 +428,8 @@
             }
             if is_newer && worker.listing != listing {
                 worker.is_changed = true;
+                worker.was_draining |=
+                    listing.is_draining && worker.incarnation == Some(listing.incarnation);
                 worker.listing = listing;
             }
             return *index;
@@ -502,9 +515,10 @@
         (self.change, dirty.into_iter().filter_map(record).collect())
     }
 
-    /// Returns whether a final state waits to be stored and published.
-    pub fn has_unpublished_states(&self) -> bool {
-        self.unpublished.iter().any(|it| self.dirty.contains(&it.1))
+    /// Returns whether something waits for a change to be stored: a final state
+    /// that callers should see, or a task that may crash its worker.
+    pub fn has_urgent_progress(&self) -> bool {
+        self.unpublished.iter().any(|it| self.dirty.contains(&it.1)) || self.waits_for_record()
     }
 
     /// Returns whether anything waits to be stored.
@@ -527,6 +541,7 @@
     /// Acknowledges the ends and publishes the final states that belong to the
     /// changes up to `change`, which are now stored.
     pub fn progress_stored(&mut self, change: u64) {
+        self.suspects.stored(change);
         let unpublished = std::mem::take(&mut self.unpublished);
         for (needed, id, state) in unpublished {
             if needed <= change {
@@ -573,15 +588,21 @@
             waiting_steps: self.waiting.len(),
             blocked_submissions: self.blocked.count(),
             placed_runs: self.workers.iter().map(|it| it.allocations.len()).sum(),
-            schedulable_workers: self
-                .workers
-                .iter()
-                .filter(|it| placement::is_schedulable(it, now))
+            schedulable_workers: (0..self.workers.len())
+                .filter(|it| self.obstacle(*it, now).is_none())
                 .count(),
+            suspect_tasks: self.suspects.count(),
+            worker_crashes: self.suspects.crashes(),
             scored_workers: self.scored_workers.load(Ordering::Relaxed),
         }
     }
 
+    /// Returns why a worker accepts no new work at all, or `None` if it does.
+    fn obstacle(&self, index: WorkerIndex, now: Timestamp) -> Option<Obstacle> {
+        let isolated = self.suspects.is_isolated(index).then_some(Obstacle::Isolated);
+        placement::unavailability(&self.workers[index], now).or(isolated)
+    }
+
     fn log_decision(
         &mut self,
         kind: DecisionKind,
@@ -601,6 +622,7 @@
             kind: workload_kind(step),
             image: step.image.as_ref().map(|it| self.interference.image(it)),
             tail_target_ms: step.tail_target_ms.filter(|_| step.is_long_running),
+            listings: 0,
             measurement: 0,
             pace: 100,
             max_pace: 100,
@@ -646,6 +668,7 @@
         work.next_occurrence = work.submission.occurrences();
         let age_ms = now.ms_since(work.submission.accepted_at);
         self.scheduled.remove(&id);
+        self.suspects.remove(id);
         self.interference.remove(id);
         for (task, worker, run) in runs {
             self.stop(worker, task, run, why, now);
@@ -707,6 +730,10 @@
     pub placed_runs: usize,
     /// Workers that accept new work.
     pub schedulable_workers: usize,
+    /// Tasks that may have crashed a worker.
+    pub suspect_tasks: usize,
+    /// Number of workers so far that crashed.
+    pub worker_crashes: u64,
     /// Number of times so far that a worker was scored for a task.
     pub scored_workers: u64,
 }
--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -20,7 +20,7 @@
 
 use super::{
     DecisionKind, Planner,
-    placement::{self, Obstacle},
+    placement::Obstacle,
     work::{Phase, Step, Task, Work, WorkerIndex},
 };
 use crate::{
@@ -278,7 +278,8 @@
             for index in 0..self.workers.len() {
                 let is_reserved =
                     !spec.is_best_effort && self.reserved.get(&index).is_some_and(|it| *it != key);
-                let obstacle = placement::obstacle(&self.workers[index], now)
+                let obstacle = self
+                    .obstacle(index, now)
                     .or_else(|| self.score(&pending, req, index, now).err())
                     .or(is_reserved.then_some(Obstacle::Reserved));
                 match obstacle {
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -84,6 +84,8 @@
     Refusing,
     /// Its circuit breaker is open, or it is on probation.
     Suspended,
+    /// A task that may have crashed another worker begins there.
+    Isolated,
     /// It is in another pool or lacks the label that the step needs.
     Ineligible,
     /// The demand does not fit into its free capacity.
@@ -100,8 +102,9 @@
     NoTicket,
 }
 
-/// Returns why a worker accepts no new work at all, or `None` if it does.
-pub(super) fn obstacle(worker: &Worker, now: Timestamp) -> Option<Obstacle> {
+/// Returns why a worker accepts no new work at all, or `None` if it does, or
+/// would if it were not isolated for one task.
+pub(super) fn unavailability(worker: &Worker, now: Timestamp) -> Option<Obstacle> {
     if !worker.is_listed {
         Some(Obstacle::Unlisted)
     } else if worker.listing.is_draining {
@@ -121,11 +124,6 @@
     }
 }
 
-/// Returns whether a worker accepts new work at all.
-pub(super) fn is_schedulable(worker: &Worker, now: Timestamp) -> bool {
-    obstacle(worker, now).is_none()
-}
-
 /// Returns whether a worker has the pool and the label that a step needs.
 pub(super) fn is_eligible(worker: &Worker, step: &StepSpec, service: &str) -> bool {
     let has_label = |it: &String| worker.has_label(it);
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -48,12 +48,12 @@
                     self.workers[index].leases_expire_by = leases_expire_by;
                 }
                 if is_silent {
-                    self.worker_silent(index);
+                    self.worker_silent(index, now);
                 }
             }
             WorkerReport::Fenced => self.actions.is_superseded = true,
             WorkerReport::Replaced { incarnation } => {
-                self.worker_silent(index);
+                self.worker_silent(index, now);
                 if incarnation.is_none() || incarnation == self.workers[index].incarnation {
                     self.worker_replaced(index, now);
                 }
@@ -77,12 +77,13 @@
         }
     }
 
-    fn worker_silent(&mut self, index: WorkerIndex) {
+    fn worker_silent(&mut self, index: WorkerIndex, now: Timestamp) {
         let worker = &mut self.workers[index];
         worker.responsive_since = None;
         let leases_expire_by = worker.runs_expire_by();
         if !worker.is_silent {
             worker.is_silent = true;
+            self.suspect_runs(index, now);
             let id = self.worker_id(index);
             self.log_decision(DecisionKind::WorkerSilent, None, Some(id), || {
                 format!("lease_over_by={leases_expire_by}")
@@ -109,6 +110,8 @@
         for task in runs {
             self.run_lost(index, task, "its worker was replaced", now);
         }
+        self.worker_crashed(index, now);
+        self.judge_ended(index, now);
     }
 
     fn worker_polled(&mut self, index: WorkerIndex, poll: PollResult, now: Timestamp) {
@@ -117,13 +120,16 @@
         if worker.incarnation.is_some_and(is_past) {
             return;
         }
-        if worker.is_silent {
-            worker.is_silent = false;
+        let was_silent = std::mem::take(&mut worker.is_silent);
+        if was_silent {
             let id = worker.listing.worker.clone();
             self.log_decision(DecisionKind::WorkerAnswers, None, Some(id), String::new);
         }
         let worker = &mut self.workers[index];
         if worker.incarnation != Some(poll.incarnation) {
+            if worker.incarnation.is_some() && !was_silent {
+                self.suspect_runs(index, now);
+            }
             self.begin_incarnation(index, &poll, now);
         }
         let worker = &mut self.workers[index];
@@ -142,6 +148,7 @@
             self.run_listed(index, running, now);
         }
         self.find_missing_runs(index, &poll, now);
+        self.judge_polled(index, poll.incarnation, now);
         self.adjust_pace(index, now);
     }
 
@@ -151,6 +158,9 @@
     /// stopped.
     fn begin_incarnation(&mut self, index: WorkerIndex, poll: &PollResult, now: Timestamp) {
         let is_first = self.workers[index].incarnation.is_none();
+        if !is_first {
+            self.worker_crashed(index, now);
+        }
         self.workers[index].begin_incarnation(poll.incarnation);
         let runs: Vec<(TaskKey, RunNumber)> =
             self.workers[index].allocations.iter().map(|(task, it)| (*task, it.run)).collect();
@@ -323,10 +333,12 @@
         }
         let other = slot.run().filter(|it| it.run != run).map(|it| (it.worker, it.run));
         slot.phase = Phase::Done;
+        slot.suspicion = None;
         let step = usize::from(task.step.step);
         if let Some(occurrence) = work.occurrence_mut(task.step.occurrence) {
             occurrence.steps[step].unfinished -= 1;
         }
+        self.suspects.remove_task(task);
         self.mark_dirty(task.step.submission);
         if let Some((worker, run)) = other {
             self.stop(worker, task, run, "another run is done", now);
@@ -411,6 +423,10 @@
     /// Handles a run that a worker lists.
     fn run_listed(&mut self, index: WorkerIndex, row: &RunningTask, now: Timestamp) {
         let id = row.task.step.submission;
+        let allocation = self.workers[index].allocations.get_mut(&row.task);
+        if let Some(allocation) = allocation.filter(|it| it.run == row.run) {
+            allocation.listings = allocation.listings.saturating_add(1);
+        }
         let Some(work) = self.work.get(&id) else {
             self.unknown_run(index, row);
             return;
@@ -421,6 +437,7 @@
         if self.is_current(index, row.task, row.run) {
             self.unconfirmed.remove(&(index, row.task, row.run));
             self.update_progress(index, row, now);
+            self.run_survived(index, row.task, row.run);
         } else if is_waiting && !is_stopping {
             self.adopt(index, row, now);
         } else if !is_stopping {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -12,7 +12,7 @@
     DecisionKind, LEASE_MARGIN_MS, Planner, RunKey, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS, pace,
     placement::{self, Obstacle, Request},
     rank::{Rank, WaitingStep},
-    work::{Phase, Run, TriedRound, Work, WorkerIndex},
+    work::{Phase, Run, Task, TriedRound, Work, WorkerIndex},
     workers::{Allocation, WorkloadKind},
     workload_kind,
 };
@@ -130,7 +130,7 @@
 pub(super) struct PendingTasks {
     key: StepKey,
     service: String,
-    needs_ticket: bool,
+    pub(super) needs_ticket: bool,
     /// Index of each waiting task, and the worker that it avoids.
     pub(super) tasks: Vec<(u16, Option<WorkerIndex>)>,
     /// Number of placed tasks of the step by worker.
@@ -141,6 +141,8 @@
     pub(super) is_starved: bool,
     /// Whether they may start on suspended workers.
     may_use_suspended: bool,
+    /// Whether their starts are ordered only once they are recorded.
+    pub(super) is_withheld: bool,
 }
 
 impl PendingTasks {
@@ -154,8 +156,19 @@
             is_scarce,
             is_starved: false,
             may_use_suspended: false,
+            is_withheld: false,
         }
     }
+
+    /// Returns the step without pending tasks; `None` if it has not begun.
+    pub(super) fn of_step(key: StepKey, work: &Work, is_scarce: bool) -> Option<PendingTasks> {
+        let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
+        let mut pending = PendingTasks::new(key, work, is_scarce);
+        for run in step.tasks.iter().filter_map(Task::run) {
+            *pending.placed.entry(run.worker).or_default() += 1;
+        }
+        Some(pending)
+    }
 }
 
 /// The workers that can run a task of a step, best first.
@@ -206,9 +219,9 @@
         self.retry_stops(now);
         self.expire_leases(now);
         self.expire_earlier_work(now);
-        let schedulable: Vec<WorkerIndex> = (0..self.workers.len())
-            .filter(|it| placement::is_schedulable(&self.workers[*it], now))
-            .collect();
+        self.start_suspects(now);
+        let schedulable: Vec<WorkerIndex> =
+            (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
         self.place(&schedulable, now);
         if !schedulable.is_empty() {
             self.move_slowed(&schedulable, now);
@@ -317,9 +330,7 @@
         self.reserved = reserved;
         let by_change = self.begin_changes(schedulable);
         let is_free = |it: &WorkerIndex| !self.reserved.contains_key(it);
-        let is_suspended = |it: &WorkerIndex| {
-            placement::obstacle(&self.workers[*it], now) == Some(Obstacle::Suspended)
-        };
+        let is_suspended = |it: &WorkerIndex| self.obstacle(*it, now) == Some(Obstacle::Suspended);
         let suspended: Vec<WorkerIndex> = (0..self.workers.len()).filter(is_suspended).collect();
         let usable = schedulable.iter().chain(&suspended).map(|it| &self.workers[*it]);
         let max_reserved = (schedulable.len() * MAX_RESERVED_PERCENT).div_ceil(100);
@@ -465,13 +476,25 @@
         for key in waiting {
             if let Some(waiting) = self.waiting_step(key) {
                 self.waiting.insert(key);
-                candidates.push(Candidate { rank: waiting.rank(now), key });
+                if self.has_placeable(key) {
+                    candidates.push(Candidate { rank: waiting.rank(now), key });
+                }
             }
         }
         candidates
     }
 
-    fn waiting_step(&self, key: StepKey) -> Option<WaitingStep> {
+    /// Returns whether a step has waiting tasks that are placed among others.
+    fn has_placeable(&self, key: StepKey) -> bool {
+        let Some(work) = self.work.get(&key.submission) else { return false };
+        let occurrence = work.occurrence(key.occurrence);
+        let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
+        let is_gang = work.submission.steps[usize::from(key.step)].is_gang;
+        let is_placeable = |it: &Task| it.is_waiting() && (is_gang || it.suspicion.is_none());
+        step.is_some_and(|it| it.tasks.iter().any(is_placeable))
+    }
+
+    pub(super) fn waiting_step(&self, key: StepKey) -> Option<WaitingStep> {
         let work = self.work.get(&key.submission)?;
         let occurrence = work.occurrence(key.occurrence)?;
         let step = occurrence.steps.get(usize::from(key.step))?;
@@ -504,15 +527,15 @@
             return None;
         }
         let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
-        let mut pending = PendingTasks::new(key, work, is_scarce);
+        let mut pending = PendingTasks::of_step(key, work, is_scarce)?;
         for (i, task) in step.tasks.iter().enumerate() {
-            match &task.phase {
-                Phase::Waiting if task.not_before <= now => {
-                    pending.tasks.push((i as u16, task.avoid));
-                }
-                Phase::Placed(run) => *pending.placed.entry(run.worker).or_default() += 1,
-                Phase::Waiting | Phase::Done => {}
+            let index = i as u16;
+            let is_placeable = self.is_placeable(TaskKey { step: key, index }, &work.submission);
+            if task.is_waiting() && task.not_before <= now && is_placeable {
+                pending.tasks.push((index, task.avoid));
             }
+            // All members of a gang wait for the record of one of them.
+            pending.is_withheld |= spec.is_gang && task.suspicion.is_some();
         }
         // Members of a gang only work together, so they start together.
         let is_incomplete = spec.is_gang && pending.tasks.len() < usize::from(spec.count);
@@ -650,7 +673,11 @@
     /// Returns the allocation of each of the pending tasks. A starved one gets
     /// the lowest pace, so that hundreds of them take little from the runs that
     /// are on time.
-    fn pending_allocation(&mut self, pending: &PendingTasks, spec: &StepSpec) -> Allocation {
+    pub(super) fn pending_allocation(
+        &mut self,
+        pending: &PendingTasks,
+        spec: &StepSpec,
+    ) -> Allocation {
         let allocation = self.allocation_for(spec, RunNumber::default());
         if !pending.is_starved {
             return allocation;
@@ -726,7 +753,7 @@
     }
 
     /// Requests tickets for a step on workers that could run it.
-    fn request_tickets_for(
+    pub(super) fn request_tickets_for(
         &mut self,
         pending: &PendingTasks,
         spec: &StepSpec,
@@ -830,6 +857,7 @@
         }
         let waited_ms = now.ms_since(work.known_since);
         let gang_run = spec.is_gang.then(|| next_gang_run(work, key, run_base));
+        let mut orders = Vec::with_capacity(chosen.len());
         for (index, worker) in chosen.iter().copied() {
             let task = TaskKey { step: key, index };
             let Some(slot) = work.task_mut(task) else { continue };
@@ -847,10 +875,14 @@
                     .map(str::to_owned),
             };
             self.workers[worker].allocate(task, Allocation { run, ..allocation });
-            self.unconfirmed.insert((worker, task, run), now.plus_ms(START_CONFIRM_TIMEOUT_MS));
-            self.workers[worker].ordered_leases_expire_by = now.plus_ms(MAX_START_LEASE_MS);
-            let id = self.workers[worker].listing.worker.clone();
-            self.actions.orders.push((id, Order::Start(order)));
+            orders.push((worker, order));
+        }
+        if pending.is_withheld {
+            self.withhold(key, orders, now);
+        } else {
+            for (worker, order) in orders {
+                self.order_start(worker, order, now);
+            }
         }
         let first = self.worker_id(chosen[0].1);
         self.log_decision(DecisionKind::Started, Some(key.submission), Some(first), || {
@@ -859,6 +891,17 @@
     }
 }
 
+impl Planner {
+    /// Orders a start that the plan has placed.
+    pub(super) fn order_start(&mut self, worker: WorkerIndex, order: StartOrder, now: Timestamp) {
+        let key = (worker, order.task, order.run);
+        self.unconfirmed.insert(key, now.plus_ms(START_CONFIRM_TIMEOUT_MS));
+        self.workers[worker].ordered_leases_expire_by = now.plus_ms(MAX_START_LEASE_MS);
+        let id = self.worker_id(worker);
+        self.actions.orders.push((id, Order::Start(order)));
+    }
+}
+
 fn next_run(last: RunNumber, base: u64) -> RunNumber {
     RunNumber(last.0.max(base) + 1)
 }
--- /dev/null
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -0,0 +1,723 @@
+//! Tasks that may have crashed the worker on which they ran.
+//!
+//! A task may crash each worker that starts it. Such an end is listed nowhere,
+//! so without a record of it the task would crash one worker after the other,
+//! and everything beside it would be lost each time.
+//!
+//! **What a crash is.** A worker has crashed if its incarnation is proven to
+//! have ended and it was not draining. Silence proves nothing: the worker may
+//! be cut off. Proofs are another worker at its address, its next incarnation,
+//! and a later worker on its host.
+//!
+//! **Which task it was.** Of the runs on a crashed worker, those are suspected
+//! that no two polls had listed yet, since such tasks crash what starts them.
+//! If there are none, it is those that were beside a crash before. A suspected
+//! task runs next in isolation: from its start until two polls have listed
+//! it, nothing else starts on its worker, and nothing else there is new. A
+//! crash then has one suspect, and sound tasks are cleared by their first
+//! polls. Both are counted in polls and not in time, so that reports which are
+//! handled late clear nobody.
+//!
+//! A task is given up after [`CRASHES`] crashes of which it was a suspect, if it
+//! was the only new run in [`SOLE_CRASHES`] of them, on hosts that had not
+//! crashed shortly before; otherwise after [`MAX_CRASHES`]. A sound task would
+//! have to begin on that many workers just before each fails by itself.
+//!
+//! **What outlives the leader.** A run of a suspected task is stored with its
+//! worker before it is ordered, and the runs that become suspected by the
+//! silence of their worker are stored at once. A new leader thus finds each
+//! run whose outcome is open, and judges it by what became of its worker.
+//! While the store is away, suspected tasks wait. Lost is only a crash whose
+//! leader is lost before it has noticed the silence of the worker.
+//!
+//! See `docs/platform.md`, section 6.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use super::{
+    DecisionKind, Planner,
+    placement::{self, Obstacle},
+    rank::Rank,
+    schedule::PendingTasks,
+    work::{Phase, WorkerIndex},
+    workers::Worker,
+};
+use crate::{
+    fleet::{
+        id::{Incarnation, RunNumber, StepKey, SubmissionId, TaskKey},
+        message::StartOrder,
+        record::{CrashedRun, OpenRun, SuspectTask},
+        submission::{StepSpec, Submission, SubmissionState},
+    },
+    id::HostId,
+    time::Timestamp,
+};
+
+/// Polls that have to list a run before it no longer counts as new: a task that
+/// crashes its worker at the start is listed once at most.
+pub(super) const PROVEN_LISTINGS: u32 = 2;
+/// Polls that have to list a run before the earlier crashes of its task are
+/// forgotten: several seconds of work.
+const CLEARED_LISTINGS: u32 = 20;
+/// Crashes after which a task is given up if the evidence is clear.
+const CRASHES: usize = 3;
+/// How many of them need to have the task as the only new run.
+const SOLE_CRASHES: usize = 2;
+/// Crashes after which a task is given up in any case.
+const MAX_CRASHES: usize = 4;
+/// Longest time for which a task waits for what becomes of its silent worker if
+/// that may be the second one under it, in milliseconds: workers that have
+/// crashed are back within seconds.
+const OPEN_WAIT_MS: u64 = 10_000;
+/// Time after the crash of a host in which another one may be its own fault, in
+/// milliseconds.
+const HOST_PROBATION_MS: u64 = 30_000;
+/// Most of the schedulable workers that may be isolated at once, in percent and
+/// rounded up.
+const MAX_ISOLATED_PERCENT: usize = 15;
+/// Longest time for which a worker is kept free of new starts for a task that
+/// still waits for it, in milliseconds: a few polls.
+const CLAIM_TIMEOUT_MS: u64 = 3_000;
+/// Suspected tasks for which a worker is looked for in one round; each is scored
+/// on all of them.
+const MAX_SEARCHES: u32 = 4;
+/// Time until a worker is looked for again after none was found, in
+/// milliseconds.
+const SEARCH_PAUSE_MS: u64 = 300;
+/// Longest time for which a start waits for its record, in milliseconds.
+const RECORD_TIMEOUT_MS: u64 = 1_500;
+
+/// What is known against a task.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Suspicion {
+    /// Runs under which a worker has crashed.
+    crashed_runs: Vec<CrashedRun>,
+    /// Runs whose worker may crash, or may have crashed.
+    open_runs: Vec<OpenRun>,
+    /// The change that has to be stored before the task starts again.
+    change: u64,
+    /// No worker is looked for before this time.
+    try_at: Timestamp,
+    /// The task does not wait for its open runs after this time.
+    wait_until: Timestamp,
+}
+
+impl Suspicion {
+    /// Returns the suspicion that an earlier leader stored.
+    pub(super) fn restored(record: &SuspectTask, now: Timestamp) -> Suspicion {
+        Suspicion {
+            crashed_runs: record.crashed_runs.clone(),
+            open_runs: record.open_runs.clone(),
+            wait_until: now.plus_ms(OPEN_WAIT_MS),
+            ..Suspicion::default()
+        }
+    }
+
+    /// Returns the record of the suspicion.
+    pub(super) fn record(&self, occurrence: u32, step: u16, index: u16) -> SuspectTask {
+        SuspectTask {
+            occurrence,
+            step,
+            index,
+            crashed_runs: self.crashed_runs.clone(),
+            open_runs: self.open_runs.clone(),
+        }
+    }
+
+    /// Returns the highest run number that it mentions.
+    pub(super) fn last_run(&self) -> RunNumber {
+        let crashed = self.crashed_runs.iter().map(|it| it.run);
+        crashed.chain(self.open_runs.iter().map(|it| it.run)).max().unwrap_or_default()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.crashed_runs.is_empty() && self.open_runs.is_empty()
+    }
+
+    fn is_given_up(&self) -> bool {
+        let sole = self.crashed_runs.iter().filter(|it| it.is_sole).count();
+        let crashes = self.crashed_runs.len();
+        (CRASHES <= crashes && SOLE_CRASHES <= sole) || MAX_CRASHES <= crashes
+    }
+
+    /// Returns whether the task has to wait for what becomes of a worker.
+    fn is_undecided(&self, now: Timestamp) -> bool {
+        let is_second = 2 <= self.crashed_runs.len() + self.open_runs.len();
+        !self.open_runs.is_empty() && is_second && now < self.wait_until
+    }
+}
+
+/// A start that is ordered once its record is stored; the members of a gang
+/// start together.
+#[derive(Debug)]
+struct WithheldStart {
+    step: StepKey,
+    change: u64,
+    withheld_at: Timestamp,
+    orders: Vec<(WorkerIndex, Option<Incarnation>, StartOrder)>,
+}
+
+/// A worker that is kept free of new starts for a suspected task.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    task: TaskKey,
+    claimed_at: Timestamp,
+}
+
+/// The suspected tasks, and the workers that are isolated for them.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    tasks: BTreeSet<TaskKey>,
+    claims: BTreeMap<WorkerIndex, Claim>,
+    withheld: Vec<WithheldStart>,
+    /// When a worker on a host last crashed.
+    host_crashes: HashMap<HostId, Timestamp>,
+    /// Number of workers that crashed.
+    crashes: u64,
+    /// The last change that is stored.
+    stored_change: u64,
+    /// Whether service discovery was read since the hosts were compared.
+    is_list_new: bool,
+}
+
+impl Suspects {
+    /// Records that the changes up to `change` are stored.
+    pub(super) fn stored(&mut self, change: u64) {
+        self.stored_change = self.stored_change.max(change);
+    }
+
+    /// Records that service discovery was read.
+    pub(super) fn listed(&mut self) {
+        self.is_list_new = true;
+    }
+
+    /// Adds a task whose suspicion was restored.
+    pub(super) fn add(&mut self, task: TaskKey) {
+        self.tasks.insert(task);
+    }
+
+    /// Removes a task that is done.
+    pub(super) fn remove_task(&mut self, task: TaskKey) {
+        self.tasks.remove(&task);
+    }
+
+    /// Removes the tasks of a submission that has ended.
+    pub(super) fn remove(&mut self, id: SubmissionId) {
+        self.tasks.retain(|it| it.step.submission != id);
+        self.withheld.retain(|it| it.step.submission != id);
+    }
+
+    /// Returns the number of suspected tasks.
+    pub(super) fn count(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Returns how many workers have crashed.
+    pub(super) fn crashes(&self) -> u64 {
+        self.crashes
+    }
+
+    /// Returns whether a worker is kept free of new starts.
+    pub(super) fn is_isolated(&self, index: WorkerIndex) -> bool {
+        self.claims.contains_key(&index)
+    }
+
+    fn is_host_sound(&self, host: Option<&HostId>, now: Timestamp) -> bool {
+        let crashed_at = host.and_then(|it| self.host_crashes.get(it));
+        crashed_at.is_none_or(|it| HOST_PROBATION_MS <= now.ms_since(*it))
+    }
+}
+
+impl Planner {
+    /// Returns whether a start or a suspected task waits for the store.
+    pub(super) fn waits_for_record(&self) -> bool {
+        let stored = self.suspects.stored_change;
+        self.suspects.withheld.iter().any(|it| stored < it.change)
+            || self.suspects.tasks.iter().any(|it| stored < self.suspicion_change(*it))
+    }
+
+    fn suspicion_change(&self, task: TaskKey) -> u64 {
+        self.suspicion(task).map_or(0, |it| it.change)
+    }
+
+    pub(super) fn suspicion(&self, task: TaskKey) -> Option<&Suspicion> {
+        self.work.get(&task.step.submission)?.task(task)?.suspicion.as_deref()
+    }
+
+    /// Changes what is known against a task, and stores it.
+    fn change_suspicion(&mut self, task: TaskKey, change: impl FnOnce(&mut Suspicion)) {
+        let Some(slot) = self.task_mut(task) else { return };
+        let mut suspicion = slot.suspicion.take().unwrap_or_default();
+        change(&mut suspicion);
+        let is_empty = suspicion.is_empty();
+        let slot_suspicion = (!is_empty).then_some(suspicion);
+        slot.suspicion = slot_suspicion;
+        self.mark_dirty(task.step.submission);
+        let change = self.change;
+        if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
+            it.change = change;
+        }
+        if is_empty {
+            self.suspects.tasks.remove(&task);
+        } else {
+            self.suspects.tasks.insert(task);
+        }
+    }
+
+    /// Records that a poll lists a run that the plan has placed there.
+    pub(super) fn run_survived(&mut self, index: WorkerIndex, task: TaskKey, run: RunNumber) {
+        let allocation = self.workers[index].allocations.get(&task).filter(|it| it.run == run);
+        let listings = allocation.map_or(0, |it| it.listings);
+        if listings == CLEARED_LISTINGS
+            && let Some(slot) = self.task_mut(task)
+        {
+            slot.was_beside_crash = false;
+        }
+        let Some(suspicion) = self.suspicion(task) else { return };
+        let is_cleared = CLEARED_LISTINGS <= listings;
+        let is_proven = PROVEN_LISTINGS <= listings;
+        let is_open = suspicion.open_runs.iter().any(|it| it.run == run);
+        // A start that reached only the worker's next incarnation has crashed
+        // none.
+        let is_accused = suspicion.crashed_runs.iter().any(|it| it.run == run);
+        if is_cleared {
+            self.change_suspicion(task, |it| *it = Suspicion::default());
+        } else if is_accused || (is_proven && is_open) {
+            self.change_suspicion(task, |it| {
+                it.crashed_runs.retain(|it| it.run != run);
+                it.open_runs.retain(|it| !is_proven || it.run != run);
+            });
+        }
+    }
+
+    /// Finds the runs that may have crashed a worker which is silent or has
+    /// ended, and records that their outcome is open.
+    pub(super) fn suspect_runs(&mut self, index: WorkerIndex, now: Timestamp) {
+        self.cancel_withheld_at(index, now);
+        let worker = &self.workers[index];
+        let Some(incarnation) = worker.incarnation else { return };
+        if worker.was_draining {
+            return;
+        }
+        let runs: Vec<(TaskKey, RunNumber, u32)> =
+            worker.allocations.iter().map(|(task, it)| (*task, it.run, it.listings)).collect();
+        let is_planned =
+            |it: &&(TaskKey, RunNumber, u32)| self.current_run(index, it.0, it.1).is_some();
+        let planned: Vec<(TaskKey, RunNumber, u32)> =
+            runs.iter().filter(is_planned).copied().collect();
+        let mut suspects: Vec<(TaskKey, RunNumber)> =
+            planned.iter().filter(|it| it.2 < PROVEN_LISTINGS).map(|it| (it.0, it.1)).collect();
+        let is_one_new = suspects.len() == 1;
+        if suspects.is_empty() {
+            let is_known = |it: &&(TaskKey, RunNumber, u32)| {
+                let task = self.work.get(&it.0.step.submission).and_then(|work| work.task(it.0));
+                task.is_some_and(|it| it.was_beside_crash || it.suspicion.is_some())
+            };
+            suspects = planned.iter().filter(is_known).map(|it| (it.0, it.1)).collect();
+        }
+        if suspects.is_empty() {
+            for (task, ..) in planned {
+                if let Some(slot) = self.task_mut(task) {
+                    slot.was_beside_crash = true;
+                }
+            }
+            return;
+        }
+        let listing = &self.workers[index].listing;
+        let (worker, host) = (listing.worker.clone(), listing.host.clone());
+        let is_sole = is_one_new && self.suspects.is_host_sound(host.as_ref(), now);
+        for (task, run) in suspects {
+            let open =
+                OpenRun { run, worker: worker.clone(), incarnation, host: host.clone(), is_sole };
+            let known = self.suspicion(task);
+            let is_accused = known.is_some_and(|it| it.crashed_runs.iter().any(|it| it.run == run));
+            let is_known = known.is_some_and(|it| it.open_runs.contains(&open));
+            if !is_accused && !is_known {
+                self.change_suspicion(task, |it| {
+                    it.open_runs.retain(|it| it.run != run);
+                    it.open_runs.push(open);
+                });
+            }
+            if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
+                it.wait_until = now.plus_ms(OPEN_WAIT_MS);
+            }
+        }
+    }
+
+    /// Judges the open runs of a worker after it has answered as `incarnation`:
+    /// those of an earlier one have crashed it; of this one, those that have
+    /// ended have not.
+    pub(super) fn judge_polled(
+        &mut self,
+        index: WorkerIndex,
+        incarnation: Incarnation,
+        now: Timestamp,
+    ) {
+        if self.suspects.tasks.is_empty() {
+            return;
+        }
+        let worker = self.worker_id(index);
+        for (task, open) in self.open_runs(|it| it.worker == worker) {
+            let is_placed = self.current_run(index, task, open.run).is_some();
+            let allocation = self.workers[index].allocations.get(&task);
+            let is_listed = is_placed && allocation.is_some_and(|it| 0 < it.listings);
+            let is_earlier = open.incarnation < incarnation;
+            if is_earlier && !is_listed {
+                self.judge_open(task, &open, now);
+            } else if is_earlier || (open.incarnation == incarnation && !is_placed) {
+                self.change_suspicion(task, |it| it.open_runs.retain(|it| it.run != open.run));
+            }
+        }
+    }
+
+    /// Judges all open runs of a worker that has ended.
+    pub(super) fn judge_ended(&mut self, index: WorkerIndex, now: Timestamp) {
+        let worker = self.worker_id(index);
+        for (task, open) in self.open_runs(|it| it.worker == worker) {
+            self.judge_open(task, &open, now);
+        }
+    }
+
+    /// Judges the open runs of workers whose host runs a later one. A worker
+    /// that still answers has not ended: the next one may begin before it
+    /// leaves.
+    fn judge_by_host(&mut self, now: Timestamp) {
+        if !std::mem::take(&mut self.suspects.is_list_new) {
+            return;
+        }
+        let has_later = |open: &OpenRun| {
+            let is_later = |it: &Worker| {
+                it.listing.host == open.host
+                    && open.incarnation < it.listing.incarnation
+                    && open.worker != it.listing.worker
+            };
+            open.host.is_some() && self.workers.iter().any(is_later)
+        };
+        let answers = |open: &OpenRun| {
+            let index = self.worker_index.get(&open.worker);
+            index.is_some_and(|it| self.workers[*it].responsive_since.is_some())
+        };
+        for (task, open) in self.open_runs(|it| !answers(it) && has_later(it)) {
+            self.judge_open(task, &open, now);
+        }
+    }
+
+    fn open_runs(&self, is_wanted: impl Fn(&OpenRun) -> bool) -> Vec<(TaskKey, OpenRun)> {
+        let mut open_runs = Vec::new();
+        for task in &self.suspects.tasks {
+            let Some(suspicion) = self.suspicion(*task) else { continue };
+            let wanted = suspicion.open_runs.iter().filter(|it| is_wanted(it));
+            open_runs.extend(wanted.map(|it| (*task, it.clone())));
+        }
+        open_runs
+    }
+
+    /// Judges an open run whose worker has ended: unless that was draining, it
+    /// has crashed under the run.
+    fn judge_open(&mut self, task: TaskKey, open: &OpenRun, now: Timestamp) {
+        let index = self.worker_index.get(&open.worker);
+        let was_draining = index.is_some_and(|it| self.workers[*it].was_draining);
+        let run = open.run;
+        self.change_suspicion(task, |it| {
+            it.open_runs.retain(|it| it.run != run);
+            if !was_draining && !it.crashed_runs.iter().any(|it| it.run == run) {
+                it.crashed_runs.push(CrashedRun { run, is_sole: open.is_sole });
+            }
+        });
+        let Some(suspicion) = self.suspicion(task).filter(|_| !was_draining) else { return };
+        let (crashes, is_given_up) = (suspicion.crashed_runs.len(), suspicion.is_given_up());
+        let (id, sole) = (task.step.submission, open.is_sole);
+        self.log_decision(DecisionKind::RunCrashed, Some(id), Some(open.worker.clone()), || {
+            format!("task={task} run={run} sole={sole} crashes={crashes}")
+        });
+        let is_final = self.work.get(&id).is_none_or(|it| it.state.is_final());
+        if is_given_up && !is_final {
+            self.finish(id, SubmissionState::Failed, "a task crashed its workers", now);
+        }
+    }
+
+    /// Records the crash of a worker, for the choice of the next ones.
+    pub(super) fn worker_crashed(&mut self, index: WorkerIndex, now: Timestamp) {
+        let worker = &self.workers[index];
+        if worker.was_draining {
+            return;
+        }
+        self.suspects.crashes += 1;
+        if let Some(host) = worker.listing.host.clone() {
+            self.suspects.host_crashes.insert(host, now);
+        }
+    }
+
+    /// Starts suspected tasks in isolation.
+    pub(super) fn start_suspects(&mut self, now: Timestamp) {
+        self.send_withheld(now);
+        self.release_claims(now);
+        if self.suspects.tasks.is_empty() {
+            return;
+        }
+        self.judge_by_host(now);
+        let usable: Vec<WorkerIndex> = (0..self.workers.len())
+            .filter(|it| placement::unavailability(&self.workers[*it], now).is_none())
+            .collect();
+        let most = (usable.len() * MAX_ISOLATED_PERCENT).div_ceil(100);
+        let mut waiting: Vec<(Rank, TaskKey)> = Vec::new();
+        for task in &self.suspects.tasks {
+            waiting.extend(self.suspect_rank(*task, now).map(|it| (it, *task)));
+        }
+        waiting.sort_unstable();
+        let mut searches = 0;
+        for (_, task) in waiting {
+            let claimed = self.suspects.claims.iter().find(|it| it.1.task == task).map(|it| *it.0);
+            let may_search = self.suspects.claims.len() < most && searches < MAX_SEARCHES;
+            let worker = match claimed {
+                Some(worker) => Some(worker),
+                None if may_search => {
+                    searches += 1;
+                    self.claim_worker(task, &usable, now)
+                }
+                None => None,
+            };
+            if let Some(worker) = worker {
+                self.start_suspect(task, worker, now);
+            }
+        }
+    }
+
+    /// Returns the rank of a suspected task if it may start now. Members of a
+    /// gang start with the others, without isolation.
+    fn suspect_rank(&self, task: TaskKey, now: Timestamp) -> Option<Rank> {
+        let work = self.work.get(&task.step.submission)?;
+        let spec = work.submission.steps.get(usize::from(task.step.step))?;
+        let slot = work.task(task)?;
+        let suspicion = slot.suspicion.as_ref()?;
+        let is_stored = suspicion.change <= self.suspects.stored_change;
+        let is_due = slot.not_before.max(suspicion.try_at) <= now;
+        let is_fenced = work.is_known_unstarted || self.is_all_fenced(&work.queue.service, now);
+        let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
+        if spec.is_gang || !slot.is_waiting() || !may_start {
+            return None;
+        }
+        Some(self.waiting_step(task.step)?.rank(now))
+    }
+
+    /// Claims a worker for a suspected task, if one can run it.
+    fn claim_worker(
+        &mut self,
+        task: TaskKey,
+        usable: &[WorkerIndex],
+        now: Timestamp,
+    ) -> Option<WorkerIndex> {
+        let submission = self.work.get(&task.step.submission)?.submission.clone();
+        let spec = &submission.steps[usize::from(task.step.step)];
+        let pending = self.isolated_task(task, now)?;
+        let worker = self.find_isolated(&pending, spec, usable, now);
+        match worker {
+            Some(worker) => {
+                self.suspects.claims.insert(worker, Claim { task, claimed_at: now });
+            }
+            None => {
+                if pending.needs_ticket {
+                    self.request_tickets_for(&pending, spec, usable, now);
+                }
+                let suspicion = self.task_mut(task).and_then(|it| it.suspicion.as_mut());
+                if let Some(suspicion) = suspicion {
+                    suspicion.try_at = now.plus_ms(SEARCH_PAUSE_MS);
+                }
+            }
+        }
+        worker
+    }
+
+    /// Starts a suspected task on the worker that is claimed for it, once
+    /// nothing there is new.
+    fn start_suspect(&mut self, task: TaskKey, worker: WorkerIndex, now: Timestamp) {
+        let Some(work) = self.work.get(&task.step.submission) else { return };
+        let submission = work.submission.clone();
+        let spec = &submission.steps[usize::from(task.step.step)];
+        let Some(mut pending) = self.isolated_task(task, now) else { return };
+        let req = self.request(&pending, spec, None);
+        if self.has_new_runs(worker) || self.score(&pending, req, worker, now).is_err() {
+            return;
+        }
+        let allocation = self.pending_allocation(&pending, spec);
+        self.workers[worker].allocate(task, allocation);
+        self.workers[worker].circuit_breaker.record_start(now);
+        self.refresh_latency_critical(worker, now);
+        pending.is_withheld = true;
+        self.start(&submission, &pending, &[(task.index, worker)], now);
+    }
+
+    /// Returns a suspected task as the only pending one of its step.
+    fn isolated_task(&self, task: TaskKey, now: Timestamp) -> Option<PendingTasks> {
+        let work = self.work.get(&task.step.submission)?;
+        let mut pending = PendingTasks::of_step(task.step, work, false)?;
+        pending.tasks = vec![(task.index, None)];
+        let spec = &work.submission.steps[usize::from(task.step.step)];
+        pending.is_starved =
+            spec.is_best_effort && self.blocked.is_blocked(task.step.submission, now);
+        Some(pending)
+    }
+
+    /// Returns whether something runs on a worker that may still crash it.
+    fn has_new_runs(&self, index: WorkerIndex) -> bool {
+        self.workers[index].allocations.values().any(|it| it.listings < PROVEN_LISTINGS)
+    }
+
+    /// Returns the worker on which a suspected task should run next: one that
+    /// can take it soon, whose host is sound, and on which a crash would lose
+    /// the least.
+    fn find_isolated(
+        &self,
+        pending: &PendingTasks,
+        spec: &StepSpec,
+        usable: &[WorkerIndex],
+        now: Timestamp,
+    ) -> Option<WorkerIndex> {
+        let needed = spec.allocation();
+        let req = self.request(pending, spec, None);
+        let is_far = |index: &WorkerIndex| {
+            let is_elsewhere = |it: &String| !self.workers[*index].has_label(it);
+            spec.data_rack.as_ref().is_some_and(is_elsewhere)
+        };
+        let fits = |index: &WorkerIndex| {
+            let worker = &self.workers[*index];
+            !self.suspects.is_isolated(*index)
+                && match self.score(pending, req, *index, now) {
+                    Ok(_) => true,
+                    Err(Obstacle::NoCapacity) => {
+                        needed.fits_in(placement::capacity_after_batch(worker))
+                    }
+                    Err(_) => false,
+                }
+        };
+        let harm = |index: &WorkerIndex| {
+            let worker = &self.workers[*index];
+            let is_sound = self.suspects.is_host_sound(worker.listing.host.as_ref(), now);
+            let is_ready = needed.fits_in(worker.free()) && !self.has_new_runs(*index);
+            (!is_sound, !is_ready, is_far(index), worker.allocations.len(), *index)
+        };
+        usable.iter().copied().filter(fits).min_by_key(harm)
+    }
+
+    /// Withholds the orders of a start until its record is stored.
+    pub(super) fn withhold(
+        &mut self,
+        step: StepKey,
+        orders: Vec<(WorkerIndex, StartOrder)>,
+        now: Timestamp,
+    ) {
+        let mut withheld = Vec::with_capacity(orders.len());
+        for (index, order) in orders {
+            let (task, run) = (order.task, order.run);
+            let worker = &self.workers[index];
+            let incarnation = worker.incarnation;
+            let host = worker.listing.host.clone();
+            let open = OpenRun {
+                run,
+                worker: worker.listing.worker.clone(),
+                incarnation: incarnation.unwrap_or_default(),
+                is_sole: self.suspects.is_host_sound(host.as_ref(), now),
+                host,
+            };
+            if self.suspicion(task).is_some() {
+                self.change_suspicion(task, |it| it.open_runs.push(open));
+            }
+            withheld.push((index, incarnation, order));
+        }
+        let start = WithheldStart { step, change: self.change, withheld_at: now, orders: withheld };
+        self.suspects.withheld.push(start);
+    }
+
+    /// Orders the starts whose records are stored, and drops those that waited
+    /// for too long or whose worker is no longer as it was.
+    fn send_withheld(&mut self, now: Timestamp) {
+        for start in std::mem::take(&mut self.suspects.withheld) {
+            let is_stored = start.change <= self.suspects.stored_change;
+            let is_overdue = RECORD_TIMEOUT_MS <= now.ms_since(start.withheld_at);
+            if !is_stored && !is_overdue {
+                self.suspects.withheld.push(start);
+                continue;
+            }
+            let is_possible = |it: &(WorkerIndex, Option<Incarnation>, StartOrder)| {
+                let worker = &self.workers[it.0];
+                worker.incarnation == it.1
+                    && placement::unavailability(worker, now).is_none()
+                    && worker.used.fits_in(worker.listing.capacity)
+                    && self.is_current(it.0, it.2.task, it.2.run)
+                    && !self.stops.contains_key(&(it.0, it.2.task, it.2.run))
+            };
+            if !is_stored || !start.orders.iter().all(is_possible) {
+                self.cancel_withheld(start, now);
+                continue;
+            }
+            for (index, _, order) in start.orders {
+                self.order_start(index, order, now);
+            }
+        }
+    }
+
+    fn cancel_withheld_at(&mut self, index: WorkerIndex, now: Timestamp) {
+        let withheld = std::mem::take(&mut self.suspects.withheld);
+        let (lost, kept): (Vec<_>, Vec<_>) =
+            withheld.into_iter().partition(|it| it.orders.iter().any(|it| it.0 == index));
+        self.suspects.withheld = kept;
+        for start in lost {
+            self.cancel_withheld(start, now);
+        }
+    }
+
+    /// Makes the tasks of a start wait again that was never ordered.
+    fn cancel_withheld(&mut self, start: WithheldStart, now: Timestamp) {
+        for (index, _, order) in start.orders {
+            let (task, run) = (order.task, order.run);
+            self.stops.remove(&(index, task, run));
+            if self.workers[index].allocations.get(&task).is_some_and(|it| it.run == run) {
+                self.workers[index].release(task);
+            }
+            if self.is_current(index, task, run) {
+                self.requeue(index, task, None, now);
+            }
+            if self.suspicion(task).is_some_and(|it| it.open_runs.iter().any(|it| it.run == run)) {
+                self.change_suspicion(task, |it| it.open_runs.retain(|it| it.run != run));
+            }
+        }
+    }
+
+    /// Ends the isolation of workers whose task is no longer new there, or
+    /// cannot start there after all.
+    fn release_claims(&mut self, now: Timestamp) {
+        let claims = std::mem::take(&mut self.suspects.claims);
+        let is_kept = |index: WorkerIndex, claim: Claim| {
+            let worker = &self.workers[index];
+            if placement::unavailability(worker, now).is_some() {
+                return false;
+            }
+            let work = self.work.get(&claim.task.step.submission);
+            match work.and_then(|it| it.task(claim.task)).map(|it| &it.phase) {
+                Some(Phase::Waiting) => now.ms_since(claim.claimed_at) < CLAIM_TIMEOUT_MS,
+                Some(Phase::Placed(run)) => {
+                    let allocation = worker.allocations.get(&claim.task);
+                    run.worker == index
+                        && allocation.is_some_and(|it| it.listings < PROVEN_LISTINGS)
+                }
+                Some(Phase::Done) | None => false,
+            }
+        };
+        let (kept, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            claims.into_iter().partition(|(index, claim)| is_kept(*index, *claim));
+        self.suspects.claims = kept;
+        for index in ended.into_keys() {
+            self.workers[index].is_changed = true;
+        }
+    }
+
+    /// Returns whether a task waits to be placed among others, without
+    /// isolation.
+    pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
+        let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
+        self.suspicion(task).is_none_or(|it| is_gang && it.change <= self.suspects.stored_change)
+    }
+}
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::suspects::Suspicion;
 use crate::{
     fleet::{
         id::{RunNumber, TaskKey},
@@ -84,6 +85,10 @@
     pub(super) avoid: Option<WorkerIndex>,
     /// The task is not placed before this time.
     pub(super) not_before: Timestamp,
+    /// What is known of crashes under it, which is rare.
+    pub(super) suspicion: Option<Box<Suspicion>>,
+    /// Whether a worker crashed under it and runs that all seemed sound.
+    pub(super) was_beside_crash: bool,
 }
 
 /// The phase of a task.
@@ -236,7 +241,7 @@
     }
 
     /// Restores the progress that an earlier leader recorded.
-    pub(super) fn restore(&mut self, progress: &ProgressRecord, revision: u64) {
+    pub(super) fn restore(&mut self, progress: &ProgressRecord, revision: u64, now: Timestamp) {
         self.state = progress.state;
         self.is_begun = progress.state != SubmissionState::Queued;
         self.next_occurrence = progress.next_occurrence;
@@ -257,16 +262,34 @@
             occurrence.refresh_ready(&self.submission);
             self.occurrences.push(occurrence);
         }
+        for recorded in &progress.suspects {
+            let (step, index) = (usize::from(recorded.step), usize::from(recorded.index));
+            let task = self.submission.task(recorded.occurrence, step, index);
+            if let Some(slot) = self.task_mut(task).filter(|it| !it.is_done()) {
+                let suspicion = Suspicion::restored(recorded, now);
+                slot.last_run = slot.last_run.max(suspicion.last_run());
+                slot.suspicion = Some(Box::new(suspicion));
+            }
+        }
     }
 
     pub(super) fn progress(&self) -> ProgressRecord {
+        let suspects = self
+            .suspects()
+            .map(|(task, it)| it.record(task.step.occurrence, task.step.step, task.index));
         ProgressRecord {
             state: self.state,
             occurrences: self.occurrences.iter().map(Occurrence::progress).collect(),
             next_occurrence: self.next_occurrence,
+            suspects: suspects.collect(),
         }
     }
 
+    /// Returns the tasks that may have crashed a worker.
+    pub(super) fn suspects(&self) -> impl Iterator<Item = (TaskKey, &Suspicion)> {
+        self.tasks().filter_map(|(key, task)| Some((key, task.suspicion.as_deref()?)))
+    }
+
     /// Begins the occurrences that are due, and returns their numbers.
     pub(super) fn begin_due(&mut self, now: Timestamp) -> Vec<u32> {
         let mut begun = Vec::new();
@@ -309,11 +332,16 @@
 
     /// Returns the runs that are placed.
     pub(super) fn runs(&self) -> impl Iterator<Item = (TaskKey, &Run)> {
+        self.tasks().filter_map(|(key, task)| Some((key, task.run()?)))
+    }
+
+    fn tasks(&self) -> impl Iterator<Item = (TaskKey, &Task)> {
         self.occurrences.iter().flat_map(move |occurrence| {
             occurrence.steps.iter().enumerate().flat_map(move |(s, step)| {
-                step.tasks.iter().enumerate().filter_map(move |(i, task)| {
-                    Some((self.submission.task(occurrence.number, s, i), task.run()?))
-                })
+                step.tasks
+                    .iter()
+                    .enumerate()
+                    .map(move |(i, task)| (self.submission.task(occurrence.number, s, i), task))
             })
         })
     }
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -57,6 +57,8 @@
     pub(super) image: Option<ImageId>,
     /// Bound on its tail latency, in milliseconds, if it is latency-critical.
     pub(super) tail_target_ms: Option<u32>,
+    /// Number of polls that listed the run.
+    pub(super) listings: u32,
     /// What the last poll measured; see
     /// [`RunningTask`](crate::fleet::message::RunningTask).
     pub(super) measurement: u32,
@@ -101,6 +103,8 @@
     pub(super) polled_at: Option<Timestamp>,
     /// Whether several polls in a row have failed.
     pub(super) is_silent: bool,
+    /// Whether its present incarnation was listed as about to leave.
+    pub(super) was_draining: bool,
     /// Whether another worker has taken its place, so that nothing runs there.
     pub(super) is_replaced: bool,
     /// The time by which every run there has ended unless it answers again.
@@ -160,6 +164,7 @@
             incarnation: None,
             polled_at: None,
             is_silent: false,
+            was_draining: false,
             is_replaced: false,
             leases_expire_by: Timestamp::default(),
             ordered_leases_expire_by: earlier_leases_expire_by,
@@ -251,6 +256,7 @@
     /// Begins a new incarnation, of which no run or end is recorded yet.
     pub(super) fn begin_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = Some(incarnation);
+        self.was_draining = self.listing.is_draining && self.listing.incarnation == incarnation;
         self.seen_end = EndNumber::default();
         self.acknowledged_through = EndNumber::default();
         self.unstored_ends.clear();
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -10,10 +10,10 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
-    id::{RunNumber, SubmissionId},
+    id::{Incarnation, RunNumber, SubmissionId},
     submission::SubmissionState,
 };
-use crate::id::{FailureDomainId, ProcessId, RegionId};
+use crate::id::{FailureDomainId, HostId, ProcessId, RegionId, WorkerId};
 
 /// Prefix of everything that a leader follows with one watch: the leader
 /// record, submissions and cancellations.
@@ -97,6 +97,48 @@
     pub occurrences: Vec<OccurrenceProgress>,
     /// Occurrences below this number, other than the listed ones, are done.
     pub next_occurrence: u32,
+    /// Tasks that may have crashed a worker; see [`encode_progress`].
+    #[serde(skip)]
+    pub suspects: Vec<SuspectTask>,
+}
+
+/// What is known against a task that may crash the workers which start it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SuspectTask {
+    /// Its occurrence.
+    pub occurrence: u32,
+    /// Its step.
+    pub step: u16,
+    /// Its index.
+    pub index: u16,
+    /// Runs under which a worker has crashed.
+    pub crashed_runs: Vec<CrashedRun>,
+    /// Runs whose worker may crash, or may have crashed.
+    pub open_runs: Vec<OpenRun>,
+}
+
+/// A run under which a worker has crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// The run.
+    pub run: RunNumber,
+    /// Whether nothing else explains the crash.
+    pub is_sole: bool,
+}
+
+/// A run of which it is not known whether it crashed its worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRun {
+    /// The run.
+    pub run: RunNumber,
+    /// Its worker.
+    pub worker: WorkerId,
+    /// The incarnation of the worker that was to start it.
+    pub incarnation: Incarnation,
+    /// The host of the worker.
+    pub host: Option<HostId>,
+    /// Whether nothing else would explain a crash.
+    pub is_sole: bool,
 }
 
 /// Progress of an occurrence.
@@ -179,3 +221,33 @@
         Err(error) => Err(UnreadableRecord { detail: error.to_string() }),
     }
 }
+
+/// Encodes a progress record. Its suspected tasks follow only if there are any,
+/// so that all other records are as builds without them wrote and read them.
+///
+/// # Panics
+///
+/// Panics if the type cannot be encoded, which is a bug in its definition.
+pub fn encode_progress(record: &ProgressRecord) -> Vec<u8> {
+    let mut bytes = encode(record);
+    if !record.suspects.is_empty() {
+        bytes.extend(encode(&record.suspects));
+    }
+    bytes
+}
+
+/// Decodes a progress record.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no progress record.
+pub fn decode_progress(bytes: &[u8]) -> Result<ProgressRecord, UnreadableRecord> {
+    let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
+    let decoded = bincode::serde::decode_from_slice::<ProgressRecord, _>(bytes, config);
+    let (mut record, read) =
+        decoded.map_err(|error| UnreadableRecord { detail: error.to_string() })?;
+    if read < bytes.len() {
+        record.suspects = decode(&bytes[read..])?;
+    }
+    Ok(record)
+}
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -510,6 +510,11 @@
             }
             return;
         }
+        if self.workers[worker].down.is_some() {
+            // Its host refuses the connection.
+            self.poll_failed(leader, worker);
+            return;
+        }
         let fate = self.fate();
         let (now, is_unreachable) = (self.now, self.is_unreachable(worker));
         let state = &mut self.leaders[leader];
--- a/crates/mustardcove-core/tests/worker_leases.rs
+++ b/crates/mustardcove-core/tests/worker_leases.rs
@@ -115,6 +115,8 @@
         it.capacity = mustardcove_core::size::Resources::new(4_000, 1 << 20, 0)
     });
     while rig.plan().is_empty() {
+        // A run that may have crashed its worker is recorded before the next.
+        rig.store();
         rig.advance(50);
         let responsive: WorkerId = "w1".parse().expect("a valid name");
         rig.poll(&responsive, Vec::new());
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -12,7 +12,10 @@
     fleet::{
         id::SubmissionId,
         message::{FleetMessage, StoreChange, StoreOutcome},
-        record::{self, CANCEL_PREFIX, PROGRESS_PREFIX, ProgressRecord, SUBMISSION_PREFIX},
+        record::{
+            self, CANCEL_PREFIX, PROGRESS_PREFIX, ProgressRecord, SUBMISSION_PREFIX,
+            UnreadableRecord,
+        },
         submission::{Submission, SubmissionState},
     },
     time::Timestamp,
@@ -200,7 +203,16 @@
 
 /// Decodes the record in an item; a record that cannot be decoded is logged.
 pub fn decode<T: DeserializeOwned>(shared: &Shared, what: &'static str, item: &Item) -> Option<T> {
-    match record::decode(&item.value) {
+    readable(shared, what, item, record::decode(&item.value))
+}
+
+fn readable<T>(
+    shared: &Shared,
+    what: &'static str,
+    item: &Item,
+    decoded: Result<T, UnreadableRecord>,
+) -> Option<T> {
+    match decoded {
         Ok(record) => Some(record),
         Err(error) => {
             error!(shared.log, "unreadable record"; "kind" => what, "key" => &item.key,
@@ -212,7 +224,7 @@
 
 /// Decodes the progress record in an item; see [`decode`].
 pub fn decode_progress(shared: &Shared, item: &Item) -> Option<ProgressRecord> {
-    decode(shared, "progress", item)
+    readable(shared, "progress", item, record::decode_progress(&item.value))
 }
 
 /// Decodes the submission in an item; see [`decode`].
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -49,7 +49,7 @@
     /// in flight.
     pub(super) fn flush(&mut self, now: Timestamp) {
         let is_due = self.flush_at <= now
-            || (self.planner.has_unpublished_states()
+            || (self.planner.has_urgent_progress()
                 && self.flush_at <= now.plus_ms(FLUSH_INTERVAL_MS - URGENT_FLUSH_INTERVAL_MS));
         if self.is_flushing || !is_due || !self.planner.has_progress() {
             return;
@@ -112,7 +112,7 @@
     let rows: Vec<Row> = (records.iter())
         .map(|(id, progress, revision)| Row {
             key: record::key_of(PROGRESS_PREFIX, *id),
-            value: record::encode(progress),
+            value: record::encode_progress(progress),
             revision: *revision,
         })
         .collect();
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -27,6 +27,8 @@
     blocked_submissions: Gauge<u64>,
     placed_runs: Gauge<u64>,
     schedulable_workers: Gauge<u64>,
+    suspect_tasks: Gauge<u64>,
+    worker_crashes: Gauge<u64>,
     scored_workers: Gauge<u64>,
     report_age_ms: Gauge<u64>,
 }
@@ -61,6 +63,14 @@
                 "open_workers",
                 "Workers that take new work, at the leader.",
             ),
+            suspect_tasks: gauge(
+                "suspect_tasks",
+                "Tasks under which a worker crashed or may have crashed, at the leader.",
+            ),
+            worker_crashes: gauge(
+                "worker_crashes",
+                "Number of workers that crashed in this term, at the leader.",
+            ),
             scored_workers: gauge(
                 "scored_workers",
                 "Number of times that a worker was scored for a task, at the leader.",
@@ -107,6 +117,8 @@
         self.blocked_submissions.record(counts.blocked_submissions as u64, &[]);
         self.placed_runs.record(counts.placed_runs as u64, &[]);
         self.schedulable_workers.record(counts.schedulable_workers as u64, &[]);
+        self.suspect_tasks.record(counts.suspect_tasks as u64, &[]);
+        self.worker_crashes.record(counts.worker_crashes, &[]);
         self.scored_workers.record(counts.scored_workers, &[]);
     }
 
