Let a changed capacity take effect without a write to the store

Cause: the roster returned a worker as recorded until a change of its entry was stored. On a pool whose workers do not refuse what exceeds their capacity, starts went on as before. Change: only another address or incarnation needs a record; the rest of the entry takes effect at once. This also spares a write for each change. Why it works: the record serves to find workers on which something may run, for which address and incarnation suffice; capacity is used only while service discovery lists the worker. Measured: capacity_not_recorded fails without the change. That starts in flight and runs that are being stopped count was so before, and is tested now (start_in_flight_counts, stopping_run_counts).

--- a/crates/mustardcove-core/src/fleet/roster.rs
+++ b/crates/mustardcove-core/src/fleet/roster.rs
@@ -89,23 +89,27 @@
 
     /// Takes in the list of service discovery, and returns the part of it that
     /// may be used. A worker that is recorded with an earlier address or
-    /// incarnation is returned as recorded.
+    /// incarnation is returned as recorded. Everything else may change while
+    /// the worker runs, and takes effect without a write: a start that
+    /// exceeds a smaller capacity cannot be taken back.
     pub fn update(&mut self, listings: Vec<WorkerListing>) -> Vec<WorkerListing> {
         listings.into_iter().filter_map(|it| self.update_worker(it)).collect()
     }
 
     fn update_worker(&mut self, listing: WorkerListing) -> Option<WorkerListing> {
         let is_draining = listing.is_draining;
-        // A worker that drains runs on, so the record does not change.
-        let listing = WorkerListing { is_draining: false, ..listing };
         let index = self.segment_for(&listing.worker);
         let segment = &mut self.segments[index];
-        if segment.wanted.get(&listing.worker) != Some(&listing) {
-            segment.wanted.insert(listing.worker.clone(), listing.clone());
+        if !segment.wanted.get(&listing.worker).is_some_and(|it| is_same_life(it, &listing)) {
+            let wanted = WorkerListing { is_draining: false, ..listing.clone() };
+            segment.wanted.insert(listing.worker.clone(), wanted);
             segment.is_changed = true;
         }
-        let recorded = segment.recorded.get(&listing.worker)?.clone();
-        Some(WorkerListing { is_draining, ..recorded })
+        let recorded = segment.recorded.get(&listing.worker)?;
+        if is_same_life(recorded, &listing) {
+            return Some(listing);
+        }
+        Some(WorkerListing { is_draining, ..recorded.clone() })
     }
 
     fn segment_for(&mut self, worker: &WorkerId) -> usize {
@@ -162,3 +166,9 @@
         }
     }
 }
+
+/// Returns whether two entries describe the same incarnation of a worker at the
+/// same address.
+fn is_same_life(a: &WorkerListing, b: &WorkerListing) -> bool {
+    (a.address, a.incarnation) == (b.address, b.incarnation)
+}
--- /dev/null
+++ b/crates/mustardcove-core/tests/shrunk_capacity.rs
@@ -0,0 +1,79 @@
+//! Workers whose capacity changes while they run.
+//!
+//! Guards against starts that exceed the capacity of a worker that does not
+//! refuse them: because a smaller capacity takes effect late, or because runs
+//! there are not counted.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use fleet_world::{listing, manifest, step, submission};
+use mustardcove_core::{
+    fleet::{
+        id::Incarnation,
+        message::EndKind,
+        planner::WorkerListing,
+        roster::{Roster, RosterSegment},
+    },
+    size::Resources,
+};
+use planner_rig::{Rig, START};
+
+const FLEET: [(&str, u64); 1] = [("w0", 4_000)];
+
+fn set_cpu(rig: &mut Rig, cpu: u64) {
+    rig.update_listings(|it| it.capacity = Resources::new(cpu, 1 << 20, 0));
+}
+
+/// A start that no poll has shown yet takes its part of what is left.
+#[test]
+fn start_in_flight_counts() {
+    let mut rig = Rig::new(manifest(3), &FLEET);
+    rig.submit(submission(1, vec![step(1, 1_500, &[])], START));
+    assert_eq!(rig.plan().len(), 1);
+    set_cpu(&mut rig, 2_000);
+    rig.submit(submission(2, vec![step(1, 1_000, &[])], START));
+    assert!(rig.plan().is_empty(), "500 millicores are left");
+    set_cpu(&mut rig, 4_000);
+    assert_eq!(rig.plan().len(), 1, "it has grown again");
+}
+
+/// A run that is being stopped takes its part until its end is listed.
+#[test]
+fn stopping_run_counts() {
+    let mut rig = Rig::new(manifest(3), &FLEET);
+    rig.submit(submission(1, vec![step(1, 3_000, &[])], START));
+    let (worker, start) = rig.plan().remove(0);
+    rig.planner.cancel(start.task.step.submission, rig.now);
+    rig.submit(submission(2, vec![step(1, 2_000, &[])], START));
+    rig.planner.tick(rig.now);
+    let orders = rig.planner.take_actions().orders;
+    assert_eq!(orders.len(), 1, "the stop alone: {orders:?}");
+    rig.end(&worker, start.task, EndKind::Stopped);
+    assert_eq!(rig.plan().len(), 1);
+}
+
+fn recorded(roster: &mut Roster, listing: &WorkerListing) {
+    roster.update(vec![listing.clone()]);
+    let write = roster.changes().remove(0);
+    roster.stored(write, 5);
+}
+
+/// A change of the capacity takes effect at once, and needs no write to the
+/// store.
+#[test]
+fn capacity_not_recorded() {
+    let mut roster = Roster::default();
+    let large = listing("w0", 4_000, Incarnation(1));
+    recorded(&mut roster, &large);
+    let small = listing("w0", 1_000, Incarnation(1));
+    assert_eq!(roster.update(vec![small.clone()]), vec![small.clone()]);
+    assert!(roster.changes().is_empty());
+    let mut next = Roster::default();
+    next.restore(0, RosterSegment { workers: vec![large] }, 5);
+    assert_eq!(next.update(vec![small.clone()]), vec![small], "for the next leader, too");
+}
