Start nothing beside runs of unknown size on workers that refuse nothing

Cause: a run whose submission is not in the plan, as after a change of the leader, was counted with an empty demand until its submission had been read. A worker that does not refuse what exceeds its capacity was then filled over it. Change: such a worker gets nothing more until the submission has been read or the run has ended. A worker that refuses overload is still asked. Measured: unknown_run_counts fails without the change.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -599,8 +599,25 @@
 
     /// Returns why a worker accepts no new work at all, or `None` if it does.
     fn obstacle(&self, index: WorkerIndex, now: Timestamp) -> Option<Obstacle> {
-        let isolated = self.suspects.is_isolated(index).then_some(Obstacle::Isolated);
-        placement::unavailability(&self.workers[index], now).or(isolated)
+        let isolated = || self.suspects.is_isolated(index).then_some(Obstacle::Isolated);
+        self.unavailability(index, now).or_else(isolated)
+    }
+
+    /// Returns why a worker accepts no new work at all, or `None` if it does, or
+    /// would if it were not isolated for one task.
+    fn unavailability(&self, index: WorkerIndex, now: Timestamp) -> Option<Obstacle> {
+        let worker = &self.workers[index];
+        let is_unknown = || {
+            let is_overloadable = 0 < worker.unknown_runs && !self.rejects_overload(worker);
+            is_overloadable.then_some(Obstacle::UnknownRuns)
+        };
+        placement::unavailability(worker, now).or_else(is_unknown)
+    }
+
+    /// Returns whether a worker refuses what exceeds its capacity.
+    fn rejects_overload(&self, worker: &Worker) -> bool {
+        let service = self.manifest.services.iter().find(|it| it.name == worker.listing.service);
+        service.is_some_and(|it| it.rejects_overload)
     }
 
     fn log_decision(
@@ -622,6 +639,7 @@
             kind: workload_kind(step),
             image: step.image.as_ref().map(|it| self.interference.image(it)),
             tail_target_ms: step.tail_target_ms.filter(|_| step.is_long_running),
+            is_unknown: false,
             listings: 0,
             measurement: 0,
             pace: 100,
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -84,6 +84,8 @@
     Refusing,
     /// Its circuit breaker is open, or it is on probation.
     Suspended,
+    /// It would take any start, and part of what runs there is not known.
+    UnknownRuns,
     /// A task that may have crashed another worker begins there.
     Isolated,
     /// It is in another pool or lacks the label that the step needs.
@@ -102,8 +104,8 @@
     NoTicket,
 }
 
-/// Returns why a worker accepts no new work at all, or `None` if it does, or
-/// would if it were not isolated for one task.
+/// Returns why a worker accepts no new work, as far as its own state shows;
+/// `None` if it does.
 pub(super) fn unavailability(worker: &Worker, now: Timestamp) -> Option<Obstacle> {
     if !worker.is_listed {
         Some(Obstacle::Unlisted)
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -4,7 +4,7 @@
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
     UNKNOWN_CHANGE, UnplannedEnd, circuit_breaker, pace,
     work::{Phase, Run, Work, WorkerIndex},
-    workers::WorkloadKind,
+    workers::{Allocation, WorkloadKind},
 };
 use crate::{
     fleet::{
@@ -453,7 +453,8 @@
     /// demand, and its submission is looked up in the store.
     fn unknown_run(&mut self, index: WorkerIndex, row: &RunningTask) {
         let id = row.task.step.submission;
-        let unknown = self.allocation_for(&Default::default(), row.run);
+        let unknown =
+            Allocation { is_unknown: true, ..self.allocation_for(&Default::default(), row.run) };
         if !self.workers[index].allocations.contains_key(&row.task) {
             self.workers[index].allocate(row.task, unknown);
         }
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -459,9 +459,8 @@
             return;
         }
         self.judge_by_host(now);
-        let usable: Vec<WorkerIndex> = (0..self.workers.len())
-            .filter(|it| placement::unavailability(&self.workers[*it], now).is_none())
-            .collect();
+        let usable: Vec<WorkerIndex> =
+            (0..self.workers.len()).filter(|it| self.unavailability(*it, now).is_none()).collect();
         let most = (usable.len() * MAX_ISOLATED_PERCENT).div_ceil(100);
         let mut waiting: Vec<(Rank, TaskKey)> = Vec::new();
         for task in &self.suspects.tasks {
@@ -644,7 +643,7 @@
             let is_possible = |it: &(WorkerIndex, Option<Incarnation>, StartOrder)| {
                 let worker = &self.workers[it.0];
                 worker.incarnation == it.1
-                    && placement::unavailability(worker, now).is_none()
+                    && self.unavailability(it.0, now).is_none()
                     && worker.used.fits_in(worker.listing.capacity)
                     && self.is_current(it.0, it.2.task, it.2.run)
                     && !self.stops.contains_key(&(it.0, it.2.task, it.2.run))
@@ -692,7 +691,7 @@
         let claims = std::mem::take(&mut self.suspects.claims);
         let is_kept = |index: WorkerIndex, claim: Claim| {
             let worker = &self.workers[index];
-            if placement::unavailability(worker, now).is_some() {
+            if self.unavailability(index, now).is_some() {
                 return false;
             }
             let work = self.work.get(&claim.task.step.submission);
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -57,6 +57,9 @@
     pub(super) image: Option<ImageId>,
     /// Bound on its tail latency, in milliseconds, if it is latency-critical.
     pub(super) tail_target_ms: Option<u32>,
+    /// Whether its demand is not known, because its submission is not planned
+    /// yet.
+    pub(super) is_unknown: bool,
     /// Number of polls that listed the run.
     pub(super) listings: u32,
     /// What the last poll measured; see
@@ -121,6 +124,8 @@
     pub(super) heard_through: Option<Timestamp>,
     pub(super) allocations: BTreeMap<TaskKey, Allocation>,
     pub(super) used: Resources,
+    /// Number of allocations whose demand is not known.
+    pub(super) unknown_runs: u32,
     /// Capacity that batch runs hold.
     pub(super) batch_used: Resources,
     /// Capacity that the batch run with the most processors holds.
@@ -172,6 +177,7 @@
             heard_through: None,
             allocations: BTreeMap::new(),
             used: Resources::ZERO,
+            unknown_runs: 0,
             batch_used: Resources::ZERO,
             largest_batch: Resources::ZERO,
             best_effort_cpu: 0,
@@ -193,6 +199,7 @@
     pub(super) fn allocate(&mut self, task: TaskKey, allocation: Allocation) {
         self.release(task);
         self.used = self.used.saturating_add(allocation.resources);
+        self.unknown_runs += u32::from(allocation.is_unknown);
         match allocation.kind {
             WorkloadKind::BestEffort => self.best_effort_cpu += allocation.cpu,
             WorkloadKind::LatencyCritical => {
@@ -214,6 +221,7 @@
         let Some(allocation) = self.allocations.remove(&task) else { return };
         self.is_changed = true;
         self.used = self.used.saturating_sub(allocation.resources);
+        self.unknown_runs -= u32::from(allocation.is_unknown);
         match allocation.kind {
             WorkloadKind::BestEffort => self.best_effort_cpu -= allocation.cpu,
             WorkloadKind::LatencyCritical => {
--- a/crates/mustardcove-core/tests/shrunk_capacity.rs
+++ b/crates/mustardcove-core/tests/shrunk_capacity.rs
@@ -11,14 +11,18 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
+use std::sync::Arc;
+
 use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        id::Incarnation,
+        id::{Incarnation, RunNumber},
+        manifest::Manifest,
         message::EndKind,
         planner::WorkerListing,
         roster::{Roster, RosterSegment},
     },
+    id::WorkerId,
     size::Resources,
 };
 use planner_rig::{Rig, START};
@@ -77,3 +81,40 @@
     next.restore(0, RosterSegment { workers: vec![large] }, 5);
     assert_eq!(next.update(vec![small.clone()]), vec![small], "for the next leader, too");
 }
+
+/// Returns a manifest whose only pool has workers that start whatever they are
+/// told to, or refuse what exceeds their capacity.
+fn pool(rejects_overload: bool) -> Arc<Manifest> {
+    let mut manifest = Manifest::clone(&manifest(3));
+    manifest.services[0].rejects_overload = rejects_overload;
+    Arc::new(manifest)
+}
+
+/// A run whose submission the plan does not know yet takes an unknown part of
+/// the worker, which gets nothing more until the submission has been read.
+#[test]
+fn unknown_run_counts() {
+    for rejects_overload in [false, true] {
+        let mut rig = Rig::new(pool(rejects_overload), &FLEET);
+        let unknown = submission(1, vec![step(1, 3_000, &[])], START);
+        let task = unknown.task(0, 0, 0);
+        let running = &mut rig.workers.get_mut(&worker()).expect("a worker").running;
+        running.insert(task, (RunNumber(1), 0, 0));
+        rig.poll_all();
+        rig.submit(submission(2, vec![step(1, 2_000, &[])], START));
+        // A worker that refuses what it cannot take may be asked.
+        assert_eq!(rig.plan().len(), usize::from(rejects_overload));
+        assert_eq!(rig.lookups, [unknown.id]);
+        rig.planner.submit(unknown, false, rig.now);
+        rig.poll_all();
+        assert!(rig.plan().is_empty(), "it has no capacity for both");
+        if !rejects_overload {
+            rig.end(&worker(), task, EndKind::Done);
+            assert_eq!(rig.plan().len(), 1);
+        }
+    }
+}
+
+fn worker() -> WorkerId {
+    "w0".parse().expect("a valid name")
+}
