Stop starts on overloadable workers while only the leader has lost the store

Cause: a leader that is cut off from the store goes on planning with the last list that it read. Pollers that are in touch carry out its starts on workers whose capacity has shrunk since. Change: once the list is 3.5 s old and other processes reach the store, nothing starts on workers that do not refuse overload. Others refuse by themselves. In an outage for all processes work goes on as before. Measured: stale_entries, for the planner.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -205,6 +205,8 @@
     /// Whether every worker that may run work of an earlier leader is in the
     /// plan.
     is_fleet_complete: bool,
+    /// Whether workers may have changed since their entries were read.
+    are_entries_stale: bool,
     interference: InterferenceModel,
     tickets: Tickets,
     suspects: Suspects,
@@ -251,6 +253,7 @@
             looked_up: BTreeSet::new(),
             earlier_leases_expire_by,
             is_fleet_complete: true,
+            are_entries_stale: false,
             interference: InterferenceModel::default(),
             tickets: Tickets::default(),
             suspects: Suspects::default(),
@@ -417,6 +420,11 @@
         }
     }
 
+    /// Records whether workers may have changed without this leader knowing it.
+    pub fn set_entries_stale(&mut self, are_stale: bool) {
+        self.are_entries_stale = are_stale;
+    }
+
     fn update_worker(&mut self, listing: WorkerListing) -> WorkerIndex {
         let id = listing.worker.clone();
         if let Some(index) = self.worker_index.get(&id) {
@@ -607,11 +615,15 @@
     /// would if it were not isolated for one task.
     fn unavailability(&self, index: WorkerIndex, now: Timestamp) -> Option<Obstacle> {
         let worker = &self.workers[index];
-        let is_unknown = || {
-            let is_overloadable = 0 < worker.unknown_runs && !self.rejects_overload(worker);
-            is_overloadable.then_some(Obstacle::UnknownRuns)
+        let overloadable = || {
+            let obstacle = match worker.unknown_runs {
+                0 if !self.are_entries_stale => return None,
+                0 => Obstacle::StaleEntry,
+                _ => Obstacle::UnknownRuns,
+            };
+            (!self.rejects_overload(worker)).then_some(obstacle)
         };
-        placement::unavailability(worker, now).or_else(is_unknown)
+        placement::unavailability(worker, now).or_else(overloadable)
     }
 
     /// Returns whether a worker refuses what exceeds its capacity.
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -86,6 +86,8 @@
     Suspended,
     /// It would take any start, and part of what runs there is not known.
     UnknownRuns,
+    /// It would take any start, and its capacity may have shrunk.
+    StaleEntry,
     /// A task that may have crashed another worker begins there.
     Isolated,
     /// It is in another pool or lacks the label that the step needs.
--- a/crates/mustardcove-core/tests/shrunk_capacity.rs
+++ b/crates/mustardcove-core/tests/shrunk_capacity.rs
@@ -118,3 +118,17 @@
 fn worker() -> WorkerId {
     "w0".parse().expect("a valid name")
 }
+
+/// A leader that has lost the store, while others reach it, no longer learns
+/// that a capacity has shrunk.
+#[test]
+fn stale_entries() {
+    for rejects_overload in [false, true] {
+        let mut rig = Rig::new(pool(rejects_overload), &FLEET);
+        rig.planner.set_entries_stale(true);
+        rig.submit(submission(1, vec![step(1, 1_000, &[])], START));
+        assert_eq!(rig.plan().len(), usize::from(rejects_overload));
+        rig.planner.set_entries_stale(false);
+        assert_eq!(rig.plan().len(), usize::from(!rejects_overload));
+    }
+}
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -59,6 +59,10 @@
 /// without a failure for this long, in milliseconds: entries that expired
 /// during an outage of the store are written again within two seconds.
 const ENTRIES_SETTLE_MS: u64 = 2_500;
+/// Age of the last reading of the workers' entries from which on they are stale
+/// if other processes reach the store, in milliseconds: less than the time for
+/// which the platform lets a start rest on a capacity that has shrunk.
+const MAX_ENTRIES_AGE_MS: u64 = 3_500;
 /// Time between two writes of the learned interference.
 const LEARNED_WRITE_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Most inputs that are handled before other work gets its turn.
@@ -121,8 +125,9 @@
     planner: Planner,
     pollers: Pollers,
     roster: Roster,
-    /// The last list of service discovery.
+    /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
+    listed_at: Timestamp,
     is_storing_roster: bool,
     /// No write of the roster before this time.
     store_roster_at: Timestamp,
@@ -167,6 +172,7 @@
         pollers: Pollers::new(shared.clone(), term),
         roster: Roster::default(),
         listed: Vec::new(),
+        listed_at: now,
         is_storing_roster: false,
         store_roster_at: now,
         results,
@@ -341,6 +347,7 @@
                 let since = self.store_healthy_since.unwrap_or(now);
                 let may_remove = ENTRIES_SETTLE_MS <= now.ms_since(since);
                 self.listed.clone_from(&listings);
+                self.listed_at = now;
                 self.workers_listed(listings, may_remove, now);
             }
             TaskResult::Workers(Err(fault)) => self.store_failed("workers not read", &fault),
@@ -414,6 +421,11 @@
         }
         let lost = self.pollers.update(&self.planner, now);
         self.planner.poller_lost(&lost, now.plus_ms(MAX_ORPHAN_LEASE_MS));
+        // While no process reaches the store, the last list is the best there
+        // is, and work goes on.
+        let are_entries_old = MAX_ENTRIES_AGE_MS <= now.ms_since(self.listed_at);
+        let are_stale = are_entries_old && self.pollers.is_store_reached(now);
+        self.planner.set_entries_stale(are_stale);
         self.planner.tick(now);
         let actions = self.planner.take_actions();
         self.execute(actions);
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -232,14 +232,21 @@
         self.processes.len() < 2 * alive
     }
 
+    fn reaches_store(&self, process: &Process, now: Timestamp) -> bool {
+        let reached_at = process.reached_store_at;
+        self.is_alive(process, now) && reached_at.is_some_and(|it| now.ms_since(it) < LOST_AFTER_MS)
+    }
+
+    /// Returns whether any process reached the store recently.
+    pub(super) fn is_store_reached(&self, now: Timestamp) -> bool {
+        self.processes.values().any(|it| self.reaches_store(it, now))
+    }
+
     /// Returns some of the processes that reached the store recently. Others
     /// ask them to write, so each call returns different ones if there are
     /// many.
     pub(super) fn reaching_store(&mut self, now: Timestamp) -> Vec<ProcessId> {
-        let reaches = |it: &&Process| {
-            self.is_alive(it, now)
-                && it.reached_store_at.is_some_and(|it| now.ms_since(it) < LOST_AFTER_MS)
-        };
+        let reaches = |it: &&Process| self.reaches_store(it, now);
         let mut reaching: Vec<ProcessId> =
             self.processes.values().filter(reaches).map(|it| it.record.process.clone()).collect();
         if MAX_REACHING_STORE < reaching.len() {
