Take a start as open if only its second attempt was refused

Cause: a start without an answer is sent again. If the second attempt was refused for lack of capacity or of a ticket, the start counted as not run, and the task was started elsewhere. The worker may still carry out the first attempt seconds later, once it has capacity: the task then runs twice. Change: only an answer that rules out the first attempt ends the start; after any other the run is stopped first, which makes the worker refuse it. Measured: refused_after_unanswered fails without the change ('no_room' starts run 2 on the other worker).

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -359,3 +359,23 @@
     /// It is not known whether the run started.
     MayHaveRun,
 }
+
+impl StartOutcome {
+    /// Returns the outcome of a start whose first attempt got no answer, given
+    /// that of the second.
+    ///
+    /// The first may still be carried out. A refusal that depends on the
+    /// worker's state does not rule that out: the worker may have capacity when
+    /// the first attempt reaches it.
+    pub fn after_unanswered(second: StartOutcome) -> StartOutcome {
+        match second {
+            StartOutcome::Started | StartOutcome::Fenced | StartOutcome::Superseded => second,
+            StartOutcome::TooLate
+            | StartOutcome::NoRoom
+            | StartOutcome::NoTicket
+            | StartOutcome::NotRun
+            | StartOutcome::Invalid
+            | StartOutcome::MayHaveRun => StartOutcome::MayHaveRun,
+        }
+    }
+}
--- a/crates/mustardcove-core/tests/unanswered_start.rs
+++ b/crates/mustardcove-core/tests/unanswered_start.rs
@@ -98,3 +98,37 @@
     }
     starts[1].ms_since(starts[0])
 }
+
+/// Guards against a second run elsewhere of a task whose first start got no
+/// answer and whose second was refused: the worker may carry out the first
+/// later, when it has capacity.
+#[test]
+fn refused_after_unanswered() {
+    for refusal in [StartOutcome::NoRoom, StartOutcome::NoTicket, StartOutcome::NotRun] {
+        let mut planner = Planner::new(Term(1), 1, manifest(3), BEGIN);
+        let listings = ["w0", "w1"].map(|it| listing(it, 4_000, Incarnation(1)));
+        for listing in &listings {
+            planner.update_workers(vec![listing.clone()], false);
+            let poll = PollResult {
+                incarnation: Incarnation(1),
+                leases_expire_by: BEGIN.plus_ms(4_000),
+                responsive_since: BEGIN,
+                running: Vec::new(),
+                ended: Vec::new(),
+            };
+            planner.report(&listing.worker, WorkerReport::Polled(poll), BEGIN);
+        }
+        planner.submit(submission(1, vec![step(1, 500, &[])], BEGIN), true, BEGIN);
+        planner.tick(BEGIN);
+        let orders = planner.take_actions().orders;
+        let [(worker, Order::Start(start))] = &orders[..] else { panic!("{orders:?}") };
+        let outcome = StartOutcome::after_unanswered(refusal);
+        let report = WorkerReport::Start { task: start.task, run: start.run, outcome };
+        planner.report(worker, report, BEGIN);
+        planner.tick(BEGIN.plus_ms(400));
+        let orders = planner.take_actions().orders;
+        let is_stop = |it: &(WorkerId, Order)| matches!(it.1, Order::Stop { .. });
+        assert!(orders.iter().all(is_stop), "{refusal}: {orders:?}");
+        assert_eq!(orders.len(), 1, "{refusal}");
+    }
+}
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -286,10 +286,8 @@
         if let Some(deadline) = deadline.filter(|it| boot_now() < *it)
             && outcome == StartOutcome::MayHaveRun
         {
-            outcome = match self.start_once(&order, deadline).await {
-                StartOutcome::NotRun | StartOutcome::TooLate => StartOutcome::MayHaveRun,
-                second => second,
-            };
+            let second = self.start_once(&order, deadline).await;
+            outcome = StartOutcome::after_unanswered(second);
         }
         if outcome != StartOutcome::MayHaveRun {
             self.state().start_answered();
