Tighten tests of suspected tasks that three mutations passed

Mutations of planner/suspects.rs that no test noticed: no revocation after a start in the next incarnation, a judgement although that incarnation lists the run, evidence of the host while the worker still answers, and suspicion of runs on a draining worker. Each fails a test now.

--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -184,6 +184,18 @@
     assert_eq!(rig.planner.counts(rig.now).worker_crashes, 0);
 }
 
+/// The runs on a draining worker that falls silent are not held up.
+#[test]
+fn silent_while_draining() {
+    let mut rig = Rig::new(manifest(3), &FLEET);
+    rig.submit(submission(1, vec![step(1, 500, &[])], START));
+    let worker = rig.plan()[0].0.clone();
+    rig.update_listings(|it| it.is_draining = it.worker == worker);
+    let silent = WorkerReport::PollFailed { leases_expire_by: None, is_silent: true };
+    rig.planner.report(&worker, silent, rig.now);
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
+}
+
 /// A worker that answers again was only silent.
 #[test]
 fn silence_is_no_crash() {
@@ -202,32 +214,27 @@
     assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
 }
 
-fn listed_on(name: &str, incarnation: u64) -> WorkerListing {
-    WorkerListing {
-        host: Some("h0".parse().expect("a valid name")),
-        ..fleet_world::listing(name, 4_000, Incarnation(incarnation))
-    }
-}
-
 /// The next worker on its host shows that a silent worker has ended, though not
 /// while it still answers.
 #[test]
 fn later_worker_on_host() {
+    let host_of = |it: &WorkerId| Some(format!("h-{it}").parse().expect("a valid name"));
     for is_silent in [false, true] {
-        let mut rig = Rig::new(manifest(3), &[("w0", 4_000)]);
-        rig.listings = vec![listed_on("w0", 1)];
-        rig.planner.update_workers(rig.listings.clone(), true);
-        rig.submit(submission(1, vec![step(1, 500, &[])], START));
-        rig.plan();
+        let mut rig = crashed_rig();
+        rig.update_listings(|it| it.host = host_of(&it.worker));
+        let (worker, _) = next_starts(&mut rig).remove(0);
+        rig.advance(200);
+        rig.poll_all();
         if is_silent {
             let silent = WorkerReport::PollFailed { leases_expire_by: None, is_silent: true };
-            rig.planner.report(&id("w0"), silent, rig.now);
+            rig.planner.report(&worker, silent, rig.now);
         }
-        rig.listings.push(listed_on("w9", 2));
+        let later = fleet_world::listing("w9", 4_000, Incarnation(2));
+        rig.listings.push(WorkerListing { host: host_of(&worker), ..later });
         rig.planner.update_workers(rig.listings.clone(), true);
         rig.plan();
-        let crashes: usize = store(&mut rig).iter().map(|it| it.crashed_runs.len()).sum();
-        assert_eq!(crashes, usize::from(is_silent));
+        let crashes = store(&mut rig).iter().map(|it| it.crashed_runs.len()).sum::<usize>();
+        assert_eq!(crashes, if is_silent { 2 } else { 0 });
     }
 }
 
@@ -241,7 +248,18 @@
     let crashes = |it: &[SuspectTask]| it.iter().map(|it| it.crashed_runs.len()).sum::<usize>();
     assert_eq!(crashes(&store(&mut rig)), 1);
     rig.restart(&worker, 2, std::slice::from_ref(&start));
-    assert_eq!(crashes(&store(&mut rig)), 0);
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
+    assert!(rig.plan().is_empty(), "it goes on");
+}
+
+/// The same if the first answer of the next incarnation lists it.
+#[test]
+fn listed_by_next_incarnation() {
+    let mut rig = Rig::new(manifest(3), &FLEET);
+    rig.submit(submission(1, vec![step(1, 500, &[])], START));
+    let (worker, start) = rig.plan().remove(0);
+    rig.restart(&worker, 2, std::slice::from_ref(&start));
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
     assert!(rig.plan().is_empty(), "it goes on");
 }
 
