Let the soak crash workers under tasks and change their capacity

Tests for five mutations of planner/suspects.rs that none had noticed: evidence on a host that crashed before, shared evidence, late crashes, a silence that counts twice, records that are not urgent; and one for a withheld start whose worker shrinks.

--- a/crates/mustardcove-core/tests/shrunk_capacity.rs
+++ b/crates/mustardcove-core/tests/shrunk_capacity.rs
@@ -132,3 +132,23 @@
         assert_eq!(rig.plan().len(), usize::from(!rejects_overload));
     }
 }
+
+/// A start that waits for its record is not ordered after the capacity has
+/// shrunk below it.
+#[test]
+fn start_dropped_after_shrink() {
+    let mut rig = Rig::new(manifest(3), &FLEET);
+    rig.submit(submission(1, vec![step(1, 1_500, &[])], START));
+    rig.plan();
+    rig.poll_all();
+    rig.restart(&worker(), 2, &[]);
+    rig.update_listings(|it| it.incarnation = Incarnation(2));
+    // The task may have crashed the worker, so its next run is recorded first.
+    rig.store();
+    assert!(rig.plan().is_empty());
+    assert_eq!(rig.planner.counts(rig.now).placed_runs, 1);
+    set_cpu(&mut rig, 1_000);
+    rig.store();
+    assert!(rig.plan().is_empty(), "it does not fit any more");
+    assert_eq!(rig.planner.counts(rig.now).placed_runs, 0);
+}
--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -94,7 +94,9 @@
     assert!(rig.plan().is_empty(), "the crash is not recorded");
     store(&mut rig);
     assert!(rig.plan().is_empty(), "the next run is not recorded");
+    assert!(rig.planner.has_urgent_progress());
     let suspects = store(&mut rig);
+    assert!(!rig.planner.has_urgent_progress());
     let starts = rig.plan();
     assert_eq!(starts.len(), 1);
     let open = &suspects[0].open_runs;
@@ -338,6 +340,75 @@
     }
 }
 
+/// Adds a worker on a host of its own.
+fn add_worker(rig: &mut Rig, name: &str, host: &str) -> WorkerId {
+    let listing = fleet_world::listing(name, 4_000, Incarnation(1));
+    let host = Some(host.parse().expect("a valid name"));
+    rig.listings.push(WorkerListing { host, ..listing });
+    rig.workers.insert(id(name), Default::default());
+    rig.planner.update_workers(rig.listings.clone(), true);
+    rig.poll(&id(name), Vec::new());
+    id(name)
+}
+
+/// Crashes one worker after the other, on hosts as named, under the tasks of a
+/// submission, after some polls of each; returns after how many crashes it has
+/// failed.
+fn crashes_until_failed(step: StepSpec, polls: u32, host: impl Fn(usize) -> String) -> usize {
+    let mut rig = Rig::new(manifest(3), &[]);
+    let submission = submission(1, vec![step], START);
+    rig.submit(submission.clone());
+    for crashes in 0..8 {
+        store(&mut rig);
+        if rig.states.get(&submission.id) == Some(&SubmissionState::Failed) {
+            return crashes;
+        }
+        let worker = add_worker(&mut rig, &format!("w{crashes}"), &host(crashes));
+        assert!(!next_starts(&mut rig).is_empty(), "after {crashes} crashes");
+        for _ in 0..polls {
+            rig.advance(200);
+            rig.poll(&worker, Vec::new());
+        }
+        replaced(&mut rig, &worker);
+        rig.plan();
+        store(&mut rig);
+        rig.plan();
+    }
+    panic!("never given up")
+}
+
+/// How many crashes it takes: three with clear evidence, four if other new runs
+/// or the host explain them as well, and five if the task works for a while
+/// before each.
+#[test]
+fn crashes_needed() {
+    let own_host = |i: usize| format!("h{i}");
+    let same_host = |_| "h".to_owned();
+    assert_eq!(crashes_until_failed(step(1, 500, &[]), 0, own_host), 3);
+    assert_eq!(crashes_until_failed(step(1, 500, &[]), 0, same_host), 4);
+    let gang = StepSpec { is_gang: true, ..step(2, 500, &[]) };
+    assert_eq!(crashes_until_failed(gang, 0, own_host), 4);
+    assert_eq!(crashes_until_failed(step(1, 500, &[]), 3, own_host), 5);
+}
+
+/// A run that two polls have listed is not suspected because its worker was
+/// silent before it came back as another incarnation.
+#[test]
+fn silent_before_restart() {
+    let mut rig = Rig::new(manifest(3), &FLEET);
+    rig.submit(submission(1, vec![step(1, 500, &[])], START));
+    let worker = rig.plan()[0].0.clone();
+    for _ in 0..2 {
+        rig.advance(200);
+        rig.poll_all();
+    }
+    let silent = WorkerReport::PollFailed { leases_expire_by: None, is_silent: true };
+    rig.planner.report(&worker, silent, rig.now);
+    rig.restart(&worker, 2, &[]);
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
+    assert_eq!(rig.plan().len(), 1);
+}
+
 /// Records without suspected tasks are as earlier builds wrote them.
 #[test]
 fn record_format() {
--- a/crates/mustardcove-node/tests/fault_soak.rs
+++ b/crates/mustardcove-node/tests/fault_soak.rs
@@ -2,8 +2,9 @@
 //!
 //! Each seed is one schedule of paused, killed, stopped and restarted
 //! processes, of connections that are delayed, silenced, reset or lose their
-//! answers, of workers that crash, of changes of the manifest and of a store
-//! that loses answers and history. Callers submit and cancel work meanwhile.
+//! answers, of workers that crash by themselves or under one task, and whose
+//! capacity changes, of changes of the manifest and of a store that loses
+//! answers and history. Callers submit and cancel work meanwhile.
 //!
 //! `MUSTARDCOVE_SOAK_SEEDS` holds the first seed and the number of seeds, as in
 //! `100,50`; without it, the run is short: the regression seeds and two that
@@ -46,11 +47,19 @@
     is_cancelled: bool,
     /// Whether every answer said that it was not accepted.
     is_refused: bool,
+    /// Whether one of its tasks crashes each worker that starts it.
+    is_deadly: bool,
 }
 
 async fn submit(rig: &Rig, rng: &mut ChaCha8Rng, id: SubmissionId) -> SentSubmission {
-    let mut sent = SentSubmission { id, is_accepted: false, is_cancelled: false, is_refused: true };
-    let body = two_steps(rng.random_range(1..5), rng.random_range(100..1_200));
+    let is_deadly = rng.random_range(0..12u32) == 0;
+    let mut sent =
+        SentSubmission { id, is_accepted: false, is_cancelled: false, is_refused: true, is_deadly };
+    let mut body = two_steps(rng.random_range(1..5), rng.random_range(100..1_200));
+    if is_deadly {
+        let payload = body["TaskSpec"].as_str().expect("a payload").to_owned();
+        body["TaskSpec"] = format!("{payload}deadly={}.0 ", rng.random_range(0..2u32)).into();
+    }
     for _ in 0..5 {
         let answer = rig.submit(rng.random_range(0..NODES), id, &body).await;
         sent.is_refused &= answer == Some(StatusCode::SERVICE_UNAVAILABLE);
@@ -65,7 +74,7 @@
 fn inject_fault(rig: &mut Rig, rng: &mut ChaCha8Rng) {
     let node = rng.random_range(0..NODES);
     let worker = rng.random_range(0..WORKERS);
-    match rng.random_range(0..13u32) {
+    match rng.random_range(0..14u32) {
         0 => rig.pause(node),
         1 => rig.resume(node),
         2 => rig.kill(node),
@@ -78,6 +87,7 @@
         9 => rig.workers[worker].proxy.set(Mode::AnswersLost),
         10 => rig.workers[worker].proxy.reset(),
         11 => rig.workers[worker].worker.crash(),
+        12 => rig.workers[worker].worker.set_cpu(1_000 * rng.random_range(2..9)),
         _ => {
             rig.change_manifest(3_000 + rng.random_range(0..100));
             rig.store.lose_answers(rng.random_range(0..30));
@@ -139,10 +149,11 @@
             continue;
         }
         let left = until.saturating_duration_since(Instant::now()).max(Duration::from_secs(1));
-        let expected = if it.is_cancelled { "cancelled" } else { "completed" };
-        // The submission may have completed before it was cancelled.
+        let ended = if it.is_deadly { "failed" } else { "completed" };
+        let expected = if it.is_cancelled { "cancelled" } else { ended };
+        // The submission may have ended before it was cancelled.
         let is_as_expected = rig.wait_for(id, expected, left).await
-            || (it.is_cancelled && rig.wait_for(id, "completed", Duration::from_secs(1)).await);
+            || (it.is_cancelled && rig.wait_for(id, ended, Duration::from_secs(1)).await);
         if !is_as_expected {
             violations.push(format!("{id} is not {expected}: {:?}", rig.state(0, id).await));
         }
--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -288,6 +288,7 @@
 /// Ends finished and expired tasks on the workers, and writes their entries.
 async fn advance_workers(store: StandinStore, workers: Vec<(StandinWorker, Arc<Proxy>)>) {
     let mut entries_at = Instant::now();
+    let mut ids: Vec<String> = workers.iter().map(|it| it.0.id()).collect();
     loop {
         for (worker, _) in &workers {
             worker.advance();
@@ -296,8 +297,14 @@
             entries_at += ENTRY_INTERVAL;
             for (i, (worker, proxy)) in workers.iter().enumerate() {
                 let zone = ["north", "south"][i % 2];
-                let entry = worker.entry(SERVICE, proxy.address, zone);
-                store.put(&format!("{WORKERS_PREFIX}{}", worker.id), entry.to_string().as_bytes());
+                let earlier = std::mem::replace(&mut ids[i], worker.id());
+                if earlier != ids[i] {
+                    store.delete(&format!("{WORKERS_PREFIX}{earlier}"));
+                }
+                if let Some(entry) = worker.entry(SERVICE, proxy.address, zone) {
+                    let key = format!("{WORKERS_PREFIX}{}", ids[i]);
+                    store.put(&key, entry.to_string().as_bytes());
+                }
             }
         }
         tokio::time::sleep(ADVANCE_INTERVAL).await;
@@ -306,7 +313,7 @@
 
 /// Returns a submission of two steps, the second after the first.
 pub(crate) fn two_steps(count: u64, ms: u64) -> Value {
-    json!({ "TaskSpec": format!("ms={ms}"), "Steps": [
+    json!({ "TaskSpec": format!("ms={ms} cpu=500,700 "), "Steps": [
         { "Count": count, "Cpu": 500, "MemMb": 64, "EstimatedMs": ms },
         { "Count": 2, "Cpu": 700, "MemMb": 64, "EstimatedMs": ms, "After": [0] }] })
 }
