Split the search for suspected runs, and store deadlines

Deadlines instead of the times from which they count, one function for each of: which runs are on the worker, which of them are suspected, how one is recorded. Behaviour is unchanged.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -155,8 +155,10 @@
 #[derive(Debug)]
 struct WithheldStart {
     step: StepKey,
+    /// The change that has to be stored first.
     change: u64,
-    withheld_at: Timestamp,
+    expires_at: Timestamp,
+    /// Each order with its worker, and the incarnation that it is meant for.
     orders: Vec<(WorkerIndex, Option<Incarnation>, StartOrder)>,
 }
 
@@ -164,7 +166,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Claim {
     task: TaskKey,
-    claimed_at: Timestamp,
+    /// When it ends if the task still waits then.
+    expires_at: Timestamp,
 }
 
 /// The suspected tasks, and the workers that are isolated for them.
@@ -173,8 +176,9 @@
     tasks: BTreeSet<TaskKey>,
     claims: BTreeMap<WorkerIndex, Claim>,
     withheld: Vec<WithheldStart>,
-    /// When a worker on a host last crashed.
-    host_crashes: HashMap<HostId, Timestamp>,
+    /// Hosts on which a worker crashed, each with the time until which another
+    /// crash may be its own fault.
+    host_probation: HashMap<HostId, Timestamp>,
     /// Number of workers that crashed.
     crashes: u64,
     /// The last change that is stored.
@@ -226,8 +230,8 @@
     }
 
     fn is_host_sound(&self, host: Option<&HostId>, now: Timestamp) -> bool {
-        let crashed_at = host.and_then(|it| self.host_crashes.get(it));
-        crashed_at.is_none_or(|it| HOST_PROBATION_MS <= now.ms_since(*it))
+        let until = host.and_then(|it| self.host_probation.get(it));
+        until.is_none_or(|it| *it <= now)
     }
 }
 
@@ -247,22 +251,18 @@
         self.work.get(&task.step.submission)?.task(task)?.suspicion.as_deref()
     }
 
-    /// Changes what is known against a task, and stores it.
+    /// Changes what is known against a task, and has it stored.
     fn change_suspicion(&mut self, task: TaskKey, change: impl FnOnce(&mut Suspicion)) {
+        self.mark_dirty(task.step.submission);
+        let number = self.change;
         let Some(slot) = self.task_mut(task) else { return };
         let mut suspicion = slot.suspicion.take().unwrap_or_default();
         change(&mut suspicion);
-        let is_empty = suspicion.is_empty();
-        let slot_suspicion = (!is_empty).then_some(suspicion);
-        slot.suspicion = slot_suspicion;
-        self.mark_dirty(task.step.submission);
-        let change = self.change;
-        if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
-            it.change = change;
-        }
-        if is_empty {
+        if suspicion.is_empty() {
             self.suspects.tasks.remove(&task);
         } else {
+            suspicion.change = number;
+            slot.suspicion = Some(suspicion);
             self.suspects.tasks.insert(task);
         }
     }
@@ -298,52 +298,62 @@
     pub(super) fn suspect_runs(&mut self, index: WorkerIndex, now: Timestamp) {
         self.cancel_withheld_at(index, now);
         let worker = &self.workers[index];
-        let Some(incarnation) = worker.incarnation else { return };
-        if worker.was_draining {
-            return;
-        }
-        let runs: Vec<(TaskKey, RunNumber, u32)> =
-            worker.allocations.iter().map(|(task, it)| (*task, it.run, it.listings)).collect();
-        let is_planned =
-            |it: &&(TaskKey, RunNumber, u32)| self.current_run(index, it.0, it.1).is_some();
-        let planned: Vec<(TaskKey, RunNumber, u32)> =
-            runs.iter().filter(is_planned).copied().collect();
-        let mut suspects: Vec<(TaskKey, RunNumber)> =
-            planned.iter().filter(|it| it.2 < PROVEN_LISTINGS).map(|it| (it.0, it.1)).collect();
-        let is_one_new = suspects.len() == 1;
-        if suspects.is_empty() {
-            let is_known = |it: &&(TaskKey, RunNumber, u32)| {
-                let task = self.work.get(&it.0.step.submission).and_then(|work| work.task(it.0));
-                task.is_some_and(|it| it.was_beside_crash || it.suspicion.is_some())
-            };
-            suspects = planned.iter().filter(is_known).map(|it| (it.0, it.1)).collect();
-        }
+        let Some(incarnation) = worker.incarnation.filter(|_| !worker.was_draining) else { return };
+        let runs = self.planned_runs(index);
+        let new = runs.iter().filter(|it| it.2 < PROVEN_LISTINGS).count();
+        let is_suspected = |it: &(TaskKey, RunNumber, u32)| match new {
+            0 => self.was_near_crash(it.0),
+            _ => it.2 < PROVEN_LISTINGS,
+        };
+        let suspects: Vec<(TaskKey, RunNumber, u32)> =
+            runs.iter().copied().filter(is_suspected).collect();
         if suspects.is_empty() {
-            for (task, ..) in planned {
+            for (task, ..) in runs {
                 if let Some(slot) = self.task_mut(task) {
                     slot.was_beside_crash = true;
                 }
             }
-            return;
         }
         let listing = &self.workers[index].listing;
-        let (worker, host) = (listing.worker.clone(), listing.host.clone());
-        let is_sole = is_one_new && self.suspects.is_host_sound(host.as_ref(), now);
-        for (task, run) in suspects {
-            let open =
-                OpenRun { run, worker: worker.clone(), incarnation, host: host.clone(), is_sole };
-            let known = self.suspicion(task);
-            let is_accused = known.is_some_and(|it| it.crashed_runs.iter().any(|it| it.run == run));
-            let is_known = known.is_some_and(|it| it.open_runs.contains(&open));
-            if !is_accused && !is_known {
-                self.change_suspicion(task, |it| {
-                    it.open_runs.retain(|it| it.run != run);
-                    it.open_runs.push(open);
-                });
-            }
-            if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
-                it.wait_until = now.plus_ms(OPEN_WAIT_MS);
-            }
+        let open = OpenRun {
+            run: RunNumber::default(),
+            worker: listing.worker.clone(),
+            incarnation,
+            host: listing.host.clone(),
+            is_sole: new == 1 && self.suspects.is_host_sound(listing.host.as_ref(), now),
+        };
+        for (task, run, _) in suspects {
+            self.record_open(task, OpenRun { run, ..open.clone() }, now);
+        }
+    }
+
+    /// Returns the runs that the plan has placed on a worker, each with the
+    /// number of polls that listed it.
+    fn planned_runs(&self, index: WorkerIndex) -> Vec<(TaskKey, RunNumber, u32)> {
+        let allocations = self.workers[index].allocations.iter();
+        let runs = allocations.map(|(task, it)| (*task, it.run, it.listings));
+        runs.filter(|it| self.is_current(index, it.0, it.1)).collect()
+    }
+
+    /// Returns whether a task was on a worker that crashed, or may have been.
+    fn was_near_crash(&self, task: TaskKey) -> bool {
+        let slot = self.work.get(&task.step.submission).and_then(|it| it.task(task));
+        slot.is_some_and(|it| it.was_beside_crash || it.suspicion.is_some())
+    }
+
+    /// Records that the outcome of a run is open.
+    fn record_open(&mut self, task: TaskKey, open: OpenRun, now: Timestamp) {
+        let is_recorded = self.suspicion(task).is_some_and(|it| {
+            it.crashed_runs.iter().any(|it| it.run == open.run) || it.open_runs.contains(&open)
+        });
+        if !is_recorded {
+            self.change_suspicion(task, |it| {
+                it.open_runs.retain(|it| it.run != open.run);
+                it.open_runs.push(open);
+            });
+        }
+        if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
+            it.wait_until = now.plus_ms(OPEN_WAIT_MS);
         }
     }
 
@@ -447,7 +457,7 @@
         }
         self.suspects.crashes += 1;
         if let Some(host) = worker.listing.host.clone() {
-            self.suspects.host_crashes.insert(host, now);
+            self.suspects.host_probation.insert(host, now.plus_ms(HOST_PROBATION_MS));
         }
     }
 
@@ -515,7 +525,8 @@
         let worker = self.find_isolated(&pending, spec, usable, now);
         match worker {
             Some(worker) => {
-                self.suspects.claims.insert(worker, Claim { task, claimed_at: now });
+                let expires_at = now.plus_ms(CLAIM_TIMEOUT_MS);
+                self.suspects.claims.insert(worker, Claim { task, expires_at });
             }
             None => {
                 if pending.needs_ticket {
@@ -626,7 +637,8 @@
             }
             withheld.push((index, incarnation, order));
         }
-        let start = WithheldStart { step, change: self.change, withheld_at: now, orders: withheld };
+        let expires_at = now.plus_ms(RECORD_TIMEOUT_MS);
+        let start = WithheldStart { step, change: self.change, expires_at, orders: withheld };
         self.suspects.withheld.push(start);
     }
 
@@ -635,8 +647,7 @@
     fn send_withheld(&mut self, now: Timestamp) {
         for start in std::mem::take(&mut self.suspects.withheld) {
             let is_stored = start.change <= self.suspects.stored_change;
-            let is_overdue = RECORD_TIMEOUT_MS <= now.ms_since(start.withheld_at);
-            if !is_stored && !is_overdue {
+            if !is_stored && now < start.expires_at {
                 self.suspects.withheld.push(start);
                 continue;
             }
@@ -696,7 +707,7 @@
             }
             let work = self.work.get(&claim.task.step.submission);
             match work.and_then(|it| it.task(claim.task)).map(|it| &it.phase) {
-                Some(Phase::Waiting) => now.ms_since(claim.claimed_at) < CLAIM_TIMEOUT_MS,
+                Some(Phase::Waiting) => now < claim.expires_at,
                 Some(Phase::Placed(run)) => {
                     let allocation = worker.allocations.get(&claim.task);
                     run.worker == index
