Count a submission as begun only once a worker has started a task of it

Cause: Planner::start set the state Running when a start was ordered. A start that was refused or lost left it so, and the submission was not counted among those that wait. A start that waits for its record would have, too. Change: the state changes once the worker has confirmed the start, lists the run or its end, or has crashed under it.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -223,8 +223,18 @@
         self.workers[index].unstored_ends.push_back((end.number, change));
     }
 
+    /// Records that a worker has started a task of a submission.
+    pub(super) fn submission_started(&mut self, id: SubmissionId) {
+        let work = self.work.get_mut(&id).filter(|it| it.state == SubmissionState::Queued);
+        if let Some(work) = work {
+            work.state = SubmissionState::Running;
+            self.actions.states.push((id, SubmissionState::Running));
+        }
+    }
+
     /// Applies an end to the task that it belongs to.
     fn apply_end(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
+        self.submission_started(end.task.step.submission);
         match end.kind {
             EndKind::Done => self.run_done(index, end, now),
             EndKind::Failed => self.run_failed(index, end, now),
@@ -436,6 +446,7 @@
         let is_stopping = self.stops.contains_key(&(index, row.task, row.run));
         if self.is_current(index, row.task, row.run) {
             self.unconfirmed.remove(&(index, row.task, row.run));
+            self.submission_started(id);
             self.update_progress(index, row, now);
             self.run_survived(index, row.task, row.run);
         } else if is_waiting && !is_stopping {
@@ -471,10 +482,6 @@
     fn adopt(&mut self, index: WorkerIndex, row: &RunningTask, now: Timestamp) {
         let Some(work) = self.work.get_mut(&row.task.step.submission) else { return };
         let spec = work.submission.steps[usize::from(row.task.step.step)].clone();
-        let becomes_running = work.state == SubmissionState::Queued;
-        if becomes_running {
-            work.state = SubmissionState::Running;
-        }
         work.is_begun = true;
         let Some(slot) = work.task_mut(row.task) else { return };
         slot.last_run = slot.last_run.max(row.run);
@@ -487,9 +494,7 @@
         }
         self.workers[index].allocate(row.task, allocation);
         let id = row.task.step.submission;
-        if becomes_running {
-            self.actions.states.push((id, SubmissionState::Running));
-        }
+        self.submission_started(id);
         let worker = self.worker_id(index);
         self.log_decision(DecisionKind::RunAdopted, Some(id), Some(worker), || {
             format!("task={} run={}", row.task, row.run)
@@ -632,6 +637,7 @@
         }
         match outcome {
             StartOutcome::Started => {
+                self.submission_started(task.step.submission);
                 self.unconfirmed.remove(&(index, task, run));
                 if let Some(run) = self.task_mut(task).and_then(|it| it.run_mut()) {
                     run.is_confirmed = true;
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -21,7 +21,7 @@
         id::{RunNumber, StepKey, SubmissionId, TaskKey},
         message::{Order, StartOrder},
         poller::MAX_START_LEASE_MS,
-        submission::{StepSpec, Submission, SubmissionState},
+        submission::{StepSpec, Submission},
     },
     time::Timestamp,
 };
@@ -846,11 +846,6 @@
         let run_base = self.run_base;
         let allocation = self.pending_allocation(pending, spec);
         let Some(work) = self.work.get_mut(&key.submission) else { return };
-        let becomes_running = work.state == SubmissionState::Queued;
-        if becomes_running {
-            work.state = SubmissionState::Running;
-            self.actions.states.push((key.submission, SubmissionState::Running));
-        }
         work.is_begun |= !pending.is_starved;
         if let Some(occurrence) = work.occurrence_mut(key.occurrence) {
             occurrence.steps[usize::from(key.step)].started_at = now;
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -440,6 +440,7 @@
         let Some(suspicion) = self.suspicion(task).filter(|_| !was_draining) else { return };
         let (crashes, is_given_up) = (suspicion.crashed_runs.len(), suspicion.is_given_up());
         let (id, sole) = (task.step.submission, open.is_sole);
+        self.submission_started(id);
         self.log_decision(DecisionKind::RunCrashed, Some(id), Some(open.worker.clone()), || {
             format!("task={task} run={run} sole={sole} crashes={crashes}")
         });
