--- a/crates/mustardcove-core/tests/planning_cost.rs
+++ b/crates/mustardcove-core/tests/planning_cost.rs
@@ -74,3 +74,31 @@
     let most = rounds as u64 * (backlog * ends_each as u64 * 2 + WORKERS as u64);
     assert!(scored(&rig) - before <= most, "{} scored", scored(&rig) - before);
 }
+
+/// Hundreds of starved best-effort submissions on a large fleet: each of them
+/// is started after a look at some of the workers.
+#[test]
+fn starved_backlog() {
+    let mut rig = rig();
+    let best_effort = |count| StepSpec { is_best_effort: true, ..step(count, CORES_8, &[]) };
+    rig.submit(submission(1, vec![best_effort(WORKERS as u16)], rig.now));
+    assert_eq!(rig.plan().len(), WORKERS, "no processor time is left over");
+    let backlog = 200;
+    for i in 0..backlog {
+        rig.submit(submission(2 + i, vec![best_effort(1)], rig.now));
+    }
+    let (mut started, mut cost) = (0, 0);
+    // Runs that show no progress would be stopped later.
+    for _ in 0..22 {
+        rig.advance(100);
+        rig.poll_all();
+        let before = scored(&rig);
+        let starts = rig.plan().len() as u64;
+        if 0 < starts {
+            started += starts;
+            cost += scored(&rig) - before;
+        }
+    }
+    assert_eq!(started, backlog, "all of them get a run");
+    assert!(cost <= 200 * backlog, "{} workers scored for each start", cost / backlog);
+}
