--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -92,6 +92,7 @@
 fn recorded_before_start() {
     let mut rig = crashed_rig();
     assert!(rig.plan().is_empty(), "the crash is not recorded");
+    assert!(rig.planner.has_urgent_progress());
     store(&mut rig);
     assert!(rig.plan().is_empty(), "the next run is not recorded");
     assert!(rig.planner.has_urgent_progress());
