--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -433,9 +433,11 @@
     /// Handles a run that a worker lists.
     fn run_listed(&mut self, index: WorkerIndex, row: &RunningTask, now: Timestamp) {
         let id = row.task.step.submission;
+        let mut listings = 0;
         let allocation = self.workers[index].allocations.get_mut(&row.task);
         if let Some(allocation) = allocation.filter(|it| it.run == row.run) {
             allocation.listings = allocation.listings.saturating_add(1);
+            listings = allocation.listings;
         }
         let Some(work) = self.work.get(&id) else {
             self.unknown_run(index, row);
@@ -446,9 +448,11 @@
         let is_stopping = self.stops.contains_key(&(index, row.task, row.run));
         if self.is_current(index, row.task, row.run) {
             self.unconfirmed.remove(&(index, row.task, row.run));
-            self.submission_started(id);
+            if listings == 1 {
+                self.submission_started(id);
+            }
             self.update_progress(index, row, now);
-            self.run_survived(index, row.task, row.run);
+            self.run_survived(row.task, row.run, listings);
         } else if is_waiting && !is_stopping {
             self.adopt(index, row, now);
         } else if !is_stopping {
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -267,15 +267,16 @@
         }
     }
 
-    /// Records that a poll lists a run that the plan has placed there.
-    pub(super) fn run_survived(&mut self, index: WorkerIndex, task: TaskKey, run: RunNumber) {
-        let allocation = self.workers[index].allocations.get(&task).filter(|it| it.run == run);
-        let listings = allocation.map_or(0, |it| it.listings);
+    /// Records that polls have listed a run that the plan has placed there.
+    pub(super) fn run_survived(&mut self, task: TaskKey, run: RunNumber, listings: u32) {
         if listings == CLEARED_LISTINGS
             && let Some(slot) = self.task_mut(task)
         {
             slot.was_beside_crash = false;
         }
+        if self.suspects.tasks.is_empty() {
+            return;
+        }
         let Some(suspicion) = self.suspicion(task) else { return };
         let is_cleared = CLEARED_LISTINGS <= listings;
         let is_proven = PROVEN_LISTINGS <= listings;
