--- a/crates/mustardcove-core/tests/planning_cost.rs
+++ b/crates/mustardcove-core/tests/planning_cost.rs
@@ -102,3 +102,27 @@
     assert_eq!(started, backlog, "all of them get a run");
     assert!(cost <= 200 * backlog, "{} workers scored for each start", cost / backlog);
 }
+
+/// A backlog of best-effort steps, none like another, where no processor time
+/// is left over: a poll of a worker is no reason to score it for each of them.
+#[test]
+fn best_effort_backlog() {
+    let mut rig = rig();
+    let best_effort = |count| StepSpec { is_best_effort: true, ..step(count, CORES_8, &[]) };
+    rig.submit(submission(1, vec![best_effort(WORKERS as u16)], rig.now));
+    assert_eq!(rig.plan().len(), WORKERS, "no processor time is left over");
+    let backlog = 100;
+    for i in 0..backlog {
+        let demand = Resources::new(CORES_8 - i, 64 + i, 0);
+        rig.submit(submission(2 + i, vec![StepSpec { demand, ..best_effort(1) }], rig.now));
+    }
+    let rounds = 5;
+    let before = scored(&rig);
+    for _ in 0..rounds {
+        rig.advance(20);
+        rig.poll_all();
+        assert!(rig.plan().is_empty());
+    }
+    let scored = scored(&rig) - before;
+    assert!(scored <= rounds * backlog, "{scored} scored");
+}
