--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -39,14 +39,9 @@
 /// less than half is reserved; the leader's view is a little older, and lacks
 /// workers that it does not reach.
 const MAX_RESERVED_PERCENT: u64 = 60;
-/// Most starved submissions placed in one round, which bounds its time.
+/// Most starved submissions placed in one round, which bounds its time: each is
+/// scored on every worker.
 const MAX_STARTED: usize = 200;
-/// Workers among which the one is chosen where a starved task does the least
-/// harm; others are looked at only if none of them can take it. The best of so
-/// many is hardly worse than the best of all, as in "the power of d choices"
-/// (Mitzenmacher, 2001), and hundreds of such tasks on a large fleet would
-/// otherwise take most of the leader's time.
-const SAMPLED_WORKERS: usize = 128;
 /// Time between two explanations in the log, in milliseconds.
 const EXPLAIN_INTERVAL_MS: u64 = 1_000;
 /// Most submissions explained at once, which bounds the log and the processor
@@ -63,8 +58,6 @@
     starved: BTreeSet<SubmissionId>,
     check_at: Timestamp,
     explain_at: Timestamp,
-    /// Where the next sample of workers begins.
-    next_sample: usize,
 }
 
 impl BlockedSubmissions {
@@ -202,24 +195,14 @@
         if !spec.is_gang {
             pending.tasks.truncate(1);
         }
-        // The members of a gang have to fit together.
-        let (first, sample) = match spec.is_gang {
-            true => (0, schedulable.len().max(1)),
-            false => (self.blocked.next_sample.min(schedulable.len()), SAMPLED_WORKERS),
-        };
-        let (before, after) = schedulable.split_at(first);
-        for workers in after.chunks(sample).chain(before.chunks(sample)) {
-            let mut sampled = pending.clone();
-            let tasks = sampled.tasks.len();
-            let mut chosen = self.allocate_tasks(&mut sampled, spec, workers, &[], now);
-            if chosen.len() == tasks {
-                self.start(&submission, &sampled, &chosen, now);
-                self.blocked.next_sample = (first + sample) % schedulable.len().max(1);
-                return true;
-            }
+        let tasks = pending.tasks.len();
+        let mut chosen = self.allocate_tasks(&mut pending, spec, schedulable, &[], now);
+        if chosen.len() < tasks {
             self.release_tasks(key, &mut chosen);
+            return false;
         }
-        false
+        self.start(&submission, &pending, &chosen, now);
+        true
     }
 
     /// Returns the first ready step of a submission of which no run is known
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -76,9 +76,6 @@
     by_change: Vec<WorkerIndex>,
     /// The schedulable workers that are not reserved for a step.
     unreserved: Vec<WorkerIndex>,
-    /// Processor time that was left over on each worker for best-effort tasks
-    /// when the round began, in millicores. It only shrinks meanwhile.
-    leftover: Vec<i64>,
     /// Workers that accept no work only because their runs failed.
     suspended: Vec<WorkerIndex>,
     /// Whether under half of the capacity is in use.
@@ -342,7 +339,6 @@
             by_change,
             unreserved: schedulable.iter().copied().filter(is_free).collect(),
             is_mostly_free: placement::is_mostly_free(usable),
-            leftover: self.workers.iter().map(placement::leftover_cpu).collect(),
             suspended,
             is_scarce: placement::is_scarce(schedulable.iter().map(|it| &self.workers[*it])),
             reservable: max_reserved.saturating_sub(self.reserved.len()),
@@ -574,17 +570,10 @@
         let changed = (!needs_ticket && !may_use_suspended)
             .then(|| self.changed_workers(key, spec, candidate.rank, round))
             .flatten();
-        let mut schedulable = match changed {
+        let schedulable = match changed {
             Some(changed) => Cow::Owned(changed),
             None => round.usable(spec, candidate.rank, &reserved),
         };
-        if spec.is_best_effort {
-            // Polls change all workers within a second, and a backlog scored on
-            // those without leftover would take most of the leader's time.
-            schedulable.to_mut().retain(|it| {
-                placement::is_enough_left_over(round.leftover[*it], spec.demand.cpu.0)
-            });
-        }
         let suspended: &[WorkerIndex] = if may_use_suspended { &round.suspended } else { &[] };
         let waiting = pending.tasks.len();
         let mut chosen = self.allocate_tasks(&mut pending, spec, &schedulable, suspended, now);
