Ignore reports that an earlier incarnation was replaced

They marked the present incarnation of the worker as silent until its next poll, and suspected its new runs. report_of_earlier_incarnation checks it now and fails without the change. The function order_start moves to the others.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -53,8 +53,8 @@
             }
             WorkerReport::Fenced => self.actions.is_superseded = true,
             WorkerReport::Replaced { incarnation } => {
-                self.worker_silent(index, now);
                 if incarnation.is_none() || incarnation == self.workers[index].incarnation {
+                    self.worker_silent(index, now);
                     self.worker_replaced(index, now);
                 }
             }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -884,9 +884,7 @@
             format!("step={key} tasks={} of={} waited_ms={waited_ms}", chosen.len(), spec.count)
         });
     }
-}
 
-impl Planner {
     /// Orders a start that the plan has placed.
     pub(super) fn order_start(&mut self, worker: WorkerIndex, order: StartOrder, now: Timestamp) {
         let key = (worker, order.task, order.run);
--- a/crates/mustardcove-core/tests/replaced_worker.rs
+++ b/crates/mustardcove-core/tests/replaced_worker.rs
@@ -103,6 +103,8 @@
     let earlier = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
     planner.report(&worker, earlier, now);
     assert_eq!(planner.counts(now).placed_runs, 1, "the run goes on");
+    assert_eq!(planner.counts(now).schedulable_workers, 1, "the worker answers");
+    assert_eq!(planner.counts(now).suspect_tasks, 0);
     planner.tick(now);
     assert!(planner.take_actions().orders.is_empty(), "it is not started again");
 
