Isolate suspected tasks where capacity is free

Cause: find_isolated ranked a worker on a sound host that has no capacity, but would have it once its batch work has ended, before workers with free capacity, if those were on hosts that had crashed within 30 s, or ran something new at that moment. The claim expires after 3 s, and the next search takes the same worker, whose run goes on.

Evidence: sound_host_busy and new_runs_elsewhere waited for the whole 20 s of the test before; they start within 3 s now.

Change: free capacity ranks first, then the soundness of the host, then new runs, which are listed within a few polls.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -586,9 +586,9 @@
         self.workers[index].allocations.values().any(|it| it.listings < PROVEN_LISTINGS)
     }
 
-    /// Returns the worker on which a suspected task should run next: one that
-    /// can take it soon, whose host is sound, and on which a crash would lose
-    /// the least.
+    /// Returns the worker on which a suspected task should run next: one with
+    /// free capacity if there is any, whose host is sound, and on which a crash
+    /// would lose the least.
     fn find_isolated(
         &self,
         pending: &PendingTasks,
@@ -616,8 +616,10 @@
         let harm = |index: &WorkerIndex| {
             let worker = &self.workers[*index];
             let is_sound = self.suspects.is_host_sound(worker.listing.host.as_ref(), now);
-            let is_ready = needed.fits_in(worker.free()) && !self.has_new_runs(*index);
-            (!is_sound, !is_ready, is_far(index), worker.allocations.len(), *index)
+            // New runs are listed within a few polls, but batch work may take long.
+            let is_full = !needed.fits_in(worker.free());
+            let has_new = self.has_new_runs(*index);
+            (is_full, !is_sound, has_new, is_far(index), worker.allocations.len(), *index)
         };
         usable.iter().copied().filter(fits).min_by_key(harm)
     }
--- /dev/null
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -0,0 +1,160 @@
+//! How long tasks that may have crashed a worker wait for their next start.
+//!
+//! Guards against one that waits without a bound although workers have capacity
+//! for it: users accept 3 s.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use fleet_world::{listing, manifest, step, submission};
+use mustardcove_core::{
+    fleet::{
+        id::{Incarnation, SubmissionId},
+        message::{EndKind, WorkerReport},
+        planner::WorkerListing,
+        submission::StepSpec,
+    },
+    id::WorkerId,
+};
+use planner_rig::Rig;
+
+/// Longest time without a run that users accept, in milliseconds.
+const MAX_IDLE_MS: u64 = 3_000;
+const STEP_MS: u64 = 100;
+/// Longest time for which a test waits, in milliseconds.
+const MAX_WAIT_MS: u64 = 20_000;
+/// Id of a submission whose tasks run for the whole test.
+const LASTING: u64 = 900;
+/// Id of a submission whose task may have crashed a worker.
+const SUSPECT: u64 = 1;
+
+fn id(name: &str) -> WorkerId {
+    name.parse().expect("a valid name")
+}
+
+/// Returns a worker on a host of its own.
+fn on_host(name: &str, cpu: u64, host: &str) -> WorkerListing {
+    let host = Some(host.parse().expect("a valid name"));
+    WorkerListing { host, ..listing(name, cpu, Incarnation(1)) }
+}
+
+/// Adds workers and polls them.
+fn add_workers(rig: &mut Rig, added: &[WorkerListing]) {
+    rig.listings.extend_from_slice(added);
+    for it in added {
+        rig.workers.insert(it.worker.clone(), Default::default());
+    }
+    rig.planner.update_workers(rig.listings.clone(), true);
+    rig.poll_all();
+}
+
+fn rig(workers: &[WorkerListing]) -> Rig {
+    let mut rig = Rig::new(manifest(3), &[]);
+    add_workers(&mut rig, workers);
+    rig
+}
+
+/// Returns batch work that runs for the whole test.
+fn lasting(count: u16, cpu: u64) -> StepSpec {
+    StepSpec { estimate_ms: 10_000_000, ..step(count, cpu, &[]) }
+}
+
+fn submit(rig: &mut Rig, id: u64, step: StepSpec) {
+    rig.submit(submission(id, vec![step], rig.now));
+}
+
+/// Crashes a worker, which leaves the list.
+fn crash(rig: &mut Rig, worker: &WorkerId) {
+    rig.workers.remove(worker);
+    let report = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
+    rig.planner.report(worker, report, rig.now);
+    rig.listings.retain(|it| it.worker != *worker);
+    rig.planner.update_workers(rig.listings.clone(), true);
+}
+
+/// Advances time with polls of all workers, and stores what has changed.
+fn advance(rig: &mut Rig) {
+    rig.store();
+    rig.advance(STEP_MS);
+    rig.poll_all();
+}
+
+/// Returns how long a submission waits for its next start.
+fn wait_ms(rig: &mut Rig, id: u64) -> u64 {
+    for waited in 0..MAX_WAIT_MS / STEP_MS {
+        let starts = rig.plan();
+        if starts.iter().any(|it| it.1.task.step.submission == SubmissionId(id)) {
+            return waited * STEP_MS;
+        }
+        advance(rig);
+    }
+    MAX_WAIT_MS
+}
+
+/// Lets what runs be listed by some polls.
+fn settle(rig: &mut Rig) {
+    for _ in 0..4 {
+        rig.plan();
+        advance(rig);
+    }
+}
+
+/// It waited for the end of the work on a sound host while workers on hosts that
+/// had crashed were free.
+#[test]
+fn sound_host_busy() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, LASTING, lasting(1, 3_000));
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
+    assert_eq!(rig.plan()[0].0, id("w1"));
+    crash(&mut rig, &id("w1"));
+    add_workers(&mut rig, &[on_host("w2", 4_000, "h1")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
+
+/// It waited for the end of the one run of a full worker, because each of the
+/// workers with free capacity was running something new at that moment.
+#[test]
+fn new_runs_elsewhere() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, LASTING, lasting(1, 4_000));
+    settle(&mut rig);
+    let hosts = ["h1", "h2", "h3", "h4"];
+    let workers: Vec<WorkerListing> = (hosts.iter().zip(["w1", "w2", "w3", "w4"]))
+        .map(|(host, name)| on_host(name, 9_000, host))
+        .collect();
+    add_workers(&mut rig, &workers);
+    for other in LASTING + 1..LASTING + 5 {
+        submit(&mut rig, other, lasting(4, 400));
+    }
+    settle(&mut rig);
+    submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
+    let crashed = rig.plan()[0].0.clone();
+    crash(&mut rig, &crashed);
+    let mut waited_ms = 0;
+    for round in 0..MAX_WAIT_MS / STEP_MS {
+        // Short work begins on each worker all the time.
+        submit(&mut rig, 1_000 + round, step(6, 700, &[]));
+        let starts = rig.plan();
+        if starts.iter().any(|it| it.1.task.step.submission == SubmissionId(SUSPECT)) {
+            break;
+        }
+        let ending = rig.running().into_iter().filter(|it| {
+            let id = it.0.step.submission.0;
+            1_000 <= id && id + 5 < 1_000 + round
+        });
+        for (task, worker) in ending.collect::<Vec<_>>() {
+            rig.end(&worker, task, EndKind::Done);
+        }
+        advance(&mut rig);
+        waited_ms += STEP_MS;
+    }
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
