Give every suspected task its turn

What callers would see: a task that may have crashed a worker never starts again, although a worker has capacity for it (LOST), while others wait that fit nowhere.

Cause: two limits were handed out by rank alone, in each round anew. - Four tasks are looked at in a round. With more than a dozen that find no worker, those of lower rank are never looked at: forty large ones after one crash. - 15 % of the workers may be isolated. A task that waits for the end of other work keeps its worker for 3 s, and then gets it again.

Change: the task that was not tried for the longest time goes first, rank decides among equals, and a claim that expired counts as a try. A worker with free capacity may be isolated beside those that are still awaited, one at a time.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -44,7 +44,7 @@
     placement::{self, Obstacle},
     rank::Rank,
     schedule::PendingTasks,
-    work::{Phase, WorkerIndex},
+    work::{Phase, Task, WorkerIndex},
     workers::Worker,
 };
 use crate::{
@@ -79,7 +79,7 @@
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
 /// Most of the schedulable workers that may be isolated at once, in percent and
-/// rounded up.
+/// rounded up; one more for a task that can start at once.
 const MAX_ISOLATED_PERCENT: usize = 15;
 /// Longest time for which a worker is kept free of new starts for a task that
 /// still waits for it, in milliseconds: a few polls.
@@ -102,7 +102,8 @@
     open_runs: Vec<OpenRun>,
     /// The change that has to be stored before the task starts again.
     change: u64,
-    /// No worker is looked for before this time.
+    /// No worker is looked for before this time; after those that were not tried
+    /// since their last start, the task that waits the longest goes first.
     try_at: Timestamp,
     /// The task does not wait for its open runs after this time.
     wait_until: Timestamp,
@@ -482,20 +483,24 @@
         let usable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.unavailability(*it, now).is_none()).collect();
         let most = (usable.len() * MAX_ISOLATED_PERCENT).div_ceil(100);
-        let mut waiting: Vec<(Rank, TaskKey)> = Vec::new();
+        // Tasks that find no worker must not use up the searches of each round.
+        let mut waiting: Vec<(Timestamp, Rank, TaskKey)> = Vec::new();
         for task in &self.suspects.tasks {
-            waiting.extend(self.suspect_rank(*task, now).map(|it| (it, *task)));
+            let Some(rank) = self.suspect_rank(*task, now) else { continue };
+            let try_at = self.suspicion(*task).map_or(now, |it| it.try_at);
+            waiting.push((try_at, rank, *task));
         }
         waiting.sort_unstable();
         let mut searches = 0;
-        for (_, task) in waiting {
-            let claimed = self.suspects.claims.iter().find(|it| it.1.task == task).map(|it| *it.0);
-            let may_search = self.suspects.claims.len() < most && searches < MAX_SEARCHES;
+        for (_, _, task) in waiting {
+            let claims = &self.suspects.claims;
+            let claimed = claims.iter().find(|it| it.1.task == task).map(|it| *it.0);
             let worker = match claimed {
                 Some(worker) => Some(worker),
-                None if may_search => {
+                None if 0 < most && claims.len() <= most && searches < MAX_SEARCHES => {
+                    let may_wait = claims.len() < most;
                     searches += 1;
-                    self.claim_worker(task, &usable, now)
+                    self.claim_worker(task, &usable, may_wait, now)
                 }
                 None => None,
             };
@@ -522,17 +527,21 @@
         Some(self.waiting_step(task.step)?.rank(now))
     }
 
-    /// Claims a worker for a suspected task, if one can run it.
+    /// Claims a worker for a suspected task, if one can run it; with `may_wait`,
+    /// also one that lacks capacity at present.
     fn claim_worker(
         &mut self,
         task: TaskKey,
         usable: &[WorkerIndex],
+        may_wait: bool,
         now: Timestamp,
     ) -> Option<WorkerIndex> {
         let submission = self.work.get(&task.step.submission)?.submission.clone();
         let spec = &submission.steps[usize::from(task.step.step)];
         let pending = self.isolated_task(task, now)?;
+        let needed = spec.allocation();
         let worker = self.find_isolated(&pending, spec, usable, now);
+        let worker = worker.filter(|it| may_wait || needed.fits_in(self.workers[*it].free()));
         match worker {
             Some(worker) => {
                 let expires_at = now.plus_ms(CLAIM_TIMEOUT_MS);
@@ -542,10 +551,7 @@
                 if pending.needs_ticket {
                     self.request_tickets_for(&pending, spec, usable, now);
                 }
-                let suspicion = self.task_mut(task).and_then(|it| it.suspicion.as_mut());
-                if let Some(suspicion) = suspicion {
-                    suspicion.try_at = now.plus_ms(SEARCH_PAUSE_MS);
-                }
+                self.set_try_at(task, now.plus_ms(SEARCH_PAUSE_MS));
             }
         }
         worker
@@ -567,9 +573,16 @@
         self.workers[worker].circuit_breaker.record_start(now);
         self.refresh_latency_critical(worker, now);
         pending.is_withheld = true;
+        self.set_try_at(task, Timestamp::default());
         self.start(&submission, &pending, &[(task.index, worker)], now);
     }
 
+    fn set_try_at(&mut self, task: TaskKey, try_at: Timestamp) {
+        if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
+            it.try_at = try_at;
+        }
+    }
+
     /// Returns a suspected task as the only pending one of its step.
     fn isolated_task(&self, task: TaskKey, now: Timestamp) -> Option<PendingTasks> {
         let work = self.work.get(&task.step.submission)?;
@@ -731,8 +744,12 @@
         let (kept, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
             claims.into_iter().partition(|(index, claim)| is_kept(*index, *claim));
         self.suspects.claims = kept;
-        for index in ended.into_keys() {
+        for (index, claim) in ended {
             self.workers[index].is_changed = true;
+            let work = self.work.get(&claim.task.step.submission);
+            if work.and_then(|it| it.task(claim.task)).is_some_and(Task::is_waiting) {
+                self.set_try_at(claim.task, now);
+            }
         }
     }
 
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -158,3 +158,36 @@
     }
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
+
+/// Suspected tasks that fit nowhere were looked at again and again, before those
+/// that fit.
+#[test]
+fn searches_used_up() {
+    let mut rig = rig(&[on_host("w0", 90_000, "h0")]);
+    submit(&mut rig, 2, lasting(40, 2_000));
+    let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
+    rig.submit(late);
+    assert_eq!(rig.plan().len(), 41);
+    crash(&mut rig, &id("w0"));
+    add_workers(&mut rig, &[on_host("w1", 1_000, "h1")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
+
+/// A suspected task that waits for the end of other work kept the only worker
+/// that could be isolated at a time, and others did not get it.
+#[test]
+fn claims_used_up() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, LASTING, lasting(1, 3_500));
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    submit(&mut rig, 2, lasting(1, 3_000));
+    let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
+    rig.submit(late);
+    assert_eq!(rig.plan().len(), 2);
+    crash(&mut rig, &id("w1"));
+    add_workers(&mut rig, &[on_host("w2", 1_000, "h2")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
