--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -20,8 +20,10 @@
 //!
 //! A task is given up after [`CRASHES`] crashes of which it was a suspect, if it
 //! was the only new run in [`SOLE_CRASHES`] of them, on hosts that had not
-//! crashed shortly before; otherwise after [`MAX_CRASHES`]. A sound task would
-//! have to begin on that many workers just before each fails by itself.
+//! crashed shortly before, or if an earlier leader may have started it, which
+//! may have been lost before it noticed a crash; otherwise after
+//! [`MAX_CRASHES`]. A sound task would have to begin on that many workers just
+//! before each fails by itself.
 //!
 //! **What outlives the leader.** A run of a suspected task is stored with its
 //! worker before it is ordered, and the runs that become suspected by the
@@ -42,7 +44,7 @@
     placement::{self, Obstacle},
     rank::Rank,
     schedule::PendingTasks,
-    work::{Phase, WorkerIndex},
+    work::{Phase, Task, WorkerIndex},
     workers::Worker,
 };
 use crate::{
@@ -62,7 +64,8 @@
 /// Polls that have to list a run before the earlier crashes of its task are
 /// forgotten: several seconds of work.
 const CLEARED_LISTINGS: u32 = 20;
-/// Crashes after which a task is given up if the evidence is clear.
+/// Crashes after which a task is given up if the evidence is clear, or further
+/// crashes may not be known.
 const CRASHES: usize = 3;
 /// How many of them need to have the task as the only new run.
 const SOLE_CRASHES: usize = 2;
@@ -76,7 +79,7 @@
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
 /// Most of the schedulable workers that may be isolated at once, in percent and
-/// rounded up.
+/// rounded up; one more for a task that can start at once.
 const MAX_ISOLATED_PERCENT: usize = 15;
 /// Longest time for which a worker is kept free of new starts for a task that
 /// still waits for it, in milliseconds: a few polls.
@@ -99,7 +102,8 @@
     open_runs: Vec<OpenRun>,
     /// The change that has to be stored before the task starts again.
     change: u64,
-    /// No worker is looked for before this time.
+    /// No worker is looked for before this time; after those that were not tried
+    /// since their last start, the task that waits the longest goes first.
     try_at: Timestamp,
     /// The task does not wait for its open runs after this time.
     wait_until: Timestamp,
@@ -137,10 +141,13 @@
         self.crashed_runs.is_empty() && self.open_runs.is_empty()
     }
 
-    fn is_given_up(&self) -> bool {
+    /// Returns whether the task is given up, given whether all crashes under it
+    /// are known.
+    fn is_given_up(&self, are_all_known: bool) -> bool {
         let sole = self.crashed_runs.iter().filter(|it| it.is_sole).count();
         let crashes = self.crashed_runs.len();
-        (CRASHES <= crashes && SOLE_CRASHES <= sole) || MAX_CRASHES <= crashes
+        let is_enough = SOLE_CRASHES <= sole || !are_all_known;
+        (CRASHES <= crashes && is_enough) || MAX_CRASHES <= crashes
     }
 
     /// Returns whether the task has to wait for what becomes of a worker.
@@ -438,9 +445,11 @@
                 it.crashed_runs.push(CrashedRun { run, is_sole: open.is_sole });
             }
         });
-        let Some(suspicion) = self.suspicion(task).filter(|_| !was_draining) else { return };
-        let (crashes, is_given_up) = (suspicion.crashed_runs.len(), suspicion.is_given_up());
         let (id, sole) = (task.step.submission, open.is_sole);
+        let are_all_known = self.work.get(&id).is_some_and(|it| it.is_known_unstarted);
+        let Some(suspicion) = self.suspicion(task).filter(|_| !was_draining) else { return };
+        let crashes = suspicion.crashed_runs.len();
+        let is_given_up = suspicion.is_given_up(are_all_known);
         self.submission_started(id);
         self.log_decision(DecisionKind::RunCrashed, Some(id), Some(open.worker.clone()), || {
             format!("task={task} run={run} sole={sole} crashes={crashes}")
@@ -474,20 +483,24 @@
         let usable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.unavailability(*it, now).is_none()).collect();
         let most = (usable.len() * MAX_ISOLATED_PERCENT).div_ceil(100);
-        let mut waiting: Vec<(Rank, TaskKey)> = Vec::new();
+        // Tasks that find no worker must not use up the searches of each round.
+        let mut waiting: Vec<(Timestamp, Rank, TaskKey)> = Vec::new();
         for task in &self.suspects.tasks {
-            waiting.extend(self.suspect_rank(*task, now).map(|it| (it, *task)));
+            let Some(rank) = self.suspect_rank(*task, now) else { continue };
+            let try_at = self.suspicion(*task).map_or(now, |it| it.try_at);
+            waiting.push((try_at, rank, *task));
         }
         waiting.sort_unstable();
         let mut searches = 0;
-        for (_, task) in waiting {
-            let claimed = self.suspects.claims.iter().find(|it| it.1.task == task).map(|it| *it.0);
-            let may_search = self.suspects.claims.len() < most && searches < MAX_SEARCHES;
+        for (_, _, task) in waiting {
+            let claims = &self.suspects.claims;
+            let claimed = claims.iter().find(|it| it.1.task == task).map(|it| *it.0);
             let worker = match claimed {
                 Some(worker) => Some(worker),
-                None if may_search => {
+                None if 0 < most && claims.len() <= most && searches < MAX_SEARCHES => {
+                    let may_wait = claims.len() < most;
                     searches += 1;
-                    self.claim_worker(task, &usable, now)
+                    self.claim_worker(task, &usable, may_wait, now)
                 }
                 None => None,
             };
@@ -514,17 +527,21 @@
         Some(self.waiting_step(task.step)?.rank(now))
     }
 
-    /// Claims a worker for a suspected task, if one can run it.
+    /// Claims a worker for a suspected task, if one can run it; with `may_wait`,
+    /// also one that lacks capacity at present.
     fn claim_worker(
         &mut self,
         task: TaskKey,
         usable: &[WorkerIndex],
+        may_wait: bool,
         now: Timestamp,
     ) -> Option<WorkerIndex> {
         let submission = self.work.get(&task.step.submission)?.submission.clone();
         let spec = &submission.steps[usize::from(task.step.step)];
         let pending = self.isolated_task(task, now)?;
+        let needed = spec.allocation();
         let worker = self.find_isolated(&pending, spec, usable, now);
+        let worker = worker.filter(|it| may_wait || needed.fits_in(self.workers[*it].free()));
         match worker {
             Some(worker) => {
                 let expires_at = now.plus_ms(CLAIM_TIMEOUT_MS);
@@ -534,10 +551,7 @@
                 if pending.needs_ticket {
                     self.request_tickets_for(&pending, spec, usable, now);
                 }
-                let suspicion = self.task_mut(task).and_then(|it| it.suspicion.as_mut());
-                if let Some(suspicion) = suspicion {
-                    suspicion.try_at = now.plus_ms(SEARCH_PAUSE_MS);
-                }
+                self.set_try_at(task, now.plus_ms(SEARCH_PAUSE_MS));
             }
         }
         worker
@@ -559,9 +573,16 @@
         self.workers[worker].circuit_breaker.record_start(now);
         self.refresh_latency_critical(worker, now);
         pending.is_withheld = true;
+        self.set_try_at(task, Timestamp::default());
         self.start(&submission, &pending, &[(task.index, worker)], now);
     }
 
+    fn set_try_at(&mut self, task: TaskKey, try_at: Timestamp) {
+        if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
+            it.try_at = try_at;
+        }
+    }
+
     /// Returns a suspected task as the only pending one of its step.
     fn isolated_task(&self, task: TaskKey, now: Timestamp) -> Option<PendingTasks> {
         let work = self.work.get(&task.step.submission)?;
@@ -578,9 +599,9 @@
         self.workers[index].allocations.values().any(|it| it.listings < PROVEN_LISTINGS)
     }
 
-    /// Returns the worker on which a suspected task should run next: one that
-    /// can take it soon, whose host is sound, and on which a crash would lose
-    /// the least.
+    /// Returns the worker on which a suspected task should run next: one with
+    /// free capacity if there is any, whose host is sound, and on which a crash
+    /// would lose the least.
     fn find_isolated(
         &self,
         pending: &PendingTasks,
@@ -608,8 +629,10 @@
         let harm = |index: &WorkerIndex| {
             let worker = &self.workers[*index];
             let is_sound = self.suspects.is_host_sound(worker.listing.host.as_ref(), now);
-            let is_ready = needed.fits_in(worker.free()) && !self.has_new_runs(*index);
-            (!is_sound, !is_ready, is_far(index), worker.allocations.len(), *index)
+            // New runs are listed within a few polls, but batch work may take long.
+            let is_full = !needed.fits_in(worker.free());
+            let has_new = self.has_new_runs(*index);
+            (is_full, !is_sound, has_new, is_far(index), worker.allocations.len(), *index)
         };
         usable.iter().copied().filter(fits).min_by_key(harm)
     }
@@ -721,8 +744,12 @@
         let (kept, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
             claims.into_iter().partition(|(index, claim)| is_kept(*index, *claim));
         self.suspects.claims = kept;
-        for index in ended.into_keys() {
+        for (index, claim) in ended {
             self.workers[index].is_changed = true;
+            let work = self.work.get(&claim.task.step.submission);
+            if work.and_then(|it| it.task(claim.task)).is_some_and(Task::is_waiting) {
+                self.set_try_at(claim.task, now);
+            }
         }
     }
 
