Explain what long-running tasks without a run wait for

Callers see a long-running task that does not run beside free capacity; the logs showed nothing. `submission_blocked` only covers submissions without any run, so one task that waits beside running tasks of its step was invisible.

The leader now checks twice a second which tasks of ready long-running steps have no live run. For those that have waited for 3 s it logs `task_waiting` with what the task waits for and the obstacle of the nearest worker: at most four lines a second, and one in 5 s for each task; tasks with capacity free go first. `/dump` holds the last line of each as `long_running_waits`. Two gauges count them, and those for which a listed worker has capacity in a pool of which under half is in use. The capacity counts by what service discovery lists, so a worker that the planner wrongly excludes counts as well.

Tests: long_running_waits, whole_path (operators_view).

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -23,6 +23,7 @@
 mod schedule;
 mod suspects;
 mod tickets;
+mod waits;
 mod work;
 mod workers;
 
@@ -42,6 +43,7 @@
     placement::Obstacle,
     suspects::Suspects,
     tickets::Tickets,
+    waits::LongRunningWaits,
     work::{Run, Task, Work, WorkerIndex},
     workers::{Allocation, Worker, WorkloadKind},
 };
@@ -129,6 +131,8 @@
     Finished,
     /// A submission has had no run for a while although it could have one.
     SubmissionBlocked,
+    /// A task of a long-running step has had no run for seconds.
+    TaskWaiting,
     /// A worker gets no new work for some time.
     #[strum(serialize = "worker_closed")]
     WorkerSuspended,
@@ -211,6 +215,7 @@
     tickets: Tickets,
     suspects: Suspects,
     blocked: BlockedSubmissions,
+    waits: LongRunningWaits,
     /// Number of the last placement round.
     round: u64,
     /// The worker with which the next search for slowed tasks begins.
@@ -258,6 +263,7 @@
             tickets: Tickets::default(),
             suspects: Suspects::default(),
             blocked: BlockedSubmissions::default(),
+            waits: LongRunningWaits::default(),
             round: 0,
             next_move_check: 0,
             scored_workers: AtomicU64::new(0),
@@ -595,6 +601,8 @@
         PlanCounts {
             waiting_steps: self.waiting.len(),
             blocked_submissions: self.blocked.count(),
+            waiting_long_running: self.waits.waiting(),
+            waiting_beside_capacity: self.waits.waiting_beside_capacity(),
             placed_runs: self.workers.iter().map(|it| it.allocations.len()).sum(),
             schedulable_workers: (0..self.workers.len())
                 .filter(|it| self.obstacle(*it, now).is_none())
@@ -756,6 +764,11 @@
     /// Submissions that have had no run for a while although they could have
     /// one.
     pub blocked_submissions: usize,
+    /// Tasks of long-running steps that have had no run for seconds.
+    pub waiting_long_running: usize,
+    /// Those of them for which a worker has capacity, in a pool of which under
+    /// half is in use.
+    pub waiting_beside_capacity: usize,
     /// Runs that hold capacity.
     pub placed_runs: usize,
     /// Workers that accept new work.
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -227,6 +227,7 @@
             self.move_slowed(&schedulable, now);
         }
         self.handle_blocked(&schedulable, now);
+        self.check_waits(now);
     }
 
     pub(super) fn begin_due(&mut self, id: SubmissionId, now: Timestamp) {
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -150,6 +150,21 @@
     }
 }
 
+/// What a suspected task waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SuspectWait {
+    /// What becomes of a worker that may have crashed under it.
+    Undecided,
+    /// The record of what is known against it.
+    Unstored,
+    /// The record of its next run.
+    Withheld,
+    /// The worker that is isolated for it.
+    Claimed,
+    /// A worker that can be isolated for it.
+    Unclaimed,
+}
+
 /// A start that is ordered once its record is stored; the members of a gang
 /// start together.
 #[derive(Debug)]
@@ -251,6 +266,26 @@
         self.work.get(&task.step.submission)?.task(task)?.suspicion.as_deref()
     }
 
+    /// Returns what a task waits for because it is suspected; `None` if it is
+    /// not.
+    pub(super) fn suspect_wait(&self, task: TaskKey, now: Timestamp) -> Option<SuspectWait> {
+        let mut withheld = self.suspects.withheld.iter().flat_map(|it| &it.orders);
+        if withheld.any(|it| it.2.task == task) {
+            return Some(SuspectWait::Withheld);
+        }
+        let suspicion = self.suspicion(task)?;
+        let wait = if self.suspects.stored_change < suspicion.change {
+            SuspectWait::Unstored
+        } else if suspicion.is_undecided(now) {
+            SuspectWait::Undecided
+        } else if self.suspects.claims.values().any(|it| it.task == task) {
+            SuspectWait::Claimed
+        } else {
+            SuspectWait::Unclaimed
+        };
+        Some(wait)
+    }
+
     /// Changes what is known against a task, and has it stored.
     fn change_suspicion(&mut self, task: TaskKey, change: impl FnOnce(&mut Suspicion)) {
         self.mark_dirty(task.step.submission);
--- /dev/null
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -0,0 +1,358 @@
+//! Why tasks of long-running steps have no run.
+//!
+//! A long-running task is to run until it is stopped, so one that waits while
+//! capacity is free points to a fault, also beside other tasks of its step that
+//! run. For some of the tasks that have waited for seconds, the log says what
+//! each waits for, and which obstacle keeps it from the worker that is nearest
+//! to running it. Those for which capacity is free go first, then those that
+//! were not explained for the longest time.
+//!
+//! Checks are done a few times a second only, as each goes through all
+//! submissions. The number of explanations bounds the log and the processor
+//! time, since each compares all workers.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap},
+};
+
+use strum::Display;
+
+use super::{
+    DecisionKind, Planner,
+    placement::{self, Obstacle},
+    schedule::PendingTasks,
+    suspects::SuspectWait,
+    work::{Phase, Run, WorkerIndex},
+    workers::Worker,
+};
+use crate::{
+    fleet::{
+        id::{StepKey, TaskKey},
+        submission::StepSpec,
+    },
+    size::Resources,
+    time::Timestamp,
+};
+
+/// Time between two checks, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 500;
+/// Time without a run after which a task counts as waiting, in milliseconds: as
+/// long as users accept.
+const WAITING_AFTER_MS: u64 = 3_000;
+/// Time between two groups of explanations, in milliseconds.
+const EXPLAIN_INTERVAL_MS: u64 = 1_000;
+/// Time between two explanations of one task, in milliseconds.
+const EXPLAIN_AGAIN_MS: u64 = 5_000;
+/// Most tasks explained at once.
+const MAX_EXPLAINED: usize = 4;
+/// Most steps for which a check looks for a worker with capacity. Only pools
+/// that are mostly free count, where few steps wait.
+const MAX_CHECKED_STEPS: usize = 100;
+/// Most tasks in the dump of the process's state.
+const MAX_DUMPED: usize = 100;
+
+/// What a task waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+enum Reason {
+    /// The workers that may run it under an earlier leader.
+    Fence,
+    /// The pause after its last run.
+    Pause,
+    /// What becomes of a silent worker that it may have crashed.
+    Suspicion,
+    /// The record of a suspicion, without which it does not start.
+    Record,
+    /// A worker that can be isolated for it.
+    Isolation,
+    /// The worker that is isolated for it.
+    Claim,
+    /// The confirmation of its start.
+    Start,
+    /// The end of a run that was ordered to stop.
+    Stop,
+    /// The end of the leases of a silent worker.
+    Lease,
+    /// Capacity.
+    Capacity,
+    /// The end of a worker's suspension.
+    Suspension,
+    /// The end of a reservation for another step.
+    Reservation,
+    /// The end of another obstacle of the nearest worker.
+    Worker,
+    /// Nothing: the nearest worker can run it.
+    Placement,
+}
+
+/// A task without a run.
+#[derive(Clone, Debug)]
+struct Wait {
+    since: Timestamp,
+    explained_at: Timestamp,
+    /// The last explanation; empty before the first.
+    explanation: String,
+    has_free_worker: bool,
+}
+
+/// Tasks of long-running steps without a run, as of the last check.
+#[derive(Debug, Default)]
+pub(super) struct LongRunningWaits {
+    tasks: BTreeMap<TaskKey, Wait>,
+    waiting: usize,
+    waiting_beside_capacity: usize,
+    check_at: Timestamp,
+    explain_at: Timestamp,
+}
+
+impl LongRunningWaits {
+    /// Returns how many tasks have waited for seconds.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns how many of them wait although capacity for them is free and
+    /// under half of their pool is in use.
+    pub(super) fn waiting_beside_capacity(&self) -> usize {
+        self.waiting_beside_capacity
+    }
+}
+
+/// The worker that is nearest to running a task.
+struct Nearest {
+    index: WorkerIndex,
+    obstacle: Option<Obstacle>,
+}
+
+impl Planner {
+    /// Returns what the long-running tasks wait for that have waited for
+    /// seconds, for the dump of the process's state: the longest wait first,
+    /// and a bounded number.
+    pub fn long_running_waits(&self, now: Timestamp) -> Vec<String> {
+        let waiting = self.waits.tasks.iter().filter(|it| it.1.is_long(now));
+        let mut waiting: Vec<(&TaskKey, &Wait)> = waiting.collect();
+        waiting.sort_by_key(|(task, it)| (it.explanation.is_empty(), it.since, **task));
+        let row = |(task, it): (&TaskKey, &Wait)| match it.explanation.as_str() {
+            "" => format!("task={task} waited_ms={}", now.ms_since(it.since)),
+            explanation => explanation.to_owned(),
+        };
+        waiting.into_iter().take(MAX_DUMPED).map(row).collect()
+    }
+
+    /// Finds the long-running tasks without a run, and logs what some of them
+    /// wait for.
+    pub(super) fn check_waits(&mut self, now: Timestamp) {
+        if now < self.waits.check_at {
+            return;
+        }
+        self.waits.check_at = now.plus_ms(CHECK_INTERVAL_MS);
+        self.find_waits(now);
+        if self.waits.explain_at <= now && 0 < self.waits.waiting {
+            self.waits.explain_at = now.plus_ms(EXPLAIN_INTERVAL_MS);
+            self.explain_waits(now);
+        }
+    }
+
+    fn find_waits(&mut self, now: Timestamp) {
+        let mut earlier = std::mem::take(&mut self.waits.tasks);
+        let mut free_by_service: HashMap<&str, bool> = HashMap::new();
+        let (mut tasks, mut checked) = (BTreeMap::new(), 0);
+        for work in self.work.values().filter(|it| !it.state.is_final()) {
+            let steps = work.occurrences.iter().flat_map(|occurrence| {
+                work.submission.step_keys(occurrence.number).zip(&occurrence.steps)
+            });
+            for (key, step) in steps {
+                let spec = &work.submission.steps[usize::from(key.step)];
+                if !step.is_ready || !spec.is_long_running {
+                    continue;
+                }
+                let mut has_free_worker = None;
+                for (i, slot) in step.tasks.iter().enumerate() {
+                    let task = TaskKey { step: key, index: i as u16 };
+                    if slot.is_done() || slot.run().is_some_and(|it| self.is_alive(task, it)) {
+                        continue;
+                    }
+                    let mut wait = earlier.remove(&task).unwrap_or(Wait {
+                        since: now,
+                        explained_at: Timestamp::default(),
+                        explanation: String::new(),
+                        has_free_worker: false,
+                    });
+                    let service = work.queue.service.as_str();
+                    wait.has_free_worker = wait.is_long(now)
+                        && *has_free_worker.get_or_insert_with(|| {
+                            checked += 1;
+                            checked <= MAX_CHECKED_STEPS
+                                && *free_by_service
+                                    .entry(service)
+                                    .or_insert_with(|| self.is_pool_mostly_free(service))
+                                && self.has_free_worker(spec, service)
+                        });
+                    tasks.insert(task, wait);
+                }
+            }
+        }
+        self.waits.waiting = tasks.values().filter(|it| it.is_long(now)).count();
+        self.waits.waiting_beside_capacity = tasks.values().filter(|it| it.has_free_worker).count();
+        self.waits.tasks = tasks;
+    }
+
+    fn explain_waits(&mut self, now: Timestamp) {
+        let is_due =
+            |it: &Wait| it.is_long(now) && EXPLAIN_AGAIN_MS <= now.ms_since(it.explained_at);
+        let due = self.waits.tasks.iter().filter(|it| is_due(it.1));
+        let rank = |it: &Wait| (!it.has_free_worker, it.explained_at, it.since);
+        let mut due: Vec<_> = due.map(|(task, it)| (rank(it), *task)).collect();
+        due.sort_unstable();
+        for (_, task) in due.into_iter().take(MAX_EXPLAINED) {
+            let Some(explanation) = self.explain_wait(task, now) else { continue };
+            if let Some(it) = self.waits.tasks.get_mut(&task) {
+                it.explained_at = now;
+                it.explanation.clone_from(&explanation);
+            }
+            let submission = Some(task.step.submission);
+            self.log_decision(DecisionKind::TaskWaiting, submission, None, || explanation);
+        }
+    }
+
+    /// Returns whether a run is known to be alive and is not being stopped.
+    fn is_alive(&self, task: TaskKey, run: &Run) -> bool {
+        run.is_confirmed
+            && !self.workers[run.worker].is_silent
+            && !self.stops.contains_key(&(run.worker, task, run.run))
+    }
+
+    /// Returns whether under half of a pool's processors are in use.
+    fn is_pool_mostly_free(&self, service: &str) -> bool {
+        let in_pool = self.workers.iter().filter(|it| it.listing.service == service);
+        placement::is_mostly_free(in_pool.filter(|it| is_offered(it)))
+    }
+
+    /// Returns whether a worker has capacity for a task of a step.
+    fn has_free_worker(&self, spec: &StepSpec, service: &str) -> bool {
+        let needed = spec.allocation();
+        self.workers.iter().any(|it| {
+            is_offered(it) && placement::is_eligible(it, spec, service) && needed.fits_in(it.free())
+        })
+    }
+
+    fn explain_wait(&self, task: TaskKey, now: Timestamp) -> Option<String> {
+        let work = self.work.get(&task.step.submission)?;
+        let spec = work.submission.steps.get(usize::from(task.step.step))?;
+        let step = work.occurrence(task.step.occurrence)?.steps.get(usize::from(task.step.step))?;
+        let wait = self.waits.tasks.get(&task)?;
+        let nearest = self.nearest_worker(task.step, now);
+        let reason = self.wait_reason(task, nearest.as_ref(), now)?;
+        let alive = step.tasks.iter().enumerate().filter(|(i, it)| {
+            let task = TaskKey { step: task.step, index: *i as u16 };
+            it.run().is_some_and(|it| self.is_alive(task, it))
+        });
+        let run = work.task(task)?.run().map(|it| self.worker_id(it.worker).to_string());
+        let (worker, obstacle, free) = match &nearest {
+            Some(it) => {
+                let obstacle = it.obstacle.map_or("none".to_owned(), |it| it.to_string());
+                (self.worker_id(it.index).to_string(), obstacle, self.workers[it.index].free())
+            }
+            None => ("-".to_owned(), "no_eligible_worker".to_owned(), Resources::ZERO),
+        };
+        let needed = spec.allocation();
+        Some(format!(
+            "task={task} waited_ms={} for={reason} run_at={} nearest={worker} obstacle={obstacle} \
+             free_cpu={} free_memory={} cpu={} memory={} step_runs={} of={} beside_capacity={}",
+            now.ms_since(wait.since),
+            run.as_deref().unwrap_or("-"),
+            free.cpu,
+            free.memory,
+            needed.cpu,
+            needed.memory,
+            alive.count(),
+            spec.count,
+            wait.has_free_worker,
+        ))
+    }
+
+    fn wait_reason(
+        &self,
+        task: TaskKey,
+        nearest: Option<&Nearest>,
+        now: Timestamp,
+    ) -> Option<Reason> {
+        let work = self.work.get(&task.step.submission)?;
+        let slot = work.task(task)?;
+        let suspect_wait = self.suspect_wait(task, now);
+        if let Phase::Placed(run) = &slot.phase {
+            let reason = if self.stops.contains_key(&(run.worker, task, run.run)) {
+                Reason::Stop
+            } else if suspect_wait == Some(SuspectWait::Withheld) {
+                Reason::Record
+            } else if self.workers[run.worker].is_silent {
+                Reason::Lease
+            } else {
+                Reason::Start
+            };
+            return Some(reason);
+        }
+        if !work.is_known_unstarted && !self.is_all_fenced(&work.queue.service, now) {
+            return Some(Reason::Fence);
+        }
+        if now < slot.not_before {
+            return Some(Reason::Pause);
+        }
+        let reason = match (suspect_wait, nearest.map(|it| it.obstacle)) {
+            (Some(SuspectWait::Undecided), _) => Reason::Suspicion,
+            (Some(SuspectWait::Unstored | SuspectWait::Withheld), _) => Reason::Record,
+            (Some(SuspectWait::Claimed), _) => Reason::Claim,
+            (Some(SuspectWait::Unclaimed), _) => Reason::Isolation,
+            (None, Some(None)) => Reason::Placement,
+            (None, Some(Some(Obstacle::NoCapacity)) | None) => Reason::Capacity,
+            (None, Some(Some(Obstacle::Suspended))) => Reason::Suspension,
+            (None, Some(Some(Obstacle::Reserved))) => Reason::Reservation,
+            (None, Some(Some(_))) => Reason::Worker,
+        };
+        Some(reason)
+    }
+
+    /// Returns the eligible worker that is nearest to running a task of a step:
+    /// preferably one with capacity for it, and then one with a mild obstacle.
+    fn nearest_worker(&self, key: StepKey, now: Timestamp) -> Option<Nearest> {
+        let work = self.work.get(&key.submission)?;
+        let spec = &work.submission.steps[usize::from(key.step)];
+        let pending = PendingTasks::of_step(key, work, false)?;
+        let req = self.request(&pending, spec, None);
+        let rank = self.waiting_step(key).map(|it| it.rank(now));
+        let may_use_reserved = rank.is_none_or(|it| it.may_use_reserved(spec.is_long_running));
+        let needed = spec.allocation();
+        let is_eligible = |it: &WorkerIndex| {
+            placement::is_eligible(&self.workers[*it], spec, &work.queue.service)
+        };
+        let nearest = |index: WorkerIndex| {
+            let is_reserved =
+                !may_use_reserved && self.reserved.get(&index).is_some_and(|it| *it != key);
+            let obstacle = self
+                .obstacle(index, now)
+                .or_else(|| self.score(&pending, req, index, now).err())
+                .or(is_reserved.then_some(Obstacle::Reserved));
+            Nearest { index, obstacle }
+        };
+        // The obstacles are ordered by severity, the most severe first.
+        let severity = |it: &Nearest| {
+            let worker = &self.workers[it.index];
+            let fits = needed.fits_in(worker.free());
+            (!fits, it.obstacle.map(Reverse), Reverse(worker.free().cpu), it.index)
+        };
+        (0..self.workers.len()).filter(is_eligible).map(nearest).min_by_key(severity)
+    }
+}
+
+/// Returns whether service discovery offers a worker for new work. A planner
+/// that wrongly takes it for unusable would miss the capacity there.
+fn is_offered(worker: &Worker) -> bool {
+    worker.is_listed && !worker.listing.is_draining
+}
+
+impl Wait {
+    fn is_long(&self, now: Timestamp) -> bool {
+        WAITING_AFTER_MS <= now.ms_since(self.since)
+    }
+}
--- /dev/null
+++ b/crates/mustardcove-core/tests/long_running_waits.rs
@@ -0,0 +1,113 @@
+//! The log lines and counts of long-running tasks that have no run.
+//!
+//! Guards against a task that waits for good beside running ones of its step
+//! and leaves no trace of the reason.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use std::collections::BTreeMap;
+
+use fleet_world::{manifest, step, submission};
+use mustardcove_core::fleet::{
+    id::Incarnation, message::WorkerReport, planner::DecisionKind, submission::StepSpec,
+};
+use planner_rig::{Rig, START};
+
+fn long_running(count: u16, cpu: u64) -> StepSpec {
+    StepSpec { is_long_running: true, ..step(count, cpu, &[]) }
+}
+
+/// Plans every 200 ms, and returns the new lines.
+fn run(rig: &mut Rig, ms: u64) -> Vec<String> {
+    let mut lines = Vec::new();
+    for _ in 0..ms / 200 {
+        rig.advance(200);
+        rig.poll_all();
+        rig.planner.tick(rig.now);
+        let decisions = rig.planner.take_actions().decisions;
+        let waiting = decisions.into_iter().filter(|it| it.kind == DecisionKind::TaskWaiting);
+        lines.extend(waiting.map(|it| it.inputs));
+    }
+    lines
+}
+
+#[test]
+fn waits_beside_running() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 2_000), ("w1", 1_000)]);
+    rig.submit(submission(1, vec![long_running(2, 1_500)], START));
+    rig.plan();
+    assert!(run(&mut rig, 2_800).is_empty(), "the wait has only begun");
+    let lines = run(&mut rig, 3_000);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    for part in ["for=capacity", "nearest=w1 obstacle=no_capacity", "step_runs=1 of=2"] {
+        assert!(lines[0].contains(part), "{lines:?}");
+    }
+    let counts = rig.planner.counts(rig.now);
+    assert_eq!((counts.waiting_long_running, counts.waiting_beside_capacity), (1, 0));
+    assert_eq!(rig.planner.long_running_waits(rig.now), lines);
+}
+
+#[test]
+fn waits_beside_capacity() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
+    rig.submit(submission(1, vec![long_running(1, 500)], START));
+    let starts = rig.plan();
+    let (worker, _) = &starts[0];
+    rig.workers.get_mut(worker).expect("a worker").running.clear();
+    let replaced = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
+    rig.planner.report(worker, replaced, rig.now);
+    let lines = run(&mut rig, 4_000);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].contains("for=record") && lines[0].contains("obstacle=none"), "{lines:?}");
+    assert_eq!(rig.planner.counts(rig.now).waiting_beside_capacity, 1);
+    rig.store();
+    for _ in 0..3 {
+        rig.plan();
+        rig.store();
+    }
+    run(&mut rig, 600);
+    let counts = rig.planner.counts(rig.now);
+    assert_eq!((counts.waiting_long_running, counts.waiting_beside_capacity), (0, 0));
+    assert!(rig.planner.long_running_waits(rig.now).is_empty());
+}
+
+/// A placed task waits for the leases of its silent worker, not for capacity.
+#[test]
+fn waits_for_lease() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000)]);
+    rig.submit(submission(1, vec![long_running(1, 500)], START));
+    rig.plan();
+    let worker = rig.listings[0].worker.clone();
+    let silent = WorkerReport::PollFailed { leases_expire_by: None, is_silent: true };
+    rig.planner.report(&worker, silent, rig.now);
+    for _ in 0..20 {
+        rig.advance(200);
+        rig.planner.tick(rig.now);
+    }
+    let rows = rig.planner.long_running_waits(rig.now);
+    assert!(rows[0].contains("for=lease run_at=w0"), "{rows:?}");
+    assert!(rows[0].contains("obstacle=silent"), "{rows:?}");
+}
+
+#[test]
+fn lines_limited() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 1_000)]);
+    for id in 1..=10 {
+        rig.submit(submission(id, vec![long_running(5, 1_500)], START));
+    }
+    run(&mut rig, 3_000);
+    let mut lines_of: BTreeMap<String, usize> = BTreeMap::new();
+    for line in run(&mut rig, 15_000) {
+        let task = line.split(' ').next().unwrap_or_default().to_owned();
+        *lines_of.entry(task).or_default() += 1;
+    }
+    let lines: usize = lines_of.values().sum();
+    assert!((50..=60).contains(&lines), "4 lines a second: {lines}");
+    assert_eq!(lines_of.len(), 50, "each task has its turn");
+    assert_eq!(rig.planner.long_running_waits(rig.now).len(), 50);
+}
--- a/crates/mustardcove-node/src/dump.rs
+++ b/crates/mustardcove-node/src/dump.rs
@@ -33,6 +33,7 @@
         dump.add_value("may_extend_leases", &shared.may_extend_leases());
         dump.add_value("known_submissions", &shared.states().len());
         dump.add_value("unconfirmed_by_leader", &!shared.outbox.is_empty());
+        dump.add_rows("long_running_waits", shared.long_running_waits().clone());
         dump.add_rows("reaching_store", shared.last_heartbeat().reaching_store.clone());
         dump.add_rows("peers", shared.peers.status().into_iter().map(|it| it.process));
         dump
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -511,6 +511,7 @@
         self.check_lag();
         self.sync_states();
         self.shared.metrics.record_plan(self.planner.counts(now));
+        *self.shared.long_running_waits() = self.planner.long_running_waits(now);
     }
 
     /// Records how old the reports are that were handled since the last
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -105,6 +105,7 @@
                 info!(shared.log, "leading"; "term" => %term, "claims" => record.claims);
                 let reason = leader::lead(&shared, term, record.claims, &mut inputs).await;
                 info!(shared.log, "no longer leading"; "term" => %term, "why" => reason);
+                shared.long_running_waits().clear();
                 let is_ours = |it: &mut Leadership| {
                     let is_ours = it.term == term;
                     if is_ours {
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -25,6 +25,8 @@
     leader_inputs_dropped: Counter<u64>,
     waiting_steps: Gauge<u64>,
     blocked_submissions: Gauge<u64>,
+    waiting_long_running: Gauge<u64>,
+    waiting_beside_capacity: Gauge<u64>,
     placed_runs: Gauge<u64>,
     schedulable_workers: Gauge<u64>,
     suspect_tasks: Gauge<u64>,
@@ -58,6 +60,14 @@
                 "blocked_submissions",
                 "Submissions without a run although they could have one, at the leader.",
             ),
+            waiting_long_running: gauge(
+                "waiting_long_running",
+                "Long-running tasks without a run for seconds, at the leader.",
+            ),
+            waiting_beside_capacity: gauge(
+                "waiting_beside_capacity",
+                "Long-running tasks without a run for seconds although capacity is free, at the leader.",
+            ),
             placed_runs: gauge("placed_runs", "Runs that take capacity, at the leader."),
             schedulable_workers: gauge(
                 "open_workers",
@@ -115,6 +125,8 @@
     pub fn record_plan(&self, counts: PlanCounts) {
         self.waiting_steps.record(counts.waiting_steps as u64, &[]);
         self.blocked_submissions.record(counts.blocked_submissions as u64, &[]);
+        self.waiting_long_running.record(counts.waiting_long_running as u64, &[]);
+        self.waiting_beside_capacity.record(counts.waiting_beside_capacity as u64, &[]);
         self.placed_runs.record(counts.placed_runs as u64, &[]);
         self.schedulable_workers.record(counts.schedulable_workers as u64, &[]);
         self.suspect_tasks.record(counts.suspect_tasks as u64, &[]);
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -102,6 +102,8 @@
     candidacy_changed: Notify,
     last_heartbeat: Mutex<LastHeartbeat>,
     store_health: Mutex<StoreHealth>,
+    /// What long-running tasks wait for, while this process leads.
+    long_running_waits: Mutex<Vec<String>>,
     next_request: AtomicU64,
     store_requests: Mutex<BTreeMap<u64, oneshot::Sender<StoreOutcome>>>,
 }
@@ -158,6 +160,7 @@
             candidacy_changed: Notify::new(),
             last_heartbeat: Mutex::default(),
             store_health: Mutex::default(),
+            long_running_waits: Mutex::default(),
             next_request: AtomicU64::new(1),
             store_requests: Mutex::default(),
             process: parts.process,
@@ -190,6 +193,12 @@
         self.manifest.borrow().clone()
     }
 
+    /// Returns what long-running tasks wait for, as of the last heartbeat that
+    /// this process sent; empty unless it leads.
+    pub fn long_running_waits(&self) -> MutexGuard<'_, Vec<String>> {
+        lock(&self.long_running_waits)
+    }
+
     /// Returns the version of the manifest in force; 0 if there is none.
     pub fn manifest_version(&self) -> ManifestVersion {
         self.manifest.borrow().as_ref().map(|it| it.version).unwrap_or_default()
--- a/crates/mustardcove-node/tests/whole_path.rs
+++ b/crates/mustardcove-node/tests/whole_path.rs
@@ -159,6 +159,7 @@
     assert_eq!(rig.admin(0, "/readyz").await.unwrap().0, StatusCode::OK);
     let (_, dump) = rig.admin(1, "/dump").await.unwrap();
     assert!(dump.contains("\"term\"") && dump.contains("\"leader\""), "{dump}");
+    assert!(dump.contains("\"long_running_waits\""), "{dump}");
 }
 
 /// Guards against a process that reads the manifest in a loop without a pause
