Poll a listed worker again after another one was found in its place

What callers would see: a worker that is back under its id is never used again in this term; the capacity there counts as free. Cause: the report that another worker answers at an address marked the worker as replaced until a later incarnation was listed. If that one was listed, at another address, before the report arrived, nothing cleared the mark: the worker was not polled, and the answers of its next incarnation counted as late from the second one on. The same holds for a report of a poller that was never answered, which names no incarnation. Evidence: by tests only, polled_at_new_address and polled_again; both failed before. Change: a report about an incarnation before the listed one does not stop the polls. A listed worker is polled again after 8 s, when the entry of one that has ended has lapsed. An answer clears the mark.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -438,7 +438,7 @@
             let is_newer = worker.listing.incarnation <= listing.incarnation;
             worker.is_listed = true;
             if worker.listing.incarnation < listing.incarnation {
-                worker.is_replaced = false;
+                worker.restored();
             }
             if is_newer && worker.listing != listing {
                 worker.is_changed = true;
@@ -490,7 +490,7 @@
     pub fn workers_to_poll(&self) -> impl Iterator<Item = (&WorkerListing, Option<Timestamp>)> {
         let needs_polling = |it: &&Worker| {
             let may_be_used = it.is_listed || it.may_run_earlier_work;
-            !it.is_replaced && (may_be_used || !it.allocations.is_empty())
+            !it.is_excluded && (may_be_used || !it.allocations.is_empty())
         };
         self.workers.iter().filter(needs_polling).map(|it| (&it.listing, it.responsive_since))
     }
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -95,7 +95,7 @@
     /// everything there has ended, whatever leases it had.
     fn worker_replaced(&mut self, index: WorkerIndex, now: Timestamp) {
         let worker = &mut self.workers[index];
-        if std::mem::replace(&mut worker.is_replaced, true) {
+        if !worker.replaced(now) {
             return;
         }
         worker.may_run_earlier_work = false;
@@ -116,10 +116,10 @@
 
     fn worker_polled(&mut self, index: WorkerIndex, poll: PollResult, now: Timestamp) {
         let worker = &mut self.workers[index];
-        let is_past = |it| poll.incarnation < it || (worker.is_replaced && poll.incarnation == it);
-        if worker.incarnation.is_some_and(is_past) {
+        if worker.has_ended(poll.incarnation, now) {
             return;
         }
+        worker.restored();
         let was_silent = std::mem::take(&mut worker.is_silent);
         if was_silent {
             let id = worker.listing.worker.clone();
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -219,6 +219,7 @@
         self.retry_stops(now);
         self.expire_leases(now);
         self.expire_earlier_work(now);
+        self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
         self.start_suspects(now);
         let schedulable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -20,6 +20,11 @@
     time::Timestamp,
 };
 
+/// Time for which a listed worker is not polled after another one was found in
+/// its place, in milliseconds: longer than the entry of a worker lasts that has
+/// ended.
+const EXCLUSION_MS: u64 = 8_000;
+
 /// A worker as service discovery lists it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkerListing {
@@ -108,8 +113,11 @@
     pub(super) is_silent: bool,
     /// Whether its present incarnation was listed as about to leave.
     pub(super) was_draining: bool,
-    /// Whether another worker has taken its place, so that nothing runs there.
-    pub(super) is_replaced: bool,
+    /// When another worker was found in its place last, so that nothing runs
+    /// there; `None` once it has a later incarnation or answers again.
+    pub(super) replaced_at: Option<Timestamp>,
+    /// Whether it is not polled for that reason.
+    pub(super) is_excluded: bool,
     /// The time by which every run there has ended unless it answers again.
     pub(super) leases_expire_by: Timestamp,
     /// The time by which every lease has expired that an ordered start may
@@ -170,7 +178,8 @@
             polled_at: None,
             is_silent: false,
             was_draining: false,
-            is_replaced: false,
+            replaced_at: None,
+            is_excluded: false,
             leases_expire_by: Timestamp::default(),
             ordered_leases_expire_by: earlier_leases_expire_by,
             responsive_since: None,
@@ -273,6 +282,37 @@
         self.circuit_breaker = CircuitBreaker::default();
     }
 
+    /// Records that another worker was found in its place. Returns whether this
+    /// is new.
+    pub(super) fn replaced(&mut self, now: Timestamp) -> bool {
+        // The next incarnation may be listed already, at another address.
+        let is_next_listed = self.incarnation.is_some_and(|it| it < self.listing.incarnation);
+        self.is_excluded = !is_next_listed;
+        self.replaced_at.replace(now).is_none()
+    }
+
+    /// Records that it answers, or may answer, as before or as a later
+    /// incarnation.
+    pub(super) fn restored(&mut self) {
+        self.replaced_at = None;
+        self.is_excluded = false;
+    }
+
+    /// Returns whether an incarnation has ended, so that its answers are late.
+    pub(super) fn has_ended(&self, incarnation: Incarnation, now: Timestamp) -> bool {
+        let is_replaced = self.replaced_at.is_some_and(|it| now.ms_since(it) < EXCLUSION_MS);
+        let is_past = |it| incarnation < it || (is_replaced && incarnation == it);
+        self.incarnation.is_some_and(is_past)
+    }
+
+    /// Ends the exclusion of a worker that is listed although another one was
+    /// found in its place a while ago: the report may have been about an earlier
+    /// address.
+    pub(super) fn expire_exclusion(&mut self, now: Timestamp) {
+        let is_over = self.replaced_at.is_none_or(|it| EXCLUSION_MS <= now.ms_since(it));
+        self.is_excluded &= !(self.is_listed && is_over);
+    }
+
     /// Handles the loss of the poller. It may have extended leases until
     /// `leases_expire_by` if the leader had confirmed the worker's answers.
     pub(super) fn poller_lost(&mut self, leases_expire_by: Timestamp) {
@@ -289,7 +329,7 @@
     /// Returns whether nothing that an earlier leader ordered can begin or go on
     /// there unseen: it was polled in this term, or has ended.
     pub(super) fn is_fenced(&self) -> bool {
-        self.incarnation.is_some() || self.is_replaced
+        self.incarnation.is_some() || self.replaced_at.is_some()
     }
 
     /// Returns whether the reports of its poller that were sent by a time have
--- a/crates/mustardcove-core/tests/replaced_worker.rs
+++ b/crates/mustardcove-core/tests/replaced_worker.rs
@@ -1,8 +1,9 @@
 //! A worker that has ended, and whose address another one serves.
 //!
 //! Guards against work that waits for the lease of a worker which is known to
-//! have crashed, and against reports about an earlier incarnation that end what
-//! runs in the present one.
+//! have crashed, against reports about an earlier incarnation that end what
+//! runs in the present one, and against listed workers that are never polled
+//! again.
 
 #[path = "support/fleet_world.rs"]
 #[expect(dead_code, reason = "shared with tests that need more of it")]
@@ -13,7 +14,7 @@
     fleet::{
         id::{Incarnation, Term},
         message::{Order, PollResult, RunningTask, StartOrder, WorkerReport},
-        planner::Planner,
+        planner::{Planner, WorkerListing},
         submission::StepSpec,
     },
     time::Timestamp,
@@ -26,6 +27,8 @@
 /// Longest time until its work runs again, in milliseconds: for the poll that
 /// finds another worker, and a start.
 const RESTART_MS: u64 = 1_000;
+/// Longest time for which a listed worker is not polled, in milliseconds.
+const MAX_UNPOLLED_MS: u64 = 10_000;
 /// Tasks of the world, all of which run.
 const TASKS: usize = 24;
 
@@ -114,3 +117,67 @@
     planner.report(&worker, polled(vec![row]), now);
     assert_eq!(planner.counts(now).placed_runs, 0, "a late answer of what has ended");
 }
+
+fn polled(incarnation: u64, now: Timestamp) -> WorkerReport {
+    WorkerReport::Polled(PollResult {
+        incarnation: Incarnation(incarnation),
+        leases_expire_by: now.plus_ms(4_000),
+        responsive_since: now,
+        running: Vec::new(),
+        ended: Vec::new(),
+    })
+}
+
+/// The next incarnation is listed at another address before the report arrives
+/// that another worker has taken the place of the one before.
+#[test]
+fn polled_at_new_address() {
+    let mut now = Timestamp(1_000_000);
+    let mut planner = Planner::new(Term(9), 1, manifest(3), now);
+    let listed = listing("w0", 4_000, Incarnation(1));
+    let worker = listed.worker.clone();
+    planner.update_workers(vec![listed.clone()], true);
+    planner.report(&worker, polled(1, now), now);
+    let address = "127.0.0.1:2".parse().expect("an address");
+    let next = WorkerListing { address, incarnation: Incarnation(2), ..listed };
+    planner.update_workers(vec![next], true);
+    planner.report(&worker, WorkerReport::Replaced { incarnation: Some(Incarnation(1)) }, now);
+    assert_eq!(planner.workers_to_poll().count(), 1, "the next incarnation is polled");
+    for _ in 0..30 {
+        now = now.plus_ms(200);
+        planner.report(&worker, polled(2, now), now);
+        planner.tick(now);
+        assert_eq!(planner.counts(now).schedulable_workers, 1, "at {now}");
+    }
+}
+
+/// As before, but nobody has answered at the earlier address: the report does
+/// not tell which incarnation it is about.
+#[test]
+fn polled_again() {
+    let mut now = Timestamp(1_000_000);
+    let mut planner = Planner::new(Term(9), 1, manifest(3), now);
+    let listed = listing("w0", 4_000, Incarnation(2));
+    let worker = listed.worker.clone();
+    planner.update_workers(vec![listed.clone()], true);
+    planner.report(&worker, WorkerReport::Replaced { incarnation: None }, now);
+    assert_eq!(planner.workers_to_poll().count(), 0, "another worker answers there");
+    let until = now.plus_ms(MAX_UNPOLLED_MS);
+    while now < until {
+        now = now.plus_ms(200);
+        planner.update_workers(vec![listed.clone()], true);
+        planner.tick(now);
+    }
+    assert_eq!(planner.workers_to_poll().count(), 1);
+    planner.report(&worker, WorkerReport::Replaced { incarnation: None }, now);
+    assert_eq!(planner.workers_to_poll().count(), 0, "it still does");
+    assert_eq!(planner.counts(now).worker_crashes, 1, "one crash");
+    now = until.plus_ms(MAX_UNPOLLED_MS);
+    planner.tick(now);
+    for _ in 0..30 {
+        now = now.plus_ms(200);
+        planner.report(&worker, polled(2, now), now);
+        planner.tick(now);
+        assert_eq!(planner.counts(now).schedulable_workers, 1, "at {now}");
+    }
+}
