--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -219,6 +219,7 @@
         self.retry_stops(now);
         self.expire_leases(now);
         self.expire_earlier_work(now);
+        self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
         self.start_suspects(now);
         let schedulable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
@@ -227,6 +228,7 @@
             self.move_slowed(&schedulable, now);
         }
         self.handle_blocked(&schedulable, now);
+        self.check_waits(now);
     }
 
     pub(super) fn begin_due(&mut self, id: SubmissionId, now: Timestamp) {
