Isolate suspected tasks in groups, and more of them on a free pool

Cause: of the runs on a crashed worker, all that no two polls have listed are suspected, and a suspected task starts only alone on a worker that is isolated for it, for about 3 s. The queue for isolation is longer than users accept, and it was handed out by rank, in which late best-effort work comes last. Class: a precaution that everyone has to pass one after the other, without a bound on how long the queue may take.

Change: up to four tasks against which there is one crash, in which they were not the only suspects, start together on one isolated worker. If it goes on working, all are cleared; if not, each gets a worker of its own, so a sound task is beside one more crash at most. Up to half of the free share of the pool may be isolated, at least 15 % as before. The task that has waited the longest goes first.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -20,12 +20,11 @@
 
 use super::{
     DecisionKind, Planner,
-    placement::Obstacle,
+    placement::{self, Obstacle},
     work::{Phase, Step, Task, Work, WorkerIndex},
 };
 use crate::{
     fleet::id::{StepKey, SubmissionId, TaskKey},
-    size::Resources,
     time::Timestamp,
 };
 
@@ -175,13 +174,7 @@
     /// workers, in percent: that of the dimension with the largest share.
     fn reserved_percent(&self, service: &str, schedulable: &[WorkerIndex]) -> u64 {
         let workers = schedulable.iter().map(|it| &self.workers[*it]);
-        let (mut used, mut capacity) = (Resources::ZERO, Resources::ZERO);
-        for worker in workers.filter(|it| it.listing.service == service) {
-            used = used.saturating_add(worker.used);
-            capacity = capacity.saturating_add(worker.listing.capacity);
-        }
-        let percent = |used: u64, capacity: u64| (used * 100).checked_div(capacity).unwrap_or(0);
-        percent(used.cpu.0, capacity.cpu.0).max(percent(used.memory.0, capacity.memory.0))
+        placement::reserved_percent(workers.filter(|it| it.listing.service == service))
     }
 
     /// Starts one task of a best-effort step, or a gang as a whole, where it does
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -186,6 +186,18 @@
     used * 2 < capacity
 }
 
+/// Returns the reserved share of the capacity of the workers, in percent: that
+/// of the dimension with the largest share.
+pub(super) fn reserved_percent<'a>(workers: impl Iterator<Item = &'a Worker>) -> u64 {
+    let (mut used, mut capacity) = (Resources::ZERO, Resources::ZERO);
+    for worker in workers {
+        used = used.saturating_add(worker.used);
+        capacity = capacity.saturating_add(worker.listing.capacity);
+    }
+    let percent = |used: u64, capacity: u64| (used * 100).checked_div(capacity).unwrap_or(0);
+    percent(used.cpu.0, capacity.cpu.0).max(percent(used.memory.0, capacity.memory.0))
+}
+
 /// Returns the processors of the workers in use and in total, in millicores.
 fn used_cpu<'a>(workers: impl Iterator<Item = &'a Worker>) -> (u64, u64) {
     workers.fold((0, 0), |(used, capacity), it| {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Returns the first pending task.
+    pub(super) fn task(&self) -> TaskKey {
+        TaskKey { step: self.key, index: self.tasks.first().map_or(0, |it| it.0) }
+    }
+
     /// Returns the step without pending tasks; `None` if it has not begun.
     pub(super) fn of_step(key: StepKey, work: &Work, is_scarce: bool) -> Option<PendingTasks> {
         let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -18,6 +18,15 @@
 //! polls. Both are counted in polls and not in time, so that reports which are
 //! handled late clear nobody.
 //!
+//! **How long they wait.** When several workers crash together, tens of sound
+//! tasks are suspected, and one isolated worker for each would keep most of
+//! them waiting for many seconds. Tasks against which there is only one such
+//! crash therefore start in groups, as in group testing (R. Dorfman, "The
+//! Detection of Defective Members of Large Populations", 1943): a group whose
+//! worker goes on working is cleared at once, and the members of one under
+//! which it crashes get a worker each. The more of the pool is free, the more
+//! workers may be isolated.
+//!
 //! A task is given up after [`CRASHES`] crashes of which it was a suspect, if it
 //! was the only new run in [`SOLE_CRASHES`] of them, on hosts that had not
 //! crashed shortly before, or if an earlier leader may have started it, which
@@ -55,6 +64,7 @@
         submission::{StepSpec, Submission, SubmissionState},
     },
     id::HostId,
+    size::Resources,
     time::Timestamp,
 };
 
@@ -78,9 +88,15 @@
 /// Time after the crash of a host in which another one may be its own fault, in
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
-/// Most of the schedulable workers that may be isolated at once, in percent and
-/// rounded up; one more for a task that can start at once.
-const MAX_ISOLATED_PERCENT: usize = 15;
+/// Most of the usable workers that may be isolated at once on a full pool, in
+/// percent and rounded up; one more for a task that can start at once. On a
+/// pool with more free capacity it is half of the free share, since suspected
+/// work is expected to start there in time.
+const MAX_ISOLATED_PERCENT: u64 = 15;
+/// Most tasks that are isolated together, while there is little against any of
+/// them. Larger groups clear sound tasks faster, but a crash costs each other
+/// member a turn of its own.
+const MAX_GROUP: usize = 4;
 /// Longest time for which a worker is kept free of new starts for a task that
 /// still waits for it, in milliseconds: a few polls.
 const CLAIM_TIMEOUT_MS: u64 = 3_000;
@@ -102,8 +118,8 @@
     open_runs: Vec<OpenRun>,
     /// The change that has to be stored before the task starts again.
     change: u64,
-    /// No worker is looked for before this time; after those that were not tried
-    /// since their last start, the task that waits the longest goes first.
+    /// No worker is looked for before this time. The task with the earliest
+    /// goes first.
     try_at: Timestamp,
     /// The task does not wait for its open runs after this time.
     wait_until: Timestamp,
@@ -116,6 +132,7 @@
             crashed_runs: record.crashed_runs.clone(),
             open_runs: record.open_runs.clone(),
             wait_until: now.plus_ms(OPEN_WAIT_MS),
+            try_at: now,
             ..Suspicion::default()
         }
     }
@@ -150,6 +167,15 @@
         (CRASHES <= crashes && is_enough) || MAX_CRASHES <= crashes
     }
 
+    /// Returns whether so little speaks against the task that it may be isolated
+    /// together with others like it: one crash in which it was not the only
+    /// suspect. A sound task is then beside a second crash at most before it
+    /// gets a turn of its own.
+    fn is_weak(&self) -> bool {
+        let crashes = self.crashed_runs.len() + self.open_runs.len();
+        crashes <= 1 && !self.crashed_runs.iter().any(|it| it.is_sole)
+    }
+
     /// Returns whether the task has to wait for what becomes of a worker.
     fn is_undecided(&self, now: Timestamp) -> bool {
         let is_second = 2 <= self.crashed_runs.len() + self.open_runs.len();
@@ -184,11 +210,12 @@
     orders: Vec<(WorkerIndex, Option<Incarnation>, StartOrder)>,
 }
 
-/// A worker that is kept free of new starts for a suspected task.
-#[derive(Clone, Copy, Debug)]
+/// A worker that is kept free of new starts for suspected tasks.
+#[derive(Clone, Debug)]
 struct Claim {
-    task: TaskKey,
-    /// When it ends if the task still waits then.
+    /// The tasks that start there together.
+    tasks: Vec<TaskKey>,
+    /// When it ends for tasks that still wait then.
     expires_at: Timestamp,
 }
 
@@ -251,6 +278,15 @@
         self.claims.contains_key(&index)
     }
 
+    fn is_claimed(&self, task: TaskKey) -> bool {
+        self.claims.values().any(|it| it.tasks.contains(&task))
+    }
+
+    /// Returns whether a run that starts on a worker is the only new one there.
+    fn is_alone(&self, index: WorkerIndex) -> bool {
+        self.claims.get(&index).is_none_or(|it| it.tasks.len() == 1)
+    }
+
     fn is_host_sound(&self, host: Option<&HostId>, now: Timestamp) -> bool {
         let until = host.and_then(|it| self.host_probation.get(it));
         until.is_none_or(|it| *it <= now)
@@ -285,7 +321,7 @@
             SuspectWait::Unstored
         } else if suspicion.is_undecided(now) {
             SuspectWait::Undecided
-        } else if self.suspects.claims.values().any(|it| it.task == task) {
+        } else if self.suspects.is_claimed(task) {
             SuspectWait::Claimed
         } else {
             SuspectWait::Unclaimed
@@ -397,6 +433,7 @@
         }
         if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
             it.wait_until = now.plus_ms(OPEN_WAIT_MS);
+            it.try_at = now;
         }
     }
 
@@ -507,7 +544,8 @@
         }
     }
 
-    /// Starts suspected tasks in isolation.
+    /// Starts suspected tasks in isolation: those first that wait for the
+    /// longest time, so that none holds back the others.
     pub(super) fn start_suspects(&mut self, now: Timestamp) {
         self.send_withheld(now);
         self.release_claims(now);
@@ -515,36 +553,48 @@
             return;
         }
         self.judge_by_host(now);
+        let claimed: Vec<WorkerIndex> = self.suspects.claims.keys().copied().collect();
+        for worker in claimed {
+            self.start_claimed(worker, now);
+        }
         let usable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.unavailability(*it, now).is_none()).collect();
-        let most = (usable.len() * MAX_ISOLATED_PERCENT).div_ceil(100);
-        // Tasks that find no worker must not use up the searches of each round.
+        let most = self.max_isolated(&usable);
         let mut waiting: Vec<(Timestamp, Rank, TaskKey)> = Vec::new();
         for task in &self.suspects.tasks {
             let Some(rank) = self.suspect_rank(*task, now) else { continue };
             let try_at = self.suspicion(*task).map_or(now, |it| it.try_at);
-            waiting.push((try_at, rank, *task));
+            if !self.suspects.is_claimed(*task) {
+                waiting.push((try_at, rank, *task));
+            }
         }
         waiting.sort_unstable();
         let mut searches = 0;
-        for (_, _, task) in waiting {
-            let claims = &self.suspects.claims;
-            let claimed = claims.iter().find(|it| it.1.task == task).map(|it| *it.0);
-            let worker = match claimed {
-                Some(worker) => Some(worker),
-                None if 0 < most && claims.len() <= most && searches < MAX_SEARCHES => {
-                    let may_wait = claims.len() < most;
-                    searches += 1;
-                    self.claim_worker(task, &usable, may_wait, now)
-                }
-                None => None,
-            };
-            if let Some(worker) = worker {
-                self.start_suspect(task, worker, now);
+        for (i, (_, _, task)) in waiting.iter().enumerate() {
+            let claims = self.suspects.claims.len();
+            if usable.is_empty() || most < claims || searches == MAX_SEARCHES {
+                break;
+            }
+            if self.suspects.is_claimed(*task) {
+                continue;
+            }
+            searches += 1;
+            let others = waiting[i + 1..].iter().map(|it| it.2);
+            let others: Vec<TaskKey> = others.filter(|it| !self.suspects.is_claimed(*it)).collect();
+            if let Some(worker) = self.claim_worker(*task, &others, &usable, claims < most, now) {
+                self.start_claimed(worker, now);
             }
         }
     }
 
+    /// Returns how many of the usable workers may be isolated at once.
+    fn max_isolated(&self, usable: &[WorkerIndex]) -> usize {
+        let reserved = placement::reserved_percent(usable.iter().map(|it| &self.workers[*it]));
+        let free_percent = 100u64.saturating_sub(reserved);
+        let percent = MAX_ISOLATED_PERCENT.max(free_percent / 2);
+        (usable.len() * percent as usize).div_ceil(100)
+    }
+
     /// Returns the rank of a suspected task if it may start now. Members of a
     /// gang start with the others, without isolation.
     fn suspect_rank(&self, task: TaskKey, now: Timestamp) -> Option<Rank> {
@@ -563,10 +613,12 @@
     }
 
     /// Claims a worker for a suspected task, if one can run it; with `may_wait`,
-    /// also one that lacks capacity at present.
+    /// also one that lacks capacity at present. If there is little against the
+    /// task, `others` like it that fit beside it join the claim.
     fn claim_worker(
         &mut self,
         task: TaskKey,
+        others: &[TaskKey],
         usable: &[WorkerIndex],
         may_wait: bool,
         now: Timestamp,
@@ -577,39 +629,92 @@
         let needed = spec.allocation();
         let worker = self.find_isolated(&pending, spec, usable, now);
         let worker = worker.filter(|it| may_wait || needed.fits_in(self.workers[*it].free()));
-        match worker {
-            Some(worker) => {
-                let expires_at = now.plus_ms(CLAIM_TIMEOUT_MS);
-                self.suspects.claims.insert(worker, Claim { task, expires_at });
+        let Some(worker) = worker else {
+            if pending.needs_ticket {
+                self.request_tickets_for(&pending, spec, usable, now);
             }
-            None => {
-                if pending.needs_ticket {
-                    self.request_tickets_for(&pending, spec, usable, now);
+            self.set_try_at(task, now.plus_ms(SEARCH_PAUSE_MS));
+            return None;
+        };
+        let mut tasks = vec![task];
+        let mut used = needed;
+        if self.suspicion(task).is_some_and(Suspicion::is_weak) {
+            for other in others {
+                if tasks.len() == MAX_GROUP {
+                    break;
+                }
+                if let Some(more) = self.fits_beside(*other, worker, used, now) {
+                    used = used.saturating_add(more);
+                    tasks.push(*other);
                 }
-                self.set_try_at(task, now.plus_ms(SEARCH_PAUSE_MS));
             }
         }
-        worker
+        let expires_at = now.plus_ms(CLAIM_TIMEOUT_MS);
+        self.suspects.claims.insert(worker, Claim { tasks, expires_at });
+        Some(worker)
     }
 
-    /// Starts a suspected task on the worker that is claimed for it, once
-    /// nothing there is new.
-    fn start_suspect(&mut self, task: TaskKey, worker: WorkerIndex, now: Timestamp) {
-        let Some(work) = self.work.get(&task.step.submission) else { return };
-        let submission = work.submission.clone();
-        let spec = &submission.steps[usize::from(task.step.step)];
-        let Some(mut pending) = self.isolated_task(task, now) else { return };
-        let req = self.request(&pending, spec, None);
-        if self.has_new_runs(worker) || self.score(&pending, req, worker, now).is_err() {
+    /// Returns what a suspected task needs if it can be isolated on a worker
+    /// beside others, which need `used`. Those of a step with a limit for each
+    /// worker cannot.
+    fn fits_beside(
+        &self,
+        task: TaskKey,
+        worker: WorkerIndex,
+        used: Resources,
+        now: Timestamp,
+    ) -> Option<Resources> {
+        self.suspicion(task).filter(|it| it.is_weak())?;
+        let work = self.work.get(&task.step.submission)?;
+        let spec = &work.submission.steps[usize::from(task.step.step)];
+        if spec.max_per_worker.is_some() {
+            return None;
+        }
+        let pending = self.isolated_task(task, now)?;
+        let needed = spec.allocation();
+        let fits = used.saturating_add(needed).fits_in(self.workers[worker].free());
+        let can_run = self.score(&pending, self.request(&pending, spec, None), worker, now).is_ok();
+        (fits && can_run).then_some(needed)
+    }
+
+    /// Starts the suspected tasks for which a worker is claimed, once nothing
+    /// there is new. Those that do not fit there then look for another worker.
+    fn start_claimed(&mut self, worker: WorkerIndex, now: Timestamp) {
+        let Some(claim) = self.suspects.claims.get(&worker) else { return };
+        if self.has_new_runs(worker) {
             return;
         }
-        let allocation = self.pending_allocation(&pending, spec);
-        self.workers[worker].allocate(task, allocation);
-        self.workers[worker].circuit_breaker.record_start(now);
-        self.refresh_latency_critical(worker, now);
-        pending.is_withheld = true;
-        self.set_try_at(task, Timestamp::default());
-        self.start(&submission, &pending, &[(task.index, worker)], now);
+        let mut starts = Vec::with_capacity(claim.tasks.len());
+        for task in claim.tasks.clone() {
+            if self.suspect_rank(task, now).is_none() {
+                continue;
+            }
+            let Some(work) = self.work.get(&task.step.submission) else { continue };
+            let submission = work.submission.clone();
+            let spec = &submission.steps[usize::from(task.step.step)];
+            let Some(mut pending) = self.isolated_task(task, now) else { continue };
+            let req = self.request(&pending, spec, None);
+            if self.score(&pending, req, worker, now).is_err() {
+                continue;
+            }
+            let allocation = self.pending_allocation(&pending, spec);
+            self.workers[worker].allocate(task, allocation);
+            self.workers[worker].circuit_breaker.record_start(now);
+            self.refresh_latency_critical(worker, now);
+            pending.is_withheld = true;
+            starts.push((submission, pending));
+        }
+        if starts.is_empty() {
+            return;
+        }
+        // Whether a run is the only new one depends on the others that start.
+        if let Some(claim) = self.suspects.claims.get_mut(&worker) {
+            claim.tasks = starts.iter().map(|it| it.1.task()).collect();
+        }
+        for (submission, pending) in starts {
+            let index = pending.task().index;
+            self.start(&submission, &pending, &[(index, worker)], now);
+        }
     }
 
     fn set_try_at(&mut self, task: TaskKey, try_at: Timestamp) {
@@ -689,7 +794,8 @@
                 run,
                 worker: worker.listing.worker.clone(),
                 incarnation: incarnation.unwrap_or_default(),
-                is_sole: self.suspects.is_host_sound(host.as_ref(), now),
+                is_sole: self.suspects.is_host_sound(host.as_ref(), now)
+                    && self.suspects.is_alone(index),
                 host,
             };
             if self.suspicion(task).is_some() {
@@ -760,31 +866,40 @@
     /// cannot start there after all.
     fn release_claims(&mut self, now: Timestamp) {
         let claims = std::mem::take(&mut self.suspects.claims);
-        let is_kept = |index: WorkerIndex, claim: Claim| {
-            let worker = &self.workers[index];
-            if self.unavailability(index, now).is_some() {
-                return false;
-            }
-            let work = self.work.get(&claim.task.step.submission);
-            match work.and_then(|it| it.task(claim.task)).map(|it| &it.phase) {
-                Some(Phase::Waiting) => now < claim.expires_at,
-                Some(Phase::Placed(run)) => {
-                    let allocation = worker.allocations.get(&claim.task);
-                    run.worker == index
-                        && allocation.is_some_and(|it| it.listings < PROVEN_LISTINGS)
-                }
-                Some(Phase::Done) | None => false,
-            }
+        let is_kept = |index: WorkerIndex, claim: &Claim| {
+            self.unavailability(index, now).is_none()
+                && claim.tasks.iter().any(|it| self.needs_claim(*it, index, claim, now))
         };
         let (kept, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
-            claims.into_iter().partition(|(index, claim)| is_kept(*index, *claim));
+            claims.into_iter().partition(|(index, claim)| is_kept(*index, claim));
         self.suspects.claims = kept;
         for (index, claim) in ended {
             self.workers[index].is_changed = true;
-            let work = self.work.get(&claim.task.step.submission);
-            if work.and_then(|it| it.task(claim.task)).is_some_and(Task::is_waiting) {
-                self.set_try_at(claim.task, now);
+            for task in claim.tasks {
+                let work = self.work.get(&task.step.submission);
+                if work.and_then(|it| it.task(task)).is_some_and(Task::is_waiting) {
+                    self.set_try_at(task, now);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a task still needs the worker that is claimed for it.
+    fn needs_claim(
+        &self,
+        task: TaskKey,
+        index: WorkerIndex,
+        claim: &Claim,
+        now: Timestamp,
+    ) -> bool {
+        let work = self.work.get(&task.step.submission);
+        match work.and_then(|it| it.task(task)).map(|it| &it.phase) {
+            Some(Phase::Waiting) => now < claim.expires_at,
+            Some(Phase::Placed(run)) => {
+                let allocation = self.workers[index].allocations.get(&task);
+                run.worker == index && allocation.is_some_and(|it| it.listings < PROVEN_LISTINGS)
             }
+            Some(Phase::Done) | None => false,
         }
     }
 
--- a/crates/mustardcove-core/tests/suspect_starved.rs
+++ b/crates/mustardcove-core/tests/suspect_starved.rs
@@ -18,7 +18,7 @@
     fleet::{
         id::{Incarnation, SubmissionId},
         message::{StartOrder, WorkerReport},
-        submission::StepSpec,
+        submission::{StepSpec, SubmissionState},
     },
     id::WorkerId,
     time::Timestamp,
@@ -41,6 +41,7 @@
 
 struct World {
     rig: Rig,
+    /// Submissions whose tasks crash their workers.
     deadly: BTreeSet<SubmissionId>,
     /// When deadly runs crash their workers.
     crash_at: BTreeMap<WorkerId, Timestamp>,
@@ -111,7 +112,8 @@
             }
             let workers: Vec<WorkerId> = self.rig.workers.keys().cloned().collect();
             for (i, worker) in workers.iter().enumerate() {
-                let is_due = (now.0 / STEP_MS + i as u64) % (POLL_INTERVAL_MS / STEP_MS) == 0;
+                let is_due =
+                    (now.0 / STEP_MS + i as u64).is_multiple_of(POLL_INTERVAL_MS / STEP_MS);
                 if is_due && !self.crashed.contains(worker) {
                     self.rig.poll(worker, Vec::new());
                 }
@@ -125,6 +127,12 @@
         }
     }
 
+    /// Returns the submissions that were given up.
+    fn given_up(&self) -> Vec<SubmissionId> {
+        let failed = self.rig.states.iter().filter(|it| *it.1 == SubmissionState::Failed);
+        failed.map(|it| *it.0).collect()
+    }
+
     fn measure(&mut self) {
         let now = self.rig.now;
         let running = self.rig.running();
@@ -147,3 +155,32 @@
     let idle_ms = world.longest_idle_ms;
     assert!(idle_ms < MAX_IDLE_MS, "a submission has no run for {idle_ms} ms");
 }
+
+/// The same while two other tasks crash their workers, too: sound tasks that
+/// are isolated beside one of these wait once more, and are never given up.
+#[test]
+fn deadly_among_them() {
+    let mut world = World::crashed(&step(1, 1_000, &[]), &[3, 6]);
+    world.play(15_000);
+    let idle_ms = world.longest_idle_ms;
+    assert!(idle_ms < MAX_IDLE_MS, "a submission has no run for {idle_ms} ms");
+    let given_up: Vec<SubmissionId> = world.given_up();
+    assert_eq!(given_up, [SubmissionId(3), SubmissionId(6)]);
+    // Four crashes under each, the first of them by its own start.
+    assert!(world.crashed.len() <= CRASHES + 2 * 4, "{} workers crashed", world.crashed.len());
+}
+
+/// Tasks of a step with a limit for each worker are not isolated together beyond
+/// it.
+#[test]
+fn limit_per_worker() {
+    let limited = StepSpec { max_per_worker: Some(1), ..step(WORKERS as u16, 1_000, &[]) };
+    let mut world = World::crashed(&limited, &[]);
+    world.play(15_000);
+    let running = world.rig.running();
+    let mut placed: BTreeMap<(&WorkerId, SubmissionId), usize> = BTreeMap::new();
+    for (task, worker) in &running {
+        *placed.entry((worker, task.step.submission)).or_default() += 1;
+    }
+    assert!(placed.values().all(|it| *it == 1), "{placed:?}");
+}
