Show in submission_blocked which suspected tasks wait for what

The line now counts such tasks by what they wait for: suspected_undecided, suspected_unstored, suspected_withheld, suspected_unclaimed, suspected_claimed.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -21,6 +21,7 @@
 use super::{
     DecisionKind, Planner,
     placement::{self, Obstacle},
+    suspects::SuspectWait,
     work::{Phase, Step, Task, Work, WorkerIndex},
 };
 use crate::{
@@ -285,6 +286,16 @@
                 let _ = write!(text, " {obstacle}={workers}");
             }
         }
+        let mut suspects: BTreeMap<SuspectWait, u32> = BTreeMap::new();
+        for (i, _) in step.tasks.iter().enumerate().filter(|it| it.1.is_waiting()) {
+            let task = TaskKey { step: key, index: i as u16 };
+            if let Some(wait) = self.suspect_wait(task, now) {
+                *suspects.entry(wait).or_default() += 1;
+            }
+        }
+        for (wait, tasks) in suspects {
+            let _ = write!(text, " suspected_{wait}={tasks}");
+        }
         let used_percent = self.reserved_percent(&work.queue.service, schedulable);
         let _ = write!(text, " used_percent={used_percent}");
         text
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -48,6 +48,8 @@
     sync::Arc,
 };
 
+use strum::Display;
+
 use super::{
     DecisionKind, Planner,
     placement::{self, Obstacle},
@@ -184,7 +186,8 @@
 }
 
 /// What a suspected task waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[strum(serialize_all = "snake_case")]
 pub(super) enum SuspectWait {
     /// What becomes of a worker that may have crashed under it.
     Undecided,
