Order withheld starts on workers on probation

What callers would see: a task that may have crashed a worker does not start again while the workers with capacity for it have had failed runs, although they are open to others; it waits for the end of their probation, and longer if runs fail there.

Cause: a worker on probation may be given one run a second. The start of a suspected task counts as one when it is placed, and is ordered only once it is recorded. At that moment the worker was checked again, was closed because of this very start, and the start was cancelled. The isolation of the worker ended too.

Change: a suspension keeps new choices away from a worker, not the start that is placed there already. Whether a worker refuses overload is still checked.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -614,16 +614,20 @@
     /// Returns why a worker accepts no new work at all, or `None` if it does, or
     /// would if it were not isolated for one task.
     fn unavailability(&self, index: WorkerIndex, now: Timestamp) -> Option<Obstacle> {
+        let obstacle = placement::unavailability(&self.workers[index], now);
+        obstacle.or_else(|| self.overload_risk(index))
+    }
+
+    /// Returns why a start may bring a worker over its capacity, if the worker
+    /// does not refuse that.
+    fn overload_risk(&self, index: WorkerIndex) -> Option<Obstacle> {
         let worker = &self.workers[index];
-        let overloadable = || {
-            let obstacle = match worker.unknown_runs {
-                0 if !self.are_entries_stale => return None,
-                0 => Obstacle::StaleEntry,
-                _ => Obstacle::UnknownRuns,
-            };
-            (!self.rejects_overload(worker)).then_some(obstacle)
+        let obstacle = match worker.unknown_runs {
+            0 if !self.are_entries_stale => return None,
+            0 => Obstacle::StaleEntry,
+            _ => Obstacle::UnknownRuns,
         };
-        placement::unavailability(worker, now).or_else(overloadable)
+        (!self.rejects_overload(worker)).then_some(obstacle)
     }
 
     /// Returns whether a worker refuses what exceeds its capacity.
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -679,7 +679,7 @@
             let is_possible = |it: &(WorkerIndex, Option<Incarnation>, StartOrder)| {
                 let worker = &self.workers[it.0];
                 worker.incarnation == it.1
-                    && self.unavailability(it.0, now).is_none()
+                    && self.may_order(it.0, now)
                     && worker.used.fits_in(worker.listing.capacity)
                     && self.is_current(it.0, it.2.task, it.2.run)
                     && !self.stops.contains_key(&(it.0, it.2.task, it.2.run))
@@ -694,6 +694,15 @@
         }
     }
 
+    /// Returns whether a worker can be given what the plan has placed there. A
+    /// suspension only keeps others away.
+    fn may_order(&self, index: WorkerIndex, now: Timestamp) -> bool {
+        match self.unavailability(index, now) {
+            Some(Obstacle::Suspended) => self.overload_risk(index).is_none(),
+            obstacle => obstacle.is_none(),
+        }
+    }
+
     fn cancel_withheld_at(&mut self, index: WorkerIndex, now: Timestamp) {
         let withheld = std::mem::take(&mut self.suspects.withheld);
         let (lost, kept): (Vec<_>, Vec<_>) =
@@ -727,7 +736,7 @@
         let claims = std::mem::take(&mut self.suspects.claims);
         let is_kept = |index: WorkerIndex, claim: Claim| {
             let worker = &self.workers[index];
-            if self.unavailability(index, now).is_some() {
+            if !self.may_order(index, now) {
                 return false;
             }
             let work = self.work.get(&claim.task.step.submission);
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -191,3 +191,34 @@
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
+
+/// Fails two runs on `w1`, which suspends it for 2 s, while `w0` is full. What
+/// may have crashed `w2` then fits only there.
+fn suspended_rig() -> Rig {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, LASTING, lasting(1, 4_000));
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    submit(&mut rig, 2, step(2, 500, &[]));
+    for (worker, start) in rig.plan() {
+        assert_eq!(worker, id("w1"));
+        rig.end(&worker, start.task, EndKind::Failed);
+    }
+    rig.planner.cancel(SubmissionId(2), rig.now);
+    add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+    submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
+    assert_eq!(rig.plan()[0].0, id("w2"));
+    rig
+}
+
+/// A worker on probation starts one run a second. A start that waited for its
+/// record counted as one before it was ordered, and was cancelled for it.
+#[test]
+fn worker_on_probation() {
+    let mut rig = suspended_rig();
+    rig.advance(2_000);
+    crash(&mut rig, &id("w2"));
+    rig.poll_all();
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
