Let suspected tasks use suspended workers as others do

What callers would see: on a mostly free pool, a task that may have crashed a worker waits up to 8 s because the only workers with capacity for it are suspended. Other work may use them once it has had no run for a second.

Change: the same condition as in place_step (is_overdue, most of the pool free); workers that are not suspended come first. Suspended workers count among those of which 15 % may be isolated.

--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -140,7 +140,7 @@
     /// See [`Request::is_starved`].
     pub(super) is_starved: bool,
     /// Whether they may start on suspended workers.
-    may_use_suspended: bool,
+    pub(super) may_use_suspended: bool,
     /// Whether their starts are ordered only once they are recorded.
     pub(super) is_withheld: bool,
 }
@@ -698,7 +698,7 @@
 
     /// Returns whether a step has had no run for so long that it may use
     /// suspended workers if no others have capacity for it.
-    fn is_overdue(&self, key: StepKey, now: Timestamp) -> bool {
+    pub(super) fn is_overdue(&self, key: StepKey, now: Timestamp) -> bool {
         let work = self.work.get(&key.submission);
         let occurrence = work.and_then(|it| it.occurrence(key.occurrence));
         let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -481,7 +481,7 @@
         }
         self.judge_by_host(now);
         let usable: Vec<WorkerIndex> =
-            (0..self.workers.len()).filter(|it| self.unavailability(*it, now).is_none()).collect();
+            (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
         let most = (usable.len() * MAX_ISOLATED_PERCENT).div_ceil(100);
         // Tasks that find no worker must not use up the searches of each round.
         let mut waiting: Vec<(Timestamp, Rank, TaskKey)> = Vec::new();
@@ -591,6 +591,9 @@
         let spec = &work.submission.steps[usize::from(task.step.step)];
         pending.is_starved =
             spec.is_best_effort && self.blocked.is_blocked(task.step.submission, now);
+        let usable = (0..self.workers.len()).filter(|it| self.may_order(*it, now));
+        pending.may_use_suspended = self.is_overdue(task.step, now)
+            && placement::is_mostly_free(usable.map(|it| &self.workers[it]));
         Some(pending)
     }
 
@@ -631,8 +634,10 @@
             let is_sound = self.suspects.is_host_sound(worker.listing.host.as_ref(), now);
             // New runs are listed within a few polls, but batch work may take long.
             let is_full = !needed.fits_in(worker.free());
+            let is_suspended = !worker.circuit_breaker.may_start(now);
             let has_new = self.has_new_runs(*index);
-            (is_full, !is_sound, has_new, is_far(index), worker.allocations.len(), *index)
+            let runs = worker.allocations.len();
+            (is_full, is_suspended, !is_sound, has_new, is_far(index), runs, *index)
         };
         usable.iter().copied().filter(fits).min_by_key(harm)
     }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -222,3 +222,28 @@
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
+
+/// Only a suspended worker has capacity for it, for up to 8 s. Other work may use
+/// such workers while most of the pool is free.
+#[test]
+fn only_suspended_fit() {
+    for rounds in (60..160).step_by(10) {
+        let mut rig = rig(&[on_host("w1", 4_000, "h1")]);
+        let small = ["s0", "s1", "s2", "s3", "s4", "s5"].map(|it| on_host(it, 2_000, it));
+        add_workers(&mut rig, &small);
+        submit(&mut rig, 2, StepSpec { is_long_running: true, ..step(1, 3_000, &[]) });
+        for _ in 0..rounds {
+            for (worker, start) in rig.plan() {
+                rig.end(&worker, start.task, EndKind::Failed);
+            }
+            advance(&mut rig);
+        }
+        rig.planner.cancel(SubmissionId(2), rig.now);
+        add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+        submit(&mut rig, SUSPECT, step(1, 3_000, &[]));
+        assert_eq!(rig.plan()[0].0, id("w2"));
+        crash(&mut rig, &id("w2"));
+        let waited_ms = wait_ms(&mut rig, SUSPECT);
+        assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms after {rounds} rounds");
+    }
+}
