--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -24,6 +24,8 @@
 
 /// Longest time without a run that users accept, in milliseconds.
 const MAX_IDLE_MS: u64 = 3_000;
+/// The same for a task that lasts, from the end of its last run.
+const MAX_LASTING_IDLE_MS: u64 = 9_000;
 const STEP_MS: u64 = 100;
 /// Longest time for which a test waits, in milliseconds.
 const MAX_WAIT_MS: u64 = 20_000;
@@ -247,3 +249,29 @@
         assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms after {rounds} rounds");
     }
 }
+
+/// Many suspected tasks waited one after the other for one of a few workers, on
+/// an idle fleet. Polls of a worker take up to a second.
+#[test]
+fn many_suspects() {
+    let crashing = ["c0", "c1", "c2", "c3"].map(|it| on_host(it, 60_000, it));
+    let mut rig = rig(&crashing);
+    let names: Vec<String> = (0..48).map(|it| format!("w{it}")).collect();
+    submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(100, 2_000, &[]) });
+    assert_eq!(rig.plan().len(), 100);
+    for worker in &crashing {
+        crash(&mut rig, &worker.worker);
+    }
+    let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 32_000, it)).collect();
+    add_workers(&mut rig, &workers);
+    let mut started = 0;
+    for round in 0..MAX_LASTING_IDLE_MS / STEP_MS {
+        started += rig.plan().len();
+        rig.store();
+        rig.advance(STEP_MS);
+        if round % 10 == 9 {
+            rig.poll_all();
+        }
+    }
+    assert_eq!(started, 100);
+}
