Check the limit of tasks on a worker before its capacity

What callers would see: a worker is closed to all other work for good, and the task for which it is kept free can never start there: other accepted work waits with room for it (LOST).

Cause: a suspected task may wait for a worker whose only obstacle is that its batch work has to end first. The score reported no_capacity before step_limit, so a worker that runs as many tasks of the step as are allowed passed as one of these.

Evidence: step_limit; the other submission waited for the whole 20 s of the test before. starved_best_effort rules out the same for best-effort work without processor time left over: it passed before, too.

Change: the limit is checked first; where both apply, the log now says step_limit.

--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -140,12 +140,12 @@
     if !is_eligible(worker, step, req.service) {
         return Err(Obstacle::Ineligible);
     }
-    if !step.allocation().fits_in(worker.free()) {
-        return Err(Obstacle::NoCapacity);
-    }
     if step.max_per_worker.is_some_and(|it| it <= req.same_step) {
         return Err(Obstacle::StepLimit);
     }
+    if !step.allocation().fits_in(worker.free()) {
+        return Err(Obstacle::NoCapacity);
+    }
     let mut score = match req.kind {
         WorkloadKind::BestEffort => {
             let leftover = leftover_cpu(worker);
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -275,3 +275,40 @@
     }
     assert_eq!(started, 100);
 }
+
+/// Where too little processor time is left over, best-effort work that has had no
+/// run for a second starts all the same, and a suspected task of it as well.
+#[test]
+fn starved_best_effort() {
+    let mut rig = rig(&[on_host("w0", 9_000, "h0")]);
+    let best_effort = |cpu| StepSpec { is_best_effort: true, ..lasting(1, cpu) };
+    submit(&mut rig, LASTING, best_effort(9_000));
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    submit(&mut rig, SUSPECT, best_effort(2_000));
+    assert_eq!(rig.plan()[0].0, id("w1"));
+    crash(&mut rig, &id("w1"));
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
+
+/// A worker that lacks capacity at present and that runs as many tasks of the step
+/// as are allowed was isolated for nothing.
+#[test]
+fn step_limit() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0"), on_host("w1", 4_000, "h1")]);
+    let limited = StepSpec { max_per_worker: Some(1), is_long_running: true, ..step(2, 500, &[]) };
+    submit(&mut rig, SUSPECT, limited);
+    let starts = rig.plan();
+    assert_eq!(starts.len(), 2);
+    rig.poll(&id("w0"), Vec::new());
+    rig.poll(&id("w0"), Vec::new());
+    crash(&mut rig, &id("w1"));
+    submit(&mut rig, LASTING, lasting(1, 3_400));
+    settle(&mut rig);
+    settle(&mut rig);
+    // The rest of `w0` is open to others.
+    submit(&mut rig, 2, step(1, 100, &[]));
+    let waited_ms = wait_ms(&mut rig, 2);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
