Try workers without new runs once a claim has expired

What callers would see: a task that may have crashed a worker does not start again although workers are free, while the worker on a sound host that is kept for it has a start that is neither listed nor confirmed to have stopped.

Change: after a claim that expired, workers without new runs precede the soundness of the host.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -545,7 +545,7 @@
         let spec = &submission.steps[usize::from(task.step.step)];
         let pending = self.isolated_task(task, now)?;
         let needed = spec.allocation();
-        let worker = self.find_isolated(&pending, spec, usable, now);
+        let worker = self.find_isolated(task, &pending, spec, usable, now);
         let worker = worker.filter(|it| may_wait || needed.fits_in(self.workers[*it].free()));
         match worker {
             Some(worker) => {
@@ -612,6 +612,7 @@
     /// would lose the least.
     fn find_isolated(
         &self,
+        task: TaskKey,
         pending: &PendingTasks,
         spec: &StepSpec,
         usable: &[WorkerIndex],
@@ -619,6 +620,8 @@
     ) -> Option<WorkerIndex> {
         let needed = spec.allocation();
         let req = self.request(pending, spec, None);
+        // The new runs of the worker before may never be listed.
+        let is_retry = self.suspicion(task).is_some_and(|it| Timestamp::default() < it.try_at);
         let is_far = |index: &WorkerIndex| {
             let is_elsewhere = |it: &String| !self.workers[*index].has_label(it);
             spec.data_rack.as_ref().is_some_and(is_elsewhere)
@@ -642,7 +645,8 @@
             let is_suspended = !worker.circuit_breaker.may_start(now);
             let has_new = self.has_new_runs(*index);
             let runs = worker.allocations.len();
-            (is_full, is_suspended, !is_sound, has_new, is_far(index), runs, *index)
+            let is_unready = (is_full, is_suspended, is_retry && has_new);
+            (is_unready, !is_sound, has_new, is_far(index), runs, *index)
         };
         usable.iter().copied().filter(fits).min_by_key(harm)
     }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -14,7 +14,7 @@
 use mustardcove_core::{
     fleet::{
         id::{Incarnation, SubmissionId},
-        message::{EndKind, WorkerReport},
+        message::{EndKind, Order, StartOutcome, WorkerReport},
         planner::WorkerListing,
         submission::StepSpec,
     },
@@ -276,6 +276,28 @@
     assert_eq!(started, 100);
 }
 
+/// A worker on which a start is neither listed nor confirmed to have stopped
+/// kept it waiting, since its host was sound.
+#[test]
+fn new_run_unlisted() {
+    let mut rig = rig(&[on_host("w0", 9_000, "h0")]);
+    submit(&mut rig, LASTING, lasting(1, 500));
+    rig.planner.tick(rig.now);
+    for (worker, order) in rig.planner.take_actions().orders {
+        let Order::Start(start) = order else { continue };
+        let (task, run, outcome) = (start.task, start.run, StartOutcome::MayHaveRun);
+        rig.planner.report(&worker, WorkerReport::Start { task, run, outcome }, rig.now);
+    }
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 20_000, "h1")]);
+    submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
+    assert_eq!(rig.plan()[0].0, id("w1"));
+    crash(&mut rig, &id("w1"));
+    add_workers(&mut rig, &[on_host("w2", 9_000, "h1")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
+}
+
 /// Where too little processor time is left over, best-effort work that has had no
 /// run for a second starts all the same, and a suspected task of it as well.
 #[test]
