--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -99,6 +99,8 @@
 /// them. Larger groups clear sound tasks faster, but a crash costs each other
 /// member a turn of its own.
 const MAX_GROUP: usize = 4;
+/// Tasks that are looked at for a group.
+const MAX_GROUP_CANDIDATES: usize = 32;
 /// Longest time for which a worker is kept free of new starts for a task that
 /// still waits for it, in milliseconds: a few polls.
 const CLAIM_TIMEOUT_MS: u64 = 3_000;
@@ -123,6 +125,8 @@
     /// No worker is looked for before this time. The task with the earliest
     /// goes first.
     try_at: Timestamp,
+    /// Whether a claim has expired since its last start.
+    is_retry: bool,
     /// The task does not wait for its open runs after this time.
     wait_until: Timestamp,
 }
@@ -237,6 +241,9 @@
     stored_change: u64,
     /// Whether service discovery was read since the hosts were compared.
     is_list_new: bool,
+    /// Whether most of the capacity of the workers that may be isolated was free
+    /// in this round.
+    is_mostly_free: bool,
 }
 
 impl Suspects {
@@ -437,6 +444,7 @@
         if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
             it.wait_until = now.plus_ms(OPEN_WAIT_MS);
             it.try_at = now;
+            it.is_retry = false;
         }
     }
 
@@ -556,13 +564,15 @@
             return;
         }
         self.judge_by_host(now);
+        let usable: Vec<WorkerIndex> =
+            (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
+        self.suspects.is_mostly_free =
+            placement::is_mostly_free(usable.iter().map(|it| &self.workers[*it]));
+        let most = self.max_isolated(&usable);
         let claimed: Vec<WorkerIndex> = self.suspects.claims.keys().copied().collect();
         for worker in claimed {
             self.start_claimed(worker, now);
         }
-        let usable: Vec<WorkerIndex> =
-            (0..self.workers.len()).filter(|it| self.unavailability(*it, now).is_none()).collect();
-        let most = self.max_isolated(&usable);
         let mut waiting: Vec<(Timestamp, Rank, TaskKey)> = Vec::new();
         for task in &self.suspects.tasks {
             let Some(rank) = self.suspect_rank(*task, now) else { continue };
@@ -630,7 +640,7 @@
         let spec = &submission.steps[usize::from(task.step.step)];
         let pending = self.isolated_task(task, now)?;
         let needed = spec.allocation();
-        let worker = self.find_isolated(&pending, spec, usable, now);
+        let worker = self.find_isolated(task, &pending, spec, usable, now);
         let worker = worker.filter(|it| may_wait || needed.fits_in(self.workers[*it].free()));
         let Some(worker) = worker else {
             if pending.needs_ticket {
@@ -642,7 +652,7 @@
         let mut tasks = vec![task];
         let mut used = needed;
         if self.suspicion(task).is_some_and(Suspicion::is_weak) {
-            for other in others {
+            for other in others.iter().take(MAX_GROUP_CANDIDATES) {
                 if tasks.len() == MAX_GROUP {
                     break;
                 }
@@ -734,6 +744,7 @@
         let spec = &work.submission.steps[usize::from(task.step.step)];
         pending.is_starved =
             spec.is_best_effort && self.blocked.is_blocked(task.step.submission, now);
+        pending.may_use_suspended = self.suspects.is_mostly_free && self.is_overdue(task.step, now);
         Some(pending)
     }
 
@@ -747,6 +758,7 @@
     /// would lose the least.
     fn find_isolated(
         &self,
+        task: TaskKey,
         pending: &PendingTasks,
         spec: &StepSpec,
         usable: &[WorkerIndex],
@@ -754,6 +766,8 @@
     ) -> Option<WorkerIndex> {
         let needed = spec.allocation();
         let req = self.request(pending, spec, None);
+        // The new runs of the worker before may never be listed.
+        let is_retry = self.suspicion(task).is_some_and(|it| it.is_retry);
         let is_far = |index: &WorkerIndex| {
             let is_elsewhere = |it: &String| !self.workers[*index].has_label(it);
             spec.data_rack.as_ref().is_some_and(is_elsewhere)
@@ -774,8 +788,11 @@
             let is_sound = self.suspects.is_host_sound(worker.listing.host.as_ref(), now);
             // New runs are listed within a few polls, but batch work may take long.
             let is_full = !needed.fits_in(worker.free());
+            let is_suspended = !worker.circuit_breaker.may_start(now);
             let has_new = self.has_new_runs(*index);
-            (is_full, !is_sound, has_new, is_far(index), worker.allocations.len(), *index)
+            let runs = worker.allocations.len();
+            let is_unready = (is_full, is_suspended, is_retry && has_new);
+            (is_unready, !is_sound, has_new, is_far(index), runs, *index)
         };
         usable.iter().copied().filter(fits).min_by_key(harm)
     }
@@ -823,7 +840,7 @@
             let is_possible = |it: &(WorkerIndex, Option<Incarnation>, StartOrder)| {
                 let worker = &self.workers[it.0];
                 worker.incarnation == it.1
-                    && self.unavailability(it.0, now).is_none()
+                    && self.may_order(it.0, now)
                     && worker.used.fits_in(worker.listing.capacity)
                     && self.is_current(it.0, it.2.task, it.2.run)
                     && !self.stops.contains_key(&(it.0, it.2.task, it.2.run))
@@ -838,6 +855,15 @@
         }
     }
 
+    /// Returns whether a worker can be given what the plan has placed there. A
+    /// suspension only keeps others away.
+    fn may_order(&self, index: WorkerIndex, now: Timestamp) -> bool {
+        match self.unavailability(index, now) {
+            Some(Obstacle::Suspended) => self.overload_risk(index).is_none(),
+            obstacle => obstacle.is_none(),
+        }
+    }
+
     fn cancel_withheld_at(&mut self, index: WorkerIndex, now: Timestamp) {
         let withheld = std::mem::take(&mut self.suspects.withheld);
         let (lost, kept): (Vec<_>, Vec<_>) =
@@ -870,7 +896,7 @@
     fn release_claims(&mut self, now: Timestamp) {
         let claims = std::mem::take(&mut self.suspects.claims);
         let is_kept = |index: WorkerIndex, claim: &Claim| {
-            self.unavailability(index, now).is_none()
+            self.may_order(index, now)
                 && claim.tasks.iter().any(|it| self.needs_claim(*it, index, claim, now))
         };
         let (kept, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
@@ -880,8 +906,12 @@
             self.workers[index].is_changed = true;
             for task in claim.tasks {
                 let work = self.work.get(&task.step.submission);
-                if work.and_then(|it| it.task(task)).is_some_and(Task::is_waiting) {
-                    self.set_try_at(task, now);
+                if !work.and_then(|it| it.task(task)).is_some_and(Task::is_waiting) {
+                    continue;
+                }
+                if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
+                    it.is_retry |= claim.expires_at <= now;
+                    it.try_at = now;
                 }
             }
         }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -14,7 +14,7 @@
 use mustardcove_core::{
     fleet::{
         id::{Incarnation, SubmissionId},
-        message::{EndKind, WorkerReport},
+        message::{EndKind, Order, StartOutcome, WorkerReport},
         planner::WorkerListing,
         submission::StepSpec,
     },
@@ -24,6 +24,8 @@
 
 /// Longest time without a run that users accept, in milliseconds.
 const MAX_IDLE_MS: u64 = 3_000;
+/// The same for a task that lasts, from the end of its last run.
+const MAX_LASTING_IDLE_MS: u64 = 9_000;
 const STEP_MS: u64 = 100;
 /// Longest time for which a test waits, in milliseconds.
 const MAX_WAIT_MS: u64 = 20_000;
@@ -191,3 +193,144 @@
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
+
+/// Fails two runs on `w1`, which suspends it for 2 s, while `w0` is full. What
+/// may have crashed `w2` then fits only there.
+fn suspended_rig() -> Rig {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, LASTING, lasting(1, 4_000));
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    submit(&mut rig, 2, step(2, 500, &[]));
+    for (worker, start) in rig.plan() {
+        assert_eq!(worker, id("w1"));
+        rig.end(&worker, start.task, EndKind::Failed);
+    }
+    rig.planner.cancel(SubmissionId(2), rig.now);
+    add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+    submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
+    assert_eq!(rig.plan()[0].0, id("w2"));
+    rig
+}
+
+/// A worker on probation starts one run a second. A start that waited for its
+/// record counted as one before it was ordered, and was cancelled for it.
+#[test]
+fn worker_on_probation() {
+    let mut rig = suspended_rig();
+    rig.advance(2_000);
+    crash(&mut rig, &id("w2"));
+    rig.poll_all();
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
+
+/// Only a suspended worker has capacity for it, for up to 8 s. Other work may use
+/// such workers while most of the pool is free.
+#[test]
+fn only_suspended_fit() {
+    for rounds in (60..160).step_by(10) {
+        let mut rig = rig(&[on_host("w1", 4_000, "h1")]);
+        let small = ["s0", "s1", "s2", "s3", "s4", "s5"].map(|it| on_host(it, 2_000, it));
+        add_workers(&mut rig, &small);
+        submit(&mut rig, 2, StepSpec { is_long_running: true, ..step(1, 3_000, &[]) });
+        for _ in 0..rounds {
+            for (worker, start) in rig.plan() {
+                rig.end(&worker, start.task, EndKind::Failed);
+            }
+            advance(&mut rig);
+        }
+        rig.planner.cancel(SubmissionId(2), rig.now);
+        add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+        submit(&mut rig, SUSPECT, step(1, 3_000, &[]));
+        assert_eq!(rig.plan()[0].0, id("w2"));
+        crash(&mut rig, &id("w2"));
+        let waited_ms = wait_ms(&mut rig, SUSPECT);
+        assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms after {rounds} rounds");
+    }
+}
+
+/// Many suspected tasks waited one after the other for one of a few workers, on
+/// an idle fleet. Polls of a worker take up to a second.
+#[test]
+fn many_suspects() {
+    let crashing = ["c0", "c1", "c2", "c3"].map(|it| on_host(it, 60_000, it));
+    let mut rig = rig(&crashing);
+    let names: Vec<String> = (0..48).map(|it| format!("w{it}")).collect();
+    submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(100, 2_000, &[]) });
+    assert_eq!(rig.plan().len(), 100);
+    for worker in &crashing {
+        crash(&mut rig, &worker.worker);
+    }
+    let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 32_000, it)).collect();
+    add_workers(&mut rig, &workers);
+    let mut started = 0;
+    for round in 0..MAX_LASTING_IDLE_MS / STEP_MS {
+        started += rig.plan().len();
+        rig.store();
+        rig.advance(STEP_MS);
+        if round % 10 == 9 {
+            rig.poll_all();
+        }
+    }
+    assert_eq!(started, 100);
+}
+
+/// A worker on which a start is neither listed nor confirmed to have stopped
+/// kept it waiting, since its host was sound.
+#[test]
+fn new_run_unlisted() {
+    let mut rig = rig(&[on_host("w0", 9_000, "h0")]);
+    submit(&mut rig, LASTING, lasting(1, 500));
+    rig.planner.tick(rig.now);
+    for (worker, order) in rig.planner.take_actions().orders {
+        let Order::Start(start) = order else { continue };
+        let (task, run, outcome) = (start.task, start.run, StartOutcome::MayHaveRun);
+        rig.planner.report(&worker, WorkerReport::Start { task, run, outcome }, rig.now);
+    }
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 20_000, "h1")]);
+    submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
+    assert_eq!(rig.plan()[0].0, id("w1"));
+    crash(&mut rig, &id("w1"));
+    add_workers(&mut rig, &[on_host("w2", 9_000, "h1")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
+}
+
+/// Where too little processor time is left over, best-effort work that has had no
+/// run for a second starts all the same, and a suspected task of it as well.
+#[test]
+fn starved_best_effort() {
+    let mut rig = rig(&[on_host("w0", 9_000, "h0")]);
+    let best_effort = |cpu| StepSpec { is_best_effort: true, ..lasting(1, cpu) };
+    submit(&mut rig, LASTING, best_effort(9_000));
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    submit(&mut rig, SUSPECT, best_effort(2_000));
+    assert_eq!(rig.plan()[0].0, id("w1"));
+    crash(&mut rig, &id("w1"));
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
+
+/// A worker that lacks capacity at present and that runs as many tasks of the step
+/// as are allowed was isolated for nothing.
+#[test]
+fn step_limit() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0"), on_host("w1", 4_000, "h1")]);
+    let limited = StepSpec { max_per_worker: Some(1), is_long_running: true, ..step(2, 500, &[]) };
+    submit(&mut rig, SUSPECT, limited);
+    let starts = rig.plan();
+    assert_eq!(starts.len(), 2);
+    rig.poll(&id("w0"), Vec::new());
+    rig.poll(&id("w0"), Vec::new());
+    crash(&mut rig, &id("w1"));
+    submit(&mut rig, LASTING, lasting(1, 3_400));
+    settle(&mut rig);
+    settle(&mut rig);
+    // The rest of `w0` is open to others.
+    submit(&mut rig, 2, step(1, 100, &[]));
+    let waited_ms = wait_ms(&mut rig, 2);
+    assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+}
