Leave out entries that would block the record of the workers

Callers would see accepted work that never runs (LOST): once another writer has left one entry of nearly the largest value below servers/, no worker of that roster segment is usable any more unless it was recorded before.

Cause: the roster records every entry that can be decoded, so one with a label of 1 MB makes the segment larger than the store's ValueBytes. Each write is refused (400) and repeated every 250 ms, and later incarnations and new workers are never recorded. Removing the entry does not help in that term, since a wanted worker that was never recorded is not removed.

A capacity of zero stays in use: an entry that is left out would leave an earlier, larger capacity in force.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -13,6 +13,7 @@
 //! between owners. The price is that nothing starts between the loss of a
 //! leader and the first orders of the next. See `docs/platform.md`.
 
+pub mod admission;
 pub mod assignment;
 pub mod cadence;
 pub mod election;
--- /dev/null
+++ b/crates/mustardcove-core/tests/odd_listings.rs
@@ -0,0 +1,92 @@
+//! Entries of service discovery that can be decoded and name no worker to use.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+
+use fleet_world::{listing, manifest};
+use mustardcove_core::{
+    fleet::{
+        admission::{ListingFault, admit, find_fault},
+        id::Incarnation,
+        planner::WorkerListing,
+        record,
+        roster::Roster,
+    },
+    size::Resources,
+    time::Timestamp,
+};
+
+const NOW: Timestamp = Timestamp(1_700_000_000_000);
+
+fn good() -> WorkerListing {
+    listing("w0", 16_000, Incarnation(NOW.0))
+}
+
+fn fault(change: impl FnOnce(&mut WorkerListing)) -> Option<ListingFault> {
+    let mut listing = good();
+    change(&mut listing);
+    find_fault(&listing, &manifest(3), NOW)
+}
+
+/// Guards against an entry that outweighs all workers, outranks the later
+/// entries of its worker, or is called where no worker can be.
+#[test]
+fn odd_fields() {
+    assert_eq!(find_fault(&good(), &manifest(3), NOW), None);
+    let unknown = fault(|it| it.service = "unheard-of".to_owned());
+    assert_eq!(unknown, Some(ListingFault::UnknownService));
+    for text in ["0.0.0.0:80", "[::]:80", "10.0.0.1:0", "224.0.0.1:80", "255.255.255.255:80"] {
+        let address = fault(|it| it.address = text.parse().expect("an address"));
+        assert_eq!(address, Some(ListingFault::UnusableAddress), "{text}");
+    }
+    for capacity in [
+        Resources::new(u64::MAX, 1, 0),
+        Resources::new(1, u64::MAX, 0),
+        Resources::new(1, 1, u32::MAX),
+    ] {
+        let fault = fault(|it| it.capacity = capacity);
+        assert_eq!(fault, Some(ListingFault::ImpossibleCapacity), "{capacity}");
+    }
+    let future = fault(|it| it.incarnation = Incarnation(u64::MAX));
+    assert_eq!(future, Some(ListingFault::FutureIncarnation));
+    let labels = fault(|it| it.labels = vec![String::new(); 5_000]);
+    assert_eq!(labels, Some(ListingFault::TooLong));
+}
+
+/// Workers with unusual fields stay in use: clocks that differ by minutes,
+/// large machines, and those whose capacity has shrunk to nothing.
+#[test]
+fn unusual_fields() {
+    assert_eq!(fault(|it| it.incarnation = Incarnation(NOW.0 + 600_000)), None);
+    assert_eq!(fault(|it| it.incarnation = Incarnation(0)), None);
+    assert_eq!(fault(|it| it.capacity = Resources::new(2_000_000, 64 << 20, 64)), None);
+    assert_eq!(fault(|it| it.capacity = Resources::ZERO), None);
+    assert_eq!(fault(|it| it.address = "[2001:db8::7]:80".parse().expect("an address")), None);
+    assert_eq!(fault(|it| it.labels = vec!["a-long-label".to_owned(); 16]), None);
+}
+
+/// Guards against one entry that makes a segment of the roster larger than the
+/// store accepts, so that no worker of the segment is usable any more.
+#[test]
+fn segment_fits() {
+    let name = "n".repeat(128);
+    let mut listings: Vec<WorkerListing> = Vec::new();
+    for i in 0..200 {
+        let mut it = good();
+        it.worker = format!("{i:0>128}").parse().expect("a valid name");
+        it.domain = name.parse().expect("a valid name");
+        it.host = Some(name.parse().expect("a valid name"));
+        let long = "l".repeat(if i % 2 == 0 { 450 } else { 1 << 20 });
+        it.labels = vec![long];
+        listings.push(it);
+    }
+    let (admitted, rejected) = admit(listings, &manifest(3), NOW);
+    assert_eq!((admitted.len(), rejected.len()), (100, 100));
+    let mut roster = Roster::default();
+    roster.update(admitted);
+    for write in roster.changes() {
+        let bytes = record::encode(&write.value).len();
+        assert!(bytes <= 64 << 10, "segment {}: {bytes} bytes", write.segment);
+    }
+}
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -346,6 +346,7 @@
                 self.store_answered(now);
                 let since = self.store_healthy_since.unwrap_or(now);
                 let may_remove = ENTRIES_SETTLE_MS <= now.ms_since(since);
+                let listings = self.admit_workers(listings, now);
                 self.listed.clone_from(&listings);
                 self.listed_at = now;
                 self.workers_listed(listings, may_remove, now);
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -7,6 +7,7 @@
 use mustardcove_adapter::store::Item;
 use mustardcove_core::{
     fleet::{
+        admission,
         id::Term,
         planner::WorkerListing,
         record,
@@ -51,6 +52,16 @@
         self.planner.restore_workers(is_known.then(|| self.roster.workers()));
     }
 
+    /// Returns the listed workers that may be used.
+    pub(super) fn admit_workers(
+        &self,
+        listings: Vec<WorkerListing>,
+        now: Timestamp,
+    ) -> Vec<WorkerListing> {
+        let manifest = self.shared.manifest().unwrap_or_default();
+        admission::admit(listings, &manifest, now).0
+    }
+
     /// Passes on the listed workers that are recorded, and records the others.
     pub(super) fn workers_listed(
         &mut self,
