Log each entry that names no worker to use, and why

Operators saw only how many entries were unreadable ('entries that are not workers ... unreadable=15'), not which ones or why, and nothing of those that are left out by the core.

Each key is named once in a term, and again when the reason changes, with at most eight lines after one reading; the others follow after the next ones. The metric ignored_entries counts them.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -14,10 +14,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use mustardcove_adapter::{
-    discovery,
-    store::{Event, Item, StoreFault, WORKERS_PREFIX, WatchOutcome},
-};
+use mustardcove_adapter::store::{Event, Item, StoreFault, WORKERS_PREFIX, WatchOutcome};
 use mustardcove_core::{
     fleet::{
         cadence,
@@ -39,7 +36,11 @@
 use slog::{debug, info, warn};
 use tokio::{sync::mpsc, time::Instant};
 
-use self::{pollers::Pollers, progress::FlushResult, workers::RosterWritten};
+use self::{
+    pollers::Pollers,
+    progress::FlushResult,
+    workers::{Entries, RosterWritten},
+};
 use crate::{durable, shared::Shared};
 
 /// Time for which inputs are collected before the planner runs.
@@ -96,7 +97,7 @@
 /// Result of a background task of the leader.
 enum TaskResult {
     /// The workers' entries, or the fault of a failed reading.
-    Workers(Result<Vec<WorkerListing>, StoreFault>),
+    Workers(Result<Entries, StoreFault>),
     /// Changes of submissions, cancellations and the leader record.
     Changes(Vec<Event>),
     /// All work records, read anew because the store dropped the history.
@@ -128,6 +129,8 @@
     /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
     listed_at: Timestamp,
+    /// The entries that the log says are ignored, each with the reason.
+    logged_entries: BTreeMap<String, String>,
     is_storing_roster: bool,
     /// No write of the roster before this time.
     store_roster_at: Timestamp,
@@ -173,6 +176,7 @@
         roster: Roster::default(),
         listed: Vec::new(),
         listed_at: now,
+        logged_entries: BTreeMap::new(),
         is_storing_roster: false,
         store_roster_at: now,
         results,
@@ -342,11 +346,11 @@
     fn handle_result(&mut self, result: TaskResult) {
         let now = self.shared.now();
         match result {
-            TaskResult::Workers(Ok(listings)) => {
+            TaskResult::Workers(Ok(entries)) => {
                 self.store_answered(now);
                 let since = self.store_healthy_since.unwrap_or(now);
                 let may_remove = ENTRIES_SETTLE_MS <= now.ms_since(since);
-                let listings = self.admit_workers(listings, now);
+                let listings = self.admit_workers(entries, now);
                 self.listed.clone_from(&listings);
                 self.listed_at = now;
                 self.workers_listed(listings, may_remove, now);
@@ -587,21 +591,10 @@
     fn refresh_workers(&self) -> impl Future<Output = ()> + Send + 'static {
         let (shared, results) = (self.shared.clone(), self.results.clone());
         async move {
-            let mut unreadable = 0;
             loop {
                 let result = shared.store.range(WORKERS_PREFIX).await;
-                let listings = result.map(|(items, _)| {
-                    let listings: Vec<WorkerListing> =
-                        items.iter().filter_map(discovery::decode).collect();
-                    let now_unreadable = items.len() - listings.len();
-                    if now_unreadable != unreadable {
-                        warn!(shared.log, "entries that are not workers"; "entries" => items.len(),
-                            "unreadable" => now_unreadable, "before" => unreadable);
-                        unreadable = now_unreadable;
-                    }
-                    listings
-                });
-                if results.send(TaskResult::Workers(listings)).is_err() {
+                let entries = result.map(|(items, _)| Entries::decode(&items));
+                if results.send(TaskResult::Workers(entries)).is_err() {
                     return;
                 }
                 tokio::time::sleep(DISCOVERY_INTERVAL).await;
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -2,9 +2,12 @@
 //! that are recorded in the store; see
 //! [`roster`](mustardcove_core::fleet::roster).
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use mustardcove_adapter::store::Item;
+use mustardcove_adapter::{
+    discovery::{self, DiscoveryError},
+    store::{Item, WORKERS_PREFIX},
+};
 use mustardcove_core::{
     fleet::{
         admission,
@@ -16,6 +19,7 @@
     id::WorkerId,
     time::Timestamp,
 };
+use slog::warn;
 
 use super::{
     Leader, TaskResult,
@@ -26,6 +30,30 @@
 /// Pause after a write that failed, in milliseconds.
 const ROSTER_RETRY_MS: u64 = 250;
 
+/// Most entries logged after one reading, which bounds the log if many are odd.
+const MAX_LOGGED_ENTRIES: usize = 8;
+
+/// The entries below the prefix of the workers.
+pub(super) struct Entries {
+    listings: Vec<WorkerListing>,
+    /// The keys of those that describe no worker, and why.
+    unreadable: Vec<(String, DiscoveryError)>,
+}
+
+impl Entries {
+    /// Decodes the entries.
+    pub(super) fn decode(items: &[Item]) -> Entries {
+        let mut entries = Entries { listings: Vec::new(), unreadable: Vec::new() };
+        for item in items {
+            match discovery::decode(item) {
+                Ok(listing) => entries.listings.push(listing),
+                Err(error) => entries.unreadable.push((item.key.clone(), error)),
+            }
+        }
+        entries
+    }
+}
+
 /// A write of the roster that has ended.
 pub(super) struct RosterWritten {
     writes: Vec<RosterWrite>,
@@ -52,14 +80,27 @@
         self.planner.restore_workers(is_known.then(|| self.roster.workers()));
     }
 
-    /// Returns the listed workers that may be used.
-    pub(super) fn admit_workers(
-        &self,
-        listings: Vec<WorkerListing>,
-        now: Timestamp,
-    ) -> Vec<WorkerListing> {
+    /// Returns the listed workers that may be used. The log names each
+    /// other entry once, and again when the reason changes.
+    pub(super) fn admit_workers(&mut self, entries: Entries, now: Timestamp) -> Vec<WorkerListing> {
         let manifest = self.shared.manifest().unwrap_or_default();
-        admission::admit(listings, &manifest, now).0
+        let (admitted, rejected) = admission::admit(entries.listings, &manifest, now);
+        let unreadable = entries.unreadable.into_iter().map(|it| (it.0, it.1.to_string()));
+        let rejected =
+            rejected.into_iter().map(|it| (format!("{WORKERS_PREFIX}{}", it.0), it.1.to_string()));
+        let ignored: BTreeMap<String, String> = unreadable.chain(rejected).collect();
+        self.shared.metrics.record_ignored_entries(ignored.len());
+        self.logged_entries.retain(|key, reason| ignored.get(key) == Some(reason));
+        let is_new = |it: &(String, String)| !self.logged_entries.contains_key(&it.0);
+        let entries = ignored.len();
+        let new = ignored.into_iter().filter(is_new).take(MAX_LOGGED_ENTRIES);
+        let new: Vec<(String, String)> = new.collect();
+        for (key, reason) in new {
+            warn!(self.shared.log, "entry names no worker to use"; "key" => &key,
+                "reason" => &reason, "entries" => entries);
+            self.logged_entries.insert(key, reason);
+        }
+        admitted
     }
 
     /// Passes on the listed workers that are recorded, and records the others.
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -31,6 +31,7 @@
     worker_crashes: Gauge<u64>,
     scored_workers: Gauge<u64>,
     report_age_ms: Gauge<u64>,
+    ignored_entries: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -79,6 +80,10 @@
                 "leader_report_age_ms",
                 "Age of the oldest report handled since the last heartbeat, at the leader.",
             ),
+            ignored_entries: gauge(
+                "ignored_entries",
+                "Entries of service discovery that name no worker to use, at the leader.",
+            ),
             base,
         }
     }
@@ -127,4 +132,9 @@
     pub fn record_report_age(&self, age_ms: u64) {
         self.report_age_ms.record(age_ms, &[]);
     }
+
+    /// Sets the number of entries that name no worker to use.
+    pub fn record_ignored_entries(&self, entries: usize) {
+        self.ignored_entries.record(entries as u64, &[]);
+    }
 }
--- a/crates/mustardcove-node/tests/odd_entries.rs
+++ b/crates/mustardcove-node/tests/odd_entries.rs
@@ -78,6 +78,18 @@
     entries
 }
 
+/// Returns a metric of the leader.
+async fn metric(rig: &Rig, name: &str) -> usize {
+    for node in 0..rig.nodes.len() {
+        let (_, text) = rig.admin(node, "/metrics").await.expect("an answer");
+        let of_name = |it: &&str| it.split(['{', ' ']).next() == Some(name);
+        if let Some(line) = text.lines().find(of_name) {
+            return line.rsplit(' ').next().and_then(|it| it.parse().ok()).expect("a number");
+        }
+    }
+    panic!("no process has the metric {name}");
+}
+
 /// Guards against a leader that ends, or that uses no worker from then on,
 /// because one entry among those of the workers is odd: a huge one made the
 /// record of the workers larger than the store accepts.
@@ -89,8 +101,9 @@
     assert_eq!(rig.submit(0, first, &two_steps(2, 100)).await, Some(StatusCode::OK));
     assert!(rig.wait_for(first, "completed", SHORT).await);
     let used = rig.workers[0].proxy.address.to_string();
-    for (key, value) in odd_entries(&used) {
-        rig.store.put(&key, &value);
+    let odd = odd_entries(&used);
+    for (key, value) in &odd {
+        rig.store.put(key, value);
     }
     tokio::time::sleep(SEVERAL_READINGS).await;
     // Their next incarnations are usable once they are recorded.
@@ -105,5 +118,12 @@
     let logs = rig.logs();
     let ended = logs.iter().find(|it| it.contains("panic") || it.contains("process failed"));
     assert_eq!(ended, None);
+    let is_ignored = |it: &&String| it.contains("entry names no worker to use");
+    let ignored: Vec<&String> = logs.iter().filter(is_ignored).collect();
+    let bad_port = ignored.iter().filter(|it| it.contains("key=servers/large-port")).count();
+    assert_eq!(bad_port, 1, "each is named once: {ignored:?}");
+    // Nothing shows that these are no workers but that none answers.
+    let polled = ["nested", "large-seq", "no-capacity", "nobody", "taken", "v6"];
+    assert_eq!(metric(&rig, "mustardcove_ignored_entries").await, odd.len() - polled.len());
     assert!((0..2).all(|it| rig.is_running(it)), "a process has ended");
 }
