Prefer the entry of the incarnation that answers polls

A worker would get no work in the whole term after another writer's entry under its id had claimed a later incarnation, even for one reading.

Cause: the planner ignores entries of an incarnation before the last one that was listed, so the worker's own entries were ignored from then on (obstacle other_incarnation). An entry of the incarnation that answers polls is taken now, whatever was listed before.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -429,7 +429,10 @@
         let id = listing.worker.clone();
         if let Some(index) = self.worker_index.get(&id) {
             let worker = &mut self.workers[*index];
-            let is_newer = worker.listing.incarnation <= listing.incarnation;
+            // Another writer's entry may have claimed an incarnation that never
+            // began; the one that answers polls did.
+            let is_newer = worker.listing.incarnation <= listing.incarnation
+                || worker.incarnation == Some(listing.incarnation);
             worker.is_listed = true;
             if worker.listing.incarnation < listing.incarnation {
                 worker.is_replaced = false;
--- a/crates/mustardcove-core/tests/odd_listings.rs
+++ b/crates/mustardcove-core/tests/odd_listings.rs
@@ -4,7 +4,11 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod fleet_world;
 
-use fleet_world::{listing, manifest};
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
         admission::{ListingFault, admit, find_fault},
@@ -16,6 +20,7 @@
     size::Resources,
     time::Timestamp,
 };
+use planner_rig::{Rig, START};
 
 const NOW: Timestamp = Timestamp(1_700_000_000_000);
 
@@ -90,3 +95,19 @@
         assert!(bytes <= 64 << 10, "segment {}: {bytes} bytes", write.segment);
     }
 }
+
+/// Guards against a worker that gets no work in the whole term because another
+/// writer's entry under its id claimed a later incarnation.
+#[test]
+fn false_incarnation() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000)]);
+    let real = rig.listings.clone();
+    let mut odd = real.clone();
+    odd[0].incarnation = Incarnation(2);
+    rig.planner.update_workers(odd, true);
+    rig.submit(submission(1, vec![step(1, 500, &[])], START));
+    assert!(rig.plan().is_empty(), "the worker answers as another incarnation");
+    rig.planner.update_workers(real, true);
+    rig.poll_all();
+    assert_eq!(rig.plan().len(), 1, "its own entry names the one that answers");
+}
