Replace a record of the workers that cannot be read

After each change of the leader, work that may have run would wait 6.6 s more, for good: a segment of the roster that cannot be read makes the record incomplete, and it is only replaced if a worker happens to be added to it.

The leader replaces it once every lease of earlier leaders has expired, since a worker that only this record named may run something until then. For the same reason new workers go to other segments before; they overwrote an unreadable segment at once. Keys below roster/ that no leader writes no longer make the record incomplete.

--- a/crates/mustardcove-core/src/fleet/roster.rs
+++ b/crates/mustardcove-core/src/fleet/roster.rs
@@ -50,6 +50,8 @@
     /// Workers that it has to contain.
     wanted: BTreeMap<WorkerId, WorkerListing>,
     is_changed: bool,
+    /// Whether its record cannot be read and is to be replaced.
+    is_unreadable: bool,
 }
 
 /// The record as the leader of one term knows it.
@@ -69,7 +71,23 @@
             value.workers.into_iter().map(|it| (it.worker.clone(), it)).collect();
         self.segment_of.extend(workers.keys().map(|it| (it.clone(), segment)));
         self.segments[segment] =
-            Segment { revision, recorded: workers.clone(), wanted: workers, is_changed: false };
+            Segment { revision, recorded: workers.clone(), wanted: workers, ..Segment::default() };
+    }
+
+    /// Adds a segment whose record, at this revision, cannot be read.
+    pub fn restore_unreadable(&mut self, segment: usize, revision: u64) {
+        self.restore(segment, RosterSegment::default(), revision);
+        self.segments[segment].is_unreadable = true;
+    }
+
+    /// Replaces the records that cannot be read, which would make each later
+    /// leader wait for the end of the leases. Must not be called before all
+    /// leases of earlier leaders have expired, as a worker that only such a
+    /// record named may run something until then.
+    pub fn replace_unreadable(&mut self) {
+        for it in &mut self.segments {
+            it.is_changed |= std::mem::take(&mut it.is_unreadable);
+        }
     }
 
     /// Returns the recorded workers.
@@ -116,7 +134,7 @@
         if let Some(index) = self.segment_of.get(worker) {
             return *index;
         }
-        let has_room = |it: &Segment| it.wanted.len() < SEGMENT_WORKERS;
+        let has_room = |it: &Segment| !it.is_unreadable && it.wanted.len() < SEGMENT_WORKERS;
         let index = self.segments.iter().position(has_room).unwrap_or_else(|| {
             self.segments.push(Segment::default());
             self.segments.len() - 1
--- a/crates/mustardcove-core/tests/short_list.rs
+++ b/crates/mustardcove-core/tests/short_list.rs
@@ -210,3 +210,27 @@
         assert_eq!(record::roster_segment_of(key), None, "{key}");
     }
 }
+
+/// Guards against a record that cannot be read and is never replaced, for which
+/// each later leader waits. It is replaced once no lease is left, as other
+/// workers may be named in it.
+#[test]
+fn unreadable_replaced() {
+    let mut roster = Roster::default();
+    roster.restore_unreadable(1, 7);
+    assert!(!roster.is_empty());
+    for i in 0..65 {
+        roster.update(vec![listing(&format!("w{i}"), 4_000, Incarnation(1))]);
+    }
+    let written: Vec<usize> = roster.changes().iter().map(|it| it.segment).collect();
+    assert_eq!(written, [0, 2], "an earlier leader's work may still run");
+    for write in roster.changes() {
+        roster.stored(write, 7);
+    }
+    roster.replace_unreadable();
+    let write = roster.changes().remove(0);
+    assert_eq!((write.segment, write.revision, write.value.workers.len()), (1, 7, 0));
+    roster.stored(write, 8);
+    roster.replace_unreadable();
+    assert!(roster.changes().is_empty());
+}
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -126,6 +126,8 @@
     planner: Planner,
     pollers: Pollers,
     roster: Roster,
+    /// When every lease granted under an earlier leader has expired.
+    earlier_leases_expire_by: Timestamp,
     /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
     listed_at: Timestamp,
@@ -174,6 +176,7 @@
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
         pollers: Pollers::new(shared.clone(), term),
         roster: Roster::default(),
+        earlier_leases_expire_by,
         listed: Vec::new(),
         listed_at: now,
         logged_entries: BTreeMap::new(),
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -72,7 +72,12 @@
                 (Some(segment), Some(value)) => {
                     self.roster.restore(segment, value, item.revision);
                 }
-                _ => is_complete = false,
+                (Some(segment), None) => {
+                    self.roster.restore_unreadable(segment, item.revision);
+                    is_complete = false;
+                }
+                // Leaders write no such key; an item without one may be any.
+                (None, _) => is_complete &= !item.key.is_empty(),
             }
         }
         let is_first = self.planner.is_first_term();
@@ -112,6 +117,9 @@
     ) {
         let usable = self.roster.update(listings);
         self.planner.update_workers(usable, may_remove);
+        if self.earlier_leases_expire_by <= now {
+            self.roster.replace_unreadable();
+        }
         if may_remove {
             let is_unused = |it: &&WorkerId| self.planner.is_unused(it, now);
             let unused: Vec<WorkerId> =
--- a/crates/mustardcove-node/tests/odd_entries.rs
+++ b/crates/mustardcove-node/tests/odd_entries.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use mustardcove_adapter::store::WORKERS_PREFIX;
-use mustardcove_core::fleet::id::SubmissionId;
+use mustardcove_core::fleet::{id::SubmissionId, poller::MAX_ORPHAN_LEASE_MS, record};
 use reqwest::StatusCode;
 use rig::{Rig, two_steps};
 
@@ -127,3 +127,24 @@
     assert_eq!(metric(&rig, "mustardcove_ignored_entries").await, odd.len() - polled.len());
     assert!((0..2).all(|it| rig.is_running(it)), "a process has ended");
 }
+
+/// Guards against a record of the workers that cannot be read and makes each
+/// later leader wait, since none replaces it.
+#[tokio::test]
+async fn unreadable_roster() {
+    let mut rig = Rig::start("unreadable-roster", 1, 1).await;
+    rig.wait_ready().await;
+    rig.store.put(&record::roster_key(3), b"no record");
+    rig.store.put("roster/x", b"no record");
+    for _ in 0..2 {
+        rig.kill(0);
+        rig.restart(0);
+        rig.wait_ready().await;
+        tokio::time::sleep(Duration::from_millis(MAX_ORPHAN_LEASE_MS) + SEVERAL_READINGS).await;
+    }
+    let logs = rig.logs();
+    let is_unreadable =
+        |it: &&String| it.contains("unreadable record") && it.contains("key=roster/3");
+    let unreadable = logs.iter().filter(is_unreadable).count();
+    assert_eq!(unreadable, 1, "the first leader that cannot read it replaces it");
+}
