--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -2,11 +2,15 @@
 //! that are recorded in the store; see
 //! [`roster`](mustardcove_core::fleet::roster).
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use mustardcove_adapter::store::Item;
+use mustardcove_adapter::{
+    discovery::{self, DiscoveryError},
+    store::{Item, WORKERS_PREFIX},
+};
 use mustardcove_core::{
     fleet::{
+        admission,
         id::Term,
         planner::WorkerListing,
         record,
@@ -15,6 +19,7 @@
     id::WorkerId,
     time::Timestamp,
 };
+use slog::warn;
 
 use super::{
     Leader, TaskResult,
@@ -25,6 +30,30 @@
 /// Pause after a write that failed, in milliseconds.
 const ROSTER_RETRY_MS: u64 = 250;
 
+/// Most entries logged after one reading, which bounds the log if many are odd.
+const MAX_LOGGED_ENTRIES: usize = 8;
+
+/// The entries below the prefix of the workers.
+pub(super) struct Entries {
+    listings: Vec<WorkerListing>,
+    /// The keys of those that describe no worker, and why.
+    unreadable: Vec<(String, DiscoveryError)>,
+}
+
+impl Entries {
+    /// Decodes the entries.
+    pub(super) fn decode(items: &[Item]) -> Entries {
+        let mut entries = Entries { listings: Vec::new(), unreadable: Vec::new() };
+        for item in items {
+            match discovery::decode(item) {
+                Ok(listing) => entries.listings.push(listing),
+                Err(error) => entries.unreadable.push((item.key.clone(), error)),
+            }
+        }
+        entries
+    }
+}
+
 /// A write of the roster that has ended.
 pub(super) struct RosterWritten {
     writes: Vec<RosterWrite>,
@@ -43,7 +72,12 @@
                 (Some(segment), Some(value)) => {
                     self.roster.restore(segment, value, item.revision);
                 }
-                _ => is_complete = false,
+                (Some(segment), None) => {
+                    self.roster.restore_unreadable(segment, item.revision);
+                    is_complete = false;
+                }
+                // Leaders write no such key; an item without one may be any.
+                (None, _) => is_complete &= !item.key.is_empty(),
             }
         }
         let is_first = self.planner.is_first_term();
@@ -51,6 +85,29 @@
         self.planner.restore_workers(is_known.then(|| self.roster.workers()));
     }
 
+    /// Returns the listed workers that may be used. The log names each
+    /// other entry once, and again when the reason changes.
+    pub(super) fn admit_workers(&mut self, entries: Entries, now: Timestamp) -> Vec<WorkerListing> {
+        let manifest = self.shared.manifest().unwrap_or_default();
+        let (admitted, rejected) = admission::admit(entries.listings, &manifest, now);
+        let unreadable = entries.unreadable.into_iter().map(|it| (it.0, it.1.to_string()));
+        let rejected =
+            rejected.into_iter().map(|it| (format!("{WORKERS_PREFIX}{}", it.0), it.1.to_string()));
+        let ignored: BTreeMap<String, String> = unreadable.chain(rejected).collect();
+        self.shared.metrics.record_ignored_entries(ignored.len());
+        self.logged_entries.retain(|key, reason| ignored.get(key) == Some(reason));
+        let is_new = |it: &(String, String)| !self.logged_entries.contains_key(&it.0);
+        let entries = ignored.len();
+        let new = ignored.into_iter().filter(is_new).take(MAX_LOGGED_ENTRIES);
+        let new: Vec<(String, String)> = new.collect();
+        for (key, reason) in new {
+            warn!(self.shared.log, "entry names no worker to use"; "key" => &key,
+                "reason" => &reason, "entries" => entries);
+            self.logged_entries.insert(key, reason);
+        }
+        admitted
+    }
+
     /// Passes on the listed workers that are recorded, and records the others.
     pub(super) fn workers_listed(
         &mut self,
@@ -60,6 +117,9 @@
     ) {
         let usable = self.roster.update(listings);
         self.planner.update_workers(usable, may_remove);
+        if self.earlier_leases_expire_by <= now {
+            self.roster.replace_unreadable();
+        }
         if may_remove {
             let is_unused = |it: &&WorkerId| self.planner.is_unused(it, now);
             let unused: Vec<WorkerId> =
