--- a/crates/mustardcove-core/tests/planner_faults.rs
+++ b/crates/mustardcove-core/tests/planner_faults.rs
@@ -5,6 +5,7 @@
 //! its end was acknowledged, and accepted work that never ends.
 
 #[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
 mod fleet_world;
 
 use fleet_world::{World, step, submission};
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -298,9 +298,16 @@
     acknowledged: BTreeSet<TaskKey>,
     /// Share of calls that are lost, delayed or lose their answer, in percent.
     pub(crate) call_failure_percent: u32,
+    /// Share of orders and of reports that are lost between a leader and its
+    /// pollers, in percent.
+    pub(crate) message_loss_percent: u32,
     pub(crate) run_failure_percent: u32,
     /// Whether runs go on until they are ended.
     pub(crate) is_endless: bool,
+    /// Whether those of long-running tasks do, unless they fail.
+    pub(crate) is_long_running_endless: bool,
+    /// Whether workers refuse starts that exceed their capacity.
+    pub(crate) rejects_overload: bool,
     /// Duration of a worker's restart, in milliseconds.
     pub(crate) restart_ms: u64,
     /// Tasks that crash each worker that starts them.
@@ -347,8 +354,11 @@
             delayed: Vec::new(),
             acknowledged: BTreeSet::new(),
             call_failure_percent: 0,
+            message_loss_percent: 0,
             run_failure_percent: 0,
             is_endless: false,
+            is_long_running_endless: false,
+            rejects_overload: false,
             restart_ms: 0,
             deadly: BTreeSet::new(),
             is_renamed: false,
@@ -426,7 +436,7 @@
     pub(crate) fn restart(&mut self, worker: usize) {
         self.delayed.retain(|it| it.worker != worker);
         self.incarnations += 1;
-        let name = format!("w{worker}");
+        let name = self.workers[worker].id.to_string();
         self.workers[worker] = SimWorker::new(&name, self.incarnations, 98, self.now);
         self.workers[worker].unreachable_until = self.now.plus_ms(self.restart_ms);
     }
@@ -550,6 +560,9 @@
 
     /// Sends a report to a leader, which handles it once it gets to it.
     fn report(&mut self, leader: usize, worker: WorkerId, report: WorkerReport) {
+        if self.is_message_lost() {
+            return;
+        }
         let now = self.now;
         let state = &mut self.leaders[leader];
         let is_frozen = now < state.frozen_until;
@@ -791,7 +804,15 @@
         state.roster.update(listings)
     }
 
+    fn is_message_lost(&mut self) -> bool {
+        let percent = self.message_loss_percent;
+        percent != 0 && self.rng.random_range(0..100u32) < percent
+    }
+
     fn order(&mut self, leader: usize, worker: usize, order: Order) {
+        if self.is_message_lost() {
+            return;
+        }
         let now = self.now;
         let state = &mut self.leaders[leader];
         let term = state.planner.term();
@@ -871,7 +892,19 @@
         let is_long = self.rng.random_range(0..100u32) < LONG_RUN_PERCENT;
         let duration_ms = if is_long { 5_000..10_000 } else { 200..1_500 };
         let ends_at = now.plus_ms(self.rng.random_range(duration_ms));
-        let ends_at = if self.is_endless { Timestamp::MAX } else { ends_at };
+        let is_long_running = match order {
+            Order::Start(start) => self.is_long_running(start.task),
+            _ => false,
+        };
+        let is_endless =
+            self.is_endless || (self.is_long_running_endless && is_long_running && !fails);
+        let ends_at = if is_endless { Timestamp::MAX } else { ends_at };
+        let has_room = match order {
+            Order::Start(start) if self.rejects_overload => {
+                self.used_cpu(worker) + self.needed_cpu(start.task) <= self.workers[worker].cpu
+            }
+            _ => true,
+        };
         let it = &mut self.workers[worker];
         if term < it.fence {
             return StartOutcome::Fenced;
@@ -889,6 +922,9 @@
                 if lease_until <= it.clock(now) {
                     return StartOutcome::TooLate;
                 }
+                if !has_room {
+                    return StartOutcome::NoRoom;
+                }
                 let how = if fails { EndKind::Failed } else { EndKind::Done };
                 let run = SimRun { run: start.run, ends_at, how };
                 if self.deadly.contains(&start.task) {
@@ -993,6 +1029,42 @@
         self.submissions.keys().copied().filter(|it| !is_final(it)).collect()
     }
 
+    /// Returns the processors that a task takes, in millicores.
+    fn needed_cpu(&self, task: TaskKey) -> u64 {
+        let submission = self.submissions.get(&task.step.submission);
+        let step = submission.and_then(|it| it.steps.get(usize::from(task.step.step)));
+        step.map_or(0, |it| it.allocation().cpu.0)
+    }
+
+    fn is_long_running(&self, task: TaskKey) -> bool {
+        let submission = self.submissions.get(&task.step.submission);
+        let step = submission.and_then(|it| it.steps.get(usize::from(task.step.step)));
+        step.is_some_and(|it| it.is_long_running)
+    }
+
+    /// Returns the processors that runs on a worker take, in millicores.
+    pub(crate) fn used_cpu(&self, worker: usize) -> u64 {
+        self.workers[worker].running.keys().map(|it| self.needed_cpu(*it)).sum()
+    }
+
+    /// Returns whether a worker is down.
+    pub(crate) fn is_down(&self, worker: usize) -> bool {
+        self.workers[worker].down.is_some()
+    }
+
+    /// Returns how many further tasks like this one the workers could take.
+    pub(crate) fn spare_runs(&self, task: TaskKey) -> u64 {
+        let needed = self.needed_cpu(task).max(1);
+        let is_up = |it: &usize| !self.is_down(*it) && !self.workers[*it].is_draining;
+        let workers = (0..self.workers.len()).filter(is_up);
+        workers.map(|it| self.workers[it].cpu.saturating_sub(self.used_cpu(it)) / needed).sum()
+    }
+
+    /// Returns on how many workers a task runs.
+    pub(crate) fn runs_of(&self, task: TaskKey) -> usize {
+        self.workers.iter().filter(|it| it.running.contains_key(&task)).count()
+    }
+
     /// Returns the number of tasks that run anywhere.
     pub(crate) fn running(&self) -> usize {
         self.workers.iter().map(|it| it.running.len()).sum()
