--- a/crates/mustardcove-core/tests/long_running_resumes.rs
+++ b/crates/mustardcove-core/tests/long_running_resumes.rs
@@ -110,10 +110,9 @@
             let ms = world.rng.random_range(500..12_000);
             world.workers[worker].unreachable_until = world.now.plus_ms(ms);
         }
+        6 if mix.has_crashes && world.unlisted.insert(worker) => {}
         6 if mix.has_crashes => {
-            if !world.unlisted.remove(&worker) {
-                world.unlisted.insert(worker);
-            }
+            world.unlisted.remove(&worker);
         }
         7 | 8 if mix.has_shrinking => {
             let percent = [30, 55, 100][world.rng.random_range(0..3usize)];
@@ -145,8 +144,9 @@
             world.workers[worker].cpu = world.rng.random_range(CPU / 2..2 * CPU);
         }
         14 if mix.has_crashes && !world.is_down(worker) => {
-            if std::mem::replace(&mut world.workers[worker].is_draining, true) {
-                world.is_renamed = true;
+            let was_draining = std::mem::replace(&mut world.workers[worker].is_draining, true);
+            world.is_renamed = true;
+            if was_draining {
                 world.crash(worker, MIN_DOWN_MS);
             }
         }
