--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -81,8 +81,9 @@
 /// Most of the schedulable workers that may be isolated at once, in percent and
 /// rounded up; one more for a task that can start at once.
 const MAX_ISOLATED_PERCENT: usize = 15;
-/// The same while most of their capacity is free: other work has room enough,
-/// and each of many suspected tasks is isolated for about two seconds.
+/// The same while most of their capacity is free, for tasks that can start at
+/// once: other work has room enough, and each of many suspected tasks is
+/// isolated for about two seconds.
 const MAX_ISOLATED_IDLE_PERCENT: usize = 50;
 /// Longest time for which a worker is kept free of new starts for a task that
 /// still waits for it, in milliseconds: a few polls.
@@ -485,9 +486,10 @@
         self.judge_by_host(now);
         let usable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
+        let share = |percent: usize| (usable.len() * percent).div_ceil(100);
+        let most_kept = share(MAX_ISOLATED_PERCENT);
         let is_mostly_free = placement::is_mostly_free(usable.iter().map(|it| &self.workers[*it]));
-        let percent = if is_mostly_free { MAX_ISOLATED_IDLE_PERCENT } else { MAX_ISOLATED_PERCENT };
-        let most = (usable.len() * percent).div_ceil(100);
+        let most = if is_mostly_free { share(MAX_ISOLATED_IDLE_PERCENT) } else { most_kept };
         // Tasks that find no worker must not use up the searches of each round.
         let mut waiting: Vec<(Timestamp, Rank, TaskKey)> = Vec::new();
         for task in &self.suspects.tasks {
@@ -503,7 +505,7 @@
             let worker = match claimed {
                 Some(worker) => Some(worker),
                 None if 0 < most && claims.len() <= most && searches < MAX_SEARCHES => {
-                    let may_wait = claims.len() < most;
+                    let may_wait = claims.len() < most_kept;
                     searches += 1;
                     self.claim_worker(task, &usable, may_wait, now)
                 }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -334,3 +334,24 @@
     let waited_ms = wait_ms(&mut rig, 2);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
+
+/// Tasks that wait for the end of other work close few workers, even if most of
+/// the capacity is free.
+#[test]
+fn few_workers_kept() {
+    let mut rig = rig(&[on_host("c0", 90_000, "c0")]);
+    submit(&mut rig, SUSPECT, lasting(8, 8_000));
+    assert_eq!(rig.plan().len(), 8);
+    let names: Vec<String> = (0..10).map(|it| format!("w{it}")).collect();
+    let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 10_000, it)).collect();
+    crash(&mut rig, &id("c0"));
+    for (i, worker) in workers.iter().enumerate() {
+        add_workers(&mut rig, std::slice::from_ref(worker));
+        submit(&mut rig, LASTING + i as u64, lasting(1, 4_000));
+        rig.plan();
+    }
+    settle(&mut rig);
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 8);
+    let kept = 10 - rig.planner.counts(rig.now).schedulable_workers;
+    assert!(0 < kept && kept <= 2, "{kept} of 10 workers");
+}
