Wait 8 s at most for what becomes of a silent worker

What callers would see: a task that lasts has no run for over 10 s although there is room (LOST; users count from 6 s after its last run, and accept 3 s), because the worker of its second run is silent for good and nothing begins on its host. Each new leader began these 10 s anew, longer than all leases of its predecessors.

Change: 8 s, and under a new leader until the leases of earlier ones have expired; their work waits until then in any case, so several leaders in a row hold up no suspected task for longer than others. The run stays open, and counts as soon as the end of its worker is known.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -324,7 +324,7 @@
             work.queue = queue.clone();
         }
         if let Some((progress, revision)) = progress {
-            work.restore(progress, revision, now);
+            work.restore(progress, revision, self.earlier_leases_expire_by);
         }
         self.log_decision(DecisionKind::Planned, Some(id), None, || {
             format!("queue={} certain={is_known_unstarted}", work.queue.name)
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -73,8 +73,8 @@
 const MAX_CRASHES: usize = 4;
 /// Longest time for which a task waits for what becomes of its silent worker if
 /// that may be the second one under it, in milliseconds: workers that have
-/// crashed are back within seconds.
-const OPEN_WAIT_MS: u64 = 10_000;
+/// crashed are back within seconds, and users accept 9 s without a run.
+const OPEN_WAIT_MS: u64 = 8_000;
 /// Time after the crash of a host in which another one may be its own fault, in
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
@@ -114,12 +114,14 @@
 }
 
 impl Suspicion {
-    /// Returns the suspicion that an earlier leader stored.
-    pub(super) fn restored(record: &SuspectTask, now: Timestamp) -> Suspicion {
+    /// Returns the suspicion that an earlier leader stored. Its workers have
+    /// been silent for an unknown time, and no run of that leader goes on after
+    /// `earlier_leases_expire_by`.
+    pub(super) fn restored(record: &SuspectTask, earlier_leases_expire_by: Timestamp) -> Suspicion {
         Suspicion {
             crashed_runs: record.crashed_runs.clone(),
             open_runs: record.open_runs.clone(),
-            wait_until: now.plus_ms(OPEN_WAIT_MS),
+            wait_until: earlier_leases_expire_by,
             ..Suspicion::default()
         }
     }
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -241,7 +241,12 @@
     }
 
     /// Restores the progress that an earlier leader recorded.
-    pub(super) fn restore(&mut self, progress: &ProgressRecord, revision: u64, now: Timestamp) {
+    pub(super) fn restore(
+        &mut self,
+        progress: &ProgressRecord,
+        revision: u64,
+        earlier_leases_expire_by: Timestamp,
+    ) {
         self.state = progress.state;
         self.is_begun = progress.state != SubmissionState::Queued;
         self.next_occurrence = progress.next_occurrence;
@@ -266,7 +271,7 @@
             let (step, index) = (usize::from(recorded.step), usize::from(recorded.index));
             let task = self.submission.task(recorded.occurrence, step, index);
             if let Some(slot) = self.task_mut(task).filter(|it| !it.is_done()) {
-                let suspicion = Suspicion::restored(recorded, now);
+                let suspicion = Suspicion::restored(recorded, earlier_leases_expire_by);
                 slot.last_run = slot.last_run.max(suspicion.last_run());
                 slot.suspicion = Some(Box::new(suspicion));
             }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -13,14 +13,16 @@
 use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        id::{Incarnation, SubmissionId},
+        id::{Incarnation, RunNumber, SubmissionId, Term},
         message::{EndKind, Order, StartOutcome, WorkerReport},
-        planner::WorkerListing,
-        submission::StepSpec,
+        planner::{Planner, WorkerListing},
+        poller::MAX_ORPHAN_LEASE_MS,
+        record::{CrashedRun, OccurrenceProgress, OpenRun, ProgressRecord, SuspectTask},
+        submission::{StepSpec, SubmissionState},
     },
     id::WorkerId,
 };
-use planner_rig::Rig;
+use planner_rig::{Rig, START};
 
 /// Longest time without a run that users accept, in milliseconds.
 const MAX_IDLE_MS: u64 = 3_000;
@@ -355,3 +357,56 @@
     let kept = 10 - rig.planner.counts(rig.now).schedulable_workers;
     assert!(0 < kept && kept <= 2, "{kept} of 10 workers");
 }
+
+/// The worker of its second run falls silent for good, and no other one begins on
+/// its host.
+#[test]
+fn outcome_unknown() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
+    rig.plan();
+    crash(&mut rig, &id("w0"));
+    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    wait_ms(&mut rig, SUSPECT);
+    rig.workers.remove(&id("w1"));
+    let leases_expire_by = Some(rig.now.plus_ms(4_000));
+    let silent = WorkerReport::PollFailed { leases_expire_by, is_silent: true };
+    rig.planner.report(&id("w1"), silent, rig.now);
+    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
+}
+
+/// The same for the next leader, which does not know the worker at all.
+#[test]
+fn outcome_unknown_restored() {
+    let expire_by = START.plus_ms(MAX_ORPHAN_LEASE_MS);
+    let mut rig = rig(&[]);
+    rig.planner = Planner::new(Term(9), 2, manifest(3), expire_by);
+    let open = OpenRun {
+        run: RunNumber(2),
+        worker: id("w1"),
+        incarnation: Incarnation(1),
+        host: None,
+        is_sole: true,
+    };
+    let suspect = SuspectTask {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+        crashed_runs: vec![CrashedRun { run: RunNumber(1), is_sole: true }],
+        open_runs: vec![open],
+    };
+    let progress = ProgressRecord {
+        state: SubmissionState::Running,
+        occurrences: vec![OccurrenceProgress { occurrence: 0, tasks: Vec::new() }],
+        next_occurrence: 1,
+        suspects: vec![suspect],
+    };
+    let lasting = StepSpec { is_long_running: true, ..step(1, 2_000, &[]) };
+    let lasting = submission(SUSPECT, vec![lasting], START);
+    rig.planner.restore(lasting, false, Some((&progress, 5)), START);
+    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_ORPHAN_LEASE_MS + 500, "{waited_ms} ms");
+}
