Let suspected tasks wait for their own record only

What callers would see: while the record of any submission cannot be stored, no task that may have crashed a worker starts again, whatever capacity is free.

Cause: the plan knows one number up to which all changes are stored, and it rises only after a write in which every record was stored. A store that loses some answers fails one of several calls of a write again and again; a record that it never accepts would hold up all suspected tasks for good.

Change: each record that is stored counts for its submission. Final states and acknowledged ends still wait for the common number.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -534,6 +534,15 @@
         !self.dirty.is_empty()
     }
 
+    /// Records that a progress record is stored as a revision, with the changes
+    /// up to `change`.
+    pub fn record_stored(&mut self, id: SubmissionId, revision: u64, change: u64) {
+        if let Some(work) = self.work.get_mut(&id) {
+            work.progress_revision = revision;
+            work.stored_change = work.stored_change.max(change);
+        }
+    }
+
     /// Records the revision of a progress record in the store.
     pub fn set_progress_revision(&mut self, id: SubmissionId, revision: u64) {
         if let Some(work) = self.work.get_mut(&id) {
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -194,7 +194,7 @@
     host_probation: HashMap<HostId, Timestamp>,
     /// Number of workers that crashed.
     crashes: u64,
-    /// The last change that is stored.
+    /// The last change up to which those of all submissions are stored.
     stored_change: u64,
     /// Whether service discovery was read since the hosts were compared.
     is_list_new: bool,
@@ -251,9 +251,18 @@
 impl Planner {
     /// Returns whether a start or a suspected task waits for the store.
     pub(super) fn waits_for_record(&self) -> bool {
-        let stored = self.suspects.stored_change;
-        self.suspects.withheld.iter().any(|it| stored < it.change)
-            || self.suspects.tasks.iter().any(|it| stored < self.suspicion_change(*it))
+        let is_unstored = |id, change| !self.is_stored(id, change);
+        let suspects = &self.suspects;
+        suspects.withheld.iter().any(|it| is_unstored(it.step.submission, it.change))
+            || (suspects.tasks.iter())
+                .any(|it| is_unstored(it.step.submission, self.suspicion_change(*it)))
+    }
+
+    /// Returns whether the changes of a submission up to `change` are stored,
+    /// whether or not those of others are.
+    fn is_stored(&self, id: SubmissionId, change: u64) -> bool {
+        let stored_change = self.work.get(&id).map_or(0, |it| it.stored_change);
+        change <= self.suspects.stored_change.max(stored_change)
     }
 
     fn suspicion_change(&self, task: TaskKey) -> u64 {
@@ -526,7 +535,7 @@
         let spec = work.submission.steps.get(usize::from(task.step.step))?;
         let slot = work.task(task)?;
         let suspicion = slot.suspicion.as_ref()?;
-        let is_stored = suspicion.change <= self.suspects.stored_change;
+        let is_stored = self.is_stored(task.step.submission, suspicion.change);
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = work.is_known_unstarted || self.is_all_fenced(&work.queue.service, now);
         let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
@@ -689,7 +698,7 @@
     /// for too long or whose worker is no longer as it was.
     fn send_withheld(&mut self, now: Timestamp) {
         for start in std::mem::take(&mut self.suspects.withheld) {
-            let is_stored = start.change <= self.suspects.stored_change;
+            let is_stored = self.is_stored(start.step.submission, start.change);
             if !is_stored && now < start.expires_at {
                 self.suspects.withheld.push(start);
                 continue;
@@ -784,6 +793,7 @@
     /// isolation.
     pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
         let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
-        self.suspicion(task).is_none_or(|it| is_gang && it.change <= self.suspects.stored_change)
+        let is_stored = |it: &Suspicion| self.is_stored(task.step.submission, it.change);
+        self.suspicion(task).is_none_or(|it| is_gang && is_stored(it))
     }
 }
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -33,6 +33,8 @@
     pub(super) is_known_unstarted: bool,
     /// Revision of the progress record, 0 while there is none.
     pub(super) progress_revision: u64,
+    /// The last change of the plan up to which its own are stored.
+    pub(super) stored_change: u64,
     /// When the planner first learned of it.
     pub(super) known_since: Timestamp,
 }
@@ -236,6 +238,7 @@
             is_begun: false,
             is_known_unstarted,
             progress_revision: 0,
+            stored_change: 0,
             known_since: now,
         }
     }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -410,3 +410,65 @@
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_ORPHAN_LEASE_MS + 500, "{waited_ms} ms");
 }
+
+/// Stores the pending progress of all submissions but one.
+fn store_except(rig: &mut Rig, failing: SubmissionId) {
+    let (change, records) = rig.planner.take_progress();
+    for (id, _, revision) in records {
+        if id == failing {
+            rig.planner.progress_failed(id);
+        } else {
+            rig.planner.record_stored(id, revision + 1, change);
+        }
+    }
+}
+
+/// The record of another submission could not be stored, and held up all
+/// suspected tasks.
+#[test]
+fn other_record_fails() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, 2, step(1, 500, &[]));
+    let (worker, start) = rig.plan().remove(0);
+    rig.end(&worker, start.task, EndKind::Failed);
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
+    assert_eq!(rig.plan()[0].0, id("w1"));
+    crash(&mut rig, &id("w1"));
+    for (task, worker) in rig.running() {
+        rig.end(&worker, task, EndKind::Failed);
+    }
+    for _ in 0..MAX_IDLE_MS / STEP_MS {
+        if rig.plan().iter().any(|it| it.1.task.step.submission == SubmissionId(SUSPECT)) {
+            return;
+        }
+        store_except(&mut rig, SubmissionId(2));
+        rig.advance(STEP_MS);
+        rig.poll_all();
+    }
+    panic!("no start");
+}
+
+/// Its own record is stored only after some attempts, and nothing else changes
+/// meanwhile.
+#[test]
+fn own_record_fails() {
+    for is_known_unstarted in [false, true] {
+        let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+        let suspect = submission(SUSPECT, vec![step(1, 2_000, &[])], rig.now);
+        rig.planner.submit(suspect, is_known_unstarted, rig.now);
+        assert_eq!(rig.plan()[0].0, id("w0"));
+        crash(&mut rig, &id("w0"));
+        add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+        for _ in 0..30 {
+            assert!(rig.plan().is_empty());
+            assert!(rig.planner.has_progress() && rig.planner.has_urgent_progress());
+            store_except(&mut rig, SubmissionId(SUSPECT));
+            rig.advance(STEP_MS);
+            rig.poll_all();
+        }
+        let waited_ms = wait_ms(&mut rig, SUSPECT);
+        assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+    }
+}
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -92,7 +92,7 @@
             return;
         }
         for (id, revision) in &result.stored {
-            self.planner.set_progress_revision(*id, *revision);
+            self.planner.record_stored(*id, *revision, result.change);
         }
         if result.failed.is_empty() {
             self.planner.progress_stored(result.change);
