Count the poll in which a run is adopted among those that list it

What callers would see: when a worker crashes shortly after a change of the leader, all its runs count as new, so sound tasks wait for their turn in isolation.

Cause: the allocation of an adopted run began with no listing, although a poll had just listed it, so three polls instead of two were needed.

Evidence: adopted_run_is_listed failed before ("after 2 polls", one suspect).

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -491,6 +491,7 @@
         slot.last_run = slot.last_run.max(row.run);
         slot.phase = Phase::Placed(Run { is_confirmed: true, ..Run::new(index, row.run, now) });
         let mut allocation = self.allocation_for(&spec, row.run);
+        allocation.listings = 1;
         if allocation.kind == WorkloadKind::BestEffort {
             // An earlier leader may have slowed it down.
             allocation.pace = pace::UNKNOWN_PACE;
--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -423,6 +423,25 @@
     assert_eq!(rig.plan().len(), 1);
 }
 
+/// The poll in which a run is adopted lists it, too: after a change of the leader,
+/// everything on a worker that crashed was suspected for longer.
+#[test]
+fn adopted_run_is_listed() {
+    for polls in 1..=2 {
+        let mut rig = Rig::new(manifest(3), &FLEET);
+        rig.submit(submission(1, vec![step(1, 500, &[])], START));
+        let (_, start) = rig.plan().remove(0);
+        rig.planner = Planner::new(Term(9), 2, manifest(3), START);
+        rig.planner.update_workers(rig.listings.clone(), true);
+        rig.planner.submit(submission(1, vec![step(1, 500, &[])], START), false, START);
+        for _ in 0..polls {
+            rig.restart(&id("w0"), 1, std::slice::from_ref(&start));
+        }
+        replaced(&mut rig, &id("w0"));
+        assert_eq!(store(&mut rig).len(), 2 - polls, "after {polls} polls");
+    }
+}
+
 /// Records without suspected tasks are as earlier builds wrote them.
 #[test]
 fn record_format() {
