--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -330,7 +330,7 @@
             work.queue = queue.clone();
         }
         if let Some((progress, revision)) = progress {
-            work.restore(progress, revision, now);
+            work.restore(progress, revision, self.earlier_leases_expire_by);
         }
         self.log_decision(DecisionKind::Planned, Some(id), None, || {
             format!("queue={} certain={is_known_unstarted}", work.queue.name)
@@ -543,6 +543,15 @@
         !self.dirty.is_empty()
     }
 
+    /// Records that a progress record is stored as a revision, with the changes
+    /// up to `change`.
+    pub fn record_stored(&mut self, id: SubmissionId, revision: u64, change: u64) {
+        if let Some(work) = self.work.get_mut(&id) {
+            work.progress_revision = revision;
+            work.stored_change = work.stored_change.max(change);
+        }
+    }
+
     /// Records the revision of a progress record in the store.
     pub fn set_progress_revision(&mut self, id: SubmissionId, revision: u64) {
         if let Some(work) = self.work.get_mut(&id) {
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -85,15 +85,15 @@
 const MAX_CRASHES: usize = 4;
 /// Longest time for which a task waits for what becomes of its silent worker if
 /// that may be the second one under it, in milliseconds: workers that have
-/// crashed are back within seconds.
-const OPEN_WAIT_MS: u64 = 10_000;
+/// crashed are back within seconds, and users accept 9 s without a run.
+const OPEN_WAIT_MS: u64 = 8_000;
 /// Time after the crash of a host in which another one may be its own fault, in
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
-/// Most of the usable workers that may be isolated at once on a full pool, in
-/// percent and rounded up; one more for a task that can start at once. On a
-/// pool with more free capacity it is half of the free share, since suspected
-/// work is expected to start there in time.
+/// Most of the usable workers that may be isolated at once, in percent and
+/// rounded up; one more for a task that can start at once. For such tasks it is
+/// half of the free share of the pool if that is more: other work has room
+/// enough then.
 const MAX_ISOLATED_PERCENT: u64 = 15;
 /// Most tasks that are isolated together, while there is little against any of
 /// them. Larger groups clear sound tasks faster, but a crash costs each other
@@ -132,13 +132,14 @@
 }
 
 impl Suspicion {
-    /// Returns the suspicion that an earlier leader stored.
-    pub(super) fn restored(record: &SuspectTask, now: Timestamp) -> Suspicion {
+    /// Returns the suspicion that an earlier leader stored. Its workers have
+    /// been silent for an unknown time, and no run of that leader goes on after
+    /// `earlier_leases_expire_by`.
+    pub(super) fn restored(record: &SuspectTask, earlier_leases_expire_by: Timestamp) -> Suspicion {
         Suspicion {
             crashed_runs: record.crashed_runs.clone(),
             open_runs: record.open_runs.clone(),
-            wait_until: now.plus_ms(OPEN_WAIT_MS),
-            try_at: now,
+            wait_until: earlier_leases_expire_by,
             ..Suspicion::default()
         }
     }
@@ -237,7 +238,7 @@
     host_probation: HashMap<HostId, Timestamp>,
     /// Number of workers that crashed.
     crashes: u64,
-    /// The last change that is stored.
+    /// The last change up to which those of all submissions are stored.
     stored_change: u64,
     /// Whether service discovery was read since the hosts were compared.
     is_list_new: bool,
@@ -306,9 +307,18 @@
 impl Planner {
     /// Returns whether a start or a suspected task waits for the store.
     pub(super) fn waits_for_record(&self) -> bool {
-        let stored = self.suspects.stored_change;
-        self.suspects.withheld.iter().any(|it| stored < it.change)
-            || self.suspects.tasks.iter().any(|it| stored < self.suspicion_change(*it))
+        let is_unstored = |id, change| !self.is_stored(id, change);
+        let suspects = &self.suspects;
+        suspects.withheld.iter().any(|it| is_unstored(it.step.submission, it.change))
+            || (suspects.tasks.iter())
+                .any(|it| is_unstored(it.step.submission, self.suspicion_change(*it)))
+    }
+
+    /// Returns whether the changes of a submission up to `change` are stored,
+    /// whether or not those of others are.
+    fn is_stored(&self, id: SubmissionId, change: u64) -> bool {
+        let stored_change = self.work.get(&id).map_or(0, |it| it.stored_change);
+        change <= self.suspects.stored_change.max(stored_change)
     }
 
     fn suspicion_change(&self, task: TaskKey) -> u64 {
@@ -568,7 +578,8 @@
             (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
         self.suspects.is_mostly_free =
             placement::is_mostly_free(usable.iter().map(|it| &self.workers[*it]));
-        let most = self.max_isolated(&usable);
+        let most_kept = isolated_share(usable.len(), MAX_ISOLATED_PERCENT);
+        let most = most_kept.max(self.max_isolated(&usable));
         let claimed: Vec<WorkerIndex> = self.suspects.claims.keys().copied().collect();
         for worker in claimed {
             self.start_claimed(worker, now);
@@ -594,18 +605,18 @@
             searches += 1;
             let others = waiting[i + 1..].iter().map(|it| it.2);
             let others: Vec<TaskKey> = others.filter(|it| !self.suspects.is_claimed(*it)).collect();
-            if let Some(worker) = self.claim_worker(*task, &others, &usable, claims < most, now) {
+            let may_wait = claims < most_kept;
+            if let Some(worker) = self.claim_worker(*task, &others, &usable, may_wait, now) {
                 self.start_claimed(worker, now);
             }
         }
     }
 
-    /// Returns how many of the usable workers may be isolated at once.
+    /// Returns how many of the usable workers may be isolated at once for tasks
+    /// that can start at once.
     fn max_isolated(&self, usable: &[WorkerIndex]) -> usize {
         let reserved = placement::reserved_percent(usable.iter().map(|it| &self.workers[*it]));
-        let free_percent = 100u64.saturating_sub(reserved);
-        let percent = MAX_ISOLATED_PERCENT.max(free_percent / 2);
-        (usable.len() * percent as usize).div_ceil(100)
+        isolated_share(usable.len(), 100u64.saturating_sub(reserved) / 2)
     }
 
     /// Returns the rank of a suspected task if it may start now. Members of a
@@ -615,7 +626,7 @@
         let spec = work.submission.steps.get(usize::from(task.step.step))?;
         let slot = work.task(task)?;
         let suspicion = slot.suspicion.as_ref()?;
-        let is_stored = suspicion.change <= self.suspects.stored_change;
+        let is_stored = self.is_stored(task.step.submission, suspicion.change);
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = work.is_known_unstarted || self.is_all_fenced(&work.queue.service, now);
         let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
@@ -832,7 +843,7 @@
     /// for too long or whose worker is no longer as it was.
     fn send_withheld(&mut self, now: Timestamp) {
         for start in std::mem::take(&mut self.suspects.withheld) {
-            let is_stored = start.change <= self.suspects.stored_change;
+            let is_stored = self.is_stored(start.step.submission, start.change);
             if !is_stored && now < start.expires_at {
                 self.suspects.withheld.push(start);
                 continue;
@@ -940,6 +951,12 @@
     /// isolation.
     pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
         let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
-        self.suspicion(task).is_none_or(|it| is_gang && it.change <= self.suspects.stored_change)
+        let is_stored = |it: &Suspicion| self.is_stored(task.step.submission, it.change);
+        self.suspicion(task).is_none_or(|it| is_gang && is_stored(it))
     }
 }
+
+/// Returns a share of the workers, rounded up.
+fn isolated_share(workers: usize, percent: u64) -> usize {
+    (workers * percent as usize).div_ceil(100)
+}
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -33,6 +33,8 @@
     pub(super) is_known_unstarted: bool,
     /// Revision of the progress record, 0 while there is none.
     pub(super) progress_revision: u64,
+    /// The last change of the plan up to which its own are stored.
+    pub(super) stored_change: u64,
     /// When the planner first learned of it.
     pub(super) known_since: Timestamp,
 }
@@ -236,12 +238,18 @@
             is_begun: false,
             is_known_unstarted,
             progress_revision: 0,
+            stored_change: 0,
             known_since: now,
         }
     }
 
     /// Restores the progress that an earlier leader recorded.
-    pub(super) fn restore(&mut self, progress: &ProgressRecord, revision: u64, now: Timestamp) {
+    pub(super) fn restore(
+        &mut self,
+        progress: &ProgressRecord,
+        revision: u64,
+        earlier_leases_expire_by: Timestamp,
+    ) {
         self.state = progress.state;
         self.is_begun = progress.state != SubmissionState::Queued;
         self.next_occurrence = progress.next_occurrence;
@@ -266,7 +274,7 @@
             let (step, index) = (usize::from(recorded.step), usize::from(recorded.index));
             let task = self.submission.task(recorded.occurrence, step, index);
             if let Some(slot) = self.task_mut(task).filter(|it| !it.is_done()) {
-                let suspicion = Suspicion::restored(recorded, now);
+                let suspicion = Suspicion::restored(recorded, earlier_leases_expire_by);
                 slot.last_run = slot.last_run.max(suspicion.last_run());
                 slot.suspicion = Some(Box::new(suspicion));
             }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -13,14 +13,16 @@
 use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        id::{Incarnation, SubmissionId},
+        id::{Incarnation, RunNumber, SubmissionId, Term},
         message::{EndKind, Order, StartOutcome, WorkerReport},
-        planner::WorkerListing,
-        submission::StepSpec,
+        planner::{Planner, WorkerListing},
+        poller::MAX_ORPHAN_LEASE_MS,
+        record::{CrashedRun, OccurrenceProgress, OpenRun, ProgressRecord, SuspectTask},
+        submission::{StepSpec, SubmissionState},
     },
     id::WorkerId,
 };
-use planner_rig::Rig;
+use planner_rig::{Rig, START};
 
 /// Longest time without a run that users accept, in milliseconds.
 const MAX_IDLE_MS: u64 = 3_000;
@@ -334,3 +336,139 @@
     let waited_ms = wait_ms(&mut rig, 2);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
+
+/// Tasks that wait for the end of other work close few workers, even if most of
+/// the capacity is free.
+#[test]
+fn few_workers_kept() {
+    let mut rig = rig(&[on_host("c0", 90_000, "c0")]);
+    submit(&mut rig, SUSPECT, lasting(8, 8_000));
+    assert_eq!(rig.plan().len(), 8);
+    let names: Vec<String> = (0..10).map(|it| format!("w{it}")).collect();
+    let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 10_000, it)).collect();
+    crash(&mut rig, &id("c0"));
+    for (i, worker) in workers.iter().enumerate() {
+        add_workers(&mut rig, std::slice::from_ref(worker));
+        submit(&mut rig, LASTING + i as u64, lasting(1, 4_000));
+        rig.plan();
+    }
+    settle(&mut rig);
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 8);
+    let kept = 10 - rig.planner.counts(rig.now).schedulable_workers;
+    assert!(0 < kept && kept <= 2, "{kept} of 10 workers");
+}
+
+/// The worker of its second run falls silent for good, and no other one begins on
+/// its host.
+#[test]
+fn outcome_unknown() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
+    rig.plan();
+    crash(&mut rig, &id("w0"));
+    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    wait_ms(&mut rig, SUSPECT);
+    rig.workers.remove(&id("w1"));
+    let leases_expire_by = Some(rig.now.plus_ms(4_000));
+    let silent = WorkerReport::PollFailed { leases_expire_by, is_silent: true };
+    rig.planner.report(&id("w1"), silent, rig.now);
+    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
+}
+
+/// The same for the next leader, which does not know the worker at all.
+#[test]
+fn outcome_unknown_restored() {
+    let expire_by = START.plus_ms(MAX_ORPHAN_LEASE_MS);
+    let mut rig = rig(&[]);
+    rig.planner = Planner::new(Term(9), 2, manifest(3), expire_by);
+    let open = OpenRun {
+        run: RunNumber(2),
+        worker: id("w1"),
+        incarnation: Incarnation(1),
+        host: None,
+        is_sole: true,
+    };
+    let suspect = SuspectTask {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+        crashed_runs: vec![CrashedRun { run: RunNumber(1), is_sole: true }],
+        open_runs: vec![open],
+    };
+    let progress = ProgressRecord {
+        state: SubmissionState::Running,
+        occurrences: vec![OccurrenceProgress { occurrence: 0, tasks: Vec::new() }],
+        next_occurrence: 1,
+        suspects: vec![suspect],
+    };
+    let lasting = StepSpec { is_long_running: true, ..step(1, 2_000, &[]) };
+    let lasting = submission(SUSPECT, vec![lasting], START);
+    rig.planner.restore(lasting, false, Some((&progress, 5)), START);
+    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_ORPHAN_LEASE_MS + 500, "{waited_ms} ms");
+}
+
+/// Stores the pending progress of all submissions but one.
+fn store_except(rig: &mut Rig, failing: SubmissionId) {
+    let (change, records) = rig.planner.take_progress();
+    for (id, _, revision) in records {
+        if id == failing {
+            rig.planner.progress_failed(id);
+        } else {
+            rig.planner.record_stored(id, revision + 1, change);
+        }
+    }
+}
+
+/// The record of another submission could not be stored, and held up all
+/// suspected tasks.
+#[test]
+fn other_record_fails() {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, 2, step(1, 500, &[]));
+    let (worker, start) = rig.plan().remove(0);
+    rig.end(&worker, start.task, EndKind::Failed);
+    settle(&mut rig);
+    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
+    assert_eq!(rig.plan()[0].0, id("w1"));
+    crash(&mut rig, &id("w1"));
+    for (task, worker) in rig.running() {
+        rig.end(&worker, task, EndKind::Failed);
+    }
+    for _ in 0..MAX_IDLE_MS / STEP_MS {
+        if rig.plan().iter().any(|it| it.1.task.step.submission == SubmissionId(SUSPECT)) {
+            return;
+        }
+        store_except(&mut rig, SubmissionId(2));
+        rig.advance(STEP_MS);
+        rig.poll_all();
+    }
+    panic!("no start");
+}
+
+/// Its own record is stored only after some attempts, and nothing else changes
+/// meanwhile.
+#[test]
+fn own_record_fails() {
+    for is_known_unstarted in [false, true] {
+        let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+        let suspect = submission(SUSPECT, vec![step(1, 2_000, &[])], rig.now);
+        rig.planner.submit(suspect, is_known_unstarted, rig.now);
+        assert_eq!(rig.plan()[0].0, id("w0"));
+        crash(&mut rig, &id("w0"));
+        add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+        for _ in 0..30 {
+            assert!(rig.plan().is_empty());
+            assert!(rig.planner.has_progress() && rig.planner.has_urgent_progress());
+            store_except(&mut rig, SubmissionId(SUSPECT));
+            rig.advance(STEP_MS);
+            rig.poll_all();
+        }
+        let waited_ms = wait_ms(&mut rig, SUSPECT);
+        assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
+    }
+}
