Keep the time over a target through a single low measurement

The best-effort run was stopped 3.9 s after the task had exceeded its target; the plan halts such work after 1.4 s and stops it after 2.4 s.

Cause, likely: the time over the target began anew at each measurement below nine tenths of it, and the tails that workers report are rough.

Change: the time ends after two low measurements in a row. Halts and stops still need the last measurement to be over the target.

Evidence: one_low_measurement stopped after 4,400 ms before, within 3,000 ms now; under_target_again (passed before, too) shows that a task under its target keeps the work beside it.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -681,6 +681,7 @@
             pace: 100,
             max_pace: 100,
             pace_set_at: Timestamp::default(),
+            is_over_target: false,
             over_target_since: None,
             unexplained_excess: 0.0,
         }
--- a/crates/mustardcove-core/src/fleet/planner/measurements.rs
+++ b/crates/mustardcove-core/src/fleet/planner/measurements.rs
@@ -54,8 +54,8 @@
         if best_effort.is_empty() {
             return;
         }
-        let over_ms =
-            worker.allocations.values().filter_map(|it| Some(now.ms_since(it.over_target_since?)));
+        let over = worker.allocations.values().filter(|it| it.is_over_target);
+        let over_ms = over.filter_map(|it| Some(now.ms_since(it.over_target_since?)));
         let over_ms = over_ms.max().unwrap_or(0);
         if STOP_AFTER_MS <= over_ms {
             for (task, allocation) in best_effort {
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -536,7 +536,12 @@
                 let bound = if it.over_target_since.is_some() { target * 9 / 10 } else { target };
                 bound <= row.measurement
             });
-            it.over_target_since = is_over_target.then(|| it.over_target_since.unwrap_or(now));
+            let was_over_target = std::mem::replace(&mut it.is_over_target, is_over_target);
+            if is_over_target {
+                it.over_target_since.get_or_insert(now);
+            } else if !was_over_target {
+                it.over_target_since = None;
+            }
             now.ms_since(it.pace_set_at) < stall_timeout_ms
         });
         let is_stalled =
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -77,7 +77,10 @@
     pub(super) max_pace: u8,
     /// When the pace was last changed.
     pub(super) pace_set_at: Timestamp,
-    /// Since when its tail latency has exceeded its target in every poll.
+    /// Whether its tail latency exceeded its target in the last poll.
+    pub(super) is_over_target: bool,
+    /// Since when that was so in at least one of every two polls: a single
+    /// measurement may be too low.
     pub(super) over_target_since: Option<Timestamp>,
     /// Excess of its utilisation, as a factor, that the interference learned
     /// for its neighbours does not explain; smoothed over polls.
