Let one long-running task use suspended workers

What callers see: a long-running task does not run although workers have capacity for it and most of the pool is free; other tasks of its step run. Cause: suspended workers are open to blocked submissions, those without any run. One task of a long-running step had to wait for the probation of a worker, which grants one run after 8 s. Work that ranks higher takes it: an older long-running step that always fails, restarted without end, takes each of them, fails, and has the worker suspended again. Evidence: planner_suspension, one_task_of_step: the task waited for 60 s, the end of the test, and for 8 s at most if nothing ranked higher. Change: a long-running task that has waited for 3 s makes its step overdue as well, so that it may use a suspended worker every 2 s.

--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -698,13 +698,16 @@
         }
     }
 
-    /// Returns whether a step has had no run for so long that it may use
-    /// suspended workers if no others have capacity for it.
+    /// Returns whether a step, or a long-running task of it, has had no run for
+    /// so long that it may use suspended workers if no others have capacity for
+    /// it.
     fn is_overdue(&self, key: StepKey, now: Timestamp) -> bool {
         let work = self.work.get(&key.submission);
         let occurrence = work.and_then(|it| it.occurrence(key.occurrence));
         let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
-        self.blocked.is_blocked(key.submission, now)
+        let is_waiting =
+            self.blocked.is_blocked(key.submission, now) || self.waits.has_waiting(key, now);
+        is_waiting
             && step.is_some_and(|it| SUSPENDED_START_INTERVAL_MS <= now.ms_since(it.started_at))
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -107,6 +107,12 @@
 }
 
 impl LongRunningWaits {
+    /// Returns whether a long-running task of a step has waited for seconds.
+    pub(super) fn has_waiting(&self, key: StepKey, now: Timestamp) -> bool {
+        let tasks = TaskKey { step: key, index: 0 }..=TaskKey { step: key, index: u16::MAX };
+        self.tasks.range(tasks).any(|it| it.1.is_long(now))
+    }
+
     /// Returns how many tasks have waited for seconds.
     pub(super) fn waiting(&self) -> usize {
         self.waiting
--- a/crates/mustardcove-core/tests/planner_suspension.rs
+++ b/crates/mustardcove-core/tests/planner_suspension.rs
@@ -25,6 +25,8 @@
 /// Longest time that accepted work may have no run beside free capacity, in
 /// milliseconds, by the users' rules.
 const MAX_IDLE_MS: u64 = 3_000;
+/// The same for a single long-running task, from its last run on.
+const MAX_TASK_IDLE_MS: u64 = 6_000;
 const STEP_MS: u64 = 100;
 /// Id of a submission whose tasks run for the whole test.
 const LASTING: u64 = 900;
@@ -173,3 +175,34 @@
         assert!(waited_ms <= MAX_IDLE_MS, "submission {id} waited {waited_ms} ms");
     }
 }
+
+/// Guards against a long-running task that waits although suspended workers
+/// have capacity for it: another task of its step runs, and older work takes
+/// each run that those workers get on probation.
+#[test]
+fn one_task_of_step() {
+    for settle in 0..20 {
+        let mut rig = Rig::new(manifest(3), &WORKERS);
+        let hopeless = StepSpec { is_long_running: true, ..step(6, 4_000, &[]) };
+        rig.submit(submission(HOPELESS, vec![hopeless], rig.now));
+        rig.advance(STEP_MS);
+        rig.poll_all();
+        let spread = |it| StepSpec { is_long_running: true, max_per_worker: Some(1), ..it };
+        let steps = vec![spread(step(3, 5_000, &[])), spread(step(2, 4_000, &[]))];
+        rig.submit(submission(LASTING, steps, rig.now));
+        for _ in 0..100 + 3 * settle {
+            advance(&mut rig);
+        }
+        let running = rig.running();
+        let is_second = |it: &TaskKey| it.step.submission.0 == LASTING && it.step.step == 1;
+        let (task, worker) = running.iter().find(|it| is_second(it.0)).expect("it runs");
+        rig.end(worker, *task, EndKind::LeaseExpired);
+        rig.plan();
+        let mut waited_ms = 0;
+        while !rig.running().contains_key(task) && waited_ms < 60_000 {
+            advance(&mut rig);
+            waited_ms += STEP_MS;
+        }
+        assert!(waited_ms <= MAX_TASK_IDLE_MS, "settle {settle}: waited {waited_ms} ms");
+    }
+}
