--- a/crates/mustardcove-core/tests/long_running_waits.rs
+++ b/crates/mustardcove-core/tests/long_running_waits.rs
@@ -12,9 +12,12 @@
 
 use std::collections::BTreeMap;
 
-use fleet_world::{manifest, step, submission};
+use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::fleet::{
-    id::Incarnation, message::WorkerReport, planner::DecisionKind, submission::StepSpec,
+    id::{Incarnation, Term},
+    message::WorkerReport,
+    planner::{DecisionKind, Planner, WorkerListing},
+    submission::StepSpec,
 };
 use planner_rig::{Rig, START};
 
@@ -111,3 +114,25 @@
     assert_eq!(lines_of.len(), 50, "each task has its turn");
     assert_eq!(rig.planner.long_running_waits(rig.now).len(), 50);
 }
+
+/// A new leader waits for workers of the one before that never answer, or that
+/// have another address now, no longer than until the leases there are over.
+#[test]
+fn waits_for_fence() {
+    let fence_ms = 6_600;
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000)]);
+    rig.planner = Planner::new(Term(2), 2, manifest(3), START.plus_ms(fence_ms));
+    let recorded = [listing("w0", 4_000, Incarnation(1)), listing("w1", 4_000, Incarnation(1))];
+    rig.planner.restore_workers(Some(recorded.to_vec()));
+    let address = "127.0.0.1:2".parse().expect("an address");
+    let moved = WorkerListing { address, incarnation: Incarnation(2), ..recorded[1].clone() };
+    let odd = listing("w2", 4_000, Incarnation(3));
+    rig.listings.extend([moved, odd]);
+    rig.planner.update_workers(rig.listings.clone(), true);
+    rig.planner.submit(submission(1, vec![long_running(1, 500)], START), false, START);
+    let lines = run(&mut rig, fence_ms - 200);
+    assert!(lines[0].contains("for=fence") && lines[0].contains("nearest=w0"), "{lines:?}");
+    assert_eq!(rig.planner.counts(rig.now).placed_runs, 0);
+    run(&mut rig, 400);
+    assert_eq!(rig.planner.counts(rig.now).placed_runs, 1);
+}
