--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -560,8 +560,11 @@
             && !needs_ticket
             && candidate.rank.is_worthwhile();
         let reserved = if may_reserve { self.reserved_for(key) } else { Vec::new() };
-        let may_use_suspended =
-            round.is_mostly_free && !round.suspended.is_empty() && self.is_overdue(key, now);
+        // Long-running work that ran before has to run however full the pool is.
+        let ran_before = candidate.rank.may_use_reserved(spec.is_long_running);
+        let may_use_suspended = (round.is_mostly_free || ran_before)
+            && !round.suspended.is_empty()
+            && self.is_overdue(key, now);
         let may_skip = !needs_ticket && !may_use_suspended && reserved.is_empty();
         if may_skip && round.is_unplaceable(&work.queue.service, spec) {
             if may_reserve {
@@ -703,13 +706,16 @@
         }
     }
 
-    /// Returns whether a step has had no run for so long that it may use
-    /// suspended workers if no others have capacity for it.
+    /// Returns whether a step, or a long-running task of it, has had no run for
+    /// so long that it may use suspended workers if no others have capacity for
+    /// it.
     pub(super) fn is_overdue(&self, key: StepKey, now: Timestamp) -> bool {
         let work = self.work.get(&key.submission);
         let occurrence = work.and_then(|it| it.occurrence(key.occurrence));
         let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
-        self.blocked.is_blocked(key.submission, now)
+        let is_waiting =
+            self.blocked.is_blocked(key.submission, now) || self.waits.has_waiting(key, now);
+        is_waiting
             && step.is_some_and(|it| SUSPENDED_START_INTERVAL_MS <= now.ms_since(it.started_at))
     }
 
