Record a worker only once it has answered a poll

After each change of the leader, work that may have run would wait 6.6 s, for as long as there is an entry at whose address no worker answers.

Cause: every admitted entry was recorded, and a new leader places such work only when every recorded worker of the pool was polled or all leases have expired. Listed workers that are not recorded are candidates now: they are polled, get no work (obstacle unrecorded), and are recorded once the incarnation that is listed has answered. A takeover does not wait for them, since no leader has used them. A recorded worker is handled as before. A candidate is no evidence either that an earlier worker on its host has crashed.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -399,14 +399,33 @@
         counts.into_iter().map(owned).collect()
     }
 
-    /// Applies the full list of workers from service discovery.
+    /// Applies the full list of workers from service discovery, all of which are
+    /// recorded.
     ///
     /// With `may_remove`, workers that the list lacks are treated as removed.
     pub fn update_workers(&mut self, listings: Vec<WorkerListing>, may_remove: bool) {
+        self.update_fleet(listings, Vec::new(), may_remove);
+    }
+
+    /// Applies the full list of workers from service discovery: those that are
+    /// recorded, and candidates, which are polled and get no work.
+    ///
+    /// With `may_remove`, workers that both lists lack are treated as removed.
+    pub fn update_fleet(
+        &mut self,
+        recorded: Vec<WorkerListing>,
+        candidates: Vec<WorkerListing>,
+        may_remove: bool,
+    ) {
         self.suspects.listed();
         let mut listed: BTreeSet<WorkerIndex> = BTreeSet::new();
-        for listing in listings {
-            listed.insert(self.update_worker(listing));
+        let recorded = recorded.into_iter().map(|it| (it, true));
+        for (listing, is_recorded) in recorded.chain(candidates.into_iter().map(|it| (it, false))) {
+            let index = self.update_worker(listing);
+            let worker = &mut self.workers[index];
+            worker.is_changed |= is_recorded && !worker.is_recorded;
+            worker.is_recorded = is_recorded;
+            listed.insert(index);
         }
         for index in 0..self.workers.len() {
             let worker = &mut self.workers[index];
@@ -465,10 +484,19 @@
             let index = self.update_worker(listing);
             let worker = &mut self.workers[index];
             worker.is_listed = false;
+            worker.is_recorded = true;
             worker.may_run_earlier_work = worker.incarnation.is_none();
         }
     }
 
+    /// Returns whether the worker that an entry describes has answered a poll.
+    pub fn has_answered(&self, listing: &WorkerListing) -> bool {
+        let worker = self.worker_index.get(&listing.worker).map(|it| &self.workers[*it]);
+        worker.is_some_and(|it| {
+            it.listing.address == listing.address && it.incarnation == Some(listing.incarnation)
+        })
+    }
+
     /// Returns whether nothing can run on a worker that service discovery does
     /// not list, and no end there waits to be acknowledged.
     pub fn is_unused(&self, worker: &WorkerId, now: Timestamp) -> bool {
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -72,6 +72,8 @@
 pub(super) enum Obstacle {
     /// Service discovery does not list it.
     Unlisted,
+    /// It is not recorded yet.
+    Unrecorded,
     /// It is about to leave.
     Draining,
     /// It does not answer polls.
@@ -111,6 +113,8 @@
 pub(super) fn unavailability(worker: &Worker, now: Timestamp) -> Option<Obstacle> {
     if !worker.is_listed {
         Some(Obstacle::Unlisted)
+    } else if !worker.is_recorded {
+        Some(Obstacle::Unrecorded)
     } else if worker.listing.is_draining {
         Some(Obstacle::Draining)
     } else if worker.is_silent {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -302,7 +302,8 @@
     /// Returns whether every worker of a pool was polled in this term, or can
     /// run nothing of an earlier one.
     pub(super) fn is_all_fenced(&self, service: &str, now: Timestamp) -> bool {
-        let is_fenced = |it: &super::Worker| it.is_fenced() || it.listing.service != service;
+        let is_fenced =
+            |it: &super::Worker| it.is_fenced() || !it.is_recorded || it.listing.service != service;
         self.earlier_leases_expire_by <= now
             || (self.is_fleet_complete && self.workers.iter().all(is_fenced))
     }
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -401,7 +401,8 @@
         }
         let has_later = |open: &OpenRun| {
             let is_later = |it: &Worker| {
-                it.listing.host == open.host
+                it.is_recorded
+                    && it.listing.host == open.host
                     && open.incarnation < it.listing.incarnation
                     && open.worker != it.listing.worker
             };
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -97,6 +97,9 @@
     pub(super) listing: WorkerListing,
     /// Whether service discovery lists it at present.
     pub(super) is_listed: bool,
+    /// Whether the store holds a record of it. No leader has used a worker
+    /// without one.
+    pub(super) is_recorded: bool,
     /// Whether it is known from the record of an earlier leader and may still
     /// run work of that leader.
     pub(super) may_run_earlier_work: bool,
@@ -165,6 +168,7 @@
         Worker {
             listing,
             is_listed: true,
+            is_recorded: false,
             may_run_earlier_work: false,
             incarnation: None,
             polled_at: None,
--- a/crates/mustardcove-core/src/fleet/roster.rs
+++ b/crates/mustardcove-core/src/fleet/roster.rs
@@ -111,7 +111,34 @@
     /// the worker runs, and takes effect without a write: a start that
     /// exceeds a smaller capacity cannot be taken back.
     pub fn update(&mut self, listings: Vec<WorkerListing>) -> Vec<WorkerListing> {
-        listings.into_iter().filter_map(|it| self.update_worker(it)).collect()
+        self.update_answered(listings, |_| true).0
+    }
+
+    /// Takes in the list of service discovery, of which new workers are
+    /// recorded only once they have answered: an entry at whose address no
+    /// worker answers would keep each later leader waiting. Returns the part
+    /// of the list that may be used, and the rest, which is to be polled.
+    pub fn update_answered(
+        &mut self,
+        listings: Vec<WorkerListing>,
+        has_answered: impl Fn(&WorkerListing) -> bool,
+    ) -> (Vec<WorkerListing>, Vec<WorkerListing>) {
+        let (mut usable, mut candidates) = (Vec::with_capacity(listings.len()), Vec::new());
+        for listing in listings {
+            let recorded = (self.is_known(&listing.worker) || has_answered(&listing))
+                .then(|| self.update_worker(listing.clone()))
+                .flatten();
+            match recorded {
+                Some(recorded) => usable.push(recorded),
+                None => candidates.push(listing),
+            }
+        }
+        (usable, candidates)
+    }
+
+    /// Returns whether a worker is recorded, or is to be.
+    pub fn is_known(&self, worker: &WorkerId) -> bool {
+        self.segment_of.contains_key(worker)
     }
 
     fn update_worker(&mut self, listing: WorkerListing) -> Option<WorkerListing> {
--- a/crates/mustardcove-core/tests/odd_listings.rs
+++ b/crates/mustardcove-core/tests/odd_listings.rs
@@ -12,8 +12,10 @@
 use mustardcove_core::{
     fleet::{
         admission::{ListingFault, admit, find_fault},
-        id::Incarnation,
-        planner::WorkerListing,
+        id::{Incarnation, Term},
+        message::{PollResult, WorkerReport},
+        planner::{Planner, WorkerListing},
+        poller::MAX_ORPHAN_LEASE_MS,
         record,
         roster::Roster,
     },
@@ -111,3 +113,43 @@
     rig.poll_all();
     assert_eq!(rig.plan().len(), 1, "its own entry names the one that answers");
 }
+
+/// Guards against an entry at whose address no worker answers: once recorded,
+/// it would keep each later leader from placing work that may have run.
+#[test]
+fn silent_not_recorded() {
+    let begin = START;
+    let expire_by = begin.plus_ms(MAX_ORPHAN_LEASE_MS);
+    let (real, silent) =
+        (listing("w0", 4_000, Incarnation(1)), listing("w1", 4_000, Incarnation(1)));
+    let mut roster = Roster::default();
+    let mut planner = Planner::new(Term(9), 2, manifest(3), expire_by);
+    planner.restore_workers(Some(Vec::new()));
+    planner.restore(submission(1, vec![step(1, 500, &[])], begin), false, None, begin);
+    let fleet = vec![real.clone(), silent.clone()];
+    let mut update = |planner: &mut Planner| {
+        let (usable, candidates) =
+            roster.update_answered(fleet.clone(), |it| planner.has_answered(it));
+        planner.update_fleet(usable, candidates, true);
+        planner.tick(begin);
+        let orders = planner.take_actions().orders.len();
+        for write in roster.changes() {
+            roster.stored(write, 5);
+        }
+        let recorded: Vec<WorkerListing> = roster.workers();
+        (orders, recorded)
+    };
+    assert_eq!(update(&mut planner), (0, Vec::new()));
+    assert_eq!(planner.workers_to_poll().count(), 2, "candidates are polled");
+    let poll = PollResult {
+        incarnation: Incarnation(1),
+        leases_expire_by: expire_by,
+        responsive_since: begin,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    planner.report(&real.worker, WorkerReport::Polled(poll), begin);
+    let (orders, recorded) = update(&mut planner);
+    assert_eq!((orders, recorded), (0, vec![real]), "it is not recorded yet");
+    assert_eq!(update(&mut planner).0, 1, "the silent one is not waited for");
+}
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -131,6 +131,8 @@
     /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
     listed_at: Timestamp,
+    /// The listed workers that are recorded once they have answered.
+    unanswered: Vec<WorkerListing>,
     /// The entries that the log says are ignored, each with the reason.
     logged_entries: BTreeMap<String, String>,
     is_storing_roster: bool,
@@ -179,6 +181,7 @@
         earlier_leases_expire_by,
         listed: Vec::new(),
         listed_at: now,
+        unanswered: Vec::new(),
         logged_entries: BTreeMap::new(),
         is_storing_roster: false,
         store_roster_at: now,
@@ -438,6 +441,7 @@
         let actions = self.planner.take_actions();
         self.execute(actions);
         self.flush(now);
+        self.record_answered();
         self.store_roster(now);
     }
 
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -115,8 +115,7 @@
         may_remove: bool,
         now: Timestamp,
     ) {
-        let usable = self.roster.update(listings);
-        self.planner.update_workers(usable, may_remove);
+        self.update_roster(listings, may_remove);
         if self.earlier_leases_expire_by <= now {
             self.roster.replace_unreadable();
         }
@@ -131,6 +130,21 @@
         self.store_roster(now);
     }
 
+    fn update_roster(&mut self, listings: Vec<WorkerListing>, may_remove: bool) {
+        let has_answered = |it: &WorkerListing| self.planner.has_answered(it);
+        let (usable, candidates) = self.roster.update_answered(listings, has_answered);
+        let unknown = candidates.iter().filter(|it| !self.roster.is_known(&it.worker));
+        self.unanswered = unknown.cloned().collect();
+        self.planner.update_fleet(usable, candidates, may_remove);
+    }
+
+    /// Records the listed workers that have answered since the last time.
+    pub(super) fn record_answered(&mut self) {
+        if self.unanswered.iter().any(|it| self.planner.has_answered(it)) {
+            self.update_roster(self.listed.clone(), false);
+        }
+    }
+
     /// Starts to write changes of the roster, unless a write is in flight.
     pub(super) fn store_roster(&mut self, now: Timestamp) {
         if self.is_storing_roster || now < self.store_roster_at {
@@ -169,11 +183,8 @@
                 }
             }
         }
-        let listed = std::mem::take(&mut self.listed);
-        let usable = self.roster.update(listed.clone());
-        self.listed = listed;
         // Workers that the last list lacks were handled when it was read.
-        self.planner.update_workers(usable, false);
+        self.update_roster(self.listed.clone(), false);
     }
 }
 
--- a/crates/mustardcove-node/tests/odd_entries.rs
+++ b/crates/mustardcove-node/tests/odd_entries.rs
@@ -148,3 +148,21 @@
     let unreadable = logs.iter().filter(is_unreadable).count();
     assert_eq!(unreadable, 1, "the first leader that cannot read it replaces it");
 }
+
+/// Guards against an entry at whose address nobody answers, for which each new
+/// leader waits before it places work that may have run.
+#[tokio::test]
+async fn takeover_not_delayed() {
+    let mut rig = Rig::start("odd-takeover", 1, 2).await;
+    rig.wait_ready().await;
+    rig.store.put(&format!("{WORKERS_PREFIX}nobody"), &with("127.0.0.1:9", "127.0.0.1:1"));
+    tokio::time::sleep(SEVERAL_READINGS).await;
+    let id = SubmissionId(0xa3);
+    assert_eq!(rig.submit(0, id, &two_steps(1, 1_500)).await, Some(StatusCode::OK));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    rig.kill(0);
+    rig.restart(0);
+    let takeover = Duration::from_millis(MAX_ORPHAN_LEASE_MS - 600);
+    assert!(rig.wait_for(id, "completed", takeover).await, "its second step waits");
+    assert_eq!(rig.monitor.violations(), Vec::<String>::new());
+}
