--- a/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
+++ b/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
@@ -13,7 +13,8 @@
 //! therefore bounded, for each pool and each kind of workers in it: submissions that can
 //! never be done would otherwise suspend every worker, and none would be left
 //! on which a run could be done. Work that fits only on suspended workers may
-//! use them after a while, as long as most of the pool is free.
+//! use them after a while, as long as most of the pool is free; long-running
+//! tasks that ran before may do so however full it is.
 
 use crate::time::Timestamp;
 
--- a/crates/mustardcove-core/tests/planner_liveness.rs
+++ b/crates/mustardcove-core/tests/planner_liveness.rs
@@ -26,6 +26,9 @@
 /// Longest time that work may have no run, in milliseconds, by the users'
 /// rules.
 const MAX_IDLE_MS: u64 = 3_000;
+/// The same for a long-running task from its last run on, however much of the
+/// pool is in use.
+const MAX_TASK_IDLE_MS: u64 = 9_000;
 const WORKERS: usize = 48;
 const RACK_SIZE: usize = 8;
 /// Processors of each worker, in millicores.
@@ -169,6 +172,13 @@
                 "seed {seed}: {id} (hopeless: {}) had no run for {} ms: {:?}, {blocked:#?}",
                 it.is_hopeless, it.longest_idle_ms, it.submission.steps,
             );
+            let (idle_ms, task) = it.longest_task_idle.unzip();
+            let waits = world.planner.long_running_waits(world.now);
+            assert!(
+                idle_ms <= Some(MAX_TASK_IDLE_MS),
+                "seed {seed}: {task:?} had no run for {idle_ms:?} ms: {:?}, {waits:#?}",
+                it.submission.steps,
+            );
         }
     }
 }
--- a/crates/mustardcove-core/tests/support/calm_world.rs
+++ b/crates/mustardcove-core/tests/support/calm_world.rs
@@ -6,7 +6,7 @@
 
 use mustardcove_core::{
     fleet::{
-        id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey, Term},
+        id::{EndNumber, Incarnation, RunNumber, StepKey, SubmissionId, TaskKey, Term},
         message::{
             EndKind, EndedRun, Order, PollResult, RunningTask, StartOrder, StartOutcome,
             WorkerReport,
@@ -107,6 +107,11 @@
     idle_since: Option<Timestamp>,
     /// Longest time without a run although healthy workers had capacity.
     pub(crate) longest_idle_ms: u64,
+    /// Since when each long-running task that ran before has had no run.
+    task_idle_since: BTreeMap<TaskKey, Option<Timestamp>>,
+    /// The longest such time, and the task, although healthy workers had
+    /// capacity, however much was in use.
+    pub(crate) longest_task_idle: Option<(u64, TaskKey)>,
 }
 
 /// A leader's planner with simulated workers and submissions.
@@ -171,6 +176,8 @@
             done: BTreeSet::new(),
             idle_since: None,
             longest_idle_ms: 0,
+            task_idle_since: BTreeMap::new(),
+            longest_task_idle: None,
         };
         self.accepted.insert(submission.id, accepted);
         self.planner.submit(submission, true, self.now);
@@ -501,6 +508,30 @@
             };
             2 * members <= (0..workers.len()).map(fitting).sum::<u64>()
         };
+        for worker in workers {
+            for task in worker.running.keys() {
+                let Some(accepted) = self.accepted.get_mut(&task.step.submission) else { continue };
+                if accepted.submission.steps[usize::from(task.step.step)].is_long_running {
+                    accepted.task_idle_since.insert(*task, None);
+                }
+            }
+        }
+        for (id, accepted) in &mut self.accepted {
+            let is_final = self.states.get(id).is_some_and(|it| it.is_final());
+            for (task, since) in &mut accepted.task_idle_since {
+                let spec = &accepted.submission.steps[usize::from(task.step.step)];
+                let is_running = workers.iter().any(|it| it.running.contains_key(task));
+                let is_owed = !is_final && !accepted.is_hopeless && self.is_judged;
+                let is_kept = is_owed && !is_running && !spec.is_gang;
+                if !is_kept || !has_capacity_beside(spec, task.step, workers, &used) {
+                    *since = None;
+                    continue;
+                }
+                let idle_ms = now.ms_since(*since.get_or_insert(now));
+                let idle = Some((idle_ms, *task));
+                accepted.longest_task_idle = accepted.longest_task_idle.max(idle);
+            }
+        }
         for (id, accepted) in &mut self.accepted {
             let is_final = self.states.get(id).is_some_and(|it| it.is_final());
             let is_idle = !is_final && !alive.contains(id) && {
@@ -530,6 +561,29 @@
     }
 }
 
+/// Returns whether healthy workers have capacity twice over for a task of a
+/// step, beside the tasks of the step that run.
+fn has_capacity_beside(
+    spec: &StepSpec,
+    step: StepKey,
+    workers: &[SimWorker],
+    used: &[Resources],
+) -> bool {
+    let fitting = |(worker, used): (&SimWorker, &Resources)| {
+        let labels = &worker.listing.labels;
+        let is_eligible = worker.defect == Defect::None
+            && !worker.listing.is_draining
+            && spec.requirement.as_ref().is_none_or(|it| labels.contains(it));
+        let same_step = worker.running.keys().filter(|it| it.step == step).count() as u64;
+        let most = spec.max_per_worker.map_or(2, |it| u64::from(it).saturating_sub(same_step));
+        let free = worker.listing.capacity.saturating_sub(*used);
+        let twice = spec.demand.saturating_add(spec.demand);
+        let fitting = u64::from(spec.demand.fits_in(free)) + u64::from(twice.fits_in(free));
+        if is_eligible { fitting.min(most) } else { 0 }
+    };
+    2 <= workers.iter().zip(used).map(fitting).sum::<u64>()
+}
+
 /// Memory of each worker, in MiB.
 pub(crate) const MEMORY_MIB: u64 = 1 << 20;
 
