Use every service while no manifest was read

A process that becomes the leader before it has read the manifest, as after a restart over a slow link, would take all workers for ones of an unknown service and use none until it has.

--- a/crates/mustardcove-core/src/fleet/admission.rs
+++ b/crates/mustardcove-core/src/fleet/admission.rs
@@ -43,9 +43,10 @@
 }
 
 /// Splits the entries into those that may be used and the ids of the others.
+/// While no manifest is known, any service may be named in it.
 pub fn admit(
     listings: Vec<WorkerListing>,
-    manifest: &Manifest,
+    manifest: Option<&Manifest>,
     now: Timestamp,
 ) -> (Vec<WorkerListing>, Vec<(WorkerId, ListingFault)>) {
     let mut rejected = Vec::new();
@@ -62,11 +63,11 @@
 /// Returns why an entry names no worker to use; `None` if it may name one.
 pub fn find_fault(
     listing: &WorkerListing,
-    manifest: &Manifest,
+    manifest: Option<&Manifest>,
     now: Timestamp,
 ) -> Option<ListingFault> {
     let latest = now.plus_ms(MAX_CLOCK_LEAD_MS);
-    if !is_named(&listing.service, manifest) {
+    if manifest.is_some_and(|it| !is_named(&listing.service, it)) {
         Some(ListingFault::UnknownService)
     } else if !is_callable(listing) {
         Some(ListingFault::UnusableAddress)
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -88,8 +88,8 @@
     /// Returns the listed workers that may be used. The log names each
     /// other entry once, and again when the reason changes.
     pub(super) fn admit_workers(&mut self, entries: Entries, now: Timestamp) -> Vec<WorkerListing> {
-        let manifest = self.shared.manifest().unwrap_or_default();
-        let (admitted, rejected) = admission::admit(entries.listings, &manifest, now);
+        let manifest = self.shared.manifest();
+        let (admitted, rejected) = admission::admit(entries.listings, manifest.as_deref(), now);
         let unreadable = entries.unreadable.into_iter().map(|it| (it.0, it.1.to_string()));
         let rejected =
             rejected.into_iter().map(|it| (format!("{WORKERS_PREFIX}{}", it.0), it.1.to_string()));
