--- /dev/null
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -0,0 +1,183 @@
+//! Suspected tasks that are isolated in groups.
+//!
+//! Guards against groups that break a limit, that hide which task has crashed a
+//! worker, or that keep too many workers from other work.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use fleet_world::{listing, manifest, step, submission};
+use mustardcove_core::{
+    fleet::{
+        id::{EndNumber, Incarnation, SubmissionId},
+        message::{EndKind, EndedRun, StartOrder, WorkerReport},
+        planner::WorkerListing,
+        record::SuspectTask,
+        submission::{StepSpec, Submission},
+    },
+    id::WorkerId,
+    time::Timestamp,
+};
+use planner_rig::Rig;
+
+const CPU: u64 = 32_000;
+
+fn add_workers(rig: &mut Rig, added: &[WorkerListing]) {
+    rig.listings.extend_from_slice(added);
+    for it in added {
+        rig.workers.insert(it.worker.clone(), Default::default());
+    }
+    rig.planner.update_workers(rig.listings.clone(), true);
+    rig.poll_all();
+}
+
+fn workers(prefix: &str, count: usize) -> Vec<WorkerListing> {
+    (0..count).map(|it| listing(&format!("{prefix}{it:02}"), CPU, Incarnation(1))).collect()
+}
+
+/// Crashes a worker, which leaves the list.
+fn crash(rig: &mut Rig, worker: &WorkerId) {
+    rig.workers.remove(worker);
+    let report = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
+    rig.planner.report(worker, report, rig.now);
+    rig.listings.retain(|it| it.worker != *worker);
+    rig.planner.update_workers(rig.listings.clone(), true);
+}
+
+/// Starts the submissions on new workers, adds others, and crashes the first.
+fn crashed_rig(submitted: Vec<Arc<Submission>>, crashing: usize, others: usize) -> Rig {
+    let mut rig = Rig::new(manifest(3), &[]);
+    let first = workers("c", crashing);
+    add_workers(&mut rig, &first);
+    for it in submitted {
+        rig.submit(it);
+    }
+    assert!(!rig.plan().is_empty());
+    add_workers(&mut rig, &workers("w", others));
+    for it in &first {
+        crash(&mut rig, &it.worker);
+    }
+    rig
+}
+
+/// Stores progress, and returns all suspected tasks that were stored.
+fn store(rig: &mut Rig) -> Vec<SuspectTask> {
+    let (change, records) = rig.planner.take_progress();
+    let mut suspects = Vec::new();
+    for (id, progress, revision) in records {
+        suspects.extend(progress.suspects);
+        rig.planner.set_progress_revision(id, revision + 1);
+    }
+    rig.planner.progress_stored(change);
+    suspects
+}
+
+/// Returns the next starts, and what was stored with them.
+fn next_starts(rig: &mut Rig) -> (Vec<(WorkerId, StartOrder)>, Vec<SuspectTask>) {
+    store(rig);
+    assert!(rig.plan().is_empty(), "no start precedes its record");
+    let suspects = store(rig);
+    (rig.plan(), suspects)
+}
+
+fn single(id: u64, spec: StepSpec) -> Arc<Submission> {
+    submission(id, vec![spec], Timestamp(50_000))
+}
+
+/// Tasks of a step with a limit for each worker are not isolated together beyond
+/// it.
+#[test]
+fn limit_in_group() {
+    let limited = StepSpec { max_per_worker: Some(1), ..step(4, 500, &[]) };
+    let mut rig = crashed_rig(vec![single(1, limited.clone()), single(2, limited)], 4, 12);
+    for _ in 0..40 {
+        store(&mut rig);
+        rig.plan();
+        let mut placed: BTreeMap<(WorkerId, SubmissionId), usize> = BTreeMap::new();
+        for (task, worker) in rig.running() {
+            *placed.entry((worker, task.step.submission)).or_default() += 1;
+        }
+        assert!(placed.values().all(|it| *it == 1), "{placed:?}");
+        rig.advance(100);
+        rig.poll_all();
+    }
+    assert_eq!(rig.running().len(), 8);
+}
+
+/// The record of a group's runs does not name each as the only new one, by which a
+/// new leader would judge them.
+#[test]
+fn group_not_sole() {
+    let submitted = (1..=4).map(|it| single(it, step(1, 500, &[]))).collect();
+    let mut rig = crashed_rig(submitted, 1, 4);
+    let (starts, suspects) = next_starts(&mut rig);
+    let on: BTreeSet<&WorkerId> = starts.iter().map(|it| &it.0).collect();
+    assert_eq!((starts.len(), on.len()), (4, 1));
+    let open: Vec<bool> =
+        suspects.iter().flat_map(|it| &it.open_runs).map(|it| it.is_sole).collect();
+    assert_eq!(open, [false; 4]);
+}
+
+/// A task that was the only suspect of a crash is isolated alone, however many
+/// others wait.
+#[test]
+fn sole_suspect_alone() {
+    let mut rig = crashed_rig(vec![single(1, step(1, 500, &[]))], 1, 1);
+    // Its worker crashes while others are suspected, too.
+    add_workers(&mut rig, &workers("d", 1));
+    rig.update_listings(|it| it.is_draining = it.worker.to_string() == "w00");
+    let others = step(4, 500, &[]);
+    rig.submit(single(2, others));
+    assert_eq!(rig.plan().len(), 4);
+    crash(&mut rig, &"d00".parse().expect("a valid name"));
+    rig.update_listings(|it| it.is_draining = false);
+    add_workers(&mut rig, &workers("x", 6));
+    let (starts, _) = next_starts(&mut rig);
+    assert_eq!(starts.len(), 5);
+    let sole = starts.iter().find(|it| it.1.task.step.submission == SubmissionId(1));
+    let sole = &sole.expect("a start").0;
+    assert_eq!(starts.iter().filter(|it| it.0 == *sole).count(), 1);
+}
+
+/// The end of one member does not open the worker to others while the rest are new.
+#[test]
+fn member_ends() {
+    let submitted = (1..=4).map(|it| single(it, step(1, 500, &[]))).collect();
+    let mut rig = crashed_rig(submitted, 1, 1);
+    let (starts, _) = next_starts(&mut rig);
+    assert_eq!(starts.len(), 4);
+    // Each poll also lists the rest.
+    for (i, (worker, start)) in starts.iter().take(2).enumerate() {
+        let i = i as u64;
+        rig.submit(single(10 + i, step(1, 500, &[])));
+        let state = rig.workers.get_mut(worker).expect("a worker");
+        let (run, ..) = state.running.remove(&start.task).expect("a run");
+        let (number, task) = (EndNumber(i + 1), start.task);
+        let end = EndedRun { number, task, run, kind: EndKind::Done, checkpoint: None };
+        rig.poll(worker, vec![end]);
+        assert_eq!(rig.plan().is_empty(), i == 0, "listed {} times", i + 1);
+    }
+}
+
+/// While many tasks are suspected, other work finds workers that are not
+/// isolated.
+#[test]
+fn isolated_share() {
+    let limited = StepSpec { max_per_worker: Some(40), ..step(40, 500, &[]) };
+    let mut rig = crashed_rig(vec![single(1, limited)], 1, 20);
+    for _ in 0..8 {
+        store(&mut rig);
+        rig.plan();
+    }
+    let isolated: BTreeSet<WorkerId> = rig.running().into_values().collect();
+    assert!((8..=11).contains(&isolated.len()), "{} of 20 workers are isolated", isolated.len());
+}
