Limit the isolated workers of each pool

Callers would see work of a small pool wait while suspected tasks of that pool are tried, although most of it is free.

Cause: the number of workers that may be isolated was a share of all usable workers, and counted against all isolations. A pool of four beside one of 36 could have all four isolated.

Change: share and count are those of the pool that the task belongs to. A pool whose share is used up also no longer ends the search for the tasks of others.

Measured: small_pool_isolated, a new task waits for 3,000 ms and more before (also with the share of 15 %), less now.

Failed tries: none.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -90,8 +90,8 @@
 /// Time after the crash of a host in which another one may be its own fault, in
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
-/// Most of the usable workers that may be isolated at once on a full pool, in
-/// percent and rounded up; one more for a task that can start at once. On a
+/// Most of a pool's usable workers that may be isolated at once if it is full,
+/// in percent and rounded up; one more for a task that can start at once. In a
 /// pool with more free capacity it is half of the free share, since suspected
 /// work is expected to start there in time.
 const MAX_ISOLATED_PERCENT: u64 = 15;
@@ -226,6 +226,13 @@
     expires_at: Timestamp,
 }
 
+/// How many workers of a pool may be isolated at once.
+#[derive(Clone, Copy, Debug)]
+struct IsolationLimit {
+    most: usize,
+    claims: usize,
+}
+
 /// The suspected tasks, and the workers that are isolated for them.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
@@ -568,7 +575,7 @@
             (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
         self.suspects.is_mostly_free =
             placement::is_mostly_free(usable.iter().map(|it| &self.workers[*it]));
-        let most = self.max_isolated(&usable);
+        let mut pools = self.isolation_limits(&usable);
         let claimed: Vec<WorkerIndex> = self.suspects.claims.keys().copied().collect();
         for worker in claimed {
             self.start_claimed(worker, now);
@@ -584,28 +591,42 @@
         waiting.sort_unstable();
         let mut searches = 0;
         for (i, (_, _, task)) in waiting.iter().enumerate() {
-            let claims = self.suspects.claims.len();
-            if usable.is_empty() || most < claims || searches == MAX_SEARCHES {
+            if searches == MAX_SEARCHES {
                 break;
             }
-            if self.suspects.is_claimed(*task) {
+            let work = self.work.get(&task.step.submission);
+            let Some(pool) = work.and_then(|it| pools.get_mut(&it.queue.service)) else { continue };
+            if pool.most < pool.claims || self.suspects.is_claimed(*task) {
                 continue;
             }
             searches += 1;
             let others = waiting[i + 1..].iter().map(|it| it.2);
             let others: Vec<TaskKey> = others.filter(|it| !self.suspects.is_claimed(*it)).collect();
-            if let Some(worker) = self.claim_worker(*task, &others, &usable, claims < most, now) {
+            let may_wait = pool.claims < pool.most;
+            if let Some(worker) = self.claim_worker(*task, &others, &usable, may_wait, now) {
+                pool.claims += 1;
                 self.start_claimed(worker, now);
             }
         }
     }
 
-    /// Returns how many of the usable workers may be isolated at once.
-    fn max_isolated(&self, usable: &[WorkerIndex]) -> usize {
-        let reserved = placement::reserved_percent(usable.iter().map(|it| &self.workers[*it]));
-        let free_percent = 100u64.saturating_sub(reserved);
-        let percent = MAX_ISOLATED_PERCENT.max(free_percent / 2);
-        (usable.len() * percent as usize).div_ceil(100)
+    /// Returns how many of the usable workers of each pool may be isolated at
+    /// once, and how many are.
+    fn isolation_limits(&self, usable: &[WorkerIndex]) -> BTreeMap<String, IsolationLimit> {
+        let mut pools: BTreeMap<&str, Vec<&Worker>> = BTreeMap::new();
+        for worker in usable.iter().map(|it| &self.workers[*it]) {
+            pools.entry(&worker.listing.service).or_default().push(worker);
+        }
+        let limit = |(service, workers): (&str, Vec<&Worker>)| {
+            let reserved = placement::reserved_percent(workers.iter().copied());
+            let free_percent = 100u64.saturating_sub(reserved);
+            let percent = MAX_ISOLATED_PERCENT.max(free_percent / 2);
+            let most = (workers.len() * percent as usize).div_ceil(100);
+            let claimed = self.suspects.claims.keys().map(|it| &self.workers[*it]);
+            let claims = claimed.filter(|it| it.listing.service == service).count();
+            (service.to_owned(), IsolationLimit { most, claims })
+        };
+        pools.into_iter().map(limit).collect()
     }
 
     /// Returns the rank of a suspected task if it may start now. Members of a
--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -29,6 +29,8 @@
 };
 use planner_rig::Rig;
 
+/// Longest time without a run that users accept, in milliseconds.
+const MAX_IDLE_MS: u64 = 3_000;
 const CPU: u64 = 32_000;
 
 fn add_workers(rig: &mut Rig, added: &[WorkerListing]) {
@@ -168,6 +170,36 @@
     }
 }
 
+/// Suspected tasks of a small pool had all of its workers isolated, as the limit
+/// was a share of all pools.
+#[test]
+fn small_pool_isolated() {
+    let limited = StepSpec { max_per_worker: Some(30), ..step(30, 500, &[]) };
+    let mut rig = crashed_rig(vec![single(1, limited)], 1, 4);
+    let in_other_pool = |it: WorkerListing| WorkerListing { service: "other".to_owned(), ..it };
+    let others: Vec<WorkerListing> = workers("o", 36).into_iter().map(in_other_pool).collect();
+    add_workers(&mut rig, &others);
+    for round in 0..20 {
+        store(&mut rig);
+        rig.plan();
+        rig.advance(100);
+        if round % 10 == 9 {
+            rig.poll_all();
+        }
+    }
+    rig.submit(submission(2, vec![step(1, 500, &[])], rig.now));
+    let mut waited_ms = 0;
+    while !rig.plan().iter().any(|it| it.1.task.step.submission == SubmissionId(2)) {
+        store(&mut rig);
+        rig.advance(100);
+        waited_ms += 100;
+        if waited_ms % 1_000 == 0 {
+            rig.poll_all();
+        }
+        assert!(waited_ms < MAX_IDLE_MS, "{waited_ms} ms");
+    }
+}
+
 /// While many tasks are suspected, other work finds workers that are not
 /// isolated.
 #[test]
