--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -90,7 +90,7 @@
 /// Time after the crash of a host in which another one may be its own fault, in
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
-/// Most of the usable workers that may be isolated at once, in percent and
+/// Most of a pool's usable workers that may be isolated at once, in percent and
 /// rounded up; one more for a task that can start at once. For such tasks it is
 /// half of the free share of the pool if that is more: other work has room
 /// enough then.
@@ -227,6 +227,17 @@
     expires_at: Timestamp,
 }
 
+/// How many workers of a pool may be isolated at once.
+#[derive(Clone, Copy, Debug)]
+struct IsolationLimit {
+    /// For tasks that wait for the end of other work there.
+    most_kept: usize,
+    /// For tasks that can start at once.
+    most: usize,
+    /// How many are isolated.
+    claims: usize,
+}
+
 /// The suspected tasks, and the workers that are isolated for them.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
@@ -579,8 +590,7 @@
             (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
         self.suspects.is_mostly_free =
             placement::is_mostly_free(usable.iter().map(|it| &self.workers[*it]));
-        let most_kept = isolated_share(usable.len(), MAX_ISOLATED_PERCENT);
-        let most = most_kept.max(self.max_isolated(&usable));
+        let mut pools = self.isolation_limits(&usable);
         let claimed: Vec<WorkerIndex> = self.suspects.claims.keys().copied().collect();
         for worker in claimed {
             self.start_claimed(worker, now);
@@ -596,28 +606,42 @@
         waiting.sort_unstable();
         let mut searches = 0;
         for (i, (_, _, task)) in waiting.iter().enumerate() {
-            let claims = self.suspects.claims.len();
-            if usable.is_empty() || most < claims || searches == MAX_SEARCHES {
+            if searches == MAX_SEARCHES {
                 break;
             }
-            if self.suspects.is_claimed(*task) {
+            let work = self.work.get(&task.step.submission);
+            let Some(pool) = work.and_then(|it| pools.get_mut(&it.queue.service)) else { continue };
+            if pool.most < pool.claims || self.suspects.is_claimed(*task) {
                 continue;
             }
             searches += 1;
             let others = waiting[i + 1..].iter().map(|it| it.2);
             let others: Vec<TaskKey> = others.filter(|it| !self.suspects.is_claimed(*it)).collect();
-            let may_wait = claims < most_kept;
+            let may_wait = pool.claims < pool.most_kept;
             if let Some(worker) = self.claim_worker(*task, &others, &usable, may_wait, now) {
+                pool.claims += 1;
                 self.start_claimed(worker, now);
             }
         }
     }
 
-    /// Returns how many of the usable workers may be isolated at once for tasks
-    /// that can start at once.
-    fn max_isolated(&self, usable: &[WorkerIndex]) -> usize {
-        let reserved = placement::reserved_percent(usable.iter().map(|it| &self.workers[*it]));
-        isolated_share(usable.len(), 100u64.saturating_sub(reserved) / 2)
+    /// Returns how many of the usable workers of each pool may be isolated at
+    /// once, and how many are.
+    fn isolation_limits(&self, usable: &[WorkerIndex]) -> BTreeMap<String, IsolationLimit> {
+        let mut pools: BTreeMap<&str, Vec<&Worker>> = BTreeMap::new();
+        for worker in usable.iter().map(|it| &self.workers[*it]) {
+            pools.entry(&worker.listing.service).or_default().push(worker);
+        }
+        let limit = |(service, workers): (&str, Vec<&Worker>)| {
+            let reserved = placement::reserved_percent(workers.iter().copied());
+            let free_percent = 100u64.saturating_sub(reserved);
+            let most_kept = isolated_share(workers.len(), MAX_ISOLATED_PERCENT);
+            let most = most_kept.max(isolated_share(workers.len(), free_percent / 2));
+            let claimed = self.suspects.claims.keys().map(|it| &self.workers[*it]);
+            let claims = claimed.filter(|it| it.listing.service == service).count();
+            (service.to_owned(), IsolationLimit { most_kept, most, claims })
+        };
+        pools.into_iter().map(limit).collect()
     }
 
     /// Returns the rank of a suspected task if it may start now. Members of a
