Let failed members of a group look for another worker

Callers would see a submission without a run for as long as the others of its group neither are listed nor confirm their stop (an answer lost, a worker that answers polls without them), on a free pool.

Cause: a claim is kept while any member needs it, and members that wait again counted as claimed as long, past the time at which a claim expires.

Change: a member that waits while another is placed on the worker leaves the claim, and is looked for a worker anew.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -920,10 +920,21 @@
             self.may_order(index, now)
                 && claim.tasks.iter().any(|it| self.needs_claim(*it, index, claim, now))
         };
-        let (kept, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
+        let (mut kept, ended): (BTreeMap<_, _>, BTreeMap<_, _>) =
             claims.into_iter().partition(|(index, claim)| is_kept(*index, claim));
+        // The rest of a group does not wait for members whose start is open.
+        let mut others: Vec<(WorkerIndex, Claim)> = Vec::new();
+        for (index, claim) in &mut kept {
+            let is_placed = |it: &TaskKey| self.is_placed_on(*it, *index);
+            let (placed, rest): (Vec<TaskKey>, Vec<TaskKey>) =
+                claim.tasks.iter().copied().partition(is_placed);
+            if !placed.is_empty() && !rest.is_empty() {
+                claim.tasks = placed;
+                others.push((*index, Claim { tasks: rest, expires_at: claim.expires_at }));
+            }
+        }
         self.suspects.claims = kept;
-        for (index, claim) in ended {
+        for (index, claim) in ended.into_iter().chain(others) {
             self.workers[index].is_changed = true;
             for task in claim.tasks {
                 let work = self.work.get(&task.step.submission);
@@ -938,6 +949,12 @@
         }
     }
 
+    /// Returns whether the plan has placed a run of a task on a worker.
+    fn is_placed_on(&self, task: TaskKey, index: WorkerIndex) -> bool {
+        let work = self.work.get(&task.step.submission);
+        work.and_then(|it| it.task(task)?.run()).is_some_and(|it| it.worker == index)
+    }
+
     /// Returns whether a task still needs the worker that is claimed for it.
     fn needs_claim(
         &self,
--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -19,7 +19,7 @@
 use mustardcove_core::{
     fleet::{
         id::{EndNumber, Incarnation, SubmissionId},
-        message::{EndKind, EndedRun, StartOrder, WorkerReport},
+        message::{EndKind, EndedRun, Order, StartOrder, StartOutcome, WorkerReport},
         planner::WorkerListing,
         record::SuspectTask,
         submission::{StepSpec, Submission},
@@ -170,6 +170,49 @@
     }
 }
 
+/// A member whose run failed waited for the others, of which the worker neither
+/// listed a run nor confirmed the stop.
+#[test]
+fn members_unlisted() {
+    let submitted = (1..=4).map(|it| single(it, step(1, 500, &[]))).collect();
+    let mut rig = crashed_rig(submitted, 1, 4);
+    store(&mut rig);
+    assert!(rig.plan().is_empty());
+    store(&mut rig);
+    rig.planner.tick(rig.now);
+    let starts = |rig: &mut Rig| -> Vec<(WorkerId, StartOrder)> {
+        let orders = rig.planner.take_actions().orders.into_iter();
+        let start = |it| match it {
+            (worker, Order::Start(start)) => Some((worker, start)),
+            _ => None,
+        };
+        orders.filter_map(start).collect()
+    };
+    for (worker, start) in starts(&mut rig) {
+        let (task, run) = (start.task, start.run);
+        let is_failing = task.step.submission == SubmissionId(1);
+        let outcome = if is_failing { StartOutcome::Started } else { StartOutcome::MayHaveRun };
+        rig.planner.report(&worker, WorkerReport::Start { task, run, outcome }, rig.now);
+        if is_failing {
+            let state = rig.workers.get_mut(&worker).expect("a worker");
+            state.running.insert(task, (run, 0, 0));
+            rig.end(&worker, task, EndKind::Failed);
+        }
+    }
+    let mut waited_ms = 0;
+    loop {
+        rig.planner.tick(rig.now);
+        if starts(&mut rig).iter().any(|it| it.1.task.step.submission == SubmissionId(1)) {
+            break;
+        }
+        store(&mut rig);
+        rig.advance(100);
+        rig.poll_all();
+        waited_ms += 100;
+        assert!(waited_ms < MAX_IDLE_MS, "{waited_ms} ms");
+    }
+}
+
 /// Suspected tasks of a small pool had all of its workers isolated, as the limit
 /// was a share of all pools.
 #[test]
