Count isolated and suspended workers for the gate of starved work

Callers saw: best-effort submissions without a run while 45 % of the pool was reserved.

Cause: the gate is 60 % of the capacity of the workers that take new work now. Users count all. Isolated and suspended workers are the free ones, so without them the rest looks full. Since suspected tasks may use half of the free share, a third of the pool can be missing.

Change: the share is that of the pool's workers that are listed, recorded, not draining and not silent.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -82,7 +82,7 @@
             let blocked = self.find_blocked(now);
             if !blocked.is_empty() && self.blocked.explain_at <= now {
                 self.blocked.explain_at = now.plus_ms(EXPLAIN_INTERVAL_MS);
-                self.explain_blocked(&blocked, schedulable, now);
+                self.explain_blocked(&blocked, now);
             }
             let ids = blocked.iter().map(|it| it.1.submission);
             let is_starved = |it: &SubmissionId| {
@@ -94,14 +94,9 @@
         self.start_starved(schedulable, now);
     }
 
-    fn explain_blocked(
-        &mut self,
-        blocked: &[(Timestamp, StepKey)],
-        schedulable: &[WorkerIndex],
-        now: Timestamp,
-    ) {
+    fn explain_blocked(&mut self, blocked: &[(Timestamp, StepKey)], now: Timestamp) {
         for (since, key) in blocked.iter().take(MAX_EXPLAINED) {
-            let inputs = self.explain(*key, *since, schedulable, now);
+            let inputs = self.explain(*key, *since, now);
             let submission = Some(key.submission);
             self.log_decision(DecisionKind::SubmissionBlocked, submission, None, || inputs);
         }
@@ -116,7 +111,7 @@
             let Some(work) = self.work.get(&id).filter(|it| !it.state.is_final()) else { continue };
             let service = &work.queue.service;
             if !is_open.contains_key(service) {
-                let percent = self.reserved_percent(service, schedulable);
+                let percent = self.reserved_percent(service);
                 is_open.insert(service.clone(), percent < MAX_RESERVED_PERCENT);
             }
             if !is_open[service] {
@@ -171,11 +166,12 @@
         blocked
     }
 
-    /// Returns the reserved share of the capacity of a pool's schedulable
-    /// workers, in percent: that of the dimension with the largest share.
-    fn reserved_percent(&self, service: &str, schedulable: &[WorkerIndex]) -> u64 {
-        let workers = schedulable.iter().map(|it| &self.workers[*it]);
-        placement::reserved_percent(workers.filter(|it| it.listing.service == service))
+    /// Returns the reserved share of the capacity of a pool's workers that
+    /// answer, in percent: that of the dimension with the largest share.
+    /// Workers that take no new work for a while count, since users count them.
+    fn reserved_percent(&self, service: &str) -> u64 {
+        let in_pool = self.workers.iter().filter(|it| it.listing.service == service);
+        placement::reserved_percent(in_pool.filter(|it| it.is_up()))
     }
 
     /// Starts one task of a best-effort step, or a gang as a whole, where it does
@@ -229,13 +225,7 @@
 
     /// Returns the state of a step's tasks, how many workers are kept from
     /// running it by which obstacle, and how much capacity is free.
-    fn explain(
-        &self,
-        key: StepKey,
-        since: Timestamp,
-        schedulable: &[WorkerIndex],
-        now: Timestamp,
-    ) -> String {
+    fn explain(&self, key: StepKey, since: Timestamp, now: Timestamp) -> String {
         let mut text = format!("step={key} blocked_ms={}", now.ms_since(since));
         let Some(work) = self.work.get(&key.submission) else { return text };
         let Some(occurrence) = work.occurrence(key.occurrence) else { return text };
@@ -296,7 +286,7 @@
         for (wait, tasks) in suspects {
             let _ = write!(text, " suspected_{wait}={tasks}");
         }
-        let used_percent = self.reserved_percent(&work.queue.service, schedulable);
+        let used_percent = self.reserved_percent(&work.queue.service);
         let _ = write!(text, " used_percent={used_percent}");
         text
     }
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -333,6 +333,12 @@
         }
     }
 
+    /// Returns whether it belongs to the pool and answers, whether or not it is
+    /// given new work at present.
+    pub(super) fn is_up(&self) -> bool {
+        self.is_listed && self.is_recorded && !self.listing.is_draining && !self.is_silent
+    }
+
     /// Returns whether nothing that an earlier leader ordered can begin or go on
     /// there unseen: it was polled in this term, or has ended.
     pub(super) fn is_fenced(&self) -> bool {
