--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -493,7 +493,7 @@
     }
 
     /// Returns whether a step has waiting tasks that are placed among others.
-    fn has_placeable(&self, key: StepKey) -> bool {
+    pub(super) fn has_placeable(&self, key: StepKey) -> bool {
         let Some(work) = self.work.get(&key.submission) else { return false };
         let occurrence = work.occurrence(key.occurrence);
         let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
--- a/crates/mustardcove-core/tests/starved_limits.rs
+++ b/crates/mustardcove-core/tests/starved_limits.rs
@@ -208,6 +208,19 @@
     assert_eq!(runs_of(&rig, 10).len(), 1);
 }
 
+/// Guards against the same if that step is best-effort, too.
+#[test]
+fn mixed_best_effort_steps() {
+    let mut rig = rig(10.0);
+    let now = rig.now;
+    let huge = StepSpec { demand: Resources::new(8_000, 1 << 40, 0), ..best_effort(1) };
+    rig.submit(submission(10, vec![huge, best_effort(1)], now));
+    while rig.now.ms_since(now) < MAX_IDLE_MS {
+        round(&mut rig, 0);
+    }
+    assert_eq!(runs_of(&rig, 10).len(), 1);
+}
+
 /// Guards against a submission whose only run is on a silent worker, and that
 /// gets no other before the lease of that run has expired.
 #[test]
