Queue the steps that want tickets

Callers saw: steps of a queue with recommendations that never start beside workers that may run them.

Causes: a step asked about the 60 best workers only, and about these again once all were asked. The eight requests at once went by rank, so steps ahead that no worker may run, which ask again each second, kept the others from asking at all. And each round compared 60 candidates for each waiting step, also while its request was pending.

Change: steps queue for requests, those that have asked before one second behind. A step asks about permitted workers whose ticket has expired, then about those it has not asked about. Candidates are chosen only for a request that is made.

--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -41,9 +41,6 @@
 /// on every worker.
 const MAX_MOVE_CHECKS: usize = 12;
 
-/// Most workers considered for a request to the recommendation service.
-const MAX_TICKET_CANDIDATES: usize = 60;
-
 /// Share of the schedulable workers that may be reserved for tasks that fit on
 /// no worker now, in percent and rounded up: a burst of large tasks finds
 /// capacity, and most work goes on.
@@ -774,16 +771,13 @@
         schedulable: &[WorkerIndex],
         now: Timestamp,
     ) {
-        let unrestricted = PendingTasks { needs_ticket: false, ..pending.clone() };
-        let mut rest = schedulable.to_vec();
-        let mut candidates = Vec::new();
-        while let Some(best) = self.choose(&unrestricted, spec, None, &rest, now) {
-            rest.retain(|it| *it != best);
-            candidates.push(best);
-            if MAX_TICKET_CANDIDATES <= candidates.len() {
-                break;
-            }
+        if !self.may_request_tickets(pending.key, now) {
+            return;
         }
+        let unrestricted = PendingTasks { needs_ticket: false, ..pending.clone() };
+        let mut ranking = self.ranking(&unrestricted, spec, schedulable, now);
+        let best = std::iter::from_fn(|| ranking.take_best(None));
+        let candidates: Vec<WorkerIndex> = best.collect();
         self.request_tickets(pending.key, &candidates, now);
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/tickets.rs
+++ b/crates/mustardcove-core/src/fleet/planner/tickets.rs
@@ -4,9 +4,16 @@
 //! knows which. It takes time for each worker that it is asked about and
 //! handles one call at a time. A step therefore asks once for a sample of the
 //! workers that could run it, and asks again for others only when none of the
-//! permitted ones has capacity or its tickets have expired.
+//! permitted ones has capacity or its tickets have expired. Which workers may
+//! run a step does not change, so those that were permitted are asked about
+//! first, and then those that it has not asked about.
+//!
+//! Steps that want to ask form a queue, whatever their rank: more important ones
+//! that nobody may run would otherwise ask again and again, and the others
+//! never. A step that has asked before goes behind those that come within the
+//! next second.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::work::WorkerIndex;
 use crate::{
@@ -24,6 +31,12 @@
 /// Pause before a step asks again, in milliseconds, so that steps without a
 /// permitted worker leave the service to others.
 const REQUEST_INTERVAL_MS: u64 = 1_000;
+/// Time by which a step that has asked before goes behind others, in
+/// milliseconds.
+const REPEAT_DELAY_MS: u64 = 1_000;
+/// Time after which a step that no longer wants to ask leaves the queue, in
+/// milliseconds.
+const WANTED_TIMEOUT_MS: u64 = 1_000;
 /// Most requests that wait or are in progress at once.
 const MAX_PENDING_REQUESTS: usize = 8;
 /// Part of a ticket's validity that is reserved for the call to the worker, in
@@ -42,15 +55,26 @@
 #[derive(Debug, Default)]
 struct StepTickets {
     tickets: BTreeMap<WorkerIndex, Ticket>,
-    asked: Vec<WorkerIndex>,
+    asked: BTreeSet<WorkerIndex>,
     is_pending: bool,
     next_request_at: Timestamp,
+    /// Its place in the queue, if it wants to ask.
+    place: Option<Place>,
+    /// When it wanted to ask last.
+    wanted_at: Timestamp,
 }
 
+/// A place in the queue of steps that want to ask: the time that counts, and a
+/// number by which places of the same time are ordered.
+type Place = (Timestamp, u64);
+
 /// Tickets and requests of all steps that need them.
 #[derive(Debug, Default)]
 pub(super) struct Tickets {
     steps: BTreeMap<StepKey, StepTickets>,
+    /// The steps that want to ask.
+    queue: BTreeMap<Place, StepKey>,
+    next_place: u64,
     pending: usize,
 }
 
@@ -91,43 +115,88 @@
 
     /// Removes a step.
     pub(super) fn remove(&mut self, step: StepKey) {
-        if self.steps.remove(&step).is_some_and(|it| it.is_pending) {
-            self.pending -= 1;
+        let Some(tickets) = self.steps.remove(&step) else { return };
+        self.pending -= usize::from(tickets.is_pending);
+        if let Some(place) = tickets.place {
+            self.queue.remove(&place);
+        }
+    }
+
+    /// Returns whether it is a step's turn to ask, and has it queue until then.
+    fn is_next(&mut self, step: StepKey, now: Timestamp) -> bool {
+        let tickets = self.steps.entry(step).or_default();
+        if tickets.is_pending || now < tickets.next_request_at {
+            return false;
+        }
+        tickets.wanted_at = now;
+        if tickets.place.is_none() {
+            let is_repeat = tickets.next_request_at != Timestamp::default();
+            let delay_ms = if is_repeat { REPEAT_DELAY_MS } else { 0 };
+            let place = (now.plus_ms(delay_ms), self.next_place);
+            self.next_place += 1;
+            tickets.place = Some(place);
+            self.queue.insert(place, step);
+        }
+        while let Some((_, first)) = self.queue.first_key_value() {
+            let first = *first;
+            let wanted_at = self.steps.get(&first).map_or(now, |it| it.wanted_at);
+            if now.ms_since(wanted_at) < WANTED_TIMEOUT_MS {
+                break;
+            }
+            self.leave_queue(first);
+        }
+        let free = MAX_PENDING_REQUESTS.saturating_sub(self.pending);
+        self.queue.values().take(free).any(|it| *it == step)
+    }
+
+    fn leave_queue(&mut self, step: StepKey) {
+        let place = self.steps.get_mut(&step).and_then(|it| it.place.take());
+        if let Some(place) = place {
+            self.queue.remove(&place);
         }
     }
 }
 
 impl Planner {
-    /// Requests tickets for a step on the candidates, unless a request is
-    /// pending or recent.
+    /// Returns whether a step may request tickets now: no request of it is
+    /// pending or recent, and it is its turn.
+    pub(super) fn may_request_tickets(&mut self, step: StepKey, now: Timestamp) -> bool {
+        self.tickets.is_next(step, now)
+    }
+
+    /// Requests tickets for a step on some of the candidates, which are in order
+    /// of preference.
     pub(super) fn request_tickets(
         &mut self,
         step: StepKey,
         candidates: &[WorkerIndex],
         now: Timestamp,
     ) {
+        self.tickets.leave_queue(step);
+        let has_ticket = |it: &WorkerIndex| {
+            self.tickets.ticket(step, *it, self.workers[*it].incarnation, now).is_some()
+        };
+        let candidates: Vec<WorkerIndex> =
+            candidates.iter().copied().filter(|it| !has_ticket(it)).collect();
         let tickets = self.tickets.steps.entry(step).or_default();
-        if tickets.is_pending
-            || now < tickets.next_request_at
-            || MAX_PENDING_REQUESTS <= self.tickets.pending
-        {
-            return;
-        }
-        let mut unasked: Vec<WorkerIndex> =
-            candidates.iter().copied().filter(|it| !tickets.asked.contains(it)).collect();
-        if unasked.is_empty() {
-            // Every worker was asked about; tickets may have expired since.
+        let was_permitted = |it: &&WorkerIndex| tickets.tickets.contains_key(it);
+        let permitted = candidates.iter().filter(was_permitted);
+        let unasked =
+            candidates.iter().filter(|it| !was_permitted(it) && !tickets.asked.contains(it));
+        let mut chosen: Vec<WorkerIndex> = permitted.chain(unasked).copied().collect();
+        if chosen.is_empty() {
+            // Requests may have failed.
             tickets.asked.clear();
-            unasked = candidates.to_vec();
+            chosen = candidates;
         }
-        unasked.truncate(WORKERS_PER_REQUEST);
-        if unasked.is_empty() {
+        if chosen.is_empty() {
             return;
         }
-        tickets.asked.extend(&unasked);
+        chosen.truncate(WORKERS_PER_REQUEST);
+        tickets.asked.extend(&chosen);
         tickets.is_pending = true;
         self.tickets.pending += 1;
-        let workers = unasked.iter().map(|it| self.worker_id(*it)).collect();
+        let workers = chosen.iter().map(|it| self.worker_id(*it)).collect();
         self.actions.ticket_requests.push(TicketRequest { step, workers });
     }
 
