Count reservations and free capacity for each pool

Callers saw: work of a small pool without a run beside a large one.

Cause: the workers reserved for large tasks were limited to a share of all pools, so all workers of a small one could be. Suspended workers may be used while most capacity is free, and that was the capacity of all pools, without the isolated workers.

Evidence: pool_limits failed before: 20,000 ms (workers_reserved), 20,000 ms (only_suspended_fit), 7,700 ms (only_suspended_fit_suspect).

Change: both are counted for each pool, the capacity on all workers that answer.

--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -4,7 +4,7 @@
 use std::{
     borrow::Cow,
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
     sync::{Arc, atomic::Ordering},
 };
 
@@ -13,7 +13,7 @@
     placement::{self, Obstacle, Request},
     rank::{Rank, WaitingStep},
     work::{Phase, Run, Task, TriedRound, Work, WorkerIndex},
-    workers::{Allocation, WorkloadKind},
+    workers::{Allocation, Worker, WorkloadKind},
     workload_kind,
 };
 use crate::{
@@ -41,7 +41,7 @@
 /// on every worker.
 const MAX_MOVE_CHECKS: usize = 12;
 
-/// Share of the schedulable workers that may be reserved for tasks that fit on
+/// Share of a pool's schedulable workers that may be reserved for tasks that fit on
 /// no worker now, in percent and rounded up: a burst of large tasks finds
 /// capacity, and most work goes on.
 const MAX_RESERVED_PERCENT: usize = 15;
@@ -75,11 +75,11 @@
     unreserved: Vec<WorkerIndex>,
     /// Workers that accept no work only because their runs failed.
     suspended: Vec<WorkerIndex>,
-    /// Whether under half of the capacity is in use.
-    is_mostly_free: bool,
+    /// The pools of which under half of the capacity is in use.
+    mostly_free: BTreeSet<String>,
     is_scarce: bool,
-    /// How many more workers may be reserved.
-    reservable: usize,
+    /// How many more workers of each pool may be reserved.
+    reservable: BTreeMap<String, usize>,
     /// How many more steps may try to reserve workers.
     reserve_tries: u32,
     unplaceable: Vec<(String, StepSpec)>,
@@ -337,21 +337,44 @@
         let is_free = |it: &WorkerIndex| !self.reserved.contains_key(it);
         let is_suspended = |it: &WorkerIndex| self.obstacle(*it, now) == Some(Obstacle::Suspended);
         let suspended: Vec<WorkerIndex> = (0..self.workers.len()).filter(is_suspended).collect();
-        let usable = schedulable.iter().chain(&suspended).map(|it| &self.workers[*it]);
-        let max_reserved = (schedulable.len() * MAX_RESERVED_PERCENT).div_ceil(100);
         Round {
             schedulable,
             by_change,
             unreserved: schedulable.iter().copied().filter(is_free).collect(),
-            is_mostly_free: placement::is_mostly_free(usable),
+            mostly_free: self.mostly_free_pools(),
             suspended,
             is_scarce: placement::is_scarce(schedulable.iter().map(|it| &self.workers[*it])),
-            reservable: max_reserved.saturating_sub(self.reserved.len()),
+            reservable: self.reservable(schedulable),
             reserve_tries: MAX_RESERVE_TRIES,
             unplaceable: Vec::new(),
         }
     }
 
+    /// Returns how many more workers of each pool may be reserved.
+    fn reservable(&self, schedulable: &[WorkerIndex]) -> BTreeMap<String, usize> {
+        let mut pools: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for index in schedulable {
+            let pool = pools.entry(&self.workers[*index].listing.service).or_default();
+            pool.0 += 1;
+            pool.1 += usize::from(self.reserved.contains_key(index));
+        }
+        let reservable = |(service, (workers, reserved)): (&str, (usize, usize))| {
+            let most = (workers * MAX_RESERVED_PERCENT).div_ceil(100);
+            (service.to_owned(), most.saturating_sub(reserved))
+        };
+        pools.into_iter().map(reservable).collect()
+    }
+
+    /// Returns the pools of which under half of the capacity is in use.
+    pub(super) fn mostly_free_pools(&self) -> BTreeSet<String> {
+        let mut pools: BTreeMap<&str, Vec<&Worker>> = BTreeMap::new();
+        for worker in self.workers.iter().filter(|it| it.is_up()) {
+            pools.entry(&worker.listing.service).or_default().push(worker);
+        }
+        pools.retain(|_, it| placement::is_mostly_free(it.iter().copied()));
+        pools.into_keys().map(str::to_owned).collect()
+    }
+
     /// Numbers the round, dates the changes of workers since the last one, and
     /// returns the schedulable workers, those first that changed last.
     fn begin_changes(&mut self, schedulable: &[WorkerIndex]) -> Vec<WorkerIndex> {
@@ -560,7 +583,7 @@
         let reserved = if may_reserve { self.reserved_for(key) } else { Vec::new() };
         // Long-running work that ran before has to run however full the pool is.
         let ran_before = candidate.rank.may_use_reserved(spec.is_long_running);
-        let may_use_suspended = (round.is_mostly_free || ran_before)
+        let may_use_suspended = (round.mostly_free.contains(&work.queue.service) || ran_before)
             && !round.suspended.is_empty()
             && self.is_overdue(key, now);
         let may_skip = !needs_ticket && !may_use_suspended && reserved.is_empty();
@@ -736,8 +759,9 @@
         round: &mut Round<'_>,
     ) {
         let members = usize::from(spec.count);
-        let count = if spec.is_gang { members } else { tasks.min(round.reservable) };
-        if round.reservable < count || count == 0 || round.reserve_tries == 0 {
+        let Some(reservable) = round.reservable.get_mut(service) else { return };
+        let count = if spec.is_gang { members } else { tasks.min(*reservable) };
+        if *reservable < count || count == 0 || round.reserve_tries == 0 {
             return;
         }
         round.reserve_tries -= 1;
@@ -758,7 +782,7 @@
         // The task fits soonest where the most capacity is free already.
         reserved.sort_by_key(|it| Reverse(self.workers[*it].free().cpu));
         reserved.truncate(count);
-        round.reservable -= reserved.len();
+        *reservable -= reserved.len();
         round.unreserved.retain(|it| !reserved.contains(it));
         self.reserved.extend(reserved.into_iter().map(|it| (it, key)));
     }
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -253,9 +253,8 @@
     stored_change: u64,
     /// Whether service discovery was read since the hosts were compared.
     is_list_new: bool,
-    /// Whether most of the capacity of the workers that may be isolated was free
-    /// in this round.
-    is_mostly_free: bool,
+    /// The pools of which under half of the capacity was in use in this round.
+    mostly_free: BTreeSet<String>,
 }
 
 impl Suspects {
@@ -588,8 +587,7 @@
         self.judge_by_host(now);
         let usable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
-        self.suspects.is_mostly_free =
-            placement::is_mostly_free(usable.iter().map(|it| &self.workers[*it]));
+        self.suspects.mostly_free = self.mostly_free_pools();
         let mut pools = self.isolation_limits(&usable);
         let claimed: Vec<WorkerIndex> = self.suspects.claims.keys().copied().collect();
         for worker in claimed {
@@ -780,7 +778,8 @@
         let spec = &work.submission.steps[usize::from(task.step.step)];
         pending.is_starved =
             spec.is_best_effort && self.blocked.is_blocked(task.step.submission, now);
-        pending.may_use_suspended = self.suspects.is_mostly_free && self.is_overdue(task.step, now);
+        let is_mostly_free = self.suspects.mostly_free.contains(&work.queue.service);
+        pending.may_use_suspended = is_mostly_free && self.is_overdue(task.step, now);
         Some(pending)
     }
 
