--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -22,7 +22,7 @@
     DecisionKind, Planner,
     placement::{self, Obstacle},
     suspects::SuspectWait,
-    work::{Phase, Step, Task, Work, WorkerIndex},
+    work::{Phase, Step, Work, WorkerIndex},
 };
 use crate::{
     fleet::id::{StepKey, SubmissionId, TaskKey},
@@ -82,11 +82,11 @@
             let blocked = self.find_blocked(now);
             if !blocked.is_empty() && self.blocked.explain_at <= now {
                 self.blocked.explain_at = now.plus_ms(EXPLAIN_INTERVAL_MS);
-                self.explain_blocked(&blocked, schedulable, now);
+                self.explain_blocked(&blocked, now);
             }
             let ids = blocked.iter().map(|it| it.1.submission);
             let is_starved = |it: &SubmissionId| {
-                self.work.get(it).and_then(|it| self.starved_step(it)).is_some()
+                self.work.get(it).is_some_and(|it| !self.starved_steps(it).is_empty())
             };
             let starved: Vec<SubmissionId> = ids.filter(is_starved).collect();
             self.blocked.starved.extend(starved);
@@ -94,14 +94,9 @@
         self.start_starved(schedulable, now);
     }
 
-    fn explain_blocked(
-        &mut self,
-        blocked: &[(Timestamp, StepKey)],
-        schedulable: &[WorkerIndex],
-        now: Timestamp,
-    ) {
+    fn explain_blocked(&mut self, blocked: &[(Timestamp, StepKey)], now: Timestamp) {
         for (since, key) in blocked.iter().take(MAX_EXPLAINED) {
-            let inputs = self.explain(*key, *since, schedulable, now);
+            let inputs = self.explain(*key, *since, now);
             let submission = Some(key.submission);
             self.log_decision(DecisionKind::SubmissionBlocked, submission, None, || inputs);
         }
@@ -116,7 +111,7 @@
             let Some(work) = self.work.get(&id).filter(|it| !it.state.is_final()) else { continue };
             let service = &work.queue.service;
             if !is_open.contains_key(service) {
-                let percent = self.reserved_percent(service, schedulable);
+                let percent = self.reserved_percent(service);
                 is_open.insert(service.clone(), percent < MAX_RESERVED_PERCENT);
             }
             if !is_open[service] {
@@ -125,10 +120,10 @@
             // Those that were not tried are the first of the next round.
             let is_waiting = self.idle_step(work).is_some() && !is_starting(work, now);
             let is_kept = if is_waiting && tries < MAX_STARTED {
-                tries += 1;
                 // One that fits nowhere is tried again after the next check.
-                let step = self.starved_step(work);
-                step.is_some_and(|it| self.start_one(it, schedulable, now))
+                let steps = self.starved_steps(work);
+                tries += steps.len();
+                steps.into_iter().any(|it| self.start_one(it, schedulable, now))
             } else {
                 true
             };
@@ -138,19 +133,17 @@
         }
     }
 
-    /// Returns the first ready best-effort step of a submission that has a
-    /// waiting task.
-    fn starved_step(&self, work: &Work) -> Option<StepKey> {
+    /// Returns the ready best-effort steps of a submission that have tasks to be
+    /// placed.
+    fn starved_steps(&self, work: &Work) -> Vec<StepKey> {
         let is_starved = |key: &StepKey| {
             let spec = &work.submission.steps[usize::from(key.step)];
             let occurrence = work.occurrence(key.occurrence);
             let step = occurrence.map(|it| &it.steps[usize::from(key.step)]);
-            spec.is_best_effort
-                && step.is_some_and(|it| it.is_ready && it.tasks.iter().any(Task::is_waiting))
+            spec.is_best_effort && step.is_some_and(|it| it.is_ready) && self.has_placeable(*key)
         };
         let numbers = work.occurrences.iter().map(|it| it.number);
-        let mut keys = numbers.flat_map(|it| work.submission.step_keys(it));
-        keys.find(is_starved)
+        numbers.flat_map(|it| work.submission.step_keys(it)).filter(is_starved).collect()
     }
 
     /// Returns the first ready step of each blocked submission, and since when
@@ -171,11 +164,12 @@
         blocked
     }
 
-    /// Returns the reserved share of the capacity of a pool's schedulable
-    /// workers, in percent: that of the dimension with the largest share.
-    fn reserved_percent(&self, service: &str, schedulable: &[WorkerIndex]) -> u64 {
-        let workers = schedulable.iter().map(|it| &self.workers[*it]);
-        placement::reserved_percent(workers.filter(|it| it.listing.service == service))
+    /// Returns the reserved share of the capacity of a pool's workers that
+    /// answer, in percent: that of the dimension with the largest share.
+    /// Workers that take no new work for a while count, since users count them.
+    fn reserved_percent(&self, service: &str) -> u64 {
+        let in_pool = self.workers.iter().filter(|it| it.listing.service == service);
+        placement::reserved_percent(in_pool.filter(|it| it.is_up()))
     }
 
     /// Starts one task of a best-effort step, or a gang as a whole, where it does
@@ -229,13 +223,7 @@
 
     /// Returns the state of a step's tasks, how many workers are kept from
     /// running it by which obstacle, and how much capacity is free.
-    fn explain(
-        &self,
-        key: StepKey,
-        since: Timestamp,
-        schedulable: &[WorkerIndex],
-        now: Timestamp,
-    ) -> String {
+    fn explain(&self, key: StepKey, since: Timestamp, now: Timestamp) -> String {
         let mut text = format!("step={key} blocked_ms={}", now.ms_since(since));
         let Some(work) = self.work.get(&key.submission) else { return text };
         let Some(occurrence) = work.occurrence(key.occurrence) else { return text };
@@ -296,7 +284,7 @@
         for (wait, tasks) in suspects {
             let _ = write!(text, " suspected_{wait}={tasks}");
         }
-        let used_percent = self.reserved_percent(&work.queue.service, schedulable);
+        let used_percent = self.reserved_percent(&work.queue.service);
         let _ = write!(text, " used_percent={used_percent}");
         text
     }
