--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -27,6 +27,9 @@
 /// Age of the last answered poll from which a worker gets no new work, in
 /// milliseconds: three times the usual interval between two polls.
 pub(super) const MAX_POLL_AGE_MS: u64 = 3_000;
+/// Most runs on one worker, which tasks that need next to nothing could exceed:
+/// each answer to a poll lists all of them.
+const MAX_RUNS: usize = 2_048;
 /// Penalty of a worker on which this task is slower (rack, last failure),
 /// above any difference in load.
 pub(super) const MISFIT_PENALTY: i64 = 1_000_000;
@@ -147,7 +150,8 @@
     if step.max_per_worker.is_some_and(|it| it <= req.same_step) {
         return Err(Obstacle::StepLimit);
     }
-    if !step.allocation().fits_in(worker.free()) {
+    let is_full = MAX_RUNS <= worker.allocations.len();
+    if is_full || !step.allocation().fits_in(worker.free()) {
         return Err(Obstacle::NoCapacity);
     }
     let mut score = match req.kind {
