Keep one worker's odd answer from stopping the leader or shutting a worker out

What listens at a worker's address may answer anything. Four answers had effects beyond that worker, or for ever:

- 4,000 rows of tasks that nobody submitted began 4,000 readings of the store at once, and again after each poll although the runs were being stopped; the store refuses what exceeds its rate.
Each poll also compared each row with each allocation.
- One answer with an incarnation long after the present made every later answer of the real worker count as late, for the rest of the term.
It is now ignored, as an entry with such an incarnation is.
- A clock near the end of its range overflowed in the end of the lease; one that went back left a lease that would never end.
The time left is now bounded.
- A run number of 2^64 - 1 overflowed in the next start.

An address where nothing ever answered was polled four times a second for as long as its entry was there; after 20 failed polls it is polled once a second. A worker that has answered this process is polled as before.

--- a/crates/mustardcove-core/src/fleet/admission.rs
+++ b/crates/mustardcove-core/src/fleet/admission.rs
@@ -11,12 +11,12 @@
 
 use strum::Display;
 
-use super::{manifest::Manifest, planner::WorkerListing};
+use super::{id::Incarnation, manifest::Manifest, planner::WorkerListing};
 use crate::{id::WorkerId, size::Resources, time::Timestamp};
 
 /// More than any machine has: a million processors, 4 PiB of memory and 65,536
 /// accelerators. Sums over 65,536 workers, as percentages, fit into 63 bits.
-const MAX_CAPACITY: Resources = Resources::new(1_000_000_000, 1 << 32, 1 << 16);
+pub(super) const MAX_CAPACITY: Resources = Resources::new(1_000_000_000, 1 << 32, 1 << 16);
 /// How far ahead of this process's clock a worker may have begun, in
 /// milliseconds. Clocks are set by seconds, so a day is no fault of a clock.
 const MAX_CLOCK_LEAD_MS: u64 = 24 * 3_600_000;
@@ -66,14 +66,13 @@
     manifest: Option<&Manifest>,
     now: Timestamp,
 ) -> Option<ListingFault> {
-    let latest = now.plus_ms(MAX_CLOCK_LEAD_MS);
     if manifest.is_some_and(|it| !is_named(&listing.service, it)) {
         Some(ListingFault::UnknownService)
     } else if !is_callable(listing) {
         Some(ListingFault::UnusableAddress)
     } else if !listing.capacity.fits_in(MAX_CAPACITY) {
         Some(ListingFault::ImpossibleCapacity)
-    } else if latest.0 < listing.incarnation.0 {
+    } else if is_future(listing.incarnation, now) {
         Some(ListingFault::FutureIncarnation)
     } else if MAX_TEXT_BYTES < text_bytes(listing) {
         Some(ListingFault::TooLong)
@@ -82,6 +81,11 @@
     }
 }
 
+/// Returns whether a worker cannot have begun this incarnation yet.
+pub fn is_future(incarnation: Incarnation, now: Timestamp) -> bool {
+    now.plus_ms(MAX_CLOCK_LEAD_MS).0 < incarnation.0
+}
+
 fn is_named(service: &str, manifest: &Manifest) -> bool {
     manifest.services.iter().any(|it| it.name == service)
         || manifest.queues.iter().any(|it| it.service == service)
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -15,6 +15,7 @@
 mod blocked;
 mod circuit_breaker;
 mod interference;
+mod lookups;
 mod measurements;
 mod pace;
 mod placement;
@@ -40,6 +41,7 @@
 use self::{
     blocked::BlockedSubmissions,
     interference::InterferenceModel,
+    lookups::Lookups,
     placement::Obstacle,
     suspects::Suspects,
     tickets::Tickets,
@@ -201,8 +203,7 @@
     cancelled_early: BTreeSet<SubmissionId>,
     /// Ends that are applied once their submission has been looked up.
     unplanned_ends: BTreeMap<SubmissionId, Vec<UnplannedEnd>>,
-    /// Submissions that are being looked up in the store.
-    looked_up: BTreeSet<SubmissionId>,
+    lookups: Lookups,
     /// Until this time, a worker that was not polled yet may run work of an
     /// earlier leader.
     earlier_leases_expire_by: Timestamp,
@@ -255,7 +256,7 @@
             unpublished: Vec::new(),
             cancelled_early: BTreeSet::new(),
             unplanned_ends: BTreeMap::new(),
-            looked_up: BTreeSet::new(),
+            lookups: Lookups::default(),
             earlier_leases_expire_by,
             is_fleet_complete: true,
             are_entries_stale: false,
@@ -320,7 +321,7 @@
         now: Timestamp,
     ) {
         let id = submission.id;
-        self.looked_up.remove(&id);
+        self.lookups.resolved(id);
         if self.work.contains_key(&id) {
             return;
         }
@@ -354,7 +355,7 @@
     /// Handles a lookup that found no submission: its runs are stopped, and
     /// its ends have no effect.
     pub fn submission_not_found(&mut self, id: SubmissionId, now: Timestamp) {
-        self.looked_up.remove(&id);
+        self.lookups.resolved(id);
         let runs: Vec<RunKey> = self.allocated_runs(id);
         for (worker, task, run) in runs {
             self.stop(worker, task, run, "no such submission", now);
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -1,5 +1,7 @@
 //! Reactions of the plan to workers' reports.
 
+use std::collections::BTreeSet;
+
 use super::{
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
     UNKNOWN_CHANGE, UnplannedEnd, circuit_breaker, pace,
@@ -8,6 +10,7 @@
 };
 use crate::{
     fleet::{
+        admission,
         id::{RunNumber, StepKey, SubmissionId, TaskKey},
         message::{EndKind, EndedRun, PollResult, RunningTask, StartOutcome, WorkerReport},
         submission::SubmissionState,
@@ -116,7 +119,8 @@
 
     fn worker_polled(&mut self, index: WorkerIndex, poll: PollResult, now: Timestamp) {
         let worker = &mut self.workers[index];
-        if worker.has_ended(poll.incarnation, now) {
+        // The entry of a worker is not used if it claims such an incarnation.
+        if worker.has_ended(poll.incarnation, now) || admission::is_future(poll.incarnation, now) {
             return;
         }
         worker.restored();
@@ -215,7 +219,7 @@
             let unplanned = UnplannedEnd { worker: index, incarnation, end: end.clone() };
             self.unplanned_ends.entry(id).or_default().push(unplanned);
             self.workers[index].unstored_ends.push_back((end.number, UNKNOWN_CHANGE));
-            self.request_lookup(id);
+            self.lookups.request(id);
             return;
         }
         self.apply_end(index, end, now);
@@ -473,12 +477,8 @@
         if !self.workers[index].allocations.contains_key(&row.task) {
             self.workers[index].allocate(row.task, unknown);
         }
-        self.request_lookup(id);
-    }
-
-    fn request_lookup(&mut self, id: SubmissionId) {
-        if self.looked_up.insert(id) {
-            self.actions.submission_lookups.push(id);
+        if !self.stops.contains_key(&(index, row.task, row.run)) {
+            self.lookups.request(id);
         }
     }
 
@@ -559,9 +559,9 @@
 
     /// Finds runs and stops that a poll proves to have ended.
     fn find_missing_runs(&mut self, index: WorkerIndex, poll: &PollResult, now: Timestamp) {
-        let is_listed = |task: TaskKey, run: RunNumber| {
-            poll.running.iter().any(|it| it.task == task && it.run == run)
-        };
+        let listed: BTreeSet<(TaskKey, RunNumber)> =
+            poll.running.iter().map(|it| (it.task, it.run)).collect();
+        let is_listed = |task: TaskKey, run: RunNumber| listed.contains(&(task, run));
         let runs: Vec<(TaskKey, RunNumber)> =
             self.workers[index].allocations.iter().map(|(task, it)| (*task, it.run)).collect();
         for (task, run) in runs {
@@ -677,5 +677,6 @@
 /// milliseconds, given its task's estimated duration and its pace.
 fn stall_timeout_ms(estimate_ms: u64, pace_percent: u8) -> u64 {
     let pace_percent = u64::from(pace_percent).max(1);
-    STALL_TIMEOUT_MS + estimate_ms.saturating_mul(STALL_ESTIMATE_PERCENT) / pace_percent
+    let estimate_ms = estimate_ms.saturating_mul(STALL_ESTIMATE_PERCENT) / pace_percent;
+    estimate_ms.saturating_add(STALL_TIMEOUT_MS)
 }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -226,6 +226,8 @@
         self.expire_earlier_work(now);
         self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
         self.start_suspects(now);
+        let lookups = self.lookups.take_due(now);
+        self.actions.submission_lookups.extend(lookups);
         let schedulable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
         self.place(&schedulable, now);
@@ -910,7 +912,7 @@
 }
 
 fn next_run(last: RunNumber, base: u64) -> RunNumber {
-    RunNumber(last.0.max(base) + 1)
+    RunNumber(last.0.max(base).saturating_add(1))
 }
 
 fn next_gang_run(work: &Work, key: StepKey, base: u64) -> RunNumber {
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -45,6 +45,10 @@
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// True time that a lease may last on the slowest clock, in milliseconds.
 const MAX_LEASE_MS: u64 = on_slowest_clock(LEASE_MS);
+/// Longer than any lease that a worker accepts, whatever the call asks for, in
+/// milliseconds. A worker's clock should not go back; if one does, the end of
+/// the granted lease lies far ahead of it.
+const LONGEST_LEASE_MS: u64 = 600_000;
 /// The longest time from the decision to start a task to the end of the lease
 /// that the start grants, in milliseconds. Reports that were handled before the
 /// decision were sent before it.
@@ -55,7 +59,7 @@
 
 /// Returns the true time in which the slowest clock of a worker shows `ms`.
 const fn on_slowest_clock(ms: u64) -> u64 {
-    ms * 100 / SLOWEST_CLOCK_PERCENT
+    ms.saturating_mul(100) / SLOWEST_CLOCK_PERCENT
 }
 
 /// Shortest time between the starts of two polls of a worker, in milliseconds:
@@ -64,6 +68,14 @@
 /// Consecutive failed polls after which the worker counts as silent; a single
 /// answer may be lost.
 const SILENT_AFTER_POLLS: u32 = 2;
+/// Pause after a failed poll, in milliseconds.
+const FAILED_POLL_PAUSE_MS: u64 = 250;
+/// The same once [`UNANSWERED_POLLS`] have failed and none was answered: another
+/// writer's entry may name an address where no worker ever listens.
+const UNANSWERED_POLL_PAUSE_MS: u64 = 1_000;
+/// Failed polls after which that pause is used, about as many as fail before
+/// the entry of a worker that has ended is removed.
+const UNANSWERED_POLLS: u32 = 20;
 /// Polls for which an unanswered start keeps the worker busy although it lists
 /// nothing: a start may be in progress for longer than a busy worker holds a
 /// poll.
@@ -125,7 +137,7 @@
     /// granted; `None` before the first answer.
     pub fn grant(&mut self, now: Timestamp) -> Option<u64> {
         let (clock_ms, at) = self.answer?;
-        let until = clock_ms + now.ms_since(at) + LEASE_MS;
+        let until = clock_ms.saturating_add(now.ms_since(at) + LEASE_MS);
         self.granted_until = self.granted_until.max(until);
         Some(until)
     }
@@ -140,7 +152,7 @@
     /// if none was granted. It does not move while the worker does not answer.
     pub fn expires_by(&self) -> Option<Timestamp> {
         let (clock_ms, at) = self.answer.filter(|_| 0 < self.granted_until)?;
-        let left = self.granted_until.saturating_sub(clock_ms);
+        let left = self.granted_until.saturating_sub(clock_ms).min(LONGEST_LEASE_MS);
         Some(at.plus_ms(on_slowest_clock(left)))
     }
 }
@@ -281,6 +293,12 @@
         WorkerReport::Replaced { incarnation: self.incarnation }
     }
 
+    /// Returns the pause after the poll that has just failed, in milliseconds.
+    pub fn failed_poll_pause_ms(&self) -> u64 {
+        let is_unanswered = self.incarnation.is_none() && UNANSWERED_POLLS <= self.failed_polls;
+        if is_unanswered { UNANSWERED_POLL_PAUSE_MS } else { FAILED_POLL_PAUSE_MS }
+    }
+
     /// Returns whether the poll that has just failed is the one from which on
     /// the worker counts as silent.
     pub fn has_fallen_silent(&self) -> bool {
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -35,8 +35,6 @@
 const IDLE_POLL_WAIT: Duration = Duration::from_millis(2_000);
 /// Shortest time between the starts of two polls of a worker.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(MIN_POLL_INTERVAL_MS);
-/// Pause after a failed poll.
-const FAILED_POLL_PAUSE: Duration = Duration::from_millis(250);
 /// Shortest time for which reports are collected before they are sent; the
 /// leader of a large fleet asks for a longer one.
 const MIN_REPORT_DELAY: Duration = Duration::from_millis(8);
@@ -168,7 +166,8 @@
             let is_busy = self.state().is_busy();
             let is_answered = self.poll().await;
             if !is_answered {
-                tokio::time::sleep(FAILED_POLL_PAUSE).await;
+                let pause_ms = self.state().failed_poll_pause_ms();
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             } else if is_busy {
                 tokio::time::sleep_until(started + MIN_POLL_INTERVAL).await;
             } else {
