Refuse submissions that no leader can hold

Any caller could end all processes in turn with one request, as the submission is stored and each next leader reads it: steps with 65,535 tasks each (a body of 256 KiB holds some 15,000 of them), or a schedule of 4,294,967,295 occurrences that are all due, of which the leader held every task in memory. More than 65,536 steps could not be told apart. Estimates, stretches and delay budgets at the end of their ranges overflowed, as did sums of the demands of best-effort tasks, which need not fit into the free processors.

A submission may now have 32,768 tasks and demand no more than a machine can have; others are answered 400, and a stored one is logged and not planned. At most 1,024 occurrences, and 32,768 tasks, of a submission have begun at a time; the next ones begin as these end. Times saturate. The checkpoints in a progress record are bounded together, since one record that exceeds the store's limit keeps all ends from being acknowledged.

--- a/crates/mustardcove-core/src/fleet/planner/rank.rs
+++ b/crates/mustardcove-core/src/fleet/planner/rank.rs
@@ -73,8 +73,8 @@
 impl WaitingStep {
     /// Returns the rank of the step if it were placed at `now`.
     pub(super) fn rank(&self, now: Timestamp) -> Rank {
-        let worthless_at =
-            self.due_at.plus_ms(self.slo_deadline.ms_since(self.due_at) * WORTHLESS_FACTOR);
+        let slo_ms = self.slo_deadline.ms_since(self.due_at);
+        let worthless_at = self.due_at.plus_ms(slo_ms.saturating_mul(WORTHLESS_FACTOR));
         let ends_at = now.plus_ms(self.critical_path_ms);
         let urgency = if self.is_long_running && !self.may_have_run {
             Urgency::NewLongRunning
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -8,7 +8,7 @@
         id::{RunNumber, TaskKey},
         manifest::Queue,
         record::{OccurrenceProgress, ProgressRecord, TaskProgress},
-        submission::{Submission, SubmissionState},
+        submission::{MAX_TASKS, Submission, SubmissionState},
     },
     time::Timestamp,
 };
@@ -16,6 +16,12 @@
 /// Index of a worker in the planner's table.
 pub(super) type WorkerIndex = usize;
 
+/// Most occurrences of a submission that have begun and are not done.
+const MAX_BEGUN_OCCURRENCES: usize = 1_024;
+/// Most bytes of all checkpoints in a progress record, so that the store accepts
+/// the record. Runs without one begin anew.
+const MAX_CHECKPOINT_BYTES: usize = 256 << 10;
+
 /// A submission and the state of its tasks.
 #[derive(Clone, Debug)]
 pub(super) struct Work {
@@ -282,12 +288,14 @@
     }
 
     pub(super) fn progress(&self) -> ProgressRecord {
+        let mut occurrences: Vec<_> = self.occurrences.iter().map(Occurrence::progress).collect();
+        drop_excess_checkpoints(&mut occurrences);
         let suspects = self
             .suspects()
             .map(|(task, it)| it.record(task.step.occurrence, task.step.step, task.index));
         ProgressRecord {
             state: self.state,
-            occurrences: self.occurrences.iter().map(Occurrence::progress).collect(),
+            occurrences,
             next_occurrence: self.next_occurrence,
             suspects: suspects.collect(),
         }
@@ -298,10 +306,16 @@
         self.tasks().filter_map(|(key, task)| Some((key, task.suspicion.as_deref()?)))
     }
 
-    /// Begins the occurrences that are due, and returns their numbers.
+    /// Begins the occurrences that are due, and returns their numbers. Those
+    /// beyond what the leader can hold begin once others are done.
     pub(super) fn begin_due(&mut self, now: Timestamp) -> Vec<u32> {
         let mut begun = Vec::new();
-        while self.next_occurrence < self.submission.occurrences() && !self.state.is_final() {
+        let tasks: usize = self.submission.steps.iter().map(|it| usize::from(it.count)).sum();
+        let most = (MAX_TASKS / tasks.max(1)).clamp(1, MAX_BEGUN_OCCURRENCES);
+        while self.next_occurrence < self.submission.occurrences()
+            && self.occurrences.len() < most
+            && !self.state.is_final()
+        {
             let number = self.next_occurrence;
             let schedule = self.submission.schedule;
             if schedule.is_some_and(|it| now < it.due_at(number)) {
@@ -355,9 +369,20 @@
     }
 }
 
+/// Removes the checkpoints that exceed [`MAX_CHECKPOINT_BYTES`] together.
+fn drop_excess_checkpoints(occurrences: &mut [OccurrenceProgress]) {
+    let mut bytes = 0;
+    for task in occurrences.iter_mut().flat_map(|it| &mut it.tasks) {
+        bytes += task.checkpoint.as_ref().map_or(0, String::len);
+        if MAX_CHECKPOINT_BYTES < bytes {
+            task.checkpoint = None;
+        }
+    }
+}
+
 /// Returns the SLO deadline of work that became due at `due_at` and whose
 /// critical path takes `critical_path_ms`.
 fn slo_deadline(submission: &Submission, critical_path_ms: u64, due_at: Timestamp) -> Timestamp {
     let path = critical_path_ms as f64 * submission.queue.stretch;
-    due_at.plus_ms(path as u64 + submission.queue.delay_budget_ms)
+    due_at.plus_ms((path as u64).saturating_add(submission.queue.delay_budget_ms))
 }
--- a/crates/mustardcove-core/src/fleet/submission.rs
+++ b/crates/mustardcove-core/src/fleet/submission.rs
@@ -6,11 +6,18 @@
 use strum::{Display, EnumString, IntoStaticStr};
 
 use super::{
+    admission,
     id::{StepKey, SubmissionId, TaskKey},
     manifest::Queue,
 };
 use crate::{size::Resources, time::Timestamp};
 
+/// Most tasks of one occurrence: the leader holds each in memory, and their
+/// progress is stored in one value.
+pub const MAX_TASKS: usize = 32_768;
+/// More than any machine has; sums over all tasks of a worker do not overflow.
+const MAX_DEMAND: Resources = admission::MAX_CAPACITY;
+
 /// A submission as accepted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Submission {
@@ -153,7 +160,8 @@
 
 impl Submission {
     /// Checks the invariants that the planner relies on: at least one step, at
-    /// least one task in each, and dependencies only on earlier steps.
+    /// least one task in each, dependencies only on earlier steps, and sizes
+    /// that it can hold and add up.
     ///
     /// # Errors
     ///
@@ -173,6 +181,13 @@
                 ));
             }
         }
+        let tasks: usize = self.steps.iter().map(|it| usize::from(it.count)).sum();
+        if MAX_TASKS < tasks {
+            return invalid(format!("{tasks} tasks, {MAX_TASKS} are allowed"));
+        }
+        if let Some(i) = self.steps.iter().position(|it| !it.demand.fits_in(MAX_DEMAND)) {
+            return invalid(format!("step {i} needs more than any machine has"));
+        }
         Ok(())
     }
 
@@ -190,7 +205,7 @@
         // Steps depend only on earlier ones, so reverse order visits
         // dependents first.
         for (i, step) in self.steps.iter().enumerate().rev() {
-            paths[i] = step.estimate_ms + following[i];
+            paths[i] = step.estimate_ms.saturating_add(following[i]);
             for before in &step.after {
                 let longest = &mut following[usize::from(*before)];
                 *longest = paths[i].max(*longest);
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -227,7 +227,13 @@
     readable(shared, "progress", item, record::decode_progress(&item.value))
 }
 
-/// Decodes the submission in an item; see [`decode`].
+/// Decodes the submission in an item; see [`decode`]. One that cannot be planned
+/// is logged, too.
 pub fn decode_submission(shared: &Shared, item: &Item) -> Option<Arc<Submission>> {
-    decode(shared, "submission", item)
+    let submission: Arc<Submission> = decode(shared, "submission", item)?;
+    if let Err(error) = submission.check() {
+        error!(shared.log, "submission cannot be planned"; "key" => &item.key, "error" => %error);
+        return None;
+    }
+    Some(submission)
 }
