Read a list that arrives slowly

The list of the workers was given up after 900 ms, its transfer included. One value as large as the store accepts (1 MiB, 1.4 MB as base64) takes 5.6 s over a link of 2 Mbit/s, so a leader behind such a link would never have read the list again. The pause between two readings is at least as long as a reading, which leaves half of a narrow link to others.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -600,12 +600,15 @@
         let (shared, results) = (self.shared.clone(), self.results.clone());
         async move {
             loop {
+                let began = Instant::now();
                 let result = shared.store.range(WORKERS_PREFIX).await;
+                let took = began.elapsed();
                 let entries = result.map(|(items, _)| Entries::decode(&items));
                 if results.send(TaskResult::Workers(entries)).is_err() {
                     return;
                 }
-                tokio::time::sleep(DISCOVERY_INTERVAL).await;
+                // A large list over a narrow link leaves half of it to others.
+                tokio::time::sleep(DISCOVERY_INTERVAL.max(took)).await;
             }
         }
     }
--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{
     HeaderMap, Method, Request, StatusCode, Uri,
     header::{CONTENT_LENGTH, CONTENT_TYPE},
@@ -20,7 +20,10 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use mustardcove_core::{time::Timestamp, verdict::Verdict};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::Instant,
+};
 
 use super::gate::{Gate, GatedBody};
 use crate::clock::Clock;
@@ -33,6 +36,10 @@
     /// Longest time from the call to its complete answer, not counting the
     /// time that the call itself asks the server to wait.
     pub answer_timeout: Duration,
+    /// Additional time for the rest of an answer that has begun, as long as no
+    /// pause between two parts of it exceeds the answer timeout: a large one
+    /// takes long over a narrow link.
+    pub body_extra_time: Duration,
     /// Largest answer, in bytes.
     pub max_answer_bytes: usize,
     /// Most calls, and so connections, at once to one address.
@@ -50,6 +57,7 @@
         HttpLimits {
             connect_timeout: Duration::from_millis(1_000),
             answer_timeout: Duration::from_millis(2_000),
+            body_extra_time: Duration::ZERO,
             max_answer_bytes: 8 << 20,
             max_per_address: 16,
             max_total: 2_048,
@@ -92,6 +100,13 @@
 
 impl std::error::Error for CallError {}
 
+async fn in_time<T>(until: Instant, future: impl Future<Output = T>) -> eyre::Result<T> {
+    let result = tokio::time::timeout_at(until, future).await;
+    result.map_err(|_| eyre::eyre!("timed out"))
+}
+
+/// Memory that is allocated for an answer before any of it has arrived.
+const INITIAL_BUFFER_BYTES: usize = 64 << 10;
 /// Number of addresses with a semaphore above which unused ones are dropped.
 const MAX_TRACKED_ADDRESSES: usize = 4_096;
 
@@ -206,12 +221,9 @@
         body: GatedBody,
         extra_wait: Duration,
     ) -> Result<Answer, CallError> {
-        let exchange = self.exchange(method, uri, headers, body);
-        let wait = self.limits.answer_timeout + extra_wait;
-        let result = match tokio::time::timeout(wait, exchange).await {
-            Ok(result) => result.map_err(|it| format!("{it:#}")),
-            Err(_) => Err(format!("timed out after {} ms", wait.as_millis())),
-        };
+        let until = Instant::now() + self.limits.answer_timeout + extra_wait;
+        let result = self.exchange(method, uri, headers, body, until).await;
+        let result = result.map_err(|it| format!("{it:#}"));
         // The exchange has ended or was dropped, but its connection may go on
         // in the background. Closing the gate settles whether it may still
         // send the body.
@@ -224,19 +236,25 @@
         uri: &str,
         headers: HeaderMap,
         body: GatedBody,
+        until: Instant,
     ) -> eyre::Result<Answer> {
         let uri: Uri = uri.parse()?;
-        let _permits = self.acquire_permits(&uri).await?;
+        let _permits = in_time(until, self.acquire_permits(&uri)).await??;
         let mut req = Request::builder().method(method).uri(uri).body(body)?;
         *req.headers_mut() = headers;
         req.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
-        let resp = self.client.request(req).await?;
+        let resp = in_time(until, self.client.request(req)).await??;
         let (parts, body) = resp.into_parts();
-        let body = self.complete_body(&parts.headers, body).await?;
+        let body = self.complete_body(&parts.headers, body, until).await?;
         Ok(Answer { status: parts.status, headers: parts.headers, body })
     }
 
-    async fn complete_body(&self, headers: &HeaderMap, body: Incoming) -> eyre::Result<Bytes> {
+    async fn complete_body(
+        &self,
+        headers: &HeaderMap,
+        body: Incoming,
+        mut until: Instant,
+    ) -> eyre::Result<Bytes> {
         let declared = headers.get(CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse().ok());
         let Some(declared): Option<usize> = declared else {
             eyre::bail!("the answer does not announce its length");
@@ -245,12 +263,19 @@
         if limit < declared {
             eyre::bail!("the answer of {declared} bytes exceeds the limit of {limit}");
         }
-        let body = Limited::new(body, limit).collect().await;
-        let body = body.map_err(|it| eyre::eyre!(it))?.to_bytes();
-        if body.len() != declared {
-            eyre::bail!("the answer ended after {} of {declared} bytes", body.len());
+        let last = until + self.limits.body_extra_time;
+        let mut body = Limited::new(body, limit);
+        let mut buf = BytesMut::with_capacity(declared.min(INITIAL_BUFFER_BYTES));
+        while let Some(frame) = in_time(until, body.frame()).await? {
+            if let Ok(data) = frame.map_err(|it| eyre::eyre!(it))?.into_data() {
+                buf.extend_from_slice(&data);
+                until = until.max(last.min(Instant::now() + self.limits.answer_timeout));
+            }
+        }
+        if buf.len() != declared {
+            eyre::bail!("the answer ended after {} of {declared} bytes", buf.len());
         }
-        Ok(body)
+        Ok(buf.freeze())
     }
 
     async fn acquire_permits(&self, uri: &Uri) -> eyre::Result<[OwnedSemaphorePermit; 2]> {
