Answer requests whose deadline or body is malformed

A deadline near the end of its range overflowed, so that the caller got no answer where arithmetic is checked, and a wrong time elsewhere. It is now bounded. Each failure to read a body was answered 413, which tells the caller that it is too large; one that breaks off or is not encoded as announced is now answered 400.

Evidence: each_answered in odd_requests failed before (no answer to a deadline of 2^64 - 1) and passes now. malformed_bytes passed before and after: malformed bytes at the ports for peers, callers and administration end nothing.

--- a/crates/mustardcove-node/src/callers.rs
+++ b/crates/mustardcove-node/src/callers.rs
@@ -5,7 +5,7 @@
 //! states that the leader has sent, and from the store for submissions without
 //! a cached state.
 
-use std::{sync::Arc, time::Duration};
+use std::{error::Error as _, sync::Arc, time::Duration};
 
 use axum::{
     Router,
@@ -17,6 +17,7 @@
     HeaderMap, HeaderValue, Method, StatusCode,
     header::{CONTENT_TYPE, HOST, RETRY_AFTER},
 };
+use http_body_util::LengthLimitError;
 use mustardcove_adapter::callers::{decode_submission, encode_queue, encode_state};
 use mustardcove_core::{
     fleet::{
@@ -36,6 +37,9 @@
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// Time that a caller without the header waits, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
+/// Longest time that a request is tried for, in milliseconds: longer than any
+/// caller keeps its connection.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
 /// Percentage of the caller's time after which an unknown outcome is reported,
 /// so that the answer arrives in time.
 const DEADLINE_SHARE_PERCENT: u64 = 75;
@@ -116,7 +120,7 @@
 
 fn deadline(headers: &HeaderMap, arrived_at: Timestamp) -> Timestamp {
     let ms = headers.get(DEADLINE_HEADER).and_then(|it| it.to_str().ok()?.parse::<f64>().ok());
-    let ms = ms.map_or(DEFAULT_DEADLINE_MS, |it| it.max(0.0) as u64);
+    let ms = ms.map_or(DEFAULT_DEADLINE_MS, |it| it.max(0.0) as u64).min(MAX_DEADLINE_MS);
     arrived_at.plus_ms(ms * DEADLINE_SHARE_PERCENT / 100)
 }
 
@@ -133,8 +137,12 @@
         return StatusCode::OK.into_response();
     }
     let deadline = deadline(req.headers(), arrived_at);
-    let Ok(body) = to_bytes(req.into_body(), max_body_bytes).await else {
-        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    let body = match to_bytes(req.into_body(), max_body_bytes).await {
+        Ok(body) => body,
+        Err(error) => {
+            debug!(shared.log, "body not read"; "submission" => %id, "error" => %error);
+            return body_status(&error).into_response();
+        }
     };
     let submission = match decode_submission(id, &queue, &body, arrived_at) {
         Ok(submission) => Arc::new(submission),
@@ -155,6 +163,16 @@
     }
 }
 
+/// Returns the status for a body that could not be read.
+fn body_status(error: &axum::Error) -> StatusCode {
+    let source = error.source();
+    if source.is_some_and(|it| it.is::<LengthLimitError>()) {
+        StatusCode::PAYLOAD_TOO_LARGE
+    } else {
+        StatusCode::BAD_REQUEST
+    }
+}
+
 async fn state(shared: &Arc<Shared>, id: SubmissionId) -> Response {
     match durable::find_state(shared, id).await {
         Ok(Some(state)) => json(encode_state(state)),
--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -2,7 +2,7 @@
 //! stand-in.
 
 use std::{
-    net::{IpAddr, Ipv4Addr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -120,6 +120,11 @@
         self.store.put(MANIFEST_KEY, &manifest);
     }
 
+    /// Returns the address of a port of a node.
+    pub(crate) fn address(&self, node: usize, port: u16) -> SocketAddr {
+        (self.nodes[node].ip, port).into()
+    }
+
     fn signal(&self, node: usize, signal: &str) {
         let pid = self.nodes[node].child.id().to_string();
         // Fails if the process has ended, which does not matter.
