Count an end in the simulated fleet as the users' rules do

Cause: the check, not the planner. RULES.md, TWICE: "An end is taken note of when `LastSeen` reaches it, unless the worker's lease lapsed between the two; that stands for good." The test counted each acknowledged end. Class of fault: a check that knows only one of the times on which its rule depends.

Change: an acknowledged end still forbids every start, but for one that a worker carries out late after an end whose lease lapsed before it was acknowledged. A start between an end and its acknowledgement in time, which the rule forbids and nothing checked, is now a violation.

--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -5,6 +5,11 @@
 //! higher than that of one that ended, and end everything when the lease on
 //! their own, slow clock expires. Calls can be lost, lose their answers or be
 //! carried out late.
+//!
+//! No run of a task may begin after an end `done` that is acknowledged then or
+//! later. As in the users' rules, an end does not count for what began earlier,
+//! or is carried out late, if the worker's lease expired before the end was
+//! acknowledged: others may have started the task again by then.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -153,6 +158,8 @@
     running: BTreeMap<TaskKey, SimRun>,
     ended: Vec<EndedRun>,
     next_end: u64,
+    /// Ends before this number were listed under a lease that has expired.
+    first_valid_end: u64,
     /// Highest run number that ended or was stopped, by task.
     highest_ended: BTreeMap<TaskKey, RunNumber>,
     /// No call reaches it before this time.
@@ -181,6 +188,7 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            first_valid_end: 1,
             highest_ended: BTreeMap::new(),
             unreachable_until: Timestamp(0),
             orphans_only_until: Timestamp(0),
@@ -209,6 +217,7 @@
             for task in tasks {
                 self.end(task, EndKind::LeaseExpired);
             }
+            self.first_valid_end = self.next_end;
         }
         let due: Vec<(TaskKey, EndKind)> = self
             .running
@@ -296,6 +305,10 @@
     delayed: Vec<DelayedCall>,
     /// Tasks whose end `done` was acknowledged to a worker.
     acknowledged: BTreeSet<TaskKey>,
+    /// Those for which that was before the worker's lease expired.
+    acknowledged_in_time: BTreeSet<TaskKey>,
+    /// Ends after which another run of their task began while they were listed.
+    begun_after: BTreeSet<(Incarnation, EndNumber)>,
     /// Share of calls that are lost, delayed or lose their answer, in percent.
     pub(crate) call_failure_percent: u32,
     /// Share of orders and of reports that are lost between a leader and its
@@ -353,6 +366,8 @@
             claims: 0,
             delayed: Vec::new(),
             acknowledged: BTreeSet::new(),
+            acknowledged_in_time: BTreeSet::new(),
+            begun_after: BTreeSet::new(),
             call_failure_percent: 0,
             message_loss_percent: 0,
             run_failure_percent: 0,
@@ -507,7 +522,7 @@
         let (due, later): (Vec<_>, Vec<_>) = delayed.into_iter().partition(|it| it.at <= self.now);
         self.delayed = later;
         for call in due {
-            self.apply(call.worker, call.term, &call.order, call.lease_until);
+            self.apply(call.worker, call.term, &call.order, call.lease_until, true);
         }
     }
 
@@ -677,8 +692,17 @@
         for end in it.ended.iter().filter(|end| end.number <= acknowledged_through) {
             let id = end.task.step.submission;
             let runs_on = self.submissions.get(&id).is_some_and(|it| it.is_long_running());
-            if end.kind == EndKind::Done && !runs_on {
-                self.acknowledged.insert(end.task);
+            if end.kind != EndKind::Done || runs_on {
+                continue;
+            }
+            let task = end.task;
+            self.acknowledged.insert(task);
+            if it.first_valid_end <= end.number.0 {
+                self.acknowledged_in_time.insert(task);
+                if self.begun_after.contains(&(it.incarnation, end.number)) {
+                    let violation = format!("{task} started after its end, acknowledged at {now}");
+                    self.violations.push(violation);
+                }
             }
         }
         it.ended.retain(|end| acknowledged_through < end.number);
@@ -851,9 +875,9 @@
     ) -> Option<WorkerReport> {
         let fate = if self.is_unreachable(worker) { Fate::Lost } else { self.fate() };
         let outcome = match fate {
-            Fate::Answered => Some(self.apply(worker, term, order, lease_until)),
+            Fate::Answered => Some(self.apply(worker, term, order, lease_until, false)),
             Fate::AnswerLost => {
-                self.apply(worker, term, order, lease_until);
+                self.apply(worker, term, order, lease_until, false);
                 None
             }
             Fate::Delayed => {
@@ -885,6 +909,7 @@
         term: Term,
         order: &Order,
         lease_until: u64,
+        is_late: bool,
     ) -> StartOutcome {
         let now = self.now;
         let fails = self.rng.random_range(0..100u32) < self.run_failure_percent;
@@ -934,7 +959,7 @@
                 if earlier.is_some() {
                     self.violations.push(format!("{} runs twice on one worker", start.task));
                 }
-                self.started(start.task, worker);
+                self.started(start.task, worker, is_late);
                 StartOutcome::Started
             }
             Order::Stop { task, run } => {
@@ -949,7 +974,7 @@
         }
     }
 
-    fn started(&mut self, task: TaskKey, worker: usize) {
+    fn started(&mut self, task: TaskKey, worker: usize, is_late: bool) {
         self.starts += 1;
         if self.deadly.contains(&task) {
             let (crashes, starts) = self.crashes.entry(task).or_default();
@@ -964,9 +989,14 @@
         if 0 < elsewhere.count() {
             self.violations.push(format!("{task} runs on two workers at {}", self.now));
         }
-        if self.acknowledged.contains(&task) {
+        let acknowledged = if is_late { &self.acknowledged_in_time } else { &self.acknowledged };
+        if acknowledged.contains(&task) {
             self.violations.push(format!("{task} starts after its end was acknowledged"));
         }
+        for it in &self.workers {
+            let ends = it.ended.iter().filter(|end| end.task == task);
+            self.begun_after.extend(ends.map(|end| (it.incarnation, end.number)));
+        }
     }
 
     /// Stores a leader's progress if it still leads.
