Keep leases off the clock that a worker had before a restart

What callers would see: a task that runs on two workers (TWICE). Cause: a worker may restart under its id, and its clock starts over. A start or poll sent in between carries a lease on the old clock, which is in the far future on the new one, so the worker keeps it as long as it keeps any: HoldMaxMs, up to 10 s. The poller forgot what it had granted as soon as another incarnation answered and reported an end of the leases 4.3 s later. It also sent starts after a poll had failed, which is how the end of the process shows. Class of fault: a time is used against another clock than the one it was read on.

Change: no start is sent to a worker that left its last poll unanswered. If another incarnation answers, a lease granted until 1.3 s before that began counts as granted to it, up to the longest that a worker keeps. Cost: runs on a worker that restarts within 1.3 s of a grant, and then falls silent, wait for up to 10 s. After a longer restart nothing changes (plain_restart). What remains: such a start that is carried out seconds late by the new incarnation while that is silent again. Measured: worker_leases, unanswered_polls and old_clock fail before and pass after; lagging_leader, replaced_worker, unanswered_start, short_list and planner_faults pass.

--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -6,6 +6,12 @@
 //! worker has ended even if no further answer arrives. A worker that does not
 //! answer gets no longer lease, so this time does not move.
 //!
+//! A worker may restart under its id, and its clock then starts over. A lease
+//! that was computed from the clock before would last for as long as the worker
+//! permits. A worker that left its last poll unanswered is therefore given no
+//! lease. If it answers as another incarnation, what was granted shortly before
+//! that began counts as granted to it.
+//!
 //! A poller that is lost may have extended leases after its last report, so
 //! its loss postpones that time. To keep the successive loss of several
 //! pollers from postponing it each time, a poller extends leases only once the
@@ -41,6 +47,12 @@
 /// milliseconds: less than a restart takes, since the numbers of ends start
 /// over in the worker's next incarnation.
 pub const ACK_VALID_MS: u64 = 1_000;
+/// Longest time for which a worker keeps a lease, whatever the end that it is
+/// told, in milliseconds: the longest of all platforms.
+pub const WORKER_MAX_LEASE_MS: u64 = 10_000;
+/// Longest time from the grant of a lease until the call that carries it has
+/// arrived, in milliseconds. It may wait to be sent, and then connects.
+const MAX_CALL_DELAY_MS: u64 = ORDER_VALID_MS + 300;
 /// Rate of the slowest clock of a worker, in percent of true time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// True time that a lease may last on the slowest clock, in milliseconds.
@@ -109,6 +121,8 @@
     answer: Option<(u64, Timestamp)>,
     /// The latest lease end sent in any call, on the worker's clock.
     granted_until: u64,
+    /// When the last lease was granted.
+    granted_at: Option<Timestamp>,
 }
 
 impl WorkerLease {
@@ -116,7 +130,10 @@
     pub fn record_answer(&mut self, incarnation: Incarnation, clock_ms: u64, now: Timestamp) {
         if self.incarnation != incarnation {
             self.incarnation = incarnation;
-            self.granted_until = 0;
+            let began = now.minus_ms(on_slowest_clock(clock_ms));
+            let may_hold = self.granted_at.is_some_and(|it| began <= it.plus_ms(MAX_CALL_DELAY_MS));
+            let longest = if may_hold { clock_ms + WORKER_MAX_LEASE_MS } else { 0 };
+            self.granted_until = self.granted_until.min(longest);
         }
         self.answer = Some((clock_ms, now));
     }
@@ -127,6 +144,7 @@
         let (clock_ms, at) = self.answer?;
         let until = clock_ms + now.ms_since(at) + LEASE_MS;
         self.granted_until = self.granted_until.max(until);
+        self.granted_at = Some(now);
         Some(until)
     }
 
@@ -288,8 +306,12 @@
     }
 
     /// Returns the end of the lease that a start grants, on the worker's
-    /// clock; `None` if the worker has never answered.
+    /// clock; `None` if the worker has never answered, or not the last poll: it
+    /// may have restarted since.
     pub fn grant_start_lease(&mut self, now: Timestamp) -> Option<u64> {
+        if 0 < self.failed_polls {
+            return None;
+        }
         self.is_busy = true;
         self.busy_polls = BUSY_POLLS_AFTER_START;
         self.lease.grant(now)
--- a/crates/mustardcove-core/tests/worker_leases.rs
+++ b/crates/mustardcove-core/tests/worker_leases.rs
@@ -15,7 +15,7 @@
         message::WorkerReport,
         poller::{
             ACK_VALID_MS, LEASE_MS, MAX_ORPHAN_LEASE_MS, MAX_START_LEASE_MS, MIN_POLL_INTERVAL_MS,
-            WorkerPoller,
+            WORKER_MAX_LEASE_MS, WorkerPoller,
         },
     },
     id::WorkerId,
@@ -90,6 +90,47 @@
     assert!(poller.next_poll(true, later).lease_until.is_some());
 }
 
+/// Guards against a start on the clock of an incarnation that may have ended:
+/// in the next one, the run outlasts all leases that the leader knows of.
+#[test]
+fn unanswered_polls() {
+    let mut poller = confirmed_poller();
+    assert!(poller.grant_start_lease(START).is_some());
+    poller.poll_failed();
+    assert_eq!(poller.grant_start_lease(START), None);
+    poller.poll_answered(Incarnation(2), 100, false, START);
+    assert!(poller.grant_start_lease(START).is_some());
+}
+
+/// Guards against a lease on the old clock of a worker that restarts between two
+/// polls: its run went on while its task was started elsewhere.
+#[test]
+fn old_clock() {
+    let mut poller = WorkerPoller::default();
+    poller.poll_answered(Incarnation(1), 60_000, false, START);
+    let lease_until = poller.grant_start_lease(START.plus_ms(350)).expect("a lease");
+    let (clock_ms, now) = (100, START.plus_ms(400));
+    let held_until = lease_until.min(clock_ms + WORKER_MAX_LEASE_MS);
+    let expires_at = now.plus_ms(held_until - clock_ms);
+    let answered = poller.poll_answered(Incarnation(2), clock_ms, true, now);
+    assert!(expires_at <= answered.leases_expire_by);
+    assert!(Some(expires_at) <= expires_by(poller.poll_failed()));
+}
+
+/// Guards against a longer wait for the runs of a worker that has restarted, and
+/// got no call while it was down.
+#[test]
+fn plain_restart() {
+    let mut poller = WorkerPoller::default();
+    poller.poll_answered(Incarnation(1), 60_000, false, START);
+    poller.grant_start_lease(START).expect("a lease");
+    poller.poll_failed();
+    let now = START.plus_ms(3_000);
+    let answered = poller.poll_answered(Incarnation(2), 100, false, now);
+    let next_lease_ms = LEASE_MS * 100 / 98 + MIN_POLL_INTERVAL_MS;
+    assert_eq!(answered.leases_expire_by, now.plus_ms(next_lease_ms));
+}
+
 /// Starts a long-running task on the only worker with capacity, and lets it
 /// answer once.
 fn long_running_task() -> (Rig, WorkerId) {
