Name the wait for isolation of a suspected task whose record is stored

submission_blocked and task_waiting said "suspected_unstored" and "for=record" of a suspected task as long as the record of any other submission could not be stored, although its own was and it waited for a worker.

Cause: suspect_wait compared with the change up to which all submissions are stored. Starts ask is_stored, which knows the record of each submission.

Evidence: other_record_unstored in blocked_reported ("suspected_unstored=1" before) and in long_running_waits ("for=record" before); no test covered this.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -348,7 +348,7 @@
             return Some(SuspectWait::Withheld);
         }
         let suspicion = self.suspicion(task)?;
-        let wait = if self.suspects.stored_change < suspicion.change {
+        let wait = if !self.is_stored(task.step.submission, suspicion.change) {
             SuspectWait::Unstored
         } else if suspicion.is_undecided(now) {
             SuspectWait::Undecided
--- a/crates/mustardcove-core/tests/blocked_reported.rs
+++ b/crates/mustardcove-core/tests/blocked_reported.rs
@@ -14,6 +14,8 @@
 
 use fleet_world::{manifest, step, submission};
 use mustardcove_core::fleet::{
+    id::SubmissionId,
+    message::EndKind,
     planner::{Decision, DecisionKind},
     submission::StepSpec,
 };
@@ -69,3 +71,32 @@
         assert_eq!(blocked(&mut rig).len(), 0, "two tasks run while two wait");
     }
 }
+
+/// A suspected task whose record is stored waits for a worker that can be isolated
+/// for it. The line named the record as long as that of another submission could
+/// not be stored.
+#[test]
+fn other_record_unstored() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 1_000)]);
+    rig.submit(submission(1, vec![step(1, 2_000, &[])], START));
+    rig.submit(submission(2, vec![step(1, 500, &[])], START));
+    for (worker, start) in rig.plan() {
+        if start.task.step.submission == SubmissionId(2) {
+            rig.end(&worker, start.task, EndKind::Failed);
+        }
+    }
+    rig.crash(&rig.listings[0].worker.clone());
+    let mut reports = Vec::new();
+    for _ in 0..16 {
+        rig.store_except(SubmissionId(2));
+        rig.advance(200);
+        rig.poll_all();
+        reports.extend(blocked(&mut rig));
+    }
+    let is_suspect = |it: &&Decision| it.submission == Some(SubmissionId(1));
+    let lines: Vec<&str> = reports.iter().filter(is_suspect).map(|it| it.inputs.as_str()).collect();
+    assert!(!lines.is_empty(), "{reports:?}");
+    for line in lines {
+        assert!(line.contains("suspected_unclaimed=1"), "{line}");
+    }
+}
--- a/crates/mustardcove-core/tests/long_running_waits.rs
+++ b/crates/mustardcove-core/tests/long_running_waits.rs
@@ -14,8 +14,8 @@
 
 use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::fleet::{
-    id::{Incarnation, Term},
-    message::WorkerReport,
+    id::{Incarnation, SubmissionId, Term},
+    message::{EndKind, WorkerReport},
     planner::{DecisionKind, Planner, WorkerListing},
     submission::StepSpec,
 };
@@ -79,6 +79,28 @@
     assert!(rig.planner.long_running_waits(rig.now).is_empty());
 }
 
+/// A suspected task whose record is stored waits for a worker that can be isolated,
+/// not for its record, also while that of another submission cannot be stored.
+#[test]
+fn other_record_unstored() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 1_000)]);
+    rig.submit(submission(1, vec![long_running(1, 2_000)], START));
+    rig.submit(submission(2, vec![step(1, 500, &[])], START));
+    for (worker, start) in rig.plan() {
+        if start.task.step.submission == SubmissionId(2) {
+            rig.end(&worker, start.task, EndKind::Failed);
+        }
+    }
+    rig.crash(&rig.listings[0].worker.clone());
+    let mut lines = Vec::new();
+    for _ in 0..20 {
+        rig.store_except(SubmissionId(2));
+        lines.extend(run(&mut rig, 200));
+    }
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].contains("for=isolation"), "{lines:?}");
+}
+
 /// A placed task waits for the leases of its silent worker, not for capacity.
 #[test]
 fn waits_for_lease() {
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -167,6 +167,27 @@
         self.planner.progress_stored(change);
     }
 
+    /// Crashes a worker, which leaves the list.
+    pub(crate) fn crash(&mut self, worker: &WorkerId) {
+        self.workers.remove(worker);
+        let report = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
+        self.planner.report(worker, report, self.now);
+        self.listings.retain(|it| it.worker != *worker);
+        self.planner.update_workers(self.listings.clone(), true);
+    }
+
+    /// Stores the pending progress of all submissions but one.
+    pub(crate) fn store_except(&mut self, failing: SubmissionId) {
+        let (change, records) = self.planner.take_progress();
+        for (id, _, revision) in records {
+            if id == failing {
+                self.planner.progress_failed(id);
+            } else {
+                self.planner.record_stored(id, revision + 1, change);
+            }
+        }
+    }
+
     /// Has a worker answer as another incarnation, in which `running` runs.
     pub(crate) fn restart(&mut self, worker: &WorkerId, incarnation: u64, running: &[StartOrder]) {
         let row = |it: &StartOrder| RunningTask {
--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -46,15 +46,6 @@
     (0..count).map(|it| listing(&format!("{prefix}{it:02}"), CPU, Incarnation(1))).collect()
 }
 
-/// Crashes a worker, which leaves the list.
-fn crash(rig: &mut Rig, worker: &WorkerId) {
-    rig.workers.remove(worker);
-    let report = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
-    rig.planner.report(worker, report, rig.now);
-    rig.listings.retain(|it| it.worker != *worker);
-    rig.planner.update_workers(rig.listings.clone(), true);
-}
-
 /// Starts the submissions on new workers, adds others, and crashes the first.
 fn crashed_rig(submitted: Vec<Arc<Submission>>, crashing: usize, others: usize) -> Rig {
     let mut rig = Rig::new(manifest(3), &[]);
@@ -66,7 +57,7 @@
     assert!(!rig.plan().is_empty());
     add_workers(&mut rig, &workers("w", others));
     for it in &first {
-        crash(&mut rig, &it.worker);
+        rig.crash(&it.worker);
     }
     rig
 }
@@ -140,7 +131,7 @@
     let others = step(4, 500, &[]);
     rig.submit(single(2, others));
     assert_eq!(rig.plan().len(), 4);
-    crash(&mut rig, &"d00".parse().expect("a valid name"));
+    rig.crash(&"d00".parse().expect("a valid name"));
     rig.update_listings(|it| it.is_draining = false);
     add_workers(&mut rig, &workers("x", 6));
     let (starts, _) = next_starts(&mut rig);
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -71,15 +71,6 @@
     rig.submit(submission(id, vec![step], rig.now));
 }
 
-/// Crashes a worker, which leaves the list.
-fn crash(rig: &mut Rig, worker: &WorkerId) {
-    rig.workers.remove(worker);
-    let report = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
-    rig.planner.report(worker, report, rig.now);
-    rig.listings.retain(|it| it.worker != *worker);
-    rig.planner.update_workers(rig.listings.clone(), true);
-}
-
 /// Advances time with polls of all workers, and stores what has changed.
 fn advance(rig: &mut Rig) {
     rig.store();
@@ -117,7 +108,7 @@
     add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     add_workers(&mut rig, &[on_host("w2", 4_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
@@ -141,7 +132,7 @@
     settle(&mut rig);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     let crashed = rig.plan()[0].0.clone();
-    crash(&mut rig, &crashed);
+    rig.crash(&crashed);
     let mut waited_ms = 0;
     for round in 0..MAX_WAIT_MS / STEP_MS {
         // Short work begins on each worker all the time.
@@ -172,7 +163,7 @@
     let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
     rig.submit(late);
     assert_eq!(rig.plan().len(), 41);
-    crash(&mut rig, &id("w0"));
+    rig.crash(&id("w0"));
     add_workers(&mut rig, &[on_host("w1", 1_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
@@ -190,7 +181,7 @@
     let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
     rig.submit(late);
     assert_eq!(rig.plan().len(), 2);
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     add_workers(&mut rig, &[on_host("w2", 1_000, "h2")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
@@ -221,7 +212,7 @@
 fn worker_on_probation() {
     let mut rig = suspended_rig();
     rig.advance(2_000);
-    crash(&mut rig, &id("w2"));
+    rig.crash(&id("w2"));
     rig.poll_all();
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
@@ -246,7 +237,7 @@
         add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
         submit(&mut rig, SUSPECT, step(1, 3_000, &[]));
         assert_eq!(rig.plan()[0].0, id("w2"));
-        crash(&mut rig, &id("w2"));
+        rig.crash(&id("w2"));
         let waited_ms = wait_ms(&mut rig, SUSPECT);
         assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms after {rounds} rounds");
     }
@@ -262,7 +253,7 @@
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(100, 2_000, &[]) });
     assert_eq!(rig.plan().len(), 100);
     for worker in &crashing {
-        crash(&mut rig, &worker.worker);
+        rig.crash(&worker.worker);
     }
     let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 32_000, it)).collect();
     add_workers(&mut rig, &workers);
@@ -294,7 +285,7 @@
     add_workers(&mut rig, &[on_host("w1", 20_000, "h1")]);
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     add_workers(&mut rig, &[on_host("w2", 9_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
@@ -311,7 +302,7 @@
     add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, SUSPECT, best_effort(2_000));
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
@@ -327,7 +318,7 @@
     assert_eq!(starts.len(), 2);
     rig.poll(&id("w0"), Vec::new());
     rig.poll(&id("w0"), Vec::new());
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     submit(&mut rig, LASTING, lasting(1, 3_400));
     settle(&mut rig);
     settle(&mut rig);
@@ -346,7 +337,7 @@
     assert_eq!(rig.plan().len(), 8);
     let names: Vec<String> = (0..10).map(|it| format!("w{it}")).collect();
     let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 10_000, it)).collect();
-    crash(&mut rig, &id("c0"));
+    rig.crash(&id("c0"));
     for (i, worker) in workers.iter().enumerate() {
         add_workers(&mut rig, std::slice::from_ref(worker));
         submit(&mut rig, LASTING + i as u64, lasting(1, 4_000));
@@ -365,7 +356,7 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
     rig.plan();
-    crash(&mut rig, &id("w0"));
+    rig.crash(&id("w0"));
     add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
     wait_ms(&mut rig, SUSPECT);
     rig.workers.remove(&id("w1"));
@@ -411,18 +402,6 @@
     assert!(waited_ms <= MAX_ORPHAN_LEASE_MS + 500, "{waited_ms} ms");
 }
 
-/// Stores the pending progress of all submissions but one.
-fn store_except(rig: &mut Rig, failing: SubmissionId) {
-    let (change, records) = rig.planner.take_progress();
-    for (id, _, revision) in records {
-        if id == failing {
-            rig.planner.progress_failed(id);
-        } else {
-            rig.planner.record_stored(id, revision + 1, change);
-        }
-    }
-}
-
 /// The record of another submission could not be stored, and held up all
 /// suspected tasks.
 #[test]
@@ -435,7 +414,7 @@
     add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     for (task, worker) in rig.running() {
         rig.end(&worker, task, EndKind::Failed);
     }
@@ -443,7 +422,7 @@
         if rig.plan().iter().any(|it| it.1.task.step.submission == SubmissionId(SUSPECT)) {
             return;
         }
-        store_except(&mut rig, SubmissionId(2));
+        rig.store_except(SubmissionId(2));
         rig.advance(STEP_MS);
         rig.poll_all();
     }
@@ -459,12 +438,12 @@
         let suspect = submission(SUSPECT, vec![step(1, 2_000, &[])], rig.now);
         rig.planner.submit(suspect, is_known_unstarted, rig.now);
         assert_eq!(rig.plan()[0].0, id("w0"));
-        crash(&mut rig, &id("w0"));
+        rig.crash(&id("w0"));
         add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
         for _ in 0..30 {
             assert!(rig.plan().is_empty());
             assert!(rig.planner.has_progress() && rig.planner.has_urgent_progress());
-            store_except(&mut rig, SubmissionId(SUSPECT));
+            rig.store_except(SubmissionId(SUSPECT));
             rig.advance(STEP_MS);
             rig.poll_all();
         }
