Test how long a suspected task waits beside many that fit on no worker

many_unfit has 200, 500 and 1,000 suspected tasks that fit on no worker at present (of one step, of equal demand, of ever smaller demand, with a label, of all sizes), and one that fits.

--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -21,6 +21,7 @@
         submission::{StepSpec, SubmissionState},
     },
     id::WorkerId,
+    size::{MemoryMib, Resources},
 };
 use planner_rig::{Rig, START};
 
@@ -169,6 +170,73 @@
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
 
+/// Returns a step that needs the label of all workers.
+fn with_label(step: StepSpec) -> StepSpec {
+    StepSpec { requirement: Some("a".to_owned()), ..step }
+}
+
+/// Returns how long a suspected task that fits waits beside those of `unfit` steps,
+/// which fit on no worker at present.
+fn wait_beside_ms(unfit: Vec<StepSpec>) -> u64 {
+    // `w0` has processors left over, and `w1` has memory.
+    let with_memory = |it: WorkerListing, memory| WorkerListing {
+        capacity: Resources { memory: MemoryMib(memory), ..it.capacity },
+        ..it
+    };
+    let small = with_memory(on_host("w0", 9_000, "h0"), 1_000);
+    let mut rig = rig(&[small, on_host("w1", 9_000, "h1")]);
+    let busy = |cpu, memory| StepSpec {
+        demand: Resources::new(cpu, memory, 0),
+        is_long_running: true,
+        ..lasting(1, 0)
+    };
+    submit(&mut rig, LASTING, busy(500, 990));
+    submit(&mut rig, LASTING + 1, busy(8_900, 64));
+    settle(&mut rig);
+    add_workers(&mut rig, &[with_memory(on_host("w2", 90_000_000, "h2"), 90_000_000)]);
+    let tasks: usize = unfit.iter().map(|it| usize::from(it.count)).sum();
+    for (i, step) in unfit.into_iter().enumerate() {
+        submit(&mut rig, 2_000 + i as u64, step);
+    }
+    let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
+    rig.submit(late);
+    assert_eq!(rig.plan().len(), tasks + 1);
+    rig.crash(&id("w2"));
+    add_workers(&mut rig, &[on_host("w3", 500, "h3")]);
+    wait_ms(&mut rig, SUSPECT)
+}
+
+/// Each round looked for a worker for a few tasks only, also for those for which
+/// the search for another had shown that they fit nowhere.
+#[test]
+fn many_unfit() {
+    let mut too_long = Vec::new();
+    for count in [200, 500, 1_000] {
+        let singles = |step: fn(u64) -> StepSpec| (0..u64::from(count)).map(step).collect();
+        let unfit: [(&str, Vec<StepSpec>); 5] = [
+            ("of one step", vec![lasting(count, 2_000)]),
+            ("equal", singles(|_| lasting(1, 2_000))),
+            ("ever smaller", singles(|it| lasting(1, 8_700 - it))),
+            ("with a label", singles(|it| with_label(lasting(1, 8_700 - it)))),
+            (
+                "of all sizes",
+                singles(|it| {
+                    let demand =
+                        Resources::new(600 + it * 787 % 7_919, 64 + it * 104_729 % 7_907, 0);
+                    StepSpec { demand, ..lasting(1, 0) }
+                }),
+            ),
+        ];
+        for (name, steps) in unfit {
+            let waited_ms = wait_beside_ms(steps);
+            if MAX_IDLE_MS < waited_ms {
+                too_long.push(format!("{count} {name}: {waited_ms} ms"));
+            }
+        }
+    }
+    assert!(too_long.is_empty(), "{too_long:#?}");
+}
+
 /// A suspected task that waits for the end of other work kept the only worker
 /// that could be isolated at a time, and others did not get it.
 #[test]
