Let one failed search answer for all suspected tasks that need as much

Callers of a suspected task that fits waited 5,100 to 5,200 ms beside 200 others that fit on no worker, 12,600 to 12,700 ms beside 500, and more than 20,000 ms beside 1,000 (users accept 3,000 ms; a round every 100 ms).

Cause: four tasks in a round had a worker looked for, whether or not the search for another had shown that there is none.

Change: a failed search answers until the end of its round for the other tasks of its step, for those whose demand fits into the capacity of no eligible worker, and for those that need at least as much of the same. They cost no search, and wait SEARCH_PAUSE_MS as the one that was looked at. The number of searches in a round stays as it was.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -43,6 +43,8 @@
 //!
 //! See `docs/platform.md`, section 6.
 
+mod failed_searches;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -50,6 +52,7 @@
 
 use strum::Display;
 
+use self::failed_searches::FailedSearches;
 use super::{
     DecisionKind, Planner,
     placement::{self, Obstacle},
@@ -104,8 +107,7 @@
 /// Longest time for which a worker is kept free of new starts for a task that
 /// still waits for it, in milliseconds: a few polls.
 const CLAIM_TIMEOUT_MS: u64 = 3_000;
-/// Suspected tasks for which a worker is looked for in one round; each is scored
-/// on all of them.
+/// Searches for a worker in one round, each of which scores all of them.
 const MAX_SEARCHES: u32 = 4;
 /// Time until a worker is looked for again after none was found, in
 /// milliseconds.
@@ -605,6 +607,7 @@
         }
         waiting.sort_unstable();
         let mut searches = 0;
+        let mut failed = FailedSearches::default();
         for (i, (_, _, task)) in waiting.iter().enumerate() {
             if searches == MAX_SEARCHES {
                 break;
@@ -614,6 +617,10 @@
             if pool.most < pool.claims || self.suspects.is_claimed(*task) {
                 continue;
             }
+            if self.is_ruled_out(*task, &mut failed, now) {
+                self.set_try_at(*task, now.plus_ms(SEARCH_PAUSE_MS));
+                continue;
+            }
             searches += 1;
             let others = waiting[i + 1..].iter().map(|it| it.2);
             let others: Vec<TaskKey> = others.filter(|it| !self.suspects.is_claimed(*it)).collect();
@@ -621,6 +628,8 @@
             if let Some(worker) = self.claim_worker(*task, &others, &usable, may_wait, now) {
                 pool.claims += 1;
                 self.start_claimed(worker, now);
+            } else {
+                self.search_failed(*task, &usable, may_wait, &mut failed, now);
             }
         }
     }
--- a/crates/mustardcove-core/tests/planning_cost.rs
+++ b/crates/mustardcove-core/tests/planning_cost.rs
@@ -11,9 +11,9 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
-use fleet_world::{manifest, step, submission};
+use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::{
-    fleet::{message::EndKind, submission::StepSpec},
+    fleet::{id::Incarnation, message::EndKind, submission::StepSpec},
     size::Resources,
 };
 use planner_rig::Rig;
@@ -74,3 +74,38 @@
     let most = rounds as u64 * (backlog * ends_each as u64 * 2 + WORKERS as u64);
     assert!(scored(&rig) - before <= most, "{} scored", scored(&rig) - before);
 }
+
+/// Many suspected tasks that fit on no worker: the search for one of them answers
+/// for the others.
+#[test]
+fn unfit_suspects() {
+    let mut rig = rig();
+    let long_running = |cpu| StepSpec { is_long_running: true, ..step(1, cpu, &[]) };
+    let filling = StepSpec { count: WORKERS as u16, ..long_running(CORES_8 - 500) };
+    rig.submit(submission(1, vec![filling], rig.now));
+    assert_eq!(rig.plan().len(), WORKERS);
+    let suspects: u64 = 1_000;
+    let crashing = listing("c", suspects * CORES_8, Incarnation(1));
+    rig.workers.insert(crashing.worker.clone(), Default::default());
+    rig.listings.push(crashing.clone());
+    rig.planner.update_workers(rig.listings.clone(), true);
+    rig.poll_all();
+    for i in 0..suspects {
+        rig.submit(submission(2 + i, vec![long_running(CORES_8 - i)], rig.now));
+    }
+    assert_eq!(rig.plan().len(), suspects as usize);
+    rig.crash(&crashing.worker);
+    rig.store();
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, suspects as usize);
+    let seconds = 3;
+    let before = scored(&rig);
+    for _ in 0..seconds * 10 {
+        rig.plan();
+        rig.store();
+        rig.advance(100);
+        rig.poll_all();
+    }
+    // Beside four searches, up to seven explanations in each second.
+    let most = seconds * (4 + 7) * WORKERS as u64;
+    assert!(scored(&rig) - before <= most, "{} scored", scored(&rig) - before);
+}
