--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -218,12 +218,8 @@
 
     fn has_live_run(&self, key: StepKey, step: &Step) -> bool {
         step.tasks.iter().enumerate().any(|(i, task)| {
-            task.run().is_some_and(|run| {
-                let stop = (run.worker, TaskKey { step: key, index: i as u16 }, run.run);
-                run.is_confirmed
-                    && !self.workers[run.worker].is_silent
-                    && !self.stops.contains_key(&stop)
-            })
+            let key = TaskKey { step: key, index: i as u16 };
+            task.run().is_some_and(|run| self.is_alive(key, run))
         })
     }
 
