--- a/crates/mustardcove-core/tests/planning_cost.rs
+++ b/crates/mustardcove-core/tests/planning_cost.rs
@@ -86,10 +86,7 @@
     assert_eq!(rig.plan().len(), WORKERS);
     let suspects: u64 = 1_000;
     let crashing = listing("c", suspects * CORES_8, Incarnation(1));
-    rig.workers.insert(crashing.worker.clone(), Default::default());
-    rig.listings.push(crashing.clone());
-    rig.planner.update_workers(rig.listings.clone(), true);
-    rig.poll_all();
+    rig.add_workers(std::slice::from_ref(&crashing));
     for i in 0..suspects {
         rig.submit(submission(2 + i, vec![long_running(CORES_8 - i)], rig.now));
     }
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -167,6 +167,16 @@
         self.planner.progress_stored(change);
     }
 
+    /// Adds workers and polls them.
+    pub(crate) fn add_workers(&mut self, added: &[WorkerListing]) {
+        self.listings.extend_from_slice(added);
+        for it in added {
+            self.workers.insert(it.worker.clone(), WorkerState::default());
+        }
+        self.planner.update_workers(self.listings.clone(), true);
+        self.poll_all();
+    }
+
     /// Crashes a worker, which leaves the list.
     pub(crate) fn crash(&mut self, worker: &WorkerId) {
         self.workers.remove(worker);
--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -33,15 +33,6 @@
 const MAX_IDLE_MS: u64 = 3_000;
 const CPU: u64 = 32_000;
 
-fn add_workers(rig: &mut Rig, added: &[WorkerListing]) {
-    rig.listings.extend_from_slice(added);
-    for it in added {
-        rig.workers.insert(it.worker.clone(), Default::default());
-    }
-    rig.planner.update_workers(rig.listings.clone(), true);
-    rig.poll_all();
-}
-
 fn workers(prefix: &str, count: usize) -> Vec<WorkerListing> {
     (0..count).map(|it| listing(&format!("{prefix}{it:02}"), CPU, Incarnation(1))).collect()
 }
@@ -50,12 +41,12 @@
 fn crashed_rig(submitted: Vec<Arc<Submission>>, crashing: usize, others: usize) -> Rig {
     let mut rig = Rig::new(manifest(3), &[]);
     let first = workers("c", crashing);
-    add_workers(&mut rig, &first);
+    rig.add_workers(&first);
     for it in submitted {
         rig.submit(it);
     }
     assert!(!rig.plan().is_empty());
-    add_workers(&mut rig, &workers("w", others));
+    rig.add_workers(&workers("w", others));
     for it in &first {
         rig.crash(&it.worker);
     }
@@ -126,14 +117,14 @@
 fn sole_suspect_alone() {
     let mut rig = crashed_rig(vec![single(1, step(1, 500, &[]))], 1, 1);
     // Its worker crashes while others are suspected, too.
-    add_workers(&mut rig, &workers("d", 1));
+    rig.add_workers(&workers("d", 1));
     rig.update_listings(|it| it.is_draining = it.worker.to_string() == "w00");
     let others = step(4, 500, &[]);
     rig.submit(single(2, others));
     assert_eq!(rig.plan().len(), 4);
     rig.crash(&"d00".parse().expect("a valid name"));
     rig.update_listings(|it| it.is_draining = false);
-    add_workers(&mut rig, &workers("x", 6));
+    rig.add_workers(&workers("x", 6));
     let (starts, _) = next_starts(&mut rig);
     assert_eq!(starts.len(), 5);
     let sole = starts.iter().find(|it| it.1.task.step.submission == SubmissionId(1));
@@ -212,7 +203,7 @@
     let mut rig = crashed_rig(vec![single(1, limited)], 1, 4);
     let in_other_pool = |it: WorkerListing| WorkerListing { service: "other".to_owned(), ..it };
     let others: Vec<WorkerListing> = workers("o", 36).into_iter().map(in_other_pool).collect();
-    add_workers(&mut rig, &others);
+    rig.add_workers(&others);
     for round in 0..20 {
         store(&mut rig);
         rig.plan();
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -47,19 +47,9 @@
     WorkerListing { host, ..listing(name, cpu, Incarnation(1)) }
 }
 
-/// Adds workers and polls them.
-fn add_workers(rig: &mut Rig, added: &[WorkerListing]) {
-    rig.listings.extend_from_slice(added);
-    for it in added {
-        rig.workers.insert(it.worker.clone(), Default::default());
-    }
-    rig.planner.update_workers(rig.listings.clone(), true);
-    rig.poll_all();
-}
-
 fn rig(workers: &[WorkerListing]) -> Rig {
     let mut rig = Rig::new(manifest(3), &[]);
-    add_workers(&mut rig, workers);
+    rig.add_workers(workers);
     rig
 }
 
@@ -106,11 +96,11 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, LASTING, lasting(1, 3_000));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 4_000, "h1")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w1"));
     rig.crash(&id("w1"));
-    add_workers(&mut rig, &[on_host("w2", 4_000, "h1")]);
+    rig.add_workers(&[on_host("w2", 4_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
@@ -126,7 +116,7 @@
     let workers: Vec<WorkerListing> = (hosts.iter().zip(["w1", "w2", "w3", "w4"]))
         .map(|(host, name)| on_host(name, 9_000, host))
         .collect();
-    add_workers(&mut rig, &workers);
+    rig.add_workers(&workers);
     for other in LASTING + 1..LASTING + 5 {
         submit(&mut rig, other, lasting(4, 400));
     }
@@ -165,7 +155,7 @@
     rig.submit(late);
     assert_eq!(rig.plan().len(), 41);
     rig.crash(&id("w0"));
-    add_workers(&mut rig, &[on_host("w1", 1_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 1_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
@@ -193,7 +183,7 @@
     submit(&mut rig, LASTING, busy(500, 990));
     submit(&mut rig, LASTING + 1, busy(8_900, 64));
     settle(&mut rig);
-    add_workers(&mut rig, &[with_memory(on_host("w2", 90_000_000, "h2"), 90_000_000)]);
+    rig.add_workers(&[with_memory(on_host("w2", 90_000_000, "h2"), 90_000_000)]);
     let tasks: usize = unfit.iter().map(|it| usize::from(it.count)).sum();
     for (i, step) in unfit.into_iter().enumerate() {
         submit(&mut rig, 2_000 + i as u64, step);
@@ -202,7 +192,7 @@
     rig.submit(late);
     assert_eq!(rig.plan().len(), tasks + 1);
     rig.crash(&id("w2"));
-    add_workers(&mut rig, &[on_host("w3", 500, "h3")]);
+    rig.add_workers(&[on_host("w3", 500, "h3")]);
     wait_ms(&mut rig, SUSPECT)
 }
 
@@ -244,13 +234,13 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, LASTING, lasting(1, 3_500));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, 2, lasting(1, 3_000));
     let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
     rig.submit(late);
     assert_eq!(rig.plan().len(), 2);
     rig.crash(&id("w1"));
-    add_workers(&mut rig, &[on_host("w2", 1_000, "h2")]);
+    rig.add_workers(&[on_host("w2", 1_000, "h2")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
@@ -261,14 +251,14 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, LASTING, lasting(1, 4_000));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 4_000, "h1")]);
     submit(&mut rig, 2, step(2, 500, &[]));
     for (worker, start) in rig.plan() {
         assert_eq!(worker, id("w1"));
         rig.end(&worker, start.task, EndKind::Failed);
     }
     rig.planner.cancel(SubmissionId(2), rig.now);
-    add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+    rig.add_workers(&[on_host("w2", 9_000, "h2")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w2"));
     rig
@@ -293,7 +283,7 @@
     for rounds in (60..160).step_by(10) {
         let mut rig = rig(&[on_host("w1", 4_000, "h1")]);
         let small = ["s0", "s1", "s2", "s3", "s4", "s5"].map(|it| on_host(it, 2_000, it));
-        add_workers(&mut rig, &small);
+        rig.add_workers(&small);
         submit(&mut rig, 2, StepSpec { is_long_running: true, ..step(1, 3_000, &[]) });
         for _ in 0..rounds {
             for (worker, start) in rig.plan() {
@@ -302,7 +292,7 @@
             advance(&mut rig);
         }
         rig.planner.cancel(SubmissionId(2), rig.now);
-        add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+        rig.add_workers(&[on_host("w2", 9_000, "h2")]);
         submit(&mut rig, SUSPECT, step(1, 3_000, &[]));
         assert_eq!(rig.plan()[0].0, id("w2"));
         rig.crash(&id("w2"));
@@ -324,7 +314,7 @@
         rig.crash(&worker.worker);
     }
     let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 32_000, it)).collect();
-    add_workers(&mut rig, &workers);
+    rig.add_workers(&workers);
     let mut started = 0;
     for round in 0..MAX_LASTING_IDLE_MS / STEP_MS {
         started += rig.plan().len();
@@ -350,11 +340,11 @@
         rig.planner.report(&worker, WorkerReport::Start { task, run, outcome }, rig.now);
     }
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 20_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 20_000, "h1")]);
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
     assert_eq!(rig.plan()[0].0, id("w1"));
     rig.crash(&id("w1"));
-    add_workers(&mut rig, &[on_host("w2", 9_000, "h1")]);
+    rig.add_workers(&[on_host("w2", 9_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
 }
@@ -367,7 +357,7 @@
     let best_effort = |cpu| StepSpec { is_best_effort: true, ..lasting(1, cpu) };
     submit(&mut rig, LASTING, best_effort(9_000));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, SUSPECT, best_effort(2_000));
     assert_eq!(rig.plan()[0].0, id("w1"));
     rig.crash(&id("w1"));
@@ -407,7 +397,7 @@
     let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 10_000, it)).collect();
     rig.crash(&id("c0"));
     for (i, worker) in workers.iter().enumerate() {
-        add_workers(&mut rig, std::slice::from_ref(worker));
+        rig.add_workers(std::slice::from_ref(worker));
         submit(&mut rig, LASTING + i as u64, lasting(1, 4_000));
         rig.plan();
     }
@@ -425,13 +415,13 @@
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
     rig.plan();
     rig.crash(&id("w0"));
-    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 4_000, "h1")]);
     wait_ms(&mut rig, SUSPECT);
     rig.workers.remove(&id("w1"));
     let leases_expire_by = Some(rig.now.plus_ms(4_000));
     let silent = WorkerReport::PollFailed { leases_expire_by, is_silent: true };
     rig.planner.report(&id("w1"), silent, rig.now);
-    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    rig.add_workers(&[on_host("w2", 4_000, "h2")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
 }
@@ -465,7 +455,7 @@
     let lasting = StepSpec { is_long_running: true, ..step(1, 2_000, &[]) };
     let lasting = submission(SUSPECT, vec![lasting], START);
     rig.planner.restore(lasting, false, Some((&progress, 5)), START);
-    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    rig.add_workers(&[on_host("w2", 4_000, "h2")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_ORPHAN_LEASE_MS + 500, "{waited_ms} ms");
 }
@@ -479,7 +469,7 @@
     let (worker, start) = rig.plan().remove(0);
     rig.end(&worker, start.task, EndKind::Failed);
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w1"));
     rig.crash(&id("w1"));
@@ -507,7 +497,7 @@
         rig.planner.submit(suspect, is_known_unstarted, rig.now);
         assert_eq!(rig.plan()[0].0, id("w0"));
         rig.crash(&id("w0"));
-        add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+        rig.add_workers(&[on_host("w1", 4_000, "h1")]);
         for _ in 0..30 {
             assert!(rig.plan().is_empty());
             assert!(rig.planner.has_progress() && rig.planner.has_urgent_progress());
