--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -21,6 +21,7 @@
         submission::{StepSpec, SubmissionState},
     },
     id::WorkerId,
+    size::{MemoryMib, Resources},
 };
 use planner_rig::{Rig, START};
 
@@ -46,19 +47,9 @@
     WorkerListing { host, ..listing(name, cpu, Incarnation(1)) }
 }
 
-/// Adds workers and polls them.
-fn add_workers(rig: &mut Rig, added: &[WorkerListing]) {
-    rig.listings.extend_from_slice(added);
-    for it in added {
-        rig.workers.insert(it.worker.clone(), Default::default());
-    }
-    rig.planner.update_workers(rig.listings.clone(), true);
-    rig.poll_all();
-}
-
 fn rig(workers: &[WorkerListing]) -> Rig {
     let mut rig = Rig::new(manifest(3), &[]);
-    add_workers(&mut rig, workers);
+    rig.add_workers(workers);
     rig
 }
 
@@ -71,15 +62,6 @@
     rig.submit(submission(id, vec![step], rig.now));
 }
 
-/// Crashes a worker, which leaves the list.
-fn crash(rig: &mut Rig, worker: &WorkerId) {
-    rig.workers.remove(worker);
-    let report = WorkerReport::Replaced { incarnation: Some(Incarnation(1)) };
-    rig.planner.report(worker, report, rig.now);
-    rig.listings.retain(|it| it.worker != *worker);
-    rig.planner.update_workers(rig.listings.clone(), true);
-}
-
 /// Advances time with polls of all workers, and stores what has changed.
 fn advance(rig: &mut Rig) {
     rig.store();
@@ -114,11 +96,11 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, LASTING, lasting(1, 3_000));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 4_000, "h1")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
-    add_workers(&mut rig, &[on_host("w2", 4_000, "h1")]);
+    rig.crash(&id("w1"));
+    rig.add_workers(&[on_host("w2", 4_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
@@ -134,14 +116,14 @@
     let workers: Vec<WorkerListing> = (hosts.iter().zip(["w1", "w2", "w3", "w4"]))
         .map(|(host, name)| on_host(name, 9_000, host))
         .collect();
-    add_workers(&mut rig, &workers);
+    rig.add_workers(&workers);
     for other in LASTING + 1..LASTING + 5 {
         submit(&mut rig, other, lasting(4, 400));
     }
     settle(&mut rig);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     let crashed = rig.plan()[0].0.clone();
-    crash(&mut rig, &crashed);
+    rig.crash(&crashed);
     let mut waited_ms = 0;
     for round in 0..MAX_WAIT_MS / STEP_MS {
         // Short work begins on each worker all the time.
@@ -172,12 +154,79 @@
     let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
     rig.submit(late);
     assert_eq!(rig.plan().len(), 41);
-    crash(&mut rig, &id("w0"));
-    add_workers(&mut rig, &[on_host("w1", 1_000, "h1")]);
+    rig.crash(&id("w0"));
+    rig.add_workers(&[on_host("w1", 1_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
 
+/// Returns a step that needs the label of all workers.
+fn with_label(step: StepSpec) -> StepSpec {
+    StepSpec { requirement: Some("a".to_owned()), ..step }
+}
+
+/// Returns how long a suspected task that fits waits beside those of `unfit` steps,
+/// which fit on no worker at present.
+fn wait_beside_ms(unfit: Vec<StepSpec>) -> u64 {
+    // `w0` has processors left over, and `w1` has memory.
+    let with_memory = |it: WorkerListing, memory| WorkerListing {
+        capacity: Resources { memory: MemoryMib(memory), ..it.capacity },
+        ..it
+    };
+    let small = with_memory(on_host("w0", 9_000, "h0"), 1_000);
+    let mut rig = rig(&[small, on_host("w1", 9_000, "h1")]);
+    let busy = |cpu, memory| StepSpec {
+        demand: Resources::new(cpu, memory, 0),
+        is_long_running: true,
+        ..lasting(1, 0)
+    };
+    submit(&mut rig, LASTING, busy(500, 990));
+    submit(&mut rig, LASTING + 1, busy(8_900, 64));
+    settle(&mut rig);
+    rig.add_workers(&[with_memory(on_host("w2", 90_000_000, "h2"), 90_000_000)]);
+    let tasks: usize = unfit.iter().map(|it| usize::from(it.count)).sum();
+    for (i, step) in unfit.into_iter().enumerate() {
+        submit(&mut rig, 2_000 + i as u64, step);
+    }
+    let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
+    rig.submit(late);
+    assert_eq!(rig.plan().len(), tasks + 1);
+    rig.crash(&id("w2"));
+    rig.add_workers(&[on_host("w3", 500, "h3")]);
+    wait_ms(&mut rig, SUSPECT)
+}
+
+/// Each round looked for a worker for a few tasks only, also for those for which
+/// the search for another had shown that they fit nowhere.
+#[test]
+fn many_unfit() {
+    let mut too_long = Vec::new();
+    for count in [200, 500, 1_000] {
+        let singles = |step: fn(u64) -> StepSpec| (0..u64::from(count)).map(step).collect();
+        let unfit: [(&str, Vec<StepSpec>); 5] = [
+            ("of one step", vec![lasting(count, 2_000)]),
+            ("equal", singles(|_| lasting(1, 2_000))),
+            ("ever smaller", singles(|it| lasting(1, 8_700 - it))),
+            ("with a label", singles(|it| with_label(lasting(1, 8_700 - it)))),
+            (
+                "of all sizes",
+                singles(|it| {
+                    let demand =
+                        Resources::new(600 + it * 787 % 7_919, 64 + it * 104_729 % 7_907, 0);
+                    StepSpec { demand, ..lasting(1, 0) }
+                }),
+            ),
+        ];
+        for (name, steps) in unfit {
+            let waited_ms = wait_beside_ms(steps);
+            if MAX_IDLE_MS < waited_ms {
+                too_long.push(format!("{count} {name}: {waited_ms} ms"));
+            }
+        }
+    }
+    assert!(too_long.is_empty(), "{too_long:#?}");
+}
+
 /// A suspected task that waits for the end of other work kept the only worker
 /// that could be isolated at a time, and others did not get it.
 #[test]
@@ -185,13 +234,13 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, LASTING, lasting(1, 3_500));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, 2, lasting(1, 3_000));
     let late = submission(SUSPECT, vec![lasting(1, 500)], rig.now.plus_ms(100));
     rig.submit(late);
     assert_eq!(rig.plan().len(), 2);
-    crash(&mut rig, &id("w1"));
-    add_workers(&mut rig, &[on_host("w2", 1_000, "h2")]);
+    rig.crash(&id("w1"));
+    rig.add_workers(&[on_host("w2", 1_000, "h2")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
@@ -202,14 +251,14 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, LASTING, lasting(1, 4_000));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 4_000, "h1")]);
     submit(&mut rig, 2, step(2, 500, &[]));
     for (worker, start) in rig.plan() {
         assert_eq!(worker, id("w1"));
         rig.end(&worker, start.task, EndKind::Failed);
     }
     rig.planner.cancel(SubmissionId(2), rig.now);
-    add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+    rig.add_workers(&[on_host("w2", 9_000, "h2")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w2"));
     rig
@@ -221,7 +270,7 @@
 fn worker_on_probation() {
     let mut rig = suspended_rig();
     rig.advance(2_000);
-    crash(&mut rig, &id("w2"));
+    rig.crash(&id("w2"));
     rig.poll_all();
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
@@ -234,7 +283,7 @@
     for rounds in (60..160).step_by(10) {
         let mut rig = rig(&[on_host("w1", 4_000, "h1")]);
         let small = ["s0", "s1", "s2", "s3", "s4", "s5"].map(|it| on_host(it, 2_000, it));
-        add_workers(&mut rig, &small);
+        rig.add_workers(&small);
         submit(&mut rig, 2, StepSpec { is_long_running: true, ..step(1, 3_000, &[]) });
         for _ in 0..rounds {
             for (worker, start) in rig.plan() {
@@ -243,10 +292,10 @@
             advance(&mut rig);
         }
         rig.planner.cancel(SubmissionId(2), rig.now);
-        add_workers(&mut rig, &[on_host("w2", 9_000, "h2")]);
+        rig.add_workers(&[on_host("w2", 9_000, "h2")]);
         submit(&mut rig, SUSPECT, step(1, 3_000, &[]));
         assert_eq!(rig.plan()[0].0, id("w2"));
-        crash(&mut rig, &id("w2"));
+        rig.crash(&id("w2"));
         let waited_ms = wait_ms(&mut rig, SUSPECT);
         assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms after {rounds} rounds");
     }
@@ -262,10 +311,10 @@
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(100, 2_000, &[]) });
     assert_eq!(rig.plan().len(), 100);
     for worker in &crashing {
-        crash(&mut rig, &worker.worker);
+        rig.crash(&worker.worker);
     }
     let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 32_000, it)).collect();
-    add_workers(&mut rig, &workers);
+    rig.add_workers(&workers);
     let mut started = 0;
     for round in 0..MAX_LASTING_IDLE_MS / STEP_MS {
         started += rig.plan().len();
@@ -291,11 +340,11 @@
         rig.planner.report(&worker, WorkerReport::Start { task, run, outcome }, rig.now);
     }
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 20_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 20_000, "h1")]);
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
-    add_workers(&mut rig, &[on_host("w2", 9_000, "h1")]);
+    rig.crash(&id("w1"));
+    rig.add_workers(&[on_host("w2", 9_000, "h1")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
 }
@@ -308,10 +357,10 @@
     let best_effort = |cpu| StepSpec { is_best_effort: true, ..lasting(1, cpu) };
     submit(&mut rig, LASTING, best_effort(9_000));
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, SUSPECT, best_effort(2_000));
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_IDLE_MS, "{waited_ms} ms");
 }
@@ -327,7 +376,7 @@
     assert_eq!(starts.len(), 2);
     rig.poll(&id("w0"), Vec::new());
     rig.poll(&id("w0"), Vec::new());
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     submit(&mut rig, LASTING, lasting(1, 3_400));
     settle(&mut rig);
     settle(&mut rig);
@@ -346,9 +395,9 @@
     assert_eq!(rig.plan().len(), 8);
     let names: Vec<String> = (0..10).map(|it| format!("w{it}")).collect();
     let workers: Vec<WorkerListing> = names.iter().map(|it| on_host(it, 10_000, it)).collect();
-    crash(&mut rig, &id("c0"));
+    rig.crash(&id("c0"));
     for (i, worker) in workers.iter().enumerate() {
-        add_workers(&mut rig, std::slice::from_ref(worker));
+        rig.add_workers(std::slice::from_ref(worker));
         submit(&mut rig, LASTING + i as u64, lasting(1, 4_000));
         rig.plan();
     }
@@ -365,14 +414,14 @@
     let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
     submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
     rig.plan();
-    crash(&mut rig, &id("w0"));
-    add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+    rig.crash(&id("w0"));
+    rig.add_workers(&[on_host("w1", 4_000, "h1")]);
     wait_ms(&mut rig, SUSPECT);
     rig.workers.remove(&id("w1"));
     let leases_expire_by = Some(rig.now.plus_ms(4_000));
     let silent = WorkerReport::PollFailed { leases_expire_by, is_silent: true };
     rig.planner.report(&id("w1"), silent, rig.now);
-    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    rig.add_workers(&[on_host("w2", 4_000, "h2")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
 }
@@ -406,23 +455,11 @@
     let lasting = StepSpec { is_long_running: true, ..step(1, 2_000, &[]) };
     let lasting = submission(SUSPECT, vec![lasting], START);
     rig.planner.restore(lasting, false, Some((&progress, 5)), START);
-    add_workers(&mut rig, &[on_host("w2", 4_000, "h2")]);
+    rig.add_workers(&[on_host("w2", 4_000, "h2")]);
     let waited_ms = wait_ms(&mut rig, SUSPECT);
     assert!(waited_ms <= MAX_ORPHAN_LEASE_MS + 500, "{waited_ms} ms");
 }
 
-/// Stores the pending progress of all submissions but one.
-fn store_except(rig: &mut Rig, failing: SubmissionId) {
-    let (change, records) = rig.planner.take_progress();
-    for (id, _, revision) in records {
-        if id == failing {
-            rig.planner.progress_failed(id);
-        } else {
-            rig.planner.record_stored(id, revision + 1, change);
-        }
-    }
-}
-
 /// The record of another submission could not be stored, and held up all
 /// suspected tasks.
 #[test]
@@ -432,10 +469,10 @@
     let (worker, start) = rig.plan().remove(0);
     rig.end(&worker, start.task, EndKind::Failed);
     settle(&mut rig);
-    add_workers(&mut rig, &[on_host("w1", 9_000, "h1")]);
+    rig.add_workers(&[on_host("w1", 9_000, "h1")]);
     submit(&mut rig, SUSPECT, step(1, 2_000, &[]));
     assert_eq!(rig.plan()[0].0, id("w1"));
-    crash(&mut rig, &id("w1"));
+    rig.crash(&id("w1"));
     for (task, worker) in rig.running() {
         rig.end(&worker, task, EndKind::Failed);
     }
@@ -443,7 +480,7 @@
         if rig.plan().iter().any(|it| it.1.task.step.submission == SubmissionId(SUSPECT)) {
             return;
         }
-        store_except(&mut rig, SubmissionId(2));
+        rig.store_except(SubmissionId(2));
         rig.advance(STEP_MS);
         rig.poll_all();
     }
@@ -459,12 +496,12 @@
         let suspect = submission(SUSPECT, vec![step(1, 2_000, &[])], rig.now);
         rig.planner.submit(suspect, is_known_unstarted, rig.now);
         assert_eq!(rig.plan()[0].0, id("w0"));
-        crash(&mut rig, &id("w0"));
-        add_workers(&mut rig, &[on_host("w1", 4_000, "h1")]);
+        rig.crash(&id("w0"));
+        rig.add_workers(&[on_host("w1", 4_000, "h1")]);
         for _ in 0..30 {
             assert!(rig.plan().is_empty());
             assert!(rig.planner.has_progress() && rig.planner.has_urgent_progress());
-            store_except(&mut rig, SubmissionId(SUSPECT));
+            rig.store_except(SubmissionId(SUSPECT));
             rig.advance(STEP_MS);
             rig.poll_all();
         }
