Move no more slowed runs than the free worker has time for

Cause: a move stops a run if another worker has processor time for it. Until a run starts there, each round stops four more for the same worker.

Evidence: slowed_moves failed before: 32 runs were stopped for one free worker on which one of them fits.

Change: the processor time that a move will use is kept for it for 1.5 s.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -41,6 +41,7 @@
     blocked::BlockedSubmissions,
     interference::InterferenceModel,
     placement::Obstacle,
+    schedule::Move,
     suspects::Suspects,
     tickets::Tickets,
     waits::LongRunningWaits,
@@ -220,6 +221,9 @@
     round: u64,
     /// The worker with which the next search for slowed tasks begins.
     next_move_check: WorkerIndex,
+    /// Runs that were stopped to go on elsewhere, and may not have started there
+    /// yet.
+    moves: Vec<Move>,
     /// Number of times that a worker was scored for a task, which is most of
     /// the cost of planning.
     scored_workers: AtomicU64,
@@ -266,6 +270,7 @@
             waits: LongRunningWaits::default(),
             round: 0,
             next_move_check: 0,
+            moves: Vec::new(),
             scored_workers: AtomicU64::new(0),
             actions: Actions::default(),
         }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -37,6 +37,9 @@
 /// Most moves ordered at once; each changes the capacity that the next one
 /// sees.
 const MAX_MOVES: u32 = 4;
+/// Time after a move was ordered in which the task may start on the other worker,
+/// in milliseconds: it has to stop first.
+const MOVE_MS: u64 = 1_500;
 /// Slowed tasks from which on a round looks for no more moves: each is scored
 /// on every worker.
 const MAX_MOVE_CHECKS: usize = 12;
@@ -54,6 +57,16 @@
 /// again, in milliseconds: its tasks have few attempts.
 const SUSPENDED_START_INTERVAL_MS: u64 = 2_000;
 
+/// A best-effort run that was stopped so that it can go on elsewhere.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Move {
+    to: WorkerIndex,
+    /// What it demands, in millicores.
+    cpu: u64,
+    /// The processor time there is kept for it until then.
+    expires_at: Timestamp,
+}
+
 /// A step that waits, with its rank.
 struct Candidate {
     rank: Rank,
@@ -436,6 +449,7 @@
     /// While many tasks are slow, each round looks at some of the workers only
     /// and the next continues after them.
     fn move_slowed(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
+        self.moves.retain(|it| now < it.expires_at);
         let (mut moves, mut checks) = (0, 0);
         let count = self.workers.len();
         let first = self.next_move_check % count.max(1);
@@ -452,7 +466,8 @@
                 slowed.map(|(task, it)| (*task, it.run)).collect();
             checks += slowed.len();
             for (task, run) in slowed {
-                if self.has_better_worker(index, task, run, schedulable, now) {
+                if let Some(better) = self.find_better(index, task, run, schedulable, now) {
+                    self.moves.push(better);
                     self.stop_and_move(
                         index,
                         task,
@@ -473,28 +488,39 @@
         }
     }
 
-    fn has_better_worker(
+    /// Returns the move of a run to a worker that has processor time for it, beside
+    /// the runs that are being moved there.
+    fn find_better(
         &self,
         index: WorkerIndex,
         task: TaskKey,
         run: RunNumber,
         schedulable: &[WorkerIndex],
         now: Timestamp,
-    ) -> bool {
-        let Some(current) = self.current_run(index, task, run) else { return false };
-        let Some(work) = self.work.get(&task.step.submission) else { return false };
+    ) -> Option<Move> {
+        let current = self.current_run(index, task, run)?;
+        let work = self.work.get(&task.step.submission)?;
         let spec = &work.submission.steps[usize::from(task.step.step)];
         let is_movable = current.is_confirmed
             && (spec.saves_progress || current.percent < MAX_LOST_PROGRESS_PERCENT)
             && !self.stops.contains_key(&(index, task, run));
         if !is_movable {
-            return false;
+            return None;
         }
         // Scarcity does not affect the score of best-effort work.
         let pending = PendingTasks::new(task.step, work, false);
         let req = self.request(&pending, spec, None);
-        let can_run = |it: &WorkerIndex| self.score(&pending, req, *it, now).is_ok();
-        schedulable.iter().any(|it| *it != index && can_run(it))
+        let cpu = spec.demand.cpu.0;
+        let is_left_over = |it: &WorkerIndex| {
+            let moved = self.moves.iter().filter(|moved| moved.to == *it);
+            let moved: u64 = moved.map(|it| it.cpu).sum();
+            let leftover = placement::leftover_cpu(&self.workers[*it]);
+            placement::is_enough_left_over(leftover - moved as i64, cpu)
+        };
+        let can_run =
+            |it: &WorkerIndex| is_left_over(it) && self.score(&pending, req, *it, now).is_ok();
+        let to = schedulable.iter().copied().find(|it| *it != index && can_run(it))?;
+        Some(Move { to, cpu, expires_at: now.plus_ms(MOVE_MS) })
     }
 
     /// Returns the steps that wait, and drops those that do not.
