Try every ready step of a starved submission

Callers saw: a best-effort submission without a run beside free capacity, for as long as the first of its ready steps fits nowhere, although another one fits. Cause: the planner kept one run going of the first ready step that has a waiting task only. That step may be a gang that fits nowhere, ask for workers that are away, or wait for the outcome of a crash. Change: all ready best-effort steps of the submission are tried in turn. That first_step_fits_nowhere failed before was not run at the time of this commit.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -86,7 +86,7 @@
             }
             let ids = blocked.iter().map(|it| it.1.submission);
             let is_starved = |it: &SubmissionId| {
-                self.work.get(it).and_then(|it| self.starved_step(it)).is_some()
+                self.work.get(it).is_some_and(|it| !self.starved_steps(it).is_empty())
             };
             let starved: Vec<SubmissionId> = ids.filter(is_starved).collect();
             self.blocked.starved.extend(starved);
@@ -125,10 +125,10 @@
             // Those that were not tried are the first of the next round.
             let is_waiting = self.idle_step(work).is_some() && !is_starting(work, now);
             let is_kept = if is_waiting && tries < MAX_STARTED {
-                tries += 1;
+                let steps = self.starved_steps(work);
+                tries += steps.len();
                 // One that fits nowhere is tried again after the next check.
-                let step = self.starved_step(work);
-                step.is_some_and(|it| self.start_one(it, schedulable, now))
+                steps.into_iter().any(|it| self.start_one(it, schedulable, now))
             } else {
                 true
             };
@@ -138,9 +138,9 @@
         }
     }
 
-    /// Returns the first ready best-effort step of a submission that has a
-    /// waiting task.
-    fn starved_step(&self, work: &Work) -> Option<StepKey> {
+    /// Returns the ready best-effort steps of a submission that have a waiting
+    /// task. The first may be unable to start where another can.
+    fn starved_steps(&self, work: &Work) -> Vec<StepKey> {
         let is_starved = |key: &StepKey| {
             let spec = &work.submission.steps[usize::from(key.step)];
             let occurrence = work.occurrence(key.occurrence);
@@ -149,8 +149,7 @@
                 && step.is_some_and(|it| it.is_ready && it.tasks.iter().any(Task::is_waiting))
         };
         let numbers = work.occurrences.iter().map(|it| it.number);
-        let mut keys = numbers.flat_map(|it| work.submission.step_keys(it));
-        keys.find(is_starved)
+        numbers.flat_map(|it| work.submission.step_keys(it)).filter(is_starved).collect()
     }
 
     /// Returns the first ready step of each blocked submission, and since when
--- a/crates/mustardcove-core/tests/best_effort_starved.rs
+++ b/crates/mustardcove-core/tests/best_effort_starved.rs
@@ -146,6 +146,21 @@
     assert!(3 <= slowed, "these runs are slowed down: {:?}", outcome.paces);
 }
 
+/// Guards against a submission that waits because the first of its steps fits
+/// nowhere, although another one is ready, too, and fits (found by
+/// submissions_resume: no run for 8 s and more).
+#[test]
+fn first_step_fits_nowhere() {
+    let mut rig = rig(26_000);
+    simulate(&mut rig, 0, TAIL_TARGET_MS - 6, 2);
+    let step = best_effort("harsh", 5, 8_000);
+    let elsewhere = StepSpec { requirement: Some("elsewhere".to_owned()), ..step.clone() };
+    let steps = vec![elsewhere, step];
+    rig.submit(submission(FIRST_BEST_EFFORT, steps, rig.now));
+    let outcome = simulate(&mut rig, 1, TAIL_TARGET_MS - 6, 12);
+    assert!(outcome.longest_idle_ms < MAX_IDLE_MS, "no run for {} ms", outcome.longest_idle_ms);
+}
+
 /// Guards against best-effort work that waits for all the work ahead of it to
 /// end (incident LOST: a burst of submissions queued for 25 s).
 #[test]
