Ask for tickets of all workers that a starved step may use

Callers saw: a best-effort submission on a queue with recommendations has no run for 10 s and more beside free capacity. Cause: a step may ask for tickets once a second. Ordinary placement asked first, each time, and only about the few workers with processor time left over. If the policy allows none of these, the search for the starved submission, which comes later in the round and would ask about the others, never had its turn. Change: the request of a blocked best-effort step names all workers that it may use once it is starved, while the pool is free enough for that, and the reply has the step tried at once instead of with the next check. A step that may not ask yet no longer scores workers.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -70,6 +70,13 @@
     pub(super) fn is_blocked(&self, id: SubmissionId, now: Timestamp) -> bool {
         self.since.get(&id).is_some_and(|it| BLOCKED_AFTER_MS <= now.ms_since(*it))
     }
+
+    /// Has a blocked submission tried again before the next check.
+    pub(super) fn retry(&mut self, id: SubmissionId, now: Timestamp) {
+        if self.is_blocked(id, now) {
+            self.starved.insert(id);
+        }
+    }
 }
 
 impl Planner {
@@ -116,8 +123,7 @@
             let Some(work) = self.work.get(&id).filter(|it| !it.state.is_final()) else { continue };
             let service = &work.queue.service;
             if !is_open.contains_key(service) {
-                let percent = self.reserved_percent(service, schedulable);
-                is_open.insert(service.clone(), percent < MAX_RESERVED_PERCENT);
+                is_open.insert(service.clone(), self.may_start_starved(service, schedulable));
             }
             if !is_open[service] {
                 continue;
@@ -177,6 +183,11 @@
         placement::reserved_percent(workers.filter(|it| it.listing.service == service))
     }
 
+    /// Returns whether starved submissions may start on a pool.
+    pub(super) fn may_start_starved(&self, service: &str, schedulable: &[WorkerIndex]) -> bool {
+        self.reserved_percent(service, schedulable) < MAX_RESERVED_PERCENT
+    }
+
     /// Starts one task of a best-effort step, or a gang as a whole, where it does
     /// the least harm. Returns whether it fits anywhere.
     fn start_one(&mut self, key: StepKey, schedulable: &[WorkerIndex], now: Timestamp) -> bool {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -767,6 +767,10 @@
     }
 
     /// Requests tickets for a step on workers that could run it.
+    ///
+    /// A step may ask once a second only. If it is starved, each request is
+    /// therefore also about the workers that it may use for that reason: those
+    /// that others would use may all be forbidden to it.
     pub(super) fn request_tickets_for(
         &mut self,
         pending: &PendingTasks,
@@ -774,7 +778,14 @@
         schedulable: &[WorkerIndex],
         now: Timestamp,
     ) {
-        let unrestricted = PendingTasks { needs_ticket: false, ..pending.clone() };
+        if !self.may_request_tickets(pending.key, now) {
+            return;
+        }
+        let is_starved = pending.is_starved
+            || (spec.is_best_effort
+                && self.blocked.is_blocked(pending.key.submission, now)
+                && self.may_start_starved(&pending.service, schedulable));
+        let unrestricted = PendingTasks { needs_ticket: false, is_starved, ..pending.clone() };
         let mut rest = schedulable.to_vec();
         let mut candidates = Vec::new();
         while let Some(best) = self.choose(&unrestricted, spec, None, &rest, now) {
--- a/crates/mustardcove-core/src/fleet/planner/tickets.rs
+++ b/crates/mustardcove-core/src/fleet/planner/tickets.rs
@@ -98,21 +98,25 @@
 }
 
 impl Planner {
-    /// Requests tickets for a step on the candidates, unless a request is
+    /// Returns whether tickets may be requested for a step now: no request is
     /// pending or recent.
+    pub(super) fn may_request_tickets(&self, step: StepKey, now: Timestamp) -> bool {
+        let is_due = |it: &StepTickets| !it.is_pending && it.next_request_at <= now;
+        self.tickets.pending < MAX_PENDING_REQUESTS
+            && self.tickets.steps.get(&step).is_none_or(is_due)
+    }
+
+    /// Requests tickets for a step on the candidates, if that is possible now.
     pub(super) fn request_tickets(
         &mut self,
         step: StepKey,
         candidates: &[WorkerIndex],
         now: Timestamp,
     ) {
-        let tickets = self.tickets.steps.entry(step).or_default();
-        if tickets.is_pending
-            || now < tickets.next_request_at
-            || MAX_PENDING_REQUESTS <= self.tickets.pending
-        {
+        if !self.may_request_tickets(step, now) {
             return;
         }
+        let tickets = self.tickets.steps.entry(step).or_default();
         let mut unasked: Vec<WorkerIndex> =
             candidates.iter().copied().filter(|it| !tickets.asked.contains(it)).collect();
         if unasked.is_empty() {
@@ -144,5 +148,6 @@
             let ticket = Ticket { text, incarnation, valid_until: reply.valid_until };
             tickets.tickets.insert(*index, ticket);
         }
+        self.blocked.retry(reply.step.submission, now);
     }
 }
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -10,7 +10,7 @@
             EndKind, EndedRun, Order, PollResult, RunningTask, StartOrder, StartOutcome,
             WorkerReport,
         },
-        planner::{Actions, Planner, WorkerListing},
+        planner::{Actions, Planner, TicketRequest, WorkerListing},
         submission::{Submission, SubmissionState},
     },
     id::WorkerId,
@@ -35,6 +35,7 @@
     pub(crate) orders: Vec<(WorkerId, Order)>,
     /// Submissions that the planner wants to be looked up.
     pub(crate) lookups: Vec<SubmissionId>,
+    pub(crate) ticket_requests: Vec<TicketRequest>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerState>,
     pub(crate) listings: Vec<WorkerListing>,
 }
@@ -49,6 +50,7 @@
             states: BTreeMap::new(),
             orders: Vec::new(),
             lookups: Vec::new(),
+            ticket_requests: Vec::new(),
             workers: listings
                 .iter()
                 .map(|it| (it.worker.clone(), WorkerState::default()))
@@ -123,6 +125,7 @@
         let actions: Actions = self.planner.take_actions();
         self.states.extend(actions.states);
         self.lookups.extend(actions.submission_lookups);
+        self.ticket_requests.extend(actions.ticket_requests);
         let mut starts = Vec::new();
         for (worker, order) in actions.orders {
             let state = self.workers.get_mut(&worker).expect("a worker");
