Test that every submission goes on after random faults

From 14 s after the last fault on, no submission may have nothing running for 3 s while a task's turn has come, it fits twice, and under half of the capacity is in use. Workers of fleet_world have memory, labels, speed and measurements now; what the other tests see of them is unchanged.

--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -19,12 +19,12 @@
             EndKind, EndedRun, Order, PollResult, RunningTask, StartOrder, StartOutcome,
             WorkerReport,
         },
-        planner::{DecisionKind, Planner, WorkerListing},
+        planner::{DecisionKind, Planner, TicketReply, TicketRequest, WorkerListing},
         poller::{
             LEADER_SILENT_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, NextPoll, WorkerPoller,
             start_deadline,
         },
-        record::ProgressRecord,
+        record::{LearnedInterference, ProgressRecord},
         roster::{Roster, RosterSegment},
         submission::{StepSpec, Submission, SubmissionState},
     },
@@ -61,9 +61,36 @@
 const MAX_CRASHES: usize = 3;
 const FORBIDDEN_STARTS: usize = 3;
 
+/// Tail latency of a long-running task on an idle worker, in milliseconds.
+const BASE_TAIL_MS: f32 = 4.0;
+/// Pressure of images on each other unless a test sets another one.
+const DEFAULT_PRESSURE: f32 = 0.3;
+/// Load of long-running tasks unless a test sets another one.
+const DEFAULT_LOAD: f32 = 0.3;
+
+/// Time that the recommendation service takes for a request and for each worker
+/// that it names, and for which its tickets are valid, in milliseconds.
+const TICKET_REQUEST_MS: u64 = 20;
+const TICKET_WORKER_MS: u64 = 5;
+const TICKET_VALID_MS: u64 = 4_000;
+/// Share of the workers that may run a step that needs tickets, in percent.
+const ALLOWED_PERCENT: usize = 60;
+
 /// Share of runs that outlast several leases, in percent.
 const LONG_RUN_PERCENT: u32 = 25;
 
+/// Most decisions that are kept.
+const LOG_LINES: usize = 40_000;
+
+/// Returns whether the recommendation service allows a step on a worker.
+fn is_allowed(request: &TicketRequest, worker: usize) -> bool {
+    is_allowed_on(request.step.submission, worker)
+}
+
+fn is_allowed_on(submission: SubmissionId, worker: usize) -> bool {
+    (submission.0 as usize * 31 + worker * 17) % 100 < ALLOWED_PERCENT
+}
+
 /// Returns a queue.
 pub(crate) fn queue(attempts: u32) -> Queue {
     Queue {
@@ -136,6 +163,26 @@
     run: RunNumber,
     ends_at: Timestamp,
     how: EndKind,
+    /// Its work and the part that is left, in hundredths of a millisecond at
+    /// full pace; `None` if it ends at a fixed time.
+    work: Option<(u64, u64)>,
+    pace: u8,
+    saves_progress: bool,
+}
+
+impl SimRun {
+    fn percent(&self) -> u8 {
+        match self.work {
+            Some((u64::MAX, _)) => 100,
+            Some((all, left)) => (100 - left * 100 / all.max(1)) as u8,
+            None => 50,
+        }
+    }
+
+    fn checkpoint(&self) -> Option<String> {
+        let is_saved = self.saves_progress && self.work.is_some_and(|it| it.0 != u64::MAX);
+        is_saved.then(|| self.percent().to_string())
+    }
 }
 
 /// A worker that keeps the platform's guarantees.
@@ -145,6 +192,13 @@
     pub(crate) incarnation: Incarnation,
     /// Its capacity, in millicores.
     pub(crate) cpu: u64,
+    /// Its memory, in mebibytes.
+    pub(crate) memory: u64,
+    pub(crate) labels: Vec<String>,
+    /// The speed of its runs, in percent.
+    pub(crate) speed_percent: u64,
+    /// Whether it fails all runs that it starts.
+    pub(crate) is_failing: bool,
     pub(crate) is_draining: bool,
     started_at: Timestamp,
     clock_rate_percent: u64,
@@ -173,6 +227,10 @@
             id: name.parse().expect("a valid name"),
             incarnation: Incarnation(incarnation),
             cpu: 4_000,
+            memory: 1 << 20,
+            labels: vec!["a".to_owned(), "r1".to_owned()],
+            speed_percent: 100,
+            is_failing: false,
             is_draining: false,
             started_at: now,
             clock_rate_percent,
@@ -200,10 +258,21 @@
         *highest_ended = (*highest_ended).max(run.run);
         let number = EndNumber(self.next_end);
         self.next_end += 1;
-        self.ended.push(EndedRun { number, task, run: run.run, kind, checkpoint: None });
+        let checkpoint = run.checkpoint().filter(|_| kind != EndKind::Done);
+        self.ended.push(EndedRun { number, task, run: run.run, kind, checkpoint });
     }
 
-    fn advance(&mut self, now: Timestamp) {
+    fn advance(&mut self, ms: u64, now: Timestamp) {
+        for it in self.running.values_mut() {
+            if let Some((all, left)) = &mut it.work
+                && *all != u64::MAX
+            {
+                *left = left.saturating_sub(ms * u64::from(it.pace) * self.speed_percent / 100);
+                if *left == 0 {
+                    it.ends_at = now;
+                }
+            }
+        }
         if self.lease_until <= self.clock(now) {
             let tasks: Vec<TaskKey> = self.running.keys().copied().collect();
             for task in tasks {
@@ -329,6 +398,25 @@
     /// Reasons for which leaders gave up runs or stopped them.
     pub(crate) given_up: Vec<String>,
     incarnations: u64,
+    pub(crate) manifest: Arc<Manifest>,
+    /// Whether runs work as long as their step's estimate says, at their pace,
+    /// and report their progress and measurements.
+    pub(crate) has_progress: bool,
+    /// Submissions of which each run fails.
+    pub(crate) hopeless: BTreeSet<SubmissionId>,
+    /// The pressure of a neighbour's image on that of a long-running task.
+    pub(crate) pressures: BTreeMap<(Arc<str>, Arc<str>), f32>,
+    /// The load of long-running submissions.
+    pub(crate) loads: BTreeMap<SubmissionId, f32>,
+    /// How far measured tails deviate at most, as a factor.
+    pub(crate) tail_noise: f32,
+    /// Requests for tickets, each with the time of the reply and the term.
+    ticket_requests: VecDeque<(Timestamp, Term, TicketRequest)>,
+    learned: Option<LearnedInterference>,
+    /// One of this many chances to poll a worker is used on the average.
+    pub(crate) poll_chances: u32,
+    /// The newest decisions, for the traces of failures.
+    pub(crate) log: VecDeque<String>,
 }
 
 impl World {
@@ -371,6 +459,16 @@
             starts: 0,
             given_up: Vec::new(),
             incarnations: 1_000,
+            manifest: manifest(3),
+            has_progress: false,
+            hopeless: BTreeSet::new(),
+            pressures: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            tail_noise: 1.0,
+            ticket_requests: VecDeque::new(),
+            learned: None,
+            poll_chances: 4,
+            log: VecDeque::new(),
         };
         world.elect();
         world
@@ -386,7 +484,10 @@
             _ => self.now.plus_ms(MAX_ORPHAN_LEASE_MS),
         };
         let mut planner =
-            Planner::new(self.term, self.claims, manifest(3), earlier_leases_expire_by);
+            Planner::new(self.term, self.claims, self.manifest.clone(), earlier_leases_expire_by);
+        if let Some(learned) = &self.learned {
+            planner.restore_learned_interference(learned);
+        }
         for (id, submission) in &self.submissions {
             let progress = self.progress.get(id).map(|(it, revision)| (it, *revision));
             planner.restore(submission.clone(), false, progress, self.now);
@@ -469,9 +570,9 @@
             self.incarnations += 1;
             let earlier = it.id.clone();
             let name = renamed.map_or(earlier.to_string(), |it| format!("w{worker}.{it}"));
-            let cpu = it.cpu;
-            self.workers[worker] = SimWorker::new(&name, self.incarnations, 98, now);
-            self.workers[worker].cpu = cpu;
+            let (cpu, memory, labels) = (it.cpu, it.memory, std::mem::take(&mut it.labels));
+            let fresh = SimWorker::new(&name, self.incarnations, 98, now);
+            self.workers[worker] = SimWorker { cpu, memory, labels, ..fresh };
             if renamed.is_some() {
                 for leader in &mut self.leaders {
                     let poller = std::mem::take(&mut leader.pollers[worker]);
@@ -501,7 +602,7 @@
         self.now = self.now.plus_ms(ms);
         self.advance_crashes();
         for worker in &mut self.workers {
-            worker.advance(self.now);
+            worker.advance(ms, self.now);
         }
         let delayed = std::mem::take(&mut self.delayed);
         let (due, later): (Vec<_>, Vec<_>) = delayed.into_iter().partition(|it| it.at <= self.now);
@@ -682,22 +783,58 @@
             }
         }
         it.ended.retain(|end| acknowledged_through < end.number);
-        let running = it.running.iter().map(|(task, run)| RunningTask {
-            task: *task,
-            run: run.run,
-            checkpoint: None,
-            percent: 50,
-            measurement: 0,
-        });
+        let (incarnation, ended) = (it.incarnation, it.ended.clone());
+        let running: Vec<(TaskKey, RunNumber, Option<String>, u8)> = it
+            .running
+            .iter()
+            .map(|(task, run)| (*task, run.run, run.checkpoint(), run.percent()))
+            .collect();
+        let mut rows = Vec::with_capacity(running.len());
+        for (task, run, checkpoint, percent) in running {
+            let measurement = if self.has_progress { self.measure(worker, task) } else { 0 };
+            rows.push(RunningTask { task, run, checkpoint, percent, measurement });
+        }
         Some(PollResult {
-            incarnation: it.incarnation,
+            incarnation,
             leases_expire_by: Timestamp(0),
             responsive_since: now,
-            running: running.collect(),
-            ended: it.ended.clone(),
+            running: rows,
+            ended,
         })
     }
 
+    /// Returns the tail latency of a long-running task, or the processor time
+    /// that another one uses.
+    fn measure(&mut self, worker: usize, task: TaskKey) -> u32 {
+        if !self.is_long_running(task) {
+            return self.cpu_use(worker, task) as u32;
+        }
+        let image = |it: TaskKey| self.spec(it).and_then(|it| it.image.clone());
+        let victim = image(task);
+        let mut excess = 0.0;
+        for other in self.workers[worker].running.keys().filter(|it| **it != task) {
+            let pair = victim.clone().zip(image(*other));
+            let pressure = pair.and_then(|it| self.pressures.get(&it).copied());
+            let share = self.cpu_use(worker, *other) / self.workers[worker].cpu.max(1) as f32;
+            excess += pressure.unwrap_or(DEFAULT_PRESSURE) * share;
+        }
+        let load = self.loads.get(&task.step.submission).copied().unwrap_or(DEFAULT_LOAD);
+        let tail = BASE_TAIL_MS / (1.0 - (load * (1.0 + excess)).min(0.98));
+        let noise = self.tail_noise;
+        let noise = if noise == 1.0 { 1.0 } else { self.rng.random_range(1.0 / noise..noise) };
+        (tail * noise) as u32
+    }
+
+    /// Returns the processor time that a run uses, in millicores.
+    fn cpu_use(&self, worker: usize, task: TaskKey) -> f32 {
+        let cpu = self.spec(task).map_or(0, |it| it.demand.cpu.0) as f32;
+        if self.is_long_running(task) {
+            return cpu * self.loads.get(&task.step.submission).copied().unwrap_or(DEFAULT_LOAD);
+        }
+        let pace = self.workers[worker].running.get(&task).map_or(100, |it| it.pace);
+        cpu * f32::from(pace) / 100.0
+    }
+
     fn fate(&mut self) -> Fate {
         if self.call_failure_percent <= self.rng.random_range(0..100u32) {
             return Fate::Answered;
@@ -726,7 +863,20 @@
             self.leaders[leader].is_superseded = true;
             return;
         }
+        for request in actions.ticket_requests {
+            self.request_tickets(leader, request);
+        }
         for decision in &actions.decisions {
+            if self.has_progress {
+                if self.log.len() == LOG_LINES {
+                    self.log.pop_front();
+                }
+                let worker = decision.worker.as_ref().map_or("-", |it| it.as_str());
+                self.log.push_back(format!(
+                    "{now} {leader} {:?} {worker} {}",
+                    decision.kind, decision.inputs
+                ));
+            }
             if matches!(decision.kind, DecisionKind::RunLost | DecisionKind::RunStopped) {
                 self.given_up.push(decision.inputs.clone());
             }
@@ -749,6 +899,34 @@
         }
     }
 
+    /// Lets the recommendation service handle a request, after those before it.
+    fn request_tickets(&mut self, leader: usize, request: TicketRequest) {
+        let free_at = self.ticket_requests.back().map_or(self.now, |it| it.0).max(self.now);
+        let ms = TICKET_REQUEST_MS + TICKET_WORKER_MS * request.workers.len() as u64;
+        let term = self.leaders[leader].planner.term();
+        self.ticket_requests.push_back((free_at.plus_ms(ms), term, request));
+    }
+
+    fn answer_ticket_requests(&mut self) {
+        let now = self.now;
+        while let Some((_, term, request)) = self.ticket_requests.pop_front_if(|it| it.0 <= now) {
+            let Some(leader) = self.leaders.iter().position(|it| it.planner.term() == term) else {
+                continue;
+            };
+            let is_lost = self.is_message_lost();
+            let is_allowed = |it: &&WorkerId| {
+                let place = self.workers.iter().position(|worker| worker.id == **it);
+                place.is_some_and(|it| is_allowed(&request, it))
+            };
+            let allowed = request.workers.iter().filter(is_allowed);
+            let allowed = allowed.filter(|_| !is_lost).map(|it| (it.clone(), format!("{now}")));
+            let valid_until = now.plus_ms(TICKET_VALID_MS);
+            let allowed = allowed.collect();
+            let reply = TicketReply { step: request.step, allowed, valid_until };
+            self.leaders[leader].planner.tickets_received(reply, now);
+        }
+    }
+
     /// Returns the entries of the workers, with those that have just crashed.
     fn list_workers(&self) -> Vec<WorkerListing> {
         let is_listed = |(i, it): &(usize, &SimWorker)| {
@@ -759,6 +937,8 @@
         let entry = |(i, it): (usize, &SimWorker)| WorkerListing {
             is_draining: it.is_draining,
             host: Some(format!("h{i}").parse().expect("a valid name")),
+            capacity: Resources::new(it.cpu, it.memory, 0),
+            labels: it.labels.clone(),
             ..listing(it.id.as_str(), it.cpu, it.incarnation)
         };
         listed.map(entry).collect()
@@ -902,9 +1082,32 @@
         let has_room = match order {
             Order::Start(start) if self.rejects_overload => {
                 self.used_cpu(worker) + self.needed_cpu(start.task) <= self.workers[worker].cpu
+                    && self.used_memory(worker) + self.needed_memory(start.task)
+                        <= self.workers[worker].memory
             }
             _ => true,
         };
+        let spec = match order {
+            Order::Start(start) => self.spec(start.task).cloned(),
+            _ => None,
+        };
+        let (mut fails, mut ends_at, mut work) = (fails, ends_at, None);
+        if let (Order::Start(start), Some(spec)) =
+            (order, spec.as_ref().filter(|_| self.has_progress))
+        {
+            fails |= self.hopeless.contains(&start.task.step.submission)
+                || self.workers[worker].is_failing;
+            let all = if is_long_running { u64::MAX } else { spec.estimate_ms.max(1) * 100 };
+            let saved = start.checkpoint.as_ref().and_then(|it| it.parse::<u64>().ok());
+            let left = all - all / 100 * saved.filter(|_| !is_long_running).unwrap_or(0).min(99);
+            // A run that fails does so soon.
+            ends_at = if fails { now.plus_ms(300) } else { Timestamp::MAX };
+            work = Some((all, left));
+        }
+        let has_ticket = match order {
+            Order::Start(start) => self.has_ticket(start, worker),
+            _ => true,
+        };
         let it = &mut self.workers[worker];
         if term < it.fence {
             return StartOutcome::Fenced;
@@ -922,11 +1125,15 @@
                 if lease_until <= it.clock(now) {
                     return StartOutcome::TooLate;
                 }
+                if !has_ticket {
+                    return StartOutcome::NoTicket;
+                }
                 if !has_room {
                     return StartOutcome::NoRoom;
                 }
                 let how = if fails { EndKind::Failed } else { EndKind::Done };
-                let run = SimRun { run: start.run, ends_at, how };
+                let saves_progress = spec.is_some_and(|it| it.saves_progress);
+                let run = SimRun { run: start.run, ends_at, how, work, pace: 100, saves_progress };
                 if self.deadly.contains(&start.task) {
                     it.crashes_at = Some((now.plus_ms(DEADLY_RUN_MS), start.task));
                 }
@@ -945,10 +1152,28 @@
                 }
                 StartOutcome::Started
             }
-            Order::Pace { .. } | Order::AcknowledgeEnds { .. } => StartOutcome::Started,
+            Order::Pace { task, run, percent } => {
+                if let Some(it) = it.running.get_mut(task).filter(|it| it.run == *run) {
+                    it.pace = *percent;
+                }
+                StartOutcome::Started
+            }
+            Order::AcknowledgeEnds { .. } => StartOutcome::Started,
         }
     }
 
+    /// Returns whether a start may run on a worker, as far as its queue asks for
+    /// tickets.
+    fn has_ticket(&self, start: &StartOrder, worker: usize) -> bool {
+        let submission = self.submissions.get(&start.task.step.submission);
+        let needs_ticket = submission.is_some_and(|it| {
+            let queue = self.manifest.queue_at(&it.queue.host, &it.queue.prefix);
+            queue.is_some_and(|it| it.needs_ticket)
+        });
+        !needs_ticket
+            || (start.ticket.is_some() && is_allowed_on(start.task.step.submission, worker))
+    }
+
     fn started(&mut self, task: TaskKey, worker: usize) {
         self.starts += 1;
         if self.deadly.contains(&task) {
@@ -988,6 +1213,9 @@
             planner.set_progress_revision(id, self.revision);
         }
         planner.progress_stored(change);
+        if self.has_progress {
+            self.learned = Some(planner.learned_interference());
+        }
     }
 
     /// Advances time with polls of every worker, plans and flushes.
@@ -995,12 +1223,13 @@
         let until = self.now.plus_ms(ms);
         while self.now < until {
             self.advance(50);
+            self.answer_ticket_requests();
             for leader in 0..self.leaders.len() {
                 if self.leaders[leader].is_superseded {
                     continue;
                 }
                 for worker in 0..self.workers.len() {
-                    if self.rng.random_range(0..4u32) == 0 {
+                    if self.rng.random_range(0..self.poll_chances) == 0 {
                         self.poll(leader, worker);
                     }
                 }
@@ -1036,10 +1265,95 @@
         step.map_or(0, |it| it.allocation().cpu.0)
     }
 
+    fn spec(&self, task: TaskKey) -> Option<&StepSpec> {
+        let submission = self.submissions.get(&task.step.submission)?;
+        submission.steps.get(usize::from(task.step.step))
+    }
+
+    fn needed_memory(&self, task: TaskKey) -> u64 {
+        self.spec(task).map_or(0, |it| it.allocation().memory.0)
+    }
+
     fn is_long_running(&self, task: TaskKey) -> bool {
-        let submission = self.submissions.get(&task.step.submission);
-        let step = submission.and_then(|it| it.steps.get(usize::from(task.step.step)));
-        step.is_some_and(|it| it.is_long_running)
+        self.spec(task).is_some_and(|it| it.is_long_running)
+    }
+
+    /// Returns the memory that runs on a worker take, in mebibytes.
+    pub(crate) fn used_memory(&self, worker: usize) -> u64 {
+        self.workers[worker].running.keys().map(|it| self.needed_memory(*it)).sum()
+    }
+
+    /// Returns the share of the capacity of all workers that are up that is in
+    /// use, in percent: that of the dimension with the largest share.
+    pub(crate) fn used_percent(&self) -> u64 {
+        let is_up = |it: &usize| !self.is_down(*it);
+        let workers = || (0..self.workers.len()).filter(is_up);
+        let percent = |used: u64, all: u64| used * 100 / all.max(1);
+        let cpu = percent(
+            workers().map(|it| self.used_cpu(it)).sum(),
+            workers().map(|it| self.workers[it].cpu).sum(),
+        );
+        let memory = percent(
+            workers().map(|it| self.used_memory(it)).sum(),
+            workers().map(|it| self.workers[it].memory).sum(),
+        );
+        cpu.max(memory)
+    }
+
+    /// Returns how many further tasks like this one fit on the workers that may
+    /// run it.
+    pub(crate) fn places(&self, task: TaskKey) -> u64 {
+        let Some(spec) = self.spec(task) else { return 0 };
+        let needed = spec.allocation();
+        let of_worker = |it: usize| {
+            let worker = &self.workers[it];
+            let has_label = |label: &String| worker.labels.contains(label);
+            let same = worker.running.keys().filter(|it| it.step == task.step).count() as u64;
+            let allowed = spec.max_per_worker.map_or(u64::MAX, u64::from).saturating_sub(same);
+            let may_run = !worker.is_draining
+                && worker.down.is_none()
+                && spec.requirement.as_ref().is_none_or(has_label);
+            let free = |all: u64, used: u64, needed: u64| {
+                all.saturating_sub(used).checked_div(needed).unwrap_or(u64::MAX)
+            };
+            let cpu = free(worker.cpu, self.used_cpu(it), needed.cpu.0);
+            let memory = free(worker.memory, self.used_memory(it), needed.memory.0);
+            if may_run { cpu.min(memory).min(allowed) } else { 0 }
+        };
+        (0..self.workers.len()).map(of_worker).fold(0, u64::saturating_add)
+    }
+
+    /// Returns whether a run of a task is done whose end is not lost.
+    fn is_task_done(&self, task: TaskKey) -> bool {
+        let is_done = |it: &EndedRun| it.task == task && it.kind == EndKind::Done;
+        self.acknowledged.contains(&task)
+            || self.workers.iter().any(|it| it.ended.iter().any(is_done))
+    }
+
+    /// Returns the tasks whose turn has come and that are not done.
+    pub(crate) fn ready_tasks(&self, id: SubmissionId) -> Vec<TaskKey> {
+        let Some(submission) = self.submissions.get(&id) else { return Vec::new() };
+        let tasks =
+            |step: usize| (0..submission.steps[step].count).map(move |it| (step, usize::from(it)));
+        let is_done = |(step, index)| self.is_task_done(submission.task(0, step, index));
+        let is_step_done = |step: usize| {
+            let is_gang = submission.steps[step].is_gang;
+            // The end of one member counts for the whole gang.
+            if is_gang { tasks(step).any(is_done) } else { tasks(step).all(is_done) }
+        };
+        let is_ready = |step: &usize| {
+            let after = &submission.steps[*step].after;
+            !is_step_done(*step) && after.iter().all(|it| is_step_done(usize::from(*it)))
+        };
+        let steps = (0..submission.steps.len()).filter(is_ready);
+        let waiting = steps.flat_map(tasks).filter(|it| !is_done(*it));
+        waiting.map(|(step, index)| submission.task(0, step, index)).collect()
+    }
+
+    /// Returns the submissions of which something runs.
+    pub(crate) fn running_submissions(&self) -> BTreeSet<SubmissionId> {
+        let running = self.workers.iter().flat_map(|it| it.running.keys());
+        running.map(|it| it.step.submission).collect()
     }
 
     /// Returns the processors that runs on a worker take, in millicores.
