--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -70,6 +70,13 @@
     pub(super) fn is_blocked(&self, id: SubmissionId, now: Timestamp) -> bool {
         self.since.get(&id).is_some_and(|it| BLOCKED_AFTER_MS <= now.ms_since(*it))
     }
+
+    /// Has a blocked submission tried again before the next check.
+    pub(super) fn retry(&mut self, id: SubmissionId, now: Timestamp) {
+        if self.is_blocked(id, now) {
+            self.starved.insert(id);
+        }
+    }
 }
 
 impl Planner {
@@ -111,8 +118,7 @@
             let Some(work) = self.work.get(&id).filter(|it| !it.state.is_final()) else { continue };
             let service = &work.queue.service;
             if !is_open.contains_key(service) {
-                let percent = self.reserved_percent(service);
-                is_open.insert(service.clone(), percent < MAX_RESERVED_PERCENT);
+                is_open.insert(service.clone(), self.may_start_starved(service));
             }
             if !is_open[service] {
                 continue;
@@ -120,9 +126,9 @@
             // Those that were not tried are the first of the next round.
             let is_waiting = self.idle_step(work).is_some() && !is_starting(work, now);
             let is_kept = if is_waiting && tries < MAX_STARTED {
-                // One that fits nowhere is tried again after the next check.
                 let steps = self.starved_steps(work);
                 tries += steps.len();
+                // One that fits nowhere is tried again after the next check.
                 steps.into_iter().any(|it| self.start_one(it, schedulable, now))
             } else {
                 true
@@ -134,7 +140,7 @@
     }
 
     /// Returns the ready best-effort steps of a submission that have tasks to be
-    /// placed.
+    /// placed. The first may be unable to start where another can.
     fn starved_steps(&self, work: &Work) -> Vec<StepKey> {
         let is_starved = |key: &StepKey| {
             let spec = &work.submission.steps[usize::from(key.step)];
@@ -172,6 +178,11 @@
         placement::reserved_percent(in_pool.filter(|it| it.is_up()))
     }
 
+    /// Returns whether starved submissions may start on a pool.
+    pub(super) fn may_start_starved(&self, service: &str) -> bool {
+        self.reserved_percent(service) < MAX_RESERVED_PERCENT
+    }
+
     /// Starts one task of a best-effort step, or a gang as a whole, where it does
     /// the least harm. Returns whether it fits anywhere.
     fn start_one(&mut self, key: StepKey, schedulable: &[WorkerIndex], now: Timestamp) -> bool {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -816,6 +816,10 @@
     }
 
     /// Requests tickets for a step on workers that could run it.
+    ///
+    /// A step may ask once a second only. If it is starved, each request is
+    /// therefore also about the workers that it may use for that reason: those
+    /// that others would use may all be forbidden to it.
     pub(super) fn request_tickets_for(
         &mut self,
         pending: &PendingTasks,
@@ -826,7 +830,11 @@
         if !self.may_request_tickets(pending.key, now) {
             return;
         }
-        let unrestricted = PendingTasks { needs_ticket: false, ..pending.clone() };
+        let is_starved = pending.is_starved
+            || (spec.is_best_effort
+                && self.blocked.is_blocked(pending.key.submission, now)
+                && self.may_start_starved(&pending.service));
+        let unrestricted = PendingTasks { needs_ticket: false, is_starved, ..pending.clone() };
         let mut ranking = self.ranking(&unrestricted, spec, schedulable, now);
         let best = std::iter::from_fn(|| ranking.take_best(None));
         let candidates: Vec<WorkerIndex> = best.collect();
--- a/crates/mustardcove-core/src/fleet/planner/tickets.rs
+++ b/crates/mustardcove-core/src/fleet/planner/tickets.rs
@@ -213,5 +213,6 @@
             let ticket = Ticket { text, incarnation, valid_until: reply.valid_until };
             tickets.tickets.insert(*index, ticket);
         }
+        self.blocked.retry(reply.step.submission, now);
     }
 }
