Begin a reading of a submission at once while few have begun

The bound on readings let a single one wait for up to 200 ms after another. The test end_without_submission showed it: the second end of an unknown submission was not looked up at once.

--- a/crates/mustardcove-core/src/fleet/planner/lookups.rs
+++ b/crates/mustardcove-core/src/fleet/planner/lookups.rs
@@ -20,7 +20,9 @@
     wanted: BTreeSet<SubmissionId>,
     /// Those of them whose reading has not begun.
     queue: VecDeque<SubmissionId>,
-    next_at: Timestamp,
+    /// When the present interval ends, and how many readings have begun in it.
+    interval_ends_at: Timestamp,
+    begun: usize,
 }
 
 impl Lookups {
@@ -40,11 +42,12 @@
 
     /// Takes the submissions whose reading begins now.
     pub(super) fn take_due(&mut self, now: Timestamp) -> Vec<SubmissionId> {
-        if self.queue.is_empty() || now < self.next_at {
-            return Vec::new();
+        if self.interval_ends_at <= now {
+            self.interval_ends_at = now.plus_ms(LOOKUP_INTERVAL_MS);
+            self.begun = 0;
         }
-        self.next_at = now.plus_ms(LOOKUP_INTERVAL_MS);
-        let most = MAX_LOOKUPS.min(self.queue.len());
-        self.queue.drain(..most).collect()
+        let due = self.queue.len().min(MAX_LOOKUPS - self.begun);
+        self.begun += due;
+        self.queue.drain(..due).collect()
     }
 }
