--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -1,7 +1,13 @@
 //! Message framing: reassembly, size limits and malformed input.
 
 use mustardcove_core::{
-    id::{AttemptNumber, JobId, RequestId, ShardId, TaskId},
+    fleet::{
+        id::{BootMillis, Incarnation, RunNumber, TaskKey, Term},
+        message::{FleetMessage, Order, PollResult, RunningTask, WorkerReport},
+        record::ProcessRecord,
+        submission::SubmissionState,
+    },
+    id::{AttemptNumber, JobId, RequestId, ShardId, TaskId, WorkerId},
     job::{BodyDigest, JobSpec},
     message::{PeerMessage, ShardRequest, ShardToGroup},
     size::Resources,
@@ -41,6 +47,47 @@
     prop_oneof![submit, cancel]
 }
 
+/// Returns messages between the leader and other processes, with lists and text.
+fn fleet_messages() -> Vec<PeerMessage> {
+    let task: TaskKey = "5c0e7a21d94b36f8.0.1.17".parse().unwrap();
+    let worker: WorkerId = "i-0001".parse().unwrap();
+    let polled = PollResult {
+        incarnation: Incarnation(7),
+        leases_expire_by: Timestamp(9),
+        responsive_since: Timestamp(8),
+        running: vec![RunningTask {
+            task,
+            run: RunNumber(3),
+            checkpoint: Some("00000bb87a21d94b".to_owned()),
+            percent: 41,
+            measurement: 7,
+        }],
+        ended: Vec::new(),
+    };
+    let report = FleetMessage::Report {
+        term: Term(4),
+        sent_at: Timestamp(5),
+        sent_boot_ms: BootMillis(6),
+        heartbeat_at: Some(Timestamp(4)),
+        reaches_store: true,
+        reports: vec![(worker.clone(), WorkerReport::Polled(polled))],
+    };
+    let order = Order::Stop { task, run: RunNumber(3) };
+    let orders =
+        FleetMessage::Orders { term: Term(4), handled: None, orders: vec![(worker, order)] };
+    let joined = FleetMessage::Joined(ProcessRecord {
+        process: "node-1.17".parse().unwrap(),
+        name: "node-1".to_owned(),
+        address: "10.0.0.1:7720".to_owned(),
+        region: "moldova".parse().unwrap(),
+        domain: "iasi-a".parse().unwrap(),
+        cpu_share: 0.5,
+    });
+    let states = vec![(task.step.submission, SubmissionState::Running); 5];
+    let states = FleetMessage::States { term: Term(4), states };
+    [report, orders, joined, states].map(|it| PeerMessage::Fleet(Box::new(it))).to_vec()
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
 
@@ -75,6 +122,24 @@
         let _ = decoder.next_message();
     }
 
+    /// Guards against a panic or an excessive allocation on a message of which a
+    /// few bytes are wrong, such as the length of a list.
+    #[test]
+    fn changed_bytes(
+        which in 0..4usize,
+        changes in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..12),
+    ) {
+        let mut bytes = encode(&fleet_messages()[which], MAX_BYTES).unwrap().to_vec();
+        let length = bytes.len() - LENGTH_BYTES;
+        for (index, byte) in changes {
+            bytes[LENGTH_BYTES + index.index(length)] = byte;
+        }
+        let mut decoder = Decoder::new(MAX_BYTES);
+        decoder.push(&bytes);
+        // Some changes leave a valid message; the others are an error.
+        let _ = decoder.next_message();
+    }
+
     /// Guards against a truncated message that is decoded as a complete one.
     #[test]
     fn truncated(message in message(), length in any::<prop::sample::Index>()) {
