Test rules of suspected tasks that no test noticed

Four mutations of suspects.rs passed suspect_groups, suspect_starved, suspects_wait, suspect_tasks, odd_listings, replaced_worker, starved_gate and planner_suspension: groups of 16; tasks with two crashes in groups; an entry that nobody answers for as proof of a crash on its host; a start that waited for its record on a worker whose capacity has shrunk. Each now fails one test. The code itself is unchanged and passes.

--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -256,3 +256,37 @@
     let isolated: BTreeSet<WorkerId> = rig.running().into_values().collect();
     assert!((8..=11).contains(&isolated.len()), "{} of 20 workers are isolated", isolated.len());
 }
+
+/// A crash under a large group would cost many sound tasks another turn.
+#[test]
+fn group_size() {
+    let submitted = (1..=40).map(|it| single(it, step(1, 100, &[]))).collect();
+    let mut rig = crashed_rig(submitted, 1, 20);
+    let (starts, _) = next_starts(&mut rig);
+    assert!(4 <= starts.len(), "{} starts", starts.len());
+    let mut placed: BTreeMap<WorkerId, usize> = BTreeMap::new();
+    for (worker, _) in starts {
+        *placed.entry(worker).or_default() += 1;
+    }
+    assert!(placed.values().all(|it| *it <= 4), "{placed:?}");
+}
+
+/// The members of a group under which a worker has crashed are not isolated
+/// together again: a sound one would be given up with the one that crashes them.
+#[test]
+fn crashed_group_splits() {
+    let submitted = (1..=4).map(|it| single(it, step(1, 500, &[]))).collect();
+    let mut rig = crashed_rig(submitted, 1, 12);
+    let (starts, _) = next_starts(&mut rig);
+    assert_eq!(starts.len(), 4);
+    crash(&mut rig, &starts[0].0);
+    let mut on: BTreeMap<WorkerId, usize> = BTreeMap::new();
+    for _ in 0..6 {
+        store(&mut rig);
+        for (worker, _) in rig.plan() {
+            *on.entry(worker).or_default() += 1;
+        }
+    }
+    assert_eq!(on.values().sum::<usize>(), 4);
+    assert!(on.values().all(|it| *it == 1), "{on:?}");
+}
--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -122,6 +122,18 @@
     assert_eq!(next_starts(&mut rig).len(), 1, "it starts once the store is back");
 }
 
+/// A start that waited for its record does not bring a worker over a capacity that
+/// has shrunk meanwhile.
+#[test]
+fn capacity_shrunk() {
+    let mut rig = crashed_rig();
+    store(&mut rig);
+    assert!(rig.plan().is_empty(), "the next run is not recorded");
+    rig.update_listings(|it| it.capacity.cpu.0 = 100);
+    store(&mut rig);
+    assert!(rig.plan().is_empty());
+}
+
 /// Nothing else starts on the worker until two polls have listed the run.
 #[test]
 fn starts_in_isolation() {
@@ -241,6 +253,22 @@
     }
 }
 
+/// An entry that no worker has answered for proves nothing of its host.
+#[test]
+fn unrecorded_on_host() {
+    let host_of = |it: &WorkerId| Some(format!("h-{it}").parse().expect("a valid name"));
+    let mut rig = crashed_rig();
+    rig.update_listings(|it| it.host = host_of(&it.worker));
+    let (worker, _) = next_starts(&mut rig).remove(0);
+    let silent = WorkerReport::PollFailed { leases_expire_by: None, is_silent: true };
+    rig.planner.report(&worker, silent, rig.now);
+    let later = fleet_world::listing("w9", 4_000, Incarnation(2));
+    let candidate = WorkerListing { host: host_of(&worker), ..later };
+    rig.planner.update_fleet(rig.listings.clone(), vec![candidate], true);
+    rig.plan();
+    assert!(store(&mut rig).is_empty(), "its outcome stays open");
+}
+
 /// A start that reached only the worker's next incarnation crashed none.
 #[test]
 fn start_in_next_incarnation() {
