Take a task for done once that is stored, in submissions_resume

The test took a task for not done if its worker crashed after the leader had noted and stored the end, and before the end was acknowledged to the worker. Its next step, a gang that fits on too few workers, was then judged by the task before it, whose turn was over.

--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -1326,7 +1326,14 @@
     /// Returns whether a run of a task is done whose end is not lost.
     fn is_task_done(&self, task: TaskKey) -> bool {
         let is_done = |it: &EndedRun| it.task == task && it.kind == EndKind::Done;
-        self.acknowledged.contains(&task)
+        // The worker may have crashed before its end was acknowledged to it.
+        let progress = self.progress.get(&task.step.submission);
+        let stored = progress.into_iter().flat_map(|it| &it.0.occurrences);
+        let is_stored = stored
+            .flat_map(|it| &it.tasks)
+            .any(|it| it.is_done && (it.step, it.index) == (task.step.step, task.index));
+        is_stored
+            || self.acknowledged.contains(&task)
             || self.workers.iter().any(|it| it.ended.iter().any(is_done))
     }
 
