Shorten leases in the simulated fleet to the longest that workers keep

Cause: the simulated fleet, against PROTOCOL.md, "Running tasks": "Everything that runs holds a lease for a limited time, at most `HoldMaxMs`. A longer lease is shortened to that maximum." HoldMaxMs is 6 or 10 s; the fleet takes 10 s, which is harder for the planner. No check changes. The other tests that use the simulated fleet were not run with this commit.

--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -54,6 +54,9 @@
 /// Time after which a poll without an answer has failed, in milliseconds.
 const POLL_TIMEOUT_MS: u64 = 1_200;
 
+/// Longest lease that a worker keeps, in milliseconds.
+const MAX_LEASE_MS: u64 = 10_000;
+
 /// Time for which a task that crashes its worker runs, in milliseconds.
 const DEADLY_RUN_MS: u64 = 10;
 
@@ -260,6 +263,12 @@
         now.ms_since(self.started_at) * self.clock_rate_percent / 100
     }
 
+    /// Extends the lease of all runs. A longer one is shortened.
+    fn extend_lease(&mut self, until: u64, now: Timestamp) {
+        let longest = self.clock(now) + MAX_LEASE_MS;
+        self.lease_until = self.lease_until.max(until.min(longest));
+    }
+
     fn end(&mut self, task: TaskKey, kind: EndKind) {
         let Some(run) = self.running.remove(&task) else { return };
         let highest_ended = self.highest_ended.entry(task).or_default();
@@ -787,7 +796,7 @@
         }
         it.fence = term;
         if let Some(lease_until) = next.lease_until {
-            it.lease_until = it.lease_until.max(lease_until);
+            it.extend_lease(lease_until, now);
         }
         let acknowledged_through = next.acknowledge_through;
         for end in it.ended.iter().filter(|end| end.number <= acknowledged_through) {
@@ -1140,7 +1149,7 @@
         it.fence = term;
         match order {
             Order::Start(start) => {
-                it.lease_until = it.lease_until.max(lease_until);
+                it.extend_lease(lease_until, now);
                 if it.running.get(&start.task).is_some_and(|run| run.run == start.run) {
                     return StartOutcome::Started;
                 }
