--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -261,7 +261,7 @@
     let mut rig = crashed_rig(submitted, 1, 12);
     let (starts, _) = next_starts(&mut rig);
     assert_eq!(starts.len(), 4);
-    crash(&mut rig, &starts[0].0);
+    rig.crash(&starts[0].0);
     let mut on: BTreeMap<WorkerId, usize> = BTreeMap::new();
     for _ in 0..6 {
         store(&mut rig);
