Keep the allocation of a planned run beside another run of its task

Cause: a worker may list another run of a task than the one planned on it: an order of before, carried out late. Workers have one allocation for each task, and the other run took it over. Its end released the allocation, and what ends the planned run (a poll that does not list it, a confirmed stop, a crash, the end of its leases) goes through the allocations. The task stayed placed for good, and counted as neither waiting nor running.

Class of fault: one fact is kept in two places, and a path changes only one of them.

Change: the planned run keeps its allocation, and the other one is only stopped. Until that has stopped, its share is not counted.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -448,7 +448,9 @@
             return;
         };
         let Some(spec) = work.submission.steps.get(usize::from(row.task.step.step)) else { return };
-        let is_waiting = work.task(row.task).is_some_and(|it| it.is_waiting());
+        let task = work.task(row.task);
+        let is_waiting = task.is_some_and(|it| it.is_waiting());
+        let is_planned_here = task.and_then(|it| it.run()).is_some_and(|run| run.worker == index);
         let is_stopping = self.stops.contains_key(&(index, row.task, row.run));
         if self.is_current(index, row.task, row.run) {
             self.unconfirmed.remove(&(index, row.task, row.run));
@@ -460,9 +462,13 @@
         } else if is_waiting && !is_stopping {
             self.adopt(index, row, now);
         } else if !is_stopping {
-            let spec = spec.clone();
-            let allocation = self.allocation_for(&spec, row.run);
-            self.workers[index].allocate(row.task, allocation);
+            // A task has one allocation on a worker. That of the planned run
+            // stays, since the end of that run is found by it.
+            if !is_planned_here {
+                let spec = spec.clone();
+                let allocation = self.allocation_for(&spec, row.run);
+                self.workers[index].allocate(row.task, allocation);
+            }
             self.stop(index, row.task, row.run, "not the planned run", now);
         }
     }
