--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -154,6 +154,7 @@
         self.find_missing_runs(index, &poll, now);
         self.judge_polled(index, poll.incarnation, now);
         self.adjust_pace(index, now);
+        self.begin_lookups(now);
     }
 
     /// Begins an incarnation of a worker. Runs that a poll listed in the one
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -236,8 +236,7 @@
         self.expire_earlier_work(now);
         self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
         self.start_suspects(now);
-        let lookups = self.lookups.take_due(now);
-        self.actions.submission_lookups.extend(lookups);
+        self.begin_lookups(now);
         let schedulable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
         self.place(&schedulable, now);
@@ -248,6 +247,12 @@
         self.check_waits(now);
     }
 
+    /// Begins the readings of submissions that are due.
+    pub(super) fn begin_lookups(&mut self, now: Timestamp) {
+        let lookups = self.lookups.take_due(now);
+        self.actions.submission_lookups.extend(lookups);
+    }
+
     pub(super) fn begin_due(&mut self, id: SubmissionId, now: Timestamp) {
         let Some(work) = self.work.get_mut(&id) else { return };
         let begun = work.begin_due(now);
