--- a/crates/mustardcove-core/tests/displaced_runs.rs
+++ b/crates/mustardcove-core/tests/displaced_runs.rs
@@ -58,8 +58,8 @@
     rig.planner.report(worker, WorkerReport::Polled(poll), rig.now);
 }
 
-/// Returns how long the task waits for its next start, while the worker lists
-/// `runs` and confirms each stop; [`u64::MAX`] if that exceeds 30 s.
+/// Returns how long the task waits for its next start, while the worker lists no
+/// run and confirms each stop; [`u64::MAX`] if that exceeds 30 s.
 fn wait_ms(rig: &mut Rig, worker: &WorkerId, task: TaskKey) -> u64 {
     let since = rig.now;
     while rig.now.ms_since(since) < 30_000 {
