Let extreme_submissions wait for the restarted process

The test sends new work to a process right after its restart and took any answer for an acceptance, also 503.

--- a/crates/mustardcove-node/tests/odd_requests.rs
+++ b/crates/mustardcove-node/tests/odd_requests.rs
@@ -7,10 +7,14 @@
 #[expect(dead_code, reason = "shared with the fault soak")]
 mod rig;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use mustardcove_adapter::standin::{ADMIN_PORT, CALLERS_PORT};
 use mustardcove_core::fleet::id::SubmissionId;
+use reqwest::StatusCode;
 use rig::{HOST, PREFIX, Rig, two_steps};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -119,7 +123,7 @@
     rig.kill(0);
     rig.restart(0);
     rig.wait_ready().await;
-    assert_eq!(rig.cancel(1, SubmissionId(1)).await, Some(reqwest::StatusCode::OK));
+    assert_eq!(rig.cancel(1, SubmissionId(1)).await, Some(StatusCode::OK));
     assert_works(&mut rig).await;
 }
 
@@ -157,7 +161,12 @@
 
 async fn assert_works(rig: &mut Rig) {
     let good = SubmissionId(0xf00d);
-    assert!(rig.submit(0, good, &two_steps(2, 100)).await.is_some());
+    // A process that has just started may not listen yet, or have no manifest.
+    let until = Instant::now() + SHORT;
+    while rig.submit(0, good, &two_steps(2, 100)).await != Some(StatusCode::OK) {
+        assert!(Instant::now() < until, "new work is accepted");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
     assert!(rig.wait_for(good, "completed", SHORT).await, "work goes on");
     let logs = rig.logs();
     let ended = logs.iter().find(|it| it.contains("panic") || it.contains("process failed"));
