--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -85,6 +85,7 @@
                     name, value = line.decode().split(":", 1)
                     headers[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
+                headers["peer-port"] = writer.get_extra_info("peername")[1]
                 status, value = await self.handler(method, target, headers, body)
                 data = json.dumps(value).encode()
                 head = f"HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {len(data)}\r\n\r\n"
@@ -114,8 +115,25 @@
         self.history = []
         self.changed = asyncio.Event()
         self.down = None
-        self.server = HttpServer(self.handle)
         self.window = [0, 0, 0]
+        self.servers = {}  # the listener of each machine
+        self.turned_away = set()  # machines that get no answer
+        self.leader = None  # the machine that wrote the leader record last
+
+    async def serve(self, machine):
+        """Returns an address of the store for one machine."""
+        async def handle(method, target, headers, body):
+            if machine in self.turned_away:
+                raise Silent
+            answer = await self.handle(method, target, headers, body)
+            if machine in self.turned_away:
+                raise Silent
+            if target == "/kv-txn" and answer[0] == 200 and b'"work/leader"' in body.split(b'"SetKeys"')[-1]:
+                self.leader = machine
+            return answer
+        self.servers[machine] = HttpServer(handle)
+        await self.servers[machine].start(self.world.ip)
+        return self.servers[machine].address
 
     def put(self, key, value):
         """Writes a value as the operator and the workers do."""
@@ -223,7 +241,7 @@
     def __init__(self, worker, task, number, checkpoint):
         self.worker, self.life, self.task, self.number = worker, worker.life, task, number
         self.checkpoint = checkpoint
-        self.started_at = now_ms()
+        self.started_at, self.caller = now_ms(), None
         self.ended_at = self.how = self.end_number = self.taken_at = None
         self.timer = None
         self.lapses = worker.lapses  # when the lease of this life had lapsed
@@ -259,7 +277,7 @@
 
     def __init__(self, world, name, zone, rack, cpu, mem_mb):
         self.world, self.name, self.zone, self.rack = world, name, zone, rack
-        self.cpu, self.mem_mb, self.life, self.server = cpu, mem_mb, 0, None
+        self.cpu, self.mem_mb, self.life, self.server, self.service = cpu, mem_mb, 0, None, SERVICE
 
     async def begin(self):
         """Begins a life under a new id at a new address."""
@@ -292,7 +310,7 @@
     async def beat(self):
         while True:
             self.seq += 1
-            entry = {"Service": SERVICE, "Address": self.server.address, "Zone": self.zone, "Version": "v1",
+            entry = {"Service": self.service, "Address": self.server.address, "Zone": self.zone, "Version": "v1",
                      "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Labels": ["a", self.rack],
                      "Capacity": {"Cpu": self.cpu, "MemMb": self.mem_mb, "Gpu": 0}, "Machine": f"m-{self.name}",
                      "ClockMs": self.clock(), "Seq": self.seq, "born": self.born}
@@ -332,6 +350,7 @@
             return 409, {"ClockMs": self.clock(), "Reason": "fence", "born": self.born}
         self.fence = token
         if target == "/run-start":
+            call["Caller"] = self.world.caller(headers["peer-port"])
             return self.start(call)
         if target == "/run-stop":
             return self.stop(call)
@@ -442,7 +461,7 @@
             "PortRange": f"{self.first_port},{self.first_port + 1}", "Seeds": "", "Bootstrap": "true",
             "Limits.CpuShare": "0.5", "Limits.CpuCores": "1", "Limits.MemoryMb": "260", "Limits.MaxFds": "4100",
             "Limits.LinkMbps": "1000.0", "Discovery": "platform", "EntryMode": "vip",
-            "HeartbeatMs": str(HEARTBEAT_MS), "Orders": "push", "platform.Address": world.store.server.address,
+            "HeartbeatMs": str(HEARTBEAT_MS), "Orders": "push", "platform.Address": world.store.servers[self.name].address,
             "platform.form": "kv", "platform.WritesPerS": "400", "platform.ReadsPerS": "2000",
             "platform.RetentionS": "20", "platform.ValueBytes": "1048576", "platform.MinTtlMs": "1000",
         }
@@ -509,7 +528,7 @@
         self.ip = f"127.{random.randrange(16, 240)}.{random.randrange(1, 250)}.1"
         self.lines, self.runs, self.ends = [], [], {}
         self.submissions, self.gangs = {}, {}
-        self.nodes, self.workers = [], []
+        self.nodes, self.workers, self.callers = [], [], {}
         self.store = Store(self)
         with open(os.path.join(REPO, "deploy/system.toml"), "rb") as f:
             roles = tomllib.load(f)["roles"]
@@ -518,25 +537,32 @@
     def note(self, text):
         self.lines.append(f"{(now_ms() - self.began_at) / 1000:8.3f} {text}")
 
-    async def start(self, nodes, workers, cpu=32_000, mem_mb=128_000, attempts=3):
-        await self.store.server.start(self.ip)
+    def put_manifest(self, version, service=SERVICE, services=(SERVICE,), attempts=3):
+        """Writes a manifest whose one queue is sent to a service."""
         manifest = {
-            "Version": 1,
+            "Version": version,
             "Routes": [{"Name": "bind", "Hostname": HOST, "Prefix": PREFIX, "RouteType": "unsafe", "TimeoutMs": 3000,
-                        "TargetLatencyMs": 1000, "Priority": 0, "Service": SERVICE, "Attempts": attempts,
+                        "TargetLatencyMs": 1000, "Priority": 0, "Service": service, "Attempts": attempts,
                         "Stretch": 2.0}],
-            "Services": [{"Name": SERVICE, "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1",
-                          "TlsEnabled": False, "RejectsOverload": True, "Standby": False}],
+            "Services": [{"Name": it, "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1",
+                          "TlsEnabled": False, "RejectsOverload": True, "Standby": False} for it in services],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000,
                        "IdleTimeoutMs": 15000}}
         self.store.put("op/config", json.dumps(manifest).encode())
+        self.note(f"manifest {version} sends the queue to {service}")
+
+    async def start(self, nodes, workers, cpu=32_000, mem_mb=128_000, services=(SERVICE,)):
+        """Starts the deployment; workers take the services in turn."""
+        self.put_manifest(1, services=services)
         for i in range(workers):
             worker = Worker(self, "abcdefgh"[i], ["north", "south"][i % 2], f"r-{i // 8}", cpu, mem_mb)
+            worker.service = services[i % len(services)]
             await worker.begin()
             self.workers.append(worker)
         base = self.ip.rsplit(".", 1)[0]
         for i in range(nodes):
             node = Node(self, f"front-{i + 1}", ["north", "south"][i % 2], f"{base}.{10 + i}")
+            await self.store.serve(node.name)
             node.start()
             self.nodes.append(node)
         until = now_ms() + 20_000
@@ -548,12 +574,12 @@
                 return
         raise RuntimeError("the system did not become ready")
 
-    async def submit(self, body, tries=5):
+    async def submit(self, body, tries=5, nodes=None):
         """Submits until a node accepts; returns the id, or None."""
         ident = f"{random.getrandbits(64):016x}"
         self.submissions[ident] = body
         for _ in range(tries):
-            node = random.choice(self.nodes)
+            node = random.choice(nodes or self.nodes)
             answer = await node.request("POST", PREFIX + ident, body)
             status = answer[0] if answer else None
             self.note(f"POST {ident} at {node.name}: {status}")
@@ -570,6 +596,22 @@
         self.note(f"GET {ident} at {node.name}: {status} {body.get('State')}")
         return body.get("State") if status == 200 else status
 
+    def caller(self, port):
+        """Returns the machine whose process owns a local port; on real machines its address shows that."""
+        if port not in self.callers:
+            with open("/proc/net/tcp") as f:
+                rows = [it.split() for it in f.readlines()[1:]]
+            inodes = {f"socket:[{it[9]}]" for it in rows if int(it[1].split(":")[1], 16) == port}
+            for node in self.nodes:
+                folder = f"/proc/{node.process.pid}/fd"
+                for fd in os.listdir(folder) if os.path.exists(folder) else []:
+                    try:
+                        if os.readlink(f"{folder}/{fd}") in inodes:
+                            self.callers[port] = node.name
+                    except OSError:
+                        pass
+        return self.callers.get(port)
+
     def step(self, task):
         ident, _, step, _ = task.split(".")
         return self.submissions[ident]["Steps"][int(step)]
@@ -591,7 +633,9 @@
 
     def started(self, run, call):
         extra = f" checkpoint {run.checkpoint!r}" if run.checkpoint else ""
-        self.note(f"{run.worker.id} {run.task} run {run.number} started, token {call['FencingToken']}{extra}")
+        run.caller = call["Caller"]
+        self.note(f"{run.worker.id} {run.task} run {run.number} started by {run.caller}, "
+                  f"token {call['FencingToken']}{extra}")
         spec = self.submissions[run.task.split(".")[0]]["TaskSpec"]
         if call["TaskSpec"] != spec:
             self.note(f"{run.task} was started with another TaskSpec")
