--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -279,16 +279,20 @@
         self.world, self.name, self.zone, self.rack = world, name, zone, rack
         self.cpu, self.mem_mb, self.life, self.server, self.service = cpu, mem_mb, 0, None, SERVICE
 
-    async def begin(self):
-        """Begins a life under a new id at a new address."""
+    async def begin(self, same=False):
+        """Begins a life, under a new id at a new address or under the id and at the address of the last one."""
         self.life += 1
-        self.id = f"i-{self.name}{self.life}{random.randrange(1 << 24):06x}"
+        port = int(self.server.address.split(":")[1]) if same else 0
+        if not same:
+            self.id = f"i-{self.name}{self.life}{random.randrange(1 << 24):06x}"
+        self.poller = None  # the machine that looked at it last, and when and for how long it asked to wait
+        self.asked_at = (0, 0)
         self.born, self.began_at = int(time.time() * 1000), now_ms()
         self.fence = self.lease_until = self.seq = 0
         self.running, self.ended, self.next_end, self.rejected = {}, [], 1, {}
         self.is_up, self.changed, self.lapses = True, asyncio.Event(), []
         self.server = HttpServer(self.handle)
-        await self.server.start(self.world.ip)
+        await self.server.start(self.world.ip, port)
         self.world.note(f"worker {self.name} begins as {self.id} at {self.server.address}")
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.watch_lease())]
 
@@ -301,8 +305,13 @@
         await self.server.stop()
         for run in list(self.running.values()):
             self.finish(run, "lost")
-        key, expires = f"servers/{self.id}", 3 * HEARTBEAT_MS / 1000
-        asyncio.get_running_loop().call_later(expires, self.world.store.delete, key)
+        expires = 3 * HEARTBEAT_MS / 1000
+        asyncio.get_running_loop().call_later(expires, self.expire, self.id, self.life)
+
+    def expire(self, ident, life):
+        """Removes the entry of a life after three silent heartbeat intervals."""
+        if self.id != ident or (self.life == life and not self.is_up):
+            self.world.store.delete(f"servers/{ident}")
 
     def clock(self):
         return now_ms() - self.began_at
@@ -355,6 +364,8 @@
         if target == "/run-stop":
             return self.stop(call)
         if target == "/hold":
+            self.poller = self.world.caller(headers["peer-port"])
+            self.asked_at = (now_ms(), call.get("WaitMs", 0))
             return await self.hold(call)
         if target == "/pace":
             return 200, {"ClockMs": self.clock(), "born": self.born}
@@ -415,7 +426,7 @@
         self.next_end += 1
         self.ended.append([run.end_number, run.task, run.number, how, saved])
         self.rejected[run.task] = max(self.rejected.get(run.task, 0), run.number)
-        self.world.ends[(self.id, run.end_number)] = run
+        self.world.ends[(self.id, self.life, run.end_number)] = run
         self.finish(run, how)
         self.notify()
 
@@ -430,15 +441,19 @@
     async def hold(self, call):
         self.extend(call.get("EndByMs"))
         last_seen = call.get("LastSeen", 0)
+        if self.next_end <= last_seen:
+            self.world.note(f"{self.id} is told LastSeen {last_seen} by {self.poller}, and has had {self.next_end - 1} ends")
         while self.ended and self.ended[0][0] <= last_seen:
-            run = self.world.ends[(self.id, self.ended.pop(0)[0])]
+            run = self.world.ends[(self.id, self.life, self.ended.pop(0)[0])]
             run.taken_at = now_ms()
-        until = now_ms() + min(call.get("WaitMs", 0), 2_000)
-        while not self.ended and now_ms() < until:
+        until, life = now_ms() + min(call.get("WaitMs", 0), 2_000), self.life
+        while not self.ended and now_ms() < until and self.is_up and self.life == life:
             try:
                 await asyncio.wait_for(self.changed.wait(), (until - now_ms()) / 1000)
             except TimeoutError:
                 pass
+        if not self.is_up or self.life != life:
+            raise Reset
         running = [[it.task, it.number, self.saved(it), self.world.percent(it), 0] for it in self.running.values()]
         return self.answer(200, Running=running, EndedRuns=self.ended[:MAX_ENDS])
 
@@ -456,7 +471,8 @@
         world = self.world
         settings = {
             "NodeName": self.name, "Role": "node", "MachineClass": "front", "ServedRoles": "front",
-            "Ip": self.ip, "Zone": self.zone, "Region": "home", "Zones.north": "home", "Zones.south": "home",
+            "Ip": self.ip, "Zone": self.zone, "Region": world.regions[self.zone],
+            "Zones.north": world.regions["north"], "Zones.south": world.regions["south"],
             "ListenAddrs.Front": f"{self.ip}:{self.front}", "ListenAddrs.Readiness": f"{self.ip}:{self.readiness}",
             "PortRange": f"{self.first_port},{self.first_port + 1}", "Seeds": "", "Bootstrap": "true",
             "Limits.CpuShare": "0.5", "Limits.CpuCores": "1", "Limits.MemoryMb": "260", "Limits.MaxFds": "4100",
@@ -529,6 +545,7 @@
         self.lines, self.runs, self.ends = [], [], {}
         self.submissions, self.gangs = {}, {}
         self.nodes, self.workers, self.callers = [], [], {}
+        self.regions = {"north": "home", "south": "home"}
         self.store = Store(self)
         with open(os.path.join(REPO, "deploy/system.toml"), "rb") as f:
             roles = tomllib.load(f)["roles"]
