Acknowledge ends that change nothing while nothing is stored

Cause: ends are acknowledged when a write of progress has ended. Those that change nothing, such as those of cancelled work, cause no write, so they waited for one that may never come.

Change: while nothing waits to be stored and no write is in flight, all ends that were handled are acknowledged.

The simulated leader of the core's tests stored an empty write instead, so no test could meet the fault.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -626,6 +626,15 @@
         }
     }
 
+    /// Acknowledges the ends that changed nothing, such as those of cancelled
+    /// work, while nothing waits to be stored and no write is in flight: no later
+    /// change may come that would acknowledge them.
+    pub fn acknowledge_unchanged(&mut self) {
+        if self.dirty.is_empty() {
+            self.progress_stored(self.change);
+        }
+    }
+
     /// Returns what was learned about interference between images.
     pub fn learned_interference(&self) -> LearnedInterference {
         self.interference.learned()
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -1240,6 +1240,10 @@
             return;
         }
         let planner = &mut self.leaders[leader].planner;
+        if !planner.has_progress() {
+            planner.acknowledge_unchanged();
+            return;
+        }
         let (change, records) = planner.take_progress();
         if planner.term() != current {
             return;
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -51,7 +51,11 @@
         let is_due = self.flush_at <= now
             || (self.planner.has_urgent_progress()
                 && self.flush_at <= now.plus_ms(FLUSH_INTERVAL_MS - URGENT_FLUSH_INTERVAL_MS));
-        if self.is_flushing || !is_due || !self.planner.has_progress() {
+        if self.is_flushing || !is_due {
+            return;
+        }
+        if !self.planner.has_progress() {
+            self.planner.acknowledge_unchanged();
             return;
         }
         self.is_flushing = true;
