Keep runs in the plan that a cut list of ends may hide

Cause: a worker lists 500 ends at a time, and the others once those are acknowledged. While the store is away none is. Runs that end after the first 500 are in neither list of a poll; after two such polls the planner took them for lost and started their tasks again. The same assumption stood behind confirmed stops, and behind the fence of a new leader, which counted a worker as known after any poll and, for certain, once earlier leases were over.

Change: the adapter marks an answer with 500 rows of ends. Such a poll is no evidence about runs that it omits, and does not fence its worker; the next poll is not held. While a worker that answers has not listed all its ends in this term, work of its pool that may have run does not start.

Ruled out: runs taken for other runs of their task (the allocation of a planned run has its number), conclusions about suspects (the same incarnation answers), and a bound on starts (an ended run whose end is not listed holds its capacity).

--- a/crates/mustardcove-core/examples/planner_scale.rs
+++ b/crates/mustardcove-core/examples/planner_scale.rs
@@ -244,6 +244,7 @@
             responsive_since: Timestamp(100_000),
             running: running.collect(),
             ended: std::mem::take(&mut worker.ended),
+            may_lack_ends: false,
         };
         worker.has_new_end = false;
         worker.next_poll_at = self.now.plus_ms(POLL_WAIT_MS);
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -283,6 +283,9 @@
     pub running: Vec<RunningTask>,
     /// Ends that are not acknowledged yet, in order.
     pub ended: Vec<EndedRun>,
+    /// Whether later ends may be missing from `ended`, which workers cut off
+    /// at a number of rows. A run that is in neither list may have ended then.
+    pub may_lack_ends: bool,
 }
 
 /// A run that a worker lists.
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -10,7 +10,9 @@
 //!
 //! A run leaves the plan only on evidence: its worker lists its end, omits it
 //! from two polls after confirming it, restarts, or does not answer until
-//! every lease that it was given has expired.
+//! every lease that it was given has expired. A worker lists a number of ends at
+//! a time, and the others once those are acknowledged, so a poll that may lack
+//! ends is no evidence about runs that it omits.
 
 mod blocked;
 mod circuit_breaker;
@@ -211,6 +213,9 @@
     /// Whether every worker that may run work of an earlier leader is in the
     /// plan.
     is_fleet_complete: bool,
+    /// Pools with a worker that has not listed all its ends in this term, as of
+    /// the last tick.
+    pools_lacking_ends: BTreeSet<String>,
     /// Whether workers may have changed since their entries were read.
     are_entries_stale: bool,
     interference: InterferenceModel,
@@ -263,6 +268,7 @@
             lookups: Lookups::default(),
             earlier_leases_expire_by,
             is_fleet_complete: true,
+            pools_lacking_ends: BTreeSet::new(),
             are_entries_stale: false,
             interference: InterferenceModel::default(),
             tickets: Tickets::default(),
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -140,6 +140,7 @@
         worker.polled_at = Some(now);
         worker.is_changed = true;
         worker.may_run_earlier_work = false;
+        worker.has_listed_all_ends |= !poll.may_lack_ends;
         worker.leases_expire_by = poll.leases_expire_by;
         worker.responsive_since = Some(poll.responsive_since);
         for end in &poll.ended {
@@ -564,8 +565,13 @@
         }
     }
 
-    /// Finds runs and stops that a poll proves to have ended.
+    /// Finds runs and stops that a poll proves to have ended. One that may lack
+    /// ends proves nothing about runs that it does not list: they may have ended
+    /// as done.
     fn find_missing_runs(&mut self, index: WorkerIndex, poll: &PollResult, now: Timestamp) {
+        if poll.may_lack_ends {
+            return;
+        }
         let listed: BTreeSet<(TaskKey, RunNumber)> =
             poll.running.iter().map(|it| (it.task, it.run)).collect();
         let is_listed = |task: TaskKey, run: RunNumber| listed.contains(&(task, run));
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -234,6 +234,7 @@
         self.retry_stops(now);
         self.expire_leases(now);
         self.expire_earlier_work(now);
+        self.pools_lacking_ends = self.find_pools_lacking_ends(now);
         self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
         self.start_suspects(now);
         self.begin_lookups(now);
@@ -323,13 +324,21 @@
         }
     }
 
-    /// Returns whether every worker of a pool was polled in this term, or can
-    /// run nothing of an earlier one.
+    /// Returns the pools with a worker that may have ends which it has not listed
+    /// in this term.
+    fn find_pools_lacking_ends(&self, now: Timestamp) -> BTreeSet<String> {
+        let lacks_ends = |it: &&Worker| it.is_recorded && it.may_have_unlisted_ends(now);
+        self.workers.iter().filter(lacks_ends).map(|it| it.listing.service.clone()).collect()
+    }
+
+    /// Returns whether every worker of a pool has listed its runs and ends in
+    /// this term, or can run nothing of an earlier one.
     pub(super) fn is_all_fenced(&self, service: &str, now: Timestamp) -> bool {
         let is_fenced =
-            |it: &super::Worker| it.is_fenced() || !it.is_recorded || it.listing.service != service;
-        self.earlier_leases_expire_by <= now
-            || (self.is_fleet_complete && self.workers.iter().all(is_fenced))
+            |it: &Worker| it.is_fenced() || !it.is_recorded || it.listing.service != service;
+        !self.pools_lacking_ends.contains(service)
+            && (self.earlier_leases_expire_by <= now
+                || (self.is_fleet_complete && self.workers.iter().all(is_fenced)))
     }
 
     fn place(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    LEASE_MARGIN_MS,
     circuit_breaker::CircuitBreaker,
     interference::{ImageId, InterferenceModel},
     pace::{self, LatencyCriticalTask},
@@ -113,6 +114,9 @@
     pub(super) may_run_earlier_work: bool,
     /// The incarnation that the runs belong to; `None` before the first poll.
     pub(super) incarnation: Option<Incarnation>,
+    /// Whether a poll of this term has listed all ends there, so that it is
+    /// known which runs of earlier leaders are done.
+    pub(super) has_listed_all_ends: bool,
     /// When the last poll was answered.
     pub(super) polled_at: Option<Timestamp>,
     /// Whether several polls in a row have failed.
@@ -182,6 +186,7 @@
             is_recorded: false,
             may_run_earlier_work: false,
             incarnation: None,
+            has_listed_all_ends: false,
             polled_at: None,
             is_silent: false,
             was_draining: false,
@@ -339,10 +344,20 @@
         self.is_listed && self.is_recorded && !self.listing.is_draining && !self.is_silent
     }
 
-    /// Returns whether nothing that an earlier leader ordered can begin or go on
-    /// there unseen: it was polled in this term, or has ended.
+    /// Returns whether nothing that an earlier leader ordered can begin, go on or
+    /// have ended there unseen: it has listed everything in this term, or has
+    /// ended.
     pub(super) fn is_fenced(&self) -> bool {
-        self.incarnation.is_some() || self.replaced_at.is_some()
+        self.has_listed_all_ends || self.replaced_at.is_some()
+    }
+
+    /// Returns whether it answers and may have ends of earlier leaders' runs that
+    /// it has not listed yet.
+    pub(super) fn may_have_unlisted_ends(&self, now: Timestamp) -> bool {
+        let is_answering = || {
+            self.responsive_since.is_some() || now < self.runs_expire_by().plus_ms(LEASE_MARGIN_MS)
+        };
+        self.incarnation.is_some() && !self.is_fenced() && is_answering()
     }
 
     /// Returns whether the reports of its poller that were sent by a time have
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -189,8 +189,9 @@
 /// How long a worker may hold a poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollWait {
-    /// It answers at once: it did not answer the last poll, it has just
-    /// confirmed a stop, or the leader has not confirmed its answers.
+    /// It answers at once: it did not answer the last poll, may have more ends
+    /// than it listed, or has just confirmed a stop, or the leader has not
+    /// confirmed its answers.
     None,
     /// Until a run ends or the lease has to be renewed.
     Busy,
@@ -293,6 +294,12 @@
         LeaseStatus { leases_expire_by, responsive_since }
     }
 
+    /// Records that the answer may lack ends. The next poll acknowledges some of
+    /// those listed, and is not held, so that its answer lists others.
+    pub fn ends_cut_off(&mut self) {
+        self.short_polls = self.short_polls.max(1);
+    }
+
     /// Records a failed poll, and returns the report for the leader.
     pub fn poll_failed(&mut self) -> WorkerReport {
         self.failed_polls += 1;
--- a/crates/mustardcove-core/tests/displaced_runs.rs
+++ b/crates/mustardcove-core/tests/displaced_runs.rs
@@ -54,6 +54,7 @@
         responsive_since: START,
         running: runs.iter().map(row).collect(),
         ended: if is_over { vec![end] } else { Vec::new() },
+        may_lack_ends: false,
     };
     rig.planner.report(worker, WorkerReport::Polled(poll), rig.now);
 }
--- a/crates/mustardcove-core/tests/left_workers.rs
+++ b/crates/mustardcove-core/tests/left_workers.rs
@@ -34,6 +34,7 @@
                 responsive_since: NOW,
                 running: Vec::new(),
                 ended: Vec::new(),
+                may_lack_ends: false,
             };
             planner.report(&it.worker, WorkerReport::Polled(poll), NOW);
         }
--- a/crates/mustardcove-core/tests/odd_answers.rs
+++ b/crates/mustardcove-core/tests/odd_answers.rs
@@ -39,6 +39,7 @@
         responsive_since: START,
         running,
         ended,
+        may_lack_ends: false,
     };
     rig.planner.report(&worker, WorkerReport::Polled(poll), rig.now);
 }
--- a/crates/mustardcove-core/tests/odd_listings.rs
+++ b/crates/mustardcove-core/tests/odd_listings.rs
@@ -148,6 +148,7 @@
         responsive_since: begin,
         running: Vec::new(),
         ended: Vec::new(),
+        may_lack_ends: false,
     };
     planner.report(&real.worker, WorkerReport::Polled(poll), begin);
     let (orders, recorded) = update(&mut planner);
--- a/crates/mustardcove-core/tests/planner_circuit_breaker.rs
+++ b/crates/mustardcove-core/tests/planner_circuit_breaker.rs
@@ -48,6 +48,7 @@
             responsive_since: START,
             running: running.collect(),
             ended,
+            may_lack_ends: false,
         };
         let worker = "w0".parse().expect("a valid name");
         self.planner.report(&worker, WorkerReport::Polled(poll), self.now);
--- a/crates/mustardcove-core/tests/planner_steps.rs
+++ b/crates/mustardcove-core/tests/planner_steps.rs
@@ -98,6 +98,7 @@
         responsive_since: START,
         running: Vec::new(),
         ended: vec![end],
+        may_lack_ends: false,
     };
     next.report(worker, WorkerReport::Polled(poll), START);
     next.tick(START);
@@ -118,6 +119,7 @@
             responsive_since: START,
             running: Vec::new(),
             ended: Vec::new(),
+            may_lack_ends: false,
         };
         planner.report(&"w0".parse().unwrap(), WorkerReport::Polled(poll), START);
         planner.submit(submission(1, vec![step(1, 500, &[])], START), true, START);
@@ -266,6 +268,7 @@
         responsive_since: START,
         running: running.clone(),
         ended: Vec::new(),
+        may_lack_ends: false,
     };
     next.report(&starts[0].0, WorkerReport::Polled(poll()), START);
     let actions = next.take_actions();
--- a/crates/mustardcove-core/tests/replaced_worker.rs
+++ b/crates/mustardcove-core/tests/replaced_worker.rs
@@ -92,6 +92,7 @@
             responsive_since: now,
             running,
             ended: Vec::new(),
+            may_lack_ends: false,
         })
     };
     planner.report(&worker, polled(Vec::new()), now);
@@ -125,6 +126,7 @@
         responsive_since: now,
         running: Vec::new(),
         ended: Vec::new(),
+        may_lack_ends: false,
     })
 }
 
--- a/crates/mustardcove-core/tests/short_list.rs
+++ b/crates/mustardcove-core/tests/short_list.rs
@@ -123,6 +123,7 @@
         responsive_since: now,
         running: Vec::new(),
         ended: Vec::new(),
+        may_lack_ends: false,
     })
 }
 
--- a/crates/mustardcove-core/tests/support/calm_world.rs
+++ b/crates/mustardcove-core/tests/support/calm_world.rs
@@ -343,6 +343,7 @@
                 responsive_since: Timestamp(1),
                 running: running.collect(),
                 ended: worker.ended.clone(),
+                may_lack_ends: false,
             };
             self.planner.report(&id, WorkerReport::Polled(poll), now);
         }
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -1,7 +1,7 @@
 //! Simulated workers, store and callers around a planner, in virtual time.
 //!
 //! The workers keep the platform's guarantees: they obey the highest term,
-//! list each end until it is acknowledged, refuse runs whose number is not
+//! list the first ends until they are acknowledged, refuse runs whose number is not
 //! higher than that of one that ended, and end everything when the lease on
 //! their own, slow clock expires. Calls can be lost, lose their answers or be
 //! carried out late.
@@ -57,6 +57,9 @@
 /// Longest lease that a worker keeps, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// Ends that a worker lists at a time, unless a test sets another number.
+const LISTED_ENDS: usize = 500;
+
 /// Time for which a task that crashes its worker runs, in milliseconds.
 const DEADLY_RUN_MS: u64 = 10;
 
@@ -397,6 +400,8 @@
     pub(crate) is_endless: bool,
     /// Whether those of long-running tasks do, unless they fail.
     pub(crate) is_long_running_endless: bool,
+    /// Ends that a worker lists at a time.
+    pub(crate) listed_ends: usize,
     /// Whether workers refuse starts that exceed their capacity.
     pub(crate) rejects_overload: bool,
     /// Duration of a worker's restart, in milliseconds.
@@ -470,6 +475,7 @@
             run_failure_percent: 0,
             is_endless: false,
             is_long_running_endless: false,
+            listed_ends: LISTED_ENDS,
             rejects_overload: false,
             restart_ms: 0,
             deadly: BTreeSet::new(),
@@ -675,6 +681,9 @@
         let state = &mut self.leaders[leader];
         let has_runs = !poll.running.is_empty();
         let answered = state.pollers[worker].poll_answered(poll.incarnation, clock, has_runs, now);
+        if poll.may_lack_ends {
+            state.pollers[worker].ends_cut_off();
+        }
         let poll = PollResult {
             leases_expire_by: answered.leases_expire_by,
             responsive_since: answered.responsive_since,
@@ -816,7 +825,8 @@
             }
         }
         it.ended.retain(|end| acknowledged_through < end.number);
-        let (incarnation, ended) = (it.incarnation, it.ended.clone());
+        let incarnation = it.incarnation;
+        let ended: Vec<EndedRun> = it.ended.iter().take(self.listed_ends).cloned().collect();
         let running: Vec<(TaskKey, RunNumber, Option<String>, u8)> = it
             .running
             .iter()
@@ -832,6 +842,7 @@
             leases_expire_by: Timestamp(0),
             responsive_since: now,
             running: rows,
+            may_lack_ends: self.listed_ends <= ended.len(),
             ended,
         })
     }
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -93,6 +93,7 @@
             responsive_since: START,
             running: running.collect(),
             ended,
+            may_lack_ends: false,
         };
         self.planner.report(worker, WorkerReport::Polled(poll), self.now);
     }
@@ -216,6 +217,7 @@
             responsive_since: START,
             running: running.iter().map(row).collect(),
             ended: Vec::new(),
+            may_lack_ends: false,
         };
         self.planner.report(worker, WorkerReport::Polled(poll), self.now);
     }
--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -359,6 +359,7 @@
             responsive_since: START,
             running: Vec::new(),
             ended: Vec::new(),
+            may_lack_ends: false,
         };
         planner.report(&id("w0"), WorkerReport::Polled(poll), START);
         let (_, records) = planner.take_progress();
--- a/crates/mustardcove-core/tests/unanswered_start.rs
+++ b/crates/mustardcove-core/tests/unanswered_start.rs
@@ -63,6 +63,7 @@
                 responsive_since: status.responsive_since,
                 running: Vec::new(),
                 ended: Vec::new(),
+                may_lack_ends: false,
             };
             planner.report(&worker, WorkerReport::Polled(poll), now);
             let hold_ms = match poller.next_poll(true, now).wait {
@@ -115,6 +116,7 @@
                 responsive_since: BEGIN,
                 running: Vec::new(),
                 ended: Vec::new(),
+                may_lack_ends: false,
             };
             planner.report(&listing.worker, WorkerReport::Polled(poll), BEGIN);
         }
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -201,14 +201,22 @@
         match answer {
             Ok(answer) => {
                 let has_runs = !answer.running.is_empty();
-                let lease =
-                    self.state().poll_answered(answer.incarnation, answer.clock_ms, has_runs, now);
+                let lease = {
+                    let mut state = self.state();
+                    let incarnation = answer.incarnation;
+                    let lease = state.poll_answered(incarnation, answer.clock_ms, has_runs, now);
+                    if answer.may_lack_ends {
+                        state.ends_cut_off();
+                    }
+                    lease
+                };
                 self.send_report(WorkerReport::Polled(PollResult {
                     incarnation: answer.incarnation,
                     leases_expire_by: lease.leases_expire_by,
                     responsive_since: lease.responsive_since,
                     running: answer.running,
                     ended: answer.ended,
+                    may_lack_ends: answer.may_lack_ends,
                 }));
                 true
             }
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -63,6 +63,7 @@
             measurement: 7,
         }],
         ended: Vec::new(),
+        may_lack_ends: false,
     };
     let report = FleetMessage::Report {
         term: Term(4),
