Name what keeps a waiting task from the workers that are up

nearest now names a worker that is up if there is one. The new with_capacity counts the workers that are up and have capacity by what keeps the task from them. The test dead_worker guards the first.

--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -263,9 +263,11 @@
             None => ("-".to_owned(), "no_eligible_worker".to_owned(), Resources::ZERO),
         };
         let needed = spec.allocation();
+        let with_capacity = self.obstacles_beside_capacity(task.step, now);
         Some(format!(
             "task={task} waited_ms={} for={reason} run_at={} nearest={worker} obstacle={obstacle} \
-             free_cpu={} free_memory={} cpu={} memory={} step_runs={} of={} beside_capacity={}",
+             free_cpu={} free_memory={} cpu={} memory={} step_runs={} of={} beside_capacity={} \
+             with_capacity={with_capacity}",
             now.ms_since(wait.since),
             run.as_deref().unwrap_or("-"),
             free.cpu,
@@ -320,15 +322,53 @@
     }
 
     /// Returns the eligible worker that is nearest to running a task of a step:
-    /// preferably one with capacity for it, and then one with a mild obstacle.
+    /// preferably one that is up and has capacity for it, and then one with a
+    /// mild obstacle. All capacity of a dead worker is free, so that one is
+    /// named only if no other is left.
     fn nearest_worker(&self, key: StepKey, now: Timestamp) -> Option<Nearest> {
+        let needed = self.spec(key)?.allocation();
+        // The obstacles are ordered by severity, the most severe first.
+        let severity = |it: &Nearest| {
+            let worker = &self.workers[it.index];
+            let fits = needed.fits_in(worker.free());
+            let obstacle = it.obstacle.map(Reverse);
+            (!worker.is_up(), !fits, obstacle, Reverse(worker.free().cpu), it.index)
+        };
+        self.eligible_workers(key, now)?.into_iter().min_by_key(severity)
+    }
+
+    /// Returns how many eligible workers that are up have capacity for a task of
+    /// a step, by their obstacle.
+    fn obstacles_beside_capacity(&self, key: StepKey, now: Timestamp) -> String {
+        let needed = self.spec(key).map(StepSpec::allocation).unwrap_or_default();
+        let has_capacity = |it: &Nearest| {
+            let worker = &self.workers[it.index];
+            worker.is_up() && needed.fits_in(worker.free())
+        };
+        let mut workers: BTreeMap<Option<Obstacle>, u32> = BTreeMap::new();
+        let eligible = self.eligible_workers(key, now).unwrap_or_default();
+        for it in eligible.into_iter().filter(has_capacity) {
+            *workers.entry(it.obstacle).or_default() += 1;
+        }
+        let name = |it: Option<Obstacle>| it.map_or("none".to_owned(), |it| it.to_string());
+        let counts = workers.into_iter().map(|(it, count)| format!("{}:{count}", name(it)));
+        let counts: Vec<String> = counts.collect();
+        if counts.is_empty() { "-".to_owned() } else { counts.join(",") }
+    }
+
+    fn spec(&self, key: StepKey) -> Option<&StepSpec> {
+        self.work.get(&key.submission)?.submission.steps.get(usize::from(key.step))
+    }
+
+    /// Returns the workers of the pool and kind that a step needs, each with what
+    /// keeps it from running a task of the step.
+    fn eligible_workers(&self, key: StepKey, now: Timestamp) -> Option<Vec<Nearest>> {
         let work = self.work.get(&key.submission)?;
-        let spec = &work.submission.steps[usize::from(key.step)];
+        let spec = self.spec(key)?;
         let pending = PendingTasks::of_step(key, work, false)?;
         let req = self.request(&pending, spec, None);
         let rank = self.waiting_step(key).map(|it| it.rank(now));
         let may_use_reserved = rank.is_none_or(|it| it.may_use_reserved(spec.is_long_running));
-        let needed = spec.allocation();
         let is_eligible = |it: &WorkerIndex| {
             placement::is_eligible(&self.workers[*it], spec, &work.queue.service)
         };
@@ -341,13 +381,7 @@
                 .or(is_reserved.then_some(Obstacle::Reserved));
             Nearest { index, obstacle }
         };
-        // The obstacles are ordered by severity, the most severe first.
-        let severity = |it: &Nearest| {
-            let worker = &self.workers[it.index];
-            let fits = needed.fits_in(worker.free());
-            (!fits, it.obstacle.map(Reverse), Reverse(worker.free().cpu), it.index)
-        };
-        (0..self.workers.len()).filter(is_eligible).map(nearest).min_by_key(severity)
+        Some((0..self.workers.len()).filter(is_eligible).map(nearest).collect())
     }
 }
 
--- a/crates/mustardcove-core/tests/long_running_waits.rs
+++ b/crates/mustardcove-core/tests/long_running_waits.rs
@@ -79,6 +79,22 @@
     assert!(rig.planner.long_running_waits(rig.now).is_empty());
 }
 
+/// The line names the obstacle of a worker that is up: a dead one has all its
+/// capacity free, and would hide what keeps the task from running.
+#[test]
+fn dead_worker() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000), ("w2", 9_000)]);
+    rig.submit(submission(1, vec![long_running(2, 3_500)], START));
+    rig.update_listings(|it| it.is_draining = it.worker.as_str() == "w2");
+    rig.plan();
+    rig.submit(submission(2, vec![long_running(1, 1_000)], START));
+    let lines = run(&mut rig, 4_000);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    for part in ["for=capacity nearest=w0 obstacle=no_capacity", "with_capacity=-"] {
+        assert!(lines[0].replace("run_at=- ", "").contains(part), "{lines:?}");
+    }
+}
+
 /// A suspected task whose record is stored waits for a worker that can be isolated,
 /// not for its record, also while that of another submission cannot be stored.
 #[test]
