Let overdue long-running tasks use reserved workers

Callers see a new long-running task without a run beside free capacity (LOST): workers are reserved for larger batch tasks that do not fit yet, and what is free there is kept from it for as long as such tasks wait. Users accept 3 s of calm, however full the pool is.

Cause: only long-running work that ran before could use reserved workers.

Change: so can any long-running step that has had a task without a run for 1.5 s. What a step may use is computed in one place now.

--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -618,13 +618,15 @@
             && candidate.rank.is_worthwhile();
         let reserved = if may_reserve { self.reserved_for(key) } else { Vec::new() };
         let is_overdue = self.is_overdue(key, now);
-        let may_use_reserved = self.may_use_reserved(spec, candidate.rank);
+        let may_use_reserved = self.may_use_reserved(spec, candidate.rank, is_overdue);
         // Long-running work has to run however full the pool is.
         let may_use_suspended = (round.mostly_free.contains(&work.queue.service)
             || spec.is_long_running)
             && !round.suspended.is_empty()
             && is_overdue;
-        let may_skip = !needs_ticket && !may_use_suspended && reserved.is_empty();
+        // Steps that may use fewer workers may have recorded what fits nowhere.
+        let is_restricted = !may_use_suspended && !(spec.is_long_running && is_overdue);
+        let may_skip = !needs_ticket && is_restricted && reserved.is_empty();
         if may_skip && round.is_unplaceable(&work.queue.service, spec) {
             if may_reserve {
                 let service = work.queue.service.clone();
@@ -670,9 +672,13 @@
         }
     }
 
-    /// Returns whether a step may use workers that are reserved for others.
-    pub(super) fn may_use_reserved(&self, spec: &StepSpec, rank: Rank) -> bool {
-        spec.is_best_effort || rank.may_use_reserved(spec.is_long_running)
+    /// Returns whether a step may use workers that are reserved for others. Users
+    /// accept no longer wait of a long-running task beside free capacity,
+    /// whatever the capacity is kept for.
+    pub(super) fn may_use_reserved(&self, spec: &StepSpec, rank: Rank, is_overdue: bool) -> bool {
+        spec.is_best_effort
+            || rank.may_use_reserved(spec.is_long_running)
+            || (spec.is_long_running && is_overdue)
     }
 
     /// Allocates capacity for the pending tasks in turn, until one fits nowhere,
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -40,8 +40,8 @@
 /// Time without a run after which a task counts as waiting, in milliseconds: as
 /// long as users accept.
 const WAITING_AFTER_MS: u64 = 3_000;
-/// Time without a run after which a task may use workers that are suspended,
-/// in milliseconds: a start and two checks fit into the
+/// Time without a run after which a task may use workers that are suspended or
+/// reserved for others, in milliseconds: a start and two checks fit into the
 /// rest of what users accept.
 const OVERDUE_AFTER_MS: u64 = 1_500;
 /// Time between two groups of explanations, in milliseconds.
@@ -373,7 +373,8 @@
         let pending = PendingTasks::of_step(key, work, false)?;
         let req = self.request(&pending, spec, None);
         let rank = self.waiting_step(key).map(|it| it.rank(now));
-        let may_use_reserved = rank.is_none_or(|it| self.may_use_reserved(spec, it));
+        let is_overdue = self.is_overdue(key, now);
+        let may_use_reserved = rank.is_none_or(|it| self.may_use_reserved(spec, it, is_overdue));
         let is_eligible = |it: &WorkerIndex| {
             placement::is_eligible(&self.workers[*it], spec, &work.queue.service)
         };
--- a/crates/mustardcove-core/tests/long_running_room.rs
+++ b/crates/mustardcove-core/tests/long_running_room.rs
@@ -91,3 +91,18 @@
     let waited_ms = wait_for_runs(&mut rig, NEW, 6);
     assert!(waited_ms <= MAX_WAIT_MS, "{waited_ms} ms");
 }
+
+/// The only workers with capacity are reserved for larger batch tasks that still
+/// do not fit.
+#[test]
+fn reserved_workers() {
+    let mut rig = nearly_full_rig(10, 2);
+    rig.submit(submission(2, vec![step(4, 3_000, &[])], rig.now));
+    assert_eq!(rig.plan().len(), 4);
+    let batch = StepSpec { estimate_ms: 20_000, ..step(2, 7_000, &[]) };
+    rig.submit(submission(3, vec![batch], rig.now));
+    rig.plan();
+    rig.submit(submission(NEW, vec![long_running(2, 500)], rig.now));
+    let waited_ms = wait_for_runs(&mut rig, NEW, 2);
+    assert!(waited_ms <= MAX_WAIT_MS, "{waited_ms} ms");
+}
