Acknowledge only ends whose changes are stored

The ends that are acknowledged without a write are now those whose changes are known to be stored. planner_faults (800 schedules), cut_lists, short_list, lagging_leader, odd_requests and unlisted_ends pass.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -632,13 +632,11 @@
         }
     }
 
-    /// Acknowledges the ends that changed nothing, such as those of cancelled
-    /// work, while nothing waits to be stored and no write is in flight: no later
-    /// change may come that would acknowledge them.
+    /// Acknowledges the ends that rest on changes which are stored already. Those
+    /// that change nothing, such as ends of cancelled work, cause no write that
+    /// would acknowledge them.
     pub fn acknowledge_unchanged(&mut self) {
-        if self.dirty.is_empty() {
-            self.progress_stored(self.change);
-        }
+        self.progress_stored(self.suspects.stored_change());
     }
 
     /// Returns what was learned about interference between images.
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -265,6 +265,11 @@
         self.stored_change = self.stored_change.max(change);
     }
 
+    /// Returns the last change up to which those of all submissions are stored.
+    pub(super) fn stored_change(&self) -> u64 {
+        self.stored_change
+    }
+
     /// Records that service discovery was read.
     pub(super) fn listed(&mut self) {
         self.is_list_new = true;
