--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -624,9 +624,9 @@
             || spec.is_long_running)
             && !round.suspended.is_empty()
             && is_overdue;
-        // Steps that may use fewer workers may have recorded what fits nowhere.
-        let is_restricted = !may_use_suspended && !(spec.is_long_running && is_overdue);
-        let may_skip = !needs_ticket && is_restricted && reserved.is_empty();
+        // What fits nowhere was recorded by steps that may use fewer workers.
+        let may_use_more = may_use_suspended || (spec.is_long_running && is_overdue);
+        let may_skip = !needs_ticket && !may_use_more && reserved.is_empty();
         if may_skip && round.is_unplaceable(&work.queue.service, spec) {
             if may_reserve {
                 let service = work.queue.service.clone();
