Acknowledge ends again that still fill a worker's list

Callers see: a task waits for good after the process that polls its worker was lost.

Cause: an acknowledgement is ordered once. If it is lost with the worker's poller, a worker with a full list goes on listing the same ends, no later end becomes known, and such a list is no evidence about runs that it omits.

Change: while a list that may lack ends begins with an acknowledged end, the order is repeated.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -12,7 +12,7 @@
     fleet::{
         admission,
         id::{RunNumber, StepKey, SubmissionId, TaskKey},
-        message::{EndKind, EndedRun, PollResult, RunningTask, StartOutcome, WorkerReport},
+        message::{EndKind, EndedRun, Order, PollResult, RunningTask, StartOutcome, WorkerReport},
         submission::SubmissionState,
     },
     id::WorkerId,
@@ -149,6 +149,7 @@
                 self.run_ended(index, end, now);
             }
         }
+        self.acknowledge_again(index, &poll);
         for running in &poll.running {
             self.run_listed(index, running, now);
         }
@@ -158,6 +159,18 @@
         self.begin_lookups(now);
     }
 
+    /// Orders the acknowledgement again of ends that fill a worker's list. The
+    /// order may be lost with the worker's poller, and the worker lists no others
+    /// until it is told.
+    fn acknowledge_again(&mut self, index: WorkerIndex, poll: &PollResult) {
+        let through = self.workers[index].acknowledged_through;
+        let is_acknowledged = poll.ended.first().is_some_and(|it| it.number <= through);
+        if poll.may_lack_ends && is_acknowledged {
+            let order = Order::AcknowledgeEnds { incarnation: poll.incarnation, through };
+            self.actions.orders.push((self.worker_id(index), order));
+        }
+    }
+
     /// Begins an incarnation of a worker. Runs that a poll listed in the one
     /// before have ended. A start that no poll has listed may have been
     /// carried out by either incarnation, so it is kept until it is listed or
--- a/crates/mustardcove-core/tests/cut_lists.rs
+++ b/crates/mustardcove-core/tests/cut_lists.rs
@@ -263,6 +263,25 @@
     assert_eq!(poll_free(&mut rig) + usize::from(rig.planner.counts(rig.now).placed_runs == 1), 1);
 }
 
+/// An acknowledgement that was lost with the worker's poller is ordered again: the
+/// worker would list the same ends for good.
+#[test]
+fn lost_acknowledgement() {
+    let mut rig = CutPlanner::new(1, START);
+    rig.poll(vec![], vec![], false);
+    rig.planner.submit(submission(1, vec![step(1, 500, &[])], START), true, START);
+    let started = rig.started(0);
+    let ended = vec![end(1, started[0].0, started[0].1)];
+    for _ in 0..3 {
+        rig.poll(vec![], ended.clone(), true);
+        let (change, _) = rig.planner.take_progress();
+        rig.planner.progress_stored(change);
+        let orders = rig.advance(200);
+        let is_acknowledged = |it: &Order| matches!(it, Order::AcknowledgeEnds { through, .. } if *through == EndNumber(1));
+        assert!(orders.iter().any(is_acknowledged), "{orders:?}");
+    }
+}
+
 /// The next poll of a worker with more ends than it lists is not held: what it
 /// acknowledges makes the worker list the others.
 #[test]
