Log when a leader is confirmed, and when earlier leases have expired

The leader asks the store every 250 ms whether its term still leads and dates the answer by when it asked (core `fleet::confirmation`); what processes acknowledge is dated by the heartbeat that they name. The log says when the term is no longer confirmed, with both ages, and again when it is; every decision has the age of the confirmation; one line says when earlier leases have expired and which workers were not heard. Nothing acts on it yet.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -16,6 +16,7 @@
 pub mod admission;
 pub mod assignment;
 pub mod cadence;
+pub mod confirmation;
 pub mod election;
 pub mod id;
 pub mod manifest;
--- /dev/null
+++ b/crates/mustardcove-core/src/fleet/confirmation.rs
@@ -0,0 +1,142 @@
+//! What a leader knows about still being the only one.
+//!
+//! A leader that is cut off from the others cannot tell that it was replaced,
+//! and workers that its successor does not reach go on obeying it. Whatever a
+//! leader permits or concludes therefore rests on a confirmation, which is
+//! dated by when it was asked for: an answer may be handled long after it was
+//! given, and says nothing about the time after the question.
+//!
+//! | confirmation | through | what it shows |
+//! |---|---|---|
+//! | the store names this term | when the store was asked | nobody had claimed the leadership |
+//! | every registered process obeys this term | the oldest heartbeat that they acknowledge | nobody led in a later term |
+//! | most registered processes do | that which most acknowledge | no successor had been joined by half of them |
+//!
+//! The third serves an outage of the store. It permits leases and starts,
+//! since a successor counts the leases of this term from when half of the
+//! processes have joined it. It is no proof that a silent worker's runs have
+//! ended: a successor may have reached that worker.
+//!
+//! Load pattern: regions lose each other with a leader and workers on either
+//! side, beside outages of the store in which work has to go on. See section 5
+//! of `docs/platform.md`.
+
+use std::collections::VecDeque;
+
+use super::id::BootMillis;
+use crate::time::Timestamp;
+
+/// Longest time without the store for which most of the processes suffice, in
+/// milliseconds. A successor that half of the processes never join waits for
+/// as long.
+pub const MAX_STORELESS_MS: u64 = 60_000;
+/// Shortest time between two reports that are kept, in milliseconds.
+const KEPT_REPORT_INTERVAL_MS: u64 = 50;
+/// Most reports that are kept, which cover several times the duration of a
+/// permission.
+const MAX_KEPT_REPORTS: usize = 128;
+
+/// The confirmations that a leader has received; see the module documentation.
+/// Times without a unit are on the leader's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Confirmation {
+    store: Timestamp,
+    /// The same on the boot clock, which goes on while the machine is
+    /// suspended.
+    store_boot: BootMillis,
+    everyone: Option<Timestamp>,
+    majority: Option<Timestamp>,
+}
+
+impl Confirmation {
+    /// Returns the state of a leader whose claim was sent at a time.
+    pub fn new(claimed_at: Timestamp, claimed_boot: BootMillis) -> Confirmation {
+        Confirmation { store: claimed_at, store_boot: claimed_boot, everyone: None, majority: None }
+    }
+
+    /// Records that the store, asked at a time, named this term.
+    pub fn store_answered(&mut self, asked_at: Timestamp, asked_boot: BootMillis) {
+        self.store = self.store.max(asked_at);
+        self.store_boot = self.store_boot.max(asked_boot);
+    }
+
+    /// Records when the newest heartbeat was sent that each of the registered
+    /// processes has acknowledged; `None` for those that acknowledged none.
+    pub fn processes_heard(&mut self, heard: impl IntoIterator<Item = Option<Timestamp>>) {
+        let mut heard: Vec<Option<Timestamp>> = heard.into_iter().collect();
+        heard.sort_unstable_by(|lhs, rhs| rhs.cmp(lhs));
+        self.majority = heard.get(heard.len() / 2).copied().flatten();
+        self.everyone = heard.last().copied().flatten();
+    }
+
+    /// Returns the time through which no other process can have led in a later
+    /// term.
+    pub fn sole_through(&self) -> Timestamp {
+        self.everyone.map_or(self.store, |it| it.max(self.store))
+    }
+
+    /// Returns the time from which the permission to extend leases and to start
+    /// work counts.
+    pub fn permitted_from(&self, now: BootMillis) -> Timestamp {
+        let is_recent = now.ms_since(self.store_boot) < MAX_STORELESS_MS;
+        let majority = self.majority.filter(|_| is_recent).unwrap_or_default();
+        self.sole_through().max(majority)
+    }
+
+    /// Returns when the store was asked that confirmed the term last.
+    pub fn store_through(&self) -> Timestamp {
+        self.store
+    }
+
+    /// Returns the newest heartbeat that most processes have acknowledged.
+    pub fn majority_through(&self) -> Option<Timestamp> {
+        self.majority
+    }
+}
+
+/// Returns whether so many of the registered processes have joined a leader
+/// that none before it is obeyed by most of them.
+pub fn is_joined_by_half(joined: usize, registered: usize) -> bool {
+    registered <= 2 * joined
+}
+
+/// The handled reports of one process that a confirmation may still cover.
+///
+/// A permission counts from the sending of the newest report that was handled
+/// before the leader was confirmed. The process reads that time on its own
+/// boot clock, so that no delay on the way and no suspended machine lengthens
+/// the permission.
+#[derive(Clone, Debug, Default)]
+pub struct CoveredReports {
+    /// When a report was handled, and when it was sent by its sender's clock.
+    kept: VecDeque<(Timestamp, BootMillis)>,
+    covered: Option<BootMillis>,
+}
+
+impl CoveredReports {
+    /// Records a report that was handled.
+    pub fn handled(&mut self, sent_at: BootMillis, now: Timestamp) {
+        let is_due =
+            (self.kept.back()).is_none_or(|it| KEPT_REPORT_INTERVAL_MS <= now.ms_since(it.0));
+        if !is_due {
+            return;
+        }
+        if self.kept.len() == MAX_KEPT_REPORTS {
+            self.kept.pop_front();
+        }
+        self.kept.push_back((now, sent_at));
+    }
+
+    /// Records that the leader is confirmed from a time on.
+    pub fn confirm(&mut self, from: Timestamp) {
+        while let Some((_, sent_at)) = self.kept.pop_front_if(|it| it.0 <= from) {
+            self.covered = self.covered.max(Some(sent_at));
+        }
+    }
+
+    /// Returns when the newest report was sent that was handled before the
+    /// leader was last confirmed.
+    pub fn covered(&self) -> Option<BootMillis> {
+        self.covered
+    }
+}
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -507,6 +507,13 @@
         }
     }
 
+    /// Returns the recorded workers that may run work of earlier leaders, since
+    /// they have not listed all of it in this term.
+    pub fn unfenced_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        let unfenced = self.workers.iter().filter(|it| it.is_recorded && !it.is_fenced());
+        unfenced.map(|it| &it.listing.worker)
+    }
+
     /// Returns whether the worker that an entry describes has answered a poll.
     pub fn has_answered(&self, listing: &WorkerListing) -> bool {
         let worker = self.worker_index.get(&listing.worker).map(|it| &self.workers[*it]);
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -18,8 +18,9 @@
 use mustardcove_core::{
     fleet::{
         cadence,
+        confirmation::Confirmation,
         election::HEARTBEAT_INTERVAL_MS,
-        id::{SubmissionId, Term},
+        id::{BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
         poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS},
@@ -41,7 +42,10 @@
     progress::FlushResult,
     workers::{Entries, RosterWritten},
 };
-use crate::{durable, shared::Shared};
+use crate::{
+    durable,
+    shared::{Shared, boot_now},
+};
 
 /// Time for which inputs are collected before the planner runs.
 const PLAN_DELAY: Duration = Duration::from_millis(10);
@@ -56,6 +60,11 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two questions to the store whether this term still leads: a
+/// fraction of the time for which the answer permits anything.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+/// Most workers that a line of the log names.
+const MAX_LOGGED_WORKERS: usize = 8;
 /// A worker without an entry counts as removed only if the store has answered
 /// without a failure for this long, in milliseconds: entries that expired
 /// during an outage of the store are written again within two seconds.
@@ -94,8 +103,27 @@
     },
 }
 
+/// A claim of the leadership that succeeded.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// The new term.
+    pub term: Term,
+    /// The number of leaders so far, including this one.
+    pub claims: u64,
+    /// When the claim was sent to the store.
+    pub sent_at: Timestamp,
+    /// The same on the boot clock.
+    pub sent_boot: BootMillis,
+}
+
 /// Result of a background task of the leader.
 enum TaskResult {
+    /// The leader record, with the time at which the store was asked for it.
+    LeaderRead {
+        asked_at: Timestamp,
+        asked_boot: BootMillis,
+        record: Result<Option<Item>, StoreFault>,
+    },
     /// The workers' entries, or the fault of a failed reading.
     Workers(Result<Entries, StoreFault>),
     /// Changes of submissions, cancellations and the leader record.
@@ -144,6 +172,11 @@
     /// When the watch last answered without a newer leader record, which shows
     /// that this process leads.
     confirmed_at: Timestamp,
+    confirmation: Confirmation,
+    /// Whether the term was confirmed at the last heartbeat.
+    was_confirmed: bool,
+    /// Whether the log says that the leases of earlier leaders have expired.
+    logged_expiry: bool,
     /// Since when the store has answered without a failure; `None` after one.
     store_healthy_since: Option<Timestamp>,
     /// Whether the state that earlier leaders stored was restored.
@@ -164,10 +197,10 @@
 /// Leads until the term ends; returns the reason of the end.
 pub async fn lead(
     shared: &Arc<Shared>,
-    term: Term,
-    claims: u64,
+    claim: Claim,
     inputs: &mut mpsc::Receiver<LeaderInput>,
 ) -> &'static str {
+    let Claim { term, claims, .. } = claim;
     let (results, mut task_results) = mpsc::unbounded_channel();
     let now = shared.now();
     let manifest = shared.manifest().unwrap_or_default();
@@ -189,6 +222,9 @@
         is_flushing: false,
         flush_at: now,
         confirmed_at: now,
+        confirmation: Confirmation::new(claim.sent_at, claim.sent_boot),
+        was_confirmed: true,
+        logged_expiry: false,
         store_healthy_since: None,
         is_restored: false,
         unsent_states: Vec::new(),
@@ -352,6 +388,9 @@
     fn handle_result(&mut self, result: TaskResult) {
         let now = self.shared.now();
         match result {
+            TaskResult::LeaderRead { asked_at, asked_boot, record } => {
+                self.leader_read(asked_at, asked_boot, record, now);
+            }
             TaskResult::Workers(Ok(entries)) => {
                 self.store_answered(now);
                 let since = self.store_healthy_since.unwrap_or(now);
@@ -394,6 +433,29 @@
         }
     }
 
+    fn leader_read(
+        &mut self,
+        asked_at: Timestamp,
+        asked_boot: BootMillis,
+        record: Result<Option<Item>, StoreFault>,
+        now: Timestamp,
+    ) {
+        match record {
+            Ok(Some(item)) => {
+                self.store_answered(now);
+                if item.revision == self.term.0 {
+                    self.confirmation.store_answered(asked_at, asked_boot);
+                }
+                self.apply_record(&item, now);
+            }
+            Ok(None) => {
+                self.store_answered(now);
+                debug!(self.shared.log, "no leader record"; "term" => %self.term);
+            }
+            Err(fault) => self.store_failed("leader record not read", &fault),
+        }
+    }
+
     fn store_answered(&mut self, now: Timestamp) {
         self.shared.store_answered();
         self.store_healthy_since.get_or_insert(now);
@@ -438,6 +500,7 @@
         let are_stale = are_entries_old && self.pollers.is_store_reached(now);
         self.planner.set_entries_stale(are_stale);
         self.planner.tick(now);
+        self.log_expiry(now);
         let actions = self.planner.take_actions();
         self.execute(actions);
         self.flush(now);
@@ -492,7 +555,8 @@
         info!(self.shared.log, "decision"; "kind" => %decision.kind,
             "submission" => or_dash(decision.submission.map(|it| it.to_string())),
             "worker" => or_dash(decision.worker.as_ref().map(|it| it.to_string())),
-            "inputs" => &decision.inputs, "term" => %self.term);
+            "inputs" => &decision.inputs, "term" => %self.term,
+            "confirmed_ms" => self.confirmation_age_ms());
     }
 
     fn send_heartbeat(&mut self) {
@@ -520,12 +584,49 @@
             let heartbeat = Heartbeat { handled, ..heartbeat.clone() };
             self.shared.send(process, FleetMessage::Heartbeat(heartbeat));
         }
+        self.check_confirmation();
         self.check_lag();
         self.sync_states();
         self.shared.metrics.record_plan(self.planner.counts(now));
         *self.shared.long_running_waits() = self.planner.long_running_waits(now);
     }
 
+    /// Returns how long ago it was shown that this process leads, in
+    /// milliseconds.
+    fn confirmation_age_ms(&self) -> u64 {
+        self.shared.now().ms_since(self.confirmation.permitted_from(boot_now()))
+    }
+
+    /// Updates what the processes confirm, and logs when the term is no longer
+    /// confirmed, or is again.
+    fn check_confirmation(&mut self) {
+        self.confirmation.processes_heard(self.pollers.heard());
+        let now = self.shared.now();
+        let is_confirmed = self.confirmation_age_ms() < LEADER_SILENT_MS;
+        if std::mem::replace(&mut self.was_confirmed, is_confirmed) == is_confirmed {
+            return;
+        }
+        let what = if is_confirmed { "leader is confirmed" } else { "leader is not confirmed" };
+        let store_ms = now.ms_since(self.confirmation.store_through());
+        let most_ms = self.confirmation.majority_through().map(|it| now.ms_since(it));
+        warn!(self.shared.log, "{}", what; "term" => %self.term, "store_ms" => store_ms,
+            "most_processes_ms" => most_ms, "processes" => self.pollers.count());
+    }
+
+    /// Logs once when the leases of earlier leaders have expired, with the
+    /// workers that this leader has not heard by then.
+    fn log_expiry(&mut self, now: Timestamp) {
+        if self.logged_expiry || now < self.earlier_leases_expire_by {
+            return;
+        }
+        self.logged_expiry = true;
+        let unheard: Vec<String> =
+            self.planner.unfenced_workers().map(|it| it.to_string()).collect();
+        info!(self.shared.log, "leases of earlier leaders have expired"; "term" => %self.term,
+            "unheard" => unheard.len(), "confirmed_ms" => self.confirmation_age_ms(),
+            "workers" => unheard[..unheard.len().min(MAX_LOGGED_WORKERS)].join(","));
+    }
+
     /// Records how old the reports are that were handled since the last
     /// heartbeat, and logs it if the leader is behind.
     fn check_lag(&mut self) {
@@ -613,6 +714,23 @@
         }
     }
 
+    /// Asks the store at a fixed interval whether this term still leads, until
+    /// it ends.
+    fn confirm_term(&self) -> impl Future<Output = ()> + Send + 'static {
+        let (shared, results) = (self.shared.clone(), self.results.clone());
+        async move {
+            loop {
+                let (asked_at, asked_boot) = (shared.now(), boot_now());
+                let record = shared.store.get(LEADER_KEY).await;
+                let result = TaskResult::LeaderRead { asked_at, asked_boot, record };
+                if results.send(result).is_err() {
+                    return;
+                }
+                tokio::time::sleep(CONFIRM_INTERVAL).await;
+            }
+        }
+    }
+
     /// Watches the work records after a revision until the term ends.
     fn watch_work(&self, mut after: u64) -> impl Future<Output = ()> + Send + 'static {
         let (shared, results) = (self.shared.clone(), self.results.clone());
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -175,6 +175,12 @@
         self.processes.keys()
     }
 
+    /// Returns the newest heartbeat that each process is known to have
+    /// received.
+    pub(super) fn heard(&self) -> impl Iterator<Item = Option<Timestamp>> {
+        self.processes.values().map(|it| it.heard_through)
+    }
+
     /// Returns the newest report of a process that was handled.
     pub(super) fn handled(&self, process: &ProcessId) -> Option<BootMillis> {
         self.processes.get(process).and_then(|it| it.handled)
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -51,6 +51,7 @@
         }
         self.send_heartbeat();
         Ok(vec![
+            AbortOnDropHandle::new(tokio::spawn(self.confirm_term())),
             AbortOnDropHandle::new(tokio::spawn(self.refresh_workers())),
             AbortOnDropHandle::new(tokio::spawn(self.watch_work(after))),
             AbortOnDropHandle::new(tokio::spawn(self.refresh_processes())),
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     durable,
-    leader::{self, LeaderInput},
-    shared::{Leadership, Shared},
+    leader::{self, Claim, LeaderInput},
+    shared::{Leadership, Shared, boot_now},
 };
 
 /// Pause after a failed call to the store.
@@ -97,13 +97,14 @@
             () = shared.claim_due() => {}
         }
         match claim(&shared).await {
-            Ok(Some((term, record))) => {
+            Ok(Some(claim)) => {
+                let term = claim.term;
                 while inputs.try_recv().is_ok() {}
                 shared
                     .leadership
                     .send_replace(Leadership { term, leader: Some(shared.process.clone()) });
-                info!(shared.log, "leading"; "term" => %term, "claims" => record.claims);
-                let reason = leader::lead(&shared, term, record.claims, &mut inputs).await;
+                info!(shared.log, "leading"; "term" => %term, "claims" => claim.claims);
+                let reason = leader::lead(&shared, claim, &mut inputs).await;
                 info!(shared.log, "no longer leading"; "term" => %term, "why" => reason);
                 shared.long_running_waits().clear();
                 let is_ours = |it: &mut Leadership| {
@@ -126,9 +127,8 @@
     }
 }
 
-/// Tries to become the leader. Returns the new term and the stored record, or
-/// `None` if another process leads.
-async fn claim(shared: &Shared) -> Result<Option<(Term, LeaderRecord)>, StoreFault> {
+/// Tries to become the leader. Returns `None` if another process leads.
+async fn claim(shared: &Shared) -> Result<Option<Claim>, StoreFault> {
     let current = shared.store.get(LEADER_KEY).await?;
     shared.store_answered();
     if !shared.is_claim_due() {
@@ -153,15 +153,18 @@
     };
     let write =
         Write::default().expect(LEADER_KEY, revision).set(LEADER_KEY, &record::encode(&record));
+    let (sent_at, sent_boot) = (shared.now(), boot_now());
+    let claim =
+        |revision| Claim { term: Term(revision), claims: record.claims, sent_at, sent_boot };
     match shared.store.write(&write).await {
-        Ok(WriteOutcome::Committed(revision)) => Ok(Some((Term(revision), record))),
+        Ok(WriteOutcome::Committed(revision)) => Ok(Some(claim(revision))),
         Ok(WriteOutcome::Conflict(_)) => Ok(None),
         Err(fault) => {
             // The write may have taken effect; reading the key shows it.
             let now = shared.store.get(LEADER_KEY).await?;
             let written = now.filter(|it| it.value == record::encode(&record));
             match written {
-                Some(item) if revision < item.revision => Ok(Some((Term(item.revision), record))),
+                Some(item) if revision < item.revision => Ok(Some(claim(item.revision))),
                 _ => Err(fault),
             }
         }
