Play region cuts with real processes

Two regions of real processes are cut off from each other by proxies: the store, the workers by the region of the caller, and the peers, whose addresses the stand-in store shows by the region of the reader.

--- a/crates/mustardcove-node/tests/support/proxy.rs
+++ b/crates/mustardcove-node/tests/support/proxy.rs
@@ -1,7 +1,12 @@
-//! A loopback proxy that delays, silences and resets connections, or withholds
-//! answers.
+//! A loopback proxy that delays, silences, refuses and resets connections, or
+//! withholds one direction, and does so differently for far callers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -24,6 +29,41 @@
     Silent,
     /// Forwards requests and withholds the answers.
     AnswersLost,
+    /// Withholds requests and forwards answers.
+    RequestsLost,
+    /// Closes all connections, and new ones at once.
+    Refused,
+}
+
+/// The processes of all regions, by which a proxy tells where a caller is.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Regions {
+    processes: Arc<Mutex<Vec<(u32, usize)>>>,
+}
+
+impl Regions {
+    pub(crate) fn add(&self, pid: u32, region: usize) {
+        self.processes.lock().expect("no panic under the lock").push((pid, region));
+    }
+
+    /// Returns the region of the process that opened a connection from
+    /// `caller`, an address of this machine; `None` if the connection has ended.
+    fn region_of(&self, caller: SocketAddr) -> Option<usize> {
+        let local = format!(":{:04X}", caller.port());
+        let table = fs::read_to_string("/proc/net/tcp").ok()?;
+        let inode = table.lines().skip(1).find_map(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let is_caller = fields.get(1)?.ends_with(&local) && fields.get(9) != Some(&"0");
+            is_caller.then(|| format!("socket:[{}]", fields[9]))
+        })?;
+        let processes = self.processes.lock().expect("no panic under the lock").clone();
+        let owns = |pid: u32| {
+            let Ok(open) = fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
+            let mut links = open.filter_map(|it| fs::read_link(it.ok()?.path()).ok());
+            links.any(|it| it.as_os_str() == inode.as_str())
+        };
+        processes.iter().find(|it| owns(it.0)).map(|it| it.1)
+    }
 }
 
 /// A proxy to one address.
@@ -31,28 +71,60 @@
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
     mode: watch::Sender<Mode>,
+    /// The mode for callers of another region.
+    far: watch::Sender<Mode>,
     resets: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
 impl Proxy {
     pub(crate) async fn start(target: SocketAddr) -> Proxy {
+        Proxy::listen(target, None).await
+    }
+
+    /// Starts a proxy to a server in a region, which has a mode of its own for
+    /// callers of other regions.
+    pub(crate) async fn in_region(target: SocketAddr, region: usize, regions: &Regions) -> Proxy {
+        Proxy::listen(target, Some((region, regions.clone()))).await
+    }
+
+    async fn listen(target: SocketAddr, place: Option<(usize, Regions)>) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (mode, mode_rx) = watch::channel(Mode::Pass);
+        let (far, far_rx) = watch::channel(Mode::Pass);
         let (resets, reset_rx) = watch::channel(0);
         let task = tokio::spawn(async move {
-            while let Ok((inbound, _)) = listener.accept().await {
-                tokio::spawn(relay(inbound, target, mode_rx.clone(), reset_rx.clone()));
+            while let Ok((inbound, caller)) = listener.accept().await {
+                let (place, mode_rx, far_rx) = (place.clone(), mode_rx.clone(), far_rx.clone());
+                let reset_rx = reset_rx.clone();
+                tokio::spawn(async move {
+                    let mode_rx = match place {
+                        None => mode_rx,
+                        Some((region, regions)) => {
+                            let find = move || regions.region_of(caller);
+                            let Ok(Some(from)) = tokio::task::spawn_blocking(find).await else {
+                                return;
+                            };
+                            if from == region { mode_rx } else { far_rx }
+                        }
+                    };
+                    relay(inbound, target, mode_rx, reset_rx).await;
+                });
             }
         });
-        Proxy { address, mode, resets, task }
+        Proxy { address, mode, far, resets, task }
     }
 
     pub(crate) fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
 
+    /// Sets the mode for callers of other regions.
+    pub(crate) fn set_far(&self, mode: Mode) {
+        self.far.send_replace(mode);
+    }
+
     /// Closes all open connections.
     pub(crate) fn reset(&self) {
         self.resets.send_modify(|it| *it += 1);
@@ -71,6 +143,10 @@
     mode_rx: watch::Receiver<Mode>,
     mut reset_rx: watch::Receiver<u64>,
 ) {
+    let mut refused_rx = mode_rx.clone();
+    if *refused_rx.borrow_and_update() == Mode::Refused {
+        return;
+    }
     let Ok(outbound) = TcpStream::connect(target).await else { return };
     let _ = (inbound.set_nodelay(true), outbound.set_nodelay(true));
     reset_rx.mark_unchanged();
@@ -80,6 +156,7 @@
         () = forward(from_caller, to_server, mode_rx.clone(), false) => {}
         () = forward(from_server, to_caller, mode_rx, true) => {}
         _ = reset_rx.changed() => {}
+        _ = refused_rx.wait_for(|it| *it == Mode::Refused) => {}
     }
 }
 
@@ -101,7 +178,9 @@
                     break;
                 }
                 Mode::AnswersLost if !is_answer => break,
-                Mode::Silent | Mode::AnswersLost => {
+                Mode::RequestsLost if is_answer => break,
+                Mode::Refused => return,
+                Mode::Silent | Mode::AnswersLost | Mode::RequestsLost => {
                     if mode_rx.changed().await.is_err() {
                         return;
                     }
--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -2,30 +2,34 @@
 //! stand-in.
 
 use std::{
+    collections::HashMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use mustardcove_adapter::{
     standin::{
-        self, ADMIN_PORT, CALLERS_PORT, run_monitor::RunMonitor, store::StandinStore,
+        self, ADMIN_PORT, CALLERS_PORT, PEERS_PORT, run_monitor::RunMonitor, store::StandinStore,
         worker::StandinWorker,
     },
     store::{MANIFEST_KEY, WORKERS_PREFIX},
 };
-use mustardcove_core::fleet::id::SubmissionId;
+use mustardcove_core::fleet::{
+    id::SubmissionId,
+    record::{self, LEADER_KEY, LeaderRecord, PROCESS_PREFIX, ProcessRecord},
+};
 use mustardcove_platform::standin::server::Server;
 use reqwest::{Client, Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
-use crate::proxy::Proxy;
+use crate::proxy::{Mode, Proxy, Regions};
 
 pub(crate) const HOST: &str = "callers.example";
 pub(crate) const PREFIX: &str = "/bind/";
@@ -36,6 +40,11 @@
 /// Time between two checks for tasks that have finished or expired.
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The failure domains of a deployment of two regions, each with its region.
+const TWO_REGIONS: [(&str, &str); 2] = [("north", "inland"), ("south", "coast")];
+/// Time until a process that was started has asked the store for the leader.
+const GREETING_TIME: Duration = Duration::from_millis(600);
+
 /// Number of rigs started in this process, which gives each its own addresses.
 static RIG_COUNT: AtomicU8 = AtomicU8::new(0);
 
@@ -45,16 +54,78 @@
     settings: PathBuf,
     ip: Ipv4Addr,
     pub(crate) store: Proxy,
+    /// The proxy at which peers of other regions find it, if there are any.
+    peers: Option<Proxy>,
+    region: usize,
     log: PathBuf,
 }
 
+/// How regions are cut off from each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cut {
+    /// Nothing arrives in either direction.
+    Silent,
+    /// Connections are closed, and refused.
+    Refused,
+    /// What this region sends does not reach the other.
+    From(usize),
+}
+
+impl Cut {
+    /// Returns the mode of proxies for callers of a region.
+    fn mode(self, caller_region: usize) -> Mode {
+        match self {
+            Cut::Silent => Mode::Silent,
+            Cut::Refused => Mode::Refused,
+            Cut::From(region) if region == caller_region => Mode::RequestsLost,
+            Cut::From(_) => Mode::AnswersLost,
+        }
+    }
+}
+
 /// A worker, behind a proxy.
 pub(crate) struct Worker {
     pub(crate) worker: StandinWorker,
     pub(crate) proxy: Arc<Proxy>,
+    region: usize,
+    /// Whether its writes do not reach the store.
+    is_unheard: Arc<AtomicBool>,
     _server: Server,
 }
 
+impl Worker {
+    async fn start(worker: StandinWorker) -> Worker {
+        let server = worker.serve(LOCALHOST).await.expect("a free port");
+        let proxy = Arc::new(Proxy::start(server.address()).await);
+        Worker { worker, proxy, region: 0, is_unheard: Arc::default(), _server: server }
+    }
+
+    async fn in_region(worker: StandinWorker, region: usize, regions: &Regions) -> Worker {
+        let server = worker.serve(LOCALHOST).await.expect("a free port");
+        let proxy = Arc::new(Proxy::in_region(server.address(), region, regions).await);
+        Worker { worker, proxy, region, is_unheard: Arc::default(), _server: server }
+    }
+
+    fn writer(&self, zone: &'static str) -> EntryWriter {
+        EntryWriter {
+            id: self.worker.id(),
+            worker: self.worker.clone(),
+            address: self.proxy.address,
+            zone,
+            is_unheard: self.is_unheard.clone(),
+        }
+    }
+}
+
+/// What writes the entry of a worker.
+struct EntryWriter {
+    id: String,
+    worker: StandinWorker,
+    address: SocketAddr,
+    zone: &'static str,
+    is_unheard: Arc<AtomicBool>,
+}
+
 /// A deployment.
 pub(crate) struct Rig {
     pub(crate) nodes: Vec<Node>,
@@ -64,55 +135,182 @@
     client: Client,
     dir: PathBuf,
     version: u64,
-    _store_server: Server,
+    number: u8,
+    /// The region that reaches the store while regions are cut off.
+    store_region: usize,
+    regions: Regions,
+    _store_servers: Vec<Server>,
     _worker_task: JoinHandle<()>,
 }
 
 impl Rig {
     pub(crate) async fn start(name: &str, nodes: usize, workers: usize) -> Rig {
         let monitor = Arc::new(RunMonitor::default());
-        let store = StandinStore::default();
-        let store_server = store.serve(LOCALHOST).await.expect("a free port");
         let mut started = Vec::new();
         for i in 0..workers {
             let worker = StandinWorker::new(&format!("i-{i:04}"), monitor.clone());
-            let server = worker.serve(LOCALHOST).await.expect("a free port");
-            let proxy = Arc::new(Proxy::start(server.address()).await);
-            started.push(Worker { worker, proxy, _server: server });
+            started.push((Worker::start(worker).await, ["north", "south"][i % 2]));
         }
-        let worker_task = tokio::spawn(advance_workers(
-            store.clone(),
-            started.iter().map(|it| (it.worker.clone(), it.proxy.clone())).collect(),
-        ));
+        let mut rig = Rig::without_nodes(name, monitor, started);
+        let server = rig.store.serve(LOCALHOST).await.expect("a free port");
+        for i in 0..nodes {
+            let store = Proxy::start(server.address()).await;
+            let domain = ["north", "south"][i % 2];
+            let ip = rig.ip(i);
+            let text = standin::settings(&format!("node-{i}"), domain, ip, store.address);
+            rig.start_node(&text, store, None, 0);
+        }
+        rig._store_servers.push(server);
+        rig
+    }
+
+    /// Starts a deployment of two regions, which [`Rig::cut`] can cut off from
+    /// each other. A node of region 0 becomes the leader, since the others have
+    /// a small share of a processor. `nodes` and `workers` are numbers for each
+    /// region; those of region 0 come first.
+    pub(crate) async fn start_regions(
+        name: &str,
+        nodes: [usize; 2],
+        workers: [usize; 2],
+        store_region: usize,
+    ) -> Rig {
+        let monitor = Arc::new(RunMonitor::default());
+        let regions = Regions::default();
+        let mut started = Vec::new();
+        for region in region_of_each(workers) {
+            let id = format!("i-{:04}", started.len());
+            let worker = StandinWorker::new(&id, monitor.clone());
+            let worker = Worker::in_region(worker, region, &regions).await;
+            started.push((worker, TWO_REGIONS[region].0));
+        }
+        let mut rig = Rig::without_nodes(name, monitor, started);
+        rig.regions = regions;
+        rig.store_region = store_region;
+        let mut peers = Vec::new();
+        // Addresses of peers as the other region sees them.
+        let mut far_addresses = [HashMap::new(), HashMap::new()];
+        for (i, region) in region_of_each(nodes).enumerate() {
+            let address = SocketAddr::from((rig.ip(i), PEERS_PORT));
+            let proxy = Proxy::start(address).await;
+            far_addresses[1 - region].insert(address.to_string(), proxy.address.to_string());
+            peers.push((proxy, region));
+        }
+        for far in far_addresses {
+            let view = rig.store.view(move |key, value| rewrite_address(&far, key, value));
+            rig._store_servers.push(view.serve(LOCALHOST).await.expect("a free port"));
+        }
+        for (i, (peers, region)) in peers.into_iter().enumerate() {
+            let store = Proxy::start(rig._store_servers[region].address()).await;
+            // Nodes that find a leader tell it their own address, not that of
+            // the proxy, so all of them ask for the leader before there is one.
+            store.set(Mode::Silent);
+            let (domain, cpu_share) = (TWO_REGIONS[region].0, [0.5, 0.1][region]);
+            let text = standin::region_settings(
+                &format!("node-{i}"),
+                domain,
+                &TWO_REGIONS,
+                cpu_share,
+                rig.ip(i),
+                store.address,
+            );
+            rig.start_node(&text, store, Some(peers), region);
+        }
+        tokio::time::sleep(GREETING_TIME).await;
+        rig.nodes.iter().for_each(|it| it.store.set(Mode::Pass));
+        rig
+    }
+
+    fn without_nodes(
+        name: &str,
+        monitor: Arc<RunMonitor>,
+        workers: Vec<(Worker, &'static str)>,
+    ) -> Rig {
+        let store = StandinStore::default();
+        let writers = workers.iter().map(|(it, zone)| it.writer(zone)).collect();
+        let worker_task = tokio::spawn(advance_workers(store.clone(), writers));
         let dir = std::env::temp_dir().join(format!("mustardcove-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory");
-        let number = RIG_COUNT.fetch_add(1, Ordering::Relaxed);
         let mut rig = Rig {
             nodes: Vec::new(),
-            workers: started,
+            workers: workers.into_iter().map(|it| it.0).collect(),
             store,
             monitor,
             client: Client::builder().pool_max_idle_per_host(0).build().expect("a client"),
             dir,
             version: 0,
-            _store_server: store_server,
+            number: RIG_COUNT.fetch_add(1, Ordering::Relaxed),
+            store_region: 0,
+            regions: Regions::default(),
+            _store_servers: Vec::new(),
             _worker_task: worker_task,
         };
         rig.change_manifest(3_000);
-        for i in 0..nodes {
-            let ip = Ipv4Addr::new(127, 20 + (std::process::id() % 200) as u8, number, i as u8 + 1);
-            let store = Proxy::start(rig._store_server.address()).await;
-            let settings = rig.dir.join(format!("node-{i}.conf"));
-            let log = rig.dir.join(format!("node-{i}.log"));
-            let domain = ["north", "south"][i % 2];
-            let text = standin::settings(&format!("node-{i}"), domain, ip, store.address);
-            std::fs::write(&settings, text).expect("a settings file");
-            let child = spawn(&settings, &log);
-            rig.nodes.push(Node { child, settings, ip, store, log });
-        }
         rig
     }
 
+    fn ip(&self, node: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, 20 + (std::process::id() % 200) as u8, self.number, node as u8 + 1)
+    }
+
+    /// Starts the next node with the text of its settings.
+    fn start_node(&mut self, text: &str, store: Proxy, peers: Option<Proxy>, region: usize) {
+        let i = self.nodes.len();
+        let settings = self.dir.join(format!("node-{i}.conf"));
+        let log = self.dir.join(format!("node-{i}.log"));
+        std::fs::write(&settings, text).expect("a settings file");
+        let child = spawn(&settings, &log);
+        self.regions.add(child.id(), region);
+        self.nodes.push(Node { child, settings, ip: self.ip(i), store, peers, region, log });
+    }
+
+    /// Cuts the two regions off from each other, and the one without the store
+    /// from that.
+    pub(crate) fn cut(&self, how: Cut) {
+        let far_mode = |server_region: usize| how.mode(1 - server_region);
+        self.set_far(far_mode, |it| how == Cut::From(it) || !matches!(how, Cut::From(_)));
+    }
+
+    /// Ends a cut.
+    pub(crate) fn heal(&self) {
+        self.set_far(|_| Mode::Pass, |_| false);
+    }
+
+    /// Sets the mode for callers of the other region, by the region of the
+    /// server, and whether nothing that a region sends arrives.
+    fn set_far(&self, mode: impl Fn(usize) -> Mode, is_unheard: impl Fn(usize) -> bool) {
+        let store_region = self.store_region;
+        for node in &self.nodes {
+            if node.region != store_region {
+                node.store.set(mode(store_region));
+            }
+            if let Some(peers) = &node.peers {
+                peers.set(mode(node.region));
+            }
+        }
+        for it in &self.workers {
+            it.proxy.set_far(mode(it.region));
+            let is_unheard = it.region != store_region && is_unheard(it.region);
+            it.is_unheard.store(is_unheard, Ordering::Relaxed);
+        }
+    }
+
+    /// Removes the entries of workers whose writes do not reach the store, as
+    /// the platform does after a while.
+    pub(crate) fn expire_entries(&self) {
+        for it in self.workers.iter().filter(|it| it.is_unheard.load(Ordering::Relaxed)) {
+            self.store.delete(&format!("{WORKERS_PREFIX}{}", it.worker.id()));
+        }
+    }
+
+    /// Returns the nodes whose logs say that they became the leader.
+    pub(crate) fn leaders(&self) -> Vec<usize> {
+        let has_led = |it: &Node| {
+            let log = std::fs::read_to_string(&it.log).unwrap_or_default();
+            log.contains("claims=") || log.contains("\"claims\"")
+        };
+        (0..self.nodes.len()).filter(|it| has_led(&self.nodes[*it])).collect()
+    }
+
     /// Writes the next version of the manifest.
     pub(crate) fn change_manifest(&mut self, timeout_ms: u64) {
         self.version += 3;
@@ -158,6 +356,7 @@
         let node = &mut self.nodes[node];
         if node.child.try_wait().ok().flatten().is_some() {
             node.child = spawn(&node.settings, &node.log);
+            self.regions.add(node.child.id(), node.region);
         }
     }
 
@@ -303,24 +502,42 @@
         .expect("the program starts")
 }
 
+/// Returns the region of each node or worker, by their numbers in each region.
+fn region_of_each(counts: [usize; 2]) -> impl Iterator<Item = usize> {
+    std::iter::repeat_n(0, counts[0]).chain(std::iter::repeat_n(1, counts[1]))
+}
+
+/// Replaces the address of a process, or a leader, of the other region.
+fn rewrite_address(far: &HashMap<String, String>, key: &str, value: &[u8]) -> Option<Vec<u8>> {
+    if key == LEADER_KEY {
+        let record: LeaderRecord = record::decode(value).ok()?;
+        let address = far.get(&record.address)?.clone();
+        return Some(record::encode(&LeaderRecord { address, ..record }));
+    }
+    if key.starts_with(PROCESS_PREFIX) {
+        let record: ProcessRecord = record::decode(value).ok()?;
+        let address = far.get(&record.address)?.clone();
+        return Some(record::encode(&ProcessRecord { address, ..record }));
+    }
+    None
+}
+
 /// Ends finished and expired tasks on the workers, and writes their entries.
-async fn advance_workers(store: StandinStore, workers: Vec<(StandinWorker, Arc<Proxy>)>) {
+async fn advance_workers(store: StandinStore, mut workers: Vec<EntryWriter>) {
     let mut entries_at = Instant::now();
-    let mut ids: Vec<String> = workers.iter().map(|it| it.0.id()).collect();
     loop {
-        for (worker, _) in &workers {
-            worker.advance();
+        for it in &workers {
+            it.worker.advance();
         }
         if entries_at <= Instant::now() {
             entries_at += ENTRY_INTERVAL;
-            for (i, (worker, proxy)) in workers.iter().enumerate() {
-                let zone = ["north", "south"][i % 2];
-                let earlier = std::mem::replace(&mut ids[i], worker.id());
-                if earlier != ids[i] {
+            for it in workers.iter_mut().filter(|it| !it.is_unheard.load(Ordering::Relaxed)) {
+                let earlier = std::mem::replace(&mut it.id, it.worker.id());
+                if earlier != it.id {
                     store.delete(&format!("{WORKERS_PREFIX}{earlier}"));
                 }
-                if let Some(entry) = worker.entry(SERVICE, proxy.address, zone) {
-                    let key = format!("{WORKERS_PREFIX}{}", ids[i]);
+                if let Some(entry) = it.worker.entry(SERVICE, it.address, it.zone) {
+                    let key = format!("{WORKERS_PREFIX}{}", it.id);
                     store.put(&key, entry.to_string().as_bytes());
                 }
             }
@@ -329,6 +546,12 @@
     }
 }
 
+/// Returns a submission of one step.
+pub(crate) fn one_step(count: u64, ms: u64) -> Value {
+    json!({ "TaskSpec": format!("ms={ms} cpu=500 "), "Steps": [
+        { "Count": count, "Cpu": 500, "MemMb": 64, "EstimatedMs": ms }] })
+}
+
 /// Returns a submission of two steps, the second after the first.
 pub(crate) fn two_steps(count: u64, ms: u64) -> Value {
     json!({ "TaskSpec": format!("ms={ms} cpu=500,700 "), "Steps": [
