Bind starts and conclusions from silence to a dated confirmation

Cause: a leader that was replaced without knowing it went on starting work. Only the extension of leases was withdrawn from a leader that neither the store nor most processes confirm; a start grants a lease to everything on its worker. It also took the silence of the other region's workers for the end of their leases and started their tasks again. Its successor considers leases of earlier leaders expired 6.6 s after its claim. Class: a right that is checked at one of the places that rest on it, and dated by when its proof arrived.

Change: a confirmation counts from when it was asked for. Heartbeats and orders name the newest report of their receiver that was handled before the leader was confirmed; pollers extend leases and send starts for 2 s after that report, on their own boot clock. So nothing is granted later than 2 s after a claim. Silence counts as evidence only once the store, or every process, has confirmed the leader after the leases in question expired. A successor counts the 6.6 s from when half of the processes have joined it, or 60 s later; without the store, most of the processes keep a leader for 60 s at most. An unconfirmed leader places nothing, instead of ordering starts that no poller sends.

Tests: permission_expires and start_expires of lagging_leader check the same bounds of the new permission.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -37,8 +37,12 @@
     Orders {
         /// The leader's term.
         term: Term,
-        /// As in [`Heartbeat::handled`]: the orders rest on nothing newer.
+        /// The newest report of the receiver that the leader has handled, by
+        /// its [`FleetMessage::Report::sent_boot_ms`]: the orders rest on
+        /// nothing newer.
         handled: Option<BootMillis>,
+        /// As in [`Heartbeat::covered`].
+        covered: Option<BootMillis>,
         /// The orders, in the order of execution.
         orders: Vec<(WorkerId, Order)>,
     },
@@ -136,16 +140,15 @@
     /// When it was sent, on the leader's clock, which reports return to show
     /// how old they are.
     pub sent_at: Timestamp,
-    /// The newest report of the receiver that the leader has handled, by its
-    /// [`FleetMessage::Report::sent_boot_ms`].
-    pub handled: Option<BootMillis>,
+    /// The newest report of the receiver that the leader had handled before it
+    /// was last confirmed, by its [`FleetMessage::Report::sent_boot_ms`]. The
+    /// permission to extend leases and to start work counts from it.
+    pub covered: Option<BootMillis>,
     /// Time for which the receiver collects reports before it sends them, in
     /// milliseconds.
     pub report_delay_ms: u64,
     /// The version of the manifest that its plan uses.
     pub manifest: ManifestVersion,
-    /// Whether the receiver may extend leases at workers.
-    pub may_extend: bool,
     /// Waiting submissions by queue (host and prefix); `None` while the leader
     /// has not read the records of earlier leaders.
     pub pending: Option<Vec<(String, String, u32)>>,
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -13,6 +13,12 @@
 //! every lease that it was given has expired. A worker lists a number of ends at
 //! a time, and the others once those are acknowledged, so a poll that may lack
 //! ends is no evidence about runs that it omits.
+//!
+//! That a worker is silent until its leases have expired is evidence only if no
+//! other leader has led until then: it may have extended them. The planner is
+//! therefore told through which time this leader was the only one
+//! ([`Planner::set_confirmed`]), and starts nothing while it may have been
+//! replaced.
 
 mod blocked;
 mod circuit_breaker;
@@ -210,6 +216,13 @@
     /// Until this time, a worker that was not polled yet may run work of an
     /// earlier leader.
     earlier_leases_expire_by: Timestamp,
+    /// The same for workers that were not polled in this term, on which an
+    /// earlier leader may go on extending leases.
+    unfenced_leases_expire_by: Timestamp,
+    /// Time through which no other leader can have led in a later term.
+    sole_through: Timestamp,
+    /// Whether this leader was confirmed recently, so that it may start work.
+    may_start: bool,
     /// Whether every worker that may run work of an earlier leader is in the
     /// plan.
     is_fleet_complete: bool,
@@ -267,6 +280,9 @@
             unplanned_ends: BTreeMap::new(),
             lookups: Lookups::default(),
             earlier_leases_expire_by,
+            unfenced_leases_expire_by: earlier_leases_expire_by,
+            sole_through: Timestamp::MAX,
+            may_start: true,
             is_fleet_complete: true,
             pools_lacking_ends: BTreeSet::new(),
             are_entries_stale: false,
@@ -527,7 +543,7 @@
     pub fn is_unused(&self, worker: &WorkerId, now: Timestamp) -> bool {
         let Some(index) = self.worker_index.get(worker) else { return true };
         let worker = &self.workers[*index];
-        let is_fenced = worker.is_fenced() || self.earlier_leases_expire_by <= now;
+        let is_fenced = worker.is_fenced() || self.are_earlier_leases_expired(now);
         is_fenced
             && !worker.is_listed
             && worker.allocations.is_empty()
@@ -545,6 +561,30 @@
         self.workers.iter().filter(needs_polling).map(|it| (&it.listing, it.responsive_since))
     }
 
+    /// Sets the time by which every lease granted under an earlier leader has
+    /// expired on workers that were not polled in this term.
+    pub fn set_unfenced_leases_expire_by(&mut self, time: Timestamp) {
+        self.unfenced_leases_expire_by = time;
+    }
+
+    /// Records through which time this leader was the only one, and whether it
+    /// may start work. A planner that is never told is always confirmed.
+    pub fn set_confirmed(&mut self, sole_through: Timestamp, may_start: bool) {
+        self.sole_through = sole_through;
+        self.may_start = may_start;
+    }
+
+    /// Returns whether a time has passed without any other leader, so that what
+    /// nobody extended by then has expired.
+    fn is_past(&self, time: Timestamp, now: Timestamp) -> bool {
+        time <= now.min(self.sole_through)
+    }
+
+    /// Returns whether every lease granted under an earlier leader has expired.
+    pub fn are_earlier_leases_expired(&self, now: Timestamp) -> bool {
+        self.is_past(self.unfenced_leases_expire_by, now)
+    }
+
     /// Records that everything which a worker's poller reported by a time has
     /// been handled.
     pub fn record_heard(&mut self, worker: &WorkerId, through: Timestamp) {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -231,8 +231,16 @@
         self.expire_earlier_work(now);
         self.pools_lacking_ends = self.find_pools_lacking_ends(now);
         self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
-        self.start_suspects(now);
         self.begin_lookups(now);
+        if self.may_start {
+            self.start_due(now);
+        }
+        self.check_waits(now);
+    }
+
+    /// Starts what can be started, and makes room for what cannot.
+    fn start_due(&mut self, now: Timestamp) {
+        self.start_suspects(now);
         let schedulable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
         self.place(&schedulable, now);
@@ -240,7 +248,6 @@
             self.move_slowed(&schedulable, now);
         }
         self.handle_blocked(&schedulable, now);
-        self.check_waits(now);
     }
 
     /// Begins the readings of submissions that are due.
@@ -289,13 +296,14 @@
     ///
     /// The poller of a worker that answers goes on extending leases, whether or
     /// not its reports have been handled yet. Only a silence that it has
-    /// reported, or its loss, bounds them.
+    /// reported, or its loss, bounds them. Another leader may extend them, too,
+    /// so the end counts once no other can have led until then.
     fn expire_leases(&mut self, now: Timestamp) {
         for index in 0..self.workers.len() {
             let worker = &self.workers[index];
             if worker.allocations.is_empty()
                 || worker.responsive_since.is_some()
-                || now < worker.runs_expire_by().plus_ms(LEASE_MARGIN_MS)
+                || !self.is_past(worker.runs_expire_by().plus_ms(LEASE_MARGIN_MS), now)
             {
                 continue;
             }
@@ -311,7 +319,7 @@
     /// Ends the wait for workers that are known from an earlier leader's record
     /// only, once nothing of that leader can run there.
     fn expire_earlier_work(&mut self, now: Timestamp) {
-        if now < self.earlier_leases_expire_by {
+        if !self.are_earlier_leases_expired(now) {
             return;
         }
         for worker in &mut self.workers {
@@ -322,7 +330,8 @@
     /// Returns the pools with a worker that may have ends which it has not listed
     /// in this term.
     fn find_pools_lacking_ends(&self, now: Timestamp) -> BTreeSet<String> {
-        let lacks_ends = |it: &&Worker| it.is_recorded && it.may_have_unlisted_ends(now);
+        let through = now.min(self.sole_through);
+        let lacks_ends = |it: &&Worker| it.is_recorded && it.may_have_unlisted_ends(through);
         self.workers.iter().filter(lacks_ends).map(|it| it.listing.service.clone()).collect()
     }
 
@@ -332,7 +341,7 @@
         let is_fenced =
             |it: &Worker| it.is_fenced() || !it.is_recorded || it.listing.service != service;
         !self.pools_lacking_ends.contains(service)
-            && (self.earlier_leases_expire_by <= now
+            && (self.are_earlier_leases_expired(now)
                 || (self.is_fleet_complete && self.workers.iter().all(is_fenced)))
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -352,10 +352,11 @@
     }
 
     /// Returns whether it answers and may have ends of earlier leaders' runs that
-    /// it has not listed yet.
-    pub(super) fn may_have_unlisted_ends(&self, now: Timestamp) -> bool {
+    /// it has not listed yet. No other leader has led through `sole_through`.
+    pub(super) fn may_have_unlisted_ends(&self, sole_through: Timestamp) -> bool {
         let is_answering = || {
-            self.responsive_since.is_some() || now < self.runs_expire_by().plus_ms(LEASE_MARGIN_MS)
+            let expire_by = self.runs_expire_by().plus_ms(LEASE_MARGIN_MS);
+            self.responsive_since.is_some() || sole_through < expire_by
         };
         self.incarnation.is_some() && !self.is_fenced() && is_answering()
     }
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -17,11 +17,13 @@
 //! pollers from postponing it each time, a poller extends leases only once the
 //! leader has confirmed that it knows of the worker's answers.
 //!
-//! The leader may be behind with the reports that it receives. What it allows
-//! and orders therefore counts from the newest report that it has handled, and
-//! not from the arrival of its message: a poller that the leader has given up,
-//! while messages still reach it, extends no lease and starts nothing that the
-//! leader does not expect.
+//! The leader may be behind with the reports that it receives, and may have
+//! been replaced without knowing it. What it allows and orders therefore counts
+//! from a report that it had handled, and not from the arrival of its message:
+//! the newest one, so that a poller that the leader has given up does nothing
+//! that the leader does not expect, and the newest one that a
+//! [confirmation](super::confirmation) covers, so that nothing is granted once
+//! the leases of this term count as expired elsewhere.
 
 use super::{
     id::{BootMillis, EndNumber, Incarnation},
@@ -33,8 +35,9 @@
 /// outlasts a change of the leader and a handover between pollers, and is
 /// short because work on an unresponsive worker waits for its end.
 pub const LEASE_MS: u64 = 4_000;
-/// Age of the newest report that the leader has handled from which on a poller
-/// extends no lease, in milliseconds.
+/// Age of the newest report that the leader had handled before it was last
+/// confirmed, from which on a poller extends no lease and starts nothing, in
+/// milliseconds.
 pub const LEADER_SILENT_MS: u64 = 2_000;
 /// Age of the newest report that the leader had handled when it ordered a start
 /// from which on the start is not sent to the worker, in milliseconds.
@@ -96,30 +99,40 @@
 /// that never began shows only in two polls that do not list it.
 const SHORT_POLLS_AFTER_STOP: u32 = 2;
 
-/// The leader's permission to extend leases, as a poller has received it; none
-/// before the first heartbeat.
+/// The leader's permission to extend leases and to start work, as a poller has
+/// received it; none before the first heartbeat.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeasePermission {
-    may_extend: bool,
-    handled: Option<BootMillis>,
+    covered: Option<BootMillis>,
 }
 
 impl LeasePermission {
-    /// Returns what a heartbeat permits.
-    pub fn new(may_extend: bool, handled: Option<BootMillis>) -> LeasePermission {
-        LeasePermission { may_extend, handled }
+    /// Returns what a message of the leader permits, given the newest report
+    /// that it had handled before it was last confirmed.
+    pub fn new(covered: Option<BootMillis>) -> LeasePermission {
+        LeasePermission { covered }
     }
 
     /// Returns whether leases may be extended.
     pub fn is_valid(&self, now: BootMillis) -> bool {
-        self.may_extend && self.handled.is_some_and(|it| now.ms_since(it) < LEADER_SILENT_MS)
+        self.deadline().is_some_and(|it| now < it)
+    }
+
+    fn deadline(&self) -> Option<BootMillis> {
+        Some(self.covered?.plus_ms(LEADER_SILENT_MS))
     }
 }
 
 /// Returns until when a start may be sent to its worker that arrived now, given
-/// the newest report that the leader had handled; `None` if it is too old.
-pub fn start_deadline(handled: Option<BootMillis>, now: BootMillis) -> Option<BootMillis> {
-    let deadline = handled?.plus_ms(ORDER_MAX_AGE_MS).min(now.plus_ms(ORDER_VALID_MS));
+/// the newest report that the leader had handled and its permission; `None` if
+/// it is too late already.
+pub fn start_deadline(
+    handled: Option<BootMillis>,
+    permission: LeasePermission,
+    now: BootMillis,
+) -> Option<BootMillis> {
+    let handled_deadline = handled?.plus_ms(ORDER_MAX_AGE_MS);
+    let deadline = handled_deadline.min(permission.deadline()?).min(now.plus_ms(ORDER_VALID_MS));
     (now < deadline).then_some(deadline)
 }
 
--- a/crates/mustardcove-core/tests/lagging_leader.rs
+++ b/crates/mustardcove-core/tests/lagging_leader.rs
@@ -123,11 +123,10 @@
 #[test]
 fn permission_expires() {
     let sent = BootMillis(START.0);
-    let permission = LeasePermission::new(true, Some(sent));
+    let permission = LeasePermission::new(Some(sent));
     assert!(permission.is_valid(sent.plus_ms(LEADER_SILENT_MS - 1)));
     assert!(!permission.is_valid(sent.plus_ms(LEADER_SILENT_MS)));
-    assert!(!LeasePermission::new(false, Some(sent)).is_valid(sent));
-    assert!(!LeasePermission::new(true, None).is_valid(sent), "no report was handled");
+    assert!(!LeasePermission::new(None).is_valid(sent), "no confirmation covers a report");
     assert!(!LeasePermission::default().is_valid(sent));
 }
 
@@ -135,11 +134,12 @@
 #[test]
 fn start_expires() {
     let sent = BootMillis(START.0);
-    assert_eq!(start_deadline(None, sent), None);
-    assert_eq!(start_deadline(Some(sent), sent), Some(sent.plus_ms(ORDER_VALID_MS)));
+    let permission = LeasePermission::new(Some(sent));
+    assert_eq!(start_deadline(None, permission, sent), None);
+    assert_eq!(start_deadline(Some(sent), permission, sent), Some(sent.plus_ms(ORDER_VALID_MS)));
     let late = sent.plus_ms(ORDER_MAX_AGE_MS - 100);
-    assert_eq!(start_deadline(Some(sent), late), Some(sent.plus_ms(ORDER_MAX_AGE_MS)));
-    assert_eq!(start_deadline(Some(sent), sent.plus_ms(ORDER_MAX_AGE_MS)), None);
+    assert_eq!(start_deadline(Some(sent), permission, late), Some(sent.plus_ms(ORDER_MAX_AGE_MS)));
+    assert_eq!(start_deadline(Some(sent), permission, sent.plus_ms(ORDER_MAX_AGE_MS)), None);
 }
 
 /// The number of messages and the share of time for planning stay bounded
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -660,7 +660,7 @@
         let (now, is_unreachable) = (self.now, self.is_unreachable(worker));
         let state = &mut self.leaders[leader];
         let term = state.planner.term();
-        let permission = LeasePermission::new(true, Some(BootMillis(state.handled.0)));
+        let permission = LeasePermission::new(Some(BootMillis(state.handled.0)));
         let may_extend = permission.is_valid(BootMillis(now.0));
         let next = state.pollers[worker].next_poll(may_extend, now);
         let listed = match fate {
@@ -1045,7 +1045,8 @@
             return;
         }
         let handled = Some(BootMillis(state.handled.0));
-        let is_in_time = start_deadline(handled, BootMillis(now.0)).is_some();
+        let permission = LeasePermission::new(handled);
+        let is_in_time = start_deadline(handled, permission, BootMillis(now.0)).is_some();
         let lease_until = match order {
             Order::Start(_) if is_in_time => state.pollers[worker].grant_start_lease(now),
             Order::Start(_) => None,
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -7,6 +7,7 @@
         election::Candidacy,
         id::Term,
         message::{FleetMessage, Heartbeat},
+        poller::LeasePermission,
     },
     id::ProcessId,
     message::PeerMessage,
@@ -91,9 +92,10 @@
                 let _ = routes.poller.send(PollerInput::Assign { term, workers }).await;
             }
         }
-        FleetMessage::Orders { term, handled, orders } => {
+        FleetMessage::Orders { term, handled, covered, orders } => {
             if is_current(shared, term) {
-                let orders = PollerInput::Orders { term, handled, orders };
+                let permission = LeasePermission::new(covered);
+                let orders = PollerInput::Orders { term, handled, permission, orders };
                 let _ = routes.poller.send(orders).await;
             }
         }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -18,12 +18,12 @@
 use mustardcove_core::{
     fleet::{
         cadence,
-        confirmation::Confirmation,
+        confirmation::{Confirmation, MAX_STORELESS_MS},
         election::HEARTBEAT_INTERVAL_MS,
         id::{BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
-        poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS},
+        poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, ORDER_MAX_AGE_MS},
         record::{
             self, CANCEL_PREFIX, LEADER_KEY, LeaderRecord, ProgressRecord, SUBMISSION_PREFIX,
             WORK_PREFIX,
@@ -63,6 +63,11 @@
 /// Time between two questions to the store whether this term still leads: a
 /// fraction of the time for which the answer permits anything.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+/// The same for the first [`FIRST_QUESTIONS`] of a term, until which nothing is
+/// started.
+const FIRST_CONFIRM_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of questions that are asked at that interval.
+const FIRST_QUESTIONS: u32 = 20;
 /// Most workers that a line of the log names.
 const MAX_LOGGED_WORKERS: usize = 8;
 /// A worker without an entry counts as removed only if the store has answered
@@ -154,8 +159,8 @@
     planner: Planner,
     pollers: Pollers,
     roster: Roster,
-    /// When every lease granted under an earlier leader has expired.
-    earlier_leases_expire_by: Timestamp,
+    /// Whether half of the processes have joined this term.
+    is_joined: bool,
     /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
     listed_at: Timestamp,
@@ -169,9 +174,6 @@
     results: mpsc::UnboundedSender<TaskResult>,
     is_flushing: bool,
     flush_at: Timestamp,
-    /// When the watch last answered without a newer leader record, which shows
-    /// that this process leads.
-    confirmed_at: Timestamp,
     confirmation: Confirmation,
     /// Whether the term was confirmed at the last heartbeat.
     was_confirmed: bool,
@@ -211,7 +213,7 @@
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
         pollers: Pollers::new(shared.clone(), term),
         roster: Roster::default(),
-        earlier_leases_expire_by,
+        is_joined: false,
         listed: Vec::new(),
         listed_at: now,
         unanswered: Vec::new(),
@@ -221,7 +223,6 @@
         results,
         is_flushing: false,
         flush_at: now,
-        confirmed_at: now,
         confirmation: Confirmation::new(claim.sent_at, claim.sent_boot),
         was_confirmed: true,
         logged_expiry: false,
@@ -233,6 +234,9 @@
         is_behind: false,
         end_reason: None,
     };
+    // Until half of the processes have joined, most may obey an earlier leader.
+    let unfenced_leases_expire_by = earlier_leases_expire_by.plus_ms(MAX_STORELESS_MS);
+    leader.planner.set_unfenced_leases_expire_by(unfenced_leases_expire_by);
     let _tasks = match leader.take_over().await {
         Ok(tasks) => tasks,
         Err(reason) => return reason,
@@ -317,7 +321,7 @@
                 if term == self.term {
                     self.pollers.report_received(&from, reaches_store, now);
                     self.handle_reports(&from, sent_at, reports, now);
-                    let heard = self.pollers.report_handled(&from, sent_boot_ms, heartbeat_at);
+                    let heard = self.pollers.report_handled(&from, sent_boot_ms, heartbeat_at, now);
                     if let Some(heartbeat_at) = heartbeat_at {
                         let age_ms = now.ms_since(heartbeat_at);
                         self.oldest_report_ms = self.oldest_report_ms.max(age_ms);
@@ -403,7 +407,6 @@
             TaskResult::Workers(Err(fault)) => self.store_failed("workers not read", &fault),
             TaskResult::Changes(events) => {
                 self.store_answered(now);
-                self.confirmed_at = now;
                 for event in events {
                     if let Event::Written(item) = event {
                         self.apply_record(&item, now);
@@ -492,6 +495,7 @@
         if let Some(manifest) = self.shared.manifest() {
             self.planner.set_manifest(manifest);
         }
+        self.update_confirmation(now);
         let lost = self.pollers.update(&self.planner, now);
         self.planner.poller_lost(&lost, now.plus_ms(MAX_ORPHAN_LEASE_MS));
         // While no process reaches the store, the last list is the best there
@@ -522,7 +526,9 @@
         }
         for (poller, orders) in orders {
             let handled = self.pollers.handled(&poller);
-            self.shared.send(&poller, FleetMessage::Orders { term: self.term, handled, orders });
+            let covered = self.pollers.covered(&poller);
+            let orders = FleetMessage::Orders { term: self.term, handled, covered, orders };
+            self.shared.send(&poller, orders);
         }
         for decision in &actions.decisions {
             self.log_decision(decision);
@@ -561,30 +567,25 @@
 
     fn send_heartbeat(&mut self) {
         let now = self.shared.now();
-        // A leader that reaches neither the store nor most of the processes may
-        // have been replaced, so the leases that it granted have to end: they
-        // must not be extended.
-        let is_confirmed = now.ms_since(self.confirmed_at) < LEADER_SILENT_MS;
-        let may_extend = is_confirmed || self.pollers.is_majority_alive(now);
+        self.update_confirmation(now);
         let pending = self.is_restored.then(|| self.planner.pending());
         let reaching_store = self.pollers.reaching_store(now);
         let heartbeat = Heartbeat {
             term: self.term,
             region: self.shared.settings.region.clone(),
             sent_at: now,
-            handled: None,
+            covered: None,
             report_delay_ms: cadence::message_delay_ms(self.pollers.count()),
             manifest: self.shared.manifest_version(),
-            may_extend,
             pending,
             reaching_store,
         };
         for process in self.pollers.ids() {
-            let handled = self.pollers.handled(process);
-            let heartbeat = Heartbeat { handled, ..heartbeat.clone() };
+            let covered = self.pollers.covered(process);
+            let heartbeat = Heartbeat { covered, ..heartbeat.clone() };
             self.shared.send(process, FleetMessage::Heartbeat(heartbeat));
         }
-        self.check_confirmation();
+        self.log_confirmation();
         self.check_lag();
         self.sync_states();
         self.shared.metrics.record_plan(self.planner.counts(now));
@@ -597,10 +598,23 @@
         self.shared.now().ms_since(self.confirmation.permitted_from(boot_now()))
     }
 
-    /// Updates what the processes confirm, and logs when the term is no longer
-    /// confirmed, or is again.
-    fn check_confirmation(&mut self) {
+    /// Updates what this leader may conclude and permit. A leader that may have
+    /// been replaced permits nothing, and starts nothing.
+    fn update_confirmation(&mut self, now: Timestamp) {
         self.confirmation.processes_heard(self.pollers.heard());
+        let permitted_from = self.confirmation.permitted_from(boot_now());
+        self.pollers.confirm(permitted_from);
+        let is_recent = now.ms_since(permitted_from) < ORDER_MAX_AGE_MS;
+        let may_start = is_recent && self.pollers.are_permitted(now);
+        self.planner.set_confirmed(self.confirmation.sole_through(), may_start);
+        if !self.is_joined && self.pollers.is_joined_by_half() {
+            self.is_joined = true;
+            self.planner.set_unfenced_leases_expire_by(now.plus_ms(MAX_ORPHAN_LEASE_MS));
+        }
+    }
+
+    /// Logs when the term is no longer confirmed, or is again.
+    fn log_confirmation(&mut self) {
         let now = self.shared.now();
         let is_confirmed = self.confirmation_age_ms() < LEADER_SILENT_MS;
         if std::mem::replace(&mut self.was_confirmed, is_confirmed) == is_confirmed {
@@ -616,7 +630,7 @@
     /// Logs once when the leases of earlier leaders have expired, with the
     /// workers that this leader has not heard by then.
     fn log_expiry(&mut self, now: Timestamp) {
-        if self.logged_expiry || now < self.earlier_leases_expire_by {
+        if self.logged_expiry || !self.planner.are_earlier_leases_expired(now) {
             return;
         }
         self.logged_expiry = true;
@@ -719,14 +733,16 @@
     fn confirm_term(&self) -> impl Future<Output = ()> + Send + 'static {
         let (shared, results) = (self.shared.clone(), self.results.clone());
         async move {
-            loop {
+            for question in 0u32.. {
                 let (asked_at, asked_boot) = (shared.now(), boot_now());
                 let record = shared.store.get(LEADER_KEY).await;
                 let result = TaskResult::LeaderRead { asked_at, asked_boot, record };
                 if results.send(result).is_err() {
                     return;
                 }
-                tokio::time::sleep(CONFIRM_INTERVAL).await;
+                let is_first = question < FIRST_QUESTIONS;
+                let interval = if is_first { FIRST_CONFIRM_INTERVAL } else { CONFIRM_INTERVAL };
+                tokio::time::sleep(interval).await;
             }
         }
     }
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -10,6 +10,7 @@
 use mustardcove_core::{
     fleet::{
         assignment::{Poller, assign},
+        confirmation::{CoveredReports, is_joined_by_half},
         id::{BootMillis, Term},
         message::{FleetMessage, WorkerContact},
         planner::{Planner, WorkerListing},
@@ -52,6 +53,7 @@
     is_synced: bool,
     /// The newest of its reports that was handled, by its own boot clock.
     handled: Option<BootMillis>,
+    reports: CoveredReports,
     /// Everything that it had reported by this time was handled.
     heard_through: Option<Timestamp>,
     /// The workers of the last assignment sent to it.
@@ -152,6 +154,7 @@
             is_connected: false,
             is_synced: false,
             handled: None,
+            reports: CoveredReports::default(),
             heard_through: None,
             sent_assignment: BTreeMap::new(),
             assignment_sent_at: Timestamp::default(),
@@ -186,6 +189,31 @@
         self.processes.get(process).and_then(|it| it.handled)
     }
 
+    /// Returns the newest report of a process that was handled before the
+    /// leader was last confirmed.
+    pub(super) fn covered(&self, process: &ProcessId) -> Option<BootMillis> {
+        self.processes.get(process).and_then(|it| it.reports.covered())
+    }
+
+    /// Records from when on the leader's permission counts.
+    pub(super) fn confirm(&mut self, permitted_from: Timestamp) {
+        self.processes.values_mut().for_each(|it| it.reports.confirm(permitted_from));
+    }
+
+    /// Returns whether half of the processes that report have a permission. A new
+    /// leader would otherwise order starts that none of them sends.
+    pub(super) fn are_permitted(&self, now: Timestamp) -> bool {
+        let alive = || self.processes.values().filter(|it| self.is_alive(it, now));
+        alive().count() <= 2 * alive().filter(|it| it.reports.covered().is_some()).count()
+    }
+
+    /// Returns whether so many processes have joined this term that no earlier
+    /// leader is obeyed by most of them.
+    pub(super) fn is_joined_by_half(&self) -> bool {
+        let joined = self.processes.values().filter(|it| it.last_report_at.is_some()).count();
+        is_joined_by_half(joined, self.processes.len())
+    }
+
     /// Records that a report of a process was handled. Returns the workers of
     /// the process if more of what it reported is known to be handled now.
     pub(super) fn report_handled(
@@ -193,9 +221,11 @@
         process: &ProcessId,
         sent_at: BootMillis,
         heartbeat_at: Option<Timestamp>,
+        now: Timestamp,
     ) -> Vec<WorkerId> {
         let Some(it) = self.processes.get_mut(process) else { return Vec::new() };
         it.handled = it.handled.max(Some(sent_at));
+        it.reports.handled(sent_at, now);
         if heartbeat_at <= it.heard_through {
             return Vec::new();
         }
@@ -232,12 +262,6 @@
         it.last_report_at = it.last_report_at.map(|it| it.min(latest));
     }
 
-    /// Returns whether most of the registered processes have reported recently.
-    pub(super) fn is_majority_alive(&self, now: Timestamp) -> bool {
-        let alive = self.processes.values().filter(|it| self.is_alive(it, now)).count();
-        self.processes.len() < 2 * alive
-    }
-
     fn reaches_store(&self, process: &Process, now: Timestamp) -> bool {
         let reached_at = process.reached_store_at;
         self.is_alive(process, now) && reached_at.is_some_and(|it| now.ms_since(it) < LOST_AFTER_MS)
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -116,7 +116,7 @@
         now: Timestamp,
     ) {
         self.update_roster(listings, may_remove);
-        if self.earlier_leases_expire_by <= now {
+        if self.planner.are_earlier_leases_expired(now) {
             self.roster.replace_unreadable();
         }
         if may_remove {
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -18,7 +18,10 @@
         message::{
             FleetMessage, Order, PollResult, StartOrder, StartOutcome, WorkerContact, WorkerReport,
         },
-        poller::{MIN_POLL_INTERVAL_MS, ORDER_VALID_MS, PollWait, WorkerPoller, start_deadline},
+        poller::{
+            LeasePermission, MIN_POLL_INTERVAL_MS, ORDER_VALID_MS, PollWait, WorkerPoller,
+            start_deadline,
+        },
     },
     id::WorkerId,
 };
@@ -57,6 +60,8 @@
         term: Term,
         /// The newest report that the leader had handled.
         handled: Option<BootMillis>,
+        /// What the leader permits.
+        permission: LeasePermission,
         /// The orders, each with its worker.
         orders: Vec<(WorkerId, Order)>,
     },
@@ -93,10 +98,11 @@
                 }
                 assign(&shared, term, workers, &reports, &mut assigned);
             }
-            PollerInput::Orders { term: of, handled, orders } if of == term => {
+            PollerInput::Orders { term: of, handled, permission, orders } if of == term => {
+                let start_by = start_deadline(handled, permission, boot_now());
                 for (worker, order) in orders {
                     match assigned.get(&worker) {
-                        Some(it) => PolledWorker::execute(&it.worker, order, handled),
+                        Some(it) => PolledWorker::execute(&it.worker, order, start_by),
                         None => debug!(shared.log, "order for a worker of another process";
                             "worker" => %worker),
                     }
@@ -248,13 +254,12 @@
         self.send_report(report);
     }
 
-    fn execute(worker: &Arc<PolledWorker>, order: Order, handled: Option<BootMillis>) {
+    fn execute(worker: &Arc<PolledWorker>, order: Order, start_by: Option<BootMillis>) {
         match order {
             Order::Start(order) => {
                 worker.order_received.notify_one();
                 let worker = worker.clone();
-                let deadline = start_deadline(handled, boot_now());
-                tokio::spawn(async move { worker.start(order, deadline).await });
+                tokio::spawn(async move { worker.start(order, start_by).await });
             }
             Order::Stop { task, run } => {
                 let worker = worker.clone();
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -234,7 +234,7 @@
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) {
         let mut last = self.last_heartbeat();
         last.sent_at = Some((heartbeat.term, heartbeat.sent_at));
-        last.permission = LeasePermission::new(heartbeat.may_extend, heartbeat.handled);
+        last.permission = LeasePermission::new(heartbeat.covered);
         last.report_delay_ms = heartbeat.report_delay_ms;
         last.reaching_store = heartbeat.reaching_store;
         if let Some(pending) = heartbeat.pending {
--- a/crates/mustardcove-node/tests/leader_queue.rs
+++ b/crates/mustardcove-node/tests/leader_queue.rs
@@ -51,10 +51,9 @@
         term: Term(6),
         region: "north".parse().expect("a valid name"),
         sent_at: Timestamp::default(),
-        handled: None,
+        covered: None,
         report_delay_ms: 0,
         manifest: ManifestVersion::default(),
-        may_extend: true,
         pending: None,
         reaching_store: Vec::new(),
     };
