End a term once its process has heard of a successor

A leader that the store does not answer, or turns away, planned on and sent heartbeats after its own process had received those of its successor. Only the store or a worker could end the term. Reports were dropped by then, so it planned blindly.

The leader's loop now ends when a higher term is known. `successor_heard` failed before (the leader goes on for 5 s and more), and passes.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -243,6 +243,7 @@
     };
     info!(shared.log, "plan restored"; "term" => %term,
         "ms" => shared.now().ms_since(now), "submissions" => leader.planner.published_states().len());
+    let mut leadership = shared.leadership.subscribe();
     let mut heartbeat_tick = tokio::time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
     let mut learned_tick = tokio::time::interval(LEARNED_WRITE_INTERVAL);
     let mut plan_at = Instant::now();
@@ -275,6 +276,9 @@
                 plan_after = Instant::now() + Duration::from_millis(delay_ms);
                 plan_at = plan_after.max(Instant::now() + MAX_PLAN_INTERVAL);
             }
+            Ok(_) = leadership.wait_for(|it| term < it.term) => {
+                return "a successor sent a heartbeat";
+            }
             () = shared.stop.cancelled() => {
                 leader.plan();
                 leader.send_states();
