Keep the wait for the leases of a lost poller when a start is ordered

The loss of a poller sets until when it may have extended leases of a worker (6.6 s); the next start there through the new poller replaced that by 5.6 s from the order. If the worker then fell silent, its runs could be given up up to 1 s before the last lease ended. The later of the two counts now.

--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -988,7 +988,8 @@
     pub(super) fn order_start(&mut self, worker: WorkerIndex, order: StartOrder, now: Timestamp) {
         let key = (worker, order.task, order.run);
         self.unconfirmed.insert(key, now.plus_ms(START_CONFIRM_TIMEOUT_MS));
-        self.workers[worker].ordered_leases_expire_by = now.plus_ms(MAX_START_LEASE_MS);
+        let ordered = &mut self.workers[worker].ordered_leases_expire_by;
+        *ordered = (*ordered).max(now.plus_ms(MAX_START_LEASE_MS));
         let id = self.worker_id(worker);
         self.actions.orders.push((id, Order::Start(order)));
     }
