Tests of leaders that are parted from the store

The simulated leaders polled by themselves with a permission that counted from any handled report, so no test showed a leader that outlives its right to lead. A world may now have processes: a leader runs in one, asks the store whether its term leads, and lets processes poll that acknowledge its heartbeats. Cuts part processes, workers and the store.

--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -11,10 +11,16 @@
 //! or is carried out late, if the worker's lease expired before the end was
 //! acknowledged: others may have started the task again by then.
 
+#[path = "leader_processes.rs"]
+mod leader_processes;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use leader_processes::{CONFIRM_INTERVAL_MS, Leadership};
+pub(crate) use leader_processes::{Side, SimProcess};
 use mustardcove_core::{
     fleet::{
+        confirmation::MAX_STORELESS_MS,
         id::{
             BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey,
             Term,
@@ -26,8 +32,8 @@
         },
         planner::{DecisionKind, Planner, TicketReply, TicketRequest, WorkerListing},
         poller::{
-            LEADER_SILENT_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, NextPoll, WorkerPoller,
-            start_deadline,
+            LEADER_SILENT_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, NextPoll, ORDER_MAX_AGE_MS,
+            WorkerPoller, start_deadline,
         },
         record::{LearnedInterference, ProgressRecord},
         roster::{Roster, RosterSegment},
@@ -51,6 +57,13 @@
 /// Time between two heartbeats, in milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 250;
 
+/// Longest time for which an answer of the store about the leader is in flight,
+/// in milliseconds.
+const MAX_STORE_DELAY_MS: u64 = 900;
+/// Share of starts that a process sends only shortly before their deadline, in
+/// percent.
+const HELD_START_PERCENT: u32 = 20;
+
 /// Time after which a poll without an answer has failed, in milliseconds.
 const POLL_TIMEOUT_MS: u64 = 1_200;
 
@@ -224,6 +237,7 @@
     highest_ended: BTreeMap<TaskKey, RunNumber>,
     /// No call reaches it before this time.
     pub(crate) unreachable_until: Timestamp,
+    pub(crate) side: Side,
     /// Only replaced pollers reach it before this time.
     pub(crate) orphans_only_until: Timestamp,
     /// When a run there crashes it.
@@ -255,6 +269,7 @@
             first_valid_end: 1,
             highest_ended: BTreeMap::new(),
             unreachable_until: Timestamp(0),
+            side: Side::Main,
             orphans_only_until: Timestamp(0),
             crashes_at: None,
             down: None,
@@ -353,6 +368,19 @@
     /// with the worker's place.
     misdirected: Vec<(usize, WorkerId, WorkerPoller)>,
     is_superseded: bool,
+    /// What it knows of the processes, if the world has any.
+    leadership: Option<Leadership>,
+}
+
+/// A start that its process has not sent yet.
+#[derive(Debug)]
+struct HeldStart {
+    at: Timestamp,
+    deadline: BootMillis,
+    term: Term,
+    process: usize,
+    worker: usize,
+    order: StartOrder,
 }
 
 /// A poller whose reports no longer reach its leader.
@@ -360,6 +388,8 @@
 struct Orphan {
     worker: usize,
     poller: WorkerPoller,
+    /// The process that it belongs to, if the world has any.
+    process: Option<usize>,
     /// When it last received a heartbeat of its leader.
     heartbeat_at: Timestamp,
 }
@@ -371,6 +401,16 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) workers: Vec<SimWorker>,
     pub(crate) leaders: Vec<Leader>,
+    /// The processes that leaders run in and that poll; if there are none,
+    /// leaders poll by themselves and are always confirmed.
+    pub(crate) processes: Vec<SimProcess>,
+    pub(crate) store_side: Side,
+    /// Changes which process polls which worker.
+    pub(crate) assignment_salt: usize,
+    held_starts: Vec<HeldStart>,
+    /// Whether the caller belongs to an orphan, of which the leader hears
+    /// nothing.
+    is_muted: bool,
     pub(crate) submissions: BTreeMap<SubmissionId, Arc<Submission>>,
     pub(crate) cancelled: BTreeSet<SubmissionId>,
     progress: BTreeMap<SubmissionId, (ProgressRecord, u64)>,
@@ -457,6 +497,11 @@
                 .map(|i| SimWorker::new(&name(i), i as u64 + 1, 98 + i as u64 % 3, now))
                 .collect(),
             leaders: Vec::new(),
+            processes: Vec::new(),
+            store_side: Side::Main,
+            assignment_salt: 0,
+            held_starts: Vec::new(),
+            is_muted: false,
             submissions: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             progress: BTreeMap::new(),
@@ -504,6 +549,265 @@
         world
     }
 
+    /// Returns a world with processes, the first of which leads.
+    pub(crate) fn with_processes(seed: u64, workers: usize, processes: usize) -> World {
+        let mut world = World::new(seed, workers);
+        world.processes = vec![SimProcess::new(world.now); processes];
+        (world.claims, world.leaders) = (0, Vec::new());
+        world.elect_on(0);
+        world
+    }
+
+    /// Elects a new leader in a process, which reaches the store.
+    pub(crate) fn elect_on(&mut self, process: usize) {
+        self.elect();
+        let (now, processes, workers) = (self.now, self.processes.len(), self.workers.len());
+        let Some(leader) = self.leaders.last_mut() else { return };
+        leader.leadership = Some(Leadership::new(process, processes, workers, now));
+        // Until half of the processes have joined, most may obey an earlier
+        // leader.
+        let expire_by = if self.claims == 1 { now } else { now.plus_ms(MAX_ORPHAN_LEASE_MS) };
+        leader.planner.set_unfenced_leases_expire_by(expire_by.plus_ms(MAX_STORELESS_MS));
+        leader.planner.set_confirmed(now, false);
+    }
+
+    /// Returns the process of a leader, if the world has any.
+    fn process_of(&self, leader: usize) -> Option<usize> {
+        self.leaders[leader].leadership.as_ref().map(|it| it.process)
+    }
+
+    /// Returns whether a leader reaches the store.
+    fn reaches_store(&self, leader: usize) -> bool {
+        let side = self.process_of(leader).map(|it| self.processes[it].side);
+        !self.is_store_away && side.is_none_or(|it| it.reaches(self.store_side))
+    }
+
+    /// Returns whether messages pass between a leader and a process.
+    fn reaches_process(&self, leader: usize, process: usize) -> bool {
+        let side = self.process_of(leader).map(|it| self.processes[it].side);
+        side.is_none_or(|it| it.reaches(self.processes[process].side))
+    }
+
+    /// Returns the process that polls a worker for a leader.
+    fn poller_of(&self, leader: usize, worker: usize) -> Option<usize> {
+        self.leaders[leader].leadership.as_ref().and_then(|it| it.poller_of[worker])
+    }
+
+    /// Returns whether a leader is one of a process that polls a worker for it,
+    /// and messages pass between them; always if the world has no processes.
+    fn reaches_poller(&self, leader: usize, worker: usize) -> bool {
+        let has_processes = self.leaders[leader].leadership.is_some();
+        let term = self.leaders[leader].planner.term();
+        let is_reached =
+            |it: usize| self.reaches_process(leader, it) && self.processes[it].term == term;
+        !has_processes || self.poller_of(leader, worker).is_some_and(is_reached)
+    }
+
+    /// Ends a leader. Its pollers go on until they notice it.
+    fn supersede(&mut self, leader: usize) {
+        let workers = self.workers.len();
+        self.leaders[leader].is_superseded = true;
+        for worker in 0..workers {
+            self.orphan(leader, worker);
+        }
+    }
+
+    /// Takes a worker from the process that polls it, which goes on while its
+    /// permission lasts.
+    fn orphan(&mut self, leader: usize, worker: usize) {
+        let now = self.now;
+        let state = &mut self.leaders[leader];
+        let Some(leadership) = &mut state.leadership else { return };
+        let Some(process) = leadership.poller_of[worker].take() else { return };
+        let poller = std::mem::take(&mut state.pollers[worker]);
+        state.fails_at[worker] = None;
+        let process = Some(process);
+        state.orphans.push(Orphan { worker, poller, process, heartbeat_at: now });
+    }
+
+    /// Lets a leader ask the store and send heartbeats, and assigns workers.
+    fn keep_leading(&mut self, leader: usize) {
+        let (now, term) = (self.now, self.leaders[leader].planner.term());
+        let reaches_store = self.reaches_store(leader);
+        let newest = self.term;
+        let delay_ms = self.rng.random_range(0..=MAX_STORE_DELAY_MS);
+        let lag_ms = self.leaders[leader].lag_ms;
+        let Some(it) = &mut self.leaders[leader].leadership else { return };
+        let mut heard = Vec::new();
+        while let Some((sent_at, process, heartbeat_at)) =
+            it.unhandled.pop_front_if(|it| lag_ms <= now.ms_since(it.0))
+        {
+            it.report_handled(process, sent_at, now);
+            if it.known[process].heard_through < heartbeat_at {
+                it.known[process].heard_through = heartbeat_at;
+                let workers = (0..it.poller_of.len()).filter(|i| it.poller_of[*i] == Some(process));
+                heard.extend(workers.zip(std::iter::repeat(heartbeat_at.unwrap_or_default())));
+            }
+        }
+        let mut is_replaced = self.processes[it.process].term > term;
+        if let Some((_, asked_at, named)) = it.question.take_if(|it| it.0 <= now)
+            && reaches_store
+        {
+            if named == term {
+                it.confirmation.store_answered(asked_at, BootMillis(asked_at.0));
+            }
+            is_replaced |= term < named;
+        }
+        if it.question.is_none() && it.next_question_at <= now && reaches_store {
+            it.question = Some((now.plus_ms(delay_ms), now, newest));
+            it.next_question_at = now.plus_ms(CONFIRM_INTERVAL_MS);
+        }
+        let is_heartbeat_due = it.next_heartbeat_at <= now;
+        if is_heartbeat_due {
+            it.next_heartbeat_at = now.plus_ms(HEARTBEAT_INTERVAL_MS);
+        }
+        for (worker, through) in heard {
+            let id = self.workers[worker].id.clone();
+            self.leaders[leader].planner.record_heard(&id, through);
+        }
+        if is_replaced {
+            self.supersede(leader);
+            return;
+        }
+        self.update_confirmation(leader);
+        if is_heartbeat_due {
+            for process in 0..self.processes.len() {
+                let Some(it) = &self.leaders[leader].leadership else { return };
+                let covered = it.known[process].reports.covered();
+                if self.reaches_process(leader, process) {
+                    self.processes[process].heartbeat(term, now, covered);
+                }
+            }
+        }
+        self.assign(leader);
+    }
+
+    /// Updates what a leader may conclude and permit.
+    fn update_confirmation(&mut self, leader: usize) {
+        let now = self.now;
+        let state = &mut self.leaders[leader];
+        let Some(it) = &mut state.leadership else { return };
+        it.confirmation.processes_heard(it.known.iter().map(|it| it.heard_through));
+        let permitted_from = it.confirmation.permitted_from(BootMillis(now.0));
+        it.known.iter_mut().for_each(|it| it.reports.confirm(permitted_from));
+        let is_recent = now.ms_since(permitted_from) < ORDER_MAX_AGE_MS;
+        let may_start = is_recent && it.are_permitted(now);
+        state.planner.set_confirmed(it.confirmation.sole_through(), may_start);
+        if !it.is_joined && it.is_joined_by_half() {
+            it.is_joined = true;
+            state.planner.set_unfenced_leases_expire_by(now.plus_ms(MAX_ORPHAN_LEASE_MS));
+        }
+    }
+
+    /// Assigns each worker to a process that reports, one of its own side if
+    /// there is any.
+    fn assign(&mut self, leader: usize) {
+        let now = self.now;
+        for worker in 0..self.workers.len() {
+            let Some(it) = &self.leaders[leader].leadership else { return };
+            let alive: Vec<usize> =
+                (0..self.processes.len()).filter(|process| it.is_alive(*process, now)).collect();
+            let side = self.workers[worker].side;
+            let near: Vec<usize> = alive
+                .iter()
+                .copied()
+                .filter(|process| self.processes[*process].side.reaches(side))
+                .collect();
+            let candidates = if near.is_empty() { alive } else { near };
+            let place = (worker + self.assignment_salt) % candidates.len().max(1);
+            let assigned = candidates.get(place).copied();
+            if it.poller_of[worker] == assigned {
+                continue;
+            }
+            let had_poller = it.poller_of[worker].is_some();
+            self.orphan(leader, worker);
+            let id = self.workers[worker].id.clone();
+            let state = &mut self.leaders[leader];
+            if had_poller {
+                state.planner.poller_lost([&id], now.plus_ms(MAX_ORPHAN_LEASE_MS));
+            }
+            if let Some(it) = &mut state.leadership {
+                it.poller_of[worker] = assigned;
+            }
+            // A process that hears of it stops polling for the earlier assignment.
+            let mut orphans = std::mem::take(&mut state.orphans);
+            orphans.retain(|it| {
+                it.worker != worker
+                    || !it.process.is_some_and(|process| self.reaches_process(leader, process))
+            });
+            self.leaders[leader].orphans = orphans;
+        }
+    }
+
+    /// Lets the processes report to the leader that they obey.
+    fn report_heartbeats(&mut self) {
+        let now = self.now;
+        for process in 0..self.processes.len() {
+            let it = &self.processes[process];
+            if now < it.next_report_at {
+                continue;
+            }
+            let (term, heartbeat_at) = (it.term, it.heartbeat_at);
+            let pause_ms = self.rng.random_range(100..400);
+            self.processes[process].next_report_at = now.plus_ms(pause_ms);
+            let obeyed = self.leaders.iter().position(|it| it.planner.term() == term);
+            let Some(leader) = obeyed.filter(|it| self.reaches_process(*it, process)) else {
+                continue;
+            };
+            if self.is_message_lost() {
+                continue;
+            }
+            if let Some(it) = &mut self.leaders[leader].leadership {
+                it.unhandled.push_back((now, process, heartbeat_at));
+            }
+        }
+    }
+
+    /// Sends the starts that processes have held.
+    fn send_held_starts(&mut self) {
+        let now = self.now;
+        let held = std::mem::take(&mut self.held_starts);
+        let (due, later): (Vec<_>, Vec<_>) = held.into_iter().partition(|it| it.at <= now);
+        self.held_starts = later;
+        for it in due {
+            let leader = self.leaders.iter().position(|other| other.planner.term() == it.term);
+            let Some(leader) = leader else { continue };
+            let is_poller = self.poller_of(leader, it.worker) == Some(it.process);
+            if !is_poller || self.processes[it.process].term != it.term {
+                continue;
+            }
+            let is_in_time = BootMillis(now.0) < it.deadline;
+            self.send_start(leader, it.worker, it.order, is_in_time);
+        }
+    }
+
+    fn send_start(&mut self, leader: usize, worker: usize, start: StartOrder, is_in_time: bool) {
+        let now = self.now;
+        let state = &mut self.leaders[leader];
+        let term = state.planner.term();
+        let lease_until =
+            if is_in_time { state.pollers[worker].grant_start_lease(now) } else { None };
+        let process = self.poller_of(leader, worker);
+        let (task, run) = (start.task, start.run);
+        let report = match lease_until {
+            None => Some(WorkerReport::Start { task, run, outcome: StartOutcome::NotRun }),
+            Some(_) if !self.reaches_worker(process, worker) => {
+                Some(WorkerReport::Start { task, run, outcome: StartOutcome::MayHaveRun })
+            }
+            Some(lease_until) => self.send(worker, term, &Order::Start(start), lease_until),
+        };
+        if let Some(report) = report {
+            let id = self.workers[worker].id.clone();
+            self.report(leader, id, report);
+        }
+    }
+
+    /// Returns whether calls of a process reach a worker.
+    fn reaches_worker(&self, process: Option<usize>, worker: usize) -> bool {
+        let side = process.map(|it| self.processes[it].side);
+        side.is_none_or(|it| it.reaches(self.workers[worker].side))
+    }
+
     /// Elects a new leader; the one before goes on until it is dropped.
     pub(crate) fn elect(&mut self) {
         self.revision += 1;
@@ -543,6 +847,7 @@
             orphans: Vec::new(),
             misdirected: Vec::new(),
             is_superseded: false,
+            leadership: None,
         });
     }
 
@@ -644,6 +949,13 @@
 
     /// Lets a leader poll a worker.
     pub(crate) fn poll(&mut self, leader: usize, worker: usize) {
+        if self.leaders[leader].leadership.is_some() {
+            let term = self.leaders[leader].planner.term();
+            let process = self.poller_of(leader, worker);
+            if process.is_none_or(|it| self.processes[it].term != term) {
+                return;
+            }
+        }
         if let Some(at) = self.leaders[leader].fails_at[worker] {
             if at <= self.now {
                 self.leaders[leader].fails_at[worker] = None;
@@ -657,10 +969,15 @@
             return;
         }
         let fate = self.fate();
-        let (now, is_unreachable) = (self.now, self.is_unreachable(worker));
+        let process = self.poller_of(leader, worker);
+        let is_unreachable = self.is_unreachable(worker) || !self.reaches_worker(process, worker);
+        let now = self.now;
         let state = &mut self.leaders[leader];
         let term = state.planner.term();
-        let permission = LeasePermission::new(Some(BootMillis(state.handled.0)));
+        let permission = match process {
+            Some(it) => self.processes[it].permission(term),
+            None => LeasePermission::new(Some(BootMillis(state.handled.0))),
+        };
         let may_extend = permission.is_valid(BootMillis(now.0));
         let next = state.pollers[worker].next_poll(may_extend, now);
         let listed = match fate {
@@ -698,12 +1015,24 @@
             return;
         }
         let now = self.now;
+        let mut process = None;
+        if self.leaders[leader].leadership.is_some() {
+            let place = self.workers.iter().position(|it| it.id == worker);
+            let Some(place) = place.filter(|it| self.reaches_poller(leader, *it)) else { return };
+            if self.is_muted {
+                return;
+            }
+            process = self.poller_of(leader, place);
+        }
         let state = &mut self.leaders[leader];
         let is_frozen = now < state.frozen_until;
         if state.lag_ms == 0 && state.unhandled.is_empty() && !is_frozen {
             state.handled = now;
             state.planner.report(&worker, report, now);
-            state.planner.record_heard(&worker, now.minus_ms(HEARTBEAT_INTERVAL_MS));
+            match (&mut state.leadership, process) {
+                (Some(it), Some(process)) => it.report_handled(process, now, now),
+                _ => state.planner.record_heard(&worker, now.minus_ms(HEARTBEAT_INTERVAL_MS)),
+            }
         } else {
             state.unhandled.push_back((now, worker, report));
         }
@@ -719,7 +1048,10 @@
         {
             state.handled = sent_at;
             state.planner.report(&worker, report, now);
-            state.planner.record_heard(&worker, sent_at.minus_ms(HEARTBEAT_INTERVAL_MS));
+            // A world with processes records it with the heartbeat that they name.
+            if state.leadership.is_none() {
+                state.planner.record_heard(&worker, sent_at.minus_ms(HEARTBEAT_INTERVAL_MS));
+            }
         }
     }
 
@@ -729,7 +1061,7 @@
         let (now, id) = (self.now, self.workers[worker].id.clone());
         let state = &mut self.leaders[leader];
         let poller = std::mem::take(&mut state.pollers[worker]);
-        state.orphans.push(Orphan { worker, poller, heartbeat_at: now });
+        state.orphans.push(Orphan { worker, poller, process: None, heartbeat_at: now });
         state.fails_at[worker] = None;
         state.planner.poller_lost([&id], now.plus_ms(MAX_ORPHAN_LEASE_MS));
     }
@@ -738,13 +1070,22 @@
         let now = self.now;
         let mut orphans = std::mem::take(&mut self.leaders[leader].orphans);
         let term = self.leaders[leader].planner.term();
-        orphans.retain(|it| now.ms_since(it.heartbeat_at) < LEADER_SILENT_MS);
+        let obeys = |it: &Orphan| match it.process {
+            Some(process) => self.processes[process].term == term,
+            None => now.ms_since(it.heartbeat_at) < LEADER_SILENT_MS,
+        };
+        orphans.retain(obeys);
+        self.is_muted = true;
         for orphan in &mut orphans {
             if 0 < self.rng.random_range(0..8u32) {
                 continue;
             }
-            let next = orphan.poller.next_poll(true, now);
-            let is_unreachable = now < self.workers[orphan.worker].unreachable_until;
+            let may_extend = orphan
+                .process
+                .is_none_or(|it| self.processes[it].permission(term).is_valid(BootMillis(now.0)));
+            let next = orphan.poller.next_poll(may_extend, now);
+            let is_unreachable = now < self.workers[orphan.worker].unreachable_until
+                || !self.reaches_worker(orphan.process, orphan.worker);
             let fate = if is_unreachable { Fate::Lost } else { self.fate() };
             match fate {
                 Fate::Answered => {
@@ -763,15 +1104,19 @@
                 }
             }
         }
+        self.is_muted = false;
         self.leaders[leader].orphans = orphans;
     }
 
     /// Confirms to a leader's pollers the answers that it has received.
     fn confirm(&mut self, leader: usize) {
+        let is_reached: Vec<bool> =
+            (0..self.workers.len()).map(|it| self.reaches_poller(leader, it)).collect();
         let state = &mut self.leaders[leader];
         for (listing, responsive_since) in state.planner.workers_to_poll() {
             // Others have crashed and come back with another id.
-            if let Some(worker) = self.workers.iter().position(|it| it.id == listing.worker) {
+            let place = self.workers.iter().position(|it| it.id == listing.worker);
+            if let Some(worker) = place.filter(|it| is_reached[*it]) {
                 state.pollers[worker].confirm(responsive_since);
             }
         }
@@ -896,15 +1241,25 @@
         if !self.is_store_away {
             self.listed = self.list_workers();
         }
-        let listings = self.listed.clone();
+        let reaches_store = self.reaches_store(leader);
+        let listings = match &mut self.leaders[leader].leadership {
+            Some(it) => {
+                if reaches_store {
+                    it.listed.clone_from(&self.listed);
+                }
+                it.listed.clone()
+            }
+            None => self.listed.clone(),
+        };
         let usable = self.record_workers(leader, listings);
-        let is_settled = self.is_store_settled;
+        let has_processes = self.leaders[leader].leadership.is_some();
+        let is_settled = self.is_store_settled && (reaches_store || !has_processes);
         let planner = &mut self.leaders[leader].planner;
         planner.update_workers(usable, is_settled);
         planner.tick(now);
         let actions = planner.take_actions();
         if actions.is_superseded {
-            self.leaders[leader].is_superseded = true;
+            self.supersede(leader);
             return;
         }
         for request in actions.ticket_requests {
@@ -925,10 +1280,21 @@
                 self.given_up.push(decision.inputs.clone());
             }
         }
+        let is_newest = self.leaders[leader].planner.term() == self.term;
         for (id, state) in actions.states {
-            self.published.insert(id, state);
+            // Processes obey the newest leader that they know.
+            if is_newest || !has_processes {
+                self.published.insert(id, state);
+            }
+        }
+        let mut lookups = actions.submission_lookups;
+        if let Some(it) = &mut self.leaders[leader].leadership {
+            it.lookups.append(&mut lookups);
+            if reaches_store {
+                lookups = std::mem::take(&mut it.lookups);
+            }
         }
-        for id in actions.submission_lookups {
+        for id in lookups {
             let planner = &mut self.leaders[leader].planner;
             match self.submissions.get(&id) {
                 Some(it) => planner.submit(it.clone(), false, now),
@@ -1010,6 +1376,7 @@
         leader: usize,
         listings: Vec<WorkerListing>,
     ) -> Vec<WorkerListing> {
+        let reaches_store = self.reaches_store(leader);
         let state = &mut self.leaders[leader];
         state.roster.update(listings.clone());
         let now = self.now;
@@ -1019,7 +1386,7 @@
             state.roster.remove(&worker);
         }
         for write in state.roster.changes() {
-            if state.planner.term() == self.term && !self.is_store_away {
+            if state.planner.term() == self.term && reaches_store {
                 self.revision += 1;
                 self.roster.insert(write.segment, (write.value.clone(), self.revision));
                 state.roster.stored(write, self.revision);
@@ -1037,9 +1404,29 @@
         if self.is_message_lost() {
             return;
         }
+        if !self.reaches_poller(leader, worker) {
+            return;
+        }
         let now = self.now;
+        let process = self.poller_of(leader, worker);
         let state = &mut self.leaders[leader];
         let term = state.planner.term();
+        if let (Order::Start(start), Some(process), Some(it)) = (&order, process, &state.leadership)
+        {
+            let known = &it.known[process];
+            let permission = LeasePermission::new(known.reports.covered());
+            let deadline = start_deadline(known.handled, permission, BootMillis(now.0));
+            let (worker, order) = (worker, start.clone());
+            if let Some(deadline) = deadline
+                && self.rng.random_range(0..100u32) < HELD_START_PERCENT
+            {
+                let at = Timestamp(self.rng.random_range(now.0..deadline.0));
+                self.held_starts.push(HeldStart { at, deadline, term, process, worker, order });
+            } else {
+                self.send_start(leader, worker, order, deadline.is_some());
+            }
+            return;
+        }
         if let Order::AcknowledgeEnds { incarnation, through } = order {
             state.pollers[worker].acknowledge_ends(incarnation, through);
             return;
@@ -1060,6 +1447,7 @@
                 outcome: StartOutcome::NotRun,
             }),
             (_, None) => None,
+            (_, Some(_)) if !self.reaches_worker(process, worker) => None,
             (_, Some(lease_until)) => self.send(worker, term, &order, lease_until),
         };
         if let Some(report) = report {
@@ -1248,7 +1636,7 @@
     /// Stores a leader's progress if it still leads.
     pub(crate) fn flush(&mut self, leader: usize) {
         let current = self.term;
-        if self.is_store_away {
+        if !self.reaches_store(leader) {
             return;
         }
         let planner = &mut self.leaders[leader].planner;
@@ -1278,9 +1666,16 @@
         let until = self.now.plus_ms(ms);
         while self.now < until {
             self.advance(50);
+            if !self.processes.is_empty() {
+                self.report_heartbeats();
+                self.send_held_starts();
+            }
             self.answer_ticket_requests();
             for leader in 0..self.leaders.len() {
                 if self.leaders[leader].is_superseded {
+                    if !self.processes.is_empty() {
+                        self.poll_orphaned(leader);
+                    }
                     continue;
                 }
                 for worker in 0..self.workers.len() {
@@ -1296,6 +1691,12 @@
                     continue;
                 }
                 self.handle_reports(leader);
+                if self.leaders[leader].leadership.is_some() {
+                    self.keep_leading(leader);
+                    if self.leaders[leader].is_superseded {
+                        continue;
+                    }
+                }
                 self.plan(leader);
                 if self.rng.random_range(0..2u32) == 0 {
                     self.confirm(leader);
--- /dev/null
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -0,0 +1,167 @@
+//! The processes of the simulated system, and what a leader knows of them.
+//!
+//! As in the node, a leader asks the store whether its term still leads, sends
+//! heartbeats to the processes that it reaches, and lets each worker be polled
+//! by one process that reports. A process obeys the newest term that it has
+//! heard of. A cut parts processes, workers and the store into two sides, and
+//! nothing passes between them.
+
+use std::collections::VecDeque;
+
+use mustardcove_core::{
+    fleet::{
+        confirmation::{Confirmation, CoveredReports, is_joined_by_half},
+        id::{BootMillis, SubmissionId, Term},
+        planner::WorkerListing,
+        poller::LeasePermission,
+    },
+    time::Timestamp,
+};
+
+/// A process without a report for this long counts as lost, in milliseconds.
+pub(crate) const LOST_AFTER_MS: u64 = 1_200;
+/// Time between two questions to the store, in milliseconds.
+pub(crate) const CONFIRM_INTERVAL_MS: u64 = 250;
+
+/// The side of a cut on which something is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Side {
+    Main,
+    Parted,
+    /// Calls from both sides reach it.
+    Both,
+}
+
+impl Side {
+    /// Returns whether calls pass between two sides.
+    pub(crate) fn reaches(self, other: Side) -> bool {
+        self == other || self == Side::Both || other == Side::Both
+    }
+}
+
+/// A process that polls workers for the leader of the newest term that it knows.
+#[derive(Clone, Debug)]
+pub(crate) struct SimProcess {
+    pub(crate) side: Side,
+    /// The newest term of which it has received a heartbeat.
+    pub(crate) term: Term,
+    /// The permission in the newest heartbeat of that term.
+    pub(crate) covered: Option<BootMillis>,
+    /// When that heartbeat was sent.
+    pub(crate) heartbeat_at: Option<Timestamp>,
+    pub(crate) next_report_at: Timestamp,
+}
+
+impl SimProcess {
+    pub(crate) fn new(now: Timestamp) -> SimProcess {
+        SimProcess {
+            side: Side::Main,
+            term: Term(0),
+            covered: None,
+            heartbeat_at: None,
+            next_report_at: now,
+        }
+    }
+
+    /// Handles a heartbeat of a leader.
+    pub(crate) fn heartbeat(
+        &mut self,
+        term: Term,
+        sent_at: Timestamp,
+        covered: Option<BootMillis>,
+    ) {
+        if term < self.term {
+            return;
+        }
+        self.term = term;
+        self.covered = covered;
+        self.heartbeat_at = Some(sent_at);
+    }
+
+    /// Returns what it may do for the leader of a term.
+    pub(crate) fn permission(&self, term: Term) -> LeasePermission {
+        LeasePermission::new(self.covered.filter(|_| term == self.term))
+    }
+}
+
+/// What a leader knows of a process.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnownProcess {
+    pub(crate) last_report_at: Option<Timestamp>,
+    pub(crate) heard_through: Option<Timestamp>,
+    pub(crate) handled: Option<BootMillis>,
+    pub(crate) reports: CoveredReports,
+}
+
+/// What a leader knows about the processes and about still leading.
+#[derive(Debug)]
+pub(crate) struct Leadership {
+    /// The process in which it runs.
+    pub(crate) process: usize,
+    pub(crate) confirmation: Confirmation,
+    pub(crate) is_joined: bool,
+    pub(crate) known: Vec<KnownProcess>,
+    /// The process that polls each worker.
+    pub(crate) poller_of: Vec<Option<usize>>,
+    /// Acknowledged heartbeats that it has not handled: when the process sent
+    /// the report, the process, and when the heartbeat was sent.
+    pub(crate) unhandled: VecDeque<(Timestamp, usize, Option<Timestamp>)>,
+    /// The question to the store that is under way: when the answer arrives,
+    /// when it was asked, and the term that the store named.
+    pub(crate) question: Option<(Timestamp, Timestamp, Term)>,
+    pub(crate) next_question_at: Timestamp,
+    pub(crate) next_heartbeat_at: Timestamp,
+    /// The last list of service discovery that it has read.
+    pub(crate) listed: Vec<WorkerListing>,
+    /// Submissions that it could not read yet.
+    pub(crate) lookups: Vec<SubmissionId>,
+}
+
+impl Leadership {
+    pub(crate) fn new(
+        process: usize,
+        processes: usize,
+        workers: usize,
+        now: Timestamp,
+    ) -> Leadership {
+        Leadership {
+            process,
+            confirmation: Confirmation::new(now, BootMillis(now.0)),
+            is_joined: false,
+            known: vec![KnownProcess::default(); processes],
+            poller_of: vec![None; workers],
+            unhandled: VecDeque::new(),
+            question: None,
+            next_question_at: now,
+            next_heartbeat_at: now,
+            listed: Vec::new(),
+            lookups: Vec::new(),
+        }
+    }
+
+    pub(crate) fn is_alive(&self, process: usize, now: Timestamp) -> bool {
+        let reported_at = self.known[process].last_report_at;
+        reported_at.is_some_and(|it| now.ms_since(it) < LOST_AFTER_MS)
+    }
+
+    /// Records that a report of a process was handled.
+    pub(crate) fn report_handled(&mut self, process: usize, sent_at: Timestamp, now: Timestamp) {
+        let it = &mut self.known[process];
+        it.last_report_at = Some(now);
+        it.handled = it.handled.max(Some(BootMillis(sent_at.0)));
+        it.reports.handled(BootMillis(sent_at.0), now);
+    }
+
+    /// Returns whether half of the processes that report have a permission.
+    pub(crate) fn are_permitted(&self, now: Timestamp) -> bool {
+        let alive = || (0..self.known.len()).filter(|it| self.is_alive(*it, now));
+        let is_permitted = |it: &usize| self.known[*it].reports.covered().is_some();
+        alive().count() <= 2 * alive().filter(is_permitted).count()
+    }
+
+    /// Returns whether half of the processes have joined its term.
+    pub(crate) fn is_joined_by_half(&self) -> bool {
+        let joined = self.known.iter().filter(|it| it.last_report_at.is_some()).count();
+        is_joined_by_half(joined, self.known.len())
+    }
+}
