--- a/crates/mustardcove-core/tests/regions_parted.rs
+++ b/crates/mustardcove-core/tests/regions_parted.rs
@@ -234,6 +234,9 @@
         world.store_side = Side::Both;
         let claim_ms = world.rng.random_range(250..1_000);
         world.run(claim_ms);
+        while world.asked_at(0) != Some(world.now) {
+            world.run(50);
+        }
         world.elect_on(PROCESSES - 1);
         world.store_side = Side::Main;
         world.run(10_000);
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -584,6 +584,12 @@
         self.leaders[leader].leadership.as_ref().map(|it| it.process)
     }
 
+    /// Returns when a leader asked the store the question that is under way.
+    pub(crate) fn asked_at(&self, leader: usize) -> Option<Timestamp> {
+        let leadership = self.leaders[leader].leadership.as_ref();
+        leadership.and_then(|it| it.question).map(|it| it.1)
+    }
+
     /// Returns whether a leader reaches the store.
     fn reaches_store(&self, leader: usize) -> bool {
         let side = self.process_of(leader).map(|it| self.processes[it].side);
