Let each end and final state wait for its own submission's record only

Ends were acknowledged and final states published only after a write in which every changed record was stored. A record that the store never accepts kept all of them back. Each now waits for the last change of its own submission; ends of a worker are still acknowledged in order. A start of a suspected task waits for the record of its own submission, too. What the rest of a poll changes in the submission of an end, such as a suspicion that it clears, is stored before that end is acknowledged.

Planner::progress_stored and acknowledge_unchanged become acknowledge_stored; test worlds report each stored record as the node does.

--- a/crates/mustardcove-core/examples/planner_scale.rs
+++ b/crates/mustardcove-core/examples/planner_scale.rs
@@ -262,9 +262,9 @@
         costs.longest_tick = costs.longest_tick.max(tick);
         let (change, records) = self.planner.take_progress();
         for (id, ..) in &records {
-            self.planner.set_progress_revision(*id, change);
+            self.planner.record_stored(*id, change, change);
         }
-        self.planner.progress_stored(change);
+        self.planner.acknowledge_stored();
         for (id, order) in self.planner.take_actions().orders {
             let worker = &mut self.workers[self.index[&id]];
             match order {
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -6,7 +6,9 @@
 //! workers, states to publish and lines for the log. Progress to be stored is
 //! handed out by [`Planner::take_progress`]. An end is acknowledged to its
 //! worker, and a final state published, only once the change that it caused is
-//! stored.
+//! stored. Each waits for the record of its own submission alone, so that a
+//! record which cannot be stored holds back no others, except later ends of the
+//! same worker, since ends are acknowledged in order.
 //!
 //! A run leaves the plan only on evidence: its worker lists its end, omits it
 //! from two polls after confirming it, restarts, or does not answer until
@@ -56,7 +58,7 @@
     tickets::Tickets,
     waits::LongRunningWaits,
     work::{Run, Task, Work, WorkerIndex},
-    workers::{Allocation, Worker, WorkloadKind},
+    workers::{Allocation, UnstoredEnd, Worker, WorkloadKind},
 };
 pub use self::{
     tickets::{TicketReply, TicketRequest},
@@ -205,7 +207,8 @@
     /// Number of the last change that has to be stored.
     change: u64,
     dirty: BTreeSet<SubmissionId>,
-    /// Final states that are published once their change is stored.
+    /// Final states that are published once their submission's changes up to
+    /// the number are stored.
     unpublished: Vec<(u64, SubmissionId, SubmissionState)>,
     /// Cancelled submissions that are not in the plan yet. Records that are
     /// read by key come in another order than they were written.
@@ -631,7 +634,7 @@
     }
 
     /// Records that a progress record is stored as a revision, with the changes
-    /// up to `change`.
+    /// of its submission up to `change`.
     pub fn record_stored(&mut self, id: SubmissionId, revision: u64, change: u64) {
         if let Some(work) = self.work.get_mut(&id) {
             work.progress_revision = revision;
@@ -651,22 +654,24 @@
         self.dirty.insert(id);
     }
 
-    /// Acknowledges the ends and publishes the final states that belong to the
-    /// changes up to `change`, which are now stored.
-    pub fn progress_stored(&mut self, change: u64) {
-        self.suspects.stored(change);
+    /// Acknowledges the ends and publishes the final states that belong to
+    /// changes which are stored. Ends that change nothing, such as those of
+    /// cancelled work, cause no write, so this is also called without one.
+    pub fn acknowledge_stored(&mut self) {
         let unpublished = std::mem::take(&mut self.unpublished);
-        for (needed, id, state) in unpublished {
-            if needed <= change {
+        for (change, id, state) in unpublished {
+            if is_stored(&self.work, id, change) {
                 self.actions.states.push((id, state));
             } else {
-                self.unpublished.push((needed, id, state));
+                self.unpublished.push((change, id, state));
             }
         }
+        let work = &self.work;
         for worker in &mut self.workers {
             let mut through = None;
-            while let Some((number, _)) = worker.unstored_ends.pop_front_if(|it| it.1 <= change) {
-                through = Some(number);
+            let is_end_stored = |it: &mut UnstoredEnd| is_stored(work, it.submission, it.change);
+            while let Some(end) = worker.unstored_ends.pop_front_if(is_end_stored) {
+                through = Some(end.number);
             }
             let (Some(through), Some(incarnation)) = (through, worker.incarnation) else {
                 continue;
@@ -679,13 +684,6 @@
         }
     }
 
-    /// Acknowledges the ends that rest on changes which are stored already. Those
-    /// that change nothing, such as ends of cancelled work, cause no write that
-    /// would acknowledge them.
-    pub fn acknowledge_unchanged(&mut self) {
-        self.progress_stored(self.suspects.stored_change());
-    }
-
     /// Returns what was learned about interference between images.
     pub fn learned_interference(&self) -> LearnedInterference {
         self.interference.learned()
@@ -798,6 +796,15 @@
     fn mark_dirty(&mut self, id: SubmissionId) {
         self.change += 1;
         self.dirty.insert(id);
+        if let Some(work) = self.work.get_mut(&id) {
+            work.last_change = self.change;
+        }
+    }
+
+    /// Returns the number of the last change of a submission, 0 if there was
+    /// none.
+    fn last_change(&self, id: SubmissionId) -> u64 {
+        self.work.get(&id).map_or(0, |it| it.last_change)
     }
 
     /// Ends a submission: its runs are stopped, and the state is published
@@ -867,6 +874,11 @@
     }
 }
 
+/// Returns whether the changes of a submission up to `change` are stored.
+fn is_stored(work: &BTreeMap<SubmissionId, Work>, id: SubmissionId, change: u64) -> bool {
+    change <= work.get(&id).map_or(0, |it| it.stored_change)
+}
+
 /// Counts for the metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlanCounts {
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -6,12 +6,12 @@
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
     UNKNOWN_CHANGE, UnplannedEnd, circuit_breaker, pace,
     work::{Phase, Run, Work, WorkerIndex},
-    workers::{Allocation, WorkloadKind},
+    workers::{Allocation, UnstoredEnd, WorkloadKind},
 };
 use crate::{
     fleet::{
         admission,
-        id::{RunNumber, StepKey, SubmissionId, TaskKey},
+        id::{EndNumber, RunNumber, StepKey, SubmissionId, TaskKey},
         message::{EndKind, EndedRun, Order, PollResult, RunningTask, StartOutcome, WorkerReport},
         submission::SubmissionState,
     },
@@ -143,6 +143,7 @@
         worker.has_listed_all_ends |= !poll.may_lack_ends;
         worker.leases_expire_by = poll.leases_expire_by;
         worker.responsive_since = Some(poll.responsive_since);
+        let seen_end = worker.seen_end;
         for end in &poll.ended {
             if self.workers[index].seen_end < end.number {
                 self.workers[index].seen_end = end.number;
@@ -155,6 +156,7 @@
         }
         self.find_missing_runs(index, &poll, now);
         self.judge_polled(index, poll.incarnation, now);
+        self.require_changes(index, seen_end);
         self.adjust_pace(index, now);
         self.begin_lookups(now);
     }
@@ -233,13 +235,33 @@
             let incarnation = self.workers[index].incarnation;
             let unplanned = UnplannedEnd { worker: index, incarnation, end: end.clone() };
             self.unplanned_ends.entry(id).or_default().push(unplanned);
-            self.workers[index].unstored_ends.push_back((end.number, UNKNOWN_CHANGE));
+            self.await_stored(index, end, UNKNOWN_CHANGE);
             self.lookups.request(id);
             return;
         }
         self.apply_end(index, end, now);
-        let change = self.change;
-        self.workers[index].unstored_ends.push_back((end.number, change));
+        self.await_stored(index, end, self.last_change(id));
+    }
+
+    /// Lets an end be acknowledged once its submission's changes up to `change`
+    /// are stored.
+    fn await_stored(&mut self, index: WorkerIndex, end: &EndedRun, change: u64) {
+        let submission = end.task.step.submission;
+        let unstored = UnstoredEnd { number: end.number, submission, change };
+        self.workers[index].unstored_ends.push_back(unstored);
+    }
+
+    /// Lets the ends after `seen_end` wait for what the rest of the poll has
+    /// changed, too: that a run has ended clears its task of a suspicion.
+    fn require_changes(&mut self, index: WorkerIndex, seen_end: EndNumber) {
+        let new = self.workers[index].unstored_ends.iter_mut().rev();
+        for end in new.take_while(|it| seen_end < it.number) {
+            if let Some(work) = self.work.get(&end.submission)
+                && end.change != UNKNOWN_CHANGE
+            {
+                end.change = work.last_change;
+            }
+        }
     }
 
     /// Records that a worker has started a task of a submission.
@@ -274,14 +296,14 @@
     pub(super) fn resolve_unplanned_ends(&mut self, id: SubmissionId, now: Timestamp) {
         for it in self.unplanned_ends.remove(&id).unwrap_or_default() {
             self.apply_end(it.worker, &it.end, now);
-            let change = self.change;
+            let change = self.last_change(id);
             let worker = &mut self.workers[it.worker];
             if worker.incarnation != it.incarnation {
                 continue;
             }
             let mut unstored = worker.unstored_ends.iter_mut();
-            if let Some(unstored) = unstored.find(|unstored| unstored.0 == it.end.number) {
-                unstored.1 = change;
+            if let Some(unstored) = unstored.find(|unstored| unstored.number == it.end.number) {
+                unstored.change = change;
             }
         }
     }
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -54,7 +54,7 @@
 
 use self::failed_searches::FailedSearches;
 use super::{
-    DecisionKind, Planner,
+    DecisionKind, Planner, is_stored,
     placement::{self, Obstacle},
     rank::Rank,
     schedule::PendingTasks,
@@ -251,8 +251,6 @@
     host_probation: HashMap<HostId, Timestamp>,
     /// Number of workers that crashed.
     crashes: u64,
-    /// The last change up to which those of all submissions are stored.
-    stored_change: u64,
     /// Whether service discovery was read since the hosts were compared.
     is_list_new: bool,
     /// The pools of which under half of the capacity was in use in this round.
@@ -260,16 +258,6 @@
 }
 
 impl Suspects {
-    /// Records that the changes up to `change` are stored.
-    pub(super) fn stored(&mut self, change: u64) {
-        self.stored_change = self.stored_change.max(change);
-    }
-
-    /// Returns the last change up to which those of all submissions are stored.
-    pub(super) fn stored_change(&self) -> u64 {
-        self.stored_change
-    }
-
     /// Records that service discovery was read.
     pub(super) fn listed(&mut self) {
         self.is_list_new = true;
@@ -324,20 +312,13 @@
 impl Planner {
     /// Returns whether a start or a suspected task waits for the store.
     pub(super) fn waits_for_record(&self) -> bool {
-        let is_unstored = |id, change| !self.is_stored(id, change);
+        let is_unstored = |id, change| !is_stored(&self.work, id, change);
         let suspects = &self.suspects;
         suspects.withheld.iter().any(|it| is_unstored(it.step.submission, it.change))
             || (suspects.tasks.iter())
                 .any(|it| is_unstored(it.step.submission, self.suspicion_change(*it)))
     }
 
-    /// Returns whether the changes of a submission up to `change` are stored,
-    /// whether or not those of others are.
-    fn is_stored(&self, id: SubmissionId, change: u64) -> bool {
-        let stored_change = self.work.get(&id).map_or(0, |it| it.stored_change);
-        change <= self.suspects.stored_change.max(stored_change)
-    }
-
     fn suspicion_change(&self, task: TaskKey) -> u64 {
         self.suspicion(task).map_or(0, |it| it.change)
     }
@@ -354,7 +335,7 @@
             return Some(SuspectWait::Withheld);
         }
         let suspicion = self.suspicion(task)?;
-        let wait = if !self.is_stored(task.step.submission, suspicion.change) {
+        let wait = if !is_stored(&self.work, task.step.submission, suspicion.change) {
             SuspectWait::Unstored
         } else if suspicion.is_undecided(now) {
             SuspectWait::Undecided
@@ -663,7 +644,7 @@
         let spec = work.submission.steps.get(usize::from(task.step.step))?;
         let slot = work.task(task)?;
         let suspicion = slot.suspicion.as_ref()?;
-        let is_stored = self.is_stored(task.step.submission, suspicion.change);
+        let is_stored = is_stored(&self.work, task.step.submission, suspicion.change);
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = work.is_known_unstarted || self.is_all_fenced(&work.queue.service, now);
         let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
@@ -873,7 +854,8 @@
             withheld.push((index, incarnation, order));
         }
         let expires_at = now.plus_ms(RECORD_TIMEOUT_MS);
-        let start = WithheldStart { step, change: self.change, expires_at, orders: withheld };
+        let change = self.last_change(step.submission);
+        let start = WithheldStart { step, change, expires_at, orders: withheld };
         self.suspects.withheld.push(start);
     }
 
@@ -881,7 +863,7 @@
     /// for too long or whose worker is no longer as it was.
     fn send_withheld(&mut self, now: Timestamp) {
         for start in std::mem::take(&mut self.suspects.withheld) {
-            let is_stored = self.is_stored(start.step.submission, start.change);
+            let is_stored = is_stored(&self.work, start.step.submission, start.change);
             if !is_stored && now < start.expires_at {
                 self.suspects.withheld.push(start);
                 continue;
@@ -1006,7 +988,7 @@
     /// isolation.
     pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
         let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
-        let is_stored = |it: &Suspicion| self.is_stored(task.step.submission, it.change);
+        let is_stored = |it: &Suspicion| is_stored(&self.work, task.step.submission, it.change);
         self.suspicion(task).is_none_or(|it| is_gang && is_stored(it))
     }
 }
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -39,6 +39,8 @@
     pub(super) is_known_unstarted: bool,
     /// Revision of the progress record, 0 while there is none.
     pub(super) progress_revision: u64,
+    /// The number of its last change.
+    pub(super) last_change: u64,
     /// The last change of the plan up to which its own are stored.
     pub(super) stored_change: u64,
     /// When the planner first learned of it.
@@ -244,6 +246,7 @@
             is_begun: false,
             is_known_unstarted,
             progress_revision: 0,
+            last_change: 0,
             stored_change: 0,
             known_since: now,
         }
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -15,7 +15,7 @@
     placement,
 };
 use crate::{
-    fleet::id::{EndNumber, Incarnation, RunNumber, TaskKey},
+    fleet::id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey},
     id::{FailureDomainId, HostId, WorkerId},
     size::Resources,
     time::Timestamp,
@@ -154,9 +154,8 @@
     pub(super) latency_critical_cpu: u64,
     /// The number of the last end that was processed.
     pub(super) seen_end: EndNumber,
-    /// Ends that may not be acknowledged yet, each with the change that must
-    /// be stored first.
-    pub(super) unstored_ends: VecDeque<(EndNumber, u64)>,
+    /// Ends that may not be acknowledged yet, in order.
+    pub(super) unstored_ends: VecDeque<UnstoredEnd>,
     pub(super) acknowledged_through: EndNumber,
     /// No start before this time, because the worker refused one for lack of
     /// capacity.
@@ -176,6 +175,15 @@
     pub(super) latency_critical: Vec<LatencyCriticalTask>,
 }
 
+/// An end that is acknowledged once its submission's changes are stored.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnstoredEnd {
+    pub(super) number: EndNumber,
+    pub(super) submission: SubmissionId,
+    /// The last change of the submission that must be stored first.
+    pub(super) change: u64,
+}
+
 impl Worker {
     /// Returns a worker that was not polled yet. Leases granted in earlier
     /// terms expire by `earlier_leases_expire_by`.
--- a/crates/mustardcove-core/tests/cut_lists.rs
+++ b/crates/mustardcove-core/tests/cut_lists.rs
@@ -144,6 +144,15 @@
         self.planner.report(&worker().worker, report, self.now);
     }
 
+    /// Stores all pending progress.
+    fn store(&mut self) {
+        let (change, records) = self.planner.take_progress();
+        for (id, _, revision) in records {
+            self.planner.record_stored(id, revision + 1, change);
+        }
+        self.planner.acknowledge_stored();
+    }
+
     /// Lets time pass and the planner plan, and returns its orders.
     fn advance(&mut self, ms: u64) -> Vec<Order> {
         self.now = self.now.plus_ms(ms);
@@ -274,8 +283,7 @@
     let ended = vec![end(1, started[0].0, started[0].1)];
     for _ in 0..3 {
         rig.poll(vec![], ended.clone(), true);
-        let (change, _) = rig.planner.take_progress();
-        rig.planner.progress_stored(change);
+        rig.store();
         let orders = rig.advance(200);
         let is_acknowledged = |it: &Order| matches!(it, Order::AcknowledgeEnds { through, .. } if *through == EndNumber(1));
         assert!(orders.iter().any(is_acknowledged), "{orders:?}");
--- a/crates/mustardcove-core/tests/support/calm_world.rs
+++ b/crates/mustardcove-core/tests/support/calm_world.rs
@@ -362,10 +362,10 @@
         let (change, records) = self.planner.take_progress();
         self.revision += 1;
         for (id, progress, _) in records {
-            self.planner.set_progress_revision(id, self.revision);
+            self.planner.record_stored(id, self.revision, change);
             self.progress.insert(id, (progress, self.revision));
         }
-        self.planner.progress_stored(change);
+        self.planner.acknowledge_stored();
         let stored = self.planner.take_actions();
         actions.orders.extend(stored.orders);
         self.states.extend(actions.states);
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -1659,7 +1659,7 @@
         }
         let planner = &mut self.leaders[leader].planner;
         if !planner.has_progress() {
-            planner.acknowledge_unchanged();
+            planner.acknowledge_stored();
             return;
         }
         let (change, records) = planner.take_progress();
@@ -1671,9 +1671,9 @@
             let known = self.progress.get(&id).map_or(0, |it| it.1);
             assert_eq!(known, revision, "the leader has the current revision of {id}");
             self.progress.insert(id, (progress, self.revision));
-            planner.set_progress_revision(id, self.revision);
+            planner.record_stored(id, self.revision, change);
         }
-        planner.progress_stored(change);
+        planner.acknowledge_stored();
         if self.has_progress {
             self.learned = Some(planner.learned_interference());
         }
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -166,9 +166,9 @@
     pub(crate) fn store(&mut self) {
         let (change, records) = self.planner.take_progress();
         for (id, _, revision) in records {
-            self.planner.set_progress_revision(id, revision + 1);
+            self.planner.record_stored(id, revision + 1, change);
         }
-        self.planner.progress_stored(change);
+        self.planner.acknowledge_stored();
     }
 
     /// Adds workers and polls them.
@@ -200,6 +200,7 @@
                 self.planner.record_stored(id, revision + 1, change);
             }
         }
+        self.planner.acknowledge_stored();
     }
 
     /// Has a worker answer as another incarnation, in which `running` runs.
--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -59,9 +59,9 @@
     let mut suspects = Vec::new();
     for (id, progress, revision) in records {
         suspects.extend(progress.suspects);
-        rig.planner.set_progress_revision(id, revision + 1);
+        rig.planner.record_stored(id, revision + 1, change);
     }
-    rig.planner.progress_stored(change);
+    rig.planner.acknowledge_stored();
     suspects
 }
 
--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -40,8 +40,13 @@
 /// Stores all progress, and returns the suspected tasks among it.
 fn store(rig: &mut Rig) -> Vec<SuspectTask> {
     let (change, records) = rig.planner.take_progress();
-    rig.planner.progress_stored(change);
-    records.into_iter().flat_map(|it| it.1.suspects).collect()
+    let mut suspects = Vec::new();
+    for (id, progress, revision) in records {
+        suspects.extend(progress.suspects);
+        rig.planner.record_stored(id, revision + 1, change);
+    }
+    rig.planner.acknowledge_stored();
+    suspects
 }
 
 /// Plans and stores until a start is ordered.
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -174,6 +174,9 @@
     results: mpsc::UnboundedSender<TaskResult>,
     is_flushing: bool,
     flush_at: Timestamp,
+    /// Submissions whose records the store rejected, each with the time at
+    /// which its record is written again.
+    rejected_records: BTreeMap<SubmissionId, Timestamp>,
     confirmation: Confirmation,
     /// Whether the term was confirmed at the last heartbeat.
     was_confirmed: bool,
@@ -223,6 +226,7 @@
         results,
         is_flushing: false,
         flush_at: now,
+        rejected_records: BTreeMap::new(),
         confirmation: Confirmation::new(claim.sent_at, claim.sent_boot),
         was_confirmed: true,
         logged_expiry: false,
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -28,6 +28,9 @@
 const URGENT_FLUSH_INTERVAL_MS: u64 = 25;
 /// Pause after a failed write, in milliseconds.
 const FLUSH_RETRY_MS: u64 = 250;
+/// Time after which a record that the store rejected is written again, in
+/// milliseconds. It may be smaller then, or the store may accept more.
+const REJECTED_RETRY_MS: u64 = 5_000;
 /// Progress records, each with the revision that it replaces.
 type Records = Vec<(SubmissionId, ProgressRecord, u64)>;
 
@@ -40,6 +43,8 @@
     /// Records that are not known to be stored, with their current revisions if
     /// these are known.
     failed: Vec<(SubmissionId, Option<u64>)>,
+    /// Records that the store does not accept.
+    rejected: Vec<SubmissionId>,
     /// Whether the leader record has changed, so that another process leads.
     is_superseded: bool,
 }
@@ -54,12 +59,17 @@
         if self.is_flushing || !is_due {
             return;
         }
-        if !self.planner.has_progress() {
-            self.planner.acknowledge_unchanged();
+        for (id, _) in self.rejected_records.extract_if(.., |_, retry_at| *retry_at <= now) {
+            self.planner.progress_failed(id);
+        }
+        let (change, mut records) = self.planner.take_progress();
+        // The others become part of a later write, whether or not they change.
+        records.retain(|it| !self.rejected_records.contains_key(&it.0));
+        if records.is_empty() {
+            self.planner.acknowledge_stored();
             return;
         }
         self.is_flushing = true;
-        let (change, records) = self.planner.take_progress();
         let (shared, results, term) = (self.shared.clone(), self.results.clone(), self.term);
         tokio::spawn(async move {
             let result = write_all(&shared, term, change, records).await;
@@ -98,11 +108,13 @@
         for (id, revision) in &result.stored {
             self.planner.record_stored(*id, *revision, result.change);
         }
-        if result.failed.is_empty() {
-            self.planner.progress_stored(result.change);
-            return;
+        self.planner.acknowledge_stored();
+        for id in result.rejected {
+            self.rejected_records.insert(id, now.plus_ms(REJECTED_RETRY_MS));
+        }
+        if !result.failed.is_empty() {
+            self.flush_at = now.plus_ms(FLUSH_RETRY_MS);
         }
-        self.flush_at = now.plus_ms(FLUSH_RETRY_MS);
         for (id, revision) in result.failed {
             if let Some(revision) = revision {
                 self.planner.set_progress_revision(id, revision);
@@ -125,12 +137,14 @@
         change,
         stored: Vec::new(),
         failed: Vec::new(),
+        rejected: Vec::new(),
         is_superseded: written.is_superseded,
     };
     for ((id, ..), outcome) in records.iter().zip(written.outcomes) {
         match outcome {
             RowOutcome::Stored(revision) => result.stored.push((*id, revision)),
             RowOutcome::Conflict(revision) => result.failed.push((*id, Some(revision))),
+            RowOutcome::Rejected => result.rejected.push(*id),
             RowOutcome::Unknown => result.failed.push((*id, None)),
         }
     }
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -177,7 +177,7 @@
                     self.roster.not_stored(write.segment, Some(revision));
                     self.store_roster_at = now.plus_ms(ROSTER_RETRY_MS);
                 }
-                RowOutcome::Unknown => {
+                RowOutcome::Rejected | RowOutcome::Unknown => {
                     self.roster.not_stored(write.segment, None);
                     self.store_roster_at = now.plus_ms(ROSTER_RETRY_MS);
                 }
