Acknowledge ends whose rows name no task of ours

A worker lists 500 ends at a time. Rows whose task name cannot be read were left out of the answer and so never acknowledged: 500 of them hid later ends for good. Such a row with a readable number is now passed on as an end of the kind Foreign, which has no effect and is acknowledged in order. Rows without a readable number still cannot be acknowledged by themselves.

That is right by PROTOCOL.md: every task's name has the form ID.K.STEP.INDEX, and nobody but the system starts tasks on these workers, so a malformed row cannot be the end of a task of ours. An acknowledgement only lets the worker forget ends up to a number. Since a damaged row may have a wrong number, which would hide the ends below it, the row counts only if its number is the next one or the first that the leader hears.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -339,6 +339,8 @@
     GangBroken,
     /// The other members of its gang did not start in time.
     GangIncomplete,
+    /// Its row names no task of ours, so that only its number means anything.
+    Foreign,
 }
 
 /// The outcome of a start.
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -145,7 +145,8 @@
         worker.responsive_since = Some(poll.responsive_since);
         let seen_end = worker.seen_end;
         for end in &poll.ended {
-            if self.workers[index].seen_end < end.number {
+            let worker = &self.workers[index];
+            if worker.seen_end < end.number && is_next(end, worker.seen_end) {
                 self.workers[index].seen_end = end.number;
                 self.run_ended(index, end, now);
             }
@@ -220,6 +221,10 @@
 
     /// Handles an end that was not processed before.
     fn run_ended(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
+        if end.kind == EndKind::Foreign {
+            self.await_stored(index, end, 0);
+            return;
+        }
         let key = (index, end.task, end.run);
         self.stops.remove(&key);
         self.unconfirmed.remove(&key);
@@ -282,7 +287,8 @@
             EndKind::Stopped
             | EndKind::LeaseExpired
             | EndKind::GangBroken
-            | EndKind::GangIncomplete => {
+            | EndKind::GangIncomplete
+            | EndKind::Foreign => {
                 if self.is_current(index, end.task, end.run) {
                     self.requeue(index, end.task, end.checkpoint.clone(), now);
                 }
@@ -728,3 +734,13 @@
     let estimate_ms = estimate_ms.saturating_mul(STALL_ESTIMATE_PERCENT) / pace_percent;
     estimate_ms.saturating_add(STALL_TIMEOUT_MS)
 }
+
+/// Returns whether an end may follow the last one that was processed. A row that
+/// names no task of ours may be damaged, so it counts only if its number is the
+/// next one, or the first that is heard: a wrong number would hide the ends
+/// below it.
+fn is_next(end: &EndedRun, seen_end: EndNumber) -> bool {
+    end.kind != EndKind::Foreign
+        || seen_end == EndNumber::default()
+        || end.number.0 == seen_end.0 + 1
+}
--- a/crates/mustardcove-core/tests/cut_lists.rs
+++ b/crates/mustardcove-core/tests/cut_lists.rs
@@ -15,6 +15,7 @@
         message::{EndKind, EndedRun, Order, PollResult, RunningTask, StartOutcome, WorkerReport},
         planner::{Planner, WorkerListing},
         poller::{MAX_ORPHAN_LEASE_MS, PollWait, WorkerPoller},
+        submission::SubmissionState::Completed,
     },
     time::Timestamp,
 };
@@ -290,6 +291,58 @@
     }
 }
 
+/// Returns the end of something that is no task of ours.
+fn foreign(number: u64) -> EndedRun {
+    EndedRun { kind: EndKind::Foreign, ..end(number, TaskKey::MIN, RunNumber(0)) }
+}
+
+/// Returns through which end a worker was told that ends are acknowledged.
+fn acknowledged(orders: &[Order]) -> Option<u64> {
+    let through = |it: &Order| match it {
+        Order::AcknowledgeEnds { through, .. } => Some(through.0),
+        _ => None,
+    };
+    orders.iter().filter_map(through).max()
+}
+
+/// Guards against ends that stay hidden for good behind a full list of rows
+/// that name no task of ours: those are acknowledged like others, in order.
+#[test]
+fn foreign_ends() {
+    for claims in [1, 2] {
+        let mut rig = CutPlanner::new(claims, START);
+        rig.poll(vec![], vec![], false);
+        rig.planner.submit(submission(1, vec![step(1, 500, &[])], START), true, START);
+        let started = rig.started(0);
+        let first = if claims == 1 { 1 } else { 700 };
+        let listed: Vec<EndedRun> = (first..first + 500).map(foreign).collect();
+        rig.poll(vec![], listed, true);
+        rig.store();
+        assert_eq!(acknowledged(&rig.advance(200)), Some(first + 499));
+        let own = end(first + 500, started[0].0, started[0].1);
+        rig.poll(vec![], vec![own, foreign(first + 501)], false);
+        assert_eq!(acknowledged(&rig.advance(200)), None, "the end is not stored");
+        rig.store();
+        assert_eq!(acknowledged(&rig.advance(200)), Some(first + 501));
+        assert_eq!(rig.planner.published_states(), [(SubmissionId(1), Completed)]);
+    }
+}
+
+/// A row with a wrong number, which names no task of ours either, hides no end
+/// below that number.
+#[test]
+fn foreign_number() {
+    let mut rig = CutPlanner::new(1, START);
+    rig.poll(vec![], vec![], false);
+    rig.planner.submit(submission(1, vec![step(2, 500, &[])], START), true, START);
+    let started = rig.started(0);
+    rig.poll(vec![], vec![end(1, started[0].0, started[0].1), foreign(1 << 40)], false);
+    rig.poll(vec![], vec![end(2, started[1].0, started[1].1), foreign(1 << 40)], false);
+    rig.store();
+    assert_eq!(acknowledged(&rig.advance(200)), Some(2));
+    assert_eq!(rig.planner.published_states(), [(SubmissionId(1), Completed)]);
+}
+
 /// The next poll of a worker with more ends than it lists is not held: what it
 /// acknowledges makes the worker list the others.
 #[test]
