--- a/crates/mustardcove-core/tests/leader_confirmation.rs
+++ b/crates/mustardcove-core/tests/leader_confirmation.rs
@@ -242,7 +242,8 @@
     assert_eq!(rig.plan().len(), 8);
     let orphaned_until = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
     rig.planner.poller_lost([&first], orphaned_until);
-    assert!(MAX_START_LEASE_MS < MAX_ORPHAN_LEASE_MS, "or a start would not shorten the wait");
+    // Otherwise a start would not shorten the wait.
+    const { assert!(MAX_START_LEASE_MS < MAX_ORPHAN_LEASE_MS) }
     // Another poller reaches the worker, and the leader starts work there.
     rig.advance(200);
     let task = *rig.workers[&first].running.keys().next().expect("a run");
--- a/crates/mustardcove-node/tests/fault_soak.rs
+++ b/crates/mustardcove-node/tests/fault_soak.rs
@@ -11,7 +11,6 @@
 //! never failed.
 
 #[path = "support/proxy.rs"]
-#[expect(dead_code, reason = "shared with the tests of cut-off regions")]
 mod proxy;
 #[path = "support/rig.rs"]
 #[expect(dead_code, reason = "shared with the tests of the whole path")]
--- a/crates/mustardcove-node/tests/region_cut.rs
+++ b/crates/mustardcove-node/tests/region_cut.rs
@@ -5,6 +5,8 @@
 //! seeds, as in `100,50`; without it, one short seed is played.
 //! `MUSTARDCOVE_REGION_CUT_MS` sets the length of all of its cuts.
 
+#![expect(clippy::print_stdout, reason = "a soak tells what each of its seeds played")]
+
 #[path = "support/proxy.rs"]
 #[expect(dead_code, reason = "shared with the fault soak")]
 mod proxy;
--- a/crates/mustardcove-node/tests/superseded_leader.rs
+++ b/crates/mustardcove-node/tests/superseded_leader.rs
@@ -1,6 +1,7 @@
 //! A leader that hears of its successor from another process than the store.
 
 #[path = "support/local.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
 mod local;
 
 use std::time::Duration;
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -74,8 +74,12 @@
         reports: vec![(worker.clone(), WorkerReport::Polled(polled))],
     };
     let order = Order::Stop { task, run: RunNumber(3) };
-    let orders =
-        FleetMessage::Orders { term: Term(4), handled: None, orders: vec![(worker, order)] };
+    let orders = FleetMessage::Orders {
+        term: Term(4),
+        handled: None,
+        covered: None,
+        orders: vec![(worker, order)],
+    };
     let joined = FleetMessage::Joined(ProcessRecord {
         process: "node-1.17".parse().unwrap(),
         name: "node-1".to_owned(),
