Start submissions that others may have told a leader of only after a confirmation

A submission that was sent again to another process, or asked about there, could be told to a leader that had been replaced and did not know it, while its successor had started it already. Likewise a submission that was written before the present term counted as unknown to earlier leaders.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -252,7 +252,7 @@
                 Phase::Done => {}
             }
         }
-        let is_fenced = work.is_known_unstarted || self.is_all_fenced(&work.queue.service, now);
+        let is_fenced = self.may_start_work(work, now);
         // Writing to a string cannot fail.
         let _ = write!(
             text,
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -345,6 +345,16 @@
                 || (self.is_fleet_complete && self.workers.iter().all(is_fenced)))
     }
 
+    /// Returns whether no other leader's run of a submission can be under way or
+    /// have ended unseen.
+    ///
+    /// One that may have been told to others first starts only once this leader
+    /// was confirmed after it learned of it: a successor may have started it.
+    pub(super) fn may_start_work(&self, work: &Work, now: Timestamp) -> bool {
+        work.is_known_unstarted
+            || (self.is_past(work.known_since, now) && self.is_all_fenced(&work.queue.service, now))
+    }
+
     fn place(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|it| it.rank);
@@ -596,7 +606,7 @@
     ) -> Option<PendingTasks> {
         let work = self.work.get(&key.submission)?;
         let spec = &work.submission.steps[usize::from(key.step)];
-        if !work.is_known_unstarted && !self.is_all_fenced(&work.queue.service, now) {
+        if !self.may_start_work(work, now) {
             return None;
         }
         let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -646,7 +646,7 @@
         let suspicion = slot.suspicion.as_ref()?;
         let is_stored = is_stored(&self.work, task.step.submission, suspicion.change);
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
-        let is_fenced = work.is_known_unstarted || self.is_all_fenced(&work.queue.service, now);
+        let is_fenced = self.may_start_work(work, now);
         let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
         if spec.is_gang || !slot.is_waiting() || !may_start {
             return None;
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -306,7 +306,7 @@
             };
             return Some(reason);
         }
-        if !work.is_known_unstarted && !self.is_all_fenced(&work.queue.service, now) {
+        if !self.may_start_work(work, now) {
             return Some(Reason::Fence);
         }
         if now < slot.not_before {
--- a/crates/mustardcove-core/tests/leader_confirmation.rs
+++ b/crates/mustardcove-core/tests/leader_confirmation.rs
@@ -183,6 +183,21 @@
     assert_eq!(rig.plan().len(), 2);
 }
 
+/// A submission that another process may have told a successor starts only once
+/// the leader is confirmed after it has learned of it.
+#[test]
+fn second_hand() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000)]);
+    rig.planner.set_confirmed(rig.now, true);
+    rig.advance(100);
+    rig.planner.submit(submission(1, vec![step(1, 500, &[])], rig.now), false, rig.now);
+    assert!(rig.plan().is_empty(), "a successor may have started it");
+    rig.planner.set_confirmed(rig.now.minus_ms(1), true);
+    assert!(rig.plan().is_empty(), "asked for before it was heard of");
+    rig.planner.set_confirmed(rig.now, true);
+    assert_eq!(rig.plan().len(), 1);
+}
+
 /// A worker that is silent to a leader that may have been replaced may run its
 /// work under a successor.
 #[test]
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -10,7 +10,7 @@
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
 use mustardcove_core::{
     fleet::{
-        id::SubmissionId,
+        id::{SubmissionId, Term},
         message::{FleetMessage, StoreChange, StoreOutcome},
         record::{
             self, CANCEL_PREFIX, PROGRESS_PREFIX, ProgressRecord, SUBMISSION_PREFIX,
@@ -55,6 +55,8 @@
     change: &StoreChange,
     deadline: Timestamp,
 ) -> StoreOutcome {
+    // A leader of an earlier term may learn of the change once it is written.
+    let term = shared.leadership.borrow().term;
     let mut may_be_stored = false;
     let mut failures = 0;
     let mut pause = RETRY_PAUSE;
@@ -68,7 +70,7 @@
                 shared.store_answered();
                 return match written {
                     Written::Now | Written::Earlier => {
-                        announce(shared, change, written == Written::Now);
+                        announce(shared, change, (written == Written::Now).then_some(term));
                         StoreOutcome::Stored
                     }
                     Written::NoSuchSubmission => StoreOutcome::NoSuchSubmission,
@@ -128,13 +130,13 @@
 }
 
 /// Records a stored change for callers of this process, and puts it into the
-/// outbox for the leader. `is_new` states that no other process can have told
-/// a leader of it.
-fn announce(shared: &Shared, change: &StoreChange, is_new: bool) {
+/// outbox for the leader. `written_in` is the term known before it was written,
+/// if no other process can have told a leader of it.
+fn announce(shared: &Shared, change: &StoreChange, written_in: Option<Term>) {
     match change {
         StoreChange::Submit(submission) => {
             shared.states().record(submission.id, SubmissionState::Queued);
-            shared.outbox.add_submission(submission.clone(), is_new);
+            shared.outbox.add_submission(submission.clone(), written_in);
         }
         StoreChange::Cancel(id) => {
             shared.states().record(*id, SubmissionState::Cancelled);
@@ -195,7 +197,7 @@
     if !state.is_final()
         && let Some(submission) = decode_submission(shared, &item)
     {
-        shared.outbox.add_submission(submission, false);
+        shared.outbox.add_submission(submission, None);
     }
     shared.states().record(id, state);
     Ok(Some(state))
--- a/crates/mustardcove-node/src/outbox.rs
+++ b/crates/mustardcove-node/src/outbox.rs
@@ -21,9 +21,8 @@
 #[derive(Debug)]
 struct Unacknowledged {
     submission: Arc<Submission>,
-    /// Whether only this process can have told a leader of it.
-    is_new: bool,
-    /// The first term whose leader was sent the submission.
+    /// The only term whose leader can have learned of it; `None` if others can
+    /// have.
     first_term: Option<Term>,
 }
 
@@ -46,14 +45,12 @@
         lock(&self.content)
     }
 
-    /// Adds a submission unless it was added before. `is_new` states that only
-    /// this process can have told a leader of it.
-    pub fn add_submission(&self, submission: Arc<Submission>, is_new: bool) {
-        self.lock().submissions.entry(submission.id).or_insert(Unacknowledged {
-            submission,
-            is_new,
-            first_term: None,
-        });
+    /// Adds a submission unless it was added before. `written_in` is the term
+    /// that this process knew before it wrote the submission; `None` if other
+    /// processes can have told a leader of it.
+    pub fn add_submission(&self, submission: Arc<Submission>, written_in: Option<Term>) {
+        let entry = Unacknowledged { submission, first_term: written_in };
+        self.lock().submissions.entry(entry.submission.id).or_insert(entry);
         self.added.notify_one();
     }
 
@@ -84,14 +81,12 @@
 
     /// Returns messages with all entries for the leader of a term.
     pub fn messages(&self, term: Term) -> Vec<FleetMessage> {
-        let mut content = self.lock();
+        let content = self.lock();
         let mut messages = Vec::new();
         if !content.submissions.is_empty() {
-            let submitted = content.submissions.values_mut().map(|it| {
-                let first_term = *it.first_term.get_or_insert(term);
-                let submission = it.submission.clone();
-                let may_have_started = !it.is_new || first_term != term;
-                Submitted { submission, may_have_started }
+            let submitted = content.submissions.values().map(|it| Submitted {
+                submission: it.submission.clone(),
+                may_have_started: it.first_term != Some(term),
             });
             messages.push(FleetMessage::Submitted(submitted.collect()));
         }
--- a/crates/mustardcove-node/tests/stored_changes.rs
+++ b/crates/mustardcove-node/tests/stored_changes.rs
@@ -13,7 +13,7 @@
     record::{self, SUBMISSION_PREFIX},
     submission::{StepSpec, Submission, SubmissionState},
 };
-use mustardcove_node::durable;
+use mustardcove_node::{durable, shared::Leadership};
 
 const ID: SubmissionId = SubmissionId(0xc1);
 
@@ -72,6 +72,7 @@
 #[tokio::test]
 async fn new_submission_has_not_started() {
     let local = Local::start().await;
+    local.shared.leadership.send_replace(Leadership { term: Term(1), leader: None });
     let deadline = local.shared.now().plus_ms(2_000);
     let change = StoreChange::Submit(submission());
     durable::store_directly(&local.shared, &change, deadline).await;
