Permit a returning process nothing before its new assignment

A process that was lost and reports again could receive a heartbeat with a fresh permission before the message that takes its workers away, and extend leases that count as expired from its loss. Heartbeats and orders permit only processes of the last assignment.

--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -190,9 +190,11 @@
     }
 
     /// Returns the newest report of a process that was handled before the
-    /// leader was last confirmed.
+    /// leader was last confirmed. A process that was lost is permitted nothing
+    /// until workers are assigned to it again: it may still poll others.
     pub(super) fn covered(&self, process: &ProcessId) -> Option<BootMillis> {
-        self.processes.get(process).and_then(|it| it.reports.covered())
+        let it = self.processes.get(process).filter(|_| self.basis.pollers.contains(process))?;
+        it.reports.covered()
     }
 
     /// Records from when on the leader's permission counts.
