Keep the earlier end of the wait for earlier leaders

Half of the processes may join after the longest time that most of them keep an earlier leader. The wait for its leases then began anew; both bounds hold, so the smaller one counts.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -161,6 +161,9 @@
     roster: Roster,
     /// Whether half of the processes have joined this term.
     is_joined: bool,
+    /// When the leases of earlier leaders have expired on workers that were not
+    /// polled in this term.
+    unfenced_leases_expire_by: Timestamp,
     /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
     listed_at: Timestamp,
@@ -210,6 +213,8 @@
     let now = shared.now();
     let manifest = shared.manifest().unwrap_or_default();
     let earlier_leases_expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+    // Until half of the processes have joined, most may obey an earlier leader.
+    let unfenced_leases_expire_by = earlier_leases_expire_by.plus_ms(MAX_STORELESS_MS);
     let mut leader = Leader {
         shared: shared.clone(),
         term,
@@ -217,6 +222,7 @@
         pollers: Pollers::new(shared.clone(), term),
         roster: Roster::default(),
         is_joined: false,
+        unfenced_leases_expire_by,
         listed: Vec::new(),
         listed_at: now,
         unanswered: Vec::new(),
@@ -238,8 +244,6 @@
         is_behind: false,
         end_reason: None,
     };
-    // Until half of the processes have joined, most may obey an earlier leader.
-    let unfenced_leases_expire_by = earlier_leases_expire_by.plus_ms(MAX_STORELESS_MS);
     leader.planner.set_unfenced_leases_expire_by(unfenced_leases_expire_by);
     let _tasks = match leader.take_over().await {
         Ok(tasks) => tasks,
@@ -619,7 +623,8 @@
         self.planner.set_confirmed(self.confirmation.sole_through(), may_start);
         if !self.is_joined && self.pollers.is_joined_by_half() {
             self.is_joined = true;
-            self.planner.set_unfenced_leases_expire_by(now.plus_ms(MAX_ORPHAN_LEASE_MS));
+            let expire_by = self.unfenced_leases_expire_by.min(now.plus_ms(MAX_ORPHAN_LEASE_MS));
+            self.planner.set_unfenced_leases_expire_by(expire_by);
         }
     }
 
