Bind permissions to their term, and date pending counts by what was handled

A process that had joined a successor extended leases in the earlier term under the new permission until it was assigned workers. The numbers of pending submissions were dated by the arrival of a heartbeat, so those of a replaced leader lasted up to 3.7 s. They are now at most 2 s old by the report that the leader had handled before it was confirmed.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -580,9 +580,7 @@
     fn send_heartbeat(&mut self) {
         let now = self.shared.now();
         self.update_confirmation(now);
-        // A successor may have accepted others.
-        let may_count = self.is_restored && self.was_confirmed;
-        let pending = may_count.then(|| self.planner.pending());
+        let pending = self.is_restored.then(|| self.planner.pending());
         let reaching_store = self.pollers.reaching_store(now);
         let heartbeat = Heartbeat {
             term: self.term,
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -188,7 +188,7 @@
 
     /// Polls the worker once. Returns whether it answered.
     async fn poll(&self) -> bool {
-        let may_extend = self.shared.may_extend_leases();
+        let may_extend = self.shared.may_extend_leases(self.target.term);
         let sent_at = self.shared.now();
         let next = self.state().next_poll(may_extend, sent_at);
         let call = PollCall {
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -36,9 +36,8 @@
 use crate::{metrics::NodeMetrics, outbox::Outbox};
 
 /// Age up to which the numbers of pending submissions are given to callers, in
-/// milliseconds. Users accept numbers that are two seconds old; the rest is for
-/// the age of the leader's numbers and their transfer.
-const PENDING_VALID_MS: u64 = 1_500;
+/// milliseconds, which is as old as users accept.
+const PENDING_VALID_MS: u64 = 2_000;
 
 /// The leader, as far as this process knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -61,7 +60,10 @@
     /// Pending submissions by queue (host and prefix), from the last heartbeat
     /// that held these numbers.
     pending: BTreeMap<(String, String), u32>,
-    pending_at: BootMillis,
+    /// When the newest report was sent that the leader had handled before it
+    /// was confirmed and counted: the numbers are at most as old, and of a
+    /// leader that had no successor then.
+    pending_at: Option<BootMillis>,
     /// Processes that reached the store recently.
     pub reaching_store: Vec<ProcessId>,
 }
@@ -240,7 +242,7 @@
         if let Some(pending) = heartbeat.pending {
             let by_queue = pending.into_iter().map(|(host, prefix, n)| ((host, prefix), n));
             last.pending = by_queue.collect();
-            last.pending_at = boot_now();
+            last.pending_at = heartbeat.covered;
         }
         drop(last);
         let is_same_region = heartbeat.region == self.settings.region;
@@ -251,14 +253,18 @@
     /// number from the leader is too old.
     pub fn pending(&self, host: &str, prefix: &str) -> Option<u32> {
         let heartbeat = self.last_heartbeat();
-        let is_fresh = boot_now().ms_since(heartbeat.pending_at) < PENDING_VALID_MS;
+        let age_ms = boot_now().ms_since(heartbeat.pending_at?);
+        let is_fresh = age_ms < PENDING_VALID_MS;
         let key = (host.to_owned(), prefix.to_owned());
         is_fresh.then(|| heartbeat.pending.get(&key).copied().unwrap_or(0))
     }
 
-    /// Returns whether leases at workers may be extended.
-    pub fn may_extend_leases(&self) -> bool {
-        self.last_heartbeat().permission.is_valid(boot_now())
+    /// Returns whether leases at workers may be extended for the leader of a
+    /// term.
+    pub fn may_extend_leases(&self, term: Term) -> bool {
+        let heartbeat = self.last_heartbeat();
+        let is_of_term = heartbeat.sent_at.is_some_and(|it| it.0 == term);
+        is_of_term && heartbeat.permission.is_valid(boot_now())
     }
 
     /// Returns when the leader of a term sent its last heartbeat, on its clock.
