Test that a line about a wait names no silent or unlisted worker

The preference for workers that are up came with; only the case of a draining worker had a test. Without that preference the new test fails.

--- a/crates/mustardcove-core/tests/long_running_waits.rs
+++ b/crates/mustardcove-core/tests/long_running_waits.rs
@@ -95,6 +95,32 @@
     }
 }
 
+/// The same for a worker that is silent, and for one that service discovery does
+/// not list although it answers.
+#[test]
+fn silent_or_unlisted_worker() {
+    for is_silent in [true, false] {
+        let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000), ("w2", 9_000)]);
+        let gone = rig.listings[2].worker.clone();
+        if is_silent {
+            rig.workers.remove(&gone);
+            let silent = WorkerReport::PollFailed { leases_expire_by: None, is_silent };
+            rig.planner.report(&gone, silent, rig.now);
+        } else {
+            rig.listings.pop();
+            rig.planner.update_workers(rig.listings.clone(), true);
+        }
+        rig.submit(submission(1, vec![long_running(2, 3_500)], START));
+        assert_eq!(rig.plan().len(), 2);
+        rig.submit(submission(2, vec![long_running(1, 1_000)], START));
+        let lines = run(&mut rig, 4_000);
+        assert_eq!(lines.len(), 1, "silent: {is_silent}: {lines:?}");
+        for part in ["for=capacity nearest=w0 obstacle=no_capacity", "with_capacity=-"] {
+            assert!(lines[0].replace("run_at=- ", "").contains(part), "{lines:?}");
+        }
+    }
+}
+
 /// A suspected task whose record is stored waits for a worker that can be isolated,
 /// not for its record, also while that of another submission cannot be stored.
 #[test]
