Date acknowledgements and incarnations by when was asked

Callers saw tasks that had ended done run again (TWICE). A process that was frozen read, after it woke, the answer of an earlier life of a worker, took it for new, and acknowledged ends by its numbers; the worker's next life, under the same id and with numbers that start over, forgot ends that nobody had seen. X-Expected-Instance names the id only. The process also took the beginning of an incarnation for later than it was, and forgot a lease on the clock before.

Cause: WorkerPoller and WorkerLease dated an answer by when it was handled. An acknowledgement was valid for 1 s from then, and could be sent a second later.

Change: the poller keeps when it asked, on the boot clock, too. A poll acknowledges ends only within ACK_VALID_MS of the earliest time at which the worker may have given its last answer, and the call is not handed to a connection after that. For a held poll the earliest time follows from the worker's clock, so that acknowledgements don't wait. If the answer is too old, the next poll is not held. What the worker has acknowledged is not sent again. The beginning of an incarnation is reckoned from when the poll was asked for; the end of a lease stays reckoned from when its answer was handled, which is the safe side.

A call that was not sent because its acknowledgement had become too old is sent again without it, and does not count as a failed poll.

--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -46,10 +46,12 @@
 /// is dropped, in milliseconds, so that a poller that was paused sends nothing
 /// outdated.
 pub const ORDER_VALID_MS: u64 = 1_000;
-/// Time after the worker's last answer in which ends may be acknowledged, in
-/// milliseconds: less than a restart takes, since the numbers of ends start
-/// over in the worker's next incarnation.
-pub const ACK_VALID_MS: u64 = 1_000;
+/// Time after the worker's last answer in which a poll that acknowledges ends
+/// may be sent, in milliseconds: less than a restart takes, since the numbers of
+/// ends start over in the worker's next incarnation, and `X-Expected-Instance`
+/// names only the worker. It counts from when the worker may have answered, and
+/// a connection that was made within it leads to the same incarnation.
+pub const ACK_VALID_MS: u64 = 400;
 /// Longest time for which a worker keeps a lease, whatever the end that it is
 /// told, in milliseconds: the longest of all platforms.
 pub const WORKER_MAX_LEASE_MS: u64 = 10_000;
@@ -151,11 +153,23 @@
 }
 
 impl WorkerLease {
-    /// Records an answer of an incarnation of the worker.
-    pub fn record_answer(&mut self, incarnation: Incarnation, clock_ms: u64, now: Timestamp) {
+    /// Records an answer of an incarnation of the worker, which was asked for at
+    /// `asked_at`.
+    ///
+    /// The worker may have answered at any time in between. Each use takes the
+    /// end that is safe: a lease on the worker's clock is taken to last for the
+    /// longest if the clock was read now, and an incarnation began no earlier
+    /// than if it was read when it was asked for.
+    pub fn record_answer(
+        &mut self,
+        incarnation: Incarnation,
+        clock_ms: u64,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) {
         if self.incarnation != incarnation {
             self.incarnation = incarnation;
-            let began = now.minus_ms(on_slowest_clock(clock_ms));
+            let began = asked_at.minus_ms(on_slowest_clock(clock_ms));
             let may_hold = self.granted_at.is_some_and(|it| began <= it.plus_ms(MAX_CALL_DELAY_MS));
             let longest = if may_hold { clock_ms + WORKER_MAX_LEASE_MS } else { 0 };
             self.granted_until = self.granted_until.min(longest);
@@ -173,12 +187,6 @@
         Some(until)
     }
 
-    /// Returns whether the last answer is so recent that the worker cannot
-    /// have restarted since.
-    fn is_fresh(&self, now: Timestamp) -> bool {
-        self.answer.is_some_and(|(_, at)| now.ms_since(at) < ACK_VALID_MS)
-    }
-
     /// Returns the time by which every lease granted here has expired; `None`
     /// if none was granted. It does not move while the worker does not answer.
     pub fn expires_by(&self) -> Option<Timestamp> {
@@ -197,14 +205,17 @@
     pub acknowledge_through: EndNumber,
     /// How long the worker may hold the call.
     pub wait: PollWait,
+    /// The call is not sent from this time on.
+    pub send_by: Timestamp,
 }
 
 /// How long a worker may hold a poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollWait {
     /// It answers at once: it did not answer the last poll, may have more ends
-    /// than it listed, or has just confirmed a stop, or the leader has not
-    /// confirmed its answers.
+    /// than it listed, or has just confirmed a stop, the leader has not
+    /// confirmed its answers, or ends are to be acknowledged and its last answer
+    /// is too old for that.
     None,
     /// Until a run ends or the lease has to be renewed.
     Busy,
@@ -213,6 +224,40 @@
     Idle,
 }
 
+/// A time of a process, on both of its clocks.
+#[derive(Clone, Copy, Debug)]
+struct AskedAt {
+    now: Timestamp,
+    boot: BootMillis,
+}
+
+/// An answer of a worker: its clock, and the earliest time at which it may have
+/// shown that.
+#[derive(Clone, Copy, Debug)]
+struct Answered {
+    clock_ms: u64,
+    earliest: BootMillis,
+}
+
+impl Answered {
+    /// Returns what an answer shows that was asked for at `asked` and handled at
+    /// `now`, given the answer of the same incarnation before it.
+    ///
+    /// A worker may hold a poll for seconds before it answers. How long it did is
+    /// taken from its clock, which is not faster than `100 / SLOWEST_CLOCK_PERCENT`
+    /// of true time: the answer came no earlier than that long after the one
+    /// before, and no earlier than it was asked for.
+    fn new(asked: AskedAt, clock_ms: u64, before: Option<Answered>, now: Timestamp) -> Answered {
+        let latest = asked.boot.plus_ms(now.ms_since(asked.now));
+        let by_clock = before.map(|it| {
+            let passed_ms = clock_ms.saturating_sub(it.clock_ms);
+            it.earliest.plus_ms(passed_ms.saturating_mul(SLOWEST_CLOCK_PERCENT) / 100)
+        });
+        let earliest = by_clock.map_or(asked.boot, |it| it.max(asked.boot)).min(latest);
+        Answered { clock_ms, earliest }
+    }
+}
+
 /// The state that a process keeps of a worker that it polls.
 ///
 /// The report of an answered poll already covers the lease that the next poll
@@ -222,7 +267,15 @@
 pub struct WorkerPoller {
     lease: WorkerLease,
     incarnation: Option<Incarnation>,
+    /// When the last poll was asked for; `None` once it has been answered or has
+    /// failed.
+    asked: Option<AskedAt>,
+    /// The last answer of this incarnation.
+    answered: Option<Answered>,
     acknowledge_through: EndNumber,
+    /// What the last poll acknowledged, and what one that was answered did.
+    sent_through: EndNumber,
+    acknowledged_through: EndNumber,
     is_busy: bool,
     /// Number of further polls for which an unanswered start keeps it busy.
     busy_polls: u32,
@@ -262,11 +315,17 @@
     }
 
     /// Returns the parameters of the next poll. `may_extend` tells whether the
-    /// leader's permission to extend leases is recent.
-    pub fn next_poll(&mut self, may_extend: bool, now: Timestamp) -> NextPoll {
+    /// leader's permission to extend leases is recent. The time is given on the
+    /// boot clock, too, which goes on while the machine is suspended.
+    pub fn next_poll(&mut self, may_extend: bool, now: Timestamp, boot: BootMillis) -> NextPoll {
+        self.asked = Some(AskedAt { now, boot });
         let extends = may_extend && self.is_busy && self.failed_polls == 0 && self.is_confirmed();
         let lease_until = if extends { self.lease.grant(now) } else { None };
-        let is_short = 0 < self.short_polls.max(self.failed_polls);
+        let answer_age_ms = self.answered.map_or(u64::MAX, |it| boot.ms_since(it.earliest));
+        let may_acknowledge = self.failed_polls == 0 && answer_age_ms < ACK_VALID_MS;
+        let is_pending = self.acknowledged_through < self.acknowledge_through;
+        let is_short =
+            0 < self.short_polls.max(self.failed_polls) || (is_pending && !may_acknowledge);
         let wait = if !self.is_confirmed() || is_short {
             PollWait::None
         } else if self.is_busy {
@@ -274,10 +333,23 @@
         } else {
             PollWait::Idle
         };
-        let may_acknowledge = self.failed_polls == 0 && self.lease.is_fresh(now);
-        let acknowledge_through =
-            if may_acknowledge { self.acknowledge_through } else { EndNumber::default() };
-        NextPoll { lease_until, acknowledge_through, wait }
+        let (acknowledge_through, send_within_ms) = if is_pending && may_acknowledge {
+            (self.acknowledge_through, ACK_VALID_MS - answer_age_ms)
+        } else {
+            (EndNumber::default(), ORDER_VALID_MS)
+        };
+        self.sent_through = acknowledge_through;
+        NextPoll { lease_until, acknowledge_through, wait, send_by: now.plus_ms(send_within_ms) }
+    }
+
+    /// Returns the poll to send instead of one that was not sent because its
+    /// acknowledgement had become too old: it is the same without that. `None`
+    /// if it acknowledged nothing.
+    pub fn without_acknowledgement(&mut self, poll: NextPoll) -> Option<NextPoll> {
+        let asked = self.asked.filter(|_| poll.acknowledge_through != EndNumber::default())?;
+        self.sent_through = EndNumber::default();
+        let send_by = asked.now.plus_ms(ORDER_VALID_MS);
+        Some(NextPoll { acknowledge_through: self.sent_through, send_by, ..poll })
     }
 
     /// Records an answered poll, and returns the lease status to report.
@@ -288,14 +360,20 @@
         has_runs: bool,
         now: Timestamp,
     ) -> LeaseStatus {
+        let asked = self.asked.take().unwrap_or(AskedAt { now, boot: BootMillis(now.0) });
         self.failed_polls = 0;
         self.short_polls = self.short_polls.saturating_sub(1);
         let responsive_since = *self.responsive_since.get_or_insert(now);
         if self.incarnation != Some(incarnation) {
             self.incarnation = Some(incarnation);
+            self.answered = None;
             self.acknowledge_through = EndNumber::default();
+            self.acknowledged_through = EndNumber::default();
+        } else {
+            self.acknowledged_through = self.acknowledged_through.max(self.sent_through);
         }
-        self.lease.record_answer(incarnation, clock_ms, now);
+        self.answered = Some(Answered::new(asked, clock_ms, self.answered, now));
+        self.lease.record_answer(incarnation, clock_ms, asked.now, now);
         self.is_busy = has_runs || 0 < self.busy_polls;
         self.busy_polls = self.busy_polls.saturating_sub(1);
         let next_lease_ms = MIN_POLL_INTERVAL_MS + MAX_LEASE_MS;
@@ -315,6 +393,7 @@
 
     /// Records a failed poll, and returns the report for the leader.
     pub fn poll_failed(&mut self) -> WorkerReport {
+        self.asked = None;
         self.failed_polls += 1;
         let is_silent = SILENT_AFTER_POLLS <= self.failed_polls;
         if is_silent {
@@ -326,6 +405,7 @@
     /// Records that another worker answered a poll, and returns the report for
     /// the leader.
     pub fn poll_misdirected(&mut self) -> WorkerReport {
+        self.asked = None;
         self.failed_polls += 1;
         self.responsive_since = None;
         WorkerReport::Replaced { incarnation: self.incarnation }
--- a/crates/mustardcove-core/tests/cut_lists.rs
+++ b/crates/mustardcove-core/tests/cut_lists.rs
@@ -11,7 +11,7 @@
 use fleet_world::{World, listing, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey, Term},
+        id::{BootMillis, EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey, Term},
         message::{EndKind, EndedRun, Order, PollResult, RunningTask, StartOutcome, WorkerReport},
         planner::{Planner, WorkerListing},
         poller::{MAX_ORPHAN_LEASE_MS, PollWait, WorkerPoller},
@@ -354,7 +354,7 @@
             poller.ends_cut_off();
         }
         poller.confirm(Some(status.responsive_since));
-        assert_eq!(poller.next_poll(true, START).wait, wait);
+        assert_eq!(poller.next_poll(true, START, BootMillis(START.0)).wait, wait);
     }
 }
 
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -992,7 +992,7 @@
             None => LeasePermission::new(Some(BootMillis(state.handled.0))),
         };
         let may_extend = permission.is_valid(BootMillis(now.0));
-        let next = state.pollers[worker].next_poll(may_extend, now);
+        let next = state.pollers[worker].next_poll(may_extend, now, BootMillis(now.0));
         let listed = match fate {
             _ if is_unreachable => None,
             Fate::Lost | Fate::Delayed => None,
@@ -1096,7 +1096,7 @@
             let may_extend = orphan
                 .process
                 .is_none_or(|it| self.processes[it].permission(term).is_valid(BootMillis(now.0)));
-            let next = orphan.poller.next_poll(may_extend, now);
+            let next = orphan.poller.next_poll(may_extend, now, BootMillis(now.0));
             let is_unreachable = now < self.workers[orphan.worker].unreachable_until
                 || !self.reaches_worker(orphan.process, orphan.worker);
             let fate = if is_unreachable { Fate::Lost } else { self.fate() };
--- a/crates/mustardcove-core/tests/unanswered_start.rs
+++ b/crates/mustardcove-core/tests/unanswered_start.rs
@@ -7,7 +7,7 @@
 use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        id::{Incarnation, Term},
+        id::{BootMillis, Incarnation, Term},
         message::{Order, PollResult, StartOutcome, WorkerReport},
         planner::Planner,
         poller::{PollWait, WorkerPoller},
@@ -66,7 +66,7 @@
                 may_lack_ends: false,
             };
             planner.report(&worker, WorkerReport::Polled(poll), now);
-            let hold_ms = match poller.next_poll(true, now).wait {
+            let hold_ms = match poller.next_poll(true, now, BootMillis(now.0)).wait {
                 PollWait::None => MIN_INTERVAL_MS,
                 PollWait::Busy => BUSY_HOLD_MS,
                 PollWait::Idle => IDLE_HOLD_MS,
--- a/crates/mustardcove-core/tests/worker_leases.rs
+++ b/crates/mustardcove-core/tests/worker_leases.rs
@@ -11,7 +11,7 @@
 use fleet_world::{manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        id::{EndNumber, Incarnation},
+        id::{BootMillis, EndNumber, Incarnation},
         message::WorkerReport,
         poller::{
             ACK_VALID_MS, LEASE_MS, MAX_ORPHAN_LEASE_MS, MAX_START_LEASE_MS, MIN_POLL_INTERVAL_MS,
@@ -44,9 +44,9 @@
 #[test]
 fn silence_extends_nothing() {
     let mut poller = confirmed_poller();
-    poller.next_poll(true, START);
+    poller.next_poll(true, START, BootMillis(START.0));
     let first = expires_by(poller.poll_failed());
-    poller.next_poll(true, START.plus_ms(5_000));
+    poller.next_poll(true, START.plus_ms(5_000), BootMillis(START.0 + 5_000));
     let later = expires_by(poller.poll_failed());
     assert_eq!(first, later);
     assert!(first.is_some_and(|it| START.plus_ms(LEASE_MS) <= it));
@@ -57,7 +57,7 @@
 #[test]
 fn nothing_granted() {
     let mut poller = WorkerPoller::default();
-    poller.next_poll(true, START);
+    poller.next_poll(true, START, BootMillis(START.0));
     assert_eq!(expires_by(poller.poll_failed()), None);
 }
 
@@ -66,7 +66,7 @@
 #[test]
 fn foreign_leases() {
     let mut poller = WorkerPoller::default();
-    poller.next_poll(true, START);
+    poller.next_poll(true, START, BootMillis(START.0));
     let answered = poller.poll_answered(Incarnation(1), 700, true, START);
     assert!(START.plus_ms(LEASE_MS) <= answered.leases_expire_by);
 }
@@ -78,16 +78,16 @@
 fn grants_confirmed() {
     let mut poller = WorkerPoller::default();
     let first = poller.poll_answered(Incarnation(1), 0, true, START);
-    assert_eq!(poller.next_poll(true, START).lease_until, None);
+    assert_eq!(poller.next_poll(true, START, BootMillis(START.0)).lease_until, None);
     poller.confirm(Some(first.responsive_since));
-    assert!(poller.next_poll(true, START).lease_until.is_some());
+    assert!(poller.next_poll(true, START, BootMillis(START.0)).lease_until.is_some());
     poller.poll_failed();
     poller.poll_failed();
     let later = START.plus_ms(3_000);
     let second = poller.poll_answered(Incarnation(1), 3_000, true, later);
-    assert_eq!(poller.next_poll(true, later).lease_until, None);
+    assert_eq!(poller.next_poll(true, later, BootMillis(later.0)).lease_until, None);
     poller.confirm(Some(second.responsive_since));
-    assert!(poller.next_poll(true, later).lease_until.is_some());
+    assert!(poller.next_poll(true, later, BootMillis(later.0)).lease_until.is_some());
 }
 
 /// Guards against a start on the clock of an incarnation that may have ended:
@@ -205,17 +205,17 @@
 fn lost_answer() {
     let mut poller = confirmed_poller();
     let mut now = START.plus_ms(MIN_POLL_INTERVAL_MS);
-    poller.next_poll(true, now);
+    poller.next_poll(true, now, BootMillis(now.0));
     for _ in 0..2 {
         now = now.plus_ms(1_200);
         poller.poll_failed();
-        poller.next_poll(true, now);
+        poller.next_poll(true, now, BootMillis(now.0));
     }
     let answered = poller.poll_answered(Incarnation(1), now.ms_since(START), true, now);
     poller.confirm(Some(answered.responsive_since));
     let reported = answered.leases_expire_by;
     now = now.plus_ms(MIN_POLL_INTERVAL_MS);
-    let next = poller.next_poll(true, now);
+    let next = poller.next_poll(true, now, BootMillis(now.0));
     // The worker's clock shows milliseconds since START and is exact.
     let granted = START.plus_ms(next.lease_until.expect("a lease is granted"));
     assert!(granted <= reported, "granted until {granted}, reported {reported}");
@@ -227,7 +227,10 @@
 fn no_lease_while_silent() {
     let mut poller = confirmed_poller();
     poller.poll_failed();
-    assert_eq!(poller.next_poll(true, START.plus_ms(500)).lease_until, None);
+    assert_eq!(
+        poller.next_poll(true, START.plus_ms(500), BootMillis(START.0 + 500)).lease_until,
+        None
+    );
 }
 
 /// Guards against leases that are extended without a recent heartbeat of the
@@ -235,7 +238,10 @@
 #[test]
 fn no_lease_without_leader() {
     let mut poller = confirmed_poller();
-    assert_eq!(poller.next_poll(false, START.plus_ms(500)).lease_until, None);
+    assert_eq!(
+        poller.next_poll(false, START.plus_ms(500), BootMillis(START.0 + 500)).lease_until,
+        None
+    );
 }
 
 /// Guards against acknowledging unseen ends of a worker's next incarnation:
@@ -245,11 +251,23 @@
 fn acknowledge_recent() {
     let mut poller = confirmed_poller();
     poller.acknowledge_ends(Incarnation(1), EndNumber(7));
-    assert_eq!(poller.next_poll(true, START).acknowledge_through, EndNumber(7));
+    assert_eq!(
+        poller.next_poll(true, START, BootMillis(START.0)).acknowledge_through,
+        EndNumber(7)
+    );
     let stale = START.plus_ms(ACK_VALID_MS);
-    assert_eq!(poller.next_poll(true, stale).acknowledge_through, EndNumber(0));
+    assert_eq!(
+        poller.next_poll(true, stale, BootMillis(stale.0)).acknowledge_through,
+        EndNumber(0)
+    );
     poller.poll_answered(Incarnation(1), 1_000, true, stale);
-    assert_eq!(poller.next_poll(true, stale).acknowledge_through, EndNumber(7));
+    assert_eq!(
+        poller.next_poll(true, stale, BootMillis(stale.0)).acknowledge_through,
+        EndNumber(7)
+    );
     poller.poll_failed();
-    assert_eq!(poller.next_poll(true, stale).acknowledge_through, EndNumber(0));
+    assert_eq!(
+        poller.next_poll(true, stale, BootMillis(stale.0)).acknowledge_through,
+        EndNumber(0)
+    );
 }
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -19,11 +19,11 @@
             FleetMessage, Order, PollResult, StartOrder, StartOutcome, WorkerContact, WorkerReport,
         },
         poller::{
-            LeasePermission, MIN_POLL_INTERVAL_MS, ORDER_VALID_MS, PollWait, WorkerPoller,
-            start_deadline,
+            LeasePermission, MIN_POLL_INTERVAL_MS, NextPoll, PollWait, WorkerPoller, start_deadline,
         },
     },
     id::WorkerId,
+    verdict::Verdict,
 };
 use slog::{debug, info};
 use tokio::sync::{Notify, mpsc};
@@ -190,18 +190,16 @@
     async fn poll(&self) -> bool {
         let may_extend = self.shared.may_extend_leases(self.target.term);
         let sent_at = self.shared.now();
-        let next = self.state().next_poll(may_extend, sent_at);
-        let call = PollCall {
-            lease_until: next.lease_until,
-            acknowledge_through: next.acknowledge_through,
-            wait: match next.wait {
-                PollWait::None => Duration::ZERO,
-                PollWait::Busy => BUSY_POLL_WAIT,
-                PollWait::Idle => IDLE_POLL_WAIT,
-            },
-            not_after: sent_at.plus_ms(ORDER_VALID_MS),
-        };
-        let answer = self.shared.workers.poll(&self.target, call).await;
+        let next = self.state().next_poll(may_extend, sent_at, boot_now());
+        let mut answer = self.shared.workers.poll(&self.target, poll_call(next)).await;
+        let is_unsent =
+            |it: &PollFault| it.verdict == Verdict::NotRun && !it.is_fenced && !it.is_replaced;
+        if answer.as_ref().is_err_and(is_unsent) && next.send_by <= self.shared.now() {
+            let second = self.state().without_acknowledgement(next);
+            if let Some(second) = second {
+                answer = self.shared.workers.poll(&self.target, poll_call(second)).await;
+            }
+        }
         let now = self.shared.now();
         self.shared.metrics.poll(answer.is_ok());
         match answer {
@@ -321,6 +319,19 @@
     }
 }
 
+fn poll_call(poll: NextPoll) -> PollCall {
+    PollCall {
+        lease_until: poll.lease_until,
+        acknowledge_through: poll.acknowledge_through,
+        wait: match poll.wait {
+            PollWait::None => Duration::ZERO,
+            PollWait::Busy => BUSY_POLL_WAIT,
+            PollWait::Idle => IDLE_POLL_WAIT,
+        },
+        not_after: poll.send_by,
+    }
+}
+
 fn outcome_label(is_confirmed: bool) -> &'static str {
     if is_confirmed { "confirmed" } else { "no_answer" }
 }
