Number assignments, and drop reports of earlier ones

Cause: handle_reports asked only whether the sender polls the worker now.

Change: the leader numbers each assignment of a worker to a process at an address (core fleet::assignment, Assignments). Reports carry the number, and only those under the current one count; a process that gets a worker back begins anew, as the leader's reckoning of leases expects.

--- a/crates/mustardcove-core/src/fleet/assignment.rs
+++ b/crates/mustardcove-core/src/fleet/assignment.rs
@@ -7,10 +7,14 @@
 //! proportional to the processor shares, and the loss of a process moves only
 //! its own workers.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::id::AssignmentNumber;
 use crate::id::{FailureDomainId, ProcessId, RegionId, WorkerId};
 
 /// A process that can poll workers.
@@ -77,3 +81,69 @@
     }
     assigned
 }
+
+/// The assignment of one worker.
+#[derive(Clone, Debug)]
+struct Assigned {
+    process: ProcessId,
+    address: SocketAddr,
+    number: AssignmentNumber,
+}
+
+/// The process that polls each worker, and the number of each assignment.
+///
+/// A process that was given up may be paused, and may be given its workers
+/// back before it goes on. What it then reports of the time before would be
+/// taken for new. Reports therefore name their assignment, and only those of
+/// the current one count: it was made after everything that the poller before
+/// it had reported was handled.
+#[derive(Clone, Debug, Default)]
+pub struct Assignments {
+    by_worker: BTreeMap<WorkerId, Assigned>,
+    last: AssignmentNumber,
+}
+
+impl Assignments {
+    /// Replaces all assignments by these. A worker that keeps its poller and
+    /// its address keeps its number. Returns the workers that have lost their
+    /// poller, which are also those with a new address: there the same process
+    /// starts to poll without knowledge of earlier leases.
+    pub fn update(
+        &mut self,
+        assigned: impl IntoIterator<Item = (WorkerId, ProcessId, SocketAddr)>,
+    ) -> BTreeSet<WorkerId> {
+        let before = std::mem::take(&mut self.by_worker);
+        for (worker, process, address) in assigned {
+            let is_kept = |it: &&Assigned| it.process == process && it.address == address;
+            let number = before.get(&worker).filter(is_kept).map(|it| it.number);
+            let number = number.unwrap_or_else(|| {
+                self.last.0 += 1;
+                self.last
+            });
+            self.by_worker.insert(worker, Assigned { process, address, number });
+        }
+        let is_lost = |worker: &WorkerId, it: &Assigned| self.number_of(worker) != Some(it.number);
+        before.into_iter().filter(|(worker, it)| is_lost(worker, it)).map(|it| it.0).collect()
+    }
+
+    /// Returns the process that polls a worker.
+    pub fn poller_of(&self, worker: &WorkerId) -> Option<&ProcessId> {
+        self.by_worker.get(worker).map(|it| &it.process)
+    }
+
+    /// Returns the number of a worker's assignment.
+    pub fn number_of(&self, worker: &WorkerId) -> Option<AssignmentNumber> {
+        self.by_worker.get(worker).map(|it| it.number)
+    }
+
+    /// Returns whether a process reports on a worker under its current
+    /// assignment.
+    pub fn is_current(
+        &self,
+        process: &ProcessId,
+        worker: &WorkerId,
+        number: AssignmentNumber,
+    ) -> bool {
+        self.by_worker.get(worker).is_some_and(|it| it.process == *process && it.number == number)
+    }
+}
--- a/crates/mustardcove-core/src/fleet/id.rs
+++ b/crates/mustardcove-core/src/fleet/id.rs
@@ -157,6 +157,10 @@
     /// Revisions only rise, so a term serves as the fencing token at workers.
     Term, u64, "term"
 }
+number_id! {
+    /// The number of one assignment of a worker to a poller within a term.
+    AssignmentNumber, u64, "assignment number"
+}
 number_id! {
     /// The number of one run of a task; later runs have higher numbers.
     RunNumber, u64, "run number"
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -11,7 +11,8 @@
 
 use super::{
     id::{
-        BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey, Term,
+        AssignmentNumber, BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber,
+        SubmissionId, TaskKey, Term,
     },
     record::ProcessRecord,
     submission::{Submission, SubmissionState},
@@ -80,8 +81,9 @@
         heartbeat_at: Option<Timestamp>,
         /// Whether the sender reached the store recently.
         reaches_store: bool,
-        /// One or several reports for each worker, in order.
-        reports: Vec<(WorkerId, WorkerReport)>,
+        /// One or several reports for each worker, in order, each with the
+        /// assignment under which it was made.
+        reports: Vec<(WorkerId, AssignmentNumber, WorkerReport)>,
     },
     /// To the leader: a process that it may not know yet.
     Joined(ProcessRecord),
@@ -163,6 +165,8 @@
     pub worker: WorkerId,
     /// Its address.
     pub address: SocketAddr,
+    /// The number of the assignment, under which the receiver reports on it.
+    pub assignment: AssignmentNumber,
     /// The [`PollResult::responsive_since`] of the receiver's last report that
     /// the leader knows of; the receiver extends leases only while it is the
     /// current one.
--- a/crates/mustardcove-core/tests/poller_assignment.rs
+++ b/crates/mustardcove-core/tests/poller_assignment.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mustardcove_core::{
-    fleet::assignment::{Poller, assign},
+    fleet::assignment::{Assignments, Poller, assign},
     id::{FailureDomainId, ProcessId, RegionId, WorkerId},
 };
 
@@ -67,3 +67,32 @@
         }
     }
 }
+
+/// Guards against reports of a process that was paused, lost its workers and has
+/// got them back: what it reads when it goes on is of the time before.
+#[test]
+fn back_to_first() {
+    let worker: WorkerId = "w0".parse().unwrap();
+    let [first, second]: [ProcessId; 2] = ["p.1", "q.1"].map(|it| it.parse().unwrap());
+    let [address, moved] = ["10.0.0.1:80", "10.0.0.2:80"].map(|it| it.parse().unwrap());
+    let mut assignments = Assignments::default();
+    let mut give = |process: &ProcessId, address| {
+        let lost = assignments.update([(worker.clone(), process.clone(), address)]);
+        let number = assignments.number_of(&worker).unwrap();
+        assert_eq!(assignments.poller_of(&worker), Some(process));
+        assert!(assignments.is_current(process, &worker, number));
+        (number, !lost.is_empty())
+    };
+    let (before, is_lost) = give(&first, address);
+    assert!(!is_lost, "nobody polled it");
+    assert_eq!(give(&first, address), (before, false), "it keeps its poller");
+    let (_, is_lost) = give(&second, address);
+    assert!(is_lost);
+    let (back, is_lost) = give(&first, address);
+    assert!(is_lost && back != before);
+    let (last, is_lost) = give(&first, moved);
+    assert!(is_lost && last != back, "it polls another address");
+    assert!(!assignments.is_current(&first, &worker, before), "a report of before its pause");
+    assert_eq!(assignments.update([]).into_iter().collect::<Vec<_>>(), [worker.clone()]);
+    assert!(!assignments.is_current(&first, &worker, last));
+}
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -20,7 +20,7 @@
         cadence,
         confirmation::{Confirmation, MAX_STORELESS_MS},
         election::HEARTBEAT_INTERVAL_MS,
-        id::{BootMillis, SubmissionId, Term},
+        id::{AssignmentNumber, BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
         poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, ORDER_MAX_AGE_MS},
@@ -378,12 +378,12 @@
         &mut self,
         from: &ProcessId,
         sent_at: Timestamp,
-        reports: Vec<(WorkerId, WorkerReport)>,
+        reports: Vec<(WorkerId, AssignmentNumber, WorkerReport)>,
         now: Timestamp,
     ) {
         let to_local = |it: Timestamp| now.plus_ms(it.ms_since(sent_at));
-        for (worker, mut report) in reports {
-            if !self.pollers.is_poller_of(from, &worker) {
+        for (worker, assignment, mut report) in reports {
+            if !self.pollers.is_current(from, &worker, assignment) {
                 continue;
             }
             match &mut report {
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -9,9 +9,9 @@
 use mustardcove_adapter::store::Item;
 use mustardcove_core::{
     fleet::{
-        assignment::{Poller, assign},
+        assignment::{Assignments, Poller, assign},
         confirmation::{CoveredReports, is_joined_by_half},
-        id::{BootMillis, Term},
+        id::{AssignmentNumber, BootMillis, Term},
         message::{FleetMessage, WorkerContact},
         planner::{Planner, WorkerListing},
         record::ProcessRecord,
@@ -67,7 +67,7 @@
     term: Term,
     term_started_at: Timestamp,
     processes: BTreeMap<ProcessId, Process>,
-    poller_of: BTreeMap<WorkerId, ProcessId>,
+    assignments: Assignments,
     /// What the last assignment was computed from.
     basis: AssignmentBasis,
     next_reaching_store: usize,
@@ -107,7 +107,7 @@
             term,
             term_started_at,
             processes: BTreeMap::new(),
-            poller_of: BTreeMap::new(),
+            assignments: Assignments::default(),
             basis: AssignmentBasis::default(),
             next_reaching_store: 0,
         }
@@ -302,11 +302,18 @@
     }
 
     pub(super) fn poller_of(&self, worker: &WorkerId) -> Option<&ProcessId> {
-        self.poller_of.get(worker)
+        self.assignments.poller_of(worker)
     }
 
-    pub(super) fn is_poller_of(&self, process: &ProcessId, worker: &WorkerId) -> bool {
-        self.poller_of.get(worker) == Some(process)
+    /// Returns whether a process reports on a worker under its current
+    /// assignment.
+    pub(super) fn is_current(
+        &self,
+        process: &ProcessId,
+        worker: &WorkerId,
+        assignment: AssignmentNumber,
+    ) -> bool {
+        self.assignments.is_current(process, worker, assignment)
     }
 
     /// Sends a message to every registered process.
@@ -316,14 +323,14 @@
 
     /// Updates the assignment of workers. Returns the workers that have lost
     /// their poller or have a new address.
-    pub(super) fn update(&mut self, planner: &Planner, now: Timestamp) -> Vec<WorkerId> {
+    pub(super) fn update(&mut self, planner: &Planner, now: Timestamp) -> BTreeSet<WorkerId> {
         if now < self.term_started_at.plus_ms(FIRST_ASSIGNMENT_DELAY_MS) {
-            return Vec::new();
+            return BTreeSet::new();
         }
         let alive = self.processes.iter().filter(|it| self.is_alive(it.1, now)).map(|it| it.0);
         if self.basis.is_current(alive, planner.workers_to_poll()) {
             self.resend_assignments(now);
-            return Vec::new();
+            return BTreeSet::new();
         }
         let pollers: Vec<Poller> = self
             .processes
@@ -340,32 +347,25 @@
         };
         let workers = to_poll.iter().map(|(it, _)| (&it.worker, &it.domain));
         let assigned = assign(&pollers, &self.shared.settings.regions, workers);
-        let mut lost: Vec<WorkerId> = (self.poller_of.iter())
-            .filter(|(worker, poller)| assigned.get(*worker) != Some(*poller))
-            .map(|(worker, _)| worker.clone())
-            .collect();
+        let polled = to_poll.iter().filter_map(|(it, _)| {
+            let poller = assigned.get(&it.worker)?;
+            Some((it.worker.clone(), poller.clone(), it.address))
+        });
+        let lost = self.assignments.update(polled);
         let mut assignments: BTreeMap<ProcessId, BTreeMap<WorkerId, WorkerContact>> =
             pollers.iter().map(|it| (it.process.clone(), BTreeMap::new())).collect();
         for (listing, responsive_since) in to_poll {
             let Some(poller) = assigned.get(&listing.worker) else { continue };
-            let sent_contact =
-                self.processes.get(poller).and_then(|it| it.sent_assignment.get(&listing.worker));
-            let keeps_poller = self.poller_of.get(&listing.worker) == Some(poller);
-            let keeps_address = sent_contact.is_none_or(|it| it.address == listing.address);
-            // At a new address the same process starts to poll without
-            // knowledge of earlier leases, like a new poller.
-            if keeps_poller && !keeps_address {
-                lost.push(listing.worker.clone());
-            }
+            let Some(assignment) = self.assignments.number_of(&listing.worker) else { continue };
             let contact = WorkerContact {
                 worker: listing.worker.clone(),
                 address: listing.address,
-                confirmed_since: responsive_since.filter(|_| keeps_poller && keeps_address),
+                assignment,
+                confirmed_since: responsive_since.filter(|_| !lost.contains(&listing.worker)),
             };
             let contacts = assignments.entry(poller.clone()).or_default();
             contacts.insert(listing.worker.clone(), contact);
         }
-        self.poller_of = assigned;
         for (poller, workers) in assignments {
             self.send_assignment(&poller, workers, now);
         }
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -14,7 +14,7 @@
 use mustardcove_adapter::workers::{PollCall, PollFault, Target};
 use mustardcove_core::{
     fleet::{
-        id::{BootMillis, Term},
+        id::{AssignmentNumber, BootMillis, Term},
         message::{
             FleetMessage, Order, PollResult, StartOrder, StartOutcome, WorkerContact, WorkerReport,
         },
@@ -72,10 +72,20 @@
 struct PolledWorker {
     shared: Arc<Shared>,
     target: Target,
+    assignment: AssignmentNumber,
     state: Mutex<WorkerPoller>,
     /// Ends the pause before the next poll of a worker without runs.
     order_received: Notify,
-    reports: mpsc::UnboundedSender<(Term, WorkerId, WorkerReport)>,
+    reports: mpsc::UnboundedSender<Reported>,
+}
+
+/// A report on a worker.
+#[derive(Debug)]
+struct Reported {
+    term: Term,
+    worker: WorkerId,
+    assignment: AssignmentNumber,
+    report: WorkerReport,
 }
 
 struct AssignedWorker {
@@ -118,12 +128,13 @@
     shared: &Arc<Shared>,
     term: Term,
     workers: Vec<WorkerContact>,
-    reports: &mpsc::UnboundedSender<(Term, WorkerId, WorkerReport)>,
+    reports: &mpsc::UnboundedSender<Reported>,
     assigned: &mut BTreeMap<WorkerId, AssignedWorker>,
 ) {
     let before = assigned.len();
     let is_kept = |worker: &WorkerId, it: &mut AssignedWorker| {
-        workers.iter().any(|new| new.worker == *worker && new.address == it.worker.target.address)
+        let is_same = |new: &WorkerContact| new.assignment == it.worker.assignment;
+        workers.iter().any(|new| new.worker == *worker && is_same(new))
     };
     assigned.retain(is_kept);
     let (removed, mut added) = (before - assigned.len(), 0);
@@ -138,6 +149,7 @@
         let worker = Arc::new(PolledWorker {
             shared: shared.clone(),
             target,
+            assignment: contact.assignment,
             state: Mutex::new(WorkerPoller::default()),
             order_received: Notify::new(),
             reports: reports.clone(),
@@ -163,7 +175,12 @@
 
     fn send_report(&self, report: WorkerReport) {
         // The reporter ends only with the process.
-        let _ = self.reports.send((self.target.term, self.target.worker.clone(), report));
+        let _ = self.reports.send(Reported {
+            term: self.target.term,
+            worker: self.target.worker.clone(),
+            assignment: self.assignment,
+            report,
+        });
     }
 
     async fn poll_loop(&self) {
@@ -341,10 +358,7 @@
 }
 
 /// Sends the collected reports to the leader.
-async fn send_reports(
-    shared: Arc<Shared>,
-    mut collected: mpsc::UnboundedReceiver<(Term, WorkerId, WorkerReport)>,
-) {
+async fn send_reports(shared: Arc<Shared>, mut collected: mpsc::UnboundedReceiver<Reported>) {
     loop {
         let mut reports = Vec::new();
         tokio::select! {
@@ -362,7 +376,8 @@
         let term = shared.leadership.borrow().term;
         // Answers to calls of an earlier term, above all refusals because of
         // that term, do not apply to the current one.
-        let reports = reports.into_iter().filter(|it| it.0 == term).map(|it| (it.1, it.2));
+        let reports = reports.into_iter().filter(|it| it.term == term);
+        let reports = reports.map(|it| (it.worker, it.assignment, it.report));
         let reports = reports.collect();
         let reaches_store = shared.reaches_store();
         shared.send_to_leader(FleetMessage::Report {
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -2,7 +2,7 @@
 
 use mustardcove_core::{
     fleet::{
-        id::{BootMillis, Incarnation, RunNumber, TaskKey, Term},
+        id::{AssignmentNumber, BootMillis, Incarnation, RunNumber, TaskKey, Term},
         message::{FleetMessage, Order, PollResult, RunningTask, WorkerReport},
         record::ProcessRecord,
         submission::SubmissionState,
@@ -72,7 +72,7 @@
         sent_boot_ms: BootMillis(6),
         heartbeat_at: Some(Timestamp(4)),
         reaches_store: true,
-        reports: vec![(worker.clone(), WorkerReport::Polled(polled))],
+        reports: vec![(worker.clone(), AssignmentNumber(2), WorkerReport::Polled(polled))],
     };
     let order = Order::Stop { task, run: RunNumber(3) };
     let orders = FleetMessage::Orders {
