Begin region cuts once work runs in both regions

A play fails if its backlog is used up before the end of the cut, or if fewer than 200 tasks have started before it, since such a play shows nothing.

--- a/crates/mustardcove-node/tests/region_cut.rs
+++ b/crates/mustardcove-node/tests/region_cut.rs
@@ -2,8 +2,9 @@
 //! than a new leader waits for the leases of earlier ones.
 //!
 //! `MUSTARDCOVE_REGION_SEEDS` holds the first seed of the soak and the number of
-//! seeds, as in `100,50`; without it, one short seed is played.
-//! `MUSTARDCOVE_REGION_CUT_MS` sets the length of all of its cuts.
+//! seeds, as in `100,50`; without it, one with a short cut is played.
+//! `MUSTARDCOVE_REGION_CUT_MS` sets the length of all of its cuts, and with
+//! `MUSTARDCOVE_KEEP_LOGS` the logs of all plays are kept.
 
 #![expect(clippy::print_stdout, reason = "a soak tells what each of its seeds played")]
 
@@ -27,8 +28,10 @@
 const WORKERS: [usize; 2] = [4, 4];
 /// Tasks of each submission.
 const TASKS: u64 = 30;
-/// Time for which work runs before a cut.
-const WARM_UP: Duration = Duration::from_secs(2);
+/// Starts before a cut, so that tasks run in both regions when it begins.
+const WARM_UP_STARTS: usize = 200;
+/// Longest time until so many tasks have started.
+const WARM_UP_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time without trouble after a cut, within which late calls and the leases of
 /// both leaders are over.
 const QUIET: Duration = Duration::from_secs(15);
@@ -61,7 +64,7 @@
             how: Cut::Silent,
             cut: Duration::from_secs(15),
             expires_entries: false,
-            submissions: 90,
+            submissions: 110,
             seed,
         }
     }
@@ -82,7 +85,7 @@
         let mut play = Play::new(seed);
         play.how = how;
         play.cut = Duration::from_millis(cut_ms);
-        play.submissions = 40 + cut_ms * 4 / 1_000;
+        play.submissions = 40 + cut_ms * 5 / 1_000;
         play.expires_entries = rng.random_range(0..3u32) == 0;
         if rng.random_range(0..4u32) == 0 {
             (play.nodes, play.store_region) = ([5, 2], 1);
@@ -108,7 +111,10 @@
                 ids.push(id);
             }
         }
-        tokio::time::sleep(WARM_UP).await;
+        let until = Instant::now() + WARM_UP_TIMEOUT;
+        while rig.monitor.starts() < WARM_UP_STARTS && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
         let before = rig.monitor.starts();
         rig.cut(self.how);
         let until = Instant::now() + self.cut;
@@ -138,6 +144,9 @@
             rig.monitor.starts(),
             rig.leaders()
         );
+        if before < WARM_UP_STARTS || ids.len() as u64 * TASKS <= healed as u64 {
+            violations.push(format!("the backlog did not last: {before}, {healed}"));
+        }
         let led_by_region_0 = first_leaders.iter().all(|it| *it < nodes[0]);
         if !led_by_region_0 {
             violations.push("the first leader is in the wrong region".to_owned());
@@ -158,11 +167,8 @@
 /// work, while its successor on the other side takes its leases for expired.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn leader_cut() {
-    Play::new(1)
-        .run("leader-cut")
-        .await
-        .map(|it| println!("{it}"))
-        .unwrap_or_else(|it| panic!("{it}"));
+    let outcome = Play::new(1).run("leader-cut").await;
+    assert!(outcome.is_ok(), "{outcome:#?}");
 }
 
 /// Guards against two leaders that both go on, one confirmed by the store and
@@ -170,11 +176,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn majority_cut() {
     let play = Play { nodes: [5, 2], cut: Duration::from_secs(14), ..Play::new(2) };
-    play.run("majority-cut").await.map(|it| println!("{it}")).unwrap_or_else(|it| panic!("{it}"));
+    let outcome = play.run("majority-cut").await;
+    assert!(outcome.is_ok(), "{outcome:#?}");
 }
 
 fn seeds() -> Vec<u64> {
-    let Ok(text) = std::env::var("MUSTARDCOVE_REGION_SEEDS") else { return vec![3] };
+    let Ok(text) = std::env::var("MUSTARDCOVE_REGION_SEEDS") else { return vec![301] };
     let parse = |it: &str| it.trim().parse::<u64>().expect("a number");
     let (first, count) = text.split_once(',').expect("first seed and number of seeds");
     (parse(first)..parse(first) + parse(count)).collect()
@@ -183,6 +190,7 @@
 /// Guards against the same faults after cuts of other kinds and lengths: by
 /// refusal, in one direction only, and with the store on either side.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[expect(clippy::print_stdout, reason = "a soak reports each play")]
 async fn region_soak() {
     let mut failed = Vec::new();
     for seed in seeds() {
