--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -802,10 +802,11 @@
             if is_in_time { state.pollers[worker].grant_start_lease(now) } else { None };
         let process = self.poller_of(leader, worker);
         let (task, run) = (start.task, start.run);
+        let answered = |outcome| WorkerReport::Start { task, run, outcome, answered_at: now };
         let report = match lease_until {
-            None => Some(WorkerReport::Start { task, run, outcome: StartOutcome::NotRun }),
+            None => Some(answered(StartOutcome::NotRun)),
             Some(_) if !self.reaches_worker(process, worker) => {
-                Some(WorkerReport::Start { task, run, outcome: StartOutcome::MayHaveRun })
+                Some(answered(StartOutcome::MayHaveRun))
             }
             Some(lease_until) => self.send(worker, term, &Order::Start(start), lease_until),
         };
