--- a/crates/mustardcove-core/tests/poller_assignment.rs
+++ b/crates/mustardcove-core/tests/poller_assignment.rs
@@ -93,6 +93,6 @@
     let (last, is_lost) = give(&first, moved);
     assert!(is_lost && last != back, "it polls another address");
     assert!(!assignments.is_current(&first, &worker, before), "a report of before its pause");
-    assert_eq!(assignments.update([]).into_iter().collect::<Vec<_>>(), [worker.clone()]);
+    assert!(assignments.update([]).iter().eq([&worker]));
     assert!(!assignments.is_current(&first, &worker, last));
 }
