--- a/crates/mustardcove-node/tests/region_cut.rs
+++ b/crates/mustardcove-node/tests/region_cut.rs
@@ -6,8 +6,6 @@
 //! `MUSTARDCOVE_REGION_CUT_MS` sets the length of all of its cuts, and with
 //! `MUSTARDCOVE_KEEP_LOGS` the logs of all plays are kept.
 
-#![expect(clippy::print_stdout, reason = "a soak tells what each of its seeds played")]
-
 #[path = "support/proxy.rs"]
 #[expect(dead_code, reason = "shared with the fault soak")]
 mod proxy;
