Share the frame of the schedules of parted regions

Six tests of regions_parted repeated the loop over seeds, the busy world, the healing and the checks, and two of them differed in one range only.

--- a/crates/mustardcove-core/tests/regions_parted.rs
+++ b/crates/mustardcove-core/tests/regions_parted.rs
@@ -9,6 +9,8 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod fleet_world;
 
+use std::ops::RangeInclusive;
+
 use fleet_world::{Side, World, step, submission};
 use mustardcove_core::{fleet::submission::StepSpec, time::Timestamp};
 use rand::RngExt;
@@ -99,88 +101,86 @@
     assert_eq!(world.running(), 0, "seed {seed}: something still runs");
 }
 
-/// A leader that is cut off with a minority starts or keeps work that its
-/// successor starts again.
-#[test]
-fn minority_parted() {
+/// Plays a schedule on the busy world of each seed, and checks what is left once
+/// everything reaches each other again.
+fn for_each_seed(play: impl Fn(&mut World)) {
     for seed in 0..SEEDS {
         let mut world = busy_world(seed);
-        let parted = world.rng.random_range(1..=3);
-        cut(&mut world, 0, parted);
-        let (_, left_ms) = replace_leader(&mut world, 0);
-        submit(&mut world, 4);
-        world.run(left_ms);
+        play(&mut world);
         settle(&mut world);
         check(&world, seed);
     }
 }
 
+/// Parts the first leader and as many processes as drawn, with more work after
+/// its successor was elected.
+fn part_once(parted: RangeInclusive<usize>) {
+    for_each_seed(|world| {
+        let parted = world.rng.random_range(parted.clone());
+        cut(world, 0, parted);
+        let (_, left_ms) = replace_leader(world, 0);
+        submit(world, 4);
+        world.run(left_ms);
+    });
+}
+
+/// A leader that is cut off with a minority starts or keeps work that its
+/// successor starts again.
+#[test]
+fn minority_parted() {
+    part_once(1..=3);
+}
+
 /// A leader that most processes still obey goes on, and its successor takes its
 /// leases for expired.
 #[test]
 fn majority_parted() {
-    for seed in 0..SEEDS {
-        let mut world = busy_world(seed);
-        let parted = world.rng.random_range(4..=6);
-        cut(&mut world, 0, parted);
-        let (_, left_ms) = replace_leader(&mut world, 0);
-        submit(&mut world, 4);
-        world.run(left_ms);
-        settle(&mut world);
-        check(&world, seed);
-    }
+    part_once(4..=6);
 }
 
 /// A leader that freezes while it is cut off acts on what it knew before.
 #[test]
 fn frozen_within() {
-    for seed in 0..SEEDS {
-        let mut world = busy_world(seed);
+    for_each_seed(|world| {
         let parted = world.rng.random_range(1..=5);
         let frozen_at = world.rng.random_range(0..1_500);
-        cut(&mut world, 0, parted);
+        cut(world, 0, parted);
         let frozen_ms = world.rng.random_range(500..9_000);
         world.leaders[0].lag_ms = [0, 300, 700][world.rng.random_range(0..3usize)];
         world.run(frozen_at);
         world.leaders[0].frozen_until = world.now.plus_ms(frozen_ms);
-        let (_, left_ms) = replace_leader(&mut world, 0);
+        let (_, left_ms) = replace_leader(world, 0);
         world.run(left_ms);
-        settle(&mut world);
-        check(&world, seed);
-    }
+    });
 }
 
 /// A region that returns for a moment and is cut off again takes part of what
 /// the successor knows for its own.
 #[test]
 fn second_cut() {
-    for seed in 0..SEEDS {
-        let mut world = busy_world(seed);
+    for_each_seed(|world| {
         let parted = world.rng.random_range(1..=5);
-        cut(&mut world, 0, parted);
-        let (leader, left_ms) = replace_leader(&mut world, 0);
+        cut(world, 0, parted);
+        let (leader, left_ms) = replace_leader(world, 0);
         world.run(left_ms);
-        heal(&mut world);
+        heal(world);
         let healed_ms = world.rng.random_range(50..3_000);
         world.run(healed_ms);
         let parted = world.rng.random_range(1..=5);
-        cut(&mut world, leader, parted);
-        let (_, left_ms) = replace_leader(&mut world, leader);
+        cut(world, leader, parted);
+        let (_, left_ms) = replace_leader(world, leader);
         world.run(left_ms);
-        settle(&mut world);
-        check(&world, seed);
-    }
+    });
 }
 
 /// A process that is no longer the poller of a worker, or cannot be told so,
 /// extends leases that the leader takes for expired.
 #[test]
 fn moved_pollers() {
-    for seed in 0..SEEDS {
-        let mut world = busy_world(seed);
+    for_each_seed(|world| {
         let parted = world.rng.random_range(1..=6);
-        cut(&mut world, 0, parted);
-        let (_, left_ms) = replace_leader(&mut world, 0);
+        cut(world, 0, parted);
+        let (_, left_ms) = replace_leader(world, 0);
         for _ in 0..4 {
             world.assignment_salt += 1;
             world.run(left_ms / 4);
@@ -188,20 +188,17 @@
             let side = [Side::Main, Side::Parted][world.rng.random_range(0..2usize)];
             world.processes[process].side = side;
         }
-        settle(&mut world);
-        check(&world, seed);
-    }
+    });
 }
 
 /// A third leader is elected while the first two go on, and counts the leases of
 /// the second alone.
 #[test]
 fn third_leader() {
-    for seed in 0..SEEDS {
-        let mut world = busy_world(seed);
+    for_each_seed(|world| {
         let parted = world.rng.random_range(1..=3);
-        cut(&mut world, 0, parted);
-        let (leader, left_ms) = replace_leader(&mut world, 0);
+        cut(world, 0, parted);
+        let (leader, left_ms) = replace_leader(world, 0);
         let pause_ms = world.rng.random_range(50..5_000);
         world.run(pause_ms);
         // The first leader and its processes stay on their side.
@@ -209,11 +206,9 @@
             world.processes[process].side = Side::Parted;
         }
         world.elect_on(leader - 2);
-        submit(&mut world, 4);
+        submit(world, 4);
         world.run(left_ms);
-        settle(&mut world);
-        check(&world, seed);
-    }
+    });
 }
 
 /// An answer of the store that was under way when a successor claimed the
