Store progress in the planner's test rig in one place

suspect_tasks and suspect_groups each had a copy of Rig::store that also returned the suspected tasks, and store_except repeated it again. Rig::store returns them now.

--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -11,6 +11,7 @@
             WorkerReport,
         },
         planner::{Actions, Planner, TicketRequest, WorkerListing},
+        record::SuspectTask,
         submission::{Submission, SubmissionState},
     },
     id::WorkerId,
@@ -163,13 +164,29 @@
         end
     }
 
-    /// Stores all pending progress.
-    pub(crate) fn store(&mut self) {
+    /// Stores all pending progress, and returns the suspected tasks among it.
+    pub(crate) fn store(&mut self) -> Vec<SuspectTask> {
+        self.store_unless(|_| false)
+    }
+
+    /// Stores the pending progress of all submissions but one.
+    pub(crate) fn store_except(&mut self, failing: SubmissionId) {
+        self.store_unless(|it| it == failing);
+    }
+
+    fn store_unless(&mut self, fails: impl Fn(SubmissionId) -> bool) -> Vec<SuspectTask> {
         let (change, records) = self.planner.take_progress();
-        for (id, _, revision) in records {
-            self.planner.record_stored(id, revision + 1, change);
+        let mut suspects = Vec::new();
+        for (id, progress, revision) in records {
+            if fails(id) {
+                self.planner.progress_failed(id);
+            } else {
+                suspects.extend(progress.suspects);
+                self.planner.record_stored(id, revision + 1, change);
+            }
         }
         self.planner.acknowledge_stored();
+        suspects
     }
 
     /// Adds workers and polls them.
@@ -191,19 +208,6 @@
         self.planner.update_workers(self.listings.clone(), true);
     }
 
-    /// Stores the pending progress of all submissions but one.
-    pub(crate) fn store_except(&mut self, failing: SubmissionId) {
-        let (change, records) = self.planner.take_progress();
-        for (id, _, revision) in records {
-            if id == failing {
-                self.planner.progress_failed(id);
-            } else {
-                self.planner.record_stored(id, revision + 1, change);
-            }
-        }
-        self.planner.acknowledge_stored();
-    }
-
     /// Has a worker answer as another incarnation, in which `running` runs.
     pub(crate) fn restart(&mut self, worker: &WorkerId, incarnation: u64, running: &[StartOrder]) {
         let row = |it: &StartOrder| RunningTask {
--- a/crates/mustardcove-core/tests/suspect_groups.rs
+++ b/crates/mustardcove-core/tests/suspect_groups.rs
@@ -53,23 +53,11 @@
     rig
 }
 
-/// Stores progress, and returns all suspected tasks that were stored.
-fn store(rig: &mut Rig) -> Vec<SuspectTask> {
-    let (change, records) = rig.planner.take_progress();
-    let mut suspects = Vec::new();
-    for (id, progress, revision) in records {
-        suspects.extend(progress.suspects);
-        rig.planner.record_stored(id, revision + 1, change);
-    }
-    rig.planner.acknowledge_stored();
-    suspects
-}
-
 /// Returns the next starts, and what was stored with them.
 fn next_starts(rig: &mut Rig) -> (Vec<(WorkerId, StartOrder)>, Vec<SuspectTask>) {
-    store(rig);
+    rig.store();
     assert!(rig.plan().is_empty(), "no start precedes its record");
-    let suspects = store(rig);
+    let suspects = rig.store();
     (rig.plan(), suspects)
 }
 
@@ -84,7 +72,7 @@
     let limited = StepSpec { max_per_worker: Some(1), ..step(4, 500, &[]) };
     let mut rig = crashed_rig(vec![single(1, limited.clone()), single(2, limited)], 4, 12);
     for _ in 0..40 {
-        store(&mut rig);
+        rig.store();
         rig.plan();
         let mut placed: BTreeMap<(WorkerId, SubmissionId), usize> = BTreeMap::new();
         for (task, worker) in rig.running() {
@@ -158,9 +146,9 @@
 fn members_unlisted() {
     let submitted = (1..=4).map(|it| single(it, step(1, 500, &[]))).collect();
     let mut rig = crashed_rig(submitted, 1, 4);
-    store(&mut rig);
+    rig.store();
     assert!(rig.plan().is_empty());
-    store(&mut rig);
+    rig.store();
     rig.planner.tick(rig.now);
     let starts = |rig: &mut Rig| -> Vec<(WorkerId, StartOrder)> {
         let orders = rig.planner.take_actions().orders.into_iter();
@@ -191,7 +179,7 @@
         if starts(&mut rig).iter().any(|it| it.1.task.step.submission == SubmissionId(1)) {
             break;
         }
-        store(&mut rig);
+        rig.store();
         rig.advance(100);
         rig.poll_all();
         waited_ms += 100;
@@ -209,7 +197,7 @@
     let others: Vec<WorkerListing> = workers("o", 36).into_iter().map(in_other_pool).collect();
     rig.add_workers(&others);
     for round in 0..20 {
-        store(&mut rig);
+        rig.store();
         rig.plan();
         rig.advance(100);
         if round % 10 == 9 {
@@ -219,7 +207,7 @@
     rig.submit(submission(2, vec![step(1, 500, &[])], rig.now));
     let mut waited_ms = 0;
     while !rig.plan().iter().any(|it| it.1.task.step.submission == SubmissionId(2)) {
-        store(&mut rig);
+        rig.store();
         rig.advance(100);
         waited_ms += 100;
         if waited_ms % 1_000 == 0 {
@@ -236,7 +224,7 @@
     let limited = StepSpec { max_per_worker: Some(40), ..step(40, 500, &[]) };
     let mut rig = crashed_rig(vec![single(1, limited)], 1, 20);
     for _ in 0..8 {
-        store(&mut rig);
+        rig.store();
         rig.plan();
     }
     let isolated: BTreeSet<WorkerId> = rig.running().into_values().collect();
@@ -268,7 +256,7 @@
     rig.crash(&starts[0].0);
     let mut on: BTreeMap<WorkerId, usize> = BTreeMap::new();
     for _ in 0..6 {
-        store(&mut rig);
+        rig.store();
         for (worker, _) in rig.plan() {
             *on.entry(worker).or_default() += 1;
         }
--- a/crates/mustardcove-core/tests/suspect_tasks.rs
+++ b/crates/mustardcove-core/tests/suspect_tasks.rs
@@ -37,18 +37,6 @@
     rig.planner.report(worker, report, rig.now);
 }
 
-/// Stores all progress, and returns the suspected tasks among it.
-fn store(rig: &mut Rig) -> Vec<SuspectTask> {
-    let (change, records) = rig.planner.take_progress();
-    let mut suspects = Vec::new();
-    for (id, progress, revision) in records {
-        suspects.extend(progress.suspects);
-        rig.planner.record_stored(id, revision + 1, change);
-    }
-    rig.planner.acknowledge_stored();
-    suspects
-}
-
 /// Plans and stores until a start is ordered.
 fn next_starts(rig: &mut Rig) -> Vec<(WorkerId, StartOrder)> {
     for _ in 0..4 {
@@ -56,7 +44,7 @@
         if !starts.is_empty() {
             return starts;
         }
-        store(rig);
+        rig.store();
     }
     Vec::new()
 }
@@ -85,7 +73,7 @@
     rig.plan();
     rig.poll_all();
     replaced(&mut rig, &id("w0"));
-    let suspects = store(&mut rig);
+    let suspects = rig.store();
     let crashed = vec![CrashedRun { run: RunNumber(1), is_sole: true }];
     let expected =
         SuspectTask { occurrence: 0, step: 0, index: 0, crashed_runs: crashed, open_runs: vec![] };
@@ -98,10 +86,10 @@
     let mut rig = crashed_rig();
     assert!(rig.plan().is_empty(), "the crash is not recorded");
     assert!(rig.planner.has_urgent_progress());
-    store(&mut rig);
+    rig.store();
     assert!(rig.plan().is_empty(), "the next run is not recorded");
     assert!(rig.planner.has_urgent_progress());
-    let suspects = store(&mut rig);
+    let suspects = rig.store();
     assert!(!rig.planner.has_urgent_progress());
     let starts = rig.plan();
     assert_eq!(starts.len(), 1);
@@ -114,7 +102,7 @@
 #[test]
 fn record_not_stored() {
     let mut rig = crashed_rig();
-    store(&mut rig);
+    rig.store();
     rig.plan();
     let placed = |rig: &Rig| rig.planner.counts(rig.now).placed_runs;
     assert_eq!(placed(&rig), 1);
@@ -132,10 +120,10 @@
 #[test]
 fn capacity_shrunk() {
     let mut rig = crashed_rig();
-    store(&mut rig);
+    rig.store();
     assert!(rig.plan().is_empty(), "the next run is not recorded");
     rig.update_listings(|it| it.capacity.cpu.0 = 100);
-    store(&mut rig);
+    rig.store();
     assert!(rig.plan().is_empty());
 }
 
@@ -181,7 +169,7 @@
     for polls in 1..=20 {
         rig.advance(200);
         rig.poll_all();
-        let suspects = store(&mut rig);
+        let suspects = rig.store();
         match polls {
             2 => assert!(suspects[0].open_runs.is_empty() && !suspects[0].crashed_runs.is_empty()),
             20 => assert!(suspects.is_empty()),
@@ -200,7 +188,7 @@
     rig.update_listings(|it| it.is_draining = it.worker == worker);
     replaced(&mut rig, &worker);
     assert_eq!(rig.plan().len(), 1, "it starts again without a record");
-    assert!(store(&mut rig).is_empty());
+    assert!(rig.store().is_empty());
     assert_eq!(rig.planner.counts(rig.now).worker_crashes, 0);
 }
 
@@ -224,13 +212,13 @@
     let worker = rig.plan()[0].0.clone();
     let silent = WorkerReport::PollFailed { leases_expire_by: None, is_silent: true };
     rig.planner.report(&worker, silent, rig.now);
-    let suspects = store(&mut rig);
+    let suspects = rig.store();
     assert_eq!(suspects[0].open_runs.len(), 1, "its outcome is open");
     for _ in 0..2 {
         rig.advance(200);
         rig.poll_all();
     }
-    store(&mut rig);
+    rig.store();
     assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
 }
 
@@ -253,7 +241,7 @@
         rig.listings.push(WorkerListing { host: host_of(&worker), ..later });
         rig.planner.update_workers(rig.listings.clone(), true);
         rig.plan();
-        let crashes = store(&mut rig).iter().map(|it| it.crashed_runs.len()).sum::<usize>();
+        let crashes = rig.store().iter().map(|it| it.crashed_runs.len()).sum::<usize>();
         assert_eq!(crashes, if is_silent { 2 } else { 0 });
     }
 }
@@ -271,7 +259,7 @@
     let candidate = WorkerListing { host: host_of(&worker), ..later };
     rig.planner.update_fleet(rig.listings.clone(), vec![candidate], true);
     rig.plan();
-    assert!(store(&mut rig).is_empty(), "its outcome stays open");
+    assert!(rig.store().is_empty(), "its outcome stays open");
 }
 
 /// A start that reached only the worker's next incarnation crashed none.
@@ -282,7 +270,7 @@
     let (worker, start) = rig.plan().remove(0);
     rig.restart(&worker, 2, &[]);
     let crashes = |it: &[SuspectTask]| it.iter().map(|it| it.crashed_runs.len()).sum::<usize>();
-    assert_eq!(crashes(&store(&mut rig)), 1);
+    assert_eq!(crashes(&rig.store()), 1);
     rig.restart(&worker, 2, std::slice::from_ref(&start));
     assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
     assert!(rig.plan().is_empty(), "it goes on");
@@ -313,9 +301,9 @@
         rig.end(&worker, start.task, mustardcove_core::fleet::message::EndKind::GangBroken);
     }
     assert!(rig.plan().is_empty());
-    store(&mut rig);
+    rig.store();
     assert!(rig.plan().is_empty());
-    store(&mut rig);
+    rig.store();
     assert_eq!(rig.plan().len(), 3);
 }
 
@@ -400,7 +388,7 @@
     let submission = submission(1, vec![step], START);
     rig.planner.submit(submission.clone(), is_known_unstarted, START);
     for crashes in 0..8 {
-        store(&mut rig);
+        rig.store();
         if rig.states.get(&submission.id) == Some(&SubmissionState::Failed) {
             return crashes;
         }
@@ -412,7 +400,7 @@
         }
         replaced(&mut rig, &worker);
         rig.plan();
-        store(&mut rig);
+        rig.store();
         rig.plan();
     }
     panic!("never given up")
@@ -473,7 +461,7 @@
             rig.restart(&id("w0"), 1, std::slice::from_ref(&start));
         }
         replaced(&mut rig, &id("w0"));
-        assert_eq!(store(&mut rig).len(), 2 - polls, "after {polls} polls");
+        assert_eq!(rig.store().len(), 2 - polls, "after {polls} polls");
     }
 }
 
