Look up permissions and their age less often

The age of the confirmation was computed, with two readings of clocks, for each logged decision; it is computed once for the decisions of a plan. Whether a process is among the assigned ones was searched from the start of the list for each heartbeat and each batch of orders; the list is in order, so a binary search finds it. The dump read the term twice. No cost was measured.

--- a/crates/mustardcove-node/src/dump.rs
+++ b/crates/mustardcove-node/src/dump.rs
@@ -30,10 +30,7 @@
         dump.add_value("manifest", &shared.manifest_version());
         dump.add_value("is_ready", &readiness::is_ready(shared));
         dump.add_value("reaches_store", &shared.reaches_store());
-        dump.add_value(
-            "may_extend_leases",
-            &shared.may_extend_leases(shared.leadership.borrow().term),
-        );
+        dump.add_value("may_extend_leases", &shared.may_extend_leases(leadership.term));
         dump.add_value("known_submissions", &shared.states().len());
         dump.add_value("unconfirmed_by_leader", &!shared.outbox.is_empty());
         dump.add_rows("long_running_waits", shared.long_running_waits().clone());
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -542,8 +542,9 @@
             let orders = FleetMessage::Orders { term: self.term, handled, covered, orders };
             self.shared.send(&poller, orders);
         }
+        let confirmed_ms = self.confirmation_age_ms();
         for decision in &actions.decisions {
-            self.log_decision(decision);
+            self.log_decision(decision, confirmed_ms);
         }
         for id in actions.submission_lookups {
             self.look_up(id);
@@ -568,13 +569,13 @@
         self.pollers.broadcast(FleetMessage::States { term: self.term, states });
     }
 
-    fn log_decision(&self, decision: &Decision) {
+    fn log_decision(&self, decision: &Decision, confirmed_ms: u64) {
         let or_dash = |it: Option<String>| it.unwrap_or_else(|| "-".to_owned());
         info!(self.shared.log, "decision"; "kind" => %decision.kind,
             "submission" => or_dash(decision.submission.map(|it| it.to_string())),
             "worker" => or_dash(decision.worker.as_ref().map(|it| it.to_string())),
             "inputs" => &decision.inputs, "term" => %self.term,
-            "confirmed_ms" => self.confirmation_age_ms());
+            "confirmed_ms" => confirmed_ms);
     }
 
     fn send_heartbeat(&mut self) {
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -77,6 +77,7 @@
 /// worker with its address and confirmed responsiveness.
 #[derive(Debug, Default, PartialEq)]
 struct AssignmentBasis {
+    /// In order.
     pollers: Vec<ProcessId>,
     workers: Vec<(WorkerId, SocketAddr, Option<Timestamp>)>,
 }
@@ -193,8 +194,8 @@
     /// leader was last confirmed. A process that was lost is permitted nothing
     /// until workers are assigned to it again: it may still poll others.
     pub(super) fn covered(&self, process: &ProcessId) -> Option<BootMillis> {
-        let it = self.processes.get(process).filter(|_| self.basis.pollers.contains(process))?;
-        it.reports.covered()
+        let is_assigned = self.basis.pollers.binary_search(process).is_ok();
+        self.processes.get(process).filter(|_| is_assigned)?.reports.covered()
     }
 
     /// Records from when on the leader's permission counts.
