Keep one state for the wait until half of the processes have joined

The leader kept a flag and the latest end of the wait, which the flag made obsolete; an optional time says both. The two bounds in the planner are told apart by what an earlier leader knows, instead of both being for workers that were not polled.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -223,11 +223,12 @@
     /// Ends that are applied once their submission has been looked up.
     unplanned_ends: BTreeMap<SubmissionId, Vec<UnplannedEnd>>,
     lookups: Lookups,
-    /// Until this time, a worker that was not polled yet may run work of an
-    /// earlier leader.
+    /// The time by which every lease has expired that an earlier leader granted
+    /// before it knew of this term. What a poll of this term shows bounds those
+    /// of its worker from then on.
     earlier_leases_expire_by: Timestamp,
     /// The same for workers that were not polled in this term, on which an
-    /// earlier leader may go on extending leases.
+    /// earlier leader that does not know of it may go on extending leases.
     unfenced_leases_expire_by: Timestamp,
     /// Time through which no other leader can have led in a later term.
     sole_through: Timestamp,
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -159,11 +159,10 @@
     planner: Planner,
     pollers: Pollers,
     roster: Roster,
-    /// Whether half of the processes have joined this term.
-    is_joined: bool,
-    /// When the leases of earlier leaders have expired on workers that were not
-    /// polled in this term.
-    unfenced_leases_expire_by: Timestamp,
+    /// When the leases of earlier leaders have expired at the latest on workers
+    /// that were not polled in this term; `None` once half of the processes have
+    /// joined the term, which may bring that forward.
+    unjoined_leases_expire_by: Option<Timestamp>,
     /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
     listed_at: Timestamp,
@@ -221,8 +220,7 @@
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
         pollers: Pollers::new(shared.clone(), term),
         roster: Roster::default(),
-        is_joined: false,
-        unfenced_leases_expire_by,
+        unjoined_leases_expire_by: Some(unfenced_leases_expire_by),
         listed: Vec::new(),
         listed_at: now,
         unanswered: Vec::new(),
@@ -620,9 +618,11 @@
         let is_recent = now.ms_since(permitted_from) < ORDER_MAX_AGE_MS;
         let may_start = is_recent && self.pollers.are_permitted(now);
         self.planner.set_confirmed(self.confirmation.sole_through(), may_start);
-        if !self.is_joined && self.pollers.is_joined_by_half() {
-            self.is_joined = true;
-            let expire_by = self.unfenced_leases_expire_by.min(now.plus_ms(MAX_ORPHAN_LEASE_MS));
+        let pollers = &self.pollers;
+        if let Some(latest) =
+            self.unjoined_leases_expire_by.take_if(|_| pollers.is_joined_by_half())
+        {
+            let expire_by = latest.min(now.plus_ms(MAX_ORPHAN_LEASE_MS));
             self.planner.set_unfenced_leases_expire_by(expire_by);
         }
     }
