Log and count what blocked submissions and suspected tasks wait for

It now has the counts by state with the longest wait of each (blocked_states), one line for each submission that passes 3 s while under half of its pool is reserved (submission_idle), and the suspected tasks by what they wait for (suspects_waiting). The metrics get the number of waiting suspects, the age of the oldest, and the isolated workers.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -144,6 +144,13 @@
     Finished,
     /// A submission has had no run for a while although it could have one.
     SubmissionBlocked,
+    /// How many submissions without a run wait for what.
+    BlockedStates,
+    /// A submission has had no run for seconds although under half of its pool
+    /// is reserved.
+    SubmissionIdle,
+    /// How many suspected tasks wait for what.
+    SuspectsWaiting,
     /// A task of a long-running step has had no run for seconds.
     TaskWaiting,
     /// A worker gets no new work for some time.
@@ -369,7 +376,7 @@
             work.queue = queue.clone();
         }
         if let Some((progress, revision)) = progress {
-            work.restore(progress, revision, self.earlier_leases_expire_by);
+            work.restore(progress, revision, self.earlier_leases_expire_by, now);
         }
         self.log_decision(DecisionKind::Planned, Some(id), None, || {
             format!("queue={} certain={is_known_unstarted}", work.queue.name)
@@ -711,6 +718,7 @@
 
     /// Returns counts for the metrics.
     pub fn counts(&self, now: Timestamp) -> PlanCounts {
+        let suspects = self.suspect_counts(now);
         PlanCounts {
             waiting_steps: self.waiting.len(),
             blocked_submissions: self.blocked.count(),
@@ -721,6 +729,9 @@
                 .filter(|it| self.obstacle(*it, now).is_none())
                 .count(),
             suspect_tasks: self.suspects.count(),
+            waiting_suspects: suspects.waiting(),
+            oldest_suspect_ms: suspects.oldest_ms,
+            isolated_workers: suspects.isolated,
             worker_crashes: self.suspects.crashes(),
             scored_workers: self.scored_workers.load(Ordering::Relaxed),
         }
@@ -906,6 +917,12 @@
     pub schedulable_workers: usize,
     /// Tasks that may have crashed a worker.
     pub suspect_tasks: usize,
+    /// Those of them that wait for their next start.
+    pub waiting_suspects: usize,
+    /// How long the oldest of these has waited, in milliseconds.
+    pub oldest_suspect_ms: u64,
+    /// Workers that are kept free of new starts for suspected tasks.
+    pub isolated_workers: usize,
     /// Number of workers so far that crashed.
     pub worker_crashes: u64,
     /// Number of times so far that a worker was scored for a task.
--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -10,8 +10,10 @@
 //! submission ends or the pool fills up.
 //!
 //! For a few of the blocked submissions, the log says what keeps each worker
-//! from running them. Checks are done a few times a second only, as each goes
-//! through all submissions.
+//! from running them, and for all of them how many wait for what. Checks are done
+//! a few times a second only, as each goes through all submissions.
+
+mod states;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -58,6 +60,8 @@
     starved: BTreeSet<SubmissionId>,
     check_at: Timestamp,
     explain_at: Timestamp,
+    /// Those whose long wait beside free capacity was logged.
+    reported: BTreeSet<SubmissionId>,
 }
 
 impl BlockedSubmissions {
@@ -87,9 +91,11 @@
         if self.blocked.check_at <= now {
             self.blocked.check_at = now.plus_ms(CHECK_INTERVAL_MS);
             let blocked = self.find_blocked(now);
+            self.report_idle(&blocked, now);
             if !blocked.is_empty() && self.blocked.explain_at <= now {
                 self.blocked.explain_at = now.plus_ms(EXPLAIN_INTERVAL_MS);
                 self.explain_blocked(&blocked, now);
+                self.count_states(&blocked, now);
             }
             let ids = blocked.iter().map(|it| it.1.submission);
             let is_starved = |it: &SubmissionId| {
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -43,6 +43,7 @@
 //!
 //! See `docs/platform.md`, section 6.
 
+mod counts;
 mod failed_searches;
 
 use std::{
@@ -131,17 +132,24 @@
     is_retry: bool,
     /// The task does not wait for its open runs after this time.
     wait_until: Timestamp,
+    /// Since when the task has had no run, as far as this leader knows.
+    idle_since: Timestamp,
 }
 
 impl Suspicion {
     /// Returns the suspicion that an earlier leader stored. Its workers have
     /// been silent for an unknown time, and no run of that leader goes on after
     /// `earlier_leases_expire_by`.
-    pub(super) fn restored(record: &SuspectTask, earlier_leases_expire_by: Timestamp) -> Suspicion {
+    pub(super) fn restored(
+        record: &SuspectTask,
+        earlier_leases_expire_by: Timestamp,
+        now: Timestamp,
+    ) -> Suspicion {
         Suspicion {
             crashed_runs: record.crashed_runs.clone(),
             open_runs: record.open_runs.clone(),
             wait_until: earlier_leases_expire_by,
+            idle_since: now,
             ..Suspicion::default()
         }
     }
@@ -255,6 +263,8 @@
     is_list_new: bool,
     /// The pools of which under half of the capacity was in use in this round.
     mostly_free: BTreeSet<String>,
+    /// When the waits are logged next.
+    log_at: Timestamp,
 }
 
 impl Suspects {
@@ -451,6 +461,7 @@
         }
         if let Some(it) = self.task_mut(task).and_then(|it| it.suspicion.as_mut()) {
             it.wait_until = now.plus_ms(OPEN_WAIT_MS);
+            it.idle_since = now;
             it.try_at = now;
             it.is_retry = false;
         }
@@ -572,6 +583,7 @@
         if self.suspects.tasks.is_empty() {
             return;
         }
+        self.log_suspects(now);
         self.judge_by_host(now);
         let usable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.may_order(*it, now)).collect();
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -266,6 +266,7 @@
         progress: &ProgressRecord,
         revision: u64,
         earlier_leases_expire_by: Timestamp,
+        now: Timestamp,
     ) {
         self.state = progress.state;
         self.is_begun = progress.state != SubmissionState::Queued;
@@ -291,7 +292,7 @@
             let (step, index) = (usize::from(recorded.step), usize::from(recorded.index));
             let task = self.submission.task(recorded.occurrence, step, index);
             if let Some(slot) = self.task_mut(task).filter(|it| !it.is_done()) {
-                let suspicion = Suspicion::restored(recorded, earlier_leases_expire_by);
+                let suspicion = Suspicion::restored(recorded, earlier_leases_expire_by, now);
                 slot.last_run = slot.last_run.max(suspicion.last_run());
                 slot.suspicion = Some(Box::new(suspicion));
             }
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -30,6 +30,9 @@
     placed_runs: Gauge<u64>,
     schedulable_workers: Gauge<u64>,
     suspect_tasks: Gauge<u64>,
+    waiting_suspects: Gauge<u64>,
+    oldest_suspect_ms: Gauge<u64>,
+    isolated_workers: Gauge<u64>,
     worker_crashes: Gauge<u64>,
     scored_workers: Gauge<u64>,
     report_age_ms: Gauge<u64>,
@@ -78,6 +81,18 @@
                 "suspect_tasks",
                 "Tasks under which a worker crashed or may have crashed, at the leader.",
             ),
+            waiting_suspects: gauge(
+                "waiting_suspects",
+                "Suspected tasks that wait for their next start, at the leader.",
+            ),
+            oldest_suspect_ms: gauge(
+                "oldest_suspect_ms",
+                "Longest wait of a suspected task, in milliseconds, at the leader.",
+            ),
+            isolated_workers: gauge(
+                "isolated_workers",
+                "Workers that are kept free of new starts for suspected tasks, at the leader.",
+            ),
             worker_crashes: gauge(
                 "worker_crashes",
                 "Number of workers that crashed in this term, at the leader.",
@@ -135,6 +150,9 @@
         self.placed_runs.record(counts.placed_runs as u64, &[]);
         self.schedulable_workers.record(counts.schedulable_workers as u64, &[]);
         self.suspect_tasks.record(counts.suspect_tasks as u64, &[]);
+        self.waiting_suspects.record(counts.waiting_suspects as u64, &[]);
+        self.oldest_suspect_ms.record(counts.oldest_suspect_ms, &[]);
+        self.isolated_workers.record(counts.isolated_workers as u64, &[]);
         self.worker_crashes.record(counts.worker_crashes, &[]);
         self.scored_workers.record(counts.scored_workers, &[]);
     }
