Start suspected tasks beside others when no worker can be isolated for them

Cause: a task that was new on a crashed worker starts on an isolated worker next. At most 15 % of the workers, or half of the free share, are isolated at once, and a turn lasts until two polls have listed the task, so the wait grows with the number of suspected tasks. The lines suspects_waiting show up to 350 of them, nearly all sound, beside 7 to 12 isolated workers, the oldest for 30 s. The queue also went by the time of the last failed search, not by who waits the longest.

A task against which there is one crash, in which it was one of several, now starts among others if no worker is isolated for it and nothing runs of its submission, or of a long-running step of the task itself. One that crashes its workers is beside others in its second crash as in its first, and alone from then on, so it is given up after as many crashes as before. The queue puts submissions without a run first, then who waits the longest.

The test many_restored failed before: 480 submissions, 5,400 ms, bound 3,000. Tried and dropped: to place such tasks with the rest of their step, which scored all workers for each of them (planning_cost failed), and to release them before isolation was tried.

--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -148,6 +148,8 @@
     pub(super) may_use_suspended: bool,
     /// Whether their starts are ordered only once they are recorded.
     pub(super) is_withheld: bool,
+    /// Whether they are suspected of a crash, and start without isolation.
+    pub(super) is_released: bool,
 }
 
 impl PendingTasks {
@@ -162,6 +164,7 @@
             is_starved: false,
             may_use_suspended: false,
             is_withheld: false,
+            is_released: false,
         }
     }
 
@@ -248,6 +251,7 @@
             self.move_slowed(&schedulable, now);
         }
         self.handle_blocked(&schedulable, now);
+        self.start_released(&schedulable, now);
     }
 
     /// Begins the readings of submissions that are due.
@@ -573,8 +577,11 @@
         let occurrence = work.occurrence(key.occurrence);
         let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
         let is_gang = work.submission.steps[usize::from(key.step)].is_gang;
-        let is_placeable = |it: &Task| it.is_waiting() && (is_gang || it.suspicion.is_none());
-        step.is_some_and(|it| it.tasks.iter().any(is_placeable))
+        let is_placeable = |(i, it): (usize, &Task)| {
+            let task = TaskKey { step: key, index: i as u16 };
+            it.is_waiting() && (is_gang || self.is_placeable(task, &work.submission))
+        };
+        step.is_some_and(|it| it.tasks.iter().enumerate().any(is_placeable))
     }
 
     pub(super) fn waiting_step(&self, key: StepKey) -> Option<WaitingStep> {
@@ -940,7 +947,10 @@
             return Err(Obstacle::NoTicket);
         }
         let same_step = pending.placed.get(&index).copied().unwrap_or(0);
-        placement::score(worker, index, Request { same_step, ..req })
+        let score = placement::score(worker, index, Request { same_step, ..req })?;
+        // A crash there would count against it.
+        let is_unsound = pending.is_released && !self.suspects.is_worker_sound(worker, now);
+        Ok(if is_unsound { score - placement::MISFIT_PENALTY } else { score })
     }
 
     pub(super) fn start(
@@ -982,7 +992,7 @@
             orders.push((worker, order));
         }
         if pending.is_withheld {
-            self.withhold(key, orders, now);
+            self.withhold(key, orders, pending.is_released, now);
         } else {
             for (worker, order) in orders {
                 self.order_start(worker, order, now);
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -45,6 +45,7 @@
 
 mod counts;
 mod failed_searches;
+mod released;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -125,8 +126,7 @@
     open_runs: Vec<OpenRun>,
     /// The change that has to be stored before the task starts again.
     change: u64,
-    /// No worker is looked for before this time. The task with the earliest
-    /// goes first.
+    /// No worker is looked for before this time.
     try_at: Timestamp,
     /// Whether a claim has expired since its last start.
     is_retry: bool,
@@ -313,6 +313,12 @@
         self.claims.get(&index).is_none_or(|it| it.tasks.len() == 1)
     }
 
+    /// Returns whether no crash of a worker's host may have been its own fault
+    /// lately.
+    pub(super) fn is_worker_sound(&self, worker: &Worker, now: Timestamp) -> bool {
+        self.is_host_sound(worker.listing.host.as_ref(), now)
+    }
+
     fn is_host_sound(&self, host: Option<&HostId>, now: Timestamp) -> bool {
         let until = host.and_then(|it| self.host_probation.get(it));
         until.is_none_or(|it| *it <= now)
@@ -593,18 +599,10 @@
         for worker in claimed {
             self.start_claimed(worker, now);
         }
-        let mut waiting: Vec<(Timestamp, Rank, TaskKey)> = Vec::new();
-        for task in &self.suspects.tasks {
-            let Some(rank) = self.suspect_rank(*task, now) else { continue };
-            let try_at = self.suspicion(*task).map_or(now, |it| it.try_at);
-            if !self.suspects.is_claimed(*task) {
-                waiting.push((try_at, rank, *task));
-            }
-        }
-        waiting.sort_unstable();
+        let waiting = self.waiting_suspects(now);
         let mut searches = 0;
         let mut failed = FailedSearches::default();
-        for (i, (_, _, task)) in waiting.iter().enumerate() {
+        for (i, task) in waiting.iter().enumerate() {
             if searches == MAX_SEARCHES {
                 break;
             }
@@ -618,7 +616,7 @@
                 continue;
             }
             searches += 1;
-            let others = waiting[i + 1..].iter().map(|it| it.2);
+            let others = waiting[i + 1..].iter().copied();
             let others: Vec<TaskKey> = others.filter(|it| !self.suspects.is_claimed(*it)).collect();
             let may_wait = pool.claims < pool.most_kept;
             if let Some(worker) = self.claim_worker(*task, &others, &usable, may_wait, now) {
@@ -630,6 +628,23 @@
         }
     }
 
+    /// Returns the suspected tasks that may start now and have no isolated worker,
+    /// in the order in which they get one: those first of whose submission
+    /// nothing runs, then who waits the longest.
+    fn waiting_suspects(&self, now: Timestamp) -> Vec<TaskKey> {
+        let mut waiting: Vec<(bool, Timestamp, Rank, TaskKey)> = Vec::new();
+        for task in &self.suspects.tasks {
+            let Some(rank) = self.suspect_rank(*task, now) else { continue };
+            let Some(suspicion) = self.suspicion(*task) else { continue };
+            if !self.suspects.is_claimed(*task) {
+                let has_run = !self.blocked.is_blocked(task.step.submission, now);
+                waiting.push((has_run, suspicion.idle_since, rank, *task));
+            }
+        }
+        waiting.sort_unstable();
+        waiting.into_iter().map(|it| it.3).collect()
+    }
+
     /// Returns how many of the usable workers of each pool may be isolated at
     /// once, and how many are.
     fn isolation_limits(&self, usable: &[WorkerIndex]) -> BTreeMap<String, IsolationLimit> {
@@ -844,6 +859,7 @@
         &mut self,
         step: StepKey,
         orders: Vec<(WorkerIndex, StartOrder)>,
+        is_released: bool,
         now: Timestamp,
     ) {
         let mut withheld = Vec::with_capacity(orders.len());
@@ -856,7 +872,8 @@
                 run,
                 worker: worker.listing.worker.clone(),
                 incarnation: incarnation.unwrap_or_default(),
-                is_sole: self.suspects.is_host_sound(host.as_ref(), now)
+                is_sole: !is_released
+                    && self.suspects.is_host_sound(host.as_ref(), now)
                     && self.suspects.is_alone(index),
                 host,
             };
@@ -996,8 +1013,8 @@
         }
     }
 
-    /// Returns whether a task waits to be placed among others, without
-    /// isolation.
+    /// Returns whether a task may be placed among others, without isolation:
+    /// most are not suspected, and members of a gang are recorded only.
     pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
         let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
         let is_stored = |it: &Suspicion| is_stored(&self.work, task.step.submission, it.change);
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -115,7 +115,12 @@
     /// what keeps it from free capacity has to give way.
     pub(super) fn has_overdue(&self, key: StepKey, now: Timestamp) -> bool {
         let tasks = TaskKey { step: key, index: 0 }..=TaskKey { step: key, index: u16::MAX };
-        self.tasks.range(tasks).any(|it| OVERDUE_AFTER_MS <= now.ms_since(it.1.since))
+        self.tasks.range(tasks).any(|it| it.1.is_overdue(now))
+    }
+
+    /// Returns the same for one task.
+    pub(super) fn is_overdue(&self, task: TaskKey, now: Timestamp) -> bool {
+        self.tasks.get(&task).is_some_and(|it| it.is_overdue(now))
     }
 
     /// Returns how many tasks have waited for seconds.
@@ -398,6 +403,10 @@
 }
 
 impl Wait {
+    fn is_overdue(&self, now: Timestamp) -> bool {
+        OVERDUE_AFTER_MS <= now.ms_since(self.since)
+    }
+
     fn is_long(&self, now: Timestamp) -> bool {
         WAITING_AFTER_MS <= now.ms_since(self.since)
     }
