Put crashes down to the task that is found to have caused them

They were isolated one after the other even once the task was known, and submissions without a run waited behind them. Since every host had crashed within 30 s, no crash was evidence against a single task any more either, so that each took four crashes, not three.

A task that crashes a sound worker as the only new run, or has crashed three and the last one alone, or is given up, now explains the crashes under it. The others start without isolation; the crash still counts for them until their next run survives, so that a second such task in the same crash is given up as soon as before.

The test explained_crash failed before: eight tasks stay suspected after the ninth has failed.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -136,6 +136,8 @@
     RunLost,
     /// A worker has crashed under a run, which may be the reason.
     RunCrashed,
+    /// A task explains crashes of which others were suspected, too.
+    CrashExplained,
     /// A run was ordered to stop.
     RunStopped,
     /// A run of an earlier leader was adopted.
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -44,6 +44,7 @@
 //! See `docs/platform.md`, section 6.
 
 mod counts;
+mod explained;
 mod failed_searches;
 mod released;
 
@@ -54,7 +55,7 @@
 
 use strum::Display;
 
-use self::failed_searches::FailedSearches;
+use self::{explained::Crashes, failed_searches::FailedSearches};
 use super::{
     DecisionKind, Planner, is_stored,
     placement::{self, Obstacle},
@@ -124,6 +125,8 @@
     crashed_runs: Vec<CrashedRun>,
     /// Runs whose worker may crash, or may have crashed.
     open_runs: Vec<OpenRun>,
+    /// Those of the crashed runs whose crash is put down to another task.
+    explained_runs: Vec<RunNumber>,
     /// The change that has to be stored before the task starts again.
     change: u64,
     /// No worker is looked for before this time.
@@ -175,6 +178,13 @@
         self.crashed_runs.is_empty() && self.open_runs.is_empty()
     }
 
+    /// Returns whether the task need not be isolated, since every crash under it
+    /// is put down to another task.
+    fn is_cleared(&self) -> bool {
+        let is_explained = |it: &CrashedRun| self.explained_runs.contains(&it.run);
+        self.open_runs.is_empty() && self.crashed_runs.iter().all(is_explained)
+    }
+
     /// Returns whether the task is given up, given whether all crashes under it
     /// are known.
     fn is_given_up(&self, are_all_known: bool) -> bool {
@@ -257,6 +267,8 @@
     /// Hosts on which a worker crashed, each with the time until which another
     /// crash may be its own fault.
     host_probation: HashMap<HostId, Timestamp>,
+    /// The crashes that no task explains yet.
+    unexplained: Crashes,
     /// Number of workers that crashed.
     crashes: u64,
     /// Whether service discovery was read since the hosts were compared.
@@ -350,7 +362,7 @@
         if withheld.any(|it| it.2.task == task) {
             return Some(SuspectWait::Withheld);
         }
-        let suspicion = self.suspicion(task)?;
+        let suspicion = self.suspicion(task).filter(|it| !it.is_cleared())?;
         let wait = if !is_stored(&self.work, task.step.submission, suspicion.change) {
             SuspectWait::Unstored
         } else if suspicion.is_undecided(now) {
@@ -398,6 +410,8 @@
         let is_accused = suspicion.crashed_runs.iter().any(|it| it.run == run);
         if is_cleared {
             self.change_suspicion(task, |it| *it = Suspicion::default());
+        } else if is_proven && suspicion.is_cleared() {
+            self.change_suspicion(task, |it| *it = Suspicion::default());
         } else if is_accused || (is_proven && is_open) {
             self.change_suspicion(task, |it| {
                 it.crashed_runs.retain(|it| it.run != run);
@@ -497,6 +511,7 @@
                 self.change_suspicion(task, |it| it.open_runs.retain(|it| it.run != open.run));
             }
         }
+        self.explain_crashes(now);
     }
 
     /// Judges all open runs of a worker that has ended.
@@ -505,6 +520,7 @@
         for (task, open) in self.open_runs(|it| it.worker == worker) {
             self.judge_open(task, &open, now);
         }
+        self.explain_crashes(now);
     }
 
     /// Judges the open runs of workers whose host runs a later one. A worker
@@ -530,6 +546,7 @@
         for (task, open) in self.open_runs(|it| !answers(it) && has_later(it)) {
             self.judge_open(task, &open, now);
         }
+        self.explain_crashes(now);
     }
 
     fn open_runs(&self, is_wanted: impl Fn(&OpenRun) -> bool) -> Vec<(TaskKey, OpenRun)> {
@@ -559,11 +576,15 @@
         let Some(suspicion) = self.suspicion(task).filter(|_| !was_draining) else { return };
         let crashes = suspicion.crashed_runs.len();
         let is_given_up = suspicion.is_given_up(are_all_known);
+        self.suspects.unexplained.add(open, task, now);
         self.submission_started(id);
         self.log_decision(DecisionKind::RunCrashed, Some(id), Some(open.worker.clone()), || {
             format!("task={task} run={run} sole={sole} crashes={crashes}")
         });
         let is_final = self.work.get(&id).is_none_or(|it| it.state.is_final());
+        if is_given_up {
+            self.suspects.unexplained.add_culprit(task);
+        }
         if is_given_up && !is_final {
             self.finish(id, SubmissionState::Failed, "a task crashed its workers", now);
         }
@@ -675,7 +696,7 @@
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = self.may_start_work(work, now);
         let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
-        if spec.is_gang || !slot.is_waiting() || !may_start {
+        if spec.is_gang || suspicion.is_cleared() || !slot.is_waiting() || !may_start {
             return None;
         }
         Some(self.waiting_step(task.step)?.rank(now))
@@ -1014,11 +1035,12 @@
     }
 
     /// Returns whether a task may be placed among others, without isolation:
-    /// most are not suspected, and members of a gang are recorded only.
+    /// most are not suspected or no longer, and members of a gang are recorded
+    /// only.
     pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
         let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
         let is_stored = |it: &Suspicion| is_stored(&self.work, task.step.submission, it.change);
-        self.suspicion(task).is_none_or(|it| is_gang && is_stored(it))
+        self.suspicion(task).is_none_or(|it| it.is_cleared() || (is_gang && is_stored(it)))
     }
 }
 
--- a/crates/mustardcove-core/tests/suspect_backlog.rs
+++ b/crates/mustardcove-core/tests/suspect_backlog.rs
@@ -11,14 +11,17 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fleet_world::{listing, manifest, step, submission};
-use mustardcove_core::fleet::{
-    id::{Incarnation, RunNumber, SubmissionId},
-    planner::WorkerListing,
-    record::{CrashedRun, OccurrenceProgress, ProgressRecord, SuspectTask},
-    submission::{StepSpec, SubmissionState},
+use mustardcove_core::{
+    fleet::{
+        id::{Incarnation, RunNumber, SubmissionId},
+        planner::WorkerListing,
+        record::{CrashedRun, OccurrenceProgress, ProgressRecord, SuspectTask},
+        submission::{StepSpec, SubmissionState},
+    },
+    id::WorkerId,
 };
 use planner_rig::Rig;
 
@@ -31,6 +34,10 @@
 const MAX_STEPS: u64 = 300;
 const WORKERS: usize = 48;
 
+fn id(name: &str) -> WorkerId {
+    name.parse().expect("a valid name")
+}
+
 fn worker(name: &str, cpu: u64) -> WorkerListing {
     let host = Some(name.parse().expect("a valid name"));
     WorkerListing { host, ..listing(name, cpu, Incarnation(1)) }
@@ -118,3 +125,37 @@
     let longest = waits.values().max().expect("a wait");
     assert!(*longest <= MAX_IDLE_MS, "{longest} ms");
 }
+
+/// Tasks that were beside one that crashes its workers waited for isolation even
+/// after it had crashed one alone, which explains the crash.
+#[test]
+fn explained_crash() {
+    let mut rig = Rig::new(manifest(3), &[]);
+    rig.add_workers(&[worker("c0", 90_000)]);
+    let deadly = 1;
+    rig.submit(submission(deadly, vec![step(1, 500, &[])], rig.now));
+    // These fit on no worker but the first.
+    for id in 2..10 {
+        rig.submit(submission(id, vec![step(1, 8_000, &[])], rig.now));
+    }
+    assert_eq!(rig.plan().len(), 9);
+    rig.crash(&id("c0"));
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 9);
+    let names = ["w0", "w1", "w2", "w3", "w4"];
+    rig.add_workers(&names.map(|it| worker(it, 1_000)));
+    let mut crashed = BTreeSet::new();
+    for _ in 0..MAX_STEPS {
+        for (worker, start) in rig.plan() {
+            if start.task.step.submission == SubmissionId(deadly) && crashed.insert(worker.clone())
+            {
+                rig.crash(&worker);
+            }
+        }
+        rig.store();
+        rig.advance(STEP_MS);
+        rig.poll_all();
+    }
+    assert_eq!(rig.states[&SubmissionId(deadly)], SubmissionState::Failed);
+    rig.add_workers(&[worker("c1", 90_000)]);
+    assert_eq!(rig.plan().len(), 8, "the others start together");
+}
