--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -457,6 +457,14 @@
     pub(crate) deadly: BTreeSet<TaskKey>,
     /// Whether a worker that has crashed comes back with another id.
     pub(crate) is_renamed: bool,
+    /// Share of workers whose next incarnation has an earlier time of birth than
+    /// the one before, as after a step of their clock, in percent.
+    pub(crate) earlier_birth_percent: u32,
+    /// Workers whose host does not refuse connections while they are down.
+    pub(crate) silent_hosts: BTreeSet<usize>,
+    /// Whether a start whose connection is refused is known not to have run, as
+    /// on the users' platform.
+    pub(crate) are_refused_starts_known: bool,
     /// Time after which a worker that has crashed is back, in milliseconds.
     pub(crate) crash_ms: u64,
     /// Number of workers that crashed under each deadly task, and of its starts
@@ -469,6 +477,8 @@
     pub(crate) published: BTreeMap<SubmissionId, SubmissionState>,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
+    /// When a run of each task began last.
+    pub(crate) started_at: BTreeMap<TaskKey, Timestamp>,
     /// Reasons for which leaders gave up runs or stopped them.
     pub(crate) given_up: Vec<String>,
     incarnations: u64,
@@ -489,6 +499,8 @@
     learned: Option<LearnedInterference>,
     /// One of this many chances to poll a worker is used on the average.
     pub(crate) poll_chances: u32,
+    /// The same for workers in whose place another one is.
+    pub(crate) misdirected_chances: u32,
     /// The newest decisions, for the traces of failures.
     pub(crate) log: VecDeque<String>,
 }
@@ -533,6 +545,9 @@
             restart_ms: 0,
             deadly: BTreeSet::new(),
             is_renamed: false,
+            earlier_birth_percent: 0,
+            silent_hosts: BTreeSet::new(),
+            are_refused_starts_known: false,
             crash_ms: 3_500,
             crashes: BTreeMap::new(),
             is_store_away: false,
@@ -540,6 +555,7 @@
             published: BTreeMap::new(),
             violations: Vec::new(),
             starts: 0,
+            started_at: BTreeMap::new(),
             given_up: Vec::new(),
             incarnations: 1_000,
             manifest: manifest(3),
@@ -551,6 +567,7 @@
             ticket_requests: VecDeque::new(),
             learned: None,
             poll_chances: 4,
+            misdirected_chances: 4,
             log: VecDeque::new(),
         };
         world.elect();
@@ -905,6 +922,15 @@
         it.unreachable_until = it.unreachable_until.max(back_at);
     }
 
+    /// Returns the number of a worker's next incarnation.
+    fn next_incarnation(&mut self, worker: usize) -> u64 {
+        let percent = self.earlier_birth_percent;
+        // Numbers stay unique if earlier ones are used as well.
+        self.incarnations += if percent == 0 { 1 } else { 20 };
+        let is_earlier = percent != 0 && self.rng.random_range(0..100u32) < percent;
+        if is_earlier { self.workers[worker].incarnation.0 - 1 } else { self.incarnations }
+    }
+
     /// Carries out the crashes that are due, and brings workers back.
     fn advance_crashes(&mut self) {
         for worker in 0..self.workers.len() {
@@ -916,11 +942,12 @@
             }
             let it = &mut self.workers[worker];
             let Some((_, renamed)) = it.down.take_if(|it| it.0 <= now) else { continue };
-            self.incarnations += 1;
+            let incarnation = self.next_incarnation(worker);
+            let it = &mut self.workers[worker];
             let earlier = it.id.clone();
             let name = renamed.map_or(earlier.to_string(), |it| format!("w{worker}.{it}"));
             let (cpu, memory, labels) = (it.cpu, it.memory, std::mem::take(&mut it.labels));
-            let fresh = SimWorker::new(&name, self.incarnations, 98, now);
+            let fresh = SimWorker::new(&name, incarnation, 98, now);
             self.workers[worker] = SimWorker { cpu, memory, labels, ..fresh };
             if renamed.is_some() {
                 for leader in &mut self.leaders {
@@ -977,7 +1004,7 @@
             }
             return;
         }
-        if self.workers[worker].down.is_some() {
+        if self.workers[worker].down.is_some() && !self.silent_hosts.contains(&worker) {
             // Its host refuses the connection.
             self.poll_failed(leader, worker);
             return;
@@ -1500,11 +1527,15 @@
             }
             Fate::Lost => None,
         };
+        let is_refused = self.are_refused_starts_known
+            && self.is_down(worker)
+            && !self.silent_hosts.contains(&worker);
+        let unanswered = if is_refused { StartOutcome::NotRun } else { StartOutcome::MayHaveRun };
         match order {
             Order::Start(start) => Some(WorkerReport::Start {
                 task: start.task,
                 run: start.run,
-                outcome: outcome.unwrap_or(StartOutcome::MayHaveRun),
+                outcome: outcome.unwrap_or(unanswered),
                 answered_at: self.now,
             }),
             Order::Stop { task, run } => Some(WorkerReport::Stop {
@@ -1635,6 +1666,7 @@
 
     fn started(&mut self, task: TaskKey, worker: usize, is_late: bool) {
         self.starts += 1;
+        self.started_at.insert(task, self.now);
         if self.deadly.contains(&task) {
             let (crashes, starts) = self.crashes.entry(task).or_default();
             *starts += usize::from(MAX_CRASHES <= *crashes);
@@ -1714,7 +1746,7 @@
                     }
                 }
                 self.poll_orphaned(leader);
-                if self.rng.random_range(0..4u32) == 0 {
+                if self.rng.random_range(0..self.misdirected_chances) == 0 {
                     self.poll_misdirected(leader);
                 }
                 if self.now < self.leaders[leader].frozen_until {
