--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -728,6 +728,7 @@
     ) {
         self.workers[index].release(task);
         self.requeue(index, task, None, now);
+        self.blocked.retry(task.step.submission, now);
         let worker = self.worker_id(index);
         self.log_decision(DecisionKind::RunLost, Some(task.step.submission), Some(worker), || {
             format!("task={task} why={why}")
