Isolate cleared tasks again before one more crash would give them up

It is now isolated once another crash would give it up. A cleared task also started before what is known against it was stored, so that a lost leader could forget a crash; and it kept the worker that was claimed for it. A host that had crashed by itself as well stays on probation for that crash.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -180,10 +180,13 @@
     }
 
     /// Returns whether the task need not be isolated, since every crash under it
-    /// is put down to another task.
-    fn is_cleared(&self) -> bool {
+    /// is put down to another task, and one more would not give it up.
+    fn is_cleared(&self, are_all_known: bool) -> bool {
         let is_explained = |it: &CrashedRun| self.explained_runs.contains(&it.run);
-        self.open_runs.is_empty() && self.crashed_runs.iter().all(is_explained)
+        let needed = if are_all_known { MAX_CRASHES } else { CRASHES };
+        self.open_runs.is_empty()
+            && self.crashed_runs.iter().all(is_explained)
+            && self.crashed_runs.len() + 1 < needed
     }
 
     /// Returns whether the task is given up, given whether all crashes under it
@@ -265,9 +268,9 @@
     tasks: BTreeSet<TaskKey>,
     claims: BTreeMap<WorkerIndex, Claim>,
     withheld: Vec<WithheldStart>,
-    /// Hosts on which a worker crashed, each with the time until which another
+    /// Hosts on which workers crashed, each with the times until which another
     /// crash may be its own fault.
-    host_probation: HashMap<HostId, Timestamp>,
+    host_probation: HashMap<HostId, Vec<Timestamp>>,
     /// The crashes that no task explains yet.
     unexplained: Crashes,
     /// Number of workers that crashed.
@@ -334,7 +337,7 @@
 
     fn is_host_sound(&self, host: Option<&HostId>, now: Timestamp) -> bool {
         let until = host.and_then(|it| self.host_probation.get(it));
-        until.is_none_or(|it| *it <= now)
+        until.is_none_or(|it| it.iter().all(|it| *it <= now))
     }
 }
 
@@ -363,7 +366,7 @@
         if withheld.any(|it| it.2.task == task) {
             return Some(SuspectWait::Withheld);
         }
-        let suspicion = self.suspicion(task).filter(|it| !it.is_cleared())?;
+        let suspicion = self.suspicion(task).filter(|_| !self.is_cleared(task))?;
         let wait = if !is_stored(&self.work, task.step.submission, suspicion.change) {
             SuspectWait::Unstored
         } else if suspicion.is_undecided(now) {
@@ -376,6 +379,13 @@
         Some(wait)
     }
 
+    /// Returns whether a task is suspected of crashes that others explain.
+    fn is_cleared(&self, task: TaskKey) -> bool {
+        let work = self.work.get(&task.step.submission);
+        let are_all_known = work.is_some_and(|it| it.is_known_unstarted);
+        self.suspicion(task).is_some_and(|it| it.is_cleared(are_all_known))
+    }
+
     /// Changes what is known against a task, and has it stored.
     fn change_suspicion(&mut self, task: TaskKey, change: impl FnOnce(&mut Suspicion)) {
         self.mark_dirty(task.step.submission);
@@ -411,7 +421,7 @@
         let is_accused = suspicion.crashed_runs.iter().any(|it| it.run == run);
         if is_cleared {
             self.change_suspicion(task, |it| *it = Suspicion::default());
-        } else if is_proven && suspicion.is_cleared() {
+        } else if is_proven && self.is_cleared(task) {
             self.change_suspicion(task, |it| *it = Suspicion::default());
         } else if is_accused || (is_proven && is_open) {
             self.change_suspicion(task, |it| {
@@ -613,7 +623,9 @@
         }
         self.suspects.crashes += 1;
         if let Some(host) = worker.listing.host.clone() {
-            self.suspects.host_probation.insert(host, now.plus_ms(HOST_PROBATION_MS));
+            let until = self.suspects.host_probation.entry(host).or_default();
+            until.retain(|it| now < *it);
+            until.push(now.plus_ms(HOST_PROBATION_MS));
         }
     }
 
@@ -711,7 +723,7 @@
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = self.may_start_work(work, now);
         let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
-        if spec.is_gang || suspicion.is_cleared() || !slot.is_waiting() || !may_start {
+        if spec.is_gang || self.is_cleared(task) || !slot.is_waiting() || !may_start {
             return None;
         }
         Some(self.waiting_step(task.step)?.rank(now))
@@ -1038,7 +1050,7 @@
     ) -> bool {
         let work = self.work.get(&task.step.submission);
         match work.and_then(|it| it.task(task)).map(|it| &it.phase) {
-            Some(Phase::Waiting) => now < claim.expires_at,
+            Some(Phase::Waiting) => now < claim.expires_at && !self.is_cleared(task),
             Some(Phase::Placed(run)) => {
                 let allocation = self.workers[index].allocations.get(&task);
                 run.worker == index && allocation.is_some_and(|it| it.listings < PROVEN_LISTINGS)
@@ -1053,7 +1065,8 @@
     pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
         let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
         let is_stored = |it: &Suspicion| is_stored(&self.work, task.step.submission, it.change);
-        self.suspicion(task).is_none_or(|it| it.is_cleared() || (is_gang && is_stored(it)))
+        let Some(suspicion) = self.suspicion(task) else { return true };
+        is_stored(suspicion) && (is_gang || self.is_cleared(task))
     }
 }
 
--- a/crates/mustardcove-core/src/fleet/planner/suspects/counts.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects/counts.rs
@@ -56,7 +56,8 @@
         if counts.waits.is_empty() {
             return;
         }
-        let on_probation = self.suspects.host_probation.values().filter(|it| now < **it).count();
+        let hosts = self.suspects.host_probation.keys();
+        let on_probation = hosts.filter(|it| !self.suspects.is_host_sound(Some(it), now)).count();
         let mut inputs = format!(
             "tasks={} waiting={} oldest_ms={} isolated={} hosts_on_probation={on_probation}",
             self.suspects.tasks.len(),
--- a/crates/mustardcove-core/src/fleet/planner/suspects/explained.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects/explained.rs
@@ -106,10 +106,9 @@
         }
         for crash in crashes {
             let Some(host) = &crash.host else { continue };
-            // A later crash of the host is another one.
             let until = crash.at.plus_ms(HOST_PROBATION_MS);
-            if self.suspects.host_probation.get(host) == Some(&until) {
-                self.suspects.host_probation.remove(host);
+            if let Some(times) = self.suspects.host_probation.get_mut(host) {
+                times.retain(|it| *it != until);
             }
         }
     }
@@ -134,11 +133,10 @@
                 .and_then(|it| it.suspicion.as_mut());
             let Some(suspicion) = suspicion else { continue };
             suspicion.explained_runs.push(run);
-            if !suspicion.is_cleared() {
-                continue;
+            if self.is_cleared(task) {
+                self.waiting.insert(task.step);
+                cleared += 1;
             }
-            self.waiting.insert(task.step);
-            cleared += 1;
         }
         let id = Some(culprit.step.submission);
         self.log_decision(DecisionKind::CrashExplained, id, None, || {
