Serve submissions without a run first, and isolate more workers for them

Claims that expired go behind the others.

Of a submission one task at a time starts without isolation: the wait is checked every 500 ms, and each round in between released one more. Tasks that fit nowhere pause, so that four of them do not end each round's search.

crashed_twice (80 submissions with two crashes each) failed with half of the free share.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -305,7 +305,7 @@
 
 /// Returns whether a run of a submission was ordered so recently that it may
 /// still be confirmed.
-fn is_starting(work: &Work, now: Timestamp) -> bool {
+pub(super) fn is_starting(work: &Work, now: Timestamp) -> bool {
     let runs = work.runs().map(|it| it.1);
     runs.map(|it| now.ms_since(it.ordered_at)).any(|it| it < BLOCKED_AFTER_MS)
 }
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -99,8 +99,8 @@
 const HOST_PROBATION_MS: u64 = 30_000;
 /// Most of a pool's usable workers that may be isolated at once, in percent and
 /// rounded up; one more for a task that can start at once. For such tasks it is
-/// half of the free share of the pool if that is more: other work has room
-/// enough then.
+/// half of the free share of the pool if that is more, since other work has room
+/// enough then, and all of it for those of which users miss a run.
 const MAX_ISOLATED_PERCENT: u64 = 15;
 /// Most tasks that are isolated together, while there is little against any of
 /// them. Larger groups clear sound tasks faster, but a crash costs each other
@@ -258,6 +258,8 @@
     most_kept: usize,
     /// For tasks that can start at once.
     most: usize,
+    /// For those of them of which users miss a run.
+    most_idle: usize,
     /// How many are isolated.
     claims: usize,
 }
@@ -656,7 +658,8 @@
             }
             let work = self.work.get(&task.step.submission);
             let Some(pool) = work.and_then(|it| pools.get_mut(&it.queue.service)) else { continue };
-            if pool.most < pool.claims || self.suspects.is_claimed(*task) {
+            let most = if self.is_idle(*task, now) { pool.most_idle } else { pool.most };
+            if most < pool.claims || self.suspects.is_claimed(*task) {
                 continue;
             }
             if self.is_ruled_out(*task, &mut failed, now) {
@@ -677,20 +680,20 @@
     }
 
     /// Returns the suspected tasks that may start now and have no isolated worker,
-    /// in the order in which they get one: those first of whose submission
-    /// nothing runs, then who waits the longest.
+    /// in the order in which they get one: those first of which users miss a run,
+    /// of these the ones without a claim that expired, then who waits the longest.
     fn waiting_suspects(&self, now: Timestamp) -> Vec<TaskKey> {
-        let mut waiting: Vec<(bool, Timestamp, Rank, TaskKey)> = Vec::new();
+        let mut waiting: Vec<(bool, bool, Timestamp, Rank, TaskKey)> = Vec::new();
         for task in &self.suspects.tasks {
             let Some(rank) = self.suspect_rank(*task, now) else { continue };
             let Some(suspicion) = self.suspicion(*task) else { continue };
             if !self.suspects.is_claimed(*task) {
-                let has_run = !self.blocked.is_blocked(task.step.submission, now);
-                waiting.push((has_run, suspicion.idle_since, rank, *task));
+                let has_run = !self.is_idle(*task, now);
+                waiting.push((has_run, suspicion.is_retry, suspicion.idle_since, rank, *task));
             }
         }
         waiting.sort_unstable();
-        waiting.into_iter().map(|it| it.3).collect()
+        waiting.into_iter().map(|it| it.4).collect()
     }
 
     /// Returns how many of the usable workers of each pool may be isolated at
@@ -705,9 +708,10 @@
             let free_percent = 100u64.saturating_sub(reserved);
             let most_kept = isolated_share(workers.len(), MAX_ISOLATED_PERCENT);
             let most = most_kept.max(isolated_share(workers.len(), free_percent / 2));
+            let most_idle = most_kept.max(isolated_share(workers.len(), free_percent));
             let claimed = self.suspects.claims.keys().map(|it| &self.workers[*it]);
             let claims = claimed.filter(|it| it.listing.service == service).count();
-            (service.to_owned(), IsolationLimit { most_kept, most, claims })
+            (service.to_owned(), IsolationLimit { most_kept, most, most_idle, claims })
         };
         pools.into_iter().map(limit).collect()
     }
--- a/crates/mustardcove-core/src/fleet/planner/suspects/released.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects/released.rs
@@ -10,11 +10,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{FailedSearches, MAX_SEARCHES, Suspicion};
+use super::{FailedSearches, MAX_SEARCHES, SEARCH_PAUSE_MS, Suspicion};
 use crate::{
     fleet::{
         id::{SubmissionId, TaskKey},
-        planner::{Planner, work::WorkerIndex},
+        planner::{Planner, blocked, work::WorkerIndex},
     },
     time::Timestamp,
 };
@@ -31,7 +31,7 @@
         schedulable: &[WorkerIndex],
         now: Timestamp,
     ) {
-        if self.suspects.tasks.is_empty() {
+        if self.suspects.tasks.is_empty() || schedulable.is_empty() {
             return;
         }
         let mut begun: BTreeSet<SubmissionId> = BTreeSet::new();
@@ -57,6 +57,7 @@
                 }
             } else {
                 searches += 1;
+                self.set_try_at(task, now.plus_ms(SEARCH_PAUSE_MS));
                 self.search_failed(task, schedulable, false, &mut failed, now);
             }
         }
@@ -64,9 +65,16 @@
 
     /// Returns whether a suspected task need not wait for isolation.
     fn is_released(&self, task: TaskKey, now: Timestamp) -> bool {
-        let is_idle =
-            self.blocked.is_blocked(task.step.submission, now) || self.waits.is_overdue(task, now);
-        is_idle && self.suspicion(task).is_some_and(Suspicion::is_weak)
+        self.is_idle(task, now) && self.suspicion(task).is_some_and(Suspicion::is_weak)
+    }
+
+    /// Returns whether users miss a run of what a task belongs to: its submission,
+    /// or if it is long-running the task itself.
+    pub(super) fn is_idle(&self, task: TaskKey, now: Timestamp) -> bool {
+        let id = task.step.submission;
+        self.waits.is_overdue(task, now)
+            || (self.blocked.is_blocked(id, now)
+                && self.work.get(&id).is_some_and(|it| !blocked::is_starting(it, now)))
     }
 
     /// Returns whether a task may start on its pool: best-effort work that is
--- a/crates/mustardcove-core/tests/suspect_backlog.rs
+++ b/crates/mustardcove-core/tests/suspect_backlog.rs
@@ -116,7 +116,7 @@
 /// suspect in isolation.
 #[test]
 fn crashed_twice() {
-    let count = 60;
+    let count = 80;
     let mut rig = rig();
     for id in 1..=count {
         restore(&mut rig, id, best_effort(1), 2);
