Start tasks of a restarted worker again only under a confirmed leader

Callers could see a task run again that was done: a leader that was replaced, and that only most processes confirm, takes a worker's new incarnation, or a 421 from its address, for the end of the runs there and starts them elsewhere. Its successor may have acknowledged one of them as done before the worker restarted.

Such a task is now held until the store, or every process, has confirmed the leader since 0.4 s before the loss was concluded. A restart takes longer than that, so no successor that claimed later can have heard of an end before it; with a store that answers, the confirmation is younger than that, and nothing waits. The crash itself counts at once.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -17,13 +17,16 @@
 //! ends is no evidence about runs that it omits.
 //!
 //! That a worker is silent until its leases have expired is evidence only if no
-//! other leader has led until then: it may have extended them. The planner is
-//! therefore told through which time this leader was the only one
-//! ([`Planner::set_confirmed`]), and starts nothing while it may have been
-//! replaced.
+//! other leader has led until then: it may have extended them. That a worker has
+//! restarted proves that its runs have ended, but another leader may have heard
+//! before that they were done, so their tasks start again only if none has led
+//! until the restart was known. The planner is therefore told through which time
+//! this leader was the only one ([`Planner::set_confirmed`]), and starts nothing
+//! while it may have been replaced.
 
 mod blocked;
 mod circuit_breaker;
+mod held_tasks;
 mod interference;
 mod lookups;
 mod measurements;
@@ -50,6 +53,7 @@
 
 use self::{
     blocked::BlockedSubmissions,
+    held_tasks::HeldTasks,
     interference::InterferenceModel,
     lookups::Lookups,
     placement::Obstacle,
@@ -254,6 +258,7 @@
     interference: InterferenceModel,
     tickets: Tickets,
     suspects: Suspects,
+    held: HeldTasks,
     blocked: BlockedSubmissions,
     waits: LongRunningWaits,
     /// Number of the last placement round.
@@ -309,6 +314,7 @@
             interference: InterferenceModel::default(),
             tickets: Tickets::default(),
             suspects: Suspects::default(),
+            held: HeldTasks::default(),
             blocked: BlockedSubmissions::default(),
             waits: LongRunningWaits::default(),
             round: 0,
@@ -592,6 +598,7 @@
     pub fn set_confirmed(&mut self, sole_through: Timestamp, may_start: bool) {
         self.sole_through = sole_through;
         self.may_start = may_start;
+        self.release_confirmed();
     }
 
     /// Returns whether a time has passed without any other leader, so that what
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -113,6 +113,7 @@
         self.unconfirmed.retain(|key, _| key.0 != index);
         for task in runs {
             self.run_lost(index, task, "its worker was replaced", now);
+            self.hold_until_confirmed(task, now);
         }
         self.worker_crashed(index, now);
         self.judge_ended(index, now);
@@ -205,6 +206,7 @@
                     self.requeue(index, task, None, now);
                 }
             }
+            self.hold_until_confirmed(task, now);
         }
         // A stop that the earlier incarnation confirmed does not bind this
         // one.
@@ -473,7 +475,7 @@
             slot.checkpoint = checkpoint;
         }
         if is_long_running && ran_ms < 2 * RESTART_PAUSE_MS {
-            slot.not_before = now.plus_ms(RESTART_PAUSE_MS);
+            slot.not_before = slot.not_before.max(now.plus_ms(RESTART_PAUSE_MS));
         }
         self.waiting.insert(task.step);
     }
