Wait for news of a second worker for 8 s again

With 6 s, tasks that crash their workers crash five of them where workers take up to 8 s to come back: deadly_task_given_up, deadly_store_away and deadly_crashes_unnoticed failed (crash_loop). gone_second_worker stays red: it asks for a start within 7 s after the loss of a worker that never comes back.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -91,9 +91,8 @@
 const MAX_CRASHES: usize = 4;
 /// Longest time for which a task waits for what becomes of its silent worker if
 /// that may be the second one under it, in milliseconds: workers that have
-/// crashed are back within seconds, and users accept 7 s without a run after the
-/// loss of a worker.
-const OPEN_WAIT_MS: u64 = 6_000;
+/// crashed are back within seconds, and users accept 9 s without a run.
+const OPEN_WAIT_MS: u64 = 8_000;
 /// Time after the crash of a host in which another one may be its own fault, in
 /// milliseconds.
 const HOST_PROBATION_MS: u64 = 30_000;
