--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -113,6 +113,7 @@
         self.unconfirmed.retain(|key, _| key.0 != index);
         for task in runs {
             self.run_lost(index, task, "its worker was replaced", now);
+            self.blocked.retry(task.step.submission, now);
             self.hold_until_confirmed(task, now);
         }
         self.worker_crashed(index, now);
@@ -730,7 +731,6 @@
     ) {
         self.workers[index].release(task);
         self.requeue(index, task, None, now);
-        self.blocked.retry(task.step.submission, now);
         let worker = self.worker_id(index);
         self.log_decision(DecisionKind::RunLost, Some(task.step.submission), Some(worker), || {
             format!("task={task} why={why}")
