--- a/crates/mustardcove-core/tests/suspect_backlog.rs
+++ b/crates/mustardcove-core/tests/suspect_backlog.rs
@@ -161,11 +161,9 @@
     assert_eq!(rig.plan().len(), 8, "the others start together");
 }
 
-/// A start that reached its worker after that had crashed, and so never ran, was
-/// counted as one that may have crashed it.
-#[test]
-fn start_not_run() {
-    let mut rig = Rig::new(manifest(3), &[]);
+/// Starts a task on a worker that then falls silent; returns the answer that the
+/// start did not run.
+fn unanswered_start(rig: &mut Rig) -> (WorkerId, WorkerReport) {
     rig.add_workers(&[worker("w0", 4_000)]);
     rig.submit(submission(1, vec![step(1, 500, &[])], rig.now));
     rig.planner.tick(rig.now);
@@ -176,8 +174,27 @@
     rig.planner.report(w0, silent, rig.now);
     assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 1, "its outcome is open");
     let (task, run, outcome) = (start.task, start.run, StartOutcome::NotRun);
-    let answer = WorkerReport::Start { task, run, outcome, answered_at: rig.now };
-    rig.planner.report(w0, answer, rig.now);
-    rig.crash(w0);
+    (w0.clone(), WorkerReport::Start { task, run, outcome, answered_at: rig.now })
+}
+
+/// A start that reached its worker after that had crashed, and so never ran, was
+/// counted as one that may have crashed it.
+#[test]
+fn start_not_run() {
+    let mut rig = Rig::new(manifest(3), &[]);
+    let (w0, answer) = unanswered_start(&mut rig);
+    rig.planner.report(&w0, answer, rig.now);
+    rig.crash(&w0);
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
+}
+
+/// The same if the worker's end is proven before the answer is handled.
+#[test]
+fn late_answer_not_run() {
+    let mut rig = Rig::new(manifest(3), &[]);
+    let (w0, answer) = unanswered_start(&mut rig);
+    rig.crash(&w0);
+    assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 1);
+    rig.planner.report(&w0, answer, rig.now);
     assert_eq!(rig.planner.counts(rig.now).suspect_tasks, 0);
 }
