Say in the head of suspects.rs who starts without isolation

The text said that every suspected task is isolated. single_task replaces the name isolated_task, since the released tasks use it as well. No behaviour changes.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -27,6 +27,11 @@
 //! which it crashes get a worker each. The more of the pool is free, the more
 //! workers may be isolated.
 //!
+//! Hundreds of suspects still outnumber the workers that can be isolated. So a
+//! task against which there is little starts among others if users miss a run of
+//! it (`released`), and those that were beside a task which is found to have
+//! crashed their worker need no isolation (`explained`).
+//!
 //! A task is given up after [`CRASHES`] crashes of which it was a suspect, if it
 //! was the only new run in [`SOLE_CRASHES`] of them, on hosts that had not
 //! crashed shortly before, or if an earlier leader may have started it, which
@@ -745,7 +750,7 @@
     ) -> Option<WorkerIndex> {
         let submission = self.work.get(&task.step.submission)?.submission.clone();
         let spec = &submission.steps[usize::from(task.step.step)];
-        let pending = self.isolated_task(task, now)?;
+        let pending = self.single_task(task, now)?;
         let needed = spec.allocation();
         let worker = self.find_isolated(task, &pending, spec, usable, now);
         let worker = worker.filter(|it| may_wait || needed.fits_in(self.workers[*it].free()));
@@ -790,7 +795,7 @@
         if spec.max_per_worker.is_some() {
             return None;
         }
-        let pending = self.isolated_task(task, now)?;
+        let pending = self.single_task(task, now)?;
         let needed = spec.allocation();
         let fits = used.saturating_add(needed).fits_in(self.workers[worker].free());
         let can_run = self.score(&pending, self.request(&pending, spec, None), worker, now).is_ok();
@@ -812,7 +817,7 @@
             let Some(work) = self.work.get(&task.step.submission) else { continue };
             let submission = work.submission.clone();
             let spec = &submission.steps[usize::from(task.step.step)];
-            let Some(mut pending) = self.isolated_task(task, now) else { continue };
+            let Some(mut pending) = self.single_task(task, now) else { continue };
             let req = self.request(&pending, spec, None);
             if self.score(&pending, req, worker, now).is_err() {
                 continue;
@@ -844,7 +849,7 @@
     }
 
     /// Returns a suspected task as the only pending one of its step.
-    fn isolated_task(&self, task: TaskKey, now: Timestamp) -> Option<PendingTasks> {
+    fn single_task(&self, task: TaskKey, now: Timestamp) -> Option<PendingTasks> {
         let work = self.work.get(&task.step.submission)?;
         let mut pending = PendingTasks::of_step(task.step, work, false)?;
         pending.tasks = vec![(task.index, None)];
--- a/crates/mustardcove-core/src/fleet/planner/suspects/failed_searches.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects/failed_searches.rs
@@ -97,7 +97,7 @@
             return true;
         }
         let Some(work) = self.work.get(&task.step.submission) else { return false };
-        let Some(pending) = self.isolated_task(task, now) else { return false };
+        let Some(pending) = self.single_task(task, now) else { return false };
         let spec = &work.submission.steps[usize::from(task.step.step)];
         let is_ruled_out = failed.searches.iter().any(|it| it.rules_out(work, &pending, spec));
         if is_ruled_out {
@@ -117,7 +117,7 @@
         now: Timestamp,
     ) {
         let Some(work) = self.work.get(&task.step.submission) else { return };
-        let Some(pending) = self.isolated_task(task, now) else { return };
+        let Some(pending) = self.single_task(task, now) else { return };
         let step = task.step.step;
         let spec = &work.submission.steps[usize::from(step)];
         let mut rooms: Vec<Resources> = Vec::new();
--- a/crates/mustardcove-core/src/fleet/planner/suspects/released.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects/released.rs
@@ -105,7 +105,7 @@
         let Some(work) = self.work.get(&task.step.submission) else { return false };
         let submission = work.submission.clone();
         let spec = &submission.steps[usize::from(task.step.step)];
-        let Some(mut pending) = self.isolated_task(task, now) else { return false };
+        let Some(mut pending) = self.single_task(task, now) else { return false };
         pending.is_withheld = true;
         pending.is_released = true;
         let chosen = self.allocate_tasks(&mut pending, spec, schedulable, &[], now);
