Say in the log until when leases are waited for, and how long runs of silent workers wait

- task_waiting for=lease: lease_left_ms (negative once it has passed) and silent_ms; for=fence: lease_left_ms, how many workers are unheard and the first of them.
- leases_expired: when a silent worker's runs are given up, how long after the end of the leases (overdue_ms) and after the silence began (silent_ms). worker_silent has lease_left_ms.
- Metrics silent_runs and longest_silence_ms.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -169,6 +169,8 @@
     WorkerReplaced,
     /// A worker stopped answering.
     WorkerSilent,
+    /// The runs of a silent worker were given up, since its leases are over.
+    LeasesExpired,
     /// A worker answers again.
     WorkerAnswers,
     /// A worker left the list of service discovery or came back.
@@ -728,7 +730,14 @@
     /// Returns counts for the metrics.
     pub fn counts(&self, now: Timestamp) -> PlanCounts {
         let suspects = self.suspect_counts(now);
+        let holds_runs = |it: &&Worker| it.is_silent && !it.allocations.is_empty();
+        let silent = || self.workers.iter().filter(holds_runs);
         PlanCounts {
+            silent_runs: silent().map(|it| it.allocations.len()).sum(),
+            longest_silence_ms: silent()
+                .filter_map(|it| Some(now.ms_since(it.silent_since?)))
+                .max()
+                .unwrap_or_default(),
             waiting_steps: self.waiting.len(),
             blocked_submissions: self.blocked.count(),
             waiting_long_running: self.waits.waiting(),
@@ -936,6 +945,10 @@
     pub worker_crashes: u64,
     /// Number of times so far that a worker was scored for a task.
     pub scored_workers: u64,
+    /// Runs on silent workers, whose leases are awaited.
+    pub silent_runs: usize,
+    /// How long the longest of these workers has been silent, in milliseconds.
+    pub longest_silence_ms: u64,
 }
 
 /// Returns how a step's tasks use the processor.
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -87,10 +87,12 @@
         let leases_expire_by = worker.runs_expire_by();
         if !worker.is_silent {
             worker.is_silent = true;
+            worker.silent_since = Some(now);
             self.suspect_runs(index, now);
             let id = self.worker_id(index);
+            let left_ms = now.ms_until(leases_expire_by);
             self.log_decision(DecisionKind::WorkerSilent, None, Some(id), || {
-                format!("lease_over_by={leases_expire_by}")
+                format!("lease_over_by={leases_expire_by} lease_left_ms={left_ms}")
             });
         }
     }
@@ -128,6 +130,7 @@
         }
         worker.restored();
         let was_silent = std::mem::take(&mut worker.is_silent);
+        worker.silent_since = None;
         if was_silent {
             let id = worker.listing.worker.clone();
             self.log_decision(DecisionKind::WorkerAnswers, None, Some(id), String::new);
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -312,6 +312,12 @@
                 continue;
             }
             let lost: Vec<TaskKey> = worker.allocations.keys().copied().collect();
+            let overdue_ms = now.ms_since(worker.runs_expire_by());
+            let silent_ms = worker.silent_since.map_or(0, |it| now.ms_since(it));
+            let id = worker.listing.worker.clone();
+            self.log_decision(DecisionKind::LeasesExpired, None, Some(id), || {
+                format!("runs={} overdue_ms={overdue_ms} silent_ms={silent_ms}", lost.len())
+            });
             self.stops.retain(|key, _| key.0 != index);
             self.unconfirmed.retain(|key, _| key.0 != index);
             for task in lost {
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -274,10 +274,15 @@
         };
         let needed = spec.allocation();
         let with_capacity = self.obstacles_beside_capacity(task.step, now);
+        let leases = match reason {
+            Reason::Lease => self.explain_lease(task, now),
+            Reason::Fence => self.explain_fence(&work.queue.service, now),
+            _ => String::new(),
+        };
         Some(format!(
             "task={task} waited_ms={} for={reason} run_at={} nearest={worker} obstacle={obstacle} \
              free_cpu={} free_memory={} cpu={} memory={} step_runs={} of={} beside_capacity={} \
-             with_capacity={with_capacity}",
+             with_capacity={with_capacity}{leases}",
             now.ms_since(wait.since),
             run.as_deref().unwrap_or("-"),
             free.cpu,
@@ -331,6 +336,28 @@
         Some(reason)
     }
 
+    /// Returns until when the leases last of the silent worker on which a task was
+    /// placed, and since when that is silent.
+    fn explain_lease(&self, task: TaskKey, now: Timestamp) -> String {
+        let run = self.work.get(&task.step.submission).and_then(|it| it.task(task)?.run());
+        let Some(worker) = run.map(|it| &self.workers[it.worker]) else { return String::new() };
+        let left_ms = signed_ms(now, worker.runs_expire_by());
+        let silent_ms = worker.silent_since.map_or(0, |it| now.ms_since(it));
+        format!(" lease_left_ms={left_ms} silent_ms={silent_ms}")
+    }
+
+    /// Returns which workers of a pool keep work of earlier leaders waiting, and
+    /// until when the leases there last.
+    fn explain_fence(&self, service: &str, now: Timestamp) -> String {
+        let in_pool = self.workers.iter().filter(|it| it.listing.service == service);
+        let unfenced = in_pool.filter(|it| it.is_recorded && !it.is_fenced());
+        let unfenced: Vec<&Worker> = unfenced.collect();
+        let Some(first) = unfenced.first() else { return String::new() };
+        let left_ms = signed_ms(now, self.unfenced_leases_expire_by);
+        let (count, first) = (unfenced.len(), &first.listing.worker);
+        format!(" lease_left_ms={left_ms} unheard={count} first={first}")
+    }
+
     /// Returns the eligible worker that is nearest to running a task of a step:
     /// preferably one that is up and has capacity for it, and then one with a
     /// mild obstacle. All capacity of a dead worker is free, so that one is
@@ -396,6 +423,11 @@
     }
 }
 
+/// Returns the milliseconds until a time, which are negative if it has passed.
+fn signed_ms(now: Timestamp, time: Timestamp) -> i64 {
+    time.0 as i64 - now.0 as i64
+}
+
 /// Returns whether service discovery offers a worker for new work. A planner
 /// that wrongly takes it for unusable would miss the capacity there.
 fn is_offered(worker: &Worker) -> bool {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -121,6 +121,8 @@
     pub(super) polled_at: Option<Timestamp>,
     /// Whether several polls in a row have failed.
     pub(super) is_silent: bool,
+    /// Since when that is so, as far as the leader knows.
+    pub(super) silent_since: Option<Timestamp>,
     /// Whether its present incarnation was listed as about to leave.
     pub(super) was_draining: bool,
     /// When another worker was found in its place last, so that nothing runs
@@ -197,6 +199,7 @@
             has_listed_all_ends: false,
             polled_at: None,
             is_silent: false,
+            silent_since: None,
             was_draining: false,
             replaced_at: None,
             is_excluded: false,
--- a/crates/mustardcove-core/tests/long_running_waits.rs
+++ b/crates/mustardcove-core/tests/long_running_waits.rs
@@ -17,6 +17,7 @@
     id::{Incarnation, SubmissionId, Term},
     message::{EndKind, WorkerReport},
     planner::{DecisionKind, Planner, WorkerListing},
+    poller::MAX_START_LEASE_MS,
     submission::StepSpec,
 };
 use planner_rig::{Rig, START};
@@ -159,6 +160,11 @@
     let rows = rig.planner.long_running_waits(rig.now);
     assert!(rows[0].contains("for=lease run_at=w0"), "{rows:?}");
     assert!(rows[0].contains("obstacle=silent"), "{rows:?}");
+    // The line is of the fourth second after the start.
+    let leases = format!("lease_left_ms={} silent_ms=3000", MAX_START_LEASE_MS - 3_000);
+    assert!(rows[0].ends_with(&leases), "{rows:?}");
+    let counts = rig.planner.counts(rig.now);
+    assert_eq!((counts.silent_runs, counts.longest_silence_ms), (1, 4_000));
 }
 
 #[test]
@@ -196,6 +202,7 @@
     rig.planner.submit(submission(1, vec![long_running(1, 500)], START), false, START);
     let lines = run(&mut rig, fence_ms - 200);
     assert!(lines[0].contains("for=fence") && lines[0].contains("nearest=w0"), "{lines:?}");
+    assert!(lines[0].ends_with("lease_left_ms=3400 unheard=2 first=w1"), "{lines:?}");
     assert_eq!(rig.planner.counts(rig.now).placed_runs, 0);
     run(&mut rig, 400);
     assert_eq!(rig.planner.counts(rig.now).placed_runs, 1);
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -35,6 +35,8 @@
     isolated_workers: Gauge<u64>,
     worker_crashes: Gauge<u64>,
     scored_workers: Gauge<u64>,
+    silent_runs: Gauge<u64>,
+    longest_silence_ms: Gauge<u64>,
     report_age_ms: Gauge<u64>,
     ignored_entries: Gauge<u64>,
 }
@@ -101,6 +103,15 @@
                 "scored_workers",
                 "Number of times that a worker was scored for a task, at the leader.",
             ),
+            silent_runs: gauge(
+                "silent_runs",
+                "Runs on silent workers, whose leases are awaited, at the leader.",
+            ),
+            longest_silence_ms: gauge(
+                "longest_silence_ms",
+                "How long the longest of these workers has been silent, at the leader, in \
+                 milliseconds.",
+            ),
             report_age_ms: gauge(
                 "leader_report_age_ms",
                 "Age of the oldest report handled since the last heartbeat, at the leader.",
@@ -155,6 +166,8 @@
         self.isolated_workers.record(counts.isolated_workers as u64, &[]);
         self.worker_crashes.record(counts.worker_crashes, &[]);
         self.scored_workers.record(counts.scored_workers, &[]);
+        self.silent_runs.record(counts.silent_runs as u64, &[]);
+        self.longest_silence_ms.record(counts.longest_silence_ms, &[]);
     }
 
     /// Sets the age of the oldest report that the leader has handled lately, in
