--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     id::{ProcessId, RegionId, WorkerId},
-    time::Timestamp,
+    time::{ClockShift, Timestamp},
 };
 
 /// A message between the leader and another process.
@@ -279,6 +279,27 @@
     },
 }
 
+impl WorkerReport {
+    /// Converts the ends of leases to the receiver's clock. Other points in time
+    /// stay on the sender's clock, since they are only compared with each other.
+    pub fn to_local(mut self, shift: ClockShift) -> WorkerReport {
+        match &mut self {
+            WorkerReport::Polled(it) => {
+                it.leases_expire_by = shift.to_local(it.leases_expire_by);
+            }
+            WorkerReport::PollFailed { leases_expire_by, .. } => {
+                *leases_expire_by = leases_expire_by.map(|it| shift.to_local(it));
+            }
+            WorkerReport::Fenced
+            | WorkerReport::Replaced { .. }
+            | WorkerReport::PaceUnconfirmed { .. }
+            | WorkerReport::Start { .. }
+            | WorkerReport::Stop { .. } => {}
+        }
+        self
+    }
+}
+
 /// A worker's answer to a poll.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PollResult {
--- a/crates/mustardcove-core/src/time.rs
+++ b/crates/mustardcove-core/src/time.rs
@@ -46,6 +46,30 @@
     }
 }
 
+/// Converts points in time from the clock of a message's sender to that of its
+/// receiver.
+///
+/// The time that the message was under way is not known and counts as none, so
+/// a converted point is too late by as much and never too early.
+#[derive(Clone, Copy, Debug)]
+pub struct ClockShift {
+    sent_at: Timestamp,
+    received_at: Timestamp,
+}
+
+impl ClockShift {
+    /// Returns the conversion for a message that was sent at `sent_at` on the
+    /// sender's clock, and handled at `received_at` on the receiver's.
+    pub fn new(sent_at: Timestamp, received_at: Timestamp) -> ClockShift {
+        ClockShift { sent_at, received_at }
+    }
+
+    /// Returns a point in time on the receiver's clock.
+    pub fn to_local(self, time: Timestamp) -> Timestamp {
+        self.received_at.plus_ms(time.ms_since(self.sent_at))
+    }
+}
+
 impl fmt::Display for Timestamp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- /dev/null
+++ b/crates/mustardcove-core/tests/silent_leases.rs
@@ -0,0 +1,147 @@
+//! How long the work of a silent worker waits for the end of its leases.
+//!
+//! Guards against waits that begin anew: with each report of a failed poll, or
+//! with each leader. The bound is the users': a task runs again within 9 s after
+//! its worker was lost, whatever leaders step down meanwhile.
+
+#[path = "support/fleet_world.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
+
+use std::collections::BTreeMap;
+
+use fleet_world::{World, manifest, step, submission};
+use mustardcove_core::{
+    fleet::{id::TaskKey, message::WorkerReport, submission::StepSpec},
+    time::{ClockShift, Timestamp},
+};
+use planner_rig::{Rig, START};
+use rand::RngExt;
+
+const WORKERS: usize = 8;
+const PROCESSES: usize = 5;
+const SEEDS: u64 = 40;
+/// Time for which a worker that is lost for good is down, in milliseconds.
+const GONE_MS: u64 = 10_000_000;
+/// Longest time without a run after the loss of a worker, in milliseconds.
+const MAX_AWAY_MS: u64 = 9_000;
+/// Time between two plans, in milliseconds.
+const PLAN_MS: u64 = 100;
+/// Age of the leader's last confirmation, in milliseconds: the interval of its
+/// questions to the store, and one answer.
+const CONFIRMED_MS: u64 = 260;
+
+fn long_running(count: u16, cpu: u64) -> StepSpec {
+    StepSpec { is_long_running: true, ..step(count, cpu, &[]) }
+}
+
+/// A poller goes on reporting failed polls after the leases have ended. Its clock
+/// is another one than the leader's, and each report takes a while.
+#[test]
+fn leases_over() {
+    for (under_way_ms, ahead_ms) in [(0, 0), (5, 70_000), (120, 0), (400, 3)] {
+        let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
+        rig.submit(submission(1, vec![long_running(1, 500)], START));
+        let (worker, _) = rig.plan().swap_remove(0);
+        rig.poll_all();
+        let leases_expire_by = rig.now.plus_ms(6_000);
+        rig.workers.remove(&worker);
+        let mut restarted_at = None;
+        for i in 0..120u64 {
+            rig.advance(PLAN_MS);
+            rig.poll_all();
+            if i % 3 == 0 {
+                let sent_at = rig.now.minus_ms(under_way_ms).plus_ms(ahead_ms);
+                let report = WorkerReport::PollFailed {
+                    leases_expire_by: Some(leases_expire_by.plus_ms(ahead_ms)),
+                    is_silent: true,
+                };
+                let report = report.to_local(ClockShift::new(sent_at, rig.now));
+                rig.planner.report(&worker, report, rig.now);
+            }
+            rig.planner.set_confirmed(rig.now.minus_ms(CONFIRMED_MS), true);
+            if !rig.plan().is_empty() {
+                restarted_at = restarted_at.or(Some(rig.now));
+            }
+        }
+        let restarted_at = restarted_at.expect("the leases have ended");
+        assert!(leases_expire_by <= restarted_at, "the run may go on until its lease ends");
+        // The margin for delays is added to the end of the leases.
+        let latest = leases_expire_by.plus_ms(under_way_ms + 200 + CONFIRMED_MS + PLAN_MS);
+        assert!(restarted_at <= latest, "{under_way_ms} ms: {leases_expire_by} {restarted_at}");
+    }
+}
+
+/// Tasks without a run, each with the time when it lost its last one.
+struct Away {
+    since: BTreeMap<TaskKey, Timestamp>,
+    longest_ms: u64,
+}
+
+impl Away {
+    fn new() -> Away {
+        Away { since: BTreeMap::new(), longest_ms: 0 }
+    }
+
+    fn look(&mut self, world: &World) {
+        let tasks = world.submissions.values().flat_map(|it| {
+            let count = usize::from(it.steps[0].count);
+            (0..count).map(|index| it.task(0, 0, index)).collect::<Vec<_>>()
+        });
+        for task in tasks {
+            if 0 < world.runs_of(task) {
+                self.since.remove(&task);
+            } else {
+                let since = *self.since.entry(task).or_insert(world.now);
+                self.longest_ms = self.longest_ms.max(world.now.ms_since(since));
+            }
+        }
+    }
+
+    fn run(&mut self, world: &mut World, ms: u64) {
+        for _ in 0..ms / PLAN_MS {
+            world.run(PLAN_MS);
+            self.look(world);
+        }
+    }
+}
+
+fn busy_world(seed: u64) -> World {
+    let mut world = World::with_processes(seed, WORKERS, PROCESSES);
+    world.is_long_running_endless = true;
+    world.store_delay_ms = 2..=30;
+    for id in 1..=4 {
+        world.submit(submission(id, vec![long_running(4, 700)], world.now));
+    }
+    world.run(9_000);
+    world
+}
+
+/// A worker is lost, and leaders step down one after the other, as in a restart
+/// of all processes in turn.
+#[test]
+fn planned_leaders() {
+    let mut failed = Vec::new();
+    for seed in 0..SEEDS {
+        let mut world = busy_world(seed);
+        let mut away = Away::new();
+        let gap_ms = world.rng.random_range(700..2_600);
+        let lost_in = world.rng.random_range(0..4u64);
+        for i in 0..8 {
+            if i == lost_in {
+                let worker = world.rng.random_range(0..WORKERS);
+                world.crash(worker, GONE_MS);
+            }
+            away.run(&mut world, gap_ms);
+            world.step_down((i as usize + 1) % PROCESSES);
+        }
+        away.run(&mut world, 14_000);
+        if MAX_AWAY_MS < away.longest_ms || !world.violations.is_empty() {
+            failed.push(format!("seed {seed}: {} ms, {:?}", away.longest_ms, world.violations));
+        }
+    }
+    assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
+}
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -596,6 +596,14 @@
         leader.planner.set_confirmed(now, false);
     }
 
+    /// Lets the newest leader step down, as planned, and elects one in another
+    /// process.
+    pub(crate) fn step_down(&mut self, successor: usize) {
+        let leader = self.leaders.len() - 1;
+        self.supersede(leader);
+        self.elect_on(successor);
+    }
+
     /// Returns the process of a leader, if the world has any.
     fn process_of(&self, leader: usize) -> Option<usize> {
         self.leaders[leader].leadership.as_ref().map(|it| it.process)
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -32,7 +32,7 @@
         submission::{Submission, SubmissionState},
     },
     id::{ProcessId, WorkerId},
-    time::Timestamp,
+    time::{ClockShift, Timestamp},
 };
 use slog::{debug, info, warn};
 use tokio::{sync::mpsc, time::Instant};
@@ -379,23 +379,11 @@
         reports: Vec<(WorkerId, AssignmentNumber, WorkerReport)>,
         now: Timestamp,
     ) {
-        let to_local = |it: Timestamp| now.plus_ms(it.ms_since(sent_at));
-        for (worker, assignment, mut report) in reports {
-            if !self.pollers.is_current(from, &worker, assignment) {
-                continue;
+        let shift = ClockShift::new(sent_at, now);
+        for (worker, assignment, report) in reports {
+            if self.pollers.is_current(from, &worker, assignment) {
+                self.planner.report(&worker, report.to_local(shift), now);
             }
-            match &mut report {
-                WorkerReport::Polled(it) => it.leases_expire_by = to_local(it.leases_expire_by),
-                WorkerReport::PollFailed { leases_expire_by, .. } => {
-                    *leases_expire_by = leases_expire_by.map(to_local);
-                }
-                WorkerReport::Fenced
-                | WorkerReport::Replaced { .. }
-                | WorkerReport::PaceUnconfirmed { .. }
-                | WorkerReport::Start { .. }
-                | WorkerReport::Stop { .. } => {}
-            }
-            self.planner.report(&worker, report, now);
         }
     }
 
