Hand over by when the leases of silent workers have ended

Cause: each new leader dated every lease of earlier terms by its own claim, 6.6 s, although its predecessor knew when those on a silent worker end, or had concluded that they had. With leaders that follow each other within seconds the sum had no bound. A restored suspicion waited anew in the same way.

Change: a leader that steps down stores, on the condition that it still leads, by when the leases on each worker that does not answer have ended, and since when it is silent (fleet::handover). Its successor uses that if it has replaced exactly this term. A silent worker gets no lease until its leader has confirmed an answer, which one that has stepped down does not. Times are converted by when the record was written, so a late reading only lengthens a wait. Restored suspicions count the silence under earlier leaders, too.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -26,6 +26,7 @@
 
 mod blocked;
 mod circuit_breaker;
+mod earlier_leases;
 mod held_tasks;
 mod interference;
 mod lookups;
@@ -53,6 +54,7 @@
 
 use self::{
     blocked::BlockedSubmissions,
+    earlier_leases::EarlierLeases,
     held_tasks::HeldTasks,
     interference::InterferenceModel,
     lookups::Lookups,
@@ -69,9 +71,11 @@
     workers::WorkerListing,
 };
 use super::{
+    handover::Silence,
     id::{Incarnation, RunNumber, StepKey, SubmissionId, TaskKey, Term},
     manifest::{Manifest, Queue},
     message::{EndedRun, Order},
+    poller::MAX_ORPHAN_LEASE_MS,
     record::{LearnedInterference, ProgressRecord},
     submission::{StepSpec, Submission, SubmissionState},
 };
@@ -238,13 +242,7 @@
     /// Ends that are applied once their submission has been looked up.
     unplanned_ends: BTreeMap<SubmissionId, Vec<UnplannedEnd>>,
     lookups: Lookups,
-    /// The time by which every lease has expired that an earlier leader granted
-    /// before it knew of this term. What a poll of this term shows bounds those
-    /// of its worker from then on.
-    earlier_leases_expire_by: Timestamp,
-    /// The same for workers that were not polled in this term, on which an
-    /// earlier leader that does not know of it may go on extending leases.
-    unfenced_leases_expire_by: Timestamp,
+    earlier_leases: EarlierLeases,
     /// Time through which no other leader can have led in a later term.
     sole_through: Timestamp,
     /// Whether this leader was confirmed recently, so that it may start work.
@@ -306,8 +304,7 @@
             cancelled_early: BTreeSet::new(),
             unplanned_ends: BTreeMap::new(),
             lookups: Lookups::default(),
-            earlier_leases_expire_by,
-            unfenced_leases_expire_by: earlier_leases_expire_by,
+            earlier_leases: EarlierLeases::new(earlier_leases_expire_by),
             sole_through: Timestamp::MAX,
             may_start: true,
             is_fleet_complete: true,
@@ -386,7 +383,7 @@
             work.queue = queue.clone();
         }
         if let Some((progress, revision)) = progress {
-            work.restore(progress, revision, self.earlier_leases_expire_by, now);
+            work.restore(progress, revision, &self.earlier_leases, now);
         }
         self.log_decision(DecisionKind::Planned, Some(id), None, || {
             format!("queue={} certain={is_known_unstarted}", work.queue.name)
@@ -532,12 +529,50 @@
             "listed=true address={} host={host} life={}",
             listing.address, listing.incarnation
         );
-        self.workers.push(Worker::new(listing, self.earlier_leases_expire_by));
+        self.workers.push(Worker::new(listing, &self.earlier_leases));
         self.worker_index.insert(id.clone(), index);
         self.log_decision(DecisionKind::WorkerListed, None, Some(id), || inputs);
         index
     }
 
+    /// Takes over what the predecessor knew of workers that did not answer it.
+    /// Has to be called before anything that earlier leaders stored is restored.
+    pub fn take_over(&mut self, silences: Vec<Silence>) {
+        self.earlier_leases.take_over(silences);
+    }
+
+    /// Returns what a successor has to know of the workers that do not answer,
+    /// if this leader orders nothing and confirms no worker any more. A later
+    /// end of leases than the successor can conclude by itself, which counts
+    /// from its claim, is left out.
+    pub fn silences(&self, now: Timestamp) -> Vec<Silence> {
+        let latest = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+        let is_silent = |it: &&Worker| it.is_recorded && it.responsive_since.is_none();
+        let silence = |it: &Worker| Silence {
+            worker: it.listing.worker.clone(),
+            leases_expire_by: if it.replaced_at.is_some() { now } else { self.leases_end(it) },
+            since: it.silent_since,
+        };
+        let silences = self.workers.iter().filter(is_silent).map(silence);
+        silences.filter(|it| it.leases_expire_by < latest).collect()
+    }
+
+    /// Returns the time by which every lease has expired that this leader or an
+    /// earlier one granted on a worker that does not answer.
+    fn leases_end(&self, worker: &Worker) -> Timestamp {
+        match worker.incarnation {
+            Some(_) => worker.runs_expire_by(),
+            None => self.earlier_leases_end(worker),
+        }
+    }
+
+    /// Returns the time by which every lease has expired that an earlier leader
+    /// granted on a worker that was not polled in this term.
+    fn earlier_leases_end(&self, worker: &Worker) -> Timestamp {
+        let latest = self.earlier_leases.unfenced_expire_by();
+        worker.handed_over_leases_expire_by.map_or(latest, |it| it.min(latest))
+    }
+
     /// Adds the workers that earlier leaders used, which service discovery may
     /// not list at present; `None` if they left no record of them.
     pub fn restore_workers(&mut self, recorded: Option<Vec<WorkerListing>>) {
@@ -571,7 +606,7 @@
     pub fn is_unused(&self, worker: &WorkerId, now: Timestamp) -> bool {
         let Some(index) = self.worker_index.get(worker) else { return true };
         let worker = &self.workers[*index];
-        let is_fenced = worker.is_fenced() || self.are_earlier_leases_expired(now);
+        let is_fenced = worker.is_fenced() || self.has_no_earlier_lease(worker, now);
         is_fenced
             && !worker.is_listed
             && worker.allocations.is_empty()
@@ -592,7 +627,7 @@
     /// Sets the time by which every lease granted under an earlier leader has
     /// expired on workers that were not polled in this term.
     pub fn set_unfenced_leases_expire_by(&mut self, time: Timestamp) {
-        self.unfenced_leases_expire_by = time;
+        self.earlier_leases.set_unfenced_expire_by(time);
     }
 
     /// Records through which time this leader was the only one, and whether it
@@ -611,7 +646,13 @@
 
     /// Returns whether every lease granted under an earlier leader has expired.
     pub fn are_earlier_leases_expired(&self, now: Timestamp) -> bool {
-        self.is_past(self.unfenced_leases_expire_by, now)
+        self.is_past(self.earlier_leases.unfenced_expire_by(), now)
+    }
+
+    /// Returns whether that is so for a worker that was not polled in this term.
+    fn has_no_earlier_lease(&self, worker: &Worker, now: Timestamp) -> bool {
+        let end = worker.handed_over_leases_expire_by.map(|it| it.plus_ms(LEASE_MARGIN_MS));
+        end.is_some_and(|it| self.is_past(it, now)) || self.are_earlier_leases_expired(now)
     }
 
     /// Records that everything which a worker's poller reported by a time has
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -348,8 +348,12 @@
     /// Returns whether every worker of a pool has listed its runs and ends in
     /// this term, or can run nothing of an earlier one.
     pub(super) fn is_all_fenced(&self, service: &str, now: Timestamp) -> bool {
-        let is_fenced =
-            |it: &Worker| it.is_fenced() || !it.is_recorded || it.listing.service != service;
+        let is_fenced = |it: &Worker| {
+            it.is_fenced()
+                || !it.is_recorded
+                || it.listing.service != service
+                || self.has_no_earlier_lease(it, now)
+        };
         !self.pools_lacking_ends.contains(service)
             && (self.are_earlier_leases_expired(now)
                 || (self.is_fleet_complete && self.workers.iter().all(is_fenced)))
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -62,7 +62,9 @@
 
 use self::{explained::Crashes, failed_searches::FailedSearches};
 use super::{
-    DecisionKind, Planner, is_stored,
+    DecisionKind, Planner,
+    earlier_leases::EarlierLeases,
+    is_stored,
     placement::{self, Obstacle},
     rank::Rank,
     schedule::PendingTasks,
@@ -145,18 +147,20 @@
 }
 
 impl Suspicion {
-    /// Returns the suspicion that an earlier leader stored. Its workers have
-    /// been silent for an unknown time, and no run of that leader goes on after
-    /// `earlier_leases_expire_by`.
+    /// Returns the suspicion that an earlier leader stored. It waits for what
+    /// becomes of a worker until no run of an earlier leader goes on there, and
+    /// no longer than one leader would have waited.
     pub(super) fn restored(
         record: &SuspectTask,
-        earlier_leases_expire_by: Timestamp,
+        earlier_leases: &EarlierLeases,
         now: Timestamp,
     ) -> Suspicion {
+        let workers = record.open_runs.iter().map(|it| &it.worker);
+        let undecided_until = workers.map(|it| earlier_leases.undecided_until(it, OPEN_WAIT_MS));
         Suspicion {
             crashed_runs: record.crashed_runs.clone(),
             open_runs: record.open_runs.clone(),
-            wait_until: earlier_leases_expire_by,
+            wait_until: undecided_until.max().unwrap_or_default(),
             idle_since: now,
             ..Suspicion::default()
         }
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -346,16 +346,19 @@
         format!(" lease_left_ms={left_ms} silent_ms={silent_ms}")
     }
 
-    /// Returns which workers of a pool keep work of earlier leaders waiting, and
-    /// until when the leases there last.
+    /// Returns which worker of a pool keeps work of earlier leaders waiting the
+    /// longest, how many do, and until when the leases there last.
     fn explain_fence(&self, service: &str, now: Timestamp) -> String {
         let in_pool = self.workers.iter().filter(|it| it.listing.service == service);
         let unfenced = in_pool.filter(|it| it.is_recorded && !it.is_fenced());
         let unfenced: Vec<&Worker> = unfenced.collect();
-        let Some(first) = unfenced.first() else { return String::new() };
-        let left_ms = signed_ms(now, self.unfenced_leases_expire_by);
-        let (count, first) = (unfenced.len(), &first.listing.worker);
-        format!(" lease_left_ms={left_ms} unheard={count} first={first}")
+        let Some(last) = unfenced.iter().max_by_key(|it| self.earlier_leases_end(it)) else {
+            return String::new();
+        };
+        let left_ms = signed_ms(now, self.earlier_leases_end(last));
+        let silent_ms = last.silent_since.map_or(0, |it| now.ms_since(it));
+        let (count, last) = (unfenced.len(), &last.listing.worker);
+        format!(" lease_left_ms={left_ms} unheard={count} last={last} silent_ms={silent_ms}")
     }
 
     /// Returns the eligible worker that is nearest to running a task of a step:
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::suspects::Suspicion;
+use super::{earlier_leases::EarlierLeases, suspects::Suspicion};
 use crate::{
     fleet::{
         id::{RunNumber, TaskKey},
@@ -265,7 +265,7 @@
         &mut self,
         progress: &ProgressRecord,
         revision: u64,
-        earlier_leases_expire_by: Timestamp,
+        earlier_leases: &EarlierLeases,
         now: Timestamp,
     ) {
         self.state = progress.state;
@@ -292,7 +292,7 @@
             let (step, index) = (usize::from(recorded.step), usize::from(recorded.index));
             let task = self.submission.task(recorded.occurrence, step, index);
             if let Some(slot) = self.task_mut(task).filter(|it| !it.is_done()) {
-                let suspicion = Suspicion::restored(recorded, earlier_leases_expire_by, now);
+                let suspicion = Suspicion::restored(recorded, earlier_leases, now);
                 slot.last_run = slot.last_run.max(suspicion.last_run());
                 slot.suspicion = Some(Box::new(suspicion));
             }
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -10,6 +10,7 @@
 use super::{
     LEASE_MARGIN_MS,
     circuit_breaker::CircuitBreaker,
+    earlier_leases::EarlierLeases,
     interference::{ImageId, InterferenceModel},
     pace::{self, LatencyCriticalTask},
     placement,
@@ -121,8 +122,12 @@
     pub(super) polled_at: Option<Timestamp>,
     /// Whether several polls in a row have failed.
     pub(super) is_silent: bool,
-    /// Since when that is so, as far as the leader knows.
+    /// Since when it has not answered, as far as this leader and those before it
+    /// know.
     pub(super) silent_since: Option<Timestamp>,
+    /// The time by which every lease of earlier leaders has expired, if it did
+    /// not answer the predecessor either.
+    pub(super) handed_over_leases_expire_by: Option<Timestamp>,
     /// Whether its present incarnation was listed as about to leave.
     pub(super) was_draining: bool,
     /// When another worker was found in its place last, so that nothing runs
@@ -187,10 +192,13 @@
 }
 
 impl Worker {
-    /// Returns a worker that was not polled yet. Leases granted in earlier
-    /// terms expire by `earlier_leases_expire_by`.
-    pub(super) fn new(listing: WorkerListing, earlier_leases_expire_by: Timestamp) -> Worker {
+    /// Returns a worker that was not polled yet.
+    pub(super) fn new(listing: WorkerListing, earlier_leases: &EarlierLeases) -> Worker {
+        let earlier_leases_expire_by = earlier_leases.expire_by(&listing.worker);
+        let silence = earlier_leases.silence(&listing.worker);
         Worker {
+            handed_over_leases_expire_by: silence.map(|it| it.leases_expire_by),
+            silent_since: silence.and_then(|it| it.since),
             listing,
             is_listed: true,
             is_recorded: false,
@@ -199,7 +207,6 @@
             has_listed_all_ends: false,
             polled_at: None,
             is_silent: false,
-            silent_since: None,
             was_draining: false,
             replaced_at: None,
             is_excluded: false,
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -33,6 +33,9 @@
 /// Most segments of the roster: a key with a higher number is not ours.
 const MAX_ROSTER_SEGMENTS: usize = 1_024;
 
+/// The key of what the last leader that stepped down left to its successor; see
+/// [`Handover`](super::handover::Handover).
+pub const HANDOVER_KEY: &str = "handover";
 /// The key of the interference that leaders have learned.
 pub const LEARNED_KEY: &str = "learned";
 
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -6,6 +6,7 @@
 //! leader record names another process, a worker has seen a higher term, or
 //! the process stops.
 
+mod handover;
 mod pollers;
 mod progress;
 mod recovery;
@@ -115,6 +116,8 @@
     pub term: Term,
     /// The number of leaders so far, including this one.
     pub claims: u64,
+    /// The term whose record the claim has replaced; 0 if there was none.
+    pub predecessor: Term,
     /// When the claim was sent to the store.
     pub sent_at: Timestamp,
     /// The same on the boot clock.
@@ -243,7 +246,7 @@
         end_reason: None,
     };
     leader.planner.set_unfenced_leases_expire_by(unfenced_leases_expire_by);
-    let _tasks = match leader.take_over().await {
+    let _tasks = match leader.take_over(claim.predecessor).await {
         Ok(tasks) => tasks,
         Err(reason) => return reason,
     };
@@ -285,20 +288,25 @@
             Ok(_) = leadership.wait_for(|it| term < it.term) => {
                 return "a successor sent a heartbeat";
             }
-            () = shared.stop.cancelled() => {
-                leader.plan();
-                leader.send_states();
-                leader.pollers.broadcast(FleetMessage::SteppedDown { term });
-                return "the process stops";
-            }
+            () = shared.stop.cancelled() => break,
         }
         if let Some(reason) = leader.end_reason {
             return reason;
         }
     }
+    leader.step_down().await;
+    "the process stops"
 }
 
 impl Leader {
+    /// Ends the term with its last orders, so that a successor need not wait.
+    async fn step_down(&mut self) {
+        self.plan();
+        self.send_states();
+        self.hand_over().await;
+        self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
+    }
+
     /// Handles the inputs that have arrived, so that a plan rests on the newest
     /// reports even if the leader is behind.
     fn handle_queued(&mut self, inputs: &mut mpsc::Receiver<LeaderInput>) {
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -7,10 +7,11 @@
 
 use mustardcove_adapter::store::{Item, StoreFault};
 use mustardcove_core::fleet::{
-    id::SubmissionId,
+    id::{SubmissionId, Term},
     record::{
-        self, CANCEL_PREFIX, LEADER_KEY, LEARNED_KEY, LearnedInterference, PROCESS_PREFIX,
-        PROGRESS_PREFIX, ProgressRecord, ROSTER_PREFIX, SUBMISSION_PREFIX, WORK_PREFIX,
+        self, CANCEL_PREFIX, HANDOVER_KEY, LEADER_KEY, LEARNED_KEY, LearnedInterference,
+        PROCESS_PREFIX, PROGRESS_PREFIX, ProgressRecord, ROSTER_PREFIX, SUBMISSION_PREFIX,
+        WORK_PREFIX,
     },
 };
 use slog::warn;
@@ -27,18 +28,23 @@
     /// Restores the state that earlier leaders stored, and starts to follow
     /// changes in the store. Returns the background tasks that do so, or the
     /// reason why the term has to end.
-    pub(super) async fn take_over(&mut self) -> Result<Vec<AbortOnDropHandle<()>>, &'static str> {
+    pub(super) async fn take_over(
+        &mut self,
+        predecessor: Term,
+    ) -> Result<Vec<AbortOnDropHandle<()>>, &'static str> {
         // Other processes postpone their claims when they get a heartbeat.
         let processes = self.read_prefix(PROCESS_PREFIX).await?.0;
         self.pollers.update_registered(&processes, self.shared.now());
         self.send_heartbeat();
         let shared = self.shared.clone();
-        let (roster, work, progress, learned) = tokio::join!(
+        let (roster, work, progress, learned, handover) = tokio::join!(
             shared.store.range(ROSTER_PREFIX),
             shared.store.range(WORK_PREFIX),
             shared.store.range(PROGRESS_PREFIX),
             shared.store.get(LEARNED_KEY),
+            shared.store.get(HANDOVER_KEY),
         );
+        self.take_over_silences(handover, predecessor);
         self.restore_learned_interference(learned);
         let (roster, _) = self.retry_read(ROSTER_PREFIX, roster).await?;
         self.restore_roster(&roster);
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -154,8 +154,14 @@
     let write =
         Write::default().expect(LEADER_KEY, revision).set(LEADER_KEY, &record::encode(&record));
     let (sent_at, sent_boot) = (shared.now(), boot_now());
-    let claim =
-        |revision| Claim { term: Term(revision), claims: record.claims, sent_at, sent_boot };
+    let predecessor = Term(revision);
+    let claim = |revision| Claim {
+        term: Term(revision),
+        claims: record.claims,
+        predecessor,
+        sent_at,
+        sent_boot,
+    };
     match shared.store.write(&write).await {
         Ok(WriteOutcome::Committed(revision)) => Ok(Some(claim(revision))),
         Ok(WriteOutcome::Conflict(_)) => Ok(None),
