Hand over the plan of each worker, so that only its own tasks wait for a silent one

Cause: a new leader does not know what runs where, so all work of a pool that may have run waited until every worker had answered, or its leases were over. While workers are replaced one after the other, some worker has always just left unnoticed, and the whole pool waited 6.6 s after each claim: with a change every few seconds, without a bound.

Change: the record of a leader that steps down holds each worker's planned runs and its incarnation, besides the end of its leases. It flushes its progress first; a worker whose ends are not all listed and stored, or that runs something unknown, is handed over without a plan and awaited as before. The successor places these runs as its own and goes on: tasks that wait start at once, runs of a silent worker start elsewhere when its leases end, and sound runs are not taken for new ones again. The end of the leases counts from when the successor was told that its predecessor has stepped down, if it was.

--- a/crates/mustardcove-core/src/fleet/handover.rs
+++ b/crates/mustardcove-core/src/fleet/handover.rs
@@ -1,20 +1,25 @@
 //! What a leader that steps down leaves to its successor.
 //!
-//! Work that may have run on a worker which does not answer waits until the
-//! leases there have ended. Of leases that earlier leaders granted, a new leader
-//! knows only that none outlasts
-//! [`MAX_ORPHAN_LEASE_MS`](super::poller::MAX_ORPHAN_LEASE_MS) after its claim.
-//! That wait would begin anew with each leader, and without a bound if leaders
-//! follow each other closely. A leader that steps down therefore stores by when
-//! the leases on each silent worker have ended, as far as that is earlier than
-//! what its successor could conclude by itself.
+//! A new leader does not know what runs where, since starts are not stored, so
+//! work that may have run waits until every worker of its pool has listed what
+//! runs there. A worker that does not answer keeps it waiting until no lease of
+//! an earlier leader can be left:
+//! [`MAX_ORPHAN_LEASE_MS`](super::poller::MAX_ORPHAN_LEASE_MS) after the claim.
+//! With leaders that follow each other within seconds, and with workers that are
+//! lost or replaced all the time, that wait begins anew with each leader and has
+//! no bound.
 //!
-//! The record holds for the next term only, since another leader may have
-//! extended the leases: it is written on the condition that its writer still
-//! leads, and counts only if its term is the one that the reader has replaced.
-//! After writing it, a leader orders nothing and confirms no answer of a worker,
-//! without which pollers extend no lease there. What a silent worker may still
-//! hold from the terms before is part of what the writer took over itself.
+//! A leader that steps down therefore stores what it knows of each worker: what
+//! may run there, by when the leases have ended if the worker does not answer,
+//! and since when it has not. The successor goes on with that plan. Only tasks
+//! that may run on a silent worker wait, and until the end that one leader would
+//! have waited for.
+//!
+//! The record counts for the next term only, as another leader may have changed
+//! the plan and extended leases: it is written on the condition that its writer
+//! still leads, and is used only by the leader that has replaced exactly that
+//! term. After writing it, a leader orders nothing and confirms no answer of a
+//! worker, without which pollers extend no lease of one that was silent.
 //!
 //! A leader that is lost leaves no record. Its successor waits in full, which is
 //! within what users accept after the loss of a process. The alternatives are
@@ -25,12 +30,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::id::Term;
+use super::id::{Incarnation, RunNumber, TaskKey, Term};
 use crate::{
     id::WorkerId,
     time::{ClockShift, Timestamp},
 };
 
+/// Largest size of an encoded record, in bytes: half of what the store accepts.
+const MAX_BYTES: usize = 512 << 10;
+
 /// The stored record of a leader that stepped down. Points in time are on the
 /// writer's clock.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,39 +46,75 @@
     /// The writer's term.
     pub term: Term,
     /// When it was written, by which the reader converts the other times. The
-    /// time until it is read makes them later, which only lengthens waits.
+    /// time until the reader knows of it makes them later, which only lengthens
+    /// waits.
     pub written_at: Timestamp,
-    /// The workers that did not answer.
-    pub silences: Vec<Silence>,
+    /// The recorded workers.
+    pub workers: Vec<WorkerHandover>,
 }
 
-/// What is known of the leases on a worker that does not answer.
+/// What a leader knows of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Silence {
+pub struct WorkerHandover {
     /// The worker.
     pub worker: WorkerId,
     /// The time by which every lease there has expired that was granted in the
     /// writer's term or before.
     pub leases_expire_by: Timestamp,
-    /// Since when it has not answered, in this term or those before; `None` if
-    /// that is not known.
-    pub since: Option<Timestamp>,
+    /// Since when it has not answered, in this term or those before; `None`
+    /// unless it is silent.
+    pub silent_since: Option<Timestamp>,
+    /// What may run there; `None` if something else may run or have ended there
+    /// that is not stored.
+    pub plan: Option<WorkerPlan>,
+}
+
+/// Everything that may run on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerPlan {
+    /// The incarnation of the worker.
+    pub incarnation: Incarnation,
+    /// The planned runs.
+    pub runs: Vec<PlannedRun>,
+}
+
+/// A run that was ordered to begin on a worker and has not ended there, as far
+/// as is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannedRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// Whether enough polls have listed it to show that its start crashes no
+    /// worker.
+    pub is_proven: bool,
 }
 
 impl Handover {
-    /// Returns the silences on the clock of a leader that reads the record now
-    /// and has replaced the leader of the term `predecessor`; nothing if the
-    /// record is of another term.
-    pub fn taken_over(self, predecessor: Term, now: Timestamp) -> Vec<Silence> {
+    /// Returns the workers on the clock of a leader that has replaced the one of
+    /// the term `predecessor`; nothing if the record is of another term. The
+    /// record was written before `known_at` on the clock of that leader: when
+    /// it was told that its predecessor has stepped down, or reads the record.
+    pub fn taken_over(self, predecessor: Term, known_at: Timestamp) -> Vec<WorkerHandover> {
         if self.term != predecessor {
             return Vec::new();
         }
-        let shift = ClockShift::new(self.written_at, now);
-        let to_local = |it: Silence| Silence {
+        let shift = ClockShift::new(self.written_at, known_at);
+        let to_local = |it: WorkerHandover| WorkerHandover {
             leases_expire_by: shift.to_local(it.leases_expire_by),
-            since: it.since.map(|it| shift.to_local(it)),
+            silent_since: it.silent_since.map(|it| shift.to_local(it)),
             ..it
         };
-        self.silences.into_iter().map(to_local).collect()
+        self.workers.into_iter().map(to_local).collect()
+    }
+
+    /// Leaves out the plans of workers that answer if the record would be too
+    /// large otherwise. The successor waits until these have answered it.
+    pub fn limit_size(&mut self, encoded_bytes: usize) {
+        if MAX_BYTES < encoded_bytes {
+            let answering = self.workers.iter_mut().filter(|it| it.silent_since.is_none());
+            answering.for_each(|it| it.plan = None);
+        }
     }
 }
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -27,6 +27,7 @@
 mod blocked;
 mod circuit_breaker;
 mod earlier_leases;
+mod handed_over;
 mod held_tasks;
 mod interference;
 mod lookups;
@@ -71,11 +72,10 @@
     workers::WorkerListing,
 };
 use super::{
-    handover::Silence,
+    handover::WorkerHandover,
     id::{Incarnation, RunNumber, StepKey, SubmissionId, TaskKey, Term},
     manifest::{Manifest, Queue},
     message::{EndedRun, Order},
-    poller::MAX_ORPHAN_LEASE_MS,
     record::{LearnedInterference, ProgressRecord},
     submission::{StepSpec, Submission, SubmissionState},
 };
@@ -150,6 +150,8 @@
     RunStopped,
     /// A run of an earlier leader was adopted.
     RunAdopted,
+    /// The predecessor's plan for a worker was taken over.
+    PlanTakenOver,
     /// A submission reached a final state.
     Finished,
     /// A submission has had no run for a while although it could have one.
@@ -535,35 +537,10 @@
         index
     }
 
-    /// Takes over what the predecessor knew of workers that did not answer it.
-    /// Has to be called before anything that earlier leaders stored is restored.
-    pub fn take_over(&mut self, silences: Vec<Silence>) {
-        self.earlier_leases.take_over(silences);
-    }
-
-    /// Returns what a successor has to know of the workers that do not answer,
-    /// if this leader orders nothing and confirms no worker any more. A later
-    /// end of leases than the successor can conclude by itself, which counts
-    /// from its claim, is left out.
-    pub fn silences(&self, now: Timestamp) -> Vec<Silence> {
-        let latest = now.plus_ms(MAX_ORPHAN_LEASE_MS);
-        let is_silent = |it: &&Worker| it.is_recorded && it.responsive_since.is_none();
-        let silence = |it: &Worker| Silence {
-            worker: it.listing.worker.clone(),
-            leases_expire_by: if it.replaced_at.is_some() { now } else { self.leases_end(it) },
-            since: it.silent_since,
-        };
-        let silences = self.workers.iter().filter(is_silent).map(silence);
-        silences.filter(|it| it.leases_expire_by < latest).collect()
-    }
-
-    /// Returns the time by which every lease has expired that this leader or an
-    /// earlier one granted on a worker that does not answer.
-    fn leases_end(&self, worker: &Worker) -> Timestamp {
-        match worker.incarnation {
-            Some(_) => worker.runs_expire_by(),
-            None => self.earlier_leases_end(worker),
-        }
+    /// Takes over what the predecessor knew of the workers. Has to be called
+    /// before anything that earlier leaders stored is restored.
+    pub fn take_over(&mut self, workers: Vec<WorkerHandover>) {
+        self.earlier_leases.take_over(workers);
     }
 
     /// Returns the time by which every lease has expired that an earlier leader
--- a/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
+++ b/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
@@ -1,13 +1,14 @@
 //! By when the leases have ended that earlier leaders granted.
 //!
 //! A lease outlasts the leader under which it was granted. For most workers a
-//! poll of this term tells what runs there. For the others this leader waits
-//! until no lease of an earlier one can be left: a fixed time after its claim,
-//! or the end that its predecessor has [handed over](crate::fleet::handover).
+//! poll of this term tells what runs there, or the plan that the predecessor has
+//! [handed over](crate::fleet::handover). For the others this leader waits until
+//! no lease of an earlier one can be left: a fixed time after its claim, or the
+//! end that was handed over.
 
 use std::collections::BTreeMap;
 
-use crate::{fleet::handover::Silence, id::WorkerId, time::Timestamp};
+use crate::{fleet::handover::WorkerHandover, id::WorkerId, time::Timestamp};
 
 /// The ends of the leases of earlier leaders.
 #[derive(Debug)]
@@ -19,19 +20,19 @@
     /// The same for workers that were not polled in this term, on which an
     /// earlier leader that does not know of it may go on extending leases.
     unfenced_expire_by: Timestamp,
-    /// The workers that did not answer the predecessor.
-    silences: BTreeMap<WorkerId, Silence>,
+    /// What the predecessor knew of the workers.
+    workers: BTreeMap<WorkerId, WorkerHandover>,
 }
 
 impl EarlierLeases {
     /// Returns the state of a leader without a predecessor's record.
     pub(super) fn new(expire_by: Timestamp) -> EarlierLeases {
-        EarlierLeases { expire_by, unfenced_expire_by: expire_by, silences: BTreeMap::new() }
+        EarlierLeases { expire_by, unfenced_expire_by: expire_by, workers: BTreeMap::new() }
     }
 
     /// Takes over what the predecessor knew.
-    pub(super) fn take_over(&mut self, silences: Vec<Silence>) {
-        self.silences = silences.into_iter().map(|it| (it.worker.clone(), it)).collect();
+    pub(super) fn take_over(&mut self, workers: Vec<WorkerHandover>) {
+        self.workers = workers.into_iter().map(|it| (it.worker.clone(), it)).collect();
     }
 
     /// Sets the end for workers that were not polled in this term.
@@ -47,18 +48,18 @@
 
     /// Returns the end for a worker that is polled in this term.
     pub(super) fn expire_by(&self, worker: &WorkerId) -> Timestamp {
-        self.silence(worker).map_or(self.expire_by, |it| it.leases_expire_by.min(self.expire_by))
+        self.worker(worker).map_or(self.expire_by, |it| it.leases_expire_by.min(self.expire_by))
     }
 
-    /// Returns what the predecessor knew of a worker that did not answer it.
-    pub(super) fn silence(&self, worker: &WorkerId) -> Option<&Silence> {
-        self.silences.get(worker)
+    /// Returns what the predecessor knew of a worker.
+    pub(super) fn worker(&self, worker: &WorkerId) -> Option<&WorkerHandover> {
+        self.workers.get(worker)
     }
 
     /// Returns until when what becomes of a worker is awaited for at most
     /// `wait_ms` of its silence, the part of it under earlier leaders included.
     pub(super) fn undecided_until(&self, worker: &WorkerId, wait_ms: u64) -> Timestamp {
-        let since = self.silence(worker).and_then(|it| it.since);
+        let since = self.worker(worker).and_then(|it| it.silent_since);
         since.map_or(self.expire_by, |it| it.plus_ms(wait_ms).min(self.expire_by))
     }
 }
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -491,7 +491,7 @@
 
     /// Returns the runs that the plan has placed on a worker, each with the
     /// number of polls that listed it.
-    fn planned_runs(&self, index: WorkerIndex) -> Vec<(TaskKey, RunNumber, u32)> {
+    pub(super) fn planned_runs(&self, index: WorkerIndex) -> Vec<(TaskKey, RunNumber, u32)> {
         let allocations = self.workers[index].allocations.iter();
         let runs = allocations.map(|(task, it)| (*task, it.run, it.listings));
         runs.filter(|it| self.is_current(index, it.0, it.1)).collect()
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -115,8 +115,9 @@
     pub(super) may_run_earlier_work: bool,
     /// The incarnation that the runs belong to; `None` before the first poll.
     pub(super) incarnation: Option<Incarnation>,
-    /// Whether a poll of this term has listed all ends there, so that it is
-    /// known which runs of earlier leaders are done.
+    /// Whether a poll of this term has listed all ends there, or the predecessor
+    /// has handed over its plan, so that it is known which runs of earlier
+    /// leaders are done or may go on.
     pub(super) has_listed_all_ends: bool,
     /// When the last poll was answered.
     pub(super) polled_at: Option<Timestamp>,
@@ -125,8 +126,8 @@
     /// Since when it has not answered, as far as this leader and those before it
     /// know.
     pub(super) silent_since: Option<Timestamp>,
-    /// The time by which every lease of earlier leaders has expired, if it did
-    /// not answer the predecessor either.
+    /// The time by which every lease of earlier leaders has expired, if the
+    /// predecessor has handed it over.
     pub(super) handed_over_leases_expire_by: Option<Timestamp>,
     /// Whether its present incarnation was listed as about to leave.
     pub(super) was_draining: bool,
@@ -195,18 +196,21 @@
     /// Returns a worker that was not polled yet.
     pub(super) fn new(listing: WorkerListing, earlier_leases: &EarlierLeases) -> Worker {
         let earlier_leases_expire_by = earlier_leases.expire_by(&listing.worker);
-        let silence = earlier_leases.silence(&listing.worker);
+        let handed_over = earlier_leases.worker(&listing.worker);
+        let silent_since = handed_over.and_then(|it| it.silent_since);
+        let plan = handed_over.and_then(|it| it.plan.as_ref());
         Worker {
-            handed_over_leases_expire_by: silence.map(|it| it.leases_expire_by),
-            silent_since: silence.and_then(|it| it.since),
+            handed_over_leases_expire_by: handed_over.map(|it| it.leases_expire_by),
+            is_silent: silent_since.is_some(),
+            silent_since,
+            // The plan that was handed over tells what runs there.
+            incarnation: plan.map(|it| it.incarnation),
+            has_listed_all_ends: plan.is_some(),
             listing,
             is_listed: true,
             is_recorded: false,
             may_run_earlier_work: false,
-            incarnation: None,
-            has_listed_all_ends: false,
             polled_at: None,
-            is_silent: false,
             was_draining: false,
             replaced_at: None,
             is_excluded: false,
--- a/crates/mustardcove-core/tests/silent_leases.rs
+++ b/crates/mustardcove-core/tests/silent_leases.rs
@@ -16,7 +16,7 @@
 use fleet_world::{World, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        handover::{Handover, Silence},
+        handover::{Handover, WorkerHandover},
         id::{TaskKey, Term},
         message::WorkerReport,
         submission::StepSpec,
@@ -227,9 +227,10 @@
     assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
 }
 
-fn silence(worker: &str, leases_expire_by: Timestamp) -> Silence {
+fn silent(worker: &str, leases_expire_by: Timestamp) -> WorkerHandover {
     let worker = worker.parse().expect("a valid name");
-    Silence { worker, leases_expire_by, since: Some(leases_expire_by.minus_ms(4_000)) }
+    let silent_since = Some(leases_expire_by.minus_ms(4_000));
+    WorkerHandover { worker, leases_expire_by, silent_since, plan: None }
 }
 
 /// A leader in between may have extended the leases.
@@ -238,24 +239,24 @@
     let handover = Handover {
         term: Term(7),
         written_at: START,
-        silences: vec![silence("w0", START.plus_ms(3_000))],
+        workers: vec![silent("w0", START.plus_ms(3_000))],
     };
     for predecessor in [Term(0), Term(6), Term(8)] {
         assert!(handover.clone().taken_over(predecessor, START).is_empty());
     }
-    assert_eq!(handover.clone().taken_over(Term(7), START), handover.silences);
+    assert_eq!(handover.clone().taken_over(Term(7), START), handover.workers);
 }
 
 /// A record that is read 10 s late, on another clock, lengthens the wait.
 #[test]
 fn late_handover() {
     let written_at = START.plus_ms(600_000);
-    let silences =
-        vec![silence("w0", written_at.plus_ms(3_000)), silence("w1", written_at.minus_ms(2_000))];
+    let workers =
+        vec![silent("w0", written_at.plus_ms(3_000)), silent("w1", written_at.minus_ms(2_000))];
     let read_at = START.plus_ms(10_000);
-    let handover = Handover { term: Term(7), written_at, silences };
+    let handover = Handover { term: Term(7), written_at, workers };
     let read = handover.taken_over(Term(7), read_at);
     let ends: Vec<Timestamp> = read.iter().map(|it| it.leases_expire_by).collect();
     assert_eq!(ends, [START.plus_ms(13_000), START.plus_ms(8_000)]);
-    assert_eq!(read[0].since, Some(START.plus_ms(9_000)));
+    assert_eq!(read[0].silent_since, Some(START.plus_ms(9_000)));
 }
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -500,6 +500,8 @@
     learned: Option<LearnedInterference>,
     /// What the last leader that stepped down has stored.
     handover: Option<Handover>,
+    /// When its successor was told so, if it was.
+    stepped_down_at: Option<Timestamp>,
     /// One of this many chances to poll a worker is used on the average.
     pub(crate) poll_chances: u32,
     /// The same for workers in whose place another one is.
@@ -570,6 +572,7 @@
             ticket_requests: VecDeque::new(),
             learned: None,
             handover: None,
+            stepped_down_at: None,
             poll_chances: 4,
             misdirected_chances: 4,
             log: VecDeque::new(),
@@ -604,11 +607,14 @@
     /// process after a while.
     pub(crate) fn step_down(&mut self, successor: usize, pause_ms: u64) {
         let leader = self.leaders.len() - 1;
+        self.flush(leader);
         if self.reaches_store(leader) {
-            let planner = &self.leaders[leader].planner;
-            let silences = planner.silences(self.now);
-            self.handover = Some(Handover { term: self.term, written_at: self.now, silences });
+            let workers = self.leaders[leader].planner.hand_over(self.now);
+            self.handover = Some(Handover { term: self.term, written_at: self.now, workers });
         }
+        // The message that the leader has stepped down may be lost.
+        let is_told = 0 < self.rng.random_range(0..4u32);
+        self.stepped_down_at = is_told.then_some(self.now);
         self.supersede(leader);
         self.run(pause_ms);
         self.elect_on(successor);
@@ -869,9 +875,10 @@
         };
         let mut planner =
             Planner::new(self.term, self.claims, self.manifest.clone(), earlier_leases_expire_by);
-        let handover = self.handover.clone();
-        planner
-            .take_over(handover.map(|it| it.taken_over(predecessor, self.now)).unwrap_or_default());
+        let known_at = self.stepped_down_at.take().unwrap_or(self.now);
+        if let Some(handover) = self.handover.clone() {
+            planner.take_over(handover.taken_over(predecessor, known_at));
+        }
         if let Some(learned) = &self.learned {
             planner.restore_learned_interference(learned);
         }
@@ -887,6 +894,7 @@
             roster.restore(*segment, value.clone(), *revision);
         }
         planner.restore_workers(Some(roster.workers()));
+        planner.place_handed_over(self.now);
         let count = self.workers.len();
         self.leaders.push(Leader {
             planner,
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -83,6 +83,7 @@
         FleetMessage::SteppedDown { term } => {
             if shared.leadership.borrow().term == term {
                 info!(shared.log, "leader stepped down"; "leader" => %from, "term" => %term);
+                shared.record_step_down(term);
                 shared.update_candidacy(Candidacy::leader_stepped_down);
             }
         }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -294,19 +294,11 @@
             return reason;
         }
     }
-    leader.step_down().await;
+    leader.step_down(&mut task_results).await;
     "the process stops"
 }
 
 impl Leader {
-    /// Ends the term with its last orders, so that a successor need not wait.
-    async fn step_down(&mut self) {
-        self.plan();
-        self.send_states();
-        self.hand_over().await;
-        self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
-    }
-
     /// Handles the inputs that have arrived, so that a plan rests on the newest
     /// reports even if the leader is behind.
     fn handle_queued(&mut self, inputs: &mut mpsc::Receiver<LeaderInput>) {
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -44,13 +44,14 @@
             shared.store.get(LEARNED_KEY),
             shared.store.get(HANDOVER_KEY),
         );
-        self.take_over_silences(handover, predecessor);
+        self.take_over_plan(handover, predecessor);
         self.restore_learned_interference(learned);
         let (roster, _) = self.retry_read(ROSTER_PREFIX, roster).await?;
         self.restore_roster(&roster);
         let (work, after) = self.retry_read(WORK_PREFIX, work).await?;
         let (progress, _) = self.retry_read(PROGRESS_PREFIX, progress).await?;
         self.restore(&work, &progress);
+        self.planner.place_handed_over(self.shared.now());
         self.is_restored = true;
         if let Some(reason) = self.end_reason {
             return Err(reason);
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -66,6 +66,8 @@
     pending_at: Option<BootMillis>,
     /// Processes that reached the store recently.
     pub reaching_store: Vec<ProcessId>,
+    /// The last term whose leader is known to have stepped down, and since when.
+    stepped_down: Option<(Term, Timestamp)>,
 }
 
 /// The shared state; tasks hold it in an `Arc`.
@@ -249,6 +251,18 @@
         self.update_candidacy(|it, now| it.heartbeat_received(is_same_region, now));
     }
 
+    /// Records that the leader of a term has stepped down.
+    pub fn record_step_down(&self, term: Term) {
+        self.last_heartbeat().stepped_down = Some((term, self.now()));
+    }
+
+    /// Returns since when the leader of a term is known to have stepped down;
+    /// `None` if it is not.
+    pub fn stepped_down_at(&self, term: Term) -> Option<Timestamp> {
+        let stepped_down = self.last_heartbeat().stepped_down;
+        stepped_down.filter(|it| it.0 == term).map(|it| it.1)
+    }
+
     /// Returns the number of pending submissions of a queue; `None` if the last
     /// number from the leader is too old.
     pub fn pending(&self, host: &str, prefix: &str) -> Option<u32> {
