Greet the leader again before a process that has just started claims

The leader reads the records of the processes every 1.5 s only, and a process without a heartbeat claims after 1.2 s.

--- a/crates/mustardcove-core/src/fleet/election.rs
+++ b/crates/mustardcove-core/src/fleet/election.rs
@@ -96,10 +96,18 @@
         self.claim_at = now.plus_ms(self.rank_wait_ms / 4);
     }
 
-    /// Handles a claim that found another leader, whose heartbeats are on
+    /// Handles the record of another leader, which has been asked to answer.
+    /// `is_same_region` states that it is in the region of this process.
+    pub fn found_leader(&mut self, is_same_region: bool, now: Timestamp) {
+        self.region_wait_ms = if is_same_region { 0 } else { OTHER_REGION_WAIT_MS };
+        self.claim_failed(now);
+    }
+
+    /// Handles a claim that another process has made, whose heartbeats are on
     /// their way.
-    pub fn found_leader(&mut self, now: Timestamp) {
-        self.claim_at = self.claim_at.max(now.plus_ms(SILENT_WAIT_MS / 2 + self.rank_wait_ms));
+    pub fn claim_failed(&mut self, now: Timestamp) {
+        let wait_ms = SILENT_WAIT_MS / 2 + self.rank_wait_ms + self.region_wait_ms;
+        self.claim_at = self.claim_at.max(now.plus_ms(wait_ms));
     }
 
     /// Sets a new claim time after a change of the leader or a failed claim.
--- a/crates/mustardcove-core/tests/leader_election.rs
+++ b/crates/mustardcove-core/tests/leader_election.rs
@@ -79,3 +79,17 @@
     assert_eq!(next_claims(Some(4), 900), 5);
     assert!(4 < next_claims(None, 900));
 }
+
+/// Guards against a process that has just started and replaces a sound leader of
+/// the other region before that has answered it.
+#[test]
+fn found_in_record() {
+    let mut near = Candidacy::new(0.05, 10.0, 1.0, NOW);
+    near.found_leader(true, NOW);
+    let mut far = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
+    far.found_leader(false, NOW);
+    assert!(near.claim_at().plus_ms(500) < far.claim_at());
+    let claim_at = far.claim_at();
+    far.claim_failed(NOW);
+    assert_eq!(far.claim_at(), claim_at, "it stays in another region");
+}
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -71,10 +71,14 @@
         }
     };
     shared.store_answered();
-    let leader = item.and_then(|it| decode_leader(shared, &it));
-    let Some(leader) = leader else { return };
+    if let Some(leader) = item.and_then(|it| decode_leader(shared, &it)) {
+        greet_leader(shared, &leader);
+    }
+}
+
+fn greet_leader(shared: &Shared, leader: &LeaderRecord) {
     if let Ok(address) = leader.address.parse() {
-        shared.peers.add_peer(leader.process.clone(), address, leader.region);
+        shared.peers.add_peer(leader.process.clone(), address, leader.region.clone());
         shared.send(&leader.process, FleetMessage::Joined(own_record(shared)));
     }
 }
@@ -117,7 +121,7 @@
                 shared.leadership.send_if_modified(is_ours);
                 shared.update_candidacy(Candidacy::reschedule_claim);
             }
-            Ok(None) => shared.update_candidacy(Candidacy::found_leader),
+            Ok(None) => shared.update_candidacy(Candidacy::claim_failed),
             Err(fault) => {
                 shared.store_failed();
                 warn!(shared.log, "leadership not claimed"; "error" => %fault);
@@ -139,10 +143,15 @@
     let before = current.and_then(|it| decode_leader(shared, &it));
     let known_term = shared.leadership.borrow().term;
     if known_term.0 < revision && before.as_ref().is_some_and(|it| it.process != shared.process) {
-        // Another process became leader. Its heartbeats should arrive soon,
-        // unless it is lost, too.
+        // Another process became leader, or the first greeting was lost. Its
+        // heartbeats should arrive soon, unless it is lost, too.
         info!(shared.log, "another leader found"; "term" => revision);
         shared.leadership.send_replace(Leadership { term: Term(revision), leader: None });
+        if let Some(leader) = &before {
+            greet_leader(shared, leader);
+            let is_same_region = leader.region == shared.settings.region;
+            shared.update_candidacy(|it, now| it.found_leader(is_same_region, now));
+        }
         return Ok(None);
     }
     let record = LeaderRecord {
