Measure stalled runs on the clock of their poller

Callers lost the work of long batch runs that went on: after some seconds in which the leader handled no report, it stopped runs for "no progress", and two such stops suspend their worker.

Cause: the time without progress was the leader's clock since the last report that showed some, while the next reports waited to be handled. The first of them was asked for one poll later, within which a run of 25 s or more may not gain a percent, and then counted as stalled for as long as the leader was behind.

Change: the time between two polls that list a run counts as its poller saw it, by when they were asked for. A change of the poller keeps the sum and does not count the gap, so that it begins nothing anew. Not changed: whether a pace is new (pace_set_at) still goes by the leader's clock.

Weighed: comparing with the heartbeat that reports name (is_heard) needs fewer lines, but finds every stall up to a second later.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -592,14 +592,11 @@
             slot.checkpoint.clone_from(&row.checkpoint);
         }
         let Some(run) = slot.run_mut() else { return };
-        if run.percent != row.percent {
-            run.percent = row.percent;
-            run.progressed_at = now;
-        }
+        run.progress_listed(row.percent, asked_at);
         run.confirmed_at = Some(asked_at);
         run.was_listed = true;
         run.missed_polls = 0;
-        let stalled_ms = now.ms_since(run.progressed_at);
+        let stalled_ms = run.stalled_ms;
         let allocation = self.workers[index].allocations.get_mut(&row.task);
         let pace = allocation.as_ref().map_or(100, |it| it.pace.min(100));
         let stall_timeout_ms = stall_timeout_ms(estimate_ms, pace);
@@ -692,6 +689,7 @@
             let run = self.task_mut(task).and_then(|it| it.run_mut());
             if let Some(run) = run.filter(|it| it.worker == index) {
                 run.confirmed_at.iter_mut().for_each(confirm);
+                run.listed_at = None;
             }
         }
     }
@@ -761,7 +759,8 @@
                 self.unconfirmed.remove(&(index, task, run));
                 if let Some(run) = self.task_mut(task).and_then(|it| it.run_mut()) {
                     run.confirmed_at.get_or_insert(answered_at);
-                    run.progressed_at = now;
+                    run.listed_at = run.listed_at.max(Some(answered_at));
+                    run.stalled_ms = 0;
                 }
                 return;
             }
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -129,8 +129,13 @@
     /// list it.
     pub(super) missed_polls: u32,
     pub(super) percent: u8,
-    /// When `percent` last changed.
-    pub(super) progressed_at: Timestamp,
+    /// When the last poll that listed it was asked for, or its start was answered
+    /// if that was later, on the poller's clock; `None` before, and once another
+    /// poller has begun.
+    pub(super) listed_at: Option<Timestamp>,
+    /// Time between polls since `percent` last changed, in milliseconds. The
+    /// leader's clock also runs while polls wait to be handled.
+    pub(super) stalled_ms: u64,
 }
 
 impl Run {
@@ -143,10 +148,23 @@
             was_listed: false,
             missed_polls: 0,
             percent: 0,
-            progressed_at: now,
+            listed_at: None,
+            stalled_ms: 0,
         }
     }
 
+    /// Records that a poll which was asked for at `asked_at`, on the poller's
+    /// clock, has listed it with this progress.
+    pub(super) fn progress_listed(&mut self, percent: u8, asked_at: Timestamp) {
+        if self.percent == percent {
+            self.stalled_ms += self.listed_at.map_or(0, |it| asked_at.ms_since(it));
+        } else {
+            self.percent = percent;
+            self.stalled_ms = 0;
+        }
+        self.listed_at = self.listed_at.max(Some(asked_at));
+    }
+
     /// Returns whether the worker has confirmed it.
     pub(super) fn is_confirmed(&self) -> bool {
         self.confirmed_at.is_some()
