Wait for a silent worker from its own silence only

Cause: that time was one deadline for the task, set anew by each silence. News of the second worker came at once, but its silence had moved the deadline for the first by 5.9 s.

Change: the wait ends once each worker with an open run has been silent for 8 s. The deadline stays as the upper bound, so no wait gets longer.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -357,6 +357,17 @@
                 .any(|it| is_unstored(it.step.submission, self.suspicion_change(*it)))
     }
 
+    /// Returns whether a task has to wait for what becomes of a worker: until the
+    /// last of the silent ones has had the time to come back.
+    fn is_undecided(&self, suspicion: &Suspicion, now: Timestamp) -> bool {
+        let back_by = |it: &OpenRun| {
+            let index = self.worker_index.get(&it.worker)?;
+            Some(self.workers[*index].silent_since?.plus_ms(OPEN_WAIT_MS))
+        };
+        let back_by = suspicion.open_runs.iter().map(|it| back_by(it).unwrap_or(Timestamp::MAX));
+        suspicion.is_undecided(now) && back_by.max().is_none_or(|it| now < it)
+    }
+
     fn suspicion_change(&self, task: TaskKey) -> u64 {
         self.suspicion(task).map_or(0, |it| it.change)
     }
@@ -375,7 +386,7 @@
         let suspicion = self.suspicion(task).filter(|_| !self.is_cleared(task))?;
         let wait = if !is_stored(&self.work, task.step.submission, suspicion.change) {
             SuspectWait::Unstored
-        } else if suspicion.is_undecided(now) {
+        } else if self.is_undecided(suspicion, now) {
             SuspectWait::Undecided
         } else if self.suspects.is_claimed(task) {
             SuspectWait::Claimed
@@ -730,7 +741,7 @@
         let is_stored = is_stored(&self.work, task.step.submission, suspicion.change);
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = self.may_start_work(work, now);
-        let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
+        let may_start = is_due && is_stored && is_fenced && !self.is_undecided(suspicion, now);
         if spec.is_gang || self.is_cleared(task) || !slot.is_waiting() || !may_start {
             return None;
         }
