Let a new leader know since when a worker is silent

A suspected task whose second worker is silent waits until the leases of earlier leaders have expired, 6.6 s after the claim, with each new leader: it never started while leaders stepped down every 1 to 5 s, although the fence held nothing back (trial and test). Users accept 9 s.

Change: Planner::restore_silence takes the time from whoever knows it; the wait then ends 8 s after it, under whatever leader. The clock may be another process's: the wait gathers evidence of crashes and protects no run.

Before and after: known_silence failed (no start in 30 s with leaders of 1 s; restore_silence without effect) and passes for leaders of 1 to 30 s. unknown_silence and answers_again passed before: without the time, or once the worker answers, the wait is as it was.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -87,7 +87,7 @@
         let leases_expire_by = worker.runs_expire_by();
         if !worker.is_silent {
             worker.is_silent = true;
-            worker.silent_since = Some(now);
+            worker.silent_since.get_or_insert(now);
             self.suspect_runs(index, now);
             let id = self.worker_id(index);
             let left_ms = now.ms_until(leases_expire_by);
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -76,7 +76,7 @@
         record::{CrashedRun, OpenRun, SuspectTask},
         submission::{StepSpec, Submission, SubmissionState},
     },
-    id::HostId,
+    id::{HostId, WorkerId},
     size::Resources,
     time::Timestamp,
 };
@@ -357,6 +357,14 @@
                 .any(|it| is_unstored(it.step.submission, self.suspicion_change(*it)))
     }
 
+    /// Records since when a worker had been silent under an earlier leader, so
+    /// that the wait for what becomes of it does not begin anew with this one.
+    pub fn restore_silence(&mut self, worker: &WorkerId, since: Timestamp) {
+        if let Some(index) = self.worker_index.get(worker) {
+            self.workers[*index].silent_since.get_or_insert(since);
+        }
+    }
+
     /// Returns whether a task has to wait for what becomes of a worker: until the
     /// last of the silent ones has had the time to come back.
     fn is_undecided(&self, suspicion: &Suspicion, now: Timestamp) -> bool {
