Take the silence of suspected tasks' workers from the handover

A worker that the predecessor no longer recorded keeps nothing waiting. suspect_silence, silent_leases, late_progress and lost_pollers pass.

--- a/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
+++ b/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
@@ -56,10 +56,15 @@
         self.workers.get(worker)
     }
 
-    /// Returns until when what becomes of a worker is awaited for at most
-    /// `wait_ms` of its silence, the part of it under earlier leaders included.
-    pub(super) fn undecided_until(&self, worker: &WorkerId, wait_ms: u64) -> Timestamp {
-        let since = self.worker(worker).and_then(|it| it.silent_since);
-        since.map_or(self.expire_by, |it| it.plus_ms(wait_ms).min(self.expire_by))
+    /// Returns since when a worker had not answered the predecessor.
+    pub(super) fn silent_since(&self, worker: &WorkerId) -> Option<Timestamp> {
+        self.worker(worker)?.silent_since
+    }
+
+    /// Returns until when what becomes of a worker may have to be awaited. One
+    /// that the predecessor no longer recorded was unused for long.
+    pub(super) fn undecided_until(&self, worker: &WorkerId) -> Timestamp {
+        let is_forgotten = !self.workers.is_empty() && !self.workers.contains_key(worker);
+        if is_forgotten { Timestamp::default() } else { self.expire_by }
     }
 }
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -78,7 +78,7 @@
         record::{CrashedRun, OpenRun, SuspectTask},
         submission::{StepSpec, Submission, SubmissionState},
     },
-    id::{HostId, WorkerId},
+    id::HostId,
     size::Resources,
     time::Timestamp,
 };
@@ -148,15 +148,14 @@
 
 impl Suspicion {
     /// Returns the suspicion that an earlier leader stored. It waits for what
-    /// becomes of a worker until no run of an earlier leader goes on there, and
-    /// no longer than one leader would have waited.
+    /// becomes of a worker until no run of an earlier leader goes on there.
     pub(super) fn restored(
         record: &SuspectTask,
         earlier_leases: &EarlierLeases,
         now: Timestamp,
     ) -> Suspicion {
         let workers = record.open_runs.iter().map(|it| &it.worker);
-        let undecided_until = workers.map(|it| earlier_leases.undecided_until(it, OPEN_WAIT_MS));
+        let undecided_until = workers.map(|it| earlier_leases.undecided_until(it));
         Suspicion {
             crashed_runs: record.crashed_runs.clone(),
             open_runs: record.open_runs.clone(),
@@ -361,20 +360,15 @@
                 .any(|it| is_unstored(it.step.submission, self.suspicion_change(*it)))
     }
 
-    /// Records since when a worker had been silent under an earlier leader, so
-    /// that the wait for what becomes of it does not begin anew with this one.
-    pub fn restore_silence(&mut self, worker: &WorkerId, since: Timestamp) {
-        if let Some(index) = self.worker_index.get(worker) {
-            self.workers[*index].silent_since.get_or_insert(since);
-        }
-    }
-
     /// Returns whether a task has to wait for what becomes of a worker: until the
     /// last of the silent ones has had the time to come back.
     fn is_undecided(&self, suspicion: &Suspicion, now: Timestamp) -> bool {
         let back_by = |it: &OpenRun| {
-            let index = self.worker_index.get(&it.worker)?;
-            Some(self.workers[*index].silent_since?.plus_ms(OPEN_WAIT_MS))
+            let silent_since = match self.worker_index.get(&it.worker) {
+                Some(index) => self.workers[*index].silent_since,
+                None => self.earlier_leases.silent_since(&it.worker),
+            };
+            Some(silent_since?.plus_ms(OPEN_WAIT_MS))
         };
         let back_by = suspicion.open_runs.iter().map(|it| back_by(it).unwrap_or(Timestamp::MAX));
         suspicion.is_undecided(now) && back_by.max().is_none_or(|it| now < it)
--- a/crates/mustardcove-core/tests/suspect_silence.rs
+++ b/crates/mustardcove-core/tests/suspect_silence.rs
@@ -15,6 +15,7 @@
 use fleet_world::{listing, manifest, step, submission};
 use mustardcove_core::{
     fleet::{
+        handover::WorkerHandover,
         id::{Incarnation, RunNumber, Term},
         message::{PollResult, WorkerReport},
         planner::{Planner, WorkerListing},
@@ -70,6 +71,14 @@
 fn replace_leader(rig: &mut Rig, leader: u64, silent_since: Option<Timestamp>) {
     let expire_by = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
     let mut planner = Planner::new(Term(9 + leader), 2 + leader, manifest(3), expire_by);
+    if let Some(since) = silent_since {
+        planner.take_over(vec![WorkerHandover {
+            worker: id("lost"),
+            leases_expire_by: since.plus_ms(MAX_ORPHAN_LEASE_MS),
+            silent_since: Some(since),
+            plan: None,
+        }]);
+    }
     let lasting = StepSpec { is_long_running: true, ..step(1, 2_000, &[]) };
     let lasting = submission(1, vec![lasting], START);
     planner.restore(lasting, false, Some((&stored(), 5)), rig.now);
@@ -78,9 +87,6 @@
     // The lost one is not recorded any longer, but still listed.
     let lost = listing("lost", 4_000, Incarnation(1));
     planner.update_fleet(vec![other.clone()], vec![lost], true);
-    if let Some(since) = silent_since {
-        planner.restore_silence(&id("lost"), since);
-    }
     rig.planner = planner;
     rig.workers.entry(other.worker).or_default();
     rig.poll_all();
