Wait for a silent worker's outcome only if a crash would give up the task

But a task is given up after three crashes at the earliest, so after two losses it starts again whatever the outcome is, alone on its worker. The wait saved no worker there. It does so for the last start before the task is given up, where it stays as it was: is_undecided asks whether the task would be given up if the workers of all its open runs had crashed.

Nothing in service discovery separates a worker that has crashed from one that is gone: the entries of both lapse alike, their leases end alike, and a later worker on the host is proof of a crash already.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -95,7 +95,7 @@
 /// Crashes after which a task is given up in any case.
 const MAX_CRASHES: usize = 4;
 /// Longest time for which a task waits for what becomes of its silent worker if
-/// that may be the second one under it, in milliseconds: workers that have
+/// it would be given up for another crash, in milliseconds: workers that have
 /// crashed are back within seconds, and users accept 9 s without a run.
 const OPEN_WAIT_MS: u64 = 8_000;
 /// Time after the crash of a host in which another one may be its own fault, in
@@ -197,9 +197,16 @@
     /// are known.
     fn is_given_up(&self, are_all_known: bool) -> bool {
         let sole = self.crashed_runs.iter().filter(|it| it.is_sole).count();
-        let crashes = self.crashed_runs.len();
-        let is_enough = SOLE_CRASHES <= sole || !are_all_known;
-        (CRASHES <= crashes && is_enough) || MAX_CRASHES <= crashes
+        is_too_many(self.crashed_runs.len(), sole, are_all_known)
+    }
+
+    /// Returns whether the task would be given up if the workers of all its open
+    /// runs had crashed.
+    fn may_be_given_up(&self, are_all_known: bool) -> bool {
+        let are_sole = self.crashed_runs.iter().map(|it| it.is_sole);
+        let are_sole = are_sole.chain(self.open_runs.iter().map(|it| it.is_sole));
+        let crashes = self.crashed_runs.len() + self.open_runs.len();
+        is_too_many(crashes, are_sole.filter(|it| *it).count(), are_all_known)
     }
 
     /// Returns whether so little speaks against the task that it may be isolated
@@ -211,13 +218,20 @@
         crashes <= 1 && !self.crashed_runs.iter().any(|it| it.is_sole)
     }
 
-    /// Returns whether the task has to wait for what becomes of a worker.
-    fn is_undecided(&self, now: Timestamp) -> bool {
-        let is_second = 2 <= self.crashed_runs.len() + self.open_runs.len();
-        !self.open_runs.is_empty() && is_second && now < self.wait_until
+    /// Returns whether the task has to wait for what becomes of a worker. While
+    /// it would start again whatever that is, nothing is won by a wait.
+    fn is_undecided(&self, are_all_known: bool, now: Timestamp) -> bool {
+        !self.open_runs.is_empty() && now < self.wait_until && self.may_be_given_up(are_all_known)
     }
 }
 
+/// Returns whether a task is given up after so many crashes, of which it was the
+/// only suspect in `sole`.
+fn is_too_many(crashes: usize, sole: usize, are_all_known: bool) -> bool {
+    let is_enough = SOLE_CRASHES <= sole || !are_all_known;
+    (CRASHES <= crashes && is_enough) || MAX_CRASHES <= crashes
+}
+
 /// What a suspected task waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -375,7 +389,7 @@
         let suspicion = self.suspicion(task).filter(|_| !self.is_cleared(task))?;
         let wait = if !is_stored(&self.work, task.step.submission, suspicion.change) {
             SuspectWait::Unstored
-        } else if suspicion.is_undecided(now) {
+        } else if suspicion.is_undecided(self.are_crashes_known(task), now) {
             SuspectWait::Undecided
         } else if self.suspects.is_claimed(task) {
             SuspectWait::Claimed
@@ -387,11 +401,16 @@
 
     /// Returns whether a task is suspected of crashes that others explain.
     fn is_cleared(&self, task: TaskKey) -> bool {
-        let work = self.work.get(&task.step.submission);
-        let are_all_known = work.is_some_and(|it| it.is_known_unstarted);
+        let are_all_known = self.are_crashes_known(task);
         self.suspicion(task).is_some_and(|it| it.is_cleared(are_all_known))
     }
 
+    /// Returns whether no earlier leader can have started a task, so that all
+    /// crashes under it are known.
+    fn are_crashes_known(&self, task: TaskKey) -> bool {
+        self.work.get(&task.step.submission).is_some_and(|it| it.is_known_unstarted)
+    }
+
     /// Changes what is known against a task, and has it stored.
     fn change_suspicion(&mut self, task: TaskKey, change: impl FnOnce(&mut Suspicion)) {
         self.mark_dirty(task.step.submission);
@@ -603,7 +622,7 @@
             }
         });
         let (id, sole) = (task.step.submission, open.is_sole);
-        let are_all_known = self.work.get(&id).is_some_and(|it| it.is_known_unstarted);
+        let are_all_known = self.are_crashes_known(task);
         let Some(suspicion) = self.suspicion(task).filter(|_| !was_draining) else { return };
         let crashes = suspicion.crashed_runs.len();
         let is_given_up = suspicion.is_given_up(are_all_known);
@@ -730,7 +749,10 @@
         let is_stored = is_stored(&self.work, task.step.submission, suspicion.change);
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = self.may_start_work(work, now);
-        let may_start = is_due && is_stored && is_fenced && !suspicion.is_undecided(now);
+        let may_start = is_due
+            && is_stored
+            && is_fenced
+            && !suspicion.is_undecided(work.is_known_unstarted, now);
         if spec.is_gang || self.is_cleared(task) || !slot.is_waiting() || !may_start {
             return None;
         }
--- a/crates/mustardcove-core/tests/suspects_wait.rs
+++ b/crates/mustardcove-core/tests/suspects_wait.rs
@@ -430,6 +430,51 @@
     assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
 }
 
+/// Two workers have crashed under a task alone, and the worker of its third run
+/// falls silent. Returns the plan and that worker.
+fn third_worker_silent() -> (Rig, WorkerId) {
+    let mut rig = rig(&[on_host("w0", 4_000, "h0")]);
+    submit(&mut rig, SUSPECT, StepSpec { is_long_running: true, ..step(1, 2_000, &[]) });
+    rig.plan();
+    for (crashed, next) in [("w0", "w1"), ("w1", "w2")] {
+        rig.crash(&id(crashed));
+        rig.add_workers(&[on_host(next, 4_000, &format!("host-{next}"))]);
+        wait_ms(&mut rig, SUSPECT);
+    }
+    let worker = id("w2");
+    rig.workers.remove(&worker);
+    let leases_expire_by = Some(rig.now.plus_ms(4_000));
+    let silent = WorkerReport::PollFailed { leases_expire_by, is_silent: true };
+    rig.planner.report(&worker, silent, rig.now);
+    rig.add_workers(&[on_host("w3", 4_000, "h3")]);
+    (rig, worker)
+}
+
+/// Guards against a fourth start of a task before it is known that its third
+/// worker has crashed, which takes until that is back.
+#[test]
+fn third_outcome_awaited() {
+    const BACK_MS: u64 = 7_500;
+    let (mut rig, worker) = third_worker_silent();
+    for _ in 0..BACK_MS / STEP_MS {
+        assert_eq!(rig.plan().len(), 0, "the outcome of the third run is open");
+        advance(&mut rig);
+    }
+    rig.crash(&worker);
+    assert_eq!(rig.plan().len(), 0);
+    rig.store();
+    rig.plan();
+    assert_eq!(rig.states[&SubmissionId(SUSPECT)], SubmissionState::Failed);
+}
+
+/// Guards against a wait without a bound if that worker is gone for good.
+#[test]
+fn third_outcome_unknown() {
+    let (mut rig, _) = third_worker_silent();
+    let waited_ms = wait_ms(&mut rig, SUSPECT);
+    assert!(waited_ms <= MAX_LASTING_IDLE_MS, "{waited_ms} ms");
+}
+
 /// The same for the next leader, which does not know the worker at all.
 #[test]
 fn outcome_unknown_restored() {
