Take the answer of the next worker at an address as proof that a silent one has ended

Cause: the end of the first one was proven only by a poll of it that the next one answers with status 421. If the next one is gone before such a poll is made, the runs wait for the lease, although the next one has answered its own polls at the same address.

A worker that is added to the plan at the address and host of one that has answered is recorded as its successor. It is polled only from then on, so its answers come after all that the first one has given and the plan knows of: once it has answered and the first one is silent, that has ended, as with 421. Another answer of the first one, or a change of either address, drops the record, since the order is then unknown. An entry alone still proves nothing.

The simulated workers have an address for each place or name; they all shared one.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -508,8 +508,8 @@
 
     fn update_worker(&mut self, listing: WorkerListing) -> WorkerIndex {
         let id = listing.worker.clone();
-        if let Some(index) = self.worker_index.get(&id) {
-            let worker = &mut self.workers[*index];
+        if let Some(index) = self.worker_index.get(&id).copied() {
+            let worker = &mut self.workers[index];
             // Another writer's entry may have claimed an incarnation that never
             // began; the one that answers polls did.
             let has_moved = worker.may_have_moved(&listing);
@@ -524,11 +524,16 @@
                 worker.is_changed = true;
                 worker.was_draining |=
                     listing.is_draining && worker.incarnation == Some(listing.incarnation);
+                let is_elsewhere = worker.listing.address != listing.address;
                 worker.listing = listing;
+                if is_elsewhere {
+                    self.forget_successor(index);
+                }
             }
-            return *index;
+            return index;
         }
         let index = self.workers.len();
+        self.add_successor(index, &listing);
         let host = listing.host.as_ref().map_or("-", |it| it.as_str());
         let inputs = format!(
             "listed=true address={} host={host} life={}",
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -13,7 +13,7 @@
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
     UNKNOWN_CHANGE, UnplannedEnd, circuit_breaker, pace,
     work::{Phase, Run, Work, WorkerIndex},
-    workers::{Allocation, UnstoredEnd, WorkloadKind},
+    workers::{Allocation, UnstoredEnd, Worker, WorkerListing, WorkloadKind},
 };
 use crate::{
     fleet::{
@@ -101,6 +101,42 @@
             self.log_decision(DecisionKind::WorkerSilent, None, Some(id), || {
                 format!("lease_over_by={leases_expire_by} lease_left_ms={left_ms}")
             });
+            let successor = self.workers[index].successor;
+            if successor.is_some_and(|it| self.workers[it].incarnation.is_some()) {
+                self.worker_replaced(index, now);
+            }
+        }
+    }
+
+    /// Records that a worker is added at the address of others. It is polled only
+    /// from now on, so its answers come after those that these have given so far.
+    pub(super) fn add_successor(&mut self, index: WorkerIndex, listing: &WorkerListing) {
+        let has_answered = |it: &&mut Worker| it.incarnation.is_some();
+        let is_same_place =
+            |it: &WorkerListing| it.address == listing.address && it.host == listing.host;
+        let workers = self.workers.iter_mut().filter(has_answered);
+        for it in workers.filter(|it| is_same_place(&it.listing)) {
+            it.successor = Some(index);
+        }
+    }
+
+    /// Records that the address of a worker has changed, so that none can tell
+    /// at which one it has answered.
+    pub(super) fn forget_successor(&mut self, index: WorkerIndex) {
+        self.workers[index].successor = None;
+        let predecessors = self.workers.iter_mut().filter(|it| it.successor == Some(index));
+        predecessors.for_each(|it| it.successor = None);
+    }
+
+    /// Handles the first answer of a worker. Silent ones at whose address it was
+    /// added after their last answers have ended, as with status 421. It may end
+    /// itself before a poll of theirs shows that.
+    fn replace_predecessors(&mut self, index: WorkerIndex, now: Timestamp) {
+        let is_ended = |it: &Worker| it.is_silent && it.successor == Some(index);
+        let ended: Vec<WorkerIndex> =
+            (0..self.workers.len()).filter(|it| is_ended(&self.workers[*it])).collect();
+        for it in ended {
+            self.worker_replaced(it, now);
         }
     }
 
@@ -149,9 +185,14 @@
             if worker.incarnation.is_some() && !was_silent {
                 self.suspect_runs(index, now);
             }
+            let is_first = self.workers[index].incarnation.is_none();
             self.begin_incarnation(index, &poll, now);
+            if is_first {
+                self.replace_predecessors(index, now);
+            }
         }
         let worker = &mut self.workers[index];
+        worker.successor = None;
         worker.polled_at = Some(now);
         worker.is_changed = true;
         worker.may_run_earlier_work = false;
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -13,6 +13,7 @@
     interference::{ImageId, InterferenceModel},
     pace::{self, LatencyCriticalTask},
     placement,
+    work::WorkerIndex,
 };
 use crate::{
     fleet::id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey},
@@ -134,6 +135,8 @@
     pub(super) replaced_at: Option<Timestamp>,
     /// Whether it is not polled for that reason.
     pub(super) is_excluded: bool,
+    /// The worker that was added last at its address since it has answered.
+    pub(super) successor: Option<WorkerIndex>,
     /// The time by which every run there has ended unless it answers again.
     pub(super) leases_expire_by: Timestamp,
     /// The time by which every lease has expired that an ordered start may
@@ -208,6 +211,7 @@
             was_draining: false,
             replaced_at: None,
             is_excluded: false,
+            successor: None,
             leases_expire_by: Timestamp::default(),
             ordered_leases_expire_by: earlier_leases_expire_by,
             responsive_since: None,
--- a/crates/mustardcove-core/tests/replaced_worker.rs
+++ b/crates/mustardcove-core/tests/replaced_worker.rs
@@ -217,3 +217,115 @@
         assert_eq!(planner.counts(now).schedulable_workers, 1, "{end:?}");
     }
 }
+
+/// A plan with a run on a worker that has answered, and the entry of another one
+/// that began later.
+struct Succession {
+    planner: Planner,
+    now: Timestamp,
+    earlier: WorkerListing,
+    later: WorkerListing,
+}
+
+impl Succession {
+    fn new() -> Succession {
+        let now = Timestamp(1_000_000);
+        let mut planner = Planner::new(Term(9), 1, manifest(3), now);
+        let earlier = listing("w0", 4_000, Incarnation(1));
+        let address = earlier.address;
+        let later = WorkerListing { address, ..listing("w1", 4_000, Incarnation(2)) };
+        planner.update_workers(vec![earlier.clone()], true);
+        planner.report(&earlier.worker, polled(1, now), now);
+        planner.submit(submission(1, vec![step(1, 500, &[])], now), true, now);
+        planner.tick(now);
+        assert_eq!(planner.counts(now).placed_runs, 1);
+        Succession { planner, now, earlier, later }
+    }
+
+    fn list_later(&mut self) {
+        self.planner.update_workers(vec![self.later.clone()], true);
+    }
+
+    fn silence_earlier(&mut self) {
+        let leases_expire_by = Some(self.now.plus_ms(4_000));
+        let silent = WorkerReport::PollFailed { leases_expire_by, is_silent: true };
+        self.planner.report(&self.earlier.worker, silent, self.now);
+    }
+
+    fn answer_later(&mut self) {
+        self.planner.report(&self.later.worker, polled(2, self.now), self.now);
+    }
+
+    fn assert_ended(&self, is_ended: bool) {
+        let counts = self.planner.counts(self.now);
+        assert_eq!(counts.placed_runs, usize::from(!is_ended));
+        assert_eq!(counts.worker_crashes, u64::from(is_ended));
+    }
+}
+
+/// The next worker at an address crashes, too, before a poll of the one before
+/// has found it there. Guards against runs of that one that wait for its leases
+/// although the next one has answered.
+#[test]
+fn crashed_again() {
+    let mut it = Succession::new();
+    it.silence_earlier();
+    it.list_later();
+    it.assert_ended(false);
+    it.answer_later();
+    it.assert_ended(true);
+
+    let mut it = Succession::new();
+    it.list_later();
+    it.answer_later();
+    it.assert_ended(false);
+    it.silence_earlier();
+    it.assert_ended(true);
+}
+
+/// Guards against runs that are started again beside themselves because of an
+/// answer that may have been given before the worker began, or elsewhere.
+#[test]
+fn no_successor() {
+    // The worker has answered since the other one was added.
+    let mut it = Succession::new();
+    it.list_later();
+    it.planner.report(&it.earlier.worker, polled(1, it.now), it.now);
+    it.silence_earlier();
+    it.answer_later();
+    it.assert_ended(false);
+
+    let mut it = Succession::new();
+    it.later.address = "127.0.0.1:2".parse().expect("an address");
+    it.list_later();
+    it.silence_earlier();
+    it.answer_later();
+    it.assert_ended(false);
+
+    // Machines in different networks may have the same address.
+    let mut it = Succession::new();
+    it.later.host = Some("h2".parse().expect("a valid name"));
+    it.list_later();
+    it.silence_earlier();
+    it.answer_later();
+    it.assert_ended(false);
+
+    // The answer may have been given at either address.
+    let mut it = Succession::new();
+    it.list_later();
+    it.silence_earlier();
+    let address = it.later.address;
+    it.later.address = "127.0.0.1:2".parse().expect("an address");
+    it.list_later();
+    it.later.address = address;
+    it.list_later();
+    it.answer_later();
+    it.assert_ended(false);
+
+    // Its entry alone proves nothing.
+    let mut it = Succession::new();
+    it.silence_earlier();
+    it.list_later();
+    it.planner.tick(it.now);
+    it.assert_ended(false);
+}
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -16,6 +16,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
     ops::RangeInclusive,
 };
 
@@ -170,12 +171,18 @@
     })
 }
 
+/// Returns an address that no worker of another name has.
+fn address(name: &str) -> SocketAddr {
+    let hash = name.bytes().fold(7, |hash: u32, it| hash.wrapping_mul(31) + u32::from(it));
+    SocketAddr::from(([127, 1, (hash >> 8) as u8, hash as u8], 1 + (hash >> 16) as u16 % 60_000))
+}
+
 /// Returns the entry of a worker in service discovery.
 pub(crate) fn listing(name: &str, cpu: u64, incarnation: Incarnation) -> WorkerListing {
     WorkerListing {
         worker: name.parse().expect("a valid name"),
         service: SERVICE.to_owned(),
-        address: "127.0.0.1:1".parse().expect("an address"),
+        address: address(name),
         domain: "d1".parse().expect("a valid name"),
         capacity: Resources::new(cpu, 1 << 20, 0),
         labels: vec!["a".to_owned(), "r1".to_owned()],
@@ -1399,6 +1406,7 @@
         let entry = |(i, it): (usize, &SimWorker)| WorkerListing {
             is_draining: it.is_draining,
             host: Some(format!("h{i}").parse().expect("a valid name")),
+            address: address(&format!("h{i}")),
             capacity: Resources::new(it.cpu, it.memory, 0),
             labels: it.labels.clone(),
             ..listing(it.id.as_str(), it.cpu, it.incarnation)
