Count only answers of this term as proof that a worker at an address is the later one

The planner takes a silent worker for ended once another one, which was added at its address after its last answer, has answered. A worker whose plan was handed over has an incarnation without an answer in this term, and the order in which two of them are restored says nothing: silence of the newer one would have started its runs elsewhere while they go on.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -102,7 +102,7 @@
                 format!("lease_over_by={leases_expire_by} lease_left_ms={left_ms}")
             });
             let successor = self.workers[index].successor;
-            if successor.is_some_and(|it| self.workers[it].incarnation.is_some()) {
+            if successor.is_some_and(|it| self.workers[it].polled_at.is_some()) {
                 self.worker_replaced(index, now);
             }
         }
@@ -110,8 +110,9 @@
 
     /// Records that a worker is added at the address of others. It is polled only
     /// from now on, so its answers come after those that these have given so far.
+    /// An incarnation that an earlier leader has handed over tells no order.
     pub(super) fn add_successor(&mut self, index: WorkerIndex, listing: &WorkerListing) {
-        let has_answered = |it: &&mut Worker| it.incarnation.is_some();
+        let has_answered = |it: &&mut Worker| it.polled_at.is_some();
         let is_same_place =
             |it: &WorkerListing| it.address == listing.address && it.host == listing.host;
         let workers = self.workers.iter_mut().filter(has_answered);
--- a/crates/mustardcove-core/tests/handed_plan.rs
+++ b/crates/mustardcove-core/tests/handed_plan.rs
@@ -171,6 +171,27 @@
     assert_eq!((counts.suspect_tasks, counts.worker_crashes), (0, 0));
 }
 
+/// Two workers of one address are handed over. Which of them is the later one is
+/// not known, so that the silence of one is no proof of its end.
+#[test]
+fn same_address() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 1_000), ("w1", 1_000)]);
+    let it = submission(1, vec![long_running(2, 900)], START);
+    rig.submit(it.clone());
+    assert_eq!(rig.plan().len(), 2);
+    (0..3).for_each(|_| rig.poll_all());
+    let address = rig.listings[0].address;
+    rig.listings.iter_mut().for_each(|it| it.address = address);
+    let restored_at = rig.now;
+    succeed(&mut rig, &[it], restored_at);
+    rig.planner.update_workers(rig.listings.clone(), true);
+    for name in ["w0", "w1"] {
+        silence(&mut rig, &name.parse().expect("a valid name"));
+    }
+    let counts = rig.planner.counts(rig.now);
+    assert_eq!((counts.placed_runs, counts.worker_crashes), (2, 0));
+}
+
 /// A record that the store would not accept leaves out plans, not workers, and
 /// those of silent workers last.
 #[test]
