Log when a worker begins to drain, and how many runs it has

`kind=worker_listed inputs="draining=true runs=N"` says it, once in each term.

drain_logged failed (no line) and passes.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -179,7 +179,8 @@
     LeasesExpired,
     /// A worker answers again.
     WorkerAnswers,
-    /// A worker left the list of service discovery or came back.
+    /// A worker entered or left the list of service discovery, or is listed as about
+    /// to leave.
     WorkerListed,
 }
 
@@ -507,8 +508,8 @@
 
     fn update_worker(&mut self, listing: WorkerListing) -> WorkerIndex {
         let id = listing.worker.clone();
-        if let Some(index) = self.worker_index.get(&id) {
-            let worker = &mut self.workers[*index];
+        if let Some(index) = self.worker_index.get(&id).copied() {
+            let worker = &mut self.workers[index];
             // Another writer's entry may have claimed an incarnation that never
             // began; the one that answers polls did.
             let is_newer = worker.listing.incarnation <= listing.incarnation
@@ -521,9 +522,16 @@
                 worker.is_changed = true;
                 worker.was_draining |=
                     listing.is_draining && worker.incarnation == Some(listing.incarnation);
+                let begins_to_drain = listing.is_draining && !worker.listing.is_draining;
                 worker.listing = listing;
+                if begins_to_drain {
+                    let runs = worker.allocations.len();
+                    self.log_decision(DecisionKind::WorkerListed, None, Some(id), || {
+                        format!("draining=true runs={runs}")
+                    });
+                }
             }
-            return *index;
+            return index;
         }
         let index = self.workers.len();
         let host = listing.host.as_ref().map_or("-", |it| it.as_str());
--- a/crates/mustardcove-core/tests/drained_workers.rs
+++ b/crates/mustardcove-core/tests/drained_workers.rs
@@ -8,14 +8,18 @@
 #[path = "support/fleet_world.rs"]
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod fleet_world;
+#[path = "support/planner_rig.rs"]
+#[expect(dead_code, reason = "shared with tests that need more of it")]
+mod planner_rig;
 
 use std::collections::BTreeMap;
 
-use fleet_world::{World, step, submission};
+use fleet_world::{World, manifest, step, submission};
 use mustardcove_core::{
-    fleet::{id::TaskKey, submission::StepSpec},
+    fleet::{id::TaskKey, planner::DecisionKind, submission::StepSpec},
     time::Timestamp,
 };
+use planner_rig::{Rig, START};
 use rand::RngExt;
 
 const WORKERS: usize = 12;
@@ -128,3 +132,22 @@
 fn many_leaders() {
     check(MAX_AWAY_MS, |_| true);
 }
+
+/// Guards against a log from which nobody can tell when a worker began to drain,
+/// and what ran there then.
+#[test]
+fn drain_logged() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000)]);
+    rig.submit(submission(1, vec![long_running(2, 1_000)], START));
+    rig.plan();
+    rig.poll_all();
+    let lines = |rig: &mut Rig, is_draining: bool| -> Vec<String> {
+        rig.planner.take_actions();
+        rig.update_listings(|it| it.is_draining = is_draining);
+        let decisions = rig.planner.take_actions().decisions.into_iter();
+        let listed = decisions.filter(|it| it.kind == DecisionKind::WorkerListed);
+        listed.map(|it| it.inputs).collect()
+    };
+    assert_eq!(lines(&mut rig, true), ["draining=true runs=2"]);
+    assert_eq!(lines(&mut rig, true), Vec::<String>::new(), "once is enough");
+}
