--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -179,7 +179,8 @@
     LeasesExpired,
     /// A worker answers again.
     WorkerAnswers,
-    /// A worker left the list of service discovery or came back.
+    /// A worker entered or left the list of service discovery, or is listed as about
+    /// to leave.
     WorkerListed,
 }
 
@@ -524,10 +525,17 @@
                 worker.was_draining |=
                     listing.is_draining && worker.incarnation == Some(listing.incarnation);
                 let is_elsewhere = worker.listing.address != listing.address;
+                let begins_to_drain = listing.is_draining && !worker.listing.is_draining;
                 worker.listing = listing;
+                let runs = worker.allocations.len();
                 if is_elsewhere {
                     self.forget_successor(index);
                 }
+                if begins_to_drain {
+                    self.log_decision(DecisionKind::WorkerListed, None, Some(id), || {
+                        format!("draining=true runs={runs}")
+                    });
+                }
             }
             return index;
         }
@@ -581,7 +589,9 @@
     pub fn has_answered(&self, listing: &WorkerListing) -> bool {
         let worker = self.worker_index.get(&listing.worker).map(|it| &self.workers[*it]);
         worker.is_some_and(|it| {
-            it.listing.address == listing.address && it.incarnation == Some(listing.incarnation)
+            it.polled_at.is_some()
+                && it.listing.address == listing.address
+                && it.incarnation == Some(listing.incarnation)
         })
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
+++ b/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
@@ -8,7 +8,11 @@
 
 use std::collections::BTreeMap;
 
-use crate::{fleet::handover::WorkerHandover, id::WorkerId, time::Timestamp};
+use crate::{
+    fleet::handover::{WorkerHandover, WorkerPlan},
+    id::WorkerId,
+    time::Timestamp,
+};
 
 /// The ends of the leases of earlier leaders.
 #[derive(Debug)]
@@ -56,6 +60,17 @@
         self.workers.get(worker)
     }
 
+    /// Takes the plan that was handed over for a worker.
+    pub(super) fn take_plan(&mut self, worker: &WorkerId) -> Option<WorkerPlan> {
+        self.workers.get_mut(worker)?.plan.take()
+    }
+
+    /// Drops the plans that were not taken: of a worker that is added later, more
+    /// may have happened since.
+    pub(super) fn drop_plans(&mut self) {
+        self.workers.values_mut().for_each(|it| it.plan = None);
+    }
+
     /// Returns since when a worker had not answered the predecessor.
     pub(super) fn silent_since(&self, worker: &WorkerId) -> Option<Timestamp> {
         self.worker(worker)?.silent_since
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -74,9 +74,7 @@
     pub fn place_handed_over(&mut self, now: Timestamp) {
         for index in 0..self.workers.len() {
             let id = &self.workers[index].listing.worker;
-            let Some(plan) = self.earlier_leases.worker(id).and_then(|it| it.plan.clone()) else {
-                continue;
-            };
+            let Some(plan) = self.earlier_leases.take_plan(id) else { continue };
             if !plan.runs.iter().all(|it| self.is_awaited(it)) {
                 self.workers[index].forget_plan();
                 continue;
@@ -89,6 +87,7 @@
                 format!("runs={}", plan.runs.len())
             });
         }
+        self.earlier_leases.drop_plans();
     }
 
     /// Returns whether the task of a handed over run waits for it here. If not, it
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -402,8 +402,8 @@
     }
 
     /// Returns whether nothing that an earlier leader ordered can begin, go on or
-    /// have ended there unseen: it has listed everything in this term, or has
-    /// ended.
+    /// have ended there unknown to the plan: it has listed everything in this
+    /// term, the predecessor has handed over its plan, or it has ended.
     pub(super) fn is_fenced(&self) -> bool {
         self.has_listed_all_ends || self.replaced_at.is_some()
     }
