Let runs of submissions that have ended keep no other work waiting at a change of the leader

Runs of submissions whose end is stored now void no plan, nor do runs of submissions that were cancelled after the record was written: their tasks start nowhere else. The worker is polled until it has shown what it still runs, listed or not. An end that is not stored still voids the plan, since the successor would start the tasks again.

--- a/crates/mustardcove-core/src/fleet/handover.rs
+++ b/crates/mustardcove-core/src/fleet/handover.rs
@@ -81,6 +81,9 @@
     pub was_draining: bool,
     /// The planned runs.
     pub runs: Vec<PlannedRun>,
+    /// Whether runs of submissions that have ended may go on there, which the
+    /// worker still has to stop.
+    pub has_stopping_runs: bool,
 }
 
 /// A run that was ordered to begin on a worker and has not ended there, as far
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -4,12 +4,13 @@
 use super::{
     DecisionKind, Planner, pace,
     suspects::PROVEN_LISTINGS,
-    work::{Phase, Run, WorkerIndex},
+    work::{Phase, Run, Work, WorkerIndex},
     workers::{Worker, WorkloadKind},
 };
 use crate::{
     fleet::{
         handover::{PlannedRun, WorkerHandover, WorkerPlan},
+        id::SubmissionId,
         poller::MAX_ORPHAN_LEASE_MS,
     },
     time::Timestamp,
@@ -60,13 +61,24 @@
             PlannedRun { task, run, is_proven }
         };
         let runs: Vec<PlannedRun> = self.planned_runs(index).into_iter().map(run).collect();
-        // Other runs there are being stopped, or of a submission that is not
-        // known.
-        let is_known = worker.has_listed_all_ends
-            && worker.unstored_ends.is_empty()
-            && worker.allocations.len() == runs.len();
+        let mut others = worker.allocations.iter().filter(|(task, it)| {
+            let is_planned = |run: &PlannedRun| run.task == **task && run.run == it.run;
+            !runs.iter().any(is_planned)
+        });
+        let has_stopping_runs = others.clone().next().is_some();
+        // Their tasks start nowhere else. Other runs that are not planned are of
+        // unknown submissions, or of tasks that may start elsewhere.
+        let are_others_ended = others.all(|(task, _)| self.is_ended(task.step.submission));
+        let is_known =
+            worker.has_listed_all_ends && worker.unstored_ends.is_empty() && are_others_ended;
         let was_draining = worker.was_draining;
-        is_known.then_some(WorkerPlan { incarnation, was_draining, runs })
+        is_known.then_some(WorkerPlan { incarnation, was_draining, runs, has_stopping_runs })
+    }
+
+    /// Returns whether a submission has ended, and a successor finds that stored.
+    fn is_ended(&self, id: SubmissionId) -> bool {
+        let work = self.work.get(&id).filter(|it| it.state.is_final());
+        work.is_some_and(|it| it.last_change <= it.stored_change)
     }
 
     /// Goes on with the runs that the predecessor has handed over. Has to be
@@ -75,11 +87,22 @@
         for index in 0..self.workers.len() {
             let id = &self.workers[index].listing.worker;
             let Some(plan) = self.earlier_leases.take_plan(id) else { continue };
-            if !plan.runs.iter().all(|it| self.is_awaited(it)) {
+            let is_awaited = |it: &PlannedRun| self.is_awaited(it);
+            let (awaited, others): (Vec<_>, Vec<_>) =
+                plan.runs.iter().copied().partition(is_awaited);
+            // Submissions may have been cancelled meanwhile. Of other runs their
+            // tasks must not start elsewhere before the worker is reached.
+            let is_final = |it: &Work| it.state.is_final();
+            let is_ended =
+                |it: &PlannedRun| self.work.get(&it.task.step.submission).is_some_and(is_final);
+            if !others.iter().all(is_ended) {
                 self.workers[index].forget_plan();
                 continue;
             }
-            for run in &plan.runs {
+            // It is polled until it has shown what it still runs.
+            let must_be_polled = plan.has_stopping_runs || !others.is_empty();
+            self.workers[index].may_run_earlier_work |= must_be_polled;
+            for run in awaited {
                 self.place_run(index, run, now);
             }
             let id = self.worker_id(index);
@@ -92,15 +115,15 @@
 
     /// Returns whether the task of a handed over run waits for it here. If not, it
     /// was cancelled, or its occurrence is not due yet by the clock of this
-    /// process, and the run goes on until its worker is reached.
+    /// process.
     fn is_awaited(&self, planned: &PlannedRun) -> bool {
         let work = self.work.get(&planned.task.step.submission);
         work.and_then(|it| it.task(planned.task)).is_some_and(|it| it.is_waiting())
     }
 
     /// Places a run that an earlier leader ordered.
-    fn place_run(&mut self, index: WorkerIndex, planned: &PlannedRun, now: Timestamp) {
-        let PlannedRun { task, run, is_proven } = *planned;
+    fn place_run(&mut self, index: WorkerIndex, planned: PlannedRun, now: Timestamp) {
+        let PlannedRun { task, run, is_proven } = planned;
         let Some(work) = self.work.get_mut(&task.step.submission) else { return };
         let Some(spec) = work.submission.steps.get(usize::from(task.step.step)).cloned() else {
             return;
--- a/crates/mustardcove-core/tests/handed_plan.rs
+++ b/crates/mustardcove-core/tests/handed_plan.rs
@@ -114,39 +114,79 @@
     assert_eq!(starts(&mut rig, 4_000), 1);
 }
 
-/// A run that is being stopped is no part of the plan, so its worker is awaited,
-/// and polled although service discovery lacks it.
-#[test]
-fn stopping_run() {
+/// Returns a rig in which a run of a submission is being stopped, as that was
+/// cancelled, and a task waits for capacity; besides, the worker of the run.
+fn stopping_rig(is_stored: bool) -> (Rig, Vec<Arc<Submission>>, WorkerId) {
     let mut rig = Rig::new(manifest(3), &[("w0", 1_000)]);
-    let it = submission(1, vec![step(1, 900, &[])], START);
-    rig.submit(it.clone());
+    let submissions = vec![
+        submission(1, vec![step(1, 900, &[])], START),
+        submission(2, vec![long_running(1, 900)], START),
+    ];
+    rig.submit(submissions[0].clone());
     let (worker, _) = rig.plan().swap_remove(0);
     (0..3).for_each(|_| rig.poll_all());
+    rig.submit(submissions[1].clone());
     rig.planner.cancel(SubmissionId(1), rig.now);
     let orders = rig.planner.take_actions().orders;
     assert!(matches!(orders[..], [(_, Order::Stop { .. })]), "{orders:?}");
-    let plan = rig.planner.hand_over(rig.now).swap_remove(0).plan;
-    assert_eq!(plan, None, "its run may go on");
+    if is_stored {
+        rig.store();
+    }
+    (rig, submissions, worker)
+}
+
+fn is_polled(rig: &Rig, worker: &WorkerId) -> bool {
+    rig.planner.workers_to_poll().any(|it| it.0.worker == *worker)
+}
+
+/// A run of a submission that has ended keeps no other work waiting, but its worker
+/// is polled although service discovery lacks it.
+#[test]
+fn stopping_run() {
+    let (mut rig, submissions, worker) = stopping_rig(true);
+    rig.add_workers(&[fleet_world::listing("w1", 1_000, Incarnation(1))]);
+    silence(&mut rig, &worker);
     let restored_at = rig.now;
-    succeed(&mut rig, &[it], restored_at);
-    let polled = rig.planner.workers_to_poll().any(|it| it.0.worker == worker);
-    assert!(polled, "it may still run something");
+    succeed(&mut rig, &submissions, restored_at);
+    rig.planner.cancel(SubmissionId(1), rig.now);
+    rig.listings.retain(|it| it.worker != worker);
+    rig.planner.update_workers(rig.listings.clone(), true);
+    assert!(is_polled(&rig, &worker), "it may still run something");
+    assert_eq!(starts(&mut rig, 1_000), 1, "nothing else waits for it");
+}
+
+/// The successor may not find the end of the submission, and would start its tasks
+/// again.
+#[test]
+fn end_not_stored() {
+    let (rig, _, _) = stopping_rig(false);
+    assert_eq!(rig.planner.hand_over(rig.now).swap_remove(0).plan, None);
 }
 
-/// The same for a run whose submission was cancelled after the record was
-/// written.
+/// A submission was cancelled after the record was written.
 #[test]
 fn cancelled_meanwhile() {
     let mut rig = Rig::new(manifest(3), &[("w0", 1_000)]);
     let it = submission(1, vec![step(1, 900, &[])], START);
-    rig.submit(it);
+    rig.submit(it.clone());
     let (worker, _) = rig.plan().swap_remove(0);
     (0..3).for_each(|_| rig.poll_all());
-    let restored_at = rig.now;
-    succeed(&mut rig, &[], restored_at);
-    let polled = rig.planner.workers_to_poll().any(|it| it.0.worker == worker);
-    assert!(polled, "it may still run something");
+    rig.planner.prepare_hand_over(rig.now);
+    rig.store();
+    let workers = rig.planner.hand_over(rig.now);
+    for is_known in [true, false] {
+        let expire_by = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
+        let mut planner = Planner::new(Term(2), 2, manifest(3), expire_by);
+        planner.take_over(workers.clone());
+        planner.restore_workers(Some(rig.listings.clone()));
+        if is_known {
+            planner.restore(it.clone(), false, None, rig.now);
+            planner.cancel(SubmissionId(1), rig.now);
+        }
+        planner.place_handed_over(rig.now);
+        rig.planner = planner;
+        assert!(is_polled(&rig, &worker), "it may still run something");
+    }
 }
 
 /// A worker that drained and left is no crash for the successor either.
@@ -207,6 +247,7 @@
             plan: Some(WorkerPlan {
                 incarnation: Incarnation(i),
                 was_draining: false,
+                has_stopping_runs: false,
                 runs: (0..1_000).map(run).collect(),
             }),
         }
