--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -597,6 +597,12 @@
         world
     }
 
+    /// Starts a process that no leader knows yet, on a side, and returns it.
+    pub(crate) fn start_process(&mut self, side: Side) -> usize {
+        self.processes.push(SimProcess { side, ..SimProcess::new(self.now) });
+        self.processes.len() - 1
+    }
+
     /// Elects a new leader in a process, which reaches the store.
     pub(crate) fn elect_on(&mut self, process: usize) {
         self.elect();
@@ -699,7 +705,11 @@
         let newest = self.term;
         let delay_ms = self.rng.random_range(self.store_delay_ms.clone());
         let lag_ms = self.leaders[leader].lag_ms;
+        let processes = self.processes.len();
         let Some(it) = &mut self.leaders[leader].leadership else { return };
+        if reaches_store {
+            it.processes_listed(processes);
+        }
         let mut heard = Vec::new();
         while let Some((sent_at, process, heartbeat_at)) =
             it.unhandled.pop_front_if(|it| lag_ms <= now.ms_since(it.0))
@@ -737,7 +747,8 @@
         }
         self.update_confirmation(leader);
         if is_heartbeat_due {
-            for process in 0..self.processes.len() {
+            let known = self.leaders[leader].leadership.as_ref().map_or(0, |it| it.known.len());
+            for process in 0..known {
                 let Some(it) = &self.leaders[leader].leadership else { return };
                 let covered = it.known[process].reports.covered();
                 if self.reaches_process(leader, process) {
@@ -772,7 +783,7 @@
         for worker in 0..self.workers.len() {
             let Some(it) = &self.leaders[leader].leadership else { return };
             let alive: Vec<usize> =
-                (0..self.processes.len()).filter(|process| it.is_alive(*process, now)).collect();
+                (0..it.known.len()).filter(|process| it.is_alive(*process, now)).collect();
             let side = self.workers[worker].side;
             let near: Vec<usize> = alive
                 .iter()
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Records that the store lists a number of processes.
+    pub(crate) fn processes_listed(&mut self, count: usize) {
+        if self.known.len() < count {
+            self.known.resize(count, KnownProcess::default());
+        }
+    }
+
     pub(crate) fn is_alive(&self, process: usize, now: Timestamp) -> bool {
         let reported_at = self.known[process].last_report_at;
         reported_at.is_some_and(|it| now.ms_since(it) < LOST_AFTER_MS)
