--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -48,11 +48,10 @@
         let mut is_first = true;
         while self.is_flushing || self.planner.has_progress() {
             if !self.is_flushing {
-                // After a failed write, the time until the next one is kept.
-                if is_first {
+                // Later ones keep their pauses, above all after a failed one.
+                if std::mem::take(&mut is_first) {
                     self.flush_at = self.shared.now();
                 }
-                is_first = false;
                 self.shared.clock.sleep_until(self.flush_at).await;
                 self.flush(self.shared.now());
             }
@@ -63,7 +62,6 @@
             // Results of other tasks no longer matter.
             if let Some(TaskResult::Flushed(result)) = results.recv().await {
                 self.flush_ended(result, self.shared.now());
-                is_first = true;
             }
         }
     }
