--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -20,7 +20,7 @@
     fleet::{
         cadence,
         confirmation::{Confirmation, MAX_STORELESS_MS},
-        election::{Candidacy, HEARTBEAT_INTERVAL_MS},
+        election::HEARTBEAT_INTERVAL_MS,
         id::{AssignmentNumber, BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
@@ -31,7 +31,6 @@
         },
         roster::Roster,
         submission::{Submission, SubmissionState},
-        succession::{StoreCall, Succession},
     },
     id::{ProcessId, WorkerId},
     time::{ClockShift, Timestamp},
@@ -192,7 +191,6 @@
     logged_expiry: bool,
     /// Since when the store has answered without a failure; `None` after one.
     store_healthy_since: Option<Timestamp>,
-    succession: Succession,
     /// Whether the state that earlier leaders stored was restored.
     is_restored: bool,
     /// Published states that were not sent yet.
@@ -243,7 +241,6 @@
         was_confirmed: true,
         logged_expiry: false,
         store_healthy_since: None,
-        succession: Succession::new(shared.leader_stepped_down_at()),
         is_restored: false,
         unsent_states: Vec::new(),
         send_states_at: now,
@@ -465,22 +462,11 @@
 
     fn store_answered(&mut self, now: Timestamp) {
         self.shared.store_answered();
-        self.succession.record_answer(StoreCall::Read);
         self.store_healthy_since.get_or_insert(now);
     }
 
-    /// Records that a write ended, with or without an answer of the store.
-    fn write_ended(&mut self, is_answered: bool, now: Timestamp) {
-        if is_answered {
-            self.succession.record_answer(StoreCall::Write);
-        } else {
-            self.succession.record_failure(StoreCall::Write, now);
-        }
-    }
-
     fn store_failed(&mut self, what: &str, fault: &StoreFault) {
         self.shared.store_failed();
-        self.succession.record_failure(StoreCall::Read, self.shared.now());
         self.store_healthy_since = None;
         debug!(self.shared.log, "store call failed"; "what" => what, "error" => %fault);
     }
@@ -601,7 +587,6 @@
             let heartbeat = Heartbeat { covered, ..heartbeat.clone() };
             self.shared.send(process, FleetMessage::Heartbeat(heartbeat));
         }
-        self.ask_for_successor(heartbeat.reaching_store, now);
         self.log_confirmation();
         self.check_lag();
         self.sync_states();
@@ -609,19 +594,6 @@
         *self.shared.long_running_waits() = self.planner.long_running_waits(now);
     }
 
-    /// Asks processes that reach the store to claim the leadership if this one
-    /// lacks it. The term goes on until a successor is heard, since the store
-    /// may refuse their writes, too.
-    fn ask_for_successor(&mut self, mut reaching: Vec<ProcessId>, now: Timestamp) {
-        reaching.retain(|it| *it != self.shared.process);
-        let Some(call) = self.succession.take_request(!reaching.is_empty(), now) else { return };
-        warn!(self.shared.log, "asking for a successor"; "term" => %self.term,
-            "lacks" => %call, "asked" => reaching.len());
-        // Also counts for the next term of this process.
-        self.shared.update_candidacy(Candidacy::leader_stepped_down);
-        self.shared.send_to_all(&reaching, FleetMessage::SuccessorWanted { term: self.term });
-    }
-
     /// Returns how long ago it was shown that this process leads, in
     /// milliseconds.
     fn confirmation_age_ms(&self) -> u64 {
