Count a lapsed lease also while nothing runs, in the stand-in of the review

A worker's lease can lapse after its last run has ended; the check of TWICE took an end that was noted afterwards for one that counts.

--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -486,7 +486,7 @@
     def advance(self):
         if not self.is_up:
             return
-        if self.running and self.lease_until <= self.clock():
+        if self.lease_until <= self.clock():
             for run in list(self.running.values()):
                 self.end(run, "lapsed")
             for _, run, _, _ in self.ends:
