Review case 7: a machine that is added during a cut lets two leaders act

Cause: a leader without the store counts most of the processes that it knows, and its successor half of those that it knows. With a process that only the successor knows both are reached, so tasks of workers on the far side start again while they run.

--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -64,6 +64,8 @@
         self.reader = reader
         self.writer = writer
         self.is_mute = False
+        # Where its caller is, if that matters.
+        self.region = None
 
 
 class HttpServer:
@@ -76,6 +78,10 @@
         self.is_cut = False
         # Whether its host has no power.
         self.is_dark = False
+        # Tells where a caller is by its port and the address that it called; and
+        # the regions that the server is cut off from.
+        self.region_of = None
+        self.cut_from = set()
         self.address = None
         self.server = None
 
@@ -83,6 +89,9 @@
         self.server = await asyncio.start_server(self.serve, ip, port)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
+    def is_apart(self, connection):
+        return self.is_cut or connection.region in self.cut_from
+
     def mute(self):
         """Open channels go silent for good, without a reset."""
         for it in self.connections:
@@ -95,7 +104,10 @@
 
     async def serve(self, reader, writer):
         connection = Connection(reader, writer)
-        connection.is_mute = self.is_cut or self.is_dark
+        if self.region_of:
+            info = writer.get_extra_info
+            connection.region = self.region_of(info("peername")[1], info("sockname"))
+        connection.is_mute = self.is_apart(connection) or self.is_dark
         self.connections.add(connection)
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -110,16 +122,16 @@
                         name, value = line.split(":", 1)
                         headers[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
-                if connection.is_mute and not self.is_cut and not self.is_dark:
+                if connection.is_mute and not self.is_apart(connection) and not self.is_dark:
                     # A host that has started again knows nothing of the channel.
                     break
-                if self.is_cut or connection.is_mute:
+                if self.is_apart(connection) or connection.is_mute:
                     connection.is_mute = True
                     continue
                 path, _, query = target.partition("?")
                 query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 answer = await self.handler(method, path, query, headers, body)
-                if self.is_cut or connection.is_mute or answer is None:
+                if self.is_apart(connection) or connection.is_mute or answer is None:
                     connection.is_mute = True
                     continue
                 status, content = answer
@@ -408,6 +420,8 @@
         self.is_up = False
         # Calls for its lists that it has received.
         self.holds = 0
+        # Whether its entries do not reach the store.
+        self.is_unheard = False
         fleet.workers.append(self)
 
     def begin_life(self):
@@ -436,7 +450,7 @@
         key = f"servers/{self.id}"
         silent_since = time.monotonic()
         while not self.fleet.is_closing:
-            if self.is_up and not self.server.is_cut:
+            if self.is_up and not self.server.is_cut and not self.is_unheard:
                 silent_since = time.monotonic()
                 self.seq += 1
                 entry = {
@@ -844,14 +858,14 @@
                 await it.process.wait()
 
 
-def play(script, case, limit_s=115):
+def play(script, case, limit_s=115, kind=None):
     """Plays a case and exits with 1 if the rule was broken, 0 if it held and 2
     if the case could not run."""
     folder = os.path.dirname(os.path.abspath(script))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
-        system = System(folder)
+        system = (kind or System)(folder)
         try:
             await asyncio.wait_for(case(system, has_trouble), limit_s)
             system.fleet.check_ends()
