Review case 9: the leader that the store turns away runs work by an older manifest

Cause: a leader puts the queue of its own manifest in place of the one that the accepting machine has stored.

--- a/review/support-2/regions.py
+++ b/review/support-2/regions.py
@@ -12,7 +12,7 @@
 import os
 import random
 
-from standins import HttpServer, System, Worker
+from standins import SERVICE, HttpServer, System, Worker
 
 PEERS_PORT = 7720
 
@@ -147,8 +147,7 @@
             lines.append(f"{name}={changes[name]}" if name in changes else line)
         return "\n".join(lines) + "\n"
 
-    async def start_regions(self, nodes, workers):
-        self.put_manifest()
+    async def start_regions(self, nodes, workers, services=(SERVICE,)):
         for region in (0, 1):
             server = HttpServer(self.view(region))
             await server.start(self.ip())
@@ -159,8 +158,10 @@
                 worker = Worker(self.fleet, len(self.fleet.workers) + 1, self.ip())
                 worker.server.region_of = self.region_of
                 worker.zone = ("shore", "north")[region]
+                worker.service = services[len(self.worker_regions) % len(services)]
                 self.worker_regions[worker.id] = region
                 await worker.start()
+        self.put_manifest()
         self.fleet_task = asyncio.ensure_future(self.fleet.run())
         for region in (0, 1):
             for _ in range(nodes[region]):
--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -128,6 +128,8 @@
                 if self.is_apart(connection) or connection.is_mute:
                     connection.is_mute = True
                     continue
+                # Where the caller is, for handlers that judge by it.
+                headers["caller-region"] = connection.region
                 path, _, query = target.partition("?")
                 query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 answer = await self.handler(method, path, query, headers, body)
@@ -303,6 +305,8 @@
         self.how = None
         self.is_noted = False
         self.lapsed_before_noted = False
+        # Where the process is that gave the order, if that is known.
+        self.caller_region = None
 
     def base_ms(self):
         return int(self.checkpoint[:8], 16) if self.checkpoint else 0
@@ -413,6 +417,7 @@
         self.machine = f"m-{number:05x}"
         self.rack = f"r1-{number % 3}"
         self.zone = "north"
+        self.service = SERVICE
         self.ip = ip
         self.server = HttpServer(self.handle)
         self.address = None
@@ -454,7 +459,7 @@
                 silent_since = time.monotonic()
                 self.seq += 1
                 entry = {
-                    "Service": SERVICE,
+                    "Service": self.service,
                     "Address": self.address,
                     "Zone": self.zone,
                     "Version": "v1",
@@ -546,6 +551,10 @@
         if method != "POST" or path not in handlers:
             return 404, None
         answer = await handlers[path](json.loads(body))
+        if path == "/run-start" and body and self.running:
+            run = self.running.get(json.loads(body)["Task"])
+            if run and run.caller_region is None:
+                run.caller_region = headers["caller-region"]
         # A life that has ended answers nothing.
         return answer if self.is_up and self.born == born else None
 
@@ -743,7 +752,7 @@
         }
         return "".join(f"{name}={value}\n" for name, value in lines.items())
 
-    def put_manifest(self, routes=None):
+    def put_manifest(self, service=SERVICE):
         route = {
             "Name": "r-1",
             "Hostname": HOST,
@@ -752,25 +761,27 @@
             "TimeoutMs": 3000,
             "TargetLatencyMs": 1000,
             "Priority": 0,
-            "Service": SERVICE,
+            "Service": service,
             "Attempts": 3,
             "Stretch": 2.0,
         }
         manifest = {
             "Version": self.store.revision + 1,
-            "Routes": routes or [route],
+            "Routes": [route],
             "Services": [
                 {
-                    "Name": SERVICE,
+                    "Name": name,
                     "HealthPath": "/health",
                     "MaxConns": 64,
                     "RejectsOverload": True,
                     "Standby": False,
                 }
+                for name in sorted({SERVICE, service} | {it.service for it in self.fleet.workers})
             ],
             "Limits": {"MaxBodyBytes": 262144},
         }
         self.store.put("op/config", json.dumps(manifest).encode())
+        self.record("manifest", version=manifest["Version"], service=service)
 
     async def start(self, nodes, workers):
         if not os.access(PROGRAM, os.X_OK):
