Bind leases and acknowledgements to the incarnation that answered

A worker's machine lost power and was back within 0.5 s under its id while a poll of it was out; a start reached the next incarnation with the end of its lease on the earlier clock, so the worker held it for HoldMaxMs (10 s). It was then cut off, the leader counted 4.08 s and started the task elsewhere.

Cause: nothing tied a call to the incarnation whose clock it carries. A lease was refused only once a poll had failed, and a held poll fails up to 2.4 s late. Polls that extend leases or acknowledge ends have the same cause; their window was narrowed by the age of the last answer only.

Change: the HTTP client numbers its connections as they open. A connection leads to one process for as long as it exists, so each answer tells up to which number connections lead to whoever gave it, or nowhere. Starts, and polls with a lease or an acknowledgement, are not written to newer connections; a start that needs one is preceded by a short poll. If that shows another incarnation, its answer counts as the poll's, and the start is reported as not sent. No bound on leases changes.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -401,6 +401,8 @@
     Invalid,
     /// It is not known whether the run started.
     MayHaveRun,
+    /// It was not sent, because the incarnation for which it was meant has ended.
+    Restarted,
 }
 
 impl StartOutcome {
@@ -413,7 +415,8 @@
             | StartOutcome::NoRoom
             | StartOutcome::NoTicket
             | StartOutcome::NotRun
-            | StartOutcome::Invalid => false,
+            | StartOutcome::Invalid
+            | StartOutcome::Restarted => false,
         }
     }
 
@@ -431,6 +434,7 @@
             | StartOutcome::NoTicket
             | StartOutcome::NotRun
             | StartOutcome::Invalid
+            | StartOutcome::Restarted
             | StartOutcome::MayHaveRun => StartOutcome::MayHaveRun,
         }
     }
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -826,7 +826,7 @@
             StartOutcome::NotRun | StartOutcome::Invalid => {
                 self.workers[index].full_until = now.plus_ms(UNHEALTHY_PAUSE_MS);
             }
-            StartOutcome::TooLate | StartOutcome::NoTicket => {}
+            StartOutcome::TooLate | StartOutcome::NoTicket | StartOutcome::Restarted => {}
         }
         self.unconfirmed.remove(&(index, task, run));
         self.run_lost(index, task, outcome.into(), now);
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -6,11 +6,15 @@
 //! worker has ended even if no further answer arrives. A worker that does not
 //! answer gets no longer lease, so this time does not move.
 //!
-//! A worker may restart under its id, and its clock then starts over. A lease
-//! that was computed from the clock before would last for as long as the worker
-//! permits. A worker that left its last poll unanswered is therefore given no
-//! lease. If it answers as another incarnation, what was granted shortly before
-//! that began counts as granted to it.
+//! A worker may restart under its id, and its clock and the numbers of its ends
+//! then start over. A lease that was computed from the clock before would last
+//! for as long as the worker permits, and nothing here would tell: a poll may be
+//! out for seconds. Leases and acknowledgements are therefore sent only over
+//! connections that were open when the incarnation answered for which they are
+//! meant, since these end with it. Before a start goes over a newer one, a short
+//! poll asks which incarnation is there. A worker that left its last poll
+//! unanswered is given no lease. If it answers as another incarnation, what was
+//! granted shortly before that began counts as granted to it.
 //!
 //! A poller that is lost may have extended leases after its last report, so
 //! its loss postpones that time. To keep the successive loss of several
@@ -29,7 +33,7 @@
     id::{BootMillis, EndNumber, Incarnation},
     message::WorkerReport,
 };
-use crate::time::Timestamp;
+use crate::{id::ConnectionNumber, time::Timestamp};
 
 /// Duration of a lease after the call that grants it, in milliseconds. It
 /// outlasts a change of the leader and a handover between pollers, and is
@@ -207,6 +211,9 @@
     pub wait: PollWait,
     /// The call is not sent from this time on.
     pub send_by: Timestamp,
+    /// The newest connection over which the call may be sent; `None` if it
+    /// carries nothing that is meant for one incarnation only.
+    pub connections: Option<ConnectionNumber>,
 }
 
 /// How long a worker may hold a poll.
@@ -272,6 +279,8 @@
     asked: Option<AskedAt>,
     /// The last answer of this incarnation.
     answered: Option<Answered>,
+    /// The newest connection that was open when this incarnation answered.
+    connections: ConnectionNumber,
     acknowledge_through: EndNumber,
     /// What the last poll acknowledged, and what one that was answered did.
     sent_through: EndNumber,
@@ -298,6 +307,17 @@
     pub responsive_since: Timestamp,
 }
 
+/// Returns a poll that only shows which incarnation of a worker answers.
+pub fn identity_poll(now: Timestamp) -> NextPoll {
+    NextPoll {
+        lease_until: None,
+        acknowledge_through: EndNumber::default(),
+        wait: PollWait::None,
+        send_by: now.plus_ms(ORDER_VALID_MS),
+        connections: None,
+    }
+}
+
 impl WorkerPoller {
     /// Records which answers the leader has confirmed.
     pub fn confirm(&mut self, responsive_since: Option<Timestamp>) {
@@ -339,7 +359,30 @@
             (EndNumber::default(), ORDER_VALID_MS)
         };
         self.sent_through = acknowledge_through;
-        NextPoll { lease_until, acknowledge_through, wait, send_by: now.plus_ms(send_within_ms) }
+        let send_by = now.plus_ms(send_within_ms);
+        let is_bound = lease_until.is_some() || acknowledge_through != EndNumber::default();
+        let connections = is_bound.then_some(self.connections);
+        NextPoll { lease_until, acknowledge_through, wait, send_by, connections }
+    }
+
+    /// Returns the poll to send instead of one that was not sent because it would
+    /// have needed a newer connection: it only asks which incarnation is there.
+    pub fn without_binding(&mut self) -> Option<NextPoll> {
+        let asked = self.asked?;
+        self.sent_through = EndNumber::default();
+        Some(identity_poll(asked.now))
+    }
+
+    /// Records that a poll beside the one in flight shows another incarnation. Its
+    /// answer takes the place of that poll's, which is ignored.
+    pub fn asked_beside(&mut self, now: Timestamp, boot: BootMillis) {
+        self.sent_through = EndNumber::default();
+        self.asked = Some(AskedAt { now, boot });
+    }
+
+    /// Returns whether a poll is in flight whose answer counts.
+    pub fn is_polled(&self) -> bool {
+        self.asked.is_some()
     }
 
     /// Returns the poll to send instead of one that was not sent because its
@@ -349,7 +392,8 @@
         let asked = self.asked.filter(|_| poll.acknowledge_through != EndNumber::default())?;
         self.sent_through = EndNumber::default();
         let send_by = asked.now.plus_ms(ORDER_VALID_MS);
-        Some(NextPoll { acknowledge_through: self.sent_through, send_by, ..poll })
+        let connections = poll.lease_until.and(poll.connections);
+        Some(NextPoll { acknowledge_through: self.sent_through, send_by, connections, ..poll })
     }
 
     /// Records an answered poll, and returns the lease status to report.
@@ -367,6 +411,7 @@
         if self.incarnation != Some(incarnation) {
             self.incarnation = Some(incarnation);
             self.answered = None;
+            self.connections = ConnectionNumber::default();
             self.acknowledge_through = EndNumber::default();
             self.acknowledged_through = EndNumber::default();
         } else {
@@ -385,6 +430,26 @@
         LeaseStatus { leases_expire_by, responsive_since }
     }
 
+    /// Records the newest connection that was open when an incarnation answered,
+    /// in an answer to a poll or to an [`identity_poll`] beside it. Returns whether
+    /// it is the incarnation that answered the last poll.
+    pub fn answered_over(
+        &mut self,
+        incarnation: Incarnation,
+        connections: ConnectionNumber,
+    ) -> bool {
+        let is_same = self.incarnation == Some(incarnation);
+        if is_same {
+            self.connections = self.connections.max(connections);
+        }
+        is_same
+    }
+
+    /// Returns the newest connection over which a start may be sent.
+    pub fn connections(&self) -> ConnectionNumber {
+        self.connections
+    }
+
     /// Records that the answer may lack ends. The next poll acknowledges some of
     /// those listed, and is not held, so that its answer lists others.
     pub fn ends_cut_off(&mut self) {
--- a/crates/mustardcove-core/src/id.rs
+++ b/crates/mustardcove-core/src/id.rs
@@ -207,6 +207,11 @@
     /// One run of a worker process; a restarted worker has a new incarnation.
     Incarnation, u64, "incarnation"
 }
+number_id! {
+    /// A connection of a client, counted from 1 in the order of opening; 0 is
+    /// none.
+    ConnectionNumber, u64, "connection number"
+}
 number_id! {
     /// A token that identifies one write to the store when it is read back.
     WriteToken, u64, "write token"
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use mustardcove_adapter::workers::{PollCall, PollFault, Target};
+use mustardcove_adapter::workers::{PollAnswer, PollCall, PollFault, Target};
 use mustardcove_core::{
     fleet::{
         id::{AssignmentNumber, BootMillis, Term},
@@ -19,10 +19,12 @@
             FleetMessage, Order, PollResult, StartOrder, StartOutcome, WorkerContact, WorkerReport,
         },
         poller::{
-            LeasePermission, MIN_POLL_INTERVAL_MS, NextPoll, PollWait, WorkerPoller, start_deadline,
+            LeasePermission, LeaseStatus, MIN_POLL_INTERVAL_MS, NextPoll, PollWait, WorkerPoller,
+            identity_poll, start_deadline,
         },
     },
     id::WorkerId,
+    time::Timestamp,
     verdict::Verdict,
 };
 use slog::{debug, info};
@@ -76,6 +78,8 @@
     state: Mutex<WorkerPoller>,
     /// Ends the pause before the next poll of a worker without runs.
     order_received: Notify,
+    /// Ends a poll that an earlier incarnation was asked for.
+    restart_noticed: Notify,
     reports: mpsc::UnboundedSender<Reported>,
 }
 
@@ -152,6 +156,7 @@
             assignment: contact.assignment,
             state: Mutex::new(WorkerPoller::default()),
             order_received: Notify::new(),
+            restart_noticed: Notify::new(),
             reports: reports.clone(),
         });
         let stop = CancellationToken::new();
@@ -203,12 +208,27 @@
         }
     }
 
-    /// Polls the worker once. Returns whether it answered.
+    /// Polls the worker once. Returns whether it answered, which it also has if a
+    /// start found out meanwhile that it has restarted.
     async fn poll(&self) -> bool {
+        tokio::select! {
+            biased;
+            () = self.restart_noticed.notified() => true,
+            is_answered = self.poll_incarnation() => is_answered,
+        }
+    }
+
+    async fn poll_incarnation(&self) -> bool {
         let may_extend = self.shared.may_extend_leases(self.target.term);
         let sent_at = self.shared.now();
         let next = self.state().next_poll(may_extend, sent_at, boot_now());
         let mut answer = self.shared.workers.poll(&self.target, poll_call(next)).await;
+        if answer.as_ref().is_err_and(|it| it.needs_older_connection) {
+            let second = self.state().without_binding();
+            if let Some(second) = second {
+                answer = self.shared.workers.poll(&self.target, poll_call(second)).await;
+            }
+        }
         let is_unsent =
             |it: &PollFault| it.verdict == Verdict::NotRun && !it.is_fenced && !it.is_replaced;
         if answer.as_ref().is_err_and(is_unsent) && next.send_by <= self.shared.now() {
@@ -219,27 +239,14 @@
         }
         let now = self.shared.now();
         self.shared.metrics.poll(answer.is_ok());
+        if !self.state().is_polled() {
+            // A start has found out that the worker has restarted.
+            return true;
+        }
         match answer {
             Ok(answer) => {
-                let has_runs = !answer.running.is_empty();
-                let lease = {
-                    let mut state = self.state();
-                    let incarnation = answer.incarnation;
-                    let lease = state.poll_answered(incarnation, answer.clock_ms, has_runs, now);
-                    if answer.may_lack_ends {
-                        state.ends_cut_off();
-                    }
-                    lease
-                };
-                self.send_report(WorkerReport::Polled(PollResult {
-                    incarnation: answer.incarnation,
-                    leases_expire_by: lease.leases_expire_by,
-                    responsive_since: lease.responsive_since,
-                    asked_at: sent_at,
-                    running: answer.running,
-                    ended: answer.ended,
-                    may_lack_ends: answer.may_lack_ends,
-                }));
+                let lease = record_answer(&mut self.state(), &answer, now);
+                self.send_answer(answer, lease, sent_at);
                 true
             }
             Err(fault) => {
@@ -249,6 +256,19 @@
         }
     }
 
+    /// Reports an answer to the leader.
+    fn send_answer(&self, answer: PollAnswer, lease: LeaseStatus, asked_at: Timestamp) {
+        self.send_report(WorkerReport::Polled(PollResult {
+            incarnation: answer.incarnation,
+            leases_expire_by: lease.leases_expire_by,
+            responsive_since: lease.responsive_since,
+            asked_at,
+            running: answer.running,
+            ended: answer.ended,
+            may_lack_ends: answer.may_lack_ends,
+        }));
+    }
+
     fn poll_failed(&self, fault: &PollFault) {
         let mut state = self.state();
         let report = if fault.is_replaced {
@@ -333,11 +353,66 @@
             return StartOutcome::TooLate;
         }
         let not_after = self.shared.now().plus_ms(left_ms);
-        let Some(lease_until) = self.state().grant_start_lease(self.shared.now()) else {
-            return StartOutcome::NotRun;
+        if let Some(outcome) = self.send_start(order, not_after).await {
+            return outcome;
+        }
+        if let Err(outcome) = self.check_incarnation().await {
+            return outcome;
+        }
+        self.send_start(order, not_after).await.unwrap_or(StartOutcome::NotRun)
+    }
+
+    /// Sends a start over a connection that leads to the incarnation that answered
+    /// last; `None` if there is no such connection.
+    async fn send_start(&self, order: &StartOrder, not_after: Timestamp) -> Option<StartOutcome> {
+        let (lease_until, connections) = {
+            let mut state = self.state();
+            (state.grant_start_lease(self.shared.now()), state.connections())
+        };
+        let Some(lease_until) = lease_until else { return Some(StartOutcome::NotRun) };
+        let workers = &self.shared.workers;
+        workers.start(&self.target, order, lease_until, not_after, connections).await.ok()
+    }
+
+    /// Asks over a new connection whether the incarnation is there that answered
+    /// the last poll. If it is another, the answer takes the place of the poll in
+    /// flight, which only the earlier one could answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of a start that is not sent for that reason.
+    async fn check_incarnation(&self) -> Result<(), StartOutcome> {
+        let (asked_at, asked_boot) = (self.shared.now(), boot_now());
+        let poll = poll_call(identity_poll(asked_at));
+        let answer = self.shared.workers.poll(&self.target, poll).await;
+        self.shared.metrics.poll(answer.is_ok());
+        let answer = answer.map_err(|_| StartOutcome::NotRun)?;
+        let lease = {
+            let mut state = self.state();
+            if state.answered_over(answer.incarnation, answer.connections) {
+                return Ok(());
+            }
+            state.asked_beside(asked_at, asked_boot);
+            let lease = record_answer(&mut state, &answer, self.shared.now());
+            self.restart_noticed.notify_waiters();
+            lease
         };
-        self.shared.workers.start(&self.target, order, lease_until, not_after).await
+        info!(self.shared.log, "worker has restarted, start withheld";
+            "worker" => %self.target.worker, "incarnation" => %answer.incarnation);
+        self.send_answer(answer, lease, asked_at);
+        Err(StartOutcome::Restarted)
+    }
+}
+
+/// Records an answered poll, and returns the lease status to report.
+fn record_answer(state: &mut WorkerPoller, answer: &PollAnswer, now: Timestamp) -> LeaseStatus {
+    let has_runs = !answer.running.is_empty();
+    let lease = state.poll_answered(answer.incarnation, answer.clock_ms, has_runs, now);
+    state.answered_over(answer.incarnation, answer.connections);
+    if answer.may_lack_ends {
+        state.ends_cut_off();
     }
+    lease
 }
 
 fn poll_call(poll: NextPoll) -> PollCall {
@@ -350,6 +425,7 @@
             PollWait::Idle => IDLE_POLL_WAIT,
         },
         not_after: poll.send_by,
+        connections: poll.connections,
     }
 }
 
--- a/crates/mustardcove-node/tests/fault_soak.rs
+++ b/crates/mustardcove-node/tests/fault_soak.rs
@@ -115,7 +115,7 @@
         8 => rig.nodes[node].store.reset(),
         9 => rig.workers[worker].proxy.set(Mode::AnswersLost),
         10 => rig.workers[worker].proxy.reset(),
-        11 => rig.workers[worker].worker.crash(),
+        11 => rig.workers[worker].crash(false),
         12 => rig.workers[worker].worker.set_cpu(1_000 * rng.random_range(2..9)),
         _ => {
             rig.change_manifest(3_000 + rng.random_range(0..100));
--- a/crates/mustardcove-node/tests/support/proxy.rs
+++ b/crates/mustardcove-node/tests/support/proxy.rs
@@ -107,6 +107,7 @@
     /// The mode for callers of another region.
     far: watch::Sender<Mode>,
     resets: watch::Sender<u64>,
+    silences: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -127,10 +128,11 @@
         let (mode, mode_rx) = watch::channel(Mode::Pass);
         let (far, far_rx) = watch::channel(Mode::Pass);
         let (resets, reset_rx) = watch::channel(0);
+        let (silences, silence_rx) = watch::channel(0);
         let task = tokio::spawn(async move {
             while let Ok((inbound, caller)) = listener.accept().await {
                 let (place, mode_rx, far_rx) = (place.clone(), mode_rx.clone(), far_rx.clone());
-                let reset_rx = reset_rx.clone();
+                let (reset_rx, silence_rx) = (reset_rx.clone(), silence_rx.clone());
                 tokio::spawn(async move {
                     let mode_rx = match place {
                         None => mode_rx,
@@ -139,11 +141,11 @@
                             if from == region { mode_rx } else { far_rx }
                         }
                     };
-                    relay(inbound, target, mode_rx, reset_rx).await;
+                    relay(inbound, target, mode_rx, reset_rx, silence_rx).await;
                 });
             }
         });
-        Proxy { address, mode, far, resets, task }
+        Proxy { address, mode, far, resets, silences, task }
     }
 
     pub(crate) fn set(&self, mode: Mode) {
@@ -159,6 +161,12 @@
     pub(crate) fn reset(&self) {
         self.resets.send_modify(|it| *it += 1);
     }
+
+    /// Withholds everything on the open connections for good, as after a loss of
+    /// power of the server's machine. New ones work.
+    pub(crate) fn silence(&self) {
+        self.silences.send_modify(|it| *it += 1);
+    }
 }
 
 impl Drop for Proxy {
@@ -172,6 +180,7 @@
     target: SocketAddr,
     mode_rx: watch::Receiver<Mode>,
     mut reset_rx: watch::Receiver<u64>,
+    mut silence_rx: watch::Receiver<u64>,
 ) {
     let mut refused_rx = mode_rx.clone();
     if *refused_rx.borrow_and_update() == Mode::Refused {
@@ -180,13 +189,22 @@
     let Ok(outbound) = TcpStream::connect(target).await else { return };
     let _ = (inbound.set_nodelay(true), outbound.set_nodelay(true));
     reset_rx.mark_unchanged();
+    silence_rx.mark_unchanged();
     let (from_caller, to_caller) = inbound.into_split();
     let (from_server, to_server) = outbound.into_split();
+    let connected = async {
+        tokio::select! {
+            () = forward(from_caller, to_server, mode_rx.clone(), false) => {}
+            () = forward(from_server, to_caller, mode_rx, true) => {}
+            _ = reset_rx.changed() => {}
+            _ = refused_rx.wait_for(|it| *it == Mode::Refused) => {}
+        }
+    };
+    tokio::pin!(connected);
     tokio::select! {
-        () = forward(from_caller, to_server, mode_rx.clone(), false) => {}
-        () = forward(from_server, to_caller, mode_rx, true) => {}
-        _ = reset_rx.changed() => {}
-        _ = refused_rx.wait_for(|it| *it == Mode::Refused) => {}
+        () = &mut connected => {}
+        // The connections stay open, and nothing is read from them.
+        _ = silence_rx.changed() => std::future::pending().await,
     }
 }
 
--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -106,6 +106,17 @@
         Worker { worker, proxy, region, is_unheard: Arc::default(), _server: server }
     }
 
+    /// Restarts the worker under its id. Its connections are reset, or go silent
+    /// for good if its machine has lost power.
+    pub(crate) fn crash(&self, has_lost_power: bool) {
+        if has_lost_power {
+            self.proxy.silence();
+        } else {
+            self.proxy.reset();
+        }
+        self.worker.crash();
+    }
+
     fn writer(&self, zone: &'static str) -> EntryWriter {
         EntryWriter {
             id: self.worker.id(),
--- a/crates/mustardcove-platform/src/http.rs
+++ b/crates/mustardcove-platform/src/http.rs
@@ -5,6 +5,7 @@
 //! whether the body was handed to a connection; see [`gate`].
 
 pub mod client;
+mod connection;
 pub mod gate;
 pub mod instances;
 pub mod store;
--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -16,16 +16,22 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{
+        Client,
+        connect::{HttpConnector, capture_connection},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
-use mustardcove_core::{time::Timestamp, verdict::Verdict};
+use mustardcove_core::{id::ConnectionNumber, time::Timestamp, verdict::Verdict};
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
     time::Instant,
 };
 
-use super::gate::{Gate, GatedBody};
+use super::{
+    connection::NumberedConnector,
+    gate::{Gate, GatedBody},
+};
 use crate::clock::Clock;
 
 /// Limits of an [`HttpClient`].
@@ -76,12 +82,16 @@
     pub headers: HeaderMap,
     /// The body, whose size equals the declared content length.
     pub body: Bytes,
+    /// Connections up to this number that lead to an open process at the address
+    /// lead to the one that answered; see [`HttpClient::send_bound`].
+    pub connections: ConnectionNumber,
 }
 
 /// Error of a call that got no complete answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallError {
     verdict: Verdict,
+    needs_older_connection: bool,
     detail: String,
 }
 
@@ -90,6 +100,12 @@
     pub fn verdict(&self) -> Verdict {
         self.verdict
     }
+
+    /// Returns whether the call was not sent because the connection chosen for it
+    /// was newer than permitted.
+    pub fn needs_older_connection(&self) -> bool {
+        self.needs_older_connection
+    }
 }
 
 impl fmt::Display for CallError {
@@ -116,7 +132,8 @@
 /// limiting calls therefore limits connections.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, GatedBody>,
+    client: Client<NumberedConnector, GatedBody>,
+    connector: NumberedConnector,
     limits: Arc<HttpLimits>,
     total_limit: Arc<Semaphore>,
     address_limits: Arc<Mutex<HashMap<String, Arc<Semaphore>>>>,
@@ -131,13 +148,15 @@
         connector.set_nodelay(true);
         connector.set_local_address(limits.local_address);
         connector.set_tcp_user_timeout(Some(limits.answer_timeout));
+        let connector = NumberedConnector::new(connector);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(limits.idle_timeout)
             .pool_max_idle_per_host(limits.max_per_address)
-            .build(connector);
+            .build(connector.clone());
         HttpClient {
             client,
+            connector,
             total_limit: Arc::new(Semaphore::new(limits.max_total)),
             address_limits: Arc::default(),
             limits: Arc::new(limits),
@@ -187,6 +206,29 @@
         self.call(method, uri, headers, gate, body, extra_wait).await
     }
 
+    /// Sends JSON as [`HttpClient::send`] does, but only over connections up to a
+    /// number, which an earlier [`Answer`] gave: the call then reaches the process
+    /// that gave that answer, or none.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpClient::post`]. The error tells if the call was not sent because
+    /// it would have needed a newer connection, which is closed.
+    pub async fn send_bound(
+        &self,
+        method: Method,
+        uri: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        not_after: Timestamp,
+        extra_wait: Duration,
+        through: ConnectionNumber,
+    ) -> Result<Answer, CallError> {
+        let gate = Gate::new(self.clock, not_after).through(through);
+        let body = GatedBody::new(gate.clone(), body);
+        self.call(method, uri, headers, gate, body, extra_wait).await
+    }
+
     /// Sends a GET request and returns the complete answer.
     ///
     /// # Errors
@@ -222,12 +264,16 @@
         extra_wait: Duration,
     ) -> Result<Answer, CallError> {
         let until = Instant::now() + self.limits.answer_timeout + extra_wait;
-        let result = self.exchange(method, uri, headers, body, until).await;
+        let result = self.exchange(method, uri, headers, &gate, body, until).await;
         let result = result.map_err(|it| format!("{it:#}"));
         // The exchange has ended or was dropped, but its connection may go on
         // in the background. Closing the gate settles whether it may still
         // send the body.
-        result.map_err(|detail| CallError { verdict: gate.close(), detail })
+        result.map_err(|detail| CallError {
+            verdict: gate.close(),
+            needs_older_connection: gate.is_closed_to_connection(),
+            detail,
+        })
     }
 
     async fn exchange(
@@ -235,18 +281,24 @@
         method: Method,
         uri: &str,
         headers: HeaderMap,
+        gate: &Gate,
         body: GatedBody,
         until: Instant,
     ) -> eyre::Result<Answer> {
         let uri: Uri = uri.parse()?;
         let _permits = in_time(until, self.acquire_permits(&uri)).await??;
+        // Connections that are open now are older than the answer.
+        let open = self.connector.newest();
         let mut req = Request::builder().method(method).uri(uri).body(body)?;
+        gate.bind(capture_connection(&mut req));
         *req.headers_mut() = headers;
         req.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
         let resp = in_time(until, self.client.request(req)).await??;
         let (parts, body) = resp.into_parts();
+        let own = parts.extensions.get::<ConnectionNumber>().copied().unwrap_or_default();
+        let connections = open.max(own);
         let body = self.complete_body(&parts.headers, body, until).await?;
-        Ok(Answer { status: parts.status, headers: parts.headers, body })
+        Ok(Answer { status: parts.status, headers: parts.headers, body, connections })
     }
 
     async fn complete_body(
--- a/crates/mustardcove-platform/src/http/gate.rs
+++ b/crates/mustardcove-platform/src/http/gate.rs
@@ -7,27 +7,51 @@
 //! or the client closes the gate and the connection gets nothing to send.
 //!
 //! The same step checks `not_after`, so that a process that was paused while
-//! it waited for a connection does not send an expired call when it resumes.
+//! it waited for a connection does not send an expired call when it resumes,
+//! and, for a call that only one process may receive, the connection that was
+//! chosen for it.
 
 use std::{
     fmt,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU8, Ordering},
     },
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
+use http::Extensions;
 use hyper::body::{Body, Frame, SizeHint};
-use mustardcove_core::{time::Timestamp, verdict::Verdict};
+use hyper_util::client::legacy::connect::CaptureConnection;
+use mustardcove_core::{id::ConnectionNumber, time::Timestamp, verdict::Verdict};
 
 use crate::clock::Clock;
 
 const WAITING: u8 = 0;
 const TAKEN: u8 = 1;
 const CLOSED: u8 = 2;
+/// Closed because the connection was newer than permitted.
+const CLOSED_TO_CONNECTION: u8 = 3;
+
+/// The connections over which a call may be sent.
+#[derive(Clone, Debug)]
+struct PermittedConnections {
+    chosen: Arc<OnceLock<CaptureConnection>>,
+    through: ConnectionNumber,
+}
+
+impl PermittedConnections {
+    fn include_chosen(&self) -> bool {
+        let Some(chosen) = self.chosen.get() else { return false };
+        let mut extras = Extensions::new();
+        if let Some(connected) = chosen.connection_metadata().as_ref() {
+            connected.get_extras(&mut extras);
+        }
+        extras.get::<ConnectionNumber>().is_some_and(|it| *it <= self.through)
+    }
+}
 
 /// Decides whether the body of one call may still be sent.
 #[derive(Clone, Debug)]
@@ -35,35 +59,62 @@
     state: Arc<AtomicU8>,
     clock: Clock,
     not_after: Timestamp,
+    connections: Option<PermittedConnections>,
 }
 
 impl Gate {
     /// Returns a gate that lets the body through until `not_after`.
     pub fn new(clock: Clock, not_after: Timestamp) -> Gate {
-        Gate { state: Arc::new(AtomicU8::new(WAITING)), clock, not_after }
+        Gate { state: Arc::new(AtomicU8::new(WAITING)), clock, not_after, connections: None }
+    }
+
+    /// Returns the gate restricted to connections up to a number. The call has to
+    /// be [bound](Gate::bind) to the connection that is chosen for it.
+    pub fn through(mut self, through: ConnectionNumber) -> Gate {
+        self.connections = Some(PermittedConnections { chosen: Arc::default(), through });
+        self
+    }
+
+    /// Tells the gate where to find the connection that is chosen for its call.
+    pub fn bind(&self, chosen: CaptureConnection) {
+        if let Some(connections) = &self.connections {
+            // A gate has one call, so it is bound once.
+            let _ = connections.chosen.set(chosen);
+        }
+    }
+
+    /// Returns whether the call was not sent because the connection chosen for it
+    /// is newer than permitted.
+    pub fn is_closed_to_connection(&self) -> bool {
+        self.state.load(Ordering::Acquire) == CLOSED_TO_CONNECTION
+    }
+
+    fn change(&self, to: u8) -> Result<u8, u8> {
+        self.state.compare_exchange(WAITING, to, Ordering::AcqRel, Ordering::Acquire)
     }
 
     /// Closes the gate unless the body has been taken, and returns whether the
     /// call may have taken effect.
     pub fn close(&self) -> Verdict {
-        let closed =
-            self.state.compare_exchange(WAITING, CLOSED, Ordering::AcqRel, Ordering::Acquire);
-        match closed {
-            Ok(_) | Err(CLOSED) => Verdict::NotRun,
+        match self.change(CLOSED) {
+            Ok(_) | Err(CLOSED | CLOSED_TO_CONNECTION) => Verdict::NotRun,
             Err(_) => Verdict::MayHaveRun,
         }
     }
 
-    /// Claims the body for sending; returns true at most once, and never from
-    /// `not_after` on.
+    /// Claims the body for sending; returns true at most once, never from
+    /// `not_after` on, and never for a connection that is not permitted.
     pub fn take(&self) -> bool {
         if self.not_after <= self.clock.now() {
             self.close();
             return false;
         }
-        let taken =
-            self.state.compare_exchange(WAITING, TAKEN, Ordering::AcqRel, Ordering::Acquire);
-        taken.is_ok()
+        if self.connections.as_ref().is_some_and(|it| !it.include_chosen()) {
+            // Fails if the call was given up, which stands.
+            let _ = self.change(CLOSED_TO_CONNECTION);
+            return false;
+        }
+        self.change(TAKEN).is_ok()
     }
 }
 
