Take up occurrences that an earlier leader has begun

The next leader restores the record; ends of occurrences that are in no record changed nothing and were acknowledged all the same. The same gap: failed ends did not count as attempts, runs that went on were stopped and started anew, and a plan that was handed over was dropped. A leader whose clock is behind meets all of it without any limit.

Change: a report of a task, and a run handed over, proves that its occurrence has begun. The plan takes it up ahead of those that it has begun itself, keeps it once done until all before it have begun, and stores it so. Occurrences ahead do not count towards the number that may be open; their tasks start no earlier than they are due by the leader's own clock. Log line occurrence_reported.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -136,6 +136,8 @@
 pub enum DecisionKind {
     /// A submission entered the plan.
     Planned,
+    /// A worker has reported a task of an occurrence that has not begun here.
+    OccurrenceReported,
     /// Tasks of a step were started.
     Started,
     /// A run failed.
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -87,6 +87,7 @@
         for index in 0..self.workers.len() {
             let id = &self.workers[index].listing.worker;
             let Some(plan) = self.earlier_leases.take_plan(id) else { continue };
+            plan.runs.iter().for_each(|it| self.begin_reported(it.task));
             let is_awaited = |it: &PlannedRun| self.is_awaited(it);
             let (awaited, others): (Vec<_>, Vec<_>) =
                 plan.runs.iter().copied().partition(is_awaited);
@@ -114,8 +115,7 @@
     }
 
     /// Returns whether the task of a handed over run waits for it here. If not, it
-    /// was cancelled, or its occurrence is not due yet by the clock of this
-    /// process.
+    /// was cancelled.
     fn is_awaited(&self, planned: &PlannedRun) -> bool {
         let work = self.work.get(&planned.task.step.submission);
         work.and_then(|it| it.task(planned.task)).is_some_and(|it| it.is_waiting())
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -339,6 +339,7 @@
     /// Applies an end to the task that it belongs to.
     fn apply_end(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
         self.submission_started(end.task.step.submission);
+        self.begin_reported(end.task);
         match end.kind {
             EndKind::Done => self.run_done(index, end, now),
             EndKind::Failed => self.run_failed(index, end, now),
@@ -471,7 +472,7 @@
         }
         occurrence.refresh_ready(&submission);
         if occurrence.is_done() {
-            work.occurrences.retain(|it| it.number != step.occurrence);
+            work.remove_done(step.occurrence);
         } else {
             self.waiting.extend(submission.step_keys(step.occurrence));
         }
@@ -551,6 +552,7 @@
             allocation.listings = allocation.listings.saturating_add(1);
             listings = allocation.listings;
         }
+        self.begin_reported(row.task);
         let Some(work) = self.work.get(&id) else {
             self.unknown_run(index, row);
             return;
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -21,7 +21,7 @@
         id::{RunNumber, StepKey, SubmissionId, TaskKey},
         message::{Order, StartOrder},
         poller::MAX_START_LEASE_MS,
-        submission::{StepSpec, Submission},
+        submission::{StepSpec, Submission, SubmissionState},
     },
     time::Timestamp,
 };
@@ -269,6 +269,23 @@
         for occurrence in begun {
             self.waiting.extend(work.submission.step_keys(occurrence));
         }
+        if work.is_complete() && !work.state.is_final() {
+            self.finish(id, SubmissionState::Completed, "all tasks are done", now);
+        }
+    }
+
+    /// Begins the occurrence of a task that an earlier leader has started.
+    pub(super) fn begin_reported(&mut self, task: TaskKey) {
+        let id = task.step.submission;
+        let Some(work) = self.work.get_mut(&id) else { return };
+        if !work.begin_reported(task) {
+            return;
+        }
+        let next = work.next_occurrence;
+        self.waiting.extend(work.submission.step_keys(task.step.occurrence));
+        self.log_decision(DecisionKind::OccurrenceReported, Some(id), None, || {
+            format!("task={task} next={next}")
+        });
     }
 
     fn stop_unconfirmed(&mut self, now: Timestamp) {
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -1,6 +1,14 @@
 //! Submissions as tracked by the planner.
+//!
+//! Occurrences begin in the order of their numbers, a limited number at a time.
+//! The record of a submission says how many have begun, and is written a moment
+//! later, so an earlier leader may have begun more than the record shows; the
+//! clock of a new leader may be behind, too. A worker that reports a run or an end
+//! of an occurrence which has not begun here proves that it has begun: it is then
+//! held ahead of the others, so that the report counts like any other. It keeps
+//! its place once it is done, until all before it have begun.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use super::{earlier_leases::EarlierLeases, suspects::Suspicion};
 use crate::{
@@ -29,8 +37,10 @@
     /// The queue as described by the newest manifest that contains it.
     pub(super) queue: Queue,
     pub(super) state: SubmissionState,
-    /// Occurrences that have begun and are not done, by number.
+    /// Occurrences that have begun and are not done, and those from
+    /// `next_occurrence` on that an earlier leader has begun.
     pub(super) occurrences: Vec<Occurrence>,
+    /// All occurrences below this number have begun.
     pub(super) next_occurrence: u32,
     /// Whether a task was placed by its rank. Runs of starved submissions do
     /// not count, so that these do not precede work that can be on time.
@@ -225,6 +235,14 @@
         }
     }
 
+    /// Keeps its tasks from starting before it is due: it may be due by the clock
+    /// of an earlier leader only.
+    fn hold_until_due(&mut self) {
+        for task in self.steps.iter_mut().flat_map(|it| &mut it.tasks) {
+            task.not_before = task.not_before.max(self.due_at);
+        }
+    }
+
     /// Returns how many tasks of a step wait for a worker.
     pub(super) fn waiting_tasks(&self, step: u16) -> usize {
         let step = self.steps.get(usize::from(step));
@@ -304,6 +322,9 @@
                 }
             }
             occurrence.refresh_ready(&self.submission);
+            if occurrence.number >= self.next_occurrence {
+                occurrence.hold_until_due();
+            }
             self.occurrences.push(occurrence);
         }
         for recorded in &progress.suspects {
@@ -342,22 +363,53 @@
         let mut begun = Vec::new();
         let tasks: usize = self.submission.steps.iter().map(|it| usize::from(it.count)).sum();
         let most = (MAX_TASKS / tasks.max(1)).clamp(1, MAX_BEGUN_OCCURRENCES);
-        while self.next_occurrence < self.submission.occurrences()
-            && self.occurrences.len() < most
-            && !self.state.is_final()
-        {
+        let next = self.next_occurrence;
+        let mut ahead: BTreeMap<u32, bool> = (self.occurrences.iter())
+            .filter(|it| next <= it.number)
+            .map(|it| (it.number, it.is_done()))
+            .collect();
+        let mut open = self.occurrences.len() - ahead.len();
+        while self.next_occurrence < self.submission.occurrences() && !self.state.is_final() {
             let number = self.next_occurrence;
             let schedule = self.submission.schedule;
-            if schedule.is_some_and(|it| now < it.due_at(number)) {
-                break;
+            match ahead.remove(&number) {
+                Some(true) => self.occurrences.retain(|it| it.number != number),
+                Some(false) => open += 1,
+                None if most <= open || schedule.is_some_and(|it| now < it.due_at(number)) => break,
+                None => {
+                    self.occurrences.push(Occurrence::new(&self.submission, number));
+                    open += 1;
+                    begun.push(number);
+                }
             }
-            self.occurrences.push(Occurrence::new(&self.submission, number));
             self.next_occurrence += 1;
-            begun.push(number);
         }
         begun
     }
 
+    /// Holds the occurrence of a task that a worker has reported, if it has not
+    /// begun here. Returns whether it is new.
+    pub(super) fn begin_reported(&mut self, task: TaskKey) -> bool {
+        let number = task.step.occurrence;
+        let step = self.submission.steps.get(usize::from(task.step.step));
+        let is_task = step.is_some_and(|it| task.index < it.count);
+        let is_unbegun = (self.next_occurrence..self.submission.occurrences()).contains(&number);
+        if !is_task || !is_unbegun || self.occurrence(number).is_some() {
+            return false;
+        }
+        let mut occurrence = Occurrence::new(&self.submission, number);
+        occurrence.hold_until_due();
+        self.occurrences.push(occurrence);
+        true
+    }
+
+    /// Removes an occurrence that is done; one ahead of the others is kept, as
+    /// nothing else tells that it is done.
+    pub(super) fn remove_done(&mut self, number: u32) {
+        let next = self.next_occurrence;
+        self.occurrences.retain(|it| it.number != number || next <= number);
+    }
+
     pub(super) fn occurrence_mut(&mut self, number: u32) -> Option<&mut Occurrence> {
         self.occurrences.iter_mut().find(|it| it.number == number)
     }
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -96,7 +96,8 @@
 pub struct ProgressRecord {
     /// Its state.
     pub state: SubmissionState,
-    /// Occurrences that have begun and are not done.
+    /// Occurrences that have begun and are not done, and those from
+    /// `next_occurrence` on that have begun, done or not.
     pub occurrences: Vec<OccurrenceProgress>,
     /// Occurrences below this number, other than the listed ones, are done.
     pub next_occurrence: u32,
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct WorkerState {
     pub(crate) running: BTreeMap<TaskKey, (RunNumber, u32, u8)>,
-    ends: u64,
+    pub(crate) ends: u64,
 }
 
 /// A planner, its workers and the actions that were taken from it.
