Keep the queue of a newer manifest than the leader's

Cause: the leader replaced the queue that a submission was accepted under by that of its own manifest, whatever the versions; the record told none.

Change: a submission carries the version of the manifest at acceptance, and a leader replaces its queue only by that of a manifest that is not older. Records without a version, by earlier builds, are read and count as older; an earlier build cannot read the new ones.

Not part of this: a leader that is behind does not learn of the manifest from the others, so priorities and limits of work that was accepted earlier follow late.

--- a/crates/mustardcove-core/examples/planner_scale.rs
+++ b/crates/mustardcove-core/examples/planner_scale.rs
@@ -162,6 +162,7 @@
             steps,
             schedule: None,
             accepted_at: self.now,
+            manifest: Default::default(),
         };
         self.planner.submit(Arc::new(submission), true, self.now);
     }
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -351,7 +351,7 @@
         for work in self.work.values_mut() {
             let queue = &work.submission.queue;
             if let Some(queue) = queues.get(&(queue.host.as_str(), queue.prefix.as_str())) {
-                work.queue = (*queue).clone();
+                work.set_queue(queue, self.manifest.version);
             }
         }
     }
@@ -385,7 +385,7 @@
         let mut work = Work::new(submission, is_known_unstarted, now);
         let queue = &work.submission.queue;
         if let Some(queue) = self.manifest.queue_at(&queue.host, &queue.prefix) {
-            work.queue = queue.clone();
+            work.set_queue(queue, self.manifest.version);
         }
         if let Some((progress, revision)) = progress {
             work.restore(progress, revision, &self.earlier_leases, now);
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -13,7 +13,7 @@
 use super::{earlier_leases::EarlierLeases, suspects::Suspicion};
 use crate::{
     fleet::{
-        id::{RunNumber, TaskKey},
+        id::{ManifestVersion, RunNumber, TaskKey},
         manifest::Queue,
         record::{OccurrenceProgress, ProgressRecord, TaskProgress},
         submission::{MAX_TASKS, Submission, SubmissionState},
@@ -34,7 +34,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Work {
     pub(super) submission: Arc<Submission>,
-    /// The queue as described by the newest manifest that contains it.
+    /// The queue as described by the newest manifest that contains it, of those
+    /// that this leader and the process that accepted it know.
     pub(super) queue: Queue,
     pub(super) state: SubmissionState,
     /// Occurrences that have begun and are not done, and those from
@@ -296,6 +297,14 @@
         }
     }
 
+    /// Takes the queue of a manifest, unless that is older than the one under which
+    /// the submission was accepted.
+    pub(super) fn set_queue(&mut self, queue: &Queue, manifest: ManifestVersion) {
+        if self.submission.manifest <= manifest {
+            self.queue = queue.clone();
+        }
+    }
+
     /// Restores the progress that an earlier leader recorded.
     pub(super) fn restore(
         &mut self,
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -11,7 +11,7 @@
 
 use super::{
     id::{Incarnation, RunNumber, SubmissionId},
-    submission::SubmissionState,
+    submission::{Submission, SubmissionState},
 };
 use crate::id::{FailureDomainId, HostId, ProcessId, RegionId, WorkerId};
 
@@ -226,6 +226,19 @@
     }
 }
 
+/// Decodes a submission.
+///
+/// Records of builds before version 6 of the peer protocol end before the version
+/// of the manifest, which then counts as 0: it is the last field, and 0 takes one
+/// byte.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no submission.
+pub fn decode_submission(bytes: &[u8]) -> Result<Submission, UnreadableRecord> {
+    decode(bytes).or_else(|error| decode(&[bytes, &[0]].concat()).map_err(|_| error))
+}
+
 /// Encodes a progress record. Its suspected tasks follow only if there are any,
 /// so that all other records are as builds without them wrote and read them.
 ///
--- a/crates/mustardcove-core/src/fleet/submission.rs
+++ b/crates/mustardcove-core/src/fleet/submission.rs
@@ -7,7 +7,7 @@
 
 use super::{
     admission,
-    id::{StepKey, SubmissionId, TaskKey},
+    id::{ManifestVersion, StepKey, SubmissionId, TaskKey},
     manifest::Queue,
 };
 use crate::{size::Resources, time::Timestamp};
@@ -23,8 +23,9 @@
 pub struct Submission {
     /// Its identifier, chosen by the caller.
     pub id: SubmissionId,
-    /// The queue as the manifest described it at acceptance. A later manifest
-    /// replaces it as long as it has a queue at the same host and prefix.
+    /// The queue as the manifest described it at acceptance. A manifest that is
+    /// not older replaces it as long as it has a queue at the same host and
+    /// prefix.
     pub queue: Queue,
     /// The tasks' input, passed on unchanged.
     pub payload: Arc<str>,
@@ -34,6 +35,9 @@
     pub schedule: Option<Schedule>,
     /// When it was accepted.
     pub accepted_at: Timestamp,
+    /// The manifest's version at acceptance; 0 if its record does not tell. A
+    /// leader may know an older one only, which must not decide what runs it.
+    pub manifest: ManifestVersion,
 }
 
 /// A schedule of occurrences at a fixed interval.
--- a/crates/mustardcove-core/tests/pool_limits.rs
+++ b/crates/mustardcove-core/tests/pool_limits.rs
@@ -61,6 +61,7 @@
         steps: vec![spec],
         schedule: None,
         accepted_at: rig.now,
+        manifest: Default::default(),
     };
     rig.submit(Arc::new(submission));
 }
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -169,6 +169,7 @@
         steps,
         schedule: None,
         accepted_at: now,
+        manifest: Default::default(),
     })
 }
 
--- a/crates/mustardcove-core/tests/ticket_waits.rs
+++ b/crates/mustardcove-core/tests/ticket_waits.rs
@@ -46,6 +46,7 @@
         steps: vec![spec],
         schedule: None,
         accepted_at,
+        manifest: Default::default(),
     })
 }
 
--- a/crates/mustardcove-node/src/callers.rs
+++ b/crates/mustardcove-node/src/callers.rs
@@ -22,7 +22,7 @@
 use mustardcove_core::{
     fleet::{
         id::SubmissionId,
-        manifest::Queue,
+        manifest::{Manifest, Queue},
         message::{StoreChange, StoreOutcome},
     },
     time::Timestamp,
@@ -110,8 +110,7 @@
     match *req.method() {
         Method::POST => {
             let queue = queue.clone();
-            let limit = manifest.limits.max_body_bytes;
-            submit(shared, id, queue, limit, req, arrived_at).await
+            submit(shared, id, queue, &manifest, req, arrived_at).await
         }
         Method::GET => state(shared, id).await,
         _ => cancel(shared, id, deadline(req.headers(), arrived_at)).await,
@@ -128,7 +127,7 @@
     shared: &Arc<Shared>,
     id: SubmissionId,
     queue: Queue,
-    max_body_bytes: usize,
+    manifest: &Manifest,
     req: Request,
     arrived_at: Timestamp,
 ) -> Response {
@@ -137,14 +136,14 @@
         return StatusCode::OK.into_response();
     }
     let deadline = deadline(req.headers(), arrived_at);
-    let body = match to_bytes(req.into_body(), max_body_bytes).await {
+    let body = match to_bytes(req.into_body(), manifest.limits.max_body_bytes).await {
         Ok(body) => body,
         Err(error) => {
             debug!(shared.log, "body not read"; "submission" => %id, "error" => %error);
             return body_status(&error).into_response();
         }
     };
-    let submission = match decode_submission(id, &queue, &body, arrived_at) {
+    let submission = match decode_submission(id, &queue, manifest.version, &body, arrived_at) {
         Ok(submission) => Arc::new(submission),
         Err(error) => {
             warn!(shared.log, "submission refused"; "submission" => %id,
@@ -155,7 +154,7 @@
     let outcome = durable::store(shared, StoreChange::Submit(submission), deadline).await;
     info!(shared.log, "submission"; "submission" => %id, "queue" => &queue.name,
         "outcome" => %outcome, "ms" => shared.now().ms_since(arrived_at),
-        "manifest" => %shared.manifest_version());
+        "manifest" => %manifest.version);
     match outcome {
         StoreOutcome::Stored => StatusCode::OK.into_response(),
         StoreOutcome::NotStored | StoreOutcome::NoSuchSubmission => unavailable(),
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -232,7 +232,8 @@
 /// Decodes the submission in an item; see [`decode`]. One that cannot be planned
 /// is logged, too.
 pub fn decode_submission(shared: &Shared, item: &Item) -> Option<Arc<Submission>> {
-    let submission: Arc<Submission> = decode(shared, "submission", item)?;
+    let decoded = record::decode_submission(&item.value);
+    let submission = Arc::new(readable(shared, "submission", item, decoded)?);
     if let Err(error) = submission.check() {
         error!(shared.log, "submission cannot be planned"; "key" => &item.key, "error" => %error);
         return None;
--- a/crates/mustardcove-node/tests/missed_changes.rs
+++ b/crates/mustardcove-node/tests/missed_changes.rs
@@ -48,6 +48,7 @@
         }],
         schedule: None,
         accepted_at: Timestamp::default(),
+        manifest: Default::default(),
     };
     rig.store.put(&record::key_of(SUBMISSION_PREFIX, id), &record::encode(&submission));
 }
--- a/crates/mustardcove-node/tests/stored_changes.rs
+++ b/crates/mustardcove-node/tests/stored_changes.rs
@@ -25,6 +25,7 @@
         steps: vec![StepSpec { count: 1, ..StepSpec::default() }],
         schedule: None,
         accepted_at: Default::default(),
+        manifest: Default::default(),
     })
 }
 
--- a/crates/mustardcove-node/tests/told_leaders.rs
+++ b/crates/mustardcove-node/tests/told_leaders.rs
@@ -18,6 +18,7 @@
         steps: Vec::new(),
         schedule: None,
         accepted_at: Default::default(),
+        manifest: Default::default(),
     })
 }
 
