Let the store name the processes that count in quorums

Cause: quorums were of all processes whose records a leader had found. Nothing removed a record, so instances that are gone became the most; and two leaders could count different processes.

Change: the record members lists the processes that count. The leader changes it under a condition on its term and on the record, one change open at a time, and only once half of the list has joined it or has ended; no earlier leader can have a majority of an older list then. While a write is open, both lists have to agree. A leader that is no member polls no worker until a member has joined it or has ended. A process that stops in order removes its record, one that starts replaces it under a condition, and silent members are taken off after 10 s. Without the store, all members suffice for 10 minutes, not for ever.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -21,6 +21,7 @@
 pub mod handover;
 pub mod id;
 pub mod manifest;
+pub mod members;
 pub mod message;
 pub mod planner;
 pub mod poller;
--- a/crates/mustardcove-core/src/fleet/confirmation.rs
+++ b/crates/mustardcove-core/src/fleet/confirmation.rs
@@ -9,10 +9,10 @@
 //! | confirmation | through | what it shows |
 //! |---|---|---|
 //! | the store names this term | when the store was asked | nobody had claimed the leadership |
-//! | every registered process obeys this term | the oldest heartbeat that they acknowledge | nobody led in a later term |
-//! | most registered processes do | that which most acknowledge | no successor had been joined by half of them |
+//! | every member obeys this term | the oldest heartbeat that they acknowledge | nobody polled workers in a later term |
+//! | most members do | that which most acknowledge | no successor had been joined by half of them |
 //!
-//! The third serves an outage of the store. It permits leases and starts,
+//! The store says which processes the [members](super::members) are. The third serves an outage of the store. It permits leases and starts,
 //! since a successor counts the leases of this term from when half of the
 //! processes have joined it. It is no proof that a silent worker's runs have
 //! ended: a successor may have reached that worker.
@@ -30,6 +30,9 @@
 /// milliseconds. A successor that half of the processes never join waits for
 /// as long.
 pub const MAX_STORELESS_MS: u64 = 60_000;
+/// Longest time without the store for which all members suffice, in milliseconds.
+/// A successor that none of them ever joins waits for as long.
+pub const MAX_UNANIMOUS_MS: u64 = 600_000;
 /// Shortest time between two reports that are kept, in milliseconds.
 const KEPT_REPORT_INTERVAL_MS: u64 = 50;
 /// Most reports that are kept, which cover several times the duration of a
@@ -60,13 +63,25 @@
         self.store_boot = self.store_boot.max(asked_boot);
     }
 
-    /// Records when the newest heartbeat was sent that each of the registered
-    /// processes has acknowledged; `None` for those that acknowledged none.
-    pub fn processes_heard(&mut self, heard: impl IntoIterator<Item = Option<Timestamp>>) {
-        let mut heard: Vec<Option<Timestamp>> = heard.into_iter().collect();
-        heard.sort_unstable_by(|lhs, rhs| rhs.cmp(lhs));
-        self.majority = heard.get(heard.len() / 2).copied().flatten();
-        self.everyone = heard.last().copied().flatten();
+    /// Records when the newest heartbeat was sent that each member has
+    /// acknowledged, for each list of members that has to agree; `None` for those
+    /// that acknowledged none.
+    pub fn members_heard(
+        &mut self,
+        lists: impl IntoIterator<Item = Vec<Option<Timestamp>>>,
+        now: BootMillis,
+    ) {
+        let sorted = |mut heard: Vec<Option<Timestamp>>| {
+            heard.sort_unstable_by(|lhs, rhs| rhs.cmp(lhs));
+            heard
+        };
+        let lists: Vec<_> = lists.into_iter().map(sorted).collect();
+        // `None` is the smallest.
+        let most = lists.iter().map(|it| it.get(it.len() / 2).copied().flatten());
+        self.majority = most.min().flatten();
+        let all = lists.iter().map(|it| it.last().copied().flatten());
+        let is_recent = now.ms_since(self.store_boot) < MAX_UNANIMOUS_MS;
+        self.everyone = all.min().flatten().filter(|_| is_recent);
     }
 
     /// Returns the time through which no other process can have led in a later
@@ -94,12 +109,6 @@
     }
 }
 
-/// Returns whether so many of the registered processes have joined a leader
-/// that none before it is obeyed by most of them.
-pub fn is_joined_by_half(joined: usize, registered: usize) -> bool {
-    registered <= 2 * joined
-}
-
 /// The handled reports of one process that a confirmation may still cover.
 ///
 /// A permission counts from the sending of the newest report that was handled
--- /dev/null
+++ b/crates/mustardcove-core/src/fleet/members.rs
@@ -0,0 +1,157 @@
+//! The processes that count when a leader asks whether it still leads.
+//!
+//! A leader without the store goes on while most processes obey it, and its
+//! successor waits for leases of the earlier term until half of them have joined.
+//! Both have to mean the same processes: if each counted those that it knows, two
+//! leaders could go on with different ones, and if every process counted that was
+//! ever registered, machines that are gone would be the most some day.
+//!
+//! The store therefore holds the list of those that count, the members. Only the
+//! leader that the store names changes it, one change at a time, under a condition
+//! on both records:
+//!
+//! - A leader changes the list only after half of the members have joined it, or
+//!   have ended. From then on no earlier leader can be obeyed by most of the list
+//!   that it knows, so it does not matter that it knows an older one.
+//! - While the outcome of a change is open, the leader needs both lists, since its
+//!   successor may find either.
+//! - A leader that is not a member polls no worker until one of the members has
+//!   joined it or has ended. Every member could otherwise obey an earlier leader,
+//!   which takes that for the proof that it is the only one.
+//!
+//! A member is added once it is registered and reports. It is removed once it has
+//! ended, as its record is gone or names the next process on that instance, or has
+//! been silent for a while. A silent member may be alive and obey an earlier leader:
+//! that is as good as powerless then, for the reason above. It is added again when
+//! it reports.
+//!
+//! If most members are lost for good at once, a successor cannot be joined by half
+//! of them. It then waits until every earlier leader has lost its permission, which
+//! is limited without the store.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::ProcessId;
+
+/// Time without a report after which a member is removed, in milliseconds: longer
+/// than restarts and most cuts, which would otherwise change the list twice.
+pub const MEMBER_SILENT_MS: u64 = 10_000;
+
+/// The members: the name of the instance of each process.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MemberList(pub BTreeMap<ProcessId, String>);
+
+/// What a leader knows of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// It has not reported in this term, or not for [`MEMBER_SILENT_MS`].
+    Silent {
+        /// Whether it has joined this term.
+        has_joined: bool,
+    },
+    /// It has joined this term.
+    Joined,
+    /// It has ended for good.
+    Ended,
+    /// It has not reported yet, but the term has just begun.
+    Awaited,
+}
+
+impl MemberState {
+    /// Returns whether it obeys no earlier leader any more.
+    fn has_left_earlier(self) -> bool {
+        match self {
+            MemberState::Silent { has_joined } => has_joined,
+            MemberState::Joined | MemberState::Ended => true,
+            MemberState::Awaited => false,
+        }
+    }
+
+    fn stays(self) -> bool {
+        matches!(self, MemberState::Joined | MemberState::Awaited)
+    }
+}
+
+/// The members as a leader knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// The list and the revision of its record; `None` if there is none yet.
+    stored: Option<(MemberList, u64)>,
+    /// A list that was sent to the store, and may be there.
+    proposed: Option<MemberList>,
+}
+
+impl Members {
+    /// Records what the store holds.
+    pub fn stored(&mut self, list: MemberList, revision: u64) {
+        if self.stored.as_ref().is_some_and(|it| revision < it.1) {
+            return;
+        }
+        self.proposed.take_if(|it| *it == list);
+        self.stored = Some((list, revision));
+    }
+
+    /// Returns whether the store holds a list.
+    pub fn is_stored(&self) -> bool {
+        self.stored.is_some()
+    }
+
+    /// Returns the lists that have to agree: the stored one, and one that may be.
+    pub fn lists(&self) -> impl Iterator<Item = &MemberList> {
+        self.stored.iter().map(|it| &it.0).chain(&self.proposed)
+    }
+
+    /// Returns whether a process counts.
+    pub fn contains(&self, process: &ProcessId) -> bool {
+        self.stored.as_ref().is_some_and(|it| it.0.0.contains_key(process))
+    }
+
+    /// Returns whether no earlier leader is obeyed by most members any more.
+    pub fn is_joined_by_half(&self, state: impl Fn(&ProcessId, &str) -> MemberState) -> bool {
+        self.lists().all(|list| {
+            let has_left = |it: &(&ProcessId, &String)| state(it.0, it.1).has_left_earlier();
+            list.0.len() <= 2 * list.0.iter().filter(has_left).count()
+        })
+    }
+
+    /// Returns whether a leader in a process may poll workers: not every member can
+    /// obey an earlier one.
+    pub fn may_poll(
+        &self,
+        own: &ProcessId,
+        state: impl Fn(&ProcessId, &str) -> MemberState,
+    ) -> bool {
+        let Some((list, _)) = &self.stored else { return true };
+        self.contains(own) || list.0.iter().any(|it| state(it.0, it.1).has_left_earlier())
+    }
+
+    /// Returns the list to write and the revision of the one that it replaces, 0 if
+    /// there is none; `None` if nothing has to change. `reporting` are the registered
+    /// processes that report. A change that is open is returned again.
+    pub fn next_change<'a>(
+        &mut self,
+        reporting: impl Iterator<Item = (&'a ProcessId, &'a str)>,
+        state: impl Fn(&ProcessId, &str) -> MemberState,
+    ) -> Option<(MemberList, u64)> {
+        let revision = self.stored.as_ref().map_or(0, |it| it.1);
+        if self.proposed.is_none() {
+            let stored = self.stored.as_ref().map(|it| &it.0);
+            let kept = stored.into_iter().flat_map(|it| &it.0);
+            let kept = kept.filter(|it| state(it.0, it.1).stays());
+            let mut list =
+                MemberList(kept.map(|(process, name)| (process.clone(), name.clone())).collect());
+            list.0.extend(reporting.map(|(process, name)| (process.clone(), name.to_owned())));
+            let is_change = !list.0.is_empty() && stored != Some(&list);
+            self.proposed = is_change.then_some(list);
+        }
+        self.proposed.clone().map(|it| (it, revision))
+    }
+
+    /// Returns whether the outcome of a change is open.
+    pub fn is_changing(&self) -> bool {
+        self.proposed.is_some()
+    }
+}
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -36,6 +36,8 @@
 /// The key of what the last leader that stepped down left to its successor; see
 /// [`Handover`](super::handover::Handover).
 pub const HANDOVER_KEY: &str = "handover";
+/// The key of the processes that count; see [`members`](super::members).
+pub const MEMBERS_KEY: &str = "members";
 /// The key of the interference that leaders have learned.
 pub const LEARNED_KEY: &str = "learned";
 
--- a/crates/mustardcove-core/tests/leader_confirmation.rs
+++ b/crates/mustardcove-core/tests/leader_confirmation.rs
@@ -14,15 +14,16 @@
 use fleet_world::{manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        confirmation::{Confirmation, CoveredReports, MAX_STORELESS_MS, is_joined_by_half},
+        confirmation::{Confirmation, CoveredReports, MAX_STORELESS_MS, MAX_UNANIMOUS_MS},
         id::BootMillis,
+        members::{MemberList, MemberState, Members},
         message::{EndKind, Order, WorkerReport},
         poller::{
             LEADER_SILENT_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, MAX_START_LEASE_MS,
             start_deadline,
         },
     },
-    id::WorkerId,
+    id::{ProcessId, WorkerId},
     time::Timestamp,
 };
 use planner_rig::{Rig, START};
@@ -36,6 +37,20 @@
     Confirmation::new(START, boot(START))
 }
 
+/// Returns whether half of the members have joined a successor.
+fn is_joined_by_half(joined: usize, members: usize) -> bool {
+    let process = |it: usize| format!("p{it}.1").parse::<ProcessId>().expect("a valid name");
+    let mut known = Members::default();
+    let list = (0..members).map(|it| (process(it), format!("p{it}")));
+    known.stored(MemberList(list.collect()), 1);
+    let has_joined = |it: &ProcessId| (0..joined).any(|i| process(i) == *it);
+    known.is_joined_by_half(
+        |it, _| {
+            if has_joined(it) { MemberState::Joined } else { MemberState::Awaited }
+        },
+    )
+}
+
 fn worker(name: &str) -> WorkerId {
     name.parse().expect("a valid name")
 }
@@ -69,7 +84,7 @@
         for obeying in 0..=processes {
             let mut confirmation = claimed();
             let heard = |it| (it < obeying).then_some(heard_at);
-            confirmation.processes_heard((0..processes).map(heard));
+            confirmation.members_heard([(0..processes).map(heard).collect()], boot(heard_at));
             let is_most = processes < 2 * obeying;
             let expected = if is_most { heard_at } else { START };
             let permitted_from = confirmation.permitted_from(boot(heard_at));
@@ -86,10 +101,11 @@
 fn oldest_of_majority() {
     let mut confirmation = claimed();
     let heard = [900, 100, 500, 700].map(|it| Some(START.plus_ms(it)));
-    confirmation.processes_heard(heard);
+    confirmation.members_heard([heard.to_vec()], boot(START));
     assert_eq!(confirmation.majority_through(), Some(START.plus_ms(500)));
     assert_eq!(confirmation.sole_through(), START.plus_ms(100));
-    confirmation.processes_heard([Some(START.plus_ms(900)), Some(START.plus_ms(800)), None]);
+    let heard = vec![Some(START.plus_ms(900)), Some(START.plus_ms(800)), None];
+    confirmation.members_heard([heard], boot(START));
     assert_eq!(confirmation.sole_through(), START, "one of them may lead or obey another");
     assert_eq!(confirmation.permitted_from(boot(START)), START.plus_ms(800));
 }
@@ -100,22 +116,40 @@
 fn storeless_limit() {
     let mut confirmation = claimed();
     let last = START.plus_ms(MAX_STORELESS_MS - 1);
-    confirmation.processes_heard([Some(last), Some(last), None]);
+    confirmation.members_heard([vec![Some(last), Some(last), None]], boot(last));
     assert_eq!(confirmation.permitted_from(boot(last)), last);
     assert_eq!(confirmation.permitted_from(boot(last.plus_ms(1))), START);
     let asked_at = START.plus_ms(5_000);
     confirmation.store_answered(asked_at, boot(asked_at));
     assert_eq!(confirmation.permitted_from(boot(last.plus_ms(1))), last);
-    confirmation.processes_heard([Some(last), Some(last), Some(last)]);
+    confirmation.members_heard([vec![Some(last); 3]], boot(last));
     let later = boot(last.plus_ms(MAX_STORELESS_MS));
     assert_eq!(confirmation.permitted_from(later), last, "nobody obeys a successor");
+    let heard_at = START.plus_ms(6_000 + MAX_UNANIMOUS_MS);
+    confirmation.members_heard([vec![Some(heard_at); 3]], boot(heard_at));
+    assert_eq!(confirmation.sole_through(), asked_at, "a successor may not know any of them");
+}
+
+/// While a change of the members is open, a successor may find either list.
+#[test]
+fn both_lists() {
+    let mut confirmation = claimed();
+    let (earlier, later) = (START.plus_ms(100), START.plus_ms(900));
+    let lists = [vec![Some(later), Some(earlier), None], vec![Some(later), Some(later), None]];
+    confirmation.members_heard(lists, boot(later));
+    assert_eq!(confirmation.majority_through(), Some(earlier));
+    let lists = [vec![Some(later); 3], vec![Some(later), None, None]];
+    confirmation.members_heard(lists, boot(later));
+    assert_eq!(confirmation.majority_through(), None);
+    assert_eq!(confirmation.sole_through(), START);
 }
 
 /// A suspended machine counts the time without the store.
 #[test]
 fn suspended_machine() {
     let mut confirmation = claimed();
-    confirmation.processes_heard([Some(START.plus_ms(100)), Some(START.plus_ms(100)), None]);
+    let heard = vec![Some(START.plus_ms(100)), Some(START.plus_ms(100)), None];
+    confirmation.members_heard([heard], boot(START));
     let resumed = boot(START).plus_ms(MAX_STORELESS_MS);
     assert_eq!(confirmation.permitted_from(resumed), START);
 }
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -20,7 +20,7 @@
     ops::RangeInclusive,
 };
 
-use leader_processes::{CONFIRM_INTERVAL_MS, Leadership};
+use leader_processes::{CONFIRM_INTERVAL_MS, Leadership, MembersRecord, first_members};
 pub(crate) use leader_processes::{Side, SimProcess};
 use mustardcove_core::{
     fleet::{
@@ -417,6 +417,8 @@
     /// leaders poll by themselves and are always confirmed.
     pub(crate) processes: Vec<SimProcess>,
     pub(crate) store_side: Side,
+    /// The stored list of the processes that count.
+    members: MembersRecord,
     /// Time for which an answer of the store about the leader is in flight, in
     /// milliseconds.
     pub(crate) store_delay_ms: RangeInclusive<u64>,
@@ -531,6 +533,7 @@
             leaders: Vec::new(),
             processes: Vec::new(),
             store_side: Side::Main,
+            members: None,
             store_delay_ms: 0..=MAX_STORE_DELAY_MS,
             assignment_salt: 0,
             held_starts: Vec::new(),
@@ -594,6 +597,7 @@
         let mut world = World::new(seed, workers);
         world.processes = vec![SimProcess::new(world.now); processes];
         (world.claims, world.leaders) = (0, Vec::new());
+        world.members = Some((first_members(processes), 1));
         world.elect_on(0);
         world
     }
@@ -609,7 +613,11 @@
         self.elect();
         let (now, processes, workers) = (self.now, self.processes.len(), self.workers.len());
         let Some(leader) = self.leaders.last_mut() else { return };
-        leader.leadership = Some(Leadership::new(process, processes, workers, now));
+        let mut leadership = Leadership::new(process, processes, workers, now);
+        if let Some((list, revision)) = &self.members {
+            leadership.members.stored(list.clone(), *revision);
+        }
+        leader.leadership = Some(leadership);
         // Until half of the processes have joined, most may obey an earlier
         // leader.
         let expire_by = if self.claims == 1 { now } else { now.plus_ms(MAX_ORPHAN_LEASE_MS) };
@@ -747,6 +755,9 @@
             return;
         }
         self.update_confirmation(leader);
+        if reaches_store {
+            self.change_members(leader);
+        }
         if is_heartbeat_due {
             let known = self.leaders[leader].leadership.as_ref().map_or(0, |it| it.known.len());
             for process in 0..known {
@@ -760,18 +771,41 @@
         self.assign(leader);
     }
 
+    /// Lets a leader change the stored list of members, under a condition on its
+    /// term and on the record. The answer may be lost.
+    fn change_members(&mut self, leader: usize) {
+        let (now, term) = (self.now, self.leaders[leader].planner.term());
+        let Some(it) = &mut self.leaders[leader].leadership else { return };
+        if now < it.change_members_at {
+            return;
+        }
+        let Some((list, expected)) = it.next_members(now) else { return };
+        it.change_members_at = now.plus_ms(self.rng.random_range(500..2_500));
+        let is_answered = 0 < self.rng.random_range(0..4u32);
+        if self.term != term {
+            return;
+        }
+        let revision = self.members.as_ref().map_or(0, |it| it.1);
+        if revision == expected {
+            self.members = Some((list, expected + 1));
+        }
+        if let Some((list, revision)) = self.members.clone().filter(|_| is_answered) {
+            it.members.stored(list, revision);
+        }
+    }
+
     /// Updates what a leader may conclude and permit.
     fn update_confirmation(&mut self, leader: usize) {
         let now = self.now;
         let state = &mut self.leaders[leader];
         let Some(it) = &mut state.leadership else { return };
-        it.confirmation.processes_heard(it.known.iter().map(|it| it.heard_through));
+        it.confirmation.members_heard(it.heard(), BootMillis(now.0));
         let permitted_from = it.confirmation.permitted_from(BootMillis(now.0));
         it.known.iter_mut().for_each(|it| it.reports.confirm(permitted_from));
         let is_recent = now.ms_since(permitted_from) < ORDER_MAX_AGE_MS;
         let may_start = is_recent && it.are_permitted(now);
         state.planner.set_confirmed(it.confirmation.sole_through(), may_start);
-        if !it.is_joined && it.is_joined_by_half() {
+        if !it.is_joined && it.is_joined_by_half(now) {
             it.is_joined = true;
             state.planner.set_unfenced_leases_expire_by(now.plus_ms(MAX_ORPHAN_LEASE_MS));
         }
@@ -781,6 +815,10 @@
     /// there is any.
     fn assign(&mut self, leader: usize) {
         let now = self.now;
+        let leadership = self.leaders[leader].leadership.as_mut();
+        if !leadership.is_some_and(|it| it.may_poll(now)) {
+            return;
+        }
         for worker in 0..self.workers.len() {
             let Some(it) = &self.leaders[leader].leadership else { return };
             let alive: Vec<usize> =
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -10,11 +10,13 @@
 
 use mustardcove_core::{
     fleet::{
-        confirmation::{Confirmation, CoveredReports, is_joined_by_half},
+        confirmation::{Confirmation, CoveredReports, MAX_STORELESS_MS},
         id::{BootMillis, SubmissionId, Term},
+        members::{MEMBER_SILENT_MS, MemberList, MemberState, Members},
         planner::WorkerListing,
-        poller::LeasePermission,
+        poller::{LeasePermission, MAX_ORPHAN_LEASE_MS},
     },
+    id::ProcessId,
     time::Timestamp,
 };
 
@@ -84,6 +86,25 @@
     }
 }
 
+/// The record of the members in the store, with its revision.
+pub(crate) type MembersRecord = Option<(MemberList, u64)>;
+
+/// Returns the name of a process in the list of members.
+fn member(process: usize) -> (ProcessId, String) {
+    let name = format!("p{process}");
+    (format!("{name}.1").parse().expect("a valid name"), name)
+}
+
+fn process_of(member: &ProcessId) -> usize {
+    let number = member.as_str().trim_start_matches('p').split('.').next();
+    number.and_then(|it| it.parse().ok()).expect("a process of the world")
+}
+
+/// Returns the list of the first `count` processes.
+pub(crate) fn first_members(count: usize) -> MemberList {
+    MemberList((0..count).map(member).collect())
+}
+
 /// What a leader knows of a process.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KnownProcess {
@@ -99,7 +120,12 @@
     /// The process in which it runs.
     pub(crate) process: usize,
     pub(crate) confirmation: Confirmation,
+    began_at: Timestamp,
+    pub(crate) members: Members,
+    pub(crate) is_polling: bool,
     pub(crate) is_joined: bool,
+    /// When it may change the list of members next.
+    pub(crate) change_members_at: Timestamp,
     pub(crate) known: Vec<KnownProcess>,
     /// The process that polls each worker.
     pub(crate) poller_of: Vec<Option<usize>>,
@@ -127,7 +153,11 @@
         Leadership {
             process,
             confirmation: Confirmation::new(now, BootMillis(now.0)),
+            began_at: now,
+            members: Members::default(),
+            is_polling: false,
             is_joined: false,
+            change_members_at: now,
             known: vec![KnownProcess::default(); processes],
             poller_of: vec![None; workers],
             unhandled: VecDeque::new(),
@@ -166,9 +196,53 @@
         alive().count() <= 2 * alive().filter(is_permitted).count()
     }
 
-    /// Returns whether half of the processes have joined its term.
-    pub(crate) fn is_joined_by_half(&self) -> bool {
-        let joined = self.known.iter().filter(|it| it.last_report_at.is_some()).count();
-        is_joined_by_half(joined, self.known.len())
+    fn member_state(&self, process: &ProcessId, now: Timestamp) -> MemberState {
+        let known = self.known.get(process_of(process));
+        let reported_at = known.and_then(|it| it.last_report_at);
+        if MEMBER_SILENT_MS <= now.ms_since(reported_at.unwrap_or(self.began_at)) {
+            MemberState::Silent { has_joined: reported_at.is_some() }
+        } else if reported_at.is_some() {
+            MemberState::Joined
+        } else {
+            MemberState::Awaited
+        }
+    }
+
+    /// Returns when the newest heartbeat was sent that each member has
+    /// acknowledged, for each list.
+    pub(crate) fn heard(&self) -> Vec<Vec<Option<Timestamp>>> {
+        let heard = |it: &ProcessId| self.known.get(process_of(it)).and_then(|it| it.heard_through);
+        self.members.lists().map(|list| list.0.keys().map(heard).collect()).collect()
+    }
+
+    /// Returns whether half of the members have joined its term.
+    pub(crate) fn is_joined_by_half(&self, now: Timestamp) -> bool {
+        self.members.is_joined_by_half(|it, _| self.member_state(it, now))
+    }
+
+    /// Returns whether it may poll workers, which it may from then on.
+    pub(crate) fn may_poll(&mut self, now: Timestamp) -> bool {
+        let own = member(self.process).0;
+        self.is_polling =
+            self.is_polling || self.members.may_poll(&own, |it, _| self.member_state(it, now));
+        self.is_polling
+    }
+
+    /// Returns the change of the members that it writes, if there is one.
+    pub(crate) fn next_members(&mut self, now: Timestamp) -> Option<(MemberList, u64)> {
+        let waits_ms = MAX_STORELESS_MS + MAX_ORPHAN_LEASE_MS;
+        let are_earlier_over = waits_ms <= now.ms_since(self.began_at);
+        if !self.is_polling || !(are_earlier_over || self.is_joined_by_half(now)) {
+            return None;
+        }
+        let alive = (0..self.known.len()).filter(|it| self.is_alive(*it, now));
+        let reporting: Vec<_> = alive.map(member).collect();
+        let mut members = std::mem::take(&mut self.members);
+        let change = members
+            .next_change(reporting.iter().map(|it| (&it.0, it.1.as_str())), |it, _| {
+                self.member_state(it, now)
+            });
+        self.members = members;
+        change
     }
 }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -7,6 +7,7 @@
 //! the process stops.
 
 mod handover;
+mod members;
 mod pollers;
 mod progress;
 mod recovery;
@@ -39,6 +40,7 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use self::{
+    members::MembersWritten,
     pollers::Pollers,
     progress::FlushResult,
     workers::{Entries, RosterWritten},
@@ -149,6 +151,8 @@
     RosterWritten(RosterWritten),
     /// The records of the registered processes.
     Processes(Vec<Item>),
+    /// A write of the members ended, with what the store holds.
+    MembersWritten(MembersWritten),
 }
 
 /// A submission with its progress and that record's revision; `None` if there
@@ -176,6 +180,7 @@
     /// The entries that the log says are ignored, each with the reason.
     logged_entries: BTreeMap<String, String>,
     is_storing_roster: bool,
+    is_storing_members: bool,
     /// No write of the roster before this time.
     store_roster_at: Timestamp,
     results: mpsc::UnboundedSender<TaskResult>,
@@ -232,6 +237,7 @@
         unanswered: Vec::new(),
         logged_entries: BTreeMap::new(),
         is_storing_roster: false,
+        is_storing_members: false,
         store_roster_at: now,
         results,
         is_flushing: false,
@@ -433,7 +439,11 @@
             TaskResult::TicketsReceived(reply) => self.planner.tickets_received(reply, now),
             TaskResult::Flushed(result) => self.flush_ended(result, now),
             TaskResult::RosterWritten(result) => self.roster_written(result, now),
-            TaskResult::Processes(items) => self.pollers.update_registered(&items, now),
+            TaskResult::Processes(items) => {
+                self.pollers.update_registered(&items, now);
+                self.store_members(now);
+            }
+            TaskResult::MembersWritten(result) => self.members_written(result, now),
         }
     }
 
@@ -603,7 +613,7 @@
     /// Updates what this leader may conclude and permit. A leader that may have
     /// been replaced permits nothing, and starts nothing.
     fn update_confirmation(&mut self, now: Timestamp) {
-        self.confirmation.processes_heard(self.pollers.heard());
+        self.confirmation.members_heard(self.pollers.heard(), boot_now());
         let permitted_from = self.confirmation.permitted_from(boot_now());
         self.pollers.confirm(permitted_from);
         let is_recent = now.ms_since(permitted_from) < ORDER_MAX_AGE_MS;
@@ -611,7 +621,7 @@
         self.planner.set_confirmed(self.confirmation.sole_through(), may_start);
         let pollers = &self.pollers;
         if let Some(latest) =
-            self.unjoined_leases_expire_by.take_if(|_| pollers.is_joined_by_half())
+            self.unjoined_leases_expire_by.take_if(|_| pollers.is_joined_by_half(now))
         {
             let expire_by = latest.min(now.plus_ms(MAX_ORPHAN_LEASE_MS));
             self.planner.set_unfenced_leases_expire_by(expire_by);
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -10,11 +10,13 @@
 use mustardcove_core::{
     fleet::{
         assignment::{Assignments, Poller, assign},
-        confirmation::{CoveredReports, is_joined_by_half},
+        confirmation::{CoveredReports, MAX_STORELESS_MS, MAX_UNANIMOUS_MS},
         id::{AssignmentNumber, BootMillis, Term},
+        members::{MEMBER_SILENT_MS, MemberList, MemberState, Members},
         message::{FleetMessage, WorkerContact},
         planner::{Planner, WorkerListing},
-        record::ProcessRecord,
+        poller::MAX_ORPHAN_LEASE_MS,
+        record::{PROCESS_PREFIX, ProcessRecord},
     },
     id::{ProcessId, WorkerId},
     time::Timestamp,
@@ -67,6 +69,12 @@
     term: Term,
     term_started_at: Timestamp,
     processes: BTreeMap<ProcessId, Process>,
+    members: Members,
+    /// The process of each instance whose record the store held when it was read
+    /// last; without one if the record cannot be read.
+    registered: BTreeMap<String, Option<ProcessId>>,
+    /// Whether workers are polled in this term.
+    is_polling: bool,
     assignments: Assignments,
     /// What the last assignment was computed from.
     basis: AssignmentBasis,
@@ -108,6 +116,9 @@
             term,
             term_started_at,
             processes: BTreeMap::new(),
+            members: Members::default(),
+            registered: BTreeMap::new(),
+            is_polling: false,
             assignments: Assignments::default(),
             basis: AssignmentBasis::default(),
             next_reaching_store: 0,
@@ -118,8 +129,13 @@
     /// processes that are not.
     pub(super) fn update_registered(&mut self, items: &[Item], now: Timestamp) {
         let mut listed = BTreeSet::new();
+        self.registered.clear();
         for item in items {
             let record: Option<ProcessRecord> = durable::decode(&self.shared, "process", item);
+            let process = record.as_ref().map(|it| it.process.clone());
+            if let Some(name) = item.key.strip_prefix(PROCESS_PREFIX) {
+                self.registered.insert(name.to_owned(), process);
+            }
             let Some(record) = record else { continue };
             listed.insert(record.process.clone());
             self.add(record);
@@ -179,10 +195,78 @@
         self.processes.keys()
     }
 
-    /// Returns the newest heartbeat that each process is known to have
-    /// received.
-    pub(super) fn heard(&self) -> impl Iterator<Item = Option<Timestamp>> {
-        self.processes.values().map(|it| it.heard_through)
+    /// Returns the newest heartbeat that each member is known to have received, for
+    /// each list of members. Before there is one, all registered processes count.
+    pub(super) fn heard(&self) -> Vec<Vec<Option<Timestamp>>> {
+        if !self.members.is_stored() {
+            return vec![self.processes.values().map(|it| it.heard_through).collect()];
+        }
+        let heard = |it: &ProcessId| self.processes.get(it).and_then(|it| it.heard_through);
+        self.members.lists().map(|list| list.0.keys().map(heard).collect()).collect()
+    }
+
+    /// Records the members that the store holds.
+    pub(super) fn members_stored(&mut self, list: MemberList, revision: u64) {
+        self.members.stored(list, revision);
+    }
+
+    /// Returns what is known of a member.
+    fn member_state(&self, process: &ProcessId, name: &str, now: Timestamp) -> MemberState {
+        let known = self.processes.get(process);
+        let reported_at = known.and_then(|it| it.last_report_at);
+        // An instance has one process at a time, which registers when it starts and
+        // removes its record when it stops.
+        let is_replaced =
+            self.registered.get(name).is_none_or(|it| it.as_ref().is_some_and(|it| it != process));
+        let has_successor = || {
+            let mut others = self.processes.values().filter(|it| it.record.name == name);
+            others.any(|it| it.record.process != *process && it.last_report_at.is_some())
+        };
+        let silent_since = reported_at.unwrap_or(self.term_started_at);
+        if is_replaced || has_successor() {
+            MemberState::Ended
+        } else if MEMBER_SILENT_MS <= now.ms_since(silent_since) {
+            MemberState::Silent { has_joined: reported_at.is_some() }
+        } else if reported_at.is_some() {
+            MemberState::Joined
+        } else {
+            MemberState::Awaited
+        }
+    }
+
+    /// Returns the list of members to write and the revision of the record that it
+    /// replaces; `None` if it must not change yet, or need not.
+    pub(super) fn next_members(&mut self, now: Timestamp) -> Option<(MemberList, u64)> {
+        // By then no earlier leader is permitted anything without the store.
+        let waits_ms = MAX_STORELESS_MS + MAX_ORPHAN_LEASE_MS;
+        let are_earlier_over = waits_ms <= now.ms_since(self.term_started_at);
+        if !self.is_polling || !(are_earlier_over || self.is_joined_by_half(now)) {
+            return None;
+        }
+        let mut members = std::mem::take(&mut self.members);
+        let is_registered = |it: &&Process| {
+            let id = &it.record.process;
+            self.registered.get(&it.record.name).is_some_and(|it| it.as_ref() == Some(id))
+        };
+        let alive = self.processes.values().filter(|it| self.is_alive(it, now));
+        let reporting =
+            alive.filter(is_registered).map(|it| (&it.record.process, it.record.name.as_str()));
+        let change =
+            members.next_change(reporting, |process, name| self.member_state(process, name, now));
+        self.members = members;
+        change
+    }
+
+    /// Returns whether this term may poll workers, which it may from then on.
+    fn may_poll(&mut self, now: Timestamp) -> bool {
+        let waits_ms = MAX_UNANIMOUS_MS + MAX_ORPHAN_LEASE_MS;
+        let is_polling = self.is_polling
+            || waits_ms <= now.ms_since(self.term_started_at)
+            || self.members.may_poll(&self.shared.process, |process, name| {
+                self.member_state(process, name, now)
+            });
+        self.is_polling = is_polling;
+        is_polling
     }
 
     /// Returns the newest report of a process that was handled.
@@ -210,11 +294,14 @@
         alive().count() <= 2 * alive().filter(|it| it.reports.covered().is_some()).count()
     }
 
-    /// Returns whether so many processes have joined this term that no earlier
-    /// leader is obeyed by most of them.
-    pub(super) fn is_joined_by_half(&self) -> bool {
-        let joined = self.processes.values().filter(|it| it.last_report_at.is_some()).count();
-        is_joined_by_half(joined, self.processes.len())
+    /// Returns whether so many members have joined this term, or have ended, that no
+    /// earlier leader is obeyed by most of them.
+    pub(super) fn is_joined_by_half(&self, now: Timestamp) -> bool {
+        if !self.members.is_stored() {
+            let joined = self.processes.values().filter(|it| it.last_report_at.is_some()).count();
+            return self.processes.len() <= 2 * joined;
+        }
+        self.members.is_joined_by_half(|process, name| self.member_state(process, name, now))
     }
 
     /// Records that a report of a process was handled. Returns the workers of
@@ -325,7 +412,7 @@
     /// Updates the assignment of workers. Returns the workers that have lost
     /// their poller or have a new address.
     pub(super) fn update(&mut self, planner: &Planner, now: Timestamp) -> BTreeSet<WorkerId> {
-        if now < self.term_started_at.plus_ms(FIRST_ASSIGNMENT_DELAY_MS) {
+        if now < self.term_started_at.plus_ms(FIRST_ASSIGNMENT_DELAY_MS) || !self.may_poll(now) {
             return BTreeSet::new();
         }
         let alive = self.processes.iter().filter(|it| self.is_alive(it.1, now)).map(|it| it.0);
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -10,8 +10,8 @@
     id::{SubmissionId, Term},
     record::{
         self, CANCEL_PREFIX, HANDOVER_KEY, LEADER_KEY, LEARNED_KEY, LearnedInterference,
-        PROCESS_PREFIX, PROGRESS_PREFIX, ProgressRecord, ROSTER_PREFIX, SUBMISSION_PREFIX,
-        WORK_PREFIX,
+        MEMBERS_KEY, PROCESS_PREFIX, PROGRESS_PREFIX, ProgressRecord, ROSTER_PREFIX,
+        SUBMISSION_PREFIX, WORK_PREFIX,
     },
 };
 use slog::warn;
@@ -33,7 +33,13 @@
         predecessor: Term,
     ) -> Result<Vec<AbortOnDropHandle<()>>, &'static str> {
         // Other processes postpone their claims when they get a heartbeat.
-        let processes = self.read_prefix(PROCESS_PREFIX).await?.0;
+        let (processes, members) = tokio::join!(
+            self.shared.store.range(PROCESS_PREFIX),
+            self.shared.store.range(MEMBERS_KEY),
+        );
+        let (processes, _) = self.retry_read(PROCESS_PREFIX, processes).await?;
+        let (members, _) = self.retry_read(MEMBERS_KEY, members).await?;
+        self.restore_members(&members)?;
         self.pollers.update_registered(&processes, self.shared.now());
         self.send_heartbeat();
         let shared = self.shared.clone();
@@ -82,12 +88,6 @@
         }
     }
 
-    /// Reads all records below a prefix, and retries failures.
-    async fn read_prefix(&self, prefix: &str) -> Result<(Vec<Item>, u64), &'static str> {
-        let first = self.shared.store.range(prefix).await;
-        self.retry_read(prefix, first).await
-    }
-
     /// Retries a failed reading until it succeeds, another process leads or
     /// this process stops; the latter two are errors.
     async fn retry_read(
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -21,6 +21,8 @@
 
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time for which a process that stops tries to remove its record.
+const DEREGISTER_TIME: Duration = Duration::from_millis(400);
 /// Messages that may wait for the leader task.
 const LEADER_QUEUE: usize = 8_192;
 
@@ -30,12 +32,13 @@
     let key = format!("{PROCESS_PREFIX}{}", shared.settings.name);
     let value = record::encode(&own_record(&shared));
     loop {
-        match shared.store.write(&Write::default().set(key.clone(), &value)).await {
-            Ok(_) => {
+        match write_record(&shared, &key, &value).await {
+            Ok(true) => {
                 shared.store_answered();
                 info!(shared.log, "registered"; "key" => key);
                 return;
             }
+            Ok(false) => {}
             Err(fault) => {
                 warn!(shared.log, "not registered yet"; "error" => %fault);
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -44,6 +47,38 @@
     }
 }
 
+/// Writes the process record unless it is there, and returns whether it is. The
+/// condition keeps a late write of an earlier process of this instance from
+/// replacing it, which would count as the end of this one.
+async fn write_record(shared: &Shared, key: &str, value: &[u8]) -> Result<bool, StoreFault> {
+    let current = shared.store.get(key).await?;
+    if current.as_ref().is_some_and(|it| it.value == value) {
+        return Ok(true);
+    }
+    let revision = current.map_or(0, |it| it.revision);
+    let write = Write::default().expect(key, revision).set(key, value);
+    Ok(matches!(shared.store.write(&write).await?, WriteOutcome::Committed(_)))
+}
+
+/// Removes the process record, which tells leaders that this process has ended. It
+/// must not act for any leader afterwards. Gives up after a while: its silence
+/// tells the same later.
+pub async fn deregister(shared: &Shared) {
+    let key = format!("{PROCESS_PREFIX}{}", shared.settings.name);
+    let remove = async {
+        let item = shared.store.get(&key).await?;
+        let value = record::encode(&own_record(shared));
+        let Some(item) = item.filter(|it| it.value == value) else { return Ok(()) };
+        let write = Write::default().expect(key.clone(), item.revision).remove(key.clone());
+        shared.store.write(&write).await.map(|_| ())
+    };
+    match tokio::time::timeout(DEREGISTER_TIME, remove).await {
+        Ok(Ok(())) => info!(shared.log, "deregistered"; "key" => key),
+        Ok(Err(fault)) => warn!(shared.log, "not deregistered"; "error" => %fault),
+        Err(_) => warn!(shared.log, "not deregistered"; "error" => "no answer in time"),
+    }
+}
+
 fn own_record(shared: &Shared) -> ProcessRecord {
     ProcessRecord {
         process: shared.process.clone(),
--- a/crates/mustardcove-node/src/process.rs
+++ b/crates/mustardcove-node/src/process.rs
@@ -155,7 +155,7 @@
     let (leader, leader_inputs) = membership::leader_queue();
     let routes = dispatch::Routes { poller, leader };
     // Not supervised, since this task ends once the process is registered.
-    tokio::spawn(membership::register(shared.clone()));
+    let registration = tokio::spawn(membership::register(shared.clone()));
     tasks.spawn(manifest_watch::run(shared.clone()));
     tasks.spawn(dispatch::run(shared.clone(), events, routes));
     tasks.spawn(poller::run(shared.clone(), poller_inputs));
@@ -188,6 +188,9 @@
     callers_server.await??;
     readiness_server.abort();
     shared.peers.shutdown(PEER_SHUTDOWN_TIMEOUT).await;
+    registration.abort();
+    tasks.shutdown().await;
+    membership::deregister(&shared).await;
     info!(log, "process ends");
     Ok(())
 }
--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -150,7 +150,7 @@
     /// The region that reaches the store while regions are cut off.
     store_region: usize,
     regions: Regions,
-    _store_servers: Vec<Server>,
+    store_servers: Vec<Server>,
     _worker_task: JoinHandle<()>,
 }
 
@@ -164,17 +164,23 @@
         }
         let mut rig = Rig::without_nodes(name, monitor, started);
         let server = rig.store.serve(LOCALHOST).await.expect("a free port");
-        for i in 0..nodes {
-            let store = Proxy::start(server.address()).await;
-            let domain = ["north", "south"][i % 2];
-            let ip = rig.ip(i);
-            let text = standin::settings(&format!("node-{i}"), domain, ip, store.address);
-            rig.start_node(&text, store, None, 0);
+        rig.store_servers.push(server);
+        for _ in 0..nodes {
+            rig.add_node().await;
         }
-        rig._store_servers.push(server);
         rig
     }
 
+    /// Starts a node with a name and an address of its own, and returns its number.
+    pub(crate) async fn add_node(&mut self) -> usize {
+        let i = self.nodes.len();
+        let store = Proxy::start(self.store_servers[0].address()).await;
+        let domain = ["north", "south"][i % 2];
+        let text = standin::settings(&format!("node-{i}"), domain, self.ip(i), store.address);
+        self.start_node(&text, store, None, 0);
+        i
+    }
+
     /// Starts a deployment of two regions, which [`Rig::cut`] can cut off from
     /// each other. A node of region 0 becomes the leader, since the others have
     /// a small share of a processor. `nodes` and `workers` are numbers for each
@@ -208,10 +214,10 @@
         }
         for far in far_addresses {
             let view = rig.store.view(move |key, value| rewrite_address(&far, key, value));
-            rig._store_servers.push(view.serve(LOCALHOST).await.expect("a free port"));
+            rig.store_servers.push(view.serve(LOCALHOST).await.expect("a free port"));
         }
         for (i, (peers, region)) in peers.into_iter().enumerate() {
-            let store = Proxy::start(rig._store_servers[region].address()).await;
+            let store = Proxy::start(rig.store_servers[region].address()).await;
             // Nodes that find a leader tell it their own address, not that of
             // the proxy, so all of them ask for the leader before there is one.
             store.set(Mode::Silent);
@@ -252,7 +258,7 @@
             number: RIG_COUNT.fetch_add(1, Ordering::Relaxed),
             store_region: 0,
             regions: Regions::default(),
-            _store_servers: Vec::new(),
+            store_servers: Vec::new(),
             _worker_task: worker_task,
         };
         rig.change_manifest(3_000);
