Ask for the incarnation before a start opens a connection

A bound call that got a new connection closed it with the call, and with several starts at a time the second attempt could meet another new one and count as not run, which keeps the leader off the worker for 0.5 s.

Cause: whether a connection is new enough was known only once it was chosen.

Change: the client counts the open connections to each address, so a bound call that would need a new one fails before it is sent. The short poll opens it, and the start follows; a start whose connection others took asks again.

--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -46,6 +46,10 @@
 /// Time between two messages to the leader while there are no reports.
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Attempts to send a start over a connection that leads to the incarnation that
+/// answered. Each opens one; other calls may take it first.
+const START_ATTEMPTS: u32 = 6;
+
 /// Instructions that the leader sends to this process.
 #[derive(Debug)]
 pub enum PollerInput {
@@ -353,13 +357,15 @@
             return StartOutcome::TooLate;
         }
         let not_after = self.shared.now().plus_ms(left_ms);
-        if let Some(outcome) = self.send_start(order, not_after).await {
-            return outcome;
-        }
-        if let Err(outcome) = self.check_incarnation().await {
-            return outcome;
+        for _ in 0..START_ATTEMPTS {
+            if let Some(outcome) = self.send_start(order, not_after).await {
+                return outcome;
+            }
+            if let Err(outcome) = self.check_incarnation().await {
+                return outcome;
+            }
         }
-        self.send_start(order, not_after).await.unwrap_or(StartOutcome::NotRun)
+        StartOutcome::TooLate
     }
 
     /// Sends a start over a connection that leads to the incarnation that answered
--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -213,7 +213,7 @@
     /// # Errors
     ///
     /// See [`HttpClient::post`]. The error tells if the call was not sent because
-    /// it would have needed a newer connection, which is closed.
+    /// it would have needed a newer connection.
     pub async fn send_bound(
         &self,
         method: Method,
@@ -287,6 +287,10 @@
     ) -> eyre::Result<Answer> {
         let uri: Uri = uri.parse()?;
         let _permits = in_time(until, self.acquire_permits(&uri)).await??;
+        if gate.is_restricted() && !self.has_idle_connection(&uri) {
+            gate.close_to_new_connection();
+            eyre::bail!("the call would need a new connection");
+        }
         // Connections that are open now are older than the answer.
         let open = self.connector.newest();
         let mut req = Request::builder().method(method).uri(uri).body(body)?;
@@ -330,6 +334,15 @@
         Ok(buf.freeze())
     }
 
+    /// Returns whether a connection is open that no call uses, given that the caller
+    /// holds a permit of its own.
+    fn has_idle_connection(&self, uri: &Uri) -> bool {
+        let address = uri.authority().map(|it| it.as_str()).unwrap_or_default();
+        let free = self.address_limit(address).available_permits();
+        let in_use = self.limits.max_per_address.saturating_sub(free);
+        in_use <= self.connector.open(address)
+    }
+
     async fn acquire_permits(&self, uri: &Uri) -> eyre::Result<[OwnedSemaphorePermit; 2]> {
         let address = uri.authority().map(|it| it.as_str()).unwrap_or_default();
         let address_permit = self.address_limit(address).acquire_owned().await?;
--- a/crates/mustardcove-platform/src/http/connection.rs
+++ b/crates/mustardcove-platform/src/http/connection.rs
@@ -7,12 +7,16 @@
 //! which this holds binds a call to the process that answered, without a look at
 //! any clock; a call that only one process may receive is not written to a newer
 //! connection.
+//!
+//! A connection that turns out to be too new is closed with its call. The number of
+//! open connections to an address tells beforehand whether a call would need one.
 
 use std::{
+    collections::HashMap,
     io::{self, IoSlice},
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     task::{Context, Poll},
@@ -33,11 +37,41 @@
 pub(super) struct NumberedConnector {
     connector: HttpConnector,
     newest: Arc<AtomicU64>,
+    open: OpenConnections,
+}
+
+/// The number of open connections to each address. Clones share it.
+#[derive(Clone, Debug, Default)]
+struct OpenConnections(Arc<Mutex<HashMap<String, usize>>>);
+
+impl OpenConnections {
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, usize>> {
+        self.0.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    fn opened(&self, address: &str) {
+        *self.lock().entry(address.to_owned()).or_default() += 1;
+    }
+
+    fn closed(&self, address: &str) {
+        let mut open = self.lock();
+        if let Some(count) = open.get_mut(address) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(address);
+            }
+        }
+    }
 }
 
 impl NumberedConnector {
     pub(super) fn new(connector: HttpConnector) -> NumberedConnector {
-        NumberedConnector { connector, newest: Arc::default() }
+        NumberedConnector { connector, newest: Arc::default(), open: OpenConnections::default() }
+    }
+
+    /// Returns how many connections to an address are open.
+    pub(super) fn open(&self, address: &str) -> usize {
+        self.open.lock().get(address).copied().unwrap_or(0)
     }
 
     /// Returns the number of the newest open connection; 0 before the first.
@@ -56,12 +90,14 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
+        let address = uri.authority().map(|it| it.to_string()).unwrap_or_default();
         let connecting = self.connector.call(uri);
-        let newest = self.newest.clone();
+        let (newest, open) = (self.newest.clone(), self.open.clone());
         Box::pin(async move {
             let io = connecting.await?;
             let number = ConnectionNumber(newest.fetch_add(1, Ordering::SeqCst) + 1);
-            Ok(NumberedStream { io, number })
+            open.opened(&address);
+            Ok(NumberedStream { io, number, address, open })
         })
     }
 }
@@ -71,6 +107,14 @@
 pub(super) struct NumberedStream {
     io: TokioIo<TcpStream>,
     number: ConnectionNumber,
+    address: String,
+    open: OpenConnections,
+}
+
+impl Drop for NumberedStream {
+    fn drop(&mut self) {
+        self.open.closed(&self.address);
+    }
 }
 
 impl NumberedStream {
--- a/crates/mustardcove-platform/src/http/gate.rs
+++ b/crates/mustardcove-platform/src/http/gate.rs
@@ -83,6 +83,18 @@
         }
     }
 
+    /// Returns whether the call may be sent over some connections only.
+    pub fn is_restricted(&self) -> bool {
+        self.connections.is_some()
+    }
+
+    /// Closes the gate to a call that would need a new connection, which it may not
+    /// use.
+    pub fn close_to_new_connection(&self) {
+        // Fails if the call was given up, which stands.
+        let _ = self.change(CLOSED_TO_CONNECTION);
+    }
+
     /// Returns whether the call was not sent because the connection chosen for it
     /// is newer than permitted.
     pub fn is_closed_to_connection(&self) -> bool {
@@ -110,8 +122,7 @@
             return false;
         }
         if self.connections.as_ref().is_some_and(|it| !it.include_chosen()) {
-            // Fails if the call was given up, which stands.
-            let _ = self.change(CLOSED_TO_CONNECTION);
+            self.close_to_new_connection();
             return false;
         }
         self.change(TAKEN).is_ok()
