Ignore an identity answer that another incarnation has overtaken

Found by reading: a short poll beside the one in flight may be answered by the earlier incarnation and handled after an answer of the next; its clock would be in force again. Cause: the poller compared it with whatever incarnation was known by then. Change: it counts only if the known incarnation has not changed since it was asked for; the start is taken as too late otherwise. Measured: bound_leases late_identity; it cannot be built before, as the check did not exist.

--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -373,11 +373,27 @@
         Some(identity_poll(asked.now))
     }
 
-    /// Records that a poll beside the one in flight shows another incarnation. Its
-    /// answer takes the place of that poll's, which is ignored.
-    pub fn asked_beside(&mut self, now: Timestamp, boot: BootMillis) {
+    /// Returns the incarnation that answered the last poll.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
+    }
+
+    /// Records that a poll beside the one in flight shows another incarnation than
+    /// `known`, which had answered before it was asked for. Its answer takes the
+    /// place of that poll's, which is ignored. Returns whether it does: it is late if
+    /// another one has answered meanwhile.
+    pub fn asked_beside(
+        &mut self,
+        known: Option<Incarnation>,
+        now: Timestamp,
+        boot: BootMillis,
+    ) -> bool {
+        if self.incarnation != known {
+            return false;
+        }
         self.sent_through = EndNumber::default();
         self.asked = Some(AskedAt { now, boot });
+        true
     }
 
     /// Returns whether a poll is in flight whose answer counts.
--- a/crates/mustardcove-core/tests/bound_leases.rs
+++ b/crates/mustardcove-core/tests/bound_leases.rs
@@ -55,7 +55,7 @@
     assert!(!poller.answered_over(Incarnation(2), ConnectionNumber(4)));
     assert_eq!(poller.connections(), ConnectionNumber(3));
     let now = START.plus_ms(500);
-    poller.asked_beside(now, BootMillis(now.0));
+    assert!(poller.asked_beside(Some(Incarnation(1)), now, BootMillis(now.0)));
     poller.poll_answered(Incarnation(2), 200, false, now);
     assert!(!poller.is_polled(), "the answer to the poll before is late");
     assert_eq!(poller.connections(), ConnectionNumber(0));
@@ -64,6 +64,20 @@
     assert!(poller.grant_start_lease(now).is_some_and(|it| it < 5_000), "by the new clock");
 }
 
+/// Guards against an answer of the earlier incarnation that is handled after one of
+/// the next, and would put its clock in force again.
+#[test]
+fn late_identity() {
+    let mut poller = poller();
+    let known = poller.incarnation();
+    next_poll(&mut poller, 500);
+    let now = START.plus_ms(600);
+    poller.poll_answered(Incarnation(2), 50, false, now);
+    assert!(!poller.answered_over(Incarnation(1), ConnectionNumber(4)));
+    assert!(!poller.asked_beside(known, START.plus_ms(100), BootMillis(START.0 + 100)));
+    assert_eq!(poller.incarnation(), Some(Incarnation(2)));
+}
+
 /// Guards against a number of connections that goes back with a late answer.
 #[test]
 fn late_answer() {
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -389,6 +389,7 @@
     /// Returns the outcome of a start that is not sent for that reason.
     async fn check_incarnation(&self) -> Result<(), StartOutcome> {
         let (asked_at, asked_boot) = (self.shared.now(), boot_now());
+        let known = self.state().incarnation();
         let poll = poll_call(identity_poll(asked_at));
         let answer = self.shared.workers.poll(&self.target, poll).await;
         self.shared.metrics.poll(answer.is_ok());
@@ -398,7 +399,9 @@
             if state.answered_over(answer.incarnation, answer.connections) {
                 return Ok(());
             }
-            state.asked_beside(asked_at, asked_boot);
+            if !state.asked_beside(known, asked_at, asked_boot) {
+                return Err(StartOutcome::TooLate);
+            }
             let lease = record_answer(&mut state, &answer, self.shared.now());
             self.restart_noticed.notify_waiters();
             lease
