--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -30,3 +30,4 @@
 pub mod state_cache;
 pub mod store_health;
 pub mod submission;
+pub mod succession;
--- a/crates/mustardcove-core/src/fleet/election.rs
+++ b/crates/mustardcove-core/src/fleet/election.rs
@@ -53,6 +53,7 @@
     /// Additional wait because of the leader's region.
     region_wait_ms: u64,
     claim_at: Timestamp,
+    stepped_down_at: Option<Timestamp>,
 }
 
 impl Candidacy {
@@ -68,6 +69,7 @@
             rank_wait_ms,
             region_wait_ms: 0,
             claim_at: now.plus_ms(STARTED_WAIT_MS + rank_wait_ms),
+            stepped_down_at: None,
         }
     }
 
@@ -91,9 +93,18 @@
         self.claim_at = self.claim_at.min(now.plus_ms(wait_ms));
     }
 
-    /// Handles the leader's message that it has stepped down.
+    /// Handles the leader's message that it has stepped down or asks for a
+    /// successor. A leader that goes on postpones a claim that fails by its next
+    /// heartbeat.
     pub fn leader_stepped_down(&mut self, now: Timestamp) {
         self.claim_at = now.plus_ms(self.rank_wait_ms / 4);
+        self.stepped_down_at = Some(now);
+    }
+
+    /// Returns when a leader last stepped down or asked for a successor, as far
+    /// as this process knows.
+    pub fn stepped_down_at(&self) -> Option<Timestamp> {
+        self.stepped_down_at
     }
 
     /// Handles the record of another leader, which has been asked to answer.
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -54,11 +54,18 @@
         /// States that changed.
         states: Vec<(SubmissionId, SubmissionState)>,
     },
-    /// From the leader: it has stepped down.
+    /// From the leader: it has stepped down. What it hands over was stored before,
+    /// so the receiver may count from now.
     SteppedDown {
         /// Its term.
         term: Term,
     },
+    /// From the leader: it lacks the store and asks the receiver to claim the
+    /// leadership. Its term goes on until it hears of a successor.
+    SuccessorWanted {
+        /// Its term.
+        term: Term,
+    },
     /// From the leader: submissions and cancellations that are in its plan.
     Acknowledged {
         /// The submissions.
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -87,6 +87,13 @@
                 shared.update_candidacy(Candidacy::leader_stepped_down);
             }
         }
+        FleetMessage::SuccessorWanted { term } => {
+            if shared.leadership.borrow().term == term {
+                info!(shared.log, "leader asks for a successor"; "leader" => %from,
+                    "term" => %term);
+                shared.update_candidacy(Candidacy::leader_stepped_down);
+            }
+        }
         FleetMessage::Assign { term, workers } => {
             if is_current(shared, term) {
                 // The poller ends only with the process.
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -21,7 +21,7 @@
     fleet::{
         cadence,
         confirmation::{Confirmation, MAX_STORELESS_MS},
-        election::HEARTBEAT_INTERVAL_MS,
+        election::{Candidacy, HEARTBEAT_INTERVAL_MS},
         id::{AssignmentNumber, BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
@@ -32,6 +32,7 @@
         },
         roster::Roster,
         submission::{Submission, SubmissionState},
+        succession::{StoreCall, Succession},
     },
     id::{ProcessId, WorkerId},
     time::{ClockShift, Timestamp},
@@ -196,6 +197,7 @@
     logged_expiry: bool,
     /// Since when the store has answered without a failure; `None` after one.
     store_healthy_since: Option<Timestamp>,
+    succession: Succession,
     /// Whether the state that earlier leaders stored was restored.
     is_restored: bool,
     /// Published states that were not sent yet.
@@ -247,6 +249,7 @@
         was_confirmed: true,
         logged_expiry: false,
         store_healthy_since: None,
+        succession: Succession::new(shared.leader_stepped_down_at()),
         is_restored: false,
         unsent_states: Vec::new(),
         send_states_at: now,
@@ -472,11 +475,22 @@
 
     fn store_answered(&mut self, now: Timestamp) {
         self.shared.store_answered();
+        self.succession.record_answer(StoreCall::Read);
         self.store_healthy_since.get_or_insert(now);
     }
 
+    /// Records that a write ended, with or without an answer of the store.
+    fn write_ended(&mut self, is_answered: bool, now: Timestamp) {
+        if is_answered {
+            self.succession.record_answer(StoreCall::Write);
+        } else {
+            self.succession.record_failure(StoreCall::Write, now);
+        }
+    }
+
     fn store_failed(&mut self, what: &str, fault: &StoreFault) {
         self.shared.store_failed();
+        self.succession.record_failure(StoreCall::Read, self.shared.now());
         self.store_healthy_since = None;
         debug!(self.shared.log, "store call failed"; "what" => what, "error" => %fault);
     }
@@ -597,6 +611,7 @@
             let heartbeat = Heartbeat { covered, ..heartbeat.clone() };
             self.shared.send(process, FleetMessage::Heartbeat(heartbeat));
         }
+        self.ask_for_successor(now);
         self.log_confirmation();
         self.check_lag();
         self.sync_states();
@@ -604,6 +619,27 @@
         *self.shared.long_running_waits() = self.planner.long_running_waits(now);
     }
 
+    /// Asks processes that reach the store to claim the leadership if this one
+    /// lacks it. The term goes on until a successor is heard, since the store
+    /// may refuse their writes, too.
+    fn ask_for_successor(&mut self, now: Timestamp) {
+        if !self.succession.is_lacking(now) {
+            return;
+        }
+        let candidates = self.pollers.candidates(now);
+        let own_share = self.shared.settings.cpu_share;
+        let Some(request) = self.succession.take_request(&candidates, own_share, now) else {
+            return;
+        };
+        warn!(self.shared.log, "asking for a successor"; "term" => %self.term,
+            "lacks" => %request.lacks, "asked" => request.asked.len(),
+            "first" => request.asked.first().map(|it| it.to_string()));
+        // Also counts for the next term of this process.
+        self.shared.update_candidacy(Candidacy::leader_stepped_down);
+        let message = FleetMessage::SuccessorWanted { term: self.term };
+        self.shared.send_to_all(&request.asked, message);
+    }
+
     /// Returns how long ago it was shown that this process leads, in
     /// milliseconds.
     fn confirmation_age_ms(&self) -> u64 {
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -17,6 +17,7 @@
         planner::{Planner, WorkerListing},
         poller::MAX_ORPHAN_LEASE_MS,
         record::{PROCESS_PREFIX, ProcessRecord},
+        succession::Candidate,
     },
     id::{ProcessId, WorkerId},
     time::Timestamp,
@@ -377,6 +378,18 @@
         reaching
     }
 
+    /// Returns the other processes that reached the store recently and may lead.
+    pub(super) fn candidates(&self, now: Timestamp) -> Vec<Candidate> {
+        let is_other = |it: &&Process| it.record.process != self.shared.process;
+        let reaching = self.processes.values().filter(|it| self.reaches_store(it, now));
+        let candidate = |it: &Process| Candidate {
+            process: it.record.process.clone(),
+            is_same_region: it.record.region == self.shared.settings.region,
+            cpu_share: it.record.cpu_share,
+        };
+        reaching.filter(is_other).map(candidate).collect()
+    }
+
     /// Returns up to `most` connected processes that were not sent all states
     /// yet, and marks them as sent.
     pub(super) fn take_unsynced(&mut self, most: usize) -> Vec<ProcessId> {
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -47,6 +47,8 @@
     rejected: Vec<SubmissionId>,
     /// Whether the leader record has changed, so that another process leads.
     is_superseded: bool,
+    /// Whether the store answered the last of the writes.
+    is_answered: bool,
 }
 
 impl Leader {
@@ -100,6 +102,7 @@
     /// Handles the end of a write, and schedules the next.
     pub(super) fn flush_ended(&mut self, result: FlushResult, now: Timestamp) {
         self.is_flushing = false;
+        self.write_ended(result.is_answered, now);
         self.flush_at = now.plus_ms(FLUSH_INTERVAL_MS);
         if result.is_superseded {
             self.end_reason = Some("another process leads");
@@ -139,6 +142,7 @@
         failed: Vec::new(),
         rejected: Vec::new(),
         is_superseded: written.is_superseded,
+        is_answered: written.is_answered,
     };
     for ((id, ..), outcome) in records.iter().zip(written.outcomes) {
         match outcome {
--- a/crates/mustardcove-node/src/leader/rows.rs
+++ b/crates/mustardcove-node/src/leader/rows.rs
@@ -55,6 +55,8 @@
     pub(super) outcomes: Vec<RowOutcome>,
     /// Whether the leader record has changed, so that another process leads.
     pub(super) is_superseded: bool,
+    /// Whether the store answered the last of the writes.
+    pub(super) is_answered: bool,
 }
 
 /// Writes records in as few calls as possible; ends early if another process
@@ -117,7 +119,9 @@
     for row in rows {
         write = write.expect(row.key.clone(), row.revision).set(row.key.clone(), &row.value);
     }
-    match shared.store.write(&write).await {
+    let result = shared.store.write(&write).await;
+    written.is_answered = result.as_ref().map_or_else(|it| it.is_rejection, |_| true);
+    match result {
         Ok(WriteOutcome::Committed(revision)) => {
             shared.store_answered();
             written.outcomes.extend(rows.iter().map(|_| RowOutcome::Stored(revision)));
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -166,6 +166,7 @@
     /// Handles the end of a write of the roster.
     pub(super) fn roster_written(&mut self, result: RosterWritten, now: Timestamp) {
         self.is_storing_roster = false;
+        self.write_ended(result.written.is_answered, now);
         if result.written.is_superseded {
             self.end_reason = Some("another process leads");
             return;
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -219,6 +219,12 @@
         lock(&self.candidacy).claim_at() <= self.now()
     }
 
+    /// Returns when a leader last stepped down or asked for a successor, as far
+    /// as this process knows.
+    pub fn leader_stepped_down_at(&self) -> Option<Timestamp> {
+        lock(&self.candidacy).stepped_down_at()
+    }
+
     /// Waits until it is time to claim the leadership.
     pub async fn claim_due(&self) {
         loop {
--- a/crates/mustardcove-node/tests/leader_without_store.rs
+++ b/crates/mustardcove-node/tests/leader_without_store.rs
@@ -88,6 +88,8 @@
     rig.store.refuse_writes(false);
     assert!(rig.wait_for(id, "completed", REGAINED).await, "the leader stores it");
     let logs = rig.logs();
+    let asked = logs.iter().filter(|it| it.contains("asking for a successor")).count();
+    assert!((2..=3).contains(&asked), "asked {asked} times during {OUTAGE:?}");
     let ended: Vec<&String> = logs.iter().filter(|it| it.contains("no longer leading")).collect();
     assert_eq!(rig.leaders(), [leader], "{ended:?}");
     assert_eq!(ended.len(), 0, "{ended:?}");
