Decide at sending whether a connection is known to lead to the incarnation

Cause: a call bound itself to the connections known when it was made. One that waited for its turn then closed the connection that a short poll beside it had opened and verified meanwhile; several starts for one worker did that to each other until their attempts were used up.

Change: the connections of an incarnation are shared with the calls that wait, and are looked at when the body is sent. The next incarnation has its own, so a call still reaches none but the one for which it is meant.

--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -29,6 +29,11 @@
 //! [confirmation](super::confirmation) covers, so that nothing is granted once
 //! the leases of this term count as expired elsewhere.
 
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
 use super::{
     id::{BootMillis, EndNumber, Incarnation},
     message::WorkerReport,
@@ -142,6 +147,29 @@
     (now < deadline).then_some(deadline)
 }
 
+/// The connections that lead to one incarnation of a worker, or nowhere: all up to
+/// a number. Clones share the number, which rises with each answer. A call that
+/// waits for a connection may therefore use one that has been found meanwhile to
+/// lead to the incarnation for which it is meant.
+#[derive(Clone, Debug, Default)]
+pub struct KnownConnections(Arc<AtomicU64>);
+
+impl KnownConnections {
+    /// Returns the connections up to a number.
+    pub fn new(through: ConnectionNumber) -> KnownConnections {
+        KnownConnections(Arc::new(AtomicU64::new(through.0)))
+    }
+
+    /// Returns the number of the newest of them.
+    pub fn through(&self) -> ConnectionNumber {
+        ConnectionNumber(self.0.load(Ordering::SeqCst))
+    }
+
+    fn raise(&self, through: ConnectionNumber) {
+        self.0.fetch_max(through.0, Ordering::SeqCst);
+    }
+}
+
 /// A worker's clock and the leases granted to it, as recorded by its poller;
 /// the default is the state before the first call.
 #[derive(Clone, Copy, Debug, Default)]
@@ -279,8 +307,8 @@
     asked: Option<AskedAt>,
     /// The last answer of this incarnation.
     answered: Option<Answered>,
-    /// The newest connection that was open when this incarnation answered.
-    connections: ConnectionNumber,
+    /// The connections that were open when this incarnation answered.
+    connections: KnownConnections,
     acknowledge_through: EndNumber,
     /// What the last poll acknowledged, and what one that was answered did.
     sent_through: EndNumber,
@@ -361,7 +389,7 @@
         self.sent_through = acknowledge_through;
         let send_by = now.plus_ms(send_within_ms);
         let is_bound = lease_until.is_some() || acknowledge_through != EndNumber::default();
-        let connections = is_bound.then_some(self.connections);
+        let connections = is_bound.then(|| self.connections.through());
         NextPoll { lease_until, acknowledge_through, wait, send_by, connections }
     }
 
@@ -427,7 +455,7 @@
         if self.incarnation != Some(incarnation) {
             self.incarnation = Some(incarnation);
             self.answered = None;
-            self.connections = ConnectionNumber::default();
+            self.connections = KnownConnections::default();
             self.acknowledge_through = EndNumber::default();
             self.acknowledged_through = EndNumber::default();
         } else {
@@ -456,14 +484,15 @@
     ) -> bool {
         let is_same = self.incarnation == Some(incarnation);
         if is_same {
-            self.connections = self.connections.max(connections);
+            self.connections.raise(connections);
         }
         is_same
     }
 
-    /// Returns the newest connection over which a start may be sent.
-    pub fn connections(&self) -> ConnectionNumber {
-        self.connections
+    /// Returns the connections over which a call may be sent that is meant for this
+    /// incarnation.
+    pub fn connections(&self) -> KnownConnections {
+        self.connections.clone()
     }
 
     /// Records that the answer may lack ends. The next poll acknowledges some of
--- a/crates/mustardcove-core/tests/bound_leases.rs
+++ b/crates/mustardcove-core/tests/bound_leases.rs
@@ -53,14 +53,14 @@
     let mut poller = poller();
     next_poll(&mut poller, 100);
     assert!(!poller.answered_over(Incarnation(2), ConnectionNumber(4)));
-    assert_eq!(poller.connections(), ConnectionNumber(3));
+    assert_eq!(poller.connections().through(), ConnectionNumber(3));
     let now = START.plus_ms(500);
     assert!(poller.asked_beside(Some(Incarnation(1)), now, BootMillis(now.0)));
     poller.poll_answered(Incarnation(2), 200, false, now);
     assert!(!poller.is_polled(), "the answer to the poll before is late");
-    assert_eq!(poller.connections(), ConnectionNumber(0));
+    assert_eq!(poller.connections().through(), ConnectionNumber(0));
     assert!(poller.answered_over(Incarnation(2), ConnectionNumber(4)));
-    assert_eq!(poller.connections(), ConnectionNumber(4));
+    assert_eq!(poller.connections().through(), ConnectionNumber(4));
     assert!(poller.grant_start_lease(now).is_some_and(|it| it < 5_000), "by the new clock");
 }
 
@@ -83,5 +83,20 @@
 fn late_answer() {
     let mut poller = poller();
     assert!(poller.answered_over(Incarnation(1), ConnectionNumber(2)));
-    assert_eq!(poller.connections(), ConnectionNumber(3));
+    assert_eq!(poller.connections().through(), ConnectionNumber(3));
+}
+
+/// Guards against calls that wait for a connection and then close one that was
+/// found meanwhile to be theirs, and against those that use one of the next
+/// incarnation.
+#[test]
+fn raised_meanwhile() {
+    let mut poller = poller();
+    let known = poller.connections();
+    poller.answered_over(Incarnation(1), ConnectionNumber(8));
+    assert_eq!(known.through(), ConnectionNumber(8));
+    next_poll(&mut poller, 100);
+    poller.poll_answered(Incarnation(2), 50, false, START.plus_ms(200));
+    poller.answered_over(Incarnation(2), ConnectionNumber(9));
+    assert_eq!(known.through(), ConnectionNumber(8), "they lead to the earlier one");
 }
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -19,8 +19,8 @@
             FleetMessage, Order, PollResult, StartOrder, StartOutcome, WorkerContact, WorkerReport,
         },
         poller::{
-            LeasePermission, LeaseStatus, MIN_POLL_INTERVAL_MS, NextPoll, PollWait, WorkerPoller,
-            identity_poll, start_deadline,
+            KnownConnections, LeasePermission, LeaseStatus, MIN_POLL_INTERVAL_MS, NextPoll,
+            PollWait, WorkerPoller, identity_poll, start_deadline,
         },
     },
     id::WorkerId,
@@ -225,12 +225,16 @@
     async fn poll_incarnation(&self) -> bool {
         let may_extend = self.shared.may_extend_leases(self.target.term);
         let sent_at = self.shared.now();
-        let next = self.state().next_poll(may_extend, sent_at, boot_now());
-        let mut answer = self.shared.workers.poll(&self.target, poll_call(next)).await;
+        let (next, known) = {
+            let mut state = self.state();
+            (state.next_poll(may_extend, sent_at, boot_now()), state.connections())
+        };
+        let call = |poll| poll_call(poll, known.clone());
+        let mut answer = self.shared.workers.poll(&self.target, call(next)).await;
         if answer.as_ref().is_err_and(|it| it.needs_older_connection) {
             let second = self.state().without_binding();
             if let Some(second) = second {
-                answer = self.shared.workers.poll(&self.target, poll_call(second)).await;
+                answer = self.shared.workers.poll(&self.target, call(second)).await;
             }
         }
         let is_unsent =
@@ -238,7 +242,7 @@
         if answer.as_ref().is_err_and(is_unsent) && next.send_by <= self.shared.now() {
             let second = self.state().without_acknowledgement(next);
             if let Some(second) = second {
-                answer = self.shared.workers.poll(&self.target, poll_call(second)).await;
+                answer = self.shared.workers.poll(&self.target, call(second)).await;
             }
         }
         let now = self.shared.now();
@@ -390,7 +394,7 @@
     async fn check_incarnation(&self) -> Result<(), StartOutcome> {
         let (asked_at, asked_boot) = (self.shared.now(), boot_now());
         let known = self.state().incarnation();
-        let poll = poll_call(identity_poll(asked_at));
+        let poll = poll_call(identity_poll(asked_at), KnownConnections::default());
         let answer = self.shared.workers.poll(&self.target, poll).await;
         self.shared.metrics.poll(answer.is_ok());
         let answer = answer.map_err(|_| StartOutcome::NotRun)?;
@@ -424,7 +428,7 @@
     lease
 }
 
-fn poll_call(poll: NextPoll) -> PollCall {
+fn poll_call(poll: NextPoll, known: KnownConnections) -> PollCall {
     PollCall {
         lease_until: poll.lease_until,
         acknowledge_through: poll.acknowledge_through,
@@ -434,7 +438,7 @@
             PollWait::Idle => IDLE_POLL_WAIT,
         },
         not_after: poll.send_by,
-        connections: poll.connections,
+        connections: poll.connections.map(|_| known),
     }
 }
 
--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -22,7 +22,9 @@
     },
     rt::{TokioExecutor, TokioTimer},
 };
-use mustardcove_core::{id::ConnectionNumber, time::Timestamp, verdict::Verdict};
+use mustardcove_core::{
+    fleet::poller::KnownConnections, id::ConnectionNumber, time::Timestamp, verdict::Verdict,
+};
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
     time::Instant,
@@ -206,9 +208,9 @@
         self.call(method, uri, headers, gate, body, extra_wait).await
     }
 
-    /// Sends JSON as [`HttpClient::send`] does, but only over connections up to a
-    /// number, which an earlier [`Answer`] gave: the call then reaches the process
-    /// that gave that answer, or none.
+    /// Sends JSON as [`HttpClient::send`] does, but only over connections that an
+    /// earlier [`Answer`] has shown to lead to the process that gave it: the call
+    /// then reaches that process, or none.
     ///
     /// # Errors
     ///
@@ -222,9 +224,9 @@
         body: Bytes,
         not_after: Timestamp,
         extra_wait: Duration,
-        through: ConnectionNumber,
+        known: KnownConnections,
     ) -> Result<Answer, CallError> {
-        let gate = Gate::new(self.clock, not_after).through(through);
+        let gate = Gate::new(self.clock, not_after).restricted_to(known);
         let body = GatedBody::new(gate.clone(), body);
         self.call(method, uri, headers, gate, body, extra_wait).await
     }
--- a/crates/mustardcove-platform/src/http/gate.rs
+++ b/crates/mustardcove-platform/src/http/gate.rs
@@ -25,7 +25,9 @@
 use http::Extensions;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper_util::client::legacy::connect::CaptureConnection;
-use mustardcove_core::{id::ConnectionNumber, time::Timestamp, verdict::Verdict};
+use mustardcove_core::{
+    fleet::poller::KnownConnections, id::ConnectionNumber, time::Timestamp, verdict::Verdict,
+};
 
 use crate::clock::Clock;
 
@@ -39,7 +41,7 @@
 #[derive(Clone, Debug)]
 struct PermittedConnections {
     chosen: Arc<OnceLock<CaptureConnection>>,
-    through: ConnectionNumber,
+    known: KnownConnections,
 }
 
 impl PermittedConnections {
@@ -49,7 +51,7 @@
         if let Some(connected) = chosen.connection_metadata().as_ref() {
             connected.get_extras(&mut extras);
         }
-        extras.get::<ConnectionNumber>().is_some_and(|it| *it <= self.through)
+        extras.get::<ConnectionNumber>().is_some_and(|it| *it <= self.known.through())
     }
 }
 
@@ -68,10 +70,10 @@
         Gate { state: Arc::new(AtomicU8::new(WAITING)), clock, not_after, connections: None }
     }
 
-    /// Returns the gate restricted to connections up to a number. The call has to
-    /// be [bound](Gate::bind) to the connection that is chosen for it.
-    pub fn through(mut self, through: ConnectionNumber) -> Gate {
-        self.connections = Some(PermittedConnections { chosen: Arc::default(), through });
+    /// Returns the gate restricted to some connections. The call has to be
+    /// [bound](Gate::bind) to the connection that is chosen for it.
+    pub fn restricted_to(mut self, known: KnownConnections) -> Gate {
+        self.connections = Some(PermittedConnections { chosen: Arc::default(), known });
         self
     }
 
--- a/crates/mustardcove-platform/tests/bound_calls.rs
+++ b/crates/mustardcove-platform/tests/bound_calls.rs
@@ -5,7 +5,9 @@
 use axum::{Router, routing::post};
 use bytes::Bytes;
 use http::{HeaderMap, Method};
-use mustardcove_core::{id::ConnectionNumber, time::Timestamp, verdict::Verdict};
+use mustardcove_core::{
+    fleet::poller::KnownConnections, id::ConnectionNumber, time::Timestamp, verdict::Verdict,
+};
 use mustardcove_platform::{
     Clock,
     http::{Answer, CallError, HttpClient, HttpLimits},
@@ -39,10 +41,11 @@
     }
 
     async fn post_bound(&self, through: ConnectionNumber) -> Result<Answer, CallError> {
+        let known = KnownConnections::new(through);
         let uri = format!("http://{}/", self.server.address());
         let (headers, body) = (HeaderMap::new(), Bytes::from_static(b"{}"));
         let (client, wait) = (&self.client, Duration::ZERO);
-        client.send_bound(Method::POST, &uri, headers, body, NEVER, wait, through).await
+        client.send_bound(Method::POST, &uri, headers, body, NEVER, wait, known).await
     }
 }
 
