--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -381,7 +381,7 @@
         };
         let Some(lease_until) = lease_until else { return Some(StartOutcome::NotRun) };
         let workers = &self.shared.workers;
-        workers.start(&self.target, order, lease_until, not_after, connections).await.ok()
+        workers.start(&self.target, order, lease_until, not_after, connections).await
     }
 
     /// Asks over a new connection whether the incarnation is there that answered
--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -85,7 +85,7 @@
     /// The body, whose size equals the declared content length.
     pub body: Bytes,
     /// Connections up to this number that lead to an open process at the address
-    /// lead to the one that answered; see [`HttpClient::send_bound`].
+    /// lead to the one that answered; see [`HttpClient::send`].
     pub connections: ConnectionNumber,
 }
 
@@ -98,6 +98,12 @@
 }
 
 impl CallError {
+    /// Returns the error of a call that could not be built, and so did not run.
+    pub fn not_built(error: impl fmt::Display) -> CallError {
+        let detail = error.to_string();
+        CallError { verdict: Verdict::NotRun, needs_older_connection: false, detail }
+    }
+
     /// Returns whether the call may have taken effect.
     pub fn verdict(&self) -> Verdict {
         self.verdict
@@ -185,30 +191,11 @@
         not_after: Timestamp,
         extra_wait: Duration,
     ) -> Result<Answer, CallError> {
-        self.send(Method::POST, uri, HeaderMap::new(), body, not_after, extra_wait).await
+        self.send(Method::POST, uri, HeaderMap::new(), body, not_after, extra_wait, None).await
     }
 
     /// Sends JSON with headers and returns the complete answer, as
-    /// [`HttpClient::post`] does.
-    ///
-    /// # Errors
-    ///
-    /// See [`HttpClient::post`].
-    pub async fn send(
-        &self,
-        method: Method,
-        uri: &str,
-        headers: HeaderMap,
-        body: Bytes,
-        not_after: Timestamp,
-        extra_wait: Duration,
-    ) -> Result<Answer, CallError> {
-        let gate = Gate::new(self.clock, not_after);
-        let body = GatedBody::new(gate.clone(), body);
-        self.call(method, uri, headers, gate, body, extra_wait).await
-    }
-
-    /// Sends JSON as [`HttpClient::send`] does, but only over connections that an
+    /// [`HttpClient::post`] does. With `known`, only connections are used that an
     /// earlier [`Answer`] has shown to lead to the process that gave it: the call
     /// then reaches that process, or none.
     ///
@@ -216,7 +203,7 @@
     ///
     /// See [`HttpClient::post`]. The error tells if the call was not sent because
     /// it would have needed a newer connection.
-    pub async fn send_bound(
+    pub async fn send(
         &self,
         method: Method,
         uri: &str,
@@ -224,7 +211,7 @@
         body: Bytes,
         not_after: Timestamp,
         extra_wait: Duration,
-        known: KnownConnections,
+        known: Option<KnownConnections>,
     ) -> Result<Answer, CallError> {
         let gate = Gate::new(self.clock, not_after).restricted_to(known);
         let body = GatedBody::new(gate.clone(), body);
--- a/crates/mustardcove-platform/src/http/gate.rs
+++ b/crates/mustardcove-platform/src/http/gate.rs
@@ -70,11 +70,11 @@
         Gate { state: Arc::new(AtomicU8::new(WAITING)), clock, not_after, connections: None }
     }
 
-    /// Returns the gate restricted to some connections. The call has to be
-    /// [bound](Gate::bind) to the connection that is chosen for it.
-    pub fn restricted_to(mut self, known: KnownConnections) -> Gate {
-        self.connections = Some(PermittedConnections { chosen: Arc::default(), known });
-        self
+    /// Returns the gate restricted to some connections, or to none in particular. The
+    /// call has to be [bound](Gate::bind) to the connection that is chosen for it.
+    pub fn restricted_to(self, known: Option<KnownConnections>) -> Gate {
+        let permitted = |known| PermittedConnections { chosen: Arc::default(), known };
+        Gate { connections: known.map(permitted), ..self }
     }
 
     /// Tells the gate where to find the connection that is chosen for its call.
--- a/crates/mustardcove-platform/tests/bound_calls.rs
+++ b/crates/mustardcove-platform/tests/bound_calls.rs
@@ -41,11 +41,11 @@
     }
 
     async fn post_bound(&self, through: ConnectionNumber) -> Result<Answer, CallError> {
-        let known = KnownConnections::new(through);
+        let known = Some(KnownConnections::new(through));
         let uri = format!("http://{}/", self.server.address());
         let (headers, body) = (HeaderMap::new(), Bytes::from_static(b"{}"));
         let (client, wait) = (&self.client, Duration::ZERO);
-        client.send_bound(Method::POST, &uri, headers, body, NEVER, wait, known).await
+        client.send(Method::POST, &uri, headers, body, NEVER, wait, known).await
     }
 }
 
