Derive from a poll whether it is bound to an incarnation

NextPoll held a number of connections that followed from its other fields, and that was out of date by the time of sending; only its presence was used. is_bound tells it from the lease and the acknowledgement. The poller chooses the second poll in one place; a bound poll whose replacement could not be sent either was tried a third time before, which failed for the same reason. bound_leases checks the same two facts separately.

--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -239,9 +239,14 @@
     pub wait: PollWait,
     /// The call is not sent from this time on.
     pub send_by: Timestamp,
-    /// The newest connection over which the call may be sent; `None` if it
-    /// carries nothing that is meant for one incarnation only.
-    pub connections: Option<ConnectionNumber>,
+}
+
+impl NextPoll {
+    /// Returns whether it carries something that is meant for one incarnation only,
+    /// and may therefore only be sent over connections that lead to that.
+    pub fn is_bound(&self) -> bool {
+        self.lease_until.is_some() || self.acknowledge_through != EndNumber::default()
+    }
 }
 
 /// How long a worker may hold a poll.
@@ -342,7 +347,6 @@
         acknowledge_through: EndNumber::default(),
         wait: PollWait::None,
         send_by: now.plus_ms(ORDER_VALID_MS),
-        connections: None,
     }
 }
 
@@ -387,10 +391,7 @@
             (EndNumber::default(), ORDER_VALID_MS)
         };
         self.sent_through = acknowledge_through;
-        let send_by = now.plus_ms(send_within_ms);
-        let is_bound = lease_until.is_some() || acknowledge_through != EndNumber::default();
-        let connections = is_bound.then(|| self.connections.through());
-        NextPoll { lease_until, acknowledge_through, wait, send_by, connections }
+        NextPoll { lease_until, acknowledge_through, wait, send_by: now.plus_ms(send_within_ms) }
     }
 
     /// Returns the poll to send instead of one that was not sent because it would
@@ -436,8 +437,7 @@
         let asked = self.asked.filter(|_| poll.acknowledge_through != EndNumber::default())?;
         self.sent_through = EndNumber::default();
         let send_by = asked.now.plus_ms(ORDER_VALID_MS);
-        let connections = poll.lease_until.and(poll.connections);
-        Some(NextPoll { acknowledge_through: self.sent_through, send_by, connections, ..poll })
+        Some(NextPoll { acknowledge_through: self.sent_through, send_by, ..poll })
     }
 
     /// Records an answered poll, and returns the lease status to report.
--- a/crates/mustardcove-core/tests/bound_leases.rs
+++ b/crates/mustardcove-core/tests/bound_leases.rs
@@ -34,16 +34,18 @@
     let mut poller = poller();
     let extends = next_poll(&mut poller, 100);
     assert!(extends.lease_until.is_some());
-    assert_eq!(extends.connections, Some(ConnectionNumber(3)));
+    assert!(extends.is_bound());
+    assert_eq!(poller.connections().through(), ConnectionNumber(3));
     let unbound = poller.without_binding().expect("a poll is out");
     assert_eq!(unbound.lease_until, None);
     assert_eq!(unbound.acknowledge_through, EndNumber::default());
-    assert_eq!((unbound.wait, unbound.connections), (PollWait::None, None));
+    assert_eq!((unbound.wait, unbound.is_bound()), (PollWait::None, false));
     poller.poll_answered(Incarnation(1), 60_100, false, START.plus_ms(110));
     poller.acknowledge_ends(Incarnation(1), EndNumber(5));
     let acknowledges = next_poll(&mut poller, 200);
     assert_eq!(acknowledges.acknowledge_through, EndNumber(5));
-    assert_eq!(acknowledges.connections, Some(ConnectionNumber(3)));
+    assert!(acknowledges.is_bound());
+    assert_eq!(poller.connections().through(), ConnectionNumber(3));
 }
 
 /// Guards against starts over connections to the next incarnation with a lease by
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -231,19 +231,17 @@
         };
         let call = |poll| poll_call(poll, known.clone());
         let mut answer = self.shared.workers.poll(&self.target, call(next)).await;
-        if answer.as_ref().is_err_and(|it| it.needs_older_connection) {
-            let second = self.state().without_binding();
-            if let Some(second) = second {
-                answer = self.shared.workers.poll(&self.target, call(second)).await;
-            }
-        }
         let is_unsent =
             |it: &PollFault| it.verdict == Verdict::NotRun && !it.is_fenced && !it.is_replaced;
-        if answer.as_ref().is_err_and(is_unsent) && next.send_by <= self.shared.now() {
-            let second = self.state().without_acknowledgement(next);
-            if let Some(second) = second {
-                answer = self.shared.workers.poll(&self.target, call(second)).await;
+        let second = match &answer {
+            Err(fault) if fault.needs_older_connection => self.state().without_binding(),
+            Err(fault) if is_unsent(fault) && next.send_by <= self.shared.now() => {
+                self.state().without_acknowledgement(next)
             }
+            _ => None,
+        };
+        if let Some(second) = second {
+            answer = self.shared.workers.poll(&self.target, call(second)).await;
         }
         let now = self.shared.now();
         self.shared.metrics.poll(answer.is_ok());
@@ -438,7 +436,7 @@
             PollWait::Idle => IDLE_POLL_WAIT,
         },
         not_after: poll.send_by,
-        connections: poll.connections.map(|_| known),
+        connections: poll.is_bound().then_some(known),
     }
 }
 
