--- a/crates/mustardcove-core/src/fleet/confirmation.rs
+++ b/crates/mustardcove-core/src/fleet/confirmation.rs
@@ -12,9 +12,10 @@
 //! | every member obeys this term | the oldest heartbeat that they acknowledge | nobody polled workers in a later term |
 //! | most members do | that which most acknowledge | no successor had been joined by half of them |
 //!
-//! The store says which processes the [members](super::members) are. The third serves an outage of the store. It permits leases and starts,
+//! The store says which processes the [members](super::members) are. The third
+//! confirmation serves an outage of the store. It permits leases and starts,
 //! since a successor counts the leases of this term from when half of the
-//! processes have joined it. It is no proof that a silent worker's runs have
+//! members have joined it. It is no proof that a silent worker's runs have
 //! ended: a successor may have reached that worker.
 //!
 //! Load pattern: regions lose each other with a leader and workers on either
@@ -84,8 +85,8 @@
         self.everyone = all.min().flatten().filter(|_| is_recent);
     }
 
-    /// Returns the time through which no other process can have led in a later
-    /// term.
+    /// Returns the time through which no other process can have polled workers in a
+    /// later term.
     pub fn sole_through(&self) -> Timestamp {
         self.everyone.map_or(self.store, |it| it.max(self.store))
     }
--- a/crates/mustardcove-core/src/fleet/members.rs
+++ b/crates/mustardcove-core/src/fleet/members.rs
@@ -33,8 +33,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::ProcessId;
+use super::{confirmation::MAX_STORELESS_MS, poller::MAX_ORPHAN_LEASE_MS};
+use crate::{id::ProcessId, time::Timestamp};
 
+/// Time from a claim after which no earlier leader is permitted anything without the
+/// store, in milliseconds.
+pub const EARLIER_TERMS_MS: u64 = MAX_STORELESS_MS + MAX_ORPHAN_LEASE_MS;
 /// Time without a report after which a member is removed, in milliseconds: longer
 /// than restarts and most cuts, which would otherwise change the list twice.
 pub const MEMBER_SILENT_MS: u64 = 10_000;
@@ -61,6 +65,23 @@
 }
 
 impl MemberState {
+    /// Returns the state of a member that has reported last at a time in a term, and
+    /// that has not ended.
+    pub fn reported(
+        reported_at: Option<Timestamp>,
+        term_began_at: Timestamp,
+        now: Timestamp,
+    ) -> MemberState {
+        let has_joined = reported_at.is_some();
+        if MEMBER_SILENT_MS <= now.ms_since(reported_at.unwrap_or(term_began_at)) {
+            MemberState::Silent { has_joined }
+        } else if has_joined {
+            MemberState::Joined
+        } else {
+            MemberState::Awaited
+        }
+    }
+
     /// Returns whether it obeys no earlier leader any more.
     fn has_left_earlier(self) -> bool {
         match self {
@@ -104,11 +125,6 @@
         self.stored.iter().map(|it| &it.0).chain(&self.proposed)
     }
 
-    /// Returns whether a process counts.
-    pub fn contains(&self, process: &ProcessId) -> bool {
-        self.stored.as_ref().is_some_and(|it| it.0.0.contains_key(process))
-    }
-
     /// Returns whether no earlier leader is obeyed by most members any more.
     pub fn is_joined_by_half(&self, state: impl Fn(&ProcessId, &str) -> MemberState) -> bool {
         self.lists().all(|list| {
@@ -125,29 +141,34 @@
         state: impl Fn(&ProcessId, &str) -> MemberState,
     ) -> bool {
         let Some((list, _)) = &self.stored else { return true };
-        self.contains(own) || list.0.iter().any(|it| state(it.0, it.1).has_left_earlier())
+        list.0.contains_key(own) || list.0.iter().any(|it| state(it.0, it.1).has_left_earlier())
     }
 
-    /// Returns the list to write and the revision of the one that it replaces, 0 if
-    /// there is none; `None` if nothing has to change. `reporting` are the registered
-    /// processes that report. A change that is open is returned again.
-    pub fn next_change<'a>(
-        &mut self,
+    /// Returns the list to [propose](Members::propose); `None` if nothing has to
+    /// change. `reporting` are the registered processes that report. A change that is
+    /// open is returned again.
+    pub fn next_list<'a>(
+        &self,
         reporting: impl Iterator<Item = (&'a ProcessId, &'a str)>,
         state: impl Fn(&ProcessId, &str) -> MemberState,
-    ) -> Option<(MemberList, u64)> {
-        let revision = self.stored.as_ref().map_or(0, |it| it.1);
-        if self.proposed.is_none() {
-            let stored = self.stored.as_ref().map(|it| &it.0);
-            let kept = stored.into_iter().flat_map(|it| &it.0);
-            let kept = kept.filter(|it| state(it.0, it.1).stays());
-            let mut list =
-                MemberList(kept.map(|(process, name)| (process.clone(), name.clone())).collect());
-            list.0.extend(reporting.map(|(process, name)| (process.clone(), name.to_owned())));
-            let is_change = !list.0.is_empty() && stored != Some(&list);
-            self.proposed = is_change.then_some(list);
+    ) -> Option<MemberList> {
+        if self.proposed.is_some() {
+            return self.proposed.clone();
         }
-        self.proposed.clone().map(|it| (it, revision))
+        let stored = self.stored.as_ref().map(|it| &it.0);
+        let kept = stored.into_iter().flat_map(|it| &it.0);
+        let kept = kept.filter(|it| state(it.0, it.1).stays());
+        let mut list =
+            MemberList(kept.map(|(process, name)| (process.clone(), name.clone())).collect());
+        list.0.extend(reporting.map(|(process, name)| (process.clone(), name.to_owned())));
+        (!list.0.is_empty() && stored != Some(&list)).then_some(list)
+    }
+
+    /// Records that a list is sent to the store. Returns the revision of the record
+    /// that it replaces, 0 if there is none.
+    pub fn propose(&mut self, list: MemberList) -> u64 {
+        self.proposed = Some(list);
+        self.stored.as_ref().map_or(0, |it| it.1)
     }
 
     /// Returns whether the outcome of a change is open.
--- a/crates/mustardcove-core/tests/member_list.rs
+++ b/crates/mustardcove-core/tests/member_list.rs
@@ -36,7 +36,9 @@
 ) -> Option<(MemberList, u64)> {
     let reporting: Vec<_> = reporting.iter().map(|it| (process(*it), format!("p{it}"))).collect();
     let reporting = reporting.iter().map(|it| (&it.0, it.1.as_str()));
-    members.next_change(reporting, states(known))
+    let list = members.next_list(reporting, states(known))?;
+    let revision = members.propose(list.clone());
+    Some((list, revision))
 }
 
 const SILENT: MemberState = MemberState::Silent { has_joined: false };
@@ -184,9 +186,8 @@
                         let has_joined = joined.iter().any(|it| process(*it) == *id);
                         if has_joined { MemberState::Joined } else { SILENT }
                     };
-                    let Some((list, expected)) = leader.members.next_change(reporting, state) else {
-                        continue;
-                    };
+                    let Some(list) = leader.members.next_list(reporting, state) else { continue };
+                    let expected = leader.members.propose(list.clone());
                     if expected == record.1 {
                         record = (list, expected + 1);
                     }
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -10,11 +10,11 @@
 
 use mustardcove_core::{
     fleet::{
-        confirmation::{Confirmation, CoveredReports, MAX_STORELESS_MS},
+        confirmation::{Confirmation, CoveredReports},
         id::{BootMillis, SubmissionId, Term},
-        members::{MEMBER_SILENT_MS, MemberList, MemberState, Members},
+        members::{EARLIER_TERMS_MS, MemberList, MemberState, Members},
         planner::WorkerListing,
-        poller::{LeasePermission, MAX_ORPHAN_LEASE_MS},
+        poller::LeasePermission,
     },
     id::ProcessId,
     time::Timestamp,
@@ -199,13 +199,7 @@
     fn member_state(&self, process: &ProcessId, now: Timestamp) -> MemberState {
         let known = self.known.get(process_of(process));
         let reported_at = known.and_then(|it| it.last_report_at);
-        if MEMBER_SILENT_MS <= now.ms_since(reported_at.unwrap_or(self.began_at)) {
-            MemberState::Silent { has_joined: reported_at.is_some() }
-        } else if reported_at.is_some() {
-            MemberState::Joined
-        } else {
-            MemberState::Awaited
-        }
+        MemberState::reported(reported_at, self.began_at, now)
     }
 
     /// Returns when the newest heartbeat was sent that each member has
@@ -230,19 +224,15 @@
 
     /// Returns the change of the members that it writes, if there is one.
     pub(crate) fn next_members(&mut self, now: Timestamp) -> Option<(MemberList, u64)> {
-        let waits_ms = MAX_STORELESS_MS + MAX_ORPHAN_LEASE_MS;
-        let are_earlier_over = waits_ms <= now.ms_since(self.began_at);
+        let are_earlier_over = EARLIER_TERMS_MS <= now.ms_since(self.began_at);
         if !self.is_polling || !(are_earlier_over || self.is_joined_by_half(now)) {
             return None;
         }
         let alive = (0..self.known.len()).filter(|it| self.is_alive(*it, now));
         let reporting: Vec<_> = alive.map(member).collect();
-        let mut members = std::mem::take(&mut self.members);
-        let change = members
-            .next_change(reporting.iter().map(|it| (&it.0, it.1.as_str())), |it, _| {
-                self.member_state(it, now)
-            });
-        self.members = members;
-        change
+        let reporting = reporting.iter().map(|it| (&it.0, it.1.as_str()));
+        let list = self.members.next_list(reporting, |it, _| self.member_state(it, now))?;
+        let revision = self.members.propose(list.clone());
+        Some((list, revision))
     }
 }
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -10,9 +10,9 @@
 use mustardcove_core::{
     fleet::{
         assignment::{Assignments, Poller, assign},
-        confirmation::{CoveredReports, MAX_STORELESS_MS, MAX_UNANIMOUS_MS},
+        confirmation::{CoveredReports, MAX_UNANIMOUS_MS},
         id::{AssignmentNumber, BootMillis, Term},
-        members::{MEMBER_SILENT_MS, MemberList, MemberState, Members},
+        members::{EARLIER_TERMS_MS, MemberList, MemberState, Members},
         message::{FleetMessage, WorkerContact},
         planner::{Planner, WorkerListing},
         poller::MAX_ORPHAN_LEASE_MS,
@@ -223,28 +223,20 @@
             let mut others = self.processes.values().filter(|it| it.record.name == name);
             others.any(|it| it.record.process != *process && it.last_report_at.is_some())
         };
-        let silent_since = reported_at.unwrap_or(self.term_started_at);
         if is_replaced || has_successor() {
             MemberState::Ended
-        } else if MEMBER_SILENT_MS <= now.ms_since(silent_since) {
-            MemberState::Silent { has_joined: reported_at.is_some() }
-        } else if reported_at.is_some() {
-            MemberState::Joined
         } else {
-            MemberState::Awaited
+            MemberState::reported(reported_at, self.term_started_at, now)
         }
     }
 
     /// Returns the list of members to write and the revision of the record that it
     /// replaces; `None` if it must not change yet, or need not.
     pub(super) fn next_members(&mut self, now: Timestamp) -> Option<(MemberList, u64)> {
-        // By then no earlier leader is permitted anything without the store.
-        let waits_ms = MAX_STORELESS_MS + MAX_ORPHAN_LEASE_MS;
-        let are_earlier_over = waits_ms <= now.ms_since(self.term_started_at);
+        let are_earlier_over = EARLIER_TERMS_MS <= now.ms_since(self.term_started_at);
         if !self.is_polling || !(are_earlier_over || self.is_joined_by_half(now)) {
             return None;
         }
-        let mut members = std::mem::take(&mut self.members);
         let is_registered = |it: &&Process| {
             let id = &it.record.process;
             self.registered.get(&it.record.name).is_some_and(|it| it.as_ref() == Some(id))
@@ -252,10 +244,10 @@
         let alive = self.processes.values().filter(|it| self.is_alive(it, now));
         let reporting =
             alive.filter(is_registered).map(|it| (&it.record.process, it.record.name.as_str()));
-        let change =
-            members.next_change(reporting, |process, name| self.member_state(process, name, now));
-        self.members = members;
-        change
+        let state = |process: &ProcessId, name: &str| self.member_state(process, name, now);
+        let list = self.members.next_list(reporting, state)?;
+        let revision = self.members.propose(list.clone());
+        Some((list, revision))
     }
 
     /// Returns whether this term may poll workers, which it may from then on.
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -29,7 +29,7 @@
 /// Writes the process record, by which leaders find this process, and retries
 /// until the store accepts it.
 pub async fn register(shared: Arc<Shared>) {
-    let key = format!("{PROCESS_PREFIX}{}", shared.settings.name);
+    let key = own_key(&shared);
     let value = record::encode(&own_record(&shared));
     loop {
         match write_record(&shared, &key, &value).await {
@@ -64,7 +64,7 @@
 /// must not act for any leader afterwards. Gives up after a while: its silence
 /// tells the same later.
 pub async fn deregister(shared: &Shared) {
-    let key = format!("{PROCESS_PREFIX}{}", shared.settings.name);
+    let key = own_key(shared);
     let remove = async {
         let item = shared.store.get(&key).await?;
         let value = record::encode(&own_record(shared));
@@ -79,6 +79,10 @@
     }
 }
 
+fn own_key(shared: &Shared) -> String {
+    format!("{PROCESS_PREFIX}{}", shared.settings.name)
+}
+
 fn own_record(shared: &Shared) -> ProcessRecord {
     ProcessRecord {
         process: shared.process.clone(),
