Divide the placement code by decision

Each has a module of its own now: round, choice, reservations and moves; schedule keeps what is due on a tick and the starts. Functions are moved without a change; fields and methods that other modules use are visible in the planner.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -25,6 +25,7 @@
 //! while it may have been replaced.
 
 mod blocked;
+mod choice;
 mod circuit_breaker;
 mod earlier_leases;
 mod handed_over;
@@ -32,10 +33,13 @@
 mod interference;
 mod lookups;
 mod measurements;
+mod moves;
 mod pace;
 mod placement;
 mod rank;
 mod reports;
+mod reservations;
+mod round;
 mod schedule;
 mod suspects;
 mod tickets;
@@ -59,8 +63,8 @@
     held_tasks::HeldTasks,
     interference::InterferenceModel,
     lookups::Lookups,
+    moves::Move,
     placement::Obstacle,
-    schedule::Move,
     suspects::Suspects,
     tickets::Tickets,
     waits::LongRunningWaits,
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -63,11 +63,11 @@
 use self::{explained::Crashes, failed_searches::FailedSearches};
 use super::{
     DecisionKind, Planner,
+    choice::PendingTasks,
     earlier_leases::EarlierLeases,
     is_stored,
     placement::{self, Obstacle},
     rank::Rank,
-    schedule::PendingTasks,
     work::{Phase, Task, WorkerIndex},
     workers::Worker,
 };
--- a/crates/mustardcove-core/src/fleet/planner/suspects/failed_searches.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects/failed_searches.rs
@@ -10,8 +10,9 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use super::super::{
-    Planner, placement,
-    schedule::PendingTasks,
+    Planner,
+    choice::PendingTasks,
+    placement,
     work::{Work, WorkerIndex},
 };
 use crate::{
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -20,8 +20,8 @@
 
 use super::{
     DecisionKind, Planner,
+    choice::PendingTasks,
     placement::{self, Obstacle},
-    schedule::PendingTasks,
     suspects::SuspectWait,
     work::{Phase, Run, WorkerIndex},
     workers::Worker,
