Order work by what can still be served under overload

After a burst, each new submission could still be on time, so it went before those that had begun, until it was late itself. Nearly all ended late, and the largest never.

While a kind of work finds less room in its pool than it needs, submissions that have begun now go first within a priority as long as they are worth anything, a new one counts as on time only if the work ahead of it leaves room in time, and late work goes by what remains, with ageing. A small share of the room goes to late submissions that have not begun. Without overload the order is as before.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -28,6 +28,7 @@
 mod choice;
 mod circuit_breaker;
 mod earlier_leases;
+mod forecast;
 mod handed_over;
 mod held_tasks;
 mod interference;
@@ -60,6 +61,7 @@
 use self::{
     blocked::BlockedSubmissions,
     earlier_leases::EarlierLeases,
+    forecast::Loads,
     held_tasks::HeldTasks,
     interference::InterferenceModel,
     lookups::Lookups,
@@ -171,6 +173,10 @@
     SuspectsWaiting,
     /// A task of a long-running step has had no run for seconds.
     TaskWaiting,
+    /// A kind of work finds less room in a pool than it needs.
+    OverloadBegan,
+    /// It finds enough room again.
+    OverloadEnded,
     /// A worker gets no new work for some time.
     #[strum(serialize = "worker_closed")]
     WorkerSuspended,
@@ -270,6 +276,7 @@
     held: HeldTasks,
     blocked: BlockedSubmissions,
     waits: LongRunningWaits,
+    loads: Loads,
     /// Number of the last placement round.
     round: u64,
     /// The worker with which the next search for slowed tasks begins.
@@ -325,6 +332,7 @@
             held: HeldTasks::default(),
             blocked: BlockedSubmissions::default(),
             waits: LongRunningWaits::default(),
+            loads: Loads::default(),
             round: 0,
             next_move_check: 0,
             moves: Vec::new(),
@@ -406,6 +414,7 @@
         self.work.insert(id, work);
         self.waiting.extend(steps);
         self.scheduled.insert(id);
+        self.loads.add(id);
         self.begin_due(id, now);
         self.resolve_unplanned_ends(id, now);
         if self.cancelled_early.remove(&id) {
@@ -902,6 +911,9 @@
         work.occurrences.clear();
         work.next_occurrence = work.submission.occurrences();
         let age_ms = now.ms_since(work.submission.accepted_at);
+        if state == SubmissionState::Completed {
+            self.loads.completed(work, now);
+        }
         self.scheduled.remove(&id);
         self.suspects.remove(id);
         self.interference.remove(id);
--- a/crates/mustardcove-core/src/fleet/planner/rank.rs
+++ b/crates/mustardcove-core/src/fleet/planner/rank.rs
@@ -10,6 +10,30 @@
 //! one would take capacity from all work that ends after it. They start only
 //! on capacity that such work leaves; those that ran before start again at
 //! once.
+//!
+//! # Under overload
+//!
+//! A burst of 2.5 times the usual rate for 6 s leaves a backlog that lasts for
+//! longer than most deadlines. With the order above, a new submission can still
+//! be on time, so it goes before those that have begun and are late by little,
+//! until it is late itself. Nearly all end late then, and the largest never.
+//! While a pool has less room than work of a kind ([`Overload`]), these rules
+//! apply to that kind in addition:
+//!
+//! - Within a priority, submissions that have begun go before new ones while
+//!   they are worth anything: those on time first, then late ones. The room
+//!   that they have used is lost otherwise, and what they still need is worth
+//!   more for each core-second than a new submission is.
+//! - A new submission counts as on time only if the work ahead of it leaves room
+//!   in time, by the forecast. So only as many begin as the room finishes in
+//!   time, and those beyond are given up early instead of all being late.
+//! - Late work goes by the work that remains, least first, since each late
+//!   submission is worth little whatever its size. The remaining work counts
+//!   less the nearer the time at which the submission becomes worthless. A share
+//!   of the room goes to the first of the late ones that are new, so that neither
+//!   the large nor the old ones starve.
+//!
+//! See `docs/design/overload.md`.
 
 use crate::{fleet::id::StepKey, time::Timestamp};
 
@@ -23,10 +47,29 @@
     urgency: Urgency,
     priority: u8,
     is_new: bool,
+    /// Under overload, the order before the latest start; 0 otherwise.
+    aged_work: u64,
     latest_start: Timestamp,
     key: StepKey,
 }
 
+/// What the order depends on in addition while work finds less room than it
+/// needs, as of the last measurement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Overload {
+    /// The work that remains of the submission, in millicore-milliseconds.
+    pub(super) remaining_work: u64,
+    /// Time until the work ahead of a new submission leaves room for it, in
+    /// milliseconds.
+    pub(super) wait_ms: u64,
+    /// Time from the begin of a submission to its end, in percent of its critical
+    /// path.
+    pub(super) stretch_percent: u64,
+    /// Whether a new submission that is late may begin before those that can be on
+    /// time.
+    pub(super) has_turn: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
     /// Can still meet its SLO deadline, or is long-running and ran before.
@@ -54,6 +97,8 @@
     pub(super) may_have_run: bool,
     /// Whether no task of the submission was placed by its rank yet.
     pub(super) is_new: bool,
+    /// Set while there is less room than work of the step's kind.
+    pub(super) overload: Option<Overload>,
 }
 
 impl Rank {
@@ -64,6 +109,11 @@
         is_long_running && self.urgency == Urgency::OnTime
     }
 
+    /// Returns whether the step will miss its SLO deadline and is worth something.
+    pub(super) fn is_late(&self) -> bool {
+        self.urgency == Urgency::Late
+    }
+
     /// Returns whether the step is still worth anything.
     pub(super) fn is_worthwhile(&self) -> bool {
         self.urgency != Urgency::Worthless
@@ -73,24 +123,68 @@
 impl WaitingStep {
     /// Returns the rank of the step if it were placed at `now`.
     pub(super) fn rank(&self, now: Timestamp) -> Rank {
-        let slo_ms = self.slo_deadline.ms_since(self.due_at);
-        let worthless_at = self.due_at.plus_ms(slo_ms.saturating_mul(WORTHLESS_FACTOR));
+        let urgency = self.urgency(now);
+        let rank = Rank {
+            urgency,
+            priority: self.priority,
+            is_new: self.is_new,
+            aged_work: 0,
+            latest_start: self.slo_deadline.minus_ms(self.critical_path_ms),
+            key: self.key,
+        };
+        let Some(overload) = self.overload.filter(|_| !self.is_long_running) else { return rank };
+        let aged_work = self.aged_work(overload, now);
+        match (urgency, self.is_new) {
+            (Urgency::OnTime, false) | (Urgency::Worthless, _) | (Urgency::NewLongRunning, _) => {
+                rank
+            }
+            (Urgency::Late, false) => {
+                Rank { urgency: Urgency::OnTime, aged_work: aged_work.max(1), ..rank }
+            }
+            (Urgency::OnTime | Urgency::Late, true) if overload.has_turn => {
+                Rank { urgency: Urgency::OnTime, ..rank }
+            }
+            (Urgency::OnTime, true) if self.has_room_in_time(overload, now) => {
+                Rank { aged_work: 1, ..rank }
+            }
+            (Urgency::OnTime | Urgency::Late, true) => {
+                Rank { urgency: Urgency::Late, aged_work, ..rank }
+            }
+        }
+    }
+
+    /// Returns whether a new submission can be on time behind the work ahead of it.
+    pub(super) fn has_room_in_time(&self, overload: Overload, now: Timestamp) -> bool {
+        let path_ms = self.critical_path_ms.saturating_mul(overload.stretch_percent) / 100;
+        now.plus_ms(overload.wait_ms).plus_ms(path_ms) <= self.slo_deadline
+    }
+
+    fn urgency(&self, now: Timestamp) -> Urgency {
         let ends_at = now.plus_ms(self.critical_path_ms);
-        let urgency = if self.is_long_running && !self.may_have_run {
+        if self.is_long_running && !self.may_have_run {
             Urgency::NewLongRunning
         } else if self.is_long_running || ends_at <= self.slo_deadline {
             Urgency::OnTime
-        } else if ends_at <= worthless_at {
+        } else if ends_at <= self.worthless_at() {
             Urgency::Late
         } else {
             Urgency::Worthless
-        };
-        Rank {
-            urgency,
-            priority: self.priority,
-            is_new: self.is_new,
-            latest_start: self.slo_deadline.minus_ms(self.critical_path_ms),
-            key: self.key,
         }
     }
+
+    /// Returns the time from which its end is worth nothing.
+    fn worthless_at(&self) -> Timestamp {
+        let slo_ms = self.slo_deadline.ms_since(self.due_at);
+        self.due_at.plus_ms(slo_ms.saturating_mul(WORTHLESS_FACTOR))
+    }
+
+    /// Returns the remaining work times the share that is left of the time
+    /// between being late and being worthless.
+    fn aged_work(&self, overload: Overload, now: Timestamp) -> u64 {
+        let worthless_at = self.worthless_at();
+        let late_ms = worthless_at.ms_since(self.slo_deadline).max(1);
+        let left_ms = worthless_at.ms_since(now.plus_ms(self.critical_path_ms)).min(late_ms);
+        // Fits, as the share is at most 1.
+        (u128::from(overload.remaining_work) * u128::from(left_ms) / u128::from(late_ms)) as u64
+    }
 }
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -523,9 +523,13 @@
         let Some(work) = self.work.get_mut(&task.step.submission) else { return };
         let spec = work.submission.steps.get(usize::from(task.step.step));
         let is_long_running = spec.is_some_and(|it| it.is_long_running);
+        let saves_progress = spec.is_some_and(|it| it.saves_progress);
         let Some(slot) = work.task_mut(task) else { return };
         let Some(run) = slot.run().filter(|it| it.worker == index) else { return };
         let ran_ms = now.ms_since(run.ordered_at);
+        if saves_progress {
+            slot.saved_percent = slot.saved_percent.max(run.percent);
+        }
         slot.phase = Phase::Waiting;
         if checkpoint.is_some() {
             slot.checkpoint = checkpoint;
--- a/crates/mustardcove-core/src/fleet/planner/round.rs
+++ b/crates/mustardcove-core/src/fleet/planner/round.rs
@@ -238,6 +238,7 @@
             may_have_run: !work.is_known_unstarted
                 || step.tasks.iter().any(|it| it.is_waiting() && it.last_run != RunNumber(0)),
             is_new: !work.is_begun,
+            overload: self.loads.overload(work, spec),
         })
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -45,6 +45,7 @@
         let schedulable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
         self.place(&schedulable, now);
+        self.measure_loads(now);
         if !schedulable.is_empty() {
             self.move_slowed(&schedulable, now);
         }
@@ -196,7 +197,9 @@
         let run_base = self.run_base;
         let allocation = self.pending_allocation(pending, spec);
         let Some(work) = self.work.get_mut(&key.submission) else { return };
-        work.is_begun |= !pending.is_starved;
+        if !pending.is_starved && !std::mem::replace(&mut work.is_begun, true) {
+            work.begun_at = Some(now);
+        }
         if let Some(occurrence) = work.occurrence_mut(key.occurrence) {
             occurrence.steps[usize::from(key.step)].started_at = now;
         }
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -10,13 +10,13 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use super::{earlier_leases::EarlierLeases, suspects::Suspicion};
+use super::{earlier_leases::EarlierLeases, rank::Overload, suspects::Suspicion};
 use crate::{
     fleet::{
         id::{ManifestVersion, RunNumber, TaskKey},
         manifest::Queue,
         record::{OccurrenceProgress, ProgressRecord, TaskProgress},
-        submission::{MAX_TASKS, Submission, SubmissionState},
+        submission::{MAX_TASKS, StepSpec, Submission, SubmissionState},
     },
     time::Timestamp,
 };
@@ -56,6 +56,10 @@
     pub(super) stored_change: u64,
     /// When the planner first learned of it.
     pub(super) known_since: Timestamp,
+    /// When the first task was placed by its rank in this term.
+    pub(super) begun_at: Option<Timestamp>,
+    /// What determines its order under overload.
+    pub(super) overload: Overload,
 }
 
 /// One occurrence of a submission: one execution of all its steps.
@@ -102,6 +106,8 @@
     /// Highest run number used.
     pub(super) last_run: RunNumber,
     pub(super) checkpoint: Option<String>,
+    /// Progress that the last run has saved, in percent.
+    pub(super) saved_percent: u8,
     /// The worker of the last failed run, which the next run avoids.
     pub(super) avoid: Option<WorkerIndex>,
     /// The task is not placed before this time.
@@ -191,6 +197,15 @@
         matches!(self.phase, Phase::Done)
     }
 
+    /// Returns how much of it remains, in percent.
+    pub(super) fn remaining_percent(&self) -> u8 {
+        match &self.phase {
+            Phase::Waiting => 100 - self.saved_percent.min(100),
+            Phase::Placed(run) => 100 - self.saved_percent.max(run.percent).min(100),
+            Phase::Done => 0,
+        }
+    }
+
     pub(super) fn run(&self) -> Option<&Run> {
         match &self.phase {
             Phase::Placed(run) => Some(run),
@@ -244,6 +259,17 @@
         }
     }
 
+    /// Returns the work that remains of a step, in millicore-milliseconds.
+    pub(super) fn remaining_work(&self, step: usize, spec: &StepSpec) -> u64 {
+        let step = &self.steps[step];
+        let percent = if step.is_ready {
+            step.tasks.iter().map(|it| u64::from(it.remaining_percent())).sum()
+        } else {
+            100 * step.unfinished as u64
+        };
+        spec.task_work().saturating_mul(percent) / 100
+    }
+
     /// Returns how many tasks of a step wait for a worker.
     pub(super) fn waiting_tasks(&self, step: u16) -> usize {
         let step = self.steps.get(usize::from(step));
@@ -284,6 +310,13 @@
     ) -> Work {
         Work {
             queue: submission.queue.clone(),
+            begun_at: None,
+            overload: Overload {
+                remaining_work: submission.finite_work(),
+                wait_ms: 0,
+                stretch_percent: 100,
+                has_turn: false,
+            },
             submission,
             state: SubmissionState::Queued,
             occurrences: Vec::new(),
--- a/crates/mustardcove-core/src/fleet/submission.rs
+++ b/crates/mustardcove-core/src/fleet/submission.rs
@@ -107,6 +107,11 @@
         }
         Resources { cpu: Default::default(), ..self.demand }
     }
+
+    /// Returns the estimated work of a task, in millicore-milliseconds.
+    pub fn task_work(&self) -> u64 {
+        self.demand.cpu.0.saturating_mul(self.estimate_ms)
+    }
 }
 
 /// The state of a submission as callers see it.
@@ -200,6 +205,13 @@
         self.steps.iter().any(|it| it.is_long_running)
     }
 
+    /// Returns the estimated work of one occurrence's tasks that end by themselves,
+    /// in millicore-milliseconds.
+    pub fn finite_work(&self) -> u64 {
+        let finite = self.steps.iter().filter(|it| !it.is_long_running);
+        finite.fold(0, |sum, it| sum.saturating_add(it.task_work().saturating_mul(it.count.into())))
+    }
+
     /// Returns the length of the critical path that begins with each step,
     /// from the estimates, in milliseconds. The longest of them is the
     /// critical path of the whole submission.
