Start nothing on workers of evacuated failure domains

Operators had no way to empty a failure domain: workers there got new work until they left. The planner takes a list of evacuated domains, as of a revision of the store, and names the evacuation as the obstacle in the one function through which every start passes. Starts that wait for their record are taken back; what runs there goes on. The workers no longer count as room: for "under half is in use", the reserved share, waits beside free capacity and suspensions. Without a list the plans are as before.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -18,6 +18,7 @@
 pub mod cadence;
 pub mod confirmation;
 pub mod election;
+pub mod evacuation;
 pub mod handover;
 pub mod id;
 pub mod manifest;
--- a/crates/mustardcove-core/src/fleet/id.rs
+++ b/crates/mustardcove-core/src/fleet/id.rs
@@ -180,3 +180,8 @@
     /// The version of a manifest; versions rise, not always by one.
     ManifestVersion, u64, "manifest version"
 }
+
+number_id! {
+    /// A revision of the platform's store; each write raises it.
+    Revision, u64, "revision"
+}
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -410,6 +410,8 @@
     MayHaveRun,
     /// It was not sent, because the incarnation for which it was meant has ended.
     Restarted,
+    /// It was not sent, because the worker's failure domain is evacuated.
+    Evacuated,
 }
 
 impl StartOutcome {
@@ -423,7 +425,8 @@
             | StartOutcome::NoTicket
             | StartOutcome::NotRun
             | StartOutcome::Invalid
-            | StartOutcome::Restarted => false,
+            | StartOutcome::Restarted
+            | StartOutcome::Evacuated => false,
         }
     }
 
@@ -442,6 +445,7 @@
             | StartOutcome::NotRun
             | StartOutcome::Invalid
             | StartOutcome::Restarted
+            | StartOutcome::Evacuated
             | StartOutcome::MayHaveRun => StartOutcome::MayHaveRun,
         }
     }
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -28,6 +28,7 @@
 mod choice;
 mod circuit_breaker;
 mod earlier_leases;
+mod evacuations;
 mod forecast;
 mod handed_over;
 mod held_tasks;
@@ -74,10 +75,12 @@
     workers::{Allocation, UnstoredEnd, Worker, WorkloadKind},
 };
 pub use self::{
+    evacuations::DomainChange,
     tickets::{TicketReply, TicketRequest},
     workers::WorkerListing,
 };
 use super::{
+    evacuation::EvacuationList,
     handover::WorkerHandover,
     id::{Incarnation, RunNumber, StepKey, SubmissionId, TaskKey, Term},
     manifest::{Manifest, Queue},
@@ -258,6 +261,7 @@
     unplanned_ends: BTreeMap<SubmissionId, Vec<UnplannedEnd>>,
     lookups: Lookups,
     earlier_leases: EarlierLeases,
+    evacuations: EvacuationList,
     /// Time through which no other leader can have led in a later term.
     sole_through: Timestamp,
     /// Whether this leader was confirmed recently, so that it may start work.
@@ -321,6 +325,7 @@
             unplanned_ends: BTreeMap::new(),
             lookups: Lookups::default(),
             earlier_leases: EarlierLeases::new(earlier_leases_expire_by),
+            evacuations: EvacuationList::default(),
             sole_through: Timestamp::MAX,
             may_start: true,
             is_fleet_complete: true,
@@ -543,6 +548,7 @@
                 let begins_to_drain = listing.is_draining && !worker.listing.is_draining;
                 worker.listing = listing;
                 let runs = worker.allocations.len();
+                self.update_evacuated(index);
                 if is_elsewhere {
                     self.forget_successor(index);
                 }
@@ -563,6 +569,7 @@
         );
         self.workers.push(Worker::new(listing, &self.earlier_leases));
         self.worker_index.insert(id.clone(), index);
+        self.update_evacuated(index);
         self.log_decision(DecisionKind::WorkerListed, None, Some(id), || inputs);
         index
     }
@@ -802,6 +809,8 @@
             isolated_workers: suspects.isolated,
             worker_crashes: self.suspects.crashes(),
             scored_workers: self.scored_workers.load(Ordering::Relaxed),
+            evacuated_domains: self.evacuations.domains.len(),
+            evacuated_workers: self.evacuated_workers(),
         }
     }
 
@@ -998,6 +1007,10 @@
     pub worker_crashes: u64,
     /// Number of times so far that a worker was scored for a task.
     pub scored_workers: u64,
+    /// Evacuated failure domains.
+    pub evacuated_domains: usize,
+    /// Listed workers in them.
+    pub evacuated_workers: usize,
     /// Runs on silent workers, whose leases are awaited.
     pub silent_runs: usize,
     /// How long the longest of these workers has been silent, in milliseconds.
--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -178,10 +178,11 @@
 
     /// Returns the reserved share of the capacity of a pool's workers that
     /// answer, in percent: that of the dimension with the largest share.
-    /// Workers that take no new work for a while count, since users count them.
+    /// Workers that take no new work for a while count, since users count them,
+    /// but not those in an evacuated domain.
     fn reserved_percent(&self, service: &str) -> u64 {
         let in_pool = self.workers.iter().filter(|it| it.listing.service == service);
-        placement::reserved_percent(in_pool.filter(|it| it.is_up()))
+        placement::reserved_percent(in_pool.filter(|it| it.is_room()))
     }
 
     /// Returns whether starved submissions may start on a pool.
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -79,6 +79,8 @@
     Unrecorded,
     /// It is about to leave.
     Draining,
+    /// Operators evacuate its failure domain.
+    Evacuated,
     /// It does not answer polls.
     Silent,
     /// It answers as another incarnation than service discovery lists.
@@ -120,6 +122,8 @@
         Some(Obstacle::Unrecorded)
     } else if worker.listing.is_draining {
         Some(Obstacle::Draining)
+    } else if worker.is_evacuated {
+        Some(Obstacle::Evacuated)
     } else if worker.is_silent {
         Some(Obstacle::Silent)
     } else if worker.polled_at.is_none_or(|it| MAX_POLL_AGE_MS <= now.ms_since(it)) {
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -406,6 +406,7 @@
             let group = self.workers.iter().filter(|it| {
                 let is_up = it.is_listed && !it.is_silent && !it.listing.is_draining;
                 is_up
+                    && !it.is_evacuated
                     && it.listing.service == worker.listing.service
                     && kind.is_none_or(|kind| it.has_label(kind))
             });
@@ -832,7 +833,10 @@
             StartOutcome::NotRun | StartOutcome::Invalid => {
                 self.workers[index].full_until = now.plus_ms(UNHEALTHY_PAUSE_MS);
             }
-            StartOutcome::TooLate | StartOutcome::NoTicket | StartOutcome::Restarted => {}
+            StartOutcome::TooLate
+            | StartOutcome::NoTicket
+            | StartOutcome::Restarted
+            | StartOutcome::Evacuated => {}
         }
         self.unconfirmed.remove(&(index, task, run));
         self.run_lost(index, task, outcome.into(), now);
--- a/crates/mustardcove-core/src/fleet/planner/round.rs
+++ b/crates/mustardcove-core/src/fleet/planner/round.rs
@@ -132,7 +132,7 @@
     /// Returns the pools of which under half of the capacity is in use.
     pub(super) fn mostly_free_pools(&self) -> BTreeSet<String> {
         let mut pools: BTreeMap<&str, Vec<&Worker>> = BTreeMap::new();
-        for worker in self.workers.iter().filter(|it| it.is_up()) {
+        for worker in self.workers.iter().filter(|it| it.is_room()) {
             pools.entry(&worker.listing.service).or_default().push(worker);
         }
         pools.retain(|_, it| placement::is_mostly_free(it.iter().copied()));
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -1018,7 +1018,7 @@
         }
     }
 
-    fn cancel_withheld_at(&mut self, index: WorkerIndex, now: Timestamp) {
+    pub(super) fn cancel_withheld_at(&mut self, index: WorkerIndex, now: Timestamp) {
         let withheld = std::mem::take(&mut self.suspects.withheld);
         let (lost, kept): (Vec<_>, Vec<_>) =
             withheld.into_iter().partition(|it| it.orders.iter().any(|it| it.0 == index));
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -84,6 +84,8 @@
     Suspension,
     /// The end of a reservation for another step.
     Reservation,
+    /// The end of the evacuation of all workers that could run it.
+    Evacuation,
     /// The end of another obstacle of the nearest worker.
     Worker,
     /// Nothing: the nearest worker can run it.
@@ -274,6 +276,10 @@
         };
         let needed = spec.allocation();
         let with_capacity = self.obstacles_beside_capacity(task.step, now);
+        let evacuated = match self.evacuated_for(task.step) {
+            0 => String::new(),
+            workers => format!(" evacuated={workers}"),
+        };
         let leases = match reason {
             Reason::Lease => self.explain_lease(task, now),
             Reason::Fence => self.explain_fence(&work.queue.service, now),
@@ -282,7 +288,7 @@
         Some(format!(
             "task={task} waited_ms={} for={reason} run_at={} nearest={worker} obstacle={obstacle} \
              free_cpu={} free_memory={} cpu={} memory={} step_runs={} of={} beside_capacity={} \
-             with_capacity={with_capacity}{leases}",
+             with_capacity={with_capacity}{evacuated}{leases}",
             now.ms_since(wait.since),
             run.as_deref().unwrap_or("-"),
             free.cpu,
@@ -331,6 +337,7 @@
             (None, Some(Some(Obstacle::NoCapacity)) | None) => Reason::Capacity,
             (None, Some(Some(Obstacle::Suspended))) => Reason::Suspension,
             (None, Some(Some(Obstacle::Reserved))) => Reason::Reservation,
+            (None, Some(Some(Obstacle::Evacuated))) => Reason::Evacuation,
             (None, Some(Some(_))) => Reason::Worker,
         };
         Some(reason)
@@ -362,8 +369,8 @@
     }
 
     /// Returns the eligible worker that is nearest to running a task of a step:
-    /// preferably one that is up and has capacity for it, and then one with a
-    /// mild obstacle. All capacity of a dead worker is free, so that one is
+    /// preferably one that is up, not evacuated and has capacity for it, and then
+    /// one with a mild obstacle. All capacity of a dead worker is free, so that one is
     /// named only if no other is left.
     fn nearest_worker(&self, key: StepKey, now: Timestamp) -> Option<Nearest> {
         let needed = self.spec(key)?.allocation();
@@ -372,7 +379,7 @@
             let worker = &self.workers[it.index];
             let fits = needed.fits_in(worker.free());
             let obstacle = it.obstacle.map(Reverse);
-            (!worker.is_up(), !fits, obstacle, Reverse(worker.free().cpu), it.index)
+            (!worker.is_room(), !fits, obstacle, Reverse(worker.free().cpu), it.index)
         };
         self.eligible_workers(key, now)?.into_iter().min_by_key(severity)
     }
@@ -396,6 +403,17 @@
         if counts.is_empty() { "-".to_owned() } else { counts.join(",") }
     }
 
+    /// Returns how many workers that could run a step are evacuated.
+    fn evacuated_for(&self, key: StepKey) -> usize {
+        let Some(work) = self.work.get(&key.submission) else { return 0 };
+        let Some(spec) = self.spec(key) else { return 0 };
+        let service = &work.queue.service;
+        let is_evacuated = |it: &&Worker| {
+            it.is_evacuated && it.is_listed && placement::is_eligible(it, spec, service)
+        };
+        self.workers.iter().filter(is_evacuated).count()
+    }
+
     fn spec(&self, key: StepKey) -> Option<&StepSpec> {
         self.work.get(&key.submission)?.submission.steps.get(usize::from(key.step))
     }
@@ -431,10 +449,11 @@
     time.0 as i64 - now.0 as i64
 }
 
-/// Returns whether service discovery offers a worker for new work. A planner
-/// that wrongly takes it for unusable would miss the capacity there.
+/// Returns whether service discovery offers a worker for new work, and its domain
+/// is not evacuated. A planner that wrongly takes it for unusable would miss the
+/// capacity there.
 fn is_offered(worker: &Worker) -> bool {
-    worker.is_listed && !worker.listing.is_draining
+    worker.is_listed && !worker.listing.is_draining && !worker.is_evacuated
 }
 
 impl Wait {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -115,6 +115,8 @@
     /// Whether it is known from the record of an earlier leader and may still
     /// run work of that leader.
     pub(super) may_run_earlier_work: bool,
+    /// Whether operators evacuate its failure domain, so that nothing starts there.
+    pub(super) is_evacuated: bool,
     /// The incarnation that the runs belong to; `None` before the first poll.
     pub(super) incarnation: Option<Incarnation>,
     /// Whether a poll of this term has listed all ends there, or the predecessor
@@ -218,6 +220,7 @@
             is_listed: true,
             is_recorded: false,
             may_run_earlier_work: false,
+            is_evacuated: false,
             polled_at: None,
             poll_asked_at: Timestamp::default(),
             replaced_at: None,
@@ -401,6 +404,12 @@
         self.is_listed && self.is_recorded && !self.listing.is_draining && !self.is_silent
     }
 
+    /// Returns whether its capacity counts as room for new work, whether or not it
+    /// is given any at present.
+    pub(super) fn is_room(&self) -> bool {
+        self.is_up() && !self.is_evacuated
+    }
+
     /// Returns whether nothing that an earlier leader ordered can begin, go on or
     /// have ended there unknown to the plan: it has listed everything in this
     /// term, the predecessor has handed over its plan, or it has ended.
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -11,6 +11,8 @@
 //! or is carried out late, if the worker's lease expired before the end was
 //! acknowledged: others may have started the task again by then.
 
+#[path = "evacuations.rs"]
+mod evacuations;
 #[path = "leader_processes.rs"]
 mod leader_processes;
 
@@ -20,6 +22,7 @@
     ops::RangeInclusive,
 };
 
+use evacuations::SimEvacuations;
 use leader_processes::{CONFIRM_INTERVAL_MS, Leadership, MembersRecord, first_members};
 pub(crate) use leader_processes::{Side, SimProcess};
 use mustardcove_core::{
@@ -417,6 +420,7 @@
     /// leaders poll by themselves and are always confirmed.
     pub(crate) processes: Vec<SimProcess>,
     pub(crate) store_side: Side,
+    pub(crate) evacuations: SimEvacuations,
     /// The stored list of the processes that count.
     members: MembersRecord,
     /// Time for which an answer of the store about the leader is in flight, in
@@ -533,6 +537,7 @@
             leaders: Vec::new(),
             processes: Vec::new(),
             store_side: Side::Main,
+            evacuations: SimEvacuations::default(),
             members: None,
             store_delay_ms: 0..=MAX_STORE_DELAY_MS,
             assignment_salt: 0,
@@ -623,6 +628,7 @@
         let expire_by = if self.claims == 1 { now } else { now.plus_ms(MAX_ORPHAN_LEASE_MS) };
         leader.planner.set_unfenced_leases_expire_by(expire_by.plus_ms(MAX_STORELESS_MS));
         leader.planner.set_confirmed(now, false);
+        self.read_evacuations(process);
     }
 
     /// Lets the newest leader step down, as planned, and elects one in another
@@ -660,8 +666,9 @@
 
     /// Returns whether a leader reaches the store.
     fn reaches_store(&self, leader: usize) -> bool {
-        let side = self.process_of(leader).map(|it| self.processes[it].side);
-        !self.is_store_away && side.is_none_or(|it| it.reaches(self.store_side))
+        let process = self.process_of(leader).map(|it| &self.processes[it]);
+        let is_answered = |it: &SimProcess| !it.is_turned_away && it.side.reaches(self.store_side);
+        !self.is_store_away && process.is_none_or(is_answered)
     }
 
     /// Returns whether messages pass between a leader and a process.
@@ -719,11 +726,12 @@
         if reaches_store {
             it.processes_listed(processes);
         }
-        let mut heard = Vec::new();
+        let (mut heard, mut reporting, own) = (Vec::new(), Vec::new(), it.process);
         while let Some((sent_at, process, heartbeat_at)) =
             it.unhandled.pop_front_if(|it| lag_ms <= now.ms_since(it.0))
         {
             it.report_handled(process, sent_at, now);
+            reporting.push(process);
             if it.known[process].heard_through < heartbeat_at {
                 it.known[process].heard_through = heartbeat_at;
                 let workers = (0..it.poller_of.len()).filter(|i| it.poller_of[*i] == Some(process));
@@ -746,6 +754,9 @@
         if is_heartbeat_due {
             it.next_heartbeat_at = now.plus_ms(HEARTBEAT_INTERVAL_MS);
         }
+        for process in reporting {
+            self.share_evacuations(process, own);
+        }
         for (worker, through) in heard {
             let id = self.workers[worker].id.clone();
             self.leaders[leader].planner.record_heard(&id, through);
@@ -765,6 +776,7 @@
                 let covered = it.known[process].reports.covered();
                 if self.reaches_process(leader, process) {
                     self.processes[process].heartbeat(term, now, covered);
+                    self.share_evacuations(own, process);
                 }
             }
         }
@@ -912,7 +924,8 @@
             |it: &&mut Orphan| it.worker == held.worker && it.process == Some(held.process);
         let Some(orphan) = state.orphans.iter_mut().find(is_sender) else { return };
         let Some(lease_until) = orphan.poller.grant_start_lease(now) else { return };
-        if self.reaches_worker(Some(held.process), held.worker) {
+        let is_withheld = self.withheld_by(Some(held.process), held.worker).is_some();
+        if !is_withheld && self.reaches_worker(Some(held.process), held.worker) {
             self.apply(held.worker, held.term, &Order::Start(held.order), lease_until, true);
         }
     }
@@ -926,7 +939,9 @@
         let process = self.poller_of(leader, worker);
         let (task, run) = (start.task, start.run);
         let answered = |outcome| WorkerReport::Start { task, run, outcome, answered_at: now };
+        let withheld = self.withheld_by(process, worker);
         let report = match lease_until {
+            _ if withheld.is_some() => withheld.map(answered),
             None => Some(answered(StartOutcome::NotRun)),
             Some(_) if !self.reaches_worker(process, worker) => {
                 Some(answered(StartOutcome::MayHaveRun))
@@ -1412,6 +1427,8 @@
         let is_settled = self.is_store_settled && (reaches_store || !has_processes);
         let planner = &mut self.leaders[leader].planner;
         planner.update_workers(usable, is_settled);
+        self.apply_evacuations(leader);
+        let planner = &mut self.leaders[leader].planner;
         planner.tick(now);
         let actions = planner.take_actions();
         if actions.is_superseded {
@@ -1506,6 +1523,7 @@
             address: address(&format!("h{i}")),
             capacity: Resources::new(it.cpu, it.memory, 0),
             labels: it.labels.clone(),
+            domain: self.domain_of(i),
             ..listing(it.id.as_str(), it.cpu, it.incarnation)
         };
         listed.map(entry).collect()
@@ -1780,6 +1798,9 @@
 
     fn started(&mut self, task: TaskKey, worker: usize, is_late: bool) {
         self.starts += 1;
+        if !is_late {
+            self.check_evacuated(worker);
+        }
         self.started_at.insert(task, self.now);
         if self.deadly.contains(&task) {
             let (crashes, starts) = self.crashes.entry(task).or_default();
@@ -1843,6 +1864,7 @@
         while self.now < until {
             self.advance(50);
             if !self.processes.is_empty() {
+                self.follow_store();
                 self.report_heartbeats();
                 self.send_held_starts();
             }
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -11,6 +11,7 @@
 use mustardcove_core::{
     fleet::{
         confirmation::{Confirmation, CoveredReports},
+        evacuation::EvacuationList,
         id::{BootMillis, SubmissionId, Term},
         members::{EARLIER_TERMS_MS, MemberList, MemberState, Members},
         planner::WorkerListing,
@@ -52,6 +53,10 @@
     /// When that heartbeat was sent.
     pub(crate) heartbeat_at: Option<Timestamp>,
     pub(crate) next_report_at: Timestamp,
+    /// Whether the store turns it away.
+    pub(crate) is_turned_away: bool,
+    /// The evacuated domains that it knows.
+    pub(crate) evacuations: EvacuationList,
 }
 
 impl SimProcess {
@@ -62,6 +67,8 @@
             covered: None,
             heartbeat_at: None,
             next_report_at: now,
+            is_turned_away: false,
+            evacuations: EvacuationList::default(),
         }
     }
 
