Follow the operators' keys that evacuate failure domains

Where the settings have PolicyBounds.EvacuateMs, one watch of op/ covers the manifest and op/evacuate/. While the process pauses after a change of the manifest, the evacuations are watched alone; after dropped history both are read again. Lists travel with heartbeats and, if newer, with reports, so a leader that the store turns away learns of an evacuation from the others. A successor reads the keys before it starts anything. A process checks its own list right before each attempt to send a start and reports StartOutcome::Evacuated, since it may know before the leader does. Without the setting the calls to the store are as before.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -10,6 +10,7 @@
 use strum::{Display, IntoStaticStr};
 
 use super::{
+    evacuation::EvacuationList,
     id::{
         AssignmentNumber, BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber,
         SubmissionId, TaskKey, Term,
@@ -18,7 +19,7 @@
     submission::{Submission, SubmissionState},
 };
 use crate::{
-    id::{ProcessId, RegionId, WorkerId},
+    id::{FailureDomainId, ProcessId, RegionId, WorkerId},
     time::{ClockShift, Timestamp},
 };
 
@@ -88,6 +89,9 @@
         heartbeat_at: Option<Timestamp>,
         /// Whether the sender reached the store recently.
         reaches_store: bool,
+        /// The evacuated domains, if the sender's list is newer than that of the
+        /// leader's last heartbeat.
+        evacuations: Option<EvacuationList>,
         /// One or several reports for each worker, in order, each with the
         /// assignment under which it was made.
         reports: Vec<(WorkerId, AssignmentNumber, WorkerReport)>,
@@ -163,6 +167,8 @@
     pub pending: Option<Vec<(String, String, u32)>>,
     /// Processes that reached the store recently.
     pub reaching_store: Vec<ProcessId>,
+    /// The evacuated failure domains, as far as the leader knows.
+    pub evacuations: EvacuationList,
 }
 
 /// Address of a worker, for its poller.
@@ -172,6 +178,9 @@
     pub worker: WorkerId,
     /// Its address.
     pub address: SocketAddr,
+    /// Its failure domain, where the receiver starts nothing while that is
+    /// evacuated.
+    pub domain: FailureDomainId,
     /// The number of the assignment, under which the receiver reports on it.
     pub assignment: AssignmentNumber,
     /// The [`PollResult::responsive_since`] of the receiver's last report that
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -22,6 +22,7 @@
         cadence,
         confirmation::{Confirmation, MAX_STORELESS_MS},
         election::{Candidacy, HEARTBEAT_INTERVAL_MS},
+        evacuation::EvacuationSource,
         id::{AssignmentNumber, BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
@@ -338,8 +339,12 @@
                 sent_boot_ms,
                 heartbeat_at,
                 reaches_store,
+                evacuations,
                 reports,
             } => {
+                if let Some(list) = evacuations {
+                    self.shared.learn_evacuations(&list, EvacuationSource::Report);
+                }
                 if term == self.term {
                     self.pollers.report_received(&from, reaches_store, now);
                     self.handle_reports(&from, sent_at, reports, now);
@@ -528,6 +533,7 @@
         let are_entries_old = MAX_ENTRIES_AGE_MS <= now.ms_since(self.listed_at);
         let are_stale = are_entries_old && self.pollers.is_store_reached(now);
         self.planner.set_entries_stale(are_stale);
+        self.apply_evacuations(now);
         self.planner.tick(now);
         self.log_expiry(now);
         let actions = self.planner.take_actions();
@@ -537,6 +543,17 @@
         self.store_roster(now);
     }
 
+    /// Passes on the evacuated failure domains that this process knows.
+    fn apply_evacuations(&mut self, now: Timestamp) {
+        let changes = self.planner.set_evacuations(&self.shared.evacuations().list, now);
+        let revision = self.planner.evacuations().as_of;
+        for it in changes {
+            let what = if it.is_evacuated { "domain evacuated" } else { "evacuation ended" };
+            info!(self.shared.log, "{}", what; "domain" => %it.domain, "revision" => %revision,
+                "workers" => it.workers, "runs" => it.runs, "term" => %self.term);
+        }
+    }
+
     fn execute(&mut self, actions: Actions) {
         if actions.is_superseded {
             self.end_reason = Some("a worker has seen a higher term");
@@ -605,6 +622,7 @@
             manifest: self.shared.manifest_version(),
             pending,
             reaching_store,
+            evacuations: self.shared.evacuations().list.clone(),
         };
         for process in self.pollers.ids() {
             let covered = self.pollers.covered(process);
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -19,7 +19,7 @@
         record::{PROCESS_PREFIX, ProcessRecord},
         succession::Candidate,
     },
-    id::{ProcessId, WorkerId},
+    id::{FailureDomainId, ProcessId, WorkerId},
     time::Timestamp,
 };
 use slog::{info, warn};
@@ -83,12 +83,12 @@
 }
 
 /// What an assignment is computed from: the processes that poll, and each
-/// worker with its address and confirmed responsiveness.
+/// worker with its address, failure domain and confirmed responsiveness.
 #[derive(Debug, Default, PartialEq)]
 struct AssignmentBasis {
     /// In order.
     pollers: Vec<ProcessId>,
-    workers: Vec<(WorkerId, SocketAddr, Option<Timestamp>)>,
+    workers: Vec<(WorkerId, SocketAddr, FailureDomainId, Option<Timestamp>)>,
 }
 
 impl AssignmentBasis {
@@ -98,9 +98,12 @@
         mut pollers: impl Iterator<Item = &'a ProcessId>,
         mut workers: impl Iterator<Item = (&'a WorkerListing, Option<Timestamp>)>,
     ) -> bool {
-        let is_same = |known: &(WorkerId, SocketAddr, Option<Timestamp>)| {
+        let is_same = |known: &(WorkerId, SocketAddr, FailureDomainId, Option<Timestamp>)| {
             let Some((listing, since)) = workers.next() else { return false };
-            known.0 == listing.worker && known.1 == listing.address && known.2 == since
+            known.0 == listing.worker
+                && known.1 == listing.address
+                && known.2 == listing.domain
+                && known.3 == since
         };
         self.pollers.iter().all(|it| pollers.next() == Some(it))
             && pollers.next().is_none()
@@ -435,7 +438,7 @@
         self.basis = AssignmentBasis {
             pollers: pollers.iter().map(|it| it.process.clone()).collect(),
             workers: (to_poll.iter())
-                .map(|(it, since)| (it.worker.clone(), it.address, *since))
+                .map(|(it, since)| (it.worker.clone(), it.address, it.domain.clone(), *since))
                 .collect(),
         };
         let workers = to_poll.iter().map(|(it, _)| (&it.worker, &it.domain));
@@ -453,6 +456,7 @@
             let contact = WorkerContact {
                 worker: listing.worker.clone(),
                 address: listing.address,
+                domain: listing.domain.clone(),
                 assignment,
                 confirmed_since: responsive_since.filter(|_| !lost.contains(&listing.worker)),
             };
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use mustardcove_adapter::store::{Item, StoreFault};
+use mustardcove_adapter::store::{EVACUATE_PREFIX, Item, StoreFault};
 use mustardcove_core::fleet::{
     id::{SubmissionId, Term},
     record::{
@@ -18,7 +18,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{Leader, LookedUp, RETRY_PAUSE, TaskResult};
-use crate::{durable, shared::Shared};
+use crate::{durable, operator_watch, shared::Shared};
 
 /// Time between two readings of the process records, which are few and rarely
 /// change.
@@ -43,12 +43,17 @@
         self.pollers.update_registered(&processes, self.shared.now());
         self.send_heartbeat();
         let shared = self.shared.clone();
-        let (roster, work, progress, learned, handover) = tokio::join!(
+        let follows_evacuations = self.shared.settings.follows_evacuations;
+        let evacuations = async {
+            if follows_evacuations { Some(shared.store.range(EVACUATE_PREFIX).await) } else { None }
+        };
+        let (roster, work, progress, learned, handover, evacuations) = tokio::join!(
             shared.store.range(ROSTER_PREFIX),
             shared.store.range(WORK_PREFIX),
             shared.store.range(PROGRESS_PREFIX),
             shared.store.get(LEARNED_KEY),
             shared.store.get(HANDOVER_KEY),
+            evacuations,
         );
         self.take_over_plan(handover, predecessor).await;
         self.restore_learned_interference(learned);
@@ -58,6 +63,10 @@
         let (progress, _) = self.retry_read(PROGRESS_PREFIX, progress).await?;
         self.restore(&work, &progress);
         self.planner.place_handed_over(self.shared.now());
+        if let Some(evacuations) = evacuations {
+            let read = self.retry_read(EVACUATE_PREFIX, evacuations).await?;
+            operator_watch::apply_list(&self.shared, &read.0, read.1);
+        }
         self.is_restored = true;
         if let Some(reason) = self.end_reason {
             return Err(reason);
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -23,7 +23,7 @@
             PollWait, WorkerPoller, identity_poll, start_deadline,
         },
     },
-    id::WorkerId,
+    id::{FailureDomainId, WorkerId},
     time::Timestamp,
     verdict::Verdict,
 };
@@ -79,6 +79,8 @@
     shared: Arc<Shared>,
     target: Target,
     assignment: AssignmentNumber,
+    /// Its failure domain, which its entry may change.
+    domain: Mutex<FailureDomainId>,
     state: Mutex<WorkerPoller>,
     /// Ends the pause before the next poll of a worker without runs.
     order_received: Notify,
@@ -149,6 +151,7 @@
     for contact in workers {
         if let Some(it) = assigned.get(&contact.worker) {
             it.worker.state().confirm(contact.confirmed_since);
+            *lock(&it.worker.domain) = contact.domain;
             continue;
         }
         added += 1;
@@ -158,6 +161,7 @@
             shared: shared.clone(),
             target,
             assignment: contact.assignment,
+            domain: Mutex::new(contact.domain),
             state: Mutex::new(WorkerPoller::default()),
             order_received: Notify::new(),
             restart_noticed: Notify::new(),
@@ -371,8 +375,12 @@
     }
 
     /// Sends a start over a connection that leads to the incarnation that answered
-    /// last; `None` if there is no such connection.
+    /// last; `None` if there is no such connection. Sends nothing to an evacuated
+    /// domain, of which this process may know before the leader does.
     async fn send_start(&self, order: &StartOrder, not_after: Timestamp) -> Option<StartOutcome> {
+        if self.shared.is_evacuated(&lock(&self.domain)) {
+            return Some(StartOutcome::Evacuated);
+        }
         let (lease_until, connections) = {
             let mut state = self.state();
             (state.grant_start_lease(self.shared.now()), state.connections())
@@ -473,6 +481,7 @@
             sent_boot_ms: boot_now(),
             heartbeat_at: shared.heartbeat_sent_at(term),
             reaches_store,
+            evacuations: shared.unreported_evacuations(),
             reports,
         });
     }
--- a/crates/mustardcove-node/src/process.rs
+++ b/crates/mustardcove-node/src/process.rs
@@ -34,9 +34,9 @@
 use crate::{
     callers, dispatch,
     dump::NodeDumps,
-    manifest_watch, membership,
+    membership,
     metrics::NodeMetrics,
-    outbox, poller, readiness,
+    operator_watch, outbox, poller, readiness,
     shared::{Parts, Shared},
 };
 
@@ -156,7 +156,7 @@
     let routes = dispatch::Routes { poller, leader };
     // Not supervised, since this task ends once the process is registered.
     let registration = tokio::spawn(membership::register(shared.clone()));
-    tasks.spawn(manifest_watch::run(shared.clone()));
+    tasks.spawn(operator_watch::run(shared.clone()));
     tasks.spawn(dispatch::run(shared.clone(), events, routes));
     tasks.spawn(poller::run(shared.clone(), poller_inputs));
     tasks.spawn(resend_outbox(shared.clone()));
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -15,21 +15,22 @@
 use mustardcove_core::{
     fleet::{
         election::Candidacy,
-        id::{BootMillis, ManifestVersion, Term},
+        evacuation::{EvacuationList, EvacuationSource},
+        id::{BootMillis, ManifestVersion, Revision, Term},
         manifest::Manifest,
         message::{FleetMessage, Heartbeat, StoreOutcome},
         poller::LeasePermission,
         state_cache::StateCache,
         store_health::StoreHealth,
     },
-    id::ProcessId,
+    id::{FailureDomainId, ProcessId},
     message::PeerMessage,
     time::Timestamp,
 };
 use mustardcove_platform::Clock;
 use mustardcove_runtime::peer::Peers;
 use rustix::time::{ClockId, clock_gettime};
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -66,10 +67,21 @@
     pending_at: Option<BootMillis>,
     /// Processes that reached the store recently.
     pub reaching_store: Vec<ProcessId>,
+    /// The revision of its list of evacuated domains.
+    evacuations_as_of: Revision,
     /// The last term whose leader is known to have stepped down, and since when.
     stepped_down: Option<(Term, Timestamp)>,
 }
 
+/// Evacuated failure domains as a process knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    /// The list.
+    pub list: EvacuationList,
+    /// When this process has learned of each evacuation.
+    pub since: BTreeMap<FailureDomainId, Timestamp>,
+}
+
 /// The shared state; tasks hold it in an `Arc`.
 #[derive(Debug)]
 pub struct Shared {
@@ -101,6 +113,7 @@
     pub outbox: Outbox,
     /// Cancelled when a graceful shutdown begins.
     pub stop: CancellationToken,
+    evacuations: Mutex<Evacuations>,
     states: Mutex<StateCache>,
     candidacy: Mutex<Candidacy>,
     candidacy_changed: Notify,
@@ -159,6 +172,7 @@
             newer_manifest: Notify::new(),
             leadership: watch::Sender::new(Leadership::default()),
             outbox: Outbox::default(),
+            evacuations: Mutex::default(),
             states: Mutex::default(),
             candidacy: Mutex::new(candidacy),
             candidacy_changed: Notify::new(),
@@ -208,6 +222,42 @@
         self.manifest.borrow().as_ref().map(|it| it.version).unwrap_or_default()
     }
 
+    /// Returns the evacuated failure domains, as far as this process knows.
+    pub fn evacuations(&self) -> MutexGuard<'_, Evacuations> {
+        lock(&self.evacuations)
+    }
+
+    /// Returns whether a failure domain is evacuated, as far as this process knows.
+    pub fn is_evacuated(&self, domain: &FailureDomainId) -> bool {
+        self.evacuations().list.contains(domain)
+    }
+
+    /// Takes over a list of evacuated failure domains if it is newer than the one
+    /// that this process knows.
+    pub fn learn_evacuations(&self, list: &EvacuationList, source: EvacuationSource) {
+        let now = self.now();
+        let mut known = self.evacuations();
+        if !known.list.merge(list) {
+            return;
+        }
+        known.since.retain(|it, _| list.contains(it));
+        for domain in &list.domains {
+            known.since.entry(domain.clone()).or_insert(now);
+        }
+        drop(known);
+        let domains: Vec<&str> = list.domains.iter().map(|it| it.as_str()).collect();
+        info!(self.log, "evacuations changed"; "domains" => domains.join(","),
+            "revision" => %list.as_of, "source" => %source);
+    }
+
+    /// Returns the list of evacuated failure domains if it is newer than that of
+    /// the leader's last heartbeat.
+    pub fn unreported_evacuations(&self) -> Option<EvacuationList> {
+        let reported = self.last_heartbeat().evacuations_as_of;
+        let known = self.evacuations();
+        (reported < known.list.as_of).then(|| known.list.clone())
+    }
+
     /// Changes the candidacy and wakes the task that claims the leadership.
     pub fn update_candidacy(&self, change: impl FnOnce(&mut Candidacy, Timestamp)) {
         change(&mut lock(&self.candidacy), self.now());
@@ -247,12 +297,14 @@
         last.permission = LeasePermission::new(heartbeat.covered);
         last.report_delay_ms = heartbeat.report_delay_ms;
         last.reaching_store = heartbeat.reaching_store;
+        last.evacuations_as_of = heartbeat.evacuations.as_of;
         if let Some(pending) = heartbeat.pending {
             let by_queue = pending.into_iter().map(|(host, prefix, n)| ((host, prefix), n));
             last.pending = by_queue.collect();
             last.pending_at = heartbeat.covered;
         }
         drop(last);
+        self.learn_evacuations(&heartbeat.evacuations, EvacuationSource::Leader);
         let is_same_region = heartbeat.region == self.settings.region;
         self.update_candidacy(|it, now| it.heartbeat_received(is_same_region, now));
     }
--- a/crates/mustardcove-node/tests/leader_queue.rs
+++ b/crates/mustardcove-node/tests/leader_queue.rs
@@ -8,6 +8,7 @@
 use local::Local;
 use mustardcove_core::{
     fleet::{
+        evacuation::EvacuationList,
         id::{ManifestVersion, Term},
         message::{FleetMessage, Heartbeat},
     },
@@ -56,6 +57,7 @@
         manifest: ManifestVersion::default(),
         pending: None,
         reaching_store: Vec::new(),
+        evacuations: EvacuationList::default(),
     };
     events.send(event(&peer, FleetMessage::Heartbeat(heartbeat))).await.expect("dispatch runs");
     let mut leadership = shared.leadership.subscribe();
--- a/crates/mustardcove-node/tests/states_resync.rs
+++ b/crates/mustardcove-node/tests/states_resync.rs
@@ -61,6 +61,7 @@
                             sent_boot_ms: BootMillis::default(),
                             heartbeat_at: Some(heartbeat.sent_at),
                             reaches_store: true,
+                            evacuations: None,
                             reports: Vec::new(),
                         };
                         self.peers.send(&from, &PeerMessage::Fleet(Box::new(report))).ok();
--- a/crates/mustardcove-node/tests/support/local.rs
+++ b/crates/mustardcove-node/tests/support/local.rs
@@ -57,10 +57,15 @@
 
 impl Local {
     pub(crate) async fn start() -> Local {
+        Local::with_settings("").await
+    }
+
+    /// Starts a node with further lines in its settings.
+    pub(crate) async fn with_settings(lines: &str) -> Local {
         let store = StandinStore::default();
         let server = store.serve(IpAddr::V4(Ipv4Addr::LOCALHOST)).await.expect("a free port");
         let ip = free_ip();
-        let text = standin::settings("node", "north", ip, server.address());
+        let text = standin::settings("node", "north", ip, server.address()) + lines;
         let path = std::env::temp_dir().join(format!("mustardcove-local-{ip}.conf"));
         std::fs::write(&path, text).expect("a settings file");
         let settings = NodeSettings::load(Path::new(&path)).expect("valid settings");
--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -147,6 +147,8 @@
     dir: PathBuf,
     version: u64,
     number: u8,
+    /// Further lines in the settings of nodes that are started from now on.
+    pub(crate) settings: &'static str,
     /// The region that reaches the store while regions are cut off.
     store_region: usize,
     regions: Regions,
@@ -255,6 +257,7 @@
             client: Client::builder().pool_max_idle_per_host(0).build().expect("a client"),
             dir,
             version: 0,
+            settings: "",
             number: RIG_COUNT.fetch_add(1, Ordering::Relaxed),
             store_region: 0,
             regions: Regions::default(),
@@ -274,7 +277,7 @@
         let i = self.nodes.len();
         let settings = self.dir.join(format!("node-{i}.conf"));
         let log = self.dir.join(format!("node-{i}.log"));
-        std::fs::write(&settings, text).expect("a settings file");
+        std::fs::write(&settings, text.to_owned() + self.settings).expect("a settings file");
         let child = spawn(&settings, &log);
         self.regions.add(child.id(), region);
         self.nodes.push(Node { child, settings, ip: self.ip(i), store, peers, region, log });
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -2,7 +2,8 @@
 
 use mustardcove_core::{
     fleet::{
-        id::{AssignmentNumber, BootMillis, Incarnation, RunNumber, TaskKey, Term},
+        evacuation::EvacuationList,
+        id::{AssignmentNumber, BootMillis, Incarnation, Revision, RunNumber, TaskKey, Term},
         message::{FleetMessage, Order, PollResult, RunningTask, WorkerReport},
         record::ProcessRecord,
         submission::SubmissionState,
@@ -72,6 +73,10 @@
         sent_boot_ms: BootMillis(6),
         heartbeat_at: Some(Timestamp(4)),
         reaches_store: true,
+        evacuations: Some(EvacuationList {
+            as_of: Revision(7),
+            domains: ["iasi-a".parse().unwrap()].into(),
+        }),
         reports: vec![(worker.clone(), AssignmentNumber(2), WorkerReport::Polled(polled))],
     };
     let order = Order::Stop { task, run: RunNumber(3) };
