--- a/crates/mustardcove-node/src/dump.rs
+++ b/crates/mustardcove-node/src/dump.rs
@@ -33,6 +33,12 @@
         dump.add_value("may_extend_leases", &shared.may_extend_leases(leadership.term));
         dump.add_value("known_submissions", &shared.states().len());
         dump.add_value("unconfirmed_by_leader", &!shared.outbox.is_empty());
+        let evacuations = shared.evacuations().clone();
+        let now = shared.now();
+        dump.add_value("evacuations_as_of", &evacuations.list.as_of);
+        let rows = evacuations.since.into_iter();
+        let rows = rows.map(|it| format!("domain={} for_ms={}", it.0, now.ms_since(it.1)));
+        dump.add_rows("evacuated_domains", rows);
         dump.add_rows("long_running_waits", shared.long_running_waits().clone());
         dump.add_rows("reaching_store", shared.last_heartbeat().reaching_store.clone());
         dump.add_rows("peers", shared.peers.status().into_iter().map(|it| it.process));
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -39,6 +39,8 @@
     longest_silence_ms: Gauge<u64>,
     report_age_ms: Gauge<u64>,
     ignored_entries: Gauge<u64>,
+    evacuated_domains: Gauge<u64>,
+    evacuated_workers: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -120,6 +122,14 @@
                 "ignored_entries",
                 "Entries of service discovery that name no worker to use, at the leader.",
             ),
+            evacuated_domains: gauge(
+                "evacuated_domains",
+                "Failure domains that operators evacuate, at the leader.",
+            ),
+            evacuated_workers: gauge(
+                "evacuated_workers",
+                "Listed workers in evacuated failure domains, at the leader.",
+            ),
             base,
         }
     }
@@ -168,6 +178,8 @@
         self.scored_workers.record(counts.scored_workers, &[]);
         self.silent_runs.record(counts.silent_runs as u64, &[]);
         self.longest_silence_ms.record(counts.longest_silence_ms, &[]);
+        self.evacuated_domains.record(counts.evacuated_domains as u64, &[]);
+        self.evacuated_workers.record(counts.evacuated_workers as u64, &[]);
     }
 
     /// Sets the age of the oldest report that the leader has handled lately, in
