Judge how fast workers are by the progress of their runs

A worker that is six times slower than others answers polls and fails nothing, so it got as many tasks as the others, and every step with a task there ended six times later.

The planner now compares the progress of each run with its estimate, corrected by what the step's tasks took on other workers or by the pool's median. A poll tells when it was asked for and not when it was answered, so a run is slow by the shortest time that its progress can have taken, and sound by the longest. A worker is slow if tasks of two or more submissions are slow there and hardly any is sound.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -47,6 +47,7 @@
 mod tickets;
 mod waits;
 mod work;
+mod worker_speed;
 mod workers;
 
 use std::{
@@ -183,6 +184,10 @@
     /// A worker gets no new work for some time.
     #[strum(serialize = "worker_closed")]
     WorkerSuspended,
+    /// A worker is slower than others.
+    WorkerSlow,
+    /// A worker that was slow is no longer.
+    WorkerSound,
     /// A worker restarted: it answered with another incarnation.
     #[strum(serialize = "worker_reborn")]
     WorkerRestarted,
@@ -288,6 +293,12 @@
     /// Runs that were stopped to go on elsewhere, and may not have started there
     /// yet.
     moves: Vec<Move>,
+    /// When runs on slow workers are looked at next.
+    next_straggler_check: Timestamp,
+    /// Number of runs so far that were stopped to go on faster elsewhere.
+    straggler_moves: u64,
+    /// Factor by which tasks of each pool take longer than estimated: the median.
+    pool_factors: BTreeMap<String, f32>,
     /// Number of times that a worker was scored for a task, which is most of
     /// the cost of planning.
     scored_workers: AtomicU64,
@@ -341,6 +352,9 @@
             round: 0,
             next_move_check: 0,
             moves: Vec::new(),
+            next_straggler_check: Timestamp::default(),
+            straggler_moves: 0,
+            pool_factors: BTreeMap::new(),
             scored_workers: AtomicU64::new(0),
             actions: Actions::default(),
         }
@@ -811,6 +825,8 @@
             scored_workers: self.scored_workers.load(Ordering::Relaxed),
             evacuated_domains: self.evacuations.domains.len(),
             evacuated_workers: self.evacuated_workers(),
+            slow_workers: self.workers.iter().filter(|it| it.speed.is_slow(now)).count(),
+            straggler_moves: self.straggler_moves,
         }
     }
 
@@ -1011,6 +1027,10 @@
     pub evacuated_domains: usize,
     /// Listed workers in them.
     pub evacuated_workers: usize,
+    /// Workers that are judged slow.
+    pub slow_workers: usize,
+    /// Number of runs so far that were stopped on slow workers to go on elsewhere.
+    pub straggler_moves: u64,
     /// Runs on silent workers, whose leases are awaited.
     pub silent_runs: usize,
     /// How long the longest of these workers has been silent, in milliseconds.
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -103,6 +103,8 @@
     NoCapacity,
     /// It runs as many tasks of the step as are allowed on one worker.
     StepLimit,
+    /// It is slower than others, and has as much to do as it can.
+    Slow,
     /// Too little processor time is left over for a best-effort task.
     NoLeftover,
     /// A best-effort task would make a latency-critical one miss its target.
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -13,6 +13,7 @@
     DecisionKind, MISSED_POLLS, PendingStop, Planner, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
     UNKNOWN_CHANGE, UnplannedEnd, circuit_breaker, pace,
     work::{Phase, Run, Work, WorkerIndex},
+    worker_speed::{self, ProgressWindow},
     workers::{Allocation, UnstoredEnd, Worker, WorkerListing, WorkloadKind},
 };
 use crate::{
@@ -436,6 +437,7 @@
         }
         // The end of one member counts for the whole gang.
         let members = if spec.is_gang { 0..spec.count } else { end.task.index..end.task.index + 1 };
+        self.judge_done(index, end.task, end.run, now);
         for member in members {
             self.task_done(TaskKey { index: member, ..end.task }, end.run, now);
         }
@@ -642,7 +644,8 @@
         now: Timestamp,
     ) {
         let Some(work) = self.work.get_mut(&row.task.step.submission) else { return };
-        let spec = &work.submission.steps[usize::from(row.task.step.step)];
+        let submission = work.submission.clone();
+        let spec = &submission.steps[usize::from(row.task.step.step)];
         let (is_long_running, is_gang) = (spec.is_long_running, spec.is_gang);
         let estimate_ms = spec.estimate_ms;
         let Some(slot) = work.task_mut(row.task) else { return };
@@ -655,8 +658,16 @@
         run.was_listed = true;
         run.missed_polls = 0;
         let stalled_ms = run.stalled_ms;
+        let worker = &self.workers[index];
+        let pace = worker.allocations.get(&row.task).map_or(100, |it| it.pace);
+        let bounds = if worker_speed::is_comparable(spec, worker, pace) {
+            ProgressWindow::listed(&mut run.window, row.percent, asked_at)
+        } else {
+            run.window = None;
+            None
+        };
+        let pace = pace.min(100);
         let allocation = self.workers[index].allocations.get_mut(&row.task);
-        let pace = allocation.as_ref().map_or(100, |it| it.pace.min(100));
         let stall_timeout_ms = stall_timeout_ms(estimate_ms, pace);
         let is_pace_new = allocation.is_some_and(|it| {
             it.measurement = row.measurement;
@@ -685,6 +696,9 @@
             }
             self.stop(index, row.task, row.run, "no progress", now);
         }
+        if let Some(bounds) = bounds {
+            self.judge_progress(index, row.task, bounds, now);
+        }
     }
 
     /// Finds runs and stops that a poll proves to have ended. One that may lack
@@ -748,6 +762,7 @@
             if let Some(run) = run.filter(|it| it.worker == index) {
                 run.confirmed_at.iter_mut().for_each(confirm);
                 run.listed_at = None;
+                run.window = None;
             }
         }
     }
@@ -815,7 +830,12 @@
             StartOutcome::Started => {
                 self.submission_started(task.step.submission);
                 self.unconfirmed.remove(&(index, task, run));
-                if let Some(run) = self.task_mut(task).and_then(|it| it.run_mut()) {
+                let Some(slot) = self.task_mut(task) else { return };
+                let is_resumed = slot.checkpoint.is_some();
+                if let Some(run) = slot.run_mut() {
+                    if run.listed_at.is_none() && !is_resumed {
+                        run.window = Some(ProgressWindow::started(answered_at));
+                    }
                     run.confirmed_at.get_or_insert(answered_at);
                     run.listed_at = run.listed_at.max(Some(answered_at));
                     run.stalled_ms = 0;
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -10,7 +10,12 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use super::{earlier_leases::EarlierLeases, rank::Overload, suspects::Suspicion};
+use super::{
+    earlier_leases::EarlierLeases,
+    rank::Overload,
+    suspects::Suspicion,
+    worker_speed::{ProgressWindow, StepDurations},
+};
 use crate::{
     fleet::{
         id::{ManifestVersion, RunNumber, TaskKey},
@@ -86,6 +91,8 @@
     pub(super) critical_path_ms: u64,
     /// The last placement round that left a task of it waiting.
     pub(super) tried: Option<TriedRound>,
+    /// What its tasks that are done took.
+    pub(super) durations: StepDurations,
 }
 
 /// A placement round in which a task fitted on no worker that its step could
@@ -153,6 +160,8 @@
     /// Time between polls since `percent` last changed, in milliseconds. The
     /// leader's clock also runs while polls wait to be handled.
     pub(super) stalled_ms: u64,
+    /// Its recent progress, as far as it tells how fast its worker is.
+    pub(super) window: Option<ProgressWindow>,
 }
 
 impl Run {
@@ -167,6 +176,7 @@
             percent: 0,
             listed_at: None,
             stalled_ms: 0,
+            window: None,
         }
     }
 
@@ -236,6 +246,7 @@
                 started_at: Timestamp::default(),
                 critical_path_ms,
                 tried: None,
+                durations: StepDurations::default(),
             }
         });
         let mut occurrence = Occurrence { number, steps: steps.collect(), due_at, slo_deadline };
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -15,6 +15,7 @@
     pace::{self, LatencyCriticalTask},
     placement,
     work::WorkerIndex,
+    worker_speed::WorkerSpeed,
 };
 use crate::{
     fleet::id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey},
@@ -188,6 +189,7 @@
     /// Whether it accepted work in the last placement round.
     pub(super) was_schedulable: bool,
     pub(super) circuit_breaker: CircuitBreaker,
+    pub(super) speed: WorkerSpeed,
     /// The latency-critical tasks here, as of the last poll or placement.
     pub(super) latency_critical: Vec<LatencyCriticalTask>,
 }
@@ -246,6 +248,7 @@
             changed_in: 0,
             was_schedulable: false,
             circuit_breaker: CircuitBreaker::default(),
+            speed: WorkerSpeed::default(),
             latency_critical: Vec::new(),
         }
     }
@@ -334,6 +337,7 @@
         self.full_until = Timestamp::default();
         self.latency_critical_use = 0;
         self.circuit_breaker = CircuitBreaker::default();
+        self.speed = WorkerSpeed::default();
     }
 
     /// Records that another worker was found in its place. Returns whether this
