Give slow workers fewer tasks

A worker that is judged slow gets a score penalty that grows with its slowness, and one more if a batch task would miss its SLO deadline there and not elsewhere. It takes only as much finite work beside its first task as it does at its speed. The judgement fades, so it is tried again. Scores of other workers do not change.

--- a/crates/mustardcove-core/src/fleet/planner/choice.rs
+++ b/crates/mustardcove-core/src/fleet/planner/choice.rs
@@ -9,6 +9,7 @@
     Planner, pace,
     placement::{self, Obstacle, Request},
     work::{Task, Work, WorkerIndex},
+    worker_speed,
     workers::Allocation,
     workload_kind,
 };
@@ -322,6 +323,14 @@
         let score = placement::score(worker, index, Request { same_step, ..req })?;
         // A crash there would count against it.
         let is_unsound = pending.is_released && !self.suspects.is_worker_sound(worker, now);
-        Ok(if is_unsound { score - placement::MISFIT_PENALTY } else { score })
+        let score = if is_unsound { score - placement::MISFIT_PENALTY } else { score };
+        let slowness = worker.speed.slowness(now);
+        if slowness <= 1.0 {
+            return Ok(score);
+        }
+        if !worker_speed::may_take(worker, req.step, slowness) {
+            return Err(Obstacle::Slow);
+        }
+        Ok(score - self.slowness_penalty(pending.key, slowness, now))
     }
 }
--- a/crates/mustardcove-core/tests/uneven_workers.rs
+++ b/crates/mustardcove-core/tests/uneven_workers.rs
@@ -76,3 +76,34 @@
     fleet.advance(30_000);
     assert_eq!(fleet.count(SubmissionState::Completed), 100 + 90 + 30);
 }
+
+/// Guards against a tenth of the workers that is six times slower and gets as
+/// many tasks as others, and against one that gets none ever after.
+#[test]
+fn few_tasks() {
+    let mut fleet = Fleet::new(1, 60, CPU, 3);
+    fleet.spread = 0.8..1.2;
+    run(&mut fleet, 1, 5, 20, &batch(10));
+    for worker in &mut fleet.workers[..6] {
+        worker.condition = Condition::Speed(1.0 / 6.0);
+    }
+    run(&mut fleet, 1_000, 8, 20, &batch(10));
+    let slow = fleet.planner.counts(fleet.now).slow_workers;
+    fleet.workers.iter_mut().for_each(|it| it.starts = 0);
+    run(&mut fleet, 2_000, 30, 20, &batch(10));
+    let starts = |it: &[uneven_fleet::SimWorker]| {
+        it.iter().map(|it| it.starts).sum::<u64>() as f64 / it.len() as f64
+    };
+    let (on_slow, on_others) = (starts(&fleet.workers[..6]), starts(&fleet.workers[6..]));
+    println!("{slow} found in 8 s; {on_slow:.1} starts on slow workers, {on_others:.1} on others");
+    assert!(5 <= slow, "{slow} of 6 are found");
+    assert!(0.0 < on_slow && on_slow < 0.12 * on_others, "{on_slow} and {on_others}");
+    for worker in &mut fleet.workers[..6] {
+        worker.condition = Condition::Speed(1.0);
+    }
+    run(&mut fleet, 3_000, 25, 20, &batch(10));
+    fleet.workers.iter_mut().for_each(|it| it.starts = 0);
+    run(&mut fleet, 4_000, 20, 20, &batch(10));
+    let (recovered, others) = (starts(&fleet.workers[..6]), starts(&fleet.workers[6..]));
+    assert!(0.7 * others < recovered, "{recovered} and {others}");
+}
