Move runs away from slow workers

A step ends with its slowest task, so the tasks that a worker has when it becomes slow delay their steps by several times their length. Runs whose step saves progress are now stopped and go on elsewhere if that is sooner by half, with the time to stop and restore.

--- a/crates/mustardcove-core/src/fleet/planner/moves.rs
+++ b/crates/mustardcove-core/src/fleet/planner/moves.rs
@@ -1,6 +1,10 @@
-//! Moves of best-effort tasks that hardly progress where they are.
+//! Moves of tasks that hardly progress where they are: best-effort tasks beside
+//! tasks that serve, and tasks on slow workers.
 
-use super::{Planner, choice::PendingTasks, placement, work::WorkerIndex, workers::WorkloadKind};
+use super::{
+    Planner, choice::PendingTasks, placement, work::WorkerIndex, worker_speed,
+    workers::WorkloadKind,
+};
 use crate::{
     fleet::id::{RunNumber, TaskKey},
     time::Timestamp,
@@ -23,6 +27,16 @@
 /// Slowed tasks from which on a round looks for no more moves: each is scored
 /// on every worker.
 const MAX_MOVE_CHECKS: usize = 12;
+/// Time between two searches for runs to move away from slow workers, in
+/// milliseconds: about that between two polls.
+const STRAGGLER_INTERVAL_MS: u64 = 250;
+/// Most runs that are being moved away from slow workers at a time.
+const MAX_STRAGGLER_MOVES: usize = 12;
+/// What a move costs, in milliseconds: the time to stop, and to restore the
+/// longest checkpoint.
+const MOVE_COST_MS: f32 = 1_100.0;
+/// Factor by which a run has to be done sooner elsewhere, since forecasts err.
+const MOVE_MARGIN: f32 = 1.5;
 
 /// A best-effort run that was stopped so that it can go on elsewhere.
 #[derive(Clone, Copy, Debug)]
@@ -115,4 +129,107 @@
         let to = schedulable.iter().copied().find(|it| *it != index && can_run(it))?;
         Some(Move { to, cpu, expires_at: now.plus_ms(MOVE_MS) })
     }
+
+    /// Stops runs on slow workers that would be done sooner elsewhere. This comes
+    /// after a placement round, so that nothing waits for the room that it finds.
+    pub(super) fn move_stragglers(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
+        if now < self.next_straggler_check {
+            return;
+        }
+        self.next_straggler_check = now.plus_ms(STRAGGLER_INTERVAL_MS);
+        let slow: Vec<WorkerIndex> =
+            (0..self.workers.len()).filter(|it| self.workers[*it].speed.is_slow(now)).collect();
+        let (mut moves, mut checks) = (0, 0);
+        for index in slow {
+            // What it may be given grows as the judgement fades.
+            self.workers[index].is_changed = true;
+            let allocations = &self.workers[index].allocations;
+            let runs: Vec<(TaskKey, RunNumber)> =
+                allocations.iter().map(|(task, it)| (*task, it.run)).collect();
+            for (task, run) in runs {
+                if moves == MAX_MOVES
+                    || MAX_MOVE_CHECKS <= checks
+                    || MAX_STRAGGLER_MOVES <= self.moves.len()
+                {
+                    return;
+                }
+                if !self.is_sooner_elsewhere(index, task, run, now) {
+                    continue;
+                }
+                checks += 1;
+                if let Some(better) = self.find_sound(index, task, schedulable, now) {
+                    self.moves.push(better);
+                    self.stop_and_move(index, task, run, "on a slow worker", now);
+                    self.straggler_moves += 1;
+                    moves += 1;
+                }
+            }
+        }
+    }
+
+    /// Returns whether a run on a slow worker is expected to be done sooner if it
+    /// is stopped and goes on from its checkpoint on a worker that is not slow.
+    fn is_sooner_elsewhere(
+        &self,
+        index: WorkerIndex,
+        task: TaskKey,
+        run: RunNumber,
+        now: Timestamp,
+    ) -> bool {
+        let worker = &self.workers[index];
+        let Some(work) = self.work.get(&task.step.submission) else { return false };
+        let spec = &work.submission.steps[usize::from(task.step.step)];
+        let Some(current) = self.current_run(index, task, run) else { return false };
+        let pace = worker.allocations.get(&task).map_or(0, |it| it.pace);
+        let is_movable = spec.saves_progress
+            && worker_speed::is_comparable(spec, worker, pace)
+            && current.was_listed
+            && !self.stops.contains_key(&(index, task, run));
+        let Some((estimate_ms, factor)) = self.expectation(index, task.step) else { return false };
+        if !is_movable {
+            return false;
+        }
+        let has_checkpoint = work.task(task).is_some_and(|it| it.checkpoint.is_some());
+        let expected_ms = estimate_ms as f32 * factor;
+        let left = |percent: u8| expected_ms * f32::from(100 - percent.min(100)) / 100.0;
+        let here_ms = left(current.percent) * worker.speed.slowness(now);
+        let elsewhere_ms = left(if has_checkpoint { current.percent } else { 0 });
+        (elsewhere_ms + MOVE_COST_MS) * MOVE_MARGIN < here_ms
+    }
+
+    /// Returns the move of a task to the best worker that is not slow and has room
+    /// for it beside the tasks that are being moved there.
+    fn find_sound(
+        &self,
+        index: WorkerIndex,
+        task: TaskKey,
+        schedulable: &[WorkerIndex],
+        now: Timestamp,
+    ) -> Option<Move> {
+        let work = self.work.get(&task.step.submission)?;
+        let spec = &work.submission.steps[usize::from(task.step.step)];
+        let pending = PendingTasks::of_step(task.step, work, false)?;
+        let req = self.request(&pending, spec, None);
+        let cpu = spec.demand.cpu.0;
+        let has_room = |it: &WorkerIndex| {
+            let worker = &self.workers[*it];
+            let moved = self.moves.iter().filter(|moved| moved.to == *it);
+            let moved: u64 = moved.map(|it| it.cpu).sum();
+            if spec.is_best_effort {
+                let leftover = placement::leftover_cpu(worker);
+                placement::is_enough_left_over(leftover - moved as i64, cpu)
+            } else {
+                moved + cpu <= worker.free().cpu.0
+            }
+        };
+        let is_sound = |it: &&WorkerIndex| {
+            **it != index
+                && !self.workers[**it].speed.is_slow(now)
+                && !self.reserved.contains_key(it)
+                && has_room(it)
+        };
+        let score = |it: &WorkerIndex| Some((self.score(&pending, req, *it, now).ok()?, *it));
+        let to = schedulable.iter().filter(is_sound).filter_map(score).max()?.1;
+        Some(Move { to, cpu, expires_at: now.plus_ms(MOVE_MS) })
+    }
 }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -48,6 +48,7 @@
         self.measure_loads(now);
         if !schedulable.is_empty() {
             self.move_slowed(&schedulable, now);
+            self.move_stragglers(&schedulable, now);
         }
         self.handle_blocked(&schedulable, now);
         self.start_released(&schedulable, now);
--- a/crates/mustardcove-core/tests/uneven_workers.rs
+++ b/crates/mustardcove-core/tests/uneven_workers.rs
@@ -107,3 +107,23 @@
     let (recovered, others) = (starts(&fleet.workers[..6]), starts(&fleet.workers[6..]));
     assert!(0.7 * others < recovered, "{recovered} and {others}");
 }
+
+/// Guards against steps that wait for their last task on a slow worker, against
+/// moves that lose more than they save, and against runs that overlap.
+#[test]
+fn stragglers_move() {
+    let late = |saves_progress: bool| {
+        let mut fleet = Fleet::new(1, 30, CPU, 3);
+        fleet.workers[0].condition = Condition::Speed(1.0 / 6.0);
+        let spec = StepSpec { saves_progress, estimate_ms: 3_000, ..batch(10) };
+        run(&mut fleet, 1, 20, 5, &spec);
+        let overlaps = fleet.most_runs();
+        assert!(overlaps <= 1, "{overlaps} runs of a task");
+        fleet.advance(20_000);
+        assert_eq!(fleet.count(SubmissionState::Completed), 100);
+        fleet.planner.counts(fleet.now).straggler_moves
+    };
+    let moves = late(true);
+    assert!((2..60).contains(&moves), "{moves} moves");
+    assert_eq!(late(false), 0, "a run that saves nothing goes on");
+}
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -35,6 +35,8 @@
     isolated_workers: Gauge<u64>,
     worker_crashes: Gauge<u64>,
     scored_workers: Gauge<u64>,
+    slow_workers: Gauge<u64>,
+    straggler_moves: Gauge<u64>,
     silent_runs: Gauge<u64>,
     longest_silence_ms: Gauge<u64>,
     report_age_ms: Gauge<u64>,
@@ -105,6 +107,14 @@
                 "scored_workers",
                 "Number of times that a worker was scored for a task, at the leader.",
             ),
+            slow_workers: gauge(
+                "slow_workers",
+                "Workers that are judged slower than others, at the leader.",
+            ),
+            straggler_moves: gauge(
+                "straggler_moves",
+                "Number of runs that were stopped on slow workers to go on elsewhere, at the leader.",
+            ),
             silent_runs: gauge(
                 "silent_runs",
                 "Runs on silent workers, whose leases are awaited, at the leader.",
@@ -176,6 +186,8 @@
         self.isolated_workers.record(counts.isolated_workers as u64, &[]);
         self.worker_crashes.record(counts.worker_crashes, &[]);
         self.scored_workers.record(counts.scored_workers, &[]);
+        self.slow_workers.record(counts.slow_workers as u64, &[]);
+        self.straggler_moves.record(counts.straggler_moves, &[]);
         self.silent_runs.record(counts.silent_runs as u64, &[]);
         self.longest_silence_ms.record(counts.longest_silence_ms, &[]);
         self.evacuated_domains.record(counts.evacuated_domains as u64, &[]);
