Add the type of the leader's load report

Admission under overload and the forecast share it: the forecast fills it in, the leader sends it, and the processes that answer callers decide by it.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -24,6 +24,7 @@
 pub mod manifest;
 pub mod members;
 pub mod message;
+pub mod overload;
 pub mod planner;
 pub mod poller;
 pub mod record;
