Decide in the core what is known of a write to the store

Callers got 504 although nothing had been written: a refused write was sent again and then not answered.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -31,5 +31,6 @@
 pub mod roster;
 pub mod state_cache;
 pub mod store_health;
+pub mod store_write;
 pub mod submission;
 pub mod succession;
--- a/crates/mustardcove-platform/src/http/client.rs
+++ b/crates/mustardcove-platform/src/http/client.rs
@@ -194,6 +194,25 @@
         self.send(Method::POST, uri, HeaderMap::new(), body, not_after, extra_wait, None).await
     }
 
+    /// Posts JSON and returns the complete answer, for which it waits until
+    /// `give_up_at` at the longest.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpClient::post`]; no part of `body` is sent after `give_up_at`.
+    pub async fn post_until(
+        &self,
+        uri: &str,
+        body: Bytes,
+        give_up_at: Timestamp,
+    ) -> Result<Answer, CallError> {
+        let gate = Gate::new(self.clock, give_up_at);
+        let body = GatedBody::new(gate.clone(), body);
+        let wait = self.limits.answer_timeout.min(self.clock.until(give_up_at));
+        let until = Instant::now() + wait;
+        self.call(Method::POST, uri, HeaderMap::new(), gate, body, until).await
+    }
+
     /// Sends JSON with headers and returns the complete answer, as
     /// [`HttpClient::post`] does. With `known`, only connections are used that an
     /// earlier [`Answer`] has shown to lead to the process that gave it: the call
@@ -215,7 +234,8 @@
     ) -> Result<Answer, CallError> {
         let gate = Gate::new(self.clock, not_after).restricted_to(known);
         let body = GatedBody::new(gate.clone(), body);
-        self.call(method, uri, headers, gate, body, extra_wait).await
+        let until = Instant::now() + self.limits.answer_timeout + extra_wait;
+        self.call(method, uri, headers, gate, body, until).await
     }
 
     /// Sends a GET request and returns the complete answer.
@@ -240,7 +260,8 @@
     ) -> Result<Answer, CallError> {
         let gate = Gate::new(self.clock, Timestamp::MAX);
         let body = GatedBody::none(gate.clone());
-        self.call(Method::GET, uri, HeaderMap::new(), gate, body, extra_wait).await
+        let until = Instant::now() + self.limits.answer_timeout + extra_wait;
+        self.call(Method::GET, uri, HeaderMap::new(), gate, body, until).await
     }
 
     async fn call(
@@ -250,9 +271,8 @@
         headers: HeaderMap,
         gate: Gate,
         body: GatedBody,
-        extra_wait: Duration,
+        until: Instant,
     ) -> Result<Answer, CallError> {
-        let until = Instant::now() + self.limits.answer_timeout + extra_wait;
         let result = self.exchange(method, uri, headers, &gate, body, until).await;
         let result = result.map_err(|it| format!("{it:#}"));
         // The exchange has ended or was dropped, but its connection may go on
