Settle unanswered writes, and refuse what was not written

Now nothing is written while the store is in doubt, which a read ends; a peer that lacks the store says so at once; a message that was not queued asks nobody. What was sent and not answered is settled with the first answer of the store within the caller's time, and only then 504. While callers come, a read at most each 300 ms shows that the store is back. Retry-After follows the length of the outage so far, 1 to 4 s, spread. `store_writes` counts the cases.

--- a/crates/mustardcove-node/src/callers.rs
+++ b/crates/mustardcove-node/src/callers.rs
@@ -24,6 +24,7 @@
         id::SubmissionId,
         manifest::{Manifest, Queue},
         message::{StoreChange, StoreOutcome},
+        store_health::retry_after_s,
     },
     time::Timestamp,
 };
@@ -43,9 +44,9 @@
 /// Percentage of the caller's time after which an unknown outcome is reported,
 /// so that the answer arrives in time.
 const DEADLINE_SHARE_PERCENT: u64 = 75;
-/// Value of the Retry-After header if the request cannot be handled now, for
-/// example because the store cannot be reached, in seconds.
-const RETRY_AFTER_SECONDS: u16 = 1;
+/// Value of the Retry-After header if the process has no manifest or no leader,
+/// which takes about a second to change.
+const RETRY_AFTER_SECONDS: u64 = 1;
 /// Time for open requests to end after the listener has closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -157,7 +158,7 @@
         "manifest" => %manifest.version);
     match outcome {
         StoreOutcome::Stored => StatusCode::OK.into_response(),
-        StoreOutcome::NotStored | StoreOutcome::NoSuchSubmission => unavailable(),
+        StoreOutcome::NotStored | StoreOutcome::NoSuchSubmission => store_away(shared),
         StoreOutcome::MayBeStored => StatusCode::GATEWAY_TIMEOUT.into_response(),
     }
 }
@@ -181,7 +182,7 @@
         }
         Err(fault) => {
             warn!(shared.log, "submission state not read"; "submission" => %id, "error" => %fault);
-            unavailable()
+            store_away(shared)
         }
     }
 }
@@ -192,7 +193,7 @@
     match outcome {
         StoreOutcome::Stored => StatusCode::OK.into_response(),
         StoreOutcome::NoSuchSubmission => StatusCode::GONE.into_response(),
-        StoreOutcome::NotStored => unavailable(),
+        StoreOutcome::NotStored => store_away(shared),
         StoreOutcome::MayBeStored => StatusCode::GATEWAY_TIMEOUT.into_response(),
     }
 }
@@ -214,6 +215,22 @@
 }
 
 fn unavailable() -> Response {
-    let retry_after = HeaderValue::from(RETRY_AFTER_SECONDS);
-    (StatusCode::SERVICE_UNAVAILABLE, [(RETRY_AFTER, retry_after)]).into_response()
+    come_back(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS)
+}
+
+/// Answers a request that could not be handled without the store, with the time
+/// at which that is likely back. While callers come, the process looks whether it
+/// is.
+fn store_away(shared: &Arc<Shared>) -> Response {
+    let health = shared.store_health();
+    let now = shared.now();
+    if health.is_in_doubt(now) {
+        shared.probe_store();
+    }
+    let seconds = retry_after_s(health.outage_ms(now), rand::random());
+    come_back(StatusCode::SERVICE_UNAVAILABLE, seconds)
+}
+
+fn come_back(status: StatusCode, after_seconds: u64) -> Response {
+    (status, [(RETRY_AFTER, HeaderValue::from(after_seconds))]).into_response()
 }
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -123,7 +123,7 @@
             let shared = shared.clone();
             tokio::spawn(async move {
                 let deadline = shared.now().plus_ms(PEER_WRITE_TIMEOUT_MS);
-                let outcome = durable::store_directly(&shared, &change, deadline).await;
+                let outcome = durable::store_for_peer(&shared, &change, deadline).await;
                 shared.send(&from, FleetMessage::Stored { request, outcome });
             });
         }
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -3,7 +3,9 @@
 //! A submission exists from the moment its key does, whichever process wrote
 //! it. A write whose outcome is unknown is tried again on the condition that
 //! the key does not exist. Once such a write may still take effect, the caller
-//! is no longer told that the submission was refused.
+//! is no longer told that the submission was refused. The decisions are in
+//! [`store_write`](mustardcove_core::fleet::store_write), see
+//! `docs/design/store-outage.md`.
 
 use std::{sync::Arc, time::Duration};
 
@@ -16,37 +18,25 @@
             self, CANCEL_PREFIX, PROGRESS_PREFIX, ProgressRecord, SUBMISSION_PREFIX,
             UnreadableRecord,
         },
+        store_health::DOUBT_AFTER_MS,
+        store_write::{NextStep, StoreView, WriteAttempts, WriteEnd},
         submission::{Submission, SubmissionState},
     },
+    id::ProcessId,
     time::Timestamp,
     verdict::Verdict,
 };
 use serde::de::DeserializeOwned;
 use slog::{error, info, warn};
+use tokio::sync::oneshot;
 
 use crate::shared::Shared;
 
-/// Pause before a failed write is tried again: a few times the store's usual
-/// latency.
-const RETRY_PAUSE: Duration = Duration::from_millis(40);
-/// Longest pause between two attempts.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(400);
-/// Failed attempts after which another process is asked to write.
-const FAILURES_BEFORE_PEER: u32 = 2;
-
 /// Makes a change durable, through another process if this one does not reach
-/// the store.
+/// the store. Returns the outcome as soon as it is known, and at `deadline` at
+/// the latest.
 pub async fn store(shared: &Arc<Shared>, change: StoreChange, deadline: Timestamp) -> StoreOutcome {
-    let mut outcome = store_directly(shared, &change, deadline).await;
-    if outcome == StoreOutcome::NotStored || outcome == StoreOutcome::MayBeStored {
-        let by_peer = store_via_peer(shared, &change, deadline).await;
-        outcome = match (outcome, by_peer) {
-            (_, StoreOutcome::Stored | StoreOutcome::NoSuchSubmission) => by_peer,
-            (StoreOutcome::NotStored, _) => by_peer,
-            _ => StoreOutcome::MayBeStored,
-        };
-    }
-    outcome
+    store_with(shared, &change, deadline, true).await
 }
 
 /// Makes a change durable without asking another process.
@@ -54,43 +44,136 @@
     shared: &Arc<Shared>,
     change: &StoreChange,
     deadline: Timestamp,
+) -> StoreOutcome {
+    store_with(shared, change, deadline, false).await
+}
+
+/// Makes a change durable for a process that lacks the store. It is told at once
+/// if this process does not reach the store either.
+pub async fn store_for_peer(
+    shared: &Arc<Shared>,
+    change: &StoreChange,
+    deadline: Timestamp,
+) -> StoreOutcome {
+    let (key, _) = encode_change(change);
+    if shared.store_health().is_overdue(shared.now()) && !may_be_stored(shared, &key) {
+        return StoreOutcome::NotStored;
+    }
+    store_directly(shared, change, deadline).await
+}
+
+/// Returns whether a write of a submission, for an earlier request to this
+/// process, may take effect.
+pub fn may_submission_be_stored(shared: &Shared, id: SubmissionId) -> bool {
+    may_be_stored(shared, &record::key_of(SUBMISSION_PREFIX, id))
+}
+
+fn may_be_stored(shared: &Shared, key: &str) -> bool {
+    shared.unsettled_writes().may_be_stored(key, shared.now())
+}
+
+async fn store_with(
+    shared: &Arc<Shared>,
+    change: &StoreChange,
+    deadline: Timestamp,
+    may_ask_peer: bool,
 ) -> StoreOutcome {
     // A leader of an earlier term may learn of the change once it is written.
     let term = shared.leadership.borrow().term;
-    let mut may_be_stored = false;
-    let mut failures = 0;
-    let mut pause = RETRY_PAUSE;
+    let (key, _) = encode_change(change);
+    let mut attempts = WriteAttempts::new(deadline, may_be_stored(shared, &key));
+    let mut answers = shared.store_answers();
+    let mut peer: Option<PeerRequest> = None;
     loop {
-        if shared.is_store_away() {
-            // A caller who is told so at once can come back in time.
-            return if may_be_stored { StoreOutcome::MayBeStored } else { StoreOutcome::NotStored };
-        }
-        match write_once(shared, change).await {
-            Ok(written) => {
-                shared.store_answered();
-                return match written {
-                    Written::Now | Written::Earlier => {
-                        announce(shared, change, (written == Written::Now).then_some(term));
-                        StoreOutcome::Stored
+        answers.mark_unchanged();
+        let outcome = match attempts.next(view(shared, &key, may_ask_peer), shared.now()) {
+            NextStep::Write => {
+                let patience = Duration::from_millis(attempts.patience_ms());
+                let written = write_once(shared, change, &key, deadline, patience).await;
+                settle(shared, change, &key, &mut attempts, written, Some(term))
+            }
+            NextStep::ReadBack => match in_time(shared, deadline, shared.store.get(&key)).await {
+                Ok(Some(_)) => {
+                    settle(shared, change, &key, &mut attempts, Ok(Written::Earlier), None)
+                }
+                Ok(None) => {
+                    shared.store_answered();
+                    attempts.not_found(shared.now());
+                    None
+                }
+                Err(fault) => settle(shared, change, &key, &mut attempts, Err(fault), None),
+            },
+            NextStep::AskPeer => {
+                attempts.peer_asked();
+                peer = PeerRequest::send(shared, change, &key);
+                None
+            }
+            NextStep::Wait(until) => {
+                let now = shared.now();
+                if shared.store_health().is_in_doubt(now) {
+                    shared.probe_store();
+                }
+                tokio::select! {
+                    _ = answers.changed() => None,
+                    answer = PeerRequest::answer(&mut peer) => {
+                        peer = None;
+                        peer_answered(shared, change, &key, &mut attempts, answer)
                     }
-                    Written::NoSuchSubmission => StoreOutcome::NoSuchSubmission,
-                };
+                    () = shared.clock.sleep_until(until.min(now.plus_ms(DOUBT_AFTER_MS))) => None,
+                }
             }
-            Err(fault) => {
-                shared.store_failed();
-                may_be_stored |= fault.verdict == Verdict::MayHaveRun;
-                failures += 1;
-                let (key, _) = encode_change(change);
-                warn!(shared.log, "write to the store failed"; "key" => key,
-                    "error" => %fault, "refusals" => failures);
+            NextStep::Finish(outcome) => Some(outcome),
+        };
+        if let Some(outcome) = outcome {
+            let end = attempts.end(outcome);
+            shared.metrics.store_write(end.into());
+            if end != WriteEnd::Answered {
+                info!(shared.log, "write not answered at once"; "key" => &key,
+                    "outcome" => %outcome, "end" => %end, "may_ask_peer" => may_ask_peer,
+                    "outage_ms" => shared.store_health().outage_ms(shared.now()));
             }
+            return outcome;
         }
-        let is_late = deadline <= shared.now().plus_ms(pause.as_millis() as u64);
-        if is_late || (FAILURES_BEFORE_PEER <= failures && !shared.reaches_store()) {
-            return if may_be_stored { StoreOutcome::MayBeStored } else { StoreOutcome::NotStored };
+    }
+}
+
+fn view(shared: &Shared, key: &str, may_ask_peer: bool) -> StoreView {
+    let now = shared.now();
+    let health = shared.store_health();
+    StoreView {
+        is_away: health.is_away(now),
+        is_in_doubt: health.is_in_doubt(now),
+        may_be_stored: may_be_stored(shared, key),
+        has_peer: may_ask_peer && peer_to_ask(shared).is_some(),
+    }
+}
+
+/// Records the result of an attempt, and returns the outcome if it is known.
+/// `term` is the one that was known before the attempt.
+fn settle(
+    shared: &Shared,
+    change: &StoreChange,
+    key: &str,
+    attempts: &mut WriteAttempts,
+    written: Result<Written, StoreFault>,
+    term: Option<Term>,
+) -> Option<StoreOutcome> {
+    match written {
+        Ok(written) => {
+            shared.store_answered();
+            if written == Written::NoSuchSubmission {
+                return Some(StoreOutcome::NoSuchSubmission);
+            }
+            shared.unsettled_writes().settled(key);
+            announce(shared, change, term.filter(|_| written == Written::Now));
+            Some(StoreOutcome::Stored)
+        }
+        Err(fault) => {
+            shared.store_failed();
+            attempts.attempt_failed(fault.verdict, shared.now());
+            warn!(shared.log, "write to the store failed"; "key" => key, "error" => %fault);
+            None
         }
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(MAX_RETRY_PAUSE);
     }
 }
 
@@ -114,18 +197,64 @@
     NoSuchSubmission,
 }
 
-async fn write_once(shared: &Shared, change: &StoreChange) -> Result<Written, StoreFault> {
+/// Sends the conditional write of a change. It is given up once the store has
+/// answered a later call, since that one is likely to be answered, too.
+async fn write_once(
+    shared: &Arc<Shared>,
+    change: &StoreChange,
+    key: &str,
+    deadline: Timestamp,
+    patience: Duration,
+) -> Result<Written, StoreFault> {
     if let StoreChange::Cancel(id) = change
-        && find_state(shared, *id).await?.is_none()
+        && in_time(shared, deadline, find_state(shared, *id)).await?.is_none()
     {
         return Ok(Written::NoSuchSubmission);
     }
-    let (key, value) = encode_change(change);
-    let write = Write::default().expect(key.clone(), 0).set(key, &value);
-    // A conflict means that the key exists already, as it should.
-    match shared.store.write(&write).await? {
-        WriteOutcome::Committed(_) => Ok(Written::Now),
-        WriteOutcome::Conflict(_) => Ok(Written::Earlier),
+    let (_, value) = encode_change(change);
+    let write = Write::default().expect(key, 0).set(key, &value);
+    shared.store_write_sent(key);
+    // A caller that leaves drops this future, and the write remains unsettled.
+    let written = tokio::select! {
+        written = shared.store.write_until(&write, deadline) => written,
+        () = later_answer(shared, patience) => {
+            Err(StoreFault::given_up(Verdict::MayHaveRun, "the store answers later calls"))
+        }
+    };
+    match written {
+        // A conflict means that the key exists already, as it should.
+        Ok(WriteOutcome::Conflict(_)) => Ok(Written::Earlier),
+        Ok(WriteOutcome::Committed(_)) => Ok(Written::Now),
+        Err(fault) => {
+            if fault.verdict == Verdict::NotRun {
+                shared.unsettled_writes().not_run(key);
+            }
+            Err(fault)
+        }
+    }
+}
+
+/// Waits for the result of a read until `deadline` at the longest.
+async fn in_time<T>(
+    shared: &Shared,
+    deadline: Timestamp,
+    read: impl Future<Output = Result<T, StoreFault>>,
+) -> Result<T, StoreFault> {
+    let result = tokio::time::timeout(shared.clock.until(deadline), read).await;
+    result.unwrap_or_else(|_| Err(StoreFault::given_up(Verdict::NotRun, "the caller's time ends")))
+}
+
+/// Waits until a write that begins now has been unanswered for `patience`, and
+/// the store has then answered another call.
+async fn later_answer(shared: &Arc<Shared>, patience: Duration) {
+    tokio::time::sleep(patience).await;
+    let mut answers = shared.store_answers();
+    loop {
+        shared.probe_store();
+        let pause = Duration::from_millis(DOUBT_AFTER_MS);
+        if let Ok(Ok(())) = tokio::time::timeout(pause, answers.changed()).await {
+            return;
+        }
     }
 }
 
@@ -145,30 +274,79 @@
     }
 }
 
-async fn store_via_peer(
-    shared: &Arc<Shared>,
+/// Returns a process that reached the store recently, other than this one.
+fn peer_to_ask(shared: &Shared) -> Option<ProcessId> {
+    let heartbeat = shared.last_heartbeat();
+    heartbeat.reaching_store.iter().find(|it| **it != shared.process).cloned()
+}
+
+/// A request to another process to write a change.
+struct PeerRequest {
+    shared: Arc<Shared>,
+    request: u64,
+    answer: oneshot::Receiver<StoreOutcome>,
+}
+
+impl PeerRequest {
+    /// Asks a peer; returns `None` if there is none or the request cannot have
+    /// left this process.
+    fn send(shared: &Arc<Shared>, change: &StoreChange, key: &str) -> Option<PeerRequest> {
+        let peer = peer_to_ask(shared)?;
+        let (request, answer) = shared.begin_store_request();
+        let pending = PeerRequest { shared: shared.clone(), request, answer };
+        info!(shared.log, "asking a peer to write to the store"; "peer" => %peer,
+            "request" => request, "key" => key);
+        let message = FleetMessage::Store { request, change: change.clone() };
+        shared.try_send(&peer, message).then(|| {
+            shared.unsettled_writes().sent(key, shared.now());
+            pending
+        })
+    }
+
+    /// Waits for the answer of a request; forever if there is none. The answer
+    /// is `None` if it was lost.
+    async fn answer(request: &mut Option<PeerRequest>) -> Option<StoreOutcome> {
+        match request {
+            Some(it) => (&mut it.answer).await.ok(),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+impl Drop for PeerRequest {
+    fn drop(&mut self) {
+        self.shared.end_store_request(self.request, None);
+    }
+}
+
+/// Records the answer of a peer, and returns the outcome if it is known.
+fn peer_answered(
+    shared: &Shared,
     change: &StoreChange,
-    deadline: Timestamp,
-) -> StoreOutcome {
-    let peers = shared.last_heartbeat().reaching_store.clone();
-    let Some(peer) = peers.iter().find(|it| **it != shared.process) else {
-        return StoreOutcome::NotStored;
-    };
-    let (request, answer) = shared.begin_store_request();
-    info!(shared.log, "asking a peer to write to the store"; "peer" => %peer, "request" => request);
-    shared.send(peer, FleetMessage::Store { request, change: change.clone() });
-    let outcome = tokio::time::timeout(shared.clock.until(deadline), answer).await;
-    shared.end_store_request(request, None);
-    match outcome {
-        Ok(Ok(outcome)) => {
-            if outcome == StoreOutcome::Stored
-                && let StoreChange::Submit(submission) = change
-            {
+    key: &str,
+    attempts: &mut WriteAttempts,
+    answer: Option<StoreOutcome>,
+) -> Option<StoreOutcome> {
+    match answer {
+        Some(outcome @ StoreOutcome::Stored) => {
+            shared.unsettled_writes().settled(key);
+            if let StoreChange::Submit(submission) = change {
                 shared.states().record(submission.id, SubmissionState::Queued);
             }
-            outcome
+            Some(outcome)
+        }
+        Some(outcome @ StoreOutcome::NoSuchSubmission) => {
+            shared.unsettled_writes().not_run(key);
+            Some(outcome)
+        }
+        Some(StoreOutcome::NotStored) => {
+            shared.unsettled_writes().not_run(key);
+            None
+        }
+        Some(StoreOutcome::MayBeStored) | None => {
+            attempts.peer_unknown();
+            None
         }
-        Ok(Err(_)) | Err(_) => StoreOutcome::MayBeStored,
     }
 }
 
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -20,6 +20,7 @@
     requests: Counter<u64>,
     request_ms: Histogram<f64>,
     store_faults: Counter<u64>,
+    store_writes: Counter<u64>,
     polls: Counter<u64>,
     orders: Counter<u64>,
     leader_inputs_dropped: Counter<u64>,
@@ -59,6 +60,7 @@
                 .with_boundaries(LATENCY_BUCKETS_MS.to_vec())
                 .build(),
             store_faults: counter("store_faults", "Store calls without a usable answer."),
+            store_writes: counter("store_writes", "Writes for callers by how they ended."),
             polls: counter("worker_looks", "Looks at workers by result."),
             orders: counter("worker_orders", "Orders to workers by kind and outcome."),
             leader_inputs_dropped: counter(
@@ -156,6 +158,11 @@
         self.store_faults.add(1, &[]);
     }
 
+    /// Counts a write for a caller, or for another process.
+    pub fn store_write(&self, end: &'static str) {
+        self.store_writes.add(1, &[KeyValue::new("end", end)]);
+    }
+
     /// Counts a poll of a worker.
     pub fn poll(&self, is_answered: bool) {
         self.polls.add(1, &[KeyValue::new("answered", is_answered)]);
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -20,8 +20,10 @@
         manifest::Manifest,
         message::{FleetMessage, Heartbeat, StoreOutcome},
         poller::LeasePermission,
+        record::LEADER_KEY,
         state_cache::StateCache,
         store_health::StoreHealth,
+        store_write::UnsettledWrites,
     },
     id::{FailureDomainId, ProcessId},
     message::PeerMessage,
@@ -39,6 +41,9 @@
 /// Age up to which the numbers of pending submissions are given to callers, in
 /// milliseconds, which is as old as users accept.
 const PENDING_VALID_MS: u64 = 2_000;
+/// Shortest time between two probes of the store, in milliseconds: a few calls a
+/// second while callers wait, and none otherwise.
+const PROBE_INTERVAL_MS: u64 = 300;
 
 /// The leader, as far as this process knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -119,6 +124,11 @@
     candidacy_changed: Notify,
     last_heartbeat: Mutex<LastHeartbeat>,
     store_health: Mutex<StoreHealth>,
+    unsettled_writes: Mutex<UnsettledWrites>,
+    /// Changes with each answer of the store.
+    store_answers: watch::Sender<()>,
+    /// No probe of the store is sent before this time.
+    probe_at: Mutex<Timestamp>,
     /// What long-running tasks wait for, while this process leads.
     long_running_waits: Mutex<Vec<String>>,
     next_request: AtomicU64,
@@ -178,6 +188,9 @@
             candidacy_changed: Notify::new(),
             last_heartbeat: Mutex::default(),
             store_health: Mutex::default(),
+            unsettled_writes: Mutex::default(),
+            store_answers: watch::Sender::new(()),
+            probe_at: Mutex::default(),
             long_running_waits: Mutex::default(),
             next_request: AtomicU64::new(1),
             store_requests: Mutex::default(),
@@ -354,6 +367,50 @@
     /// Records that the store answered.
     pub fn store_answered(&self) {
         lock(&self.store_health).record_answer(self.now());
+        self.store_answers.send_replace(());
+    }
+
+    /// Records that a write of a key is sent to the store, and may take effect
+    /// from now on.
+    pub fn store_write_sent(&self, key: &str) {
+        let now = self.now();
+        lock(&self.store_health).record_write(now);
+        self.unsettled_writes().sent(key, now);
+    }
+
+    /// Returns what the calls of this process show of the store.
+    pub fn store_health(&self) -> StoreHealth {
+        *lock(&self.store_health)
+    }
+
+    /// Returns the keys with writes that may take effect.
+    pub fn unsettled_writes(&self) -> MutexGuard<'_, UnsettledWrites> {
+        lock(&self.unsettled_writes)
+    }
+
+    /// Returns a receiver that is notified of each answer of the store.
+    pub fn store_answers(&self) -> watch::Receiver<()> {
+        self.store_answers.subscribe()
+    }
+
+    /// Reads a key to learn whether the store answers, unless that was tried a
+    /// moment ago. Does not wait for the answer.
+    pub fn probe_store(self: &Arc<Self>) {
+        let now = self.now();
+        {
+            let mut probe_at = lock(&self.probe_at);
+            if now < *probe_at {
+                return;
+            }
+            *probe_at = now.plus_ms(PROBE_INTERVAL_MS);
+        }
+        let shared = self.clone();
+        tokio::spawn(async move {
+            match shared.store.get(LEADER_KEY).await {
+                Ok(_) => shared.store_answered(),
+                Err(_) => shared.store_failed(),
+            }
+        });
     }
 
     /// Records a call to the store that was refused or not answered.
@@ -362,11 +419,6 @@
         lock(&self.store_health).record_failure();
     }
 
-    /// Returns whether the store counts as away, so that a write is not tried.
-    pub fn is_store_away(&self) -> bool {
-        lock(&self.store_health).is_away(self.now())
-    }
-
     /// Returns whether the store answered recently.
     pub fn reaches_store(&self) -> bool {
         lock(&self.store_health).is_reached(self.now())
@@ -374,10 +426,18 @@
 
     /// Sends a message to another process, or to this one.
     pub fn send(&self, to: &ProcessId, message: FleetMessage) {
-        if let Err(error) = self.peers.send(to, &PeerMessage::Fleet(Box::new(message))) {
-            // Messages that must arrive are repeated by the sender.
+        // Messages that must arrive are repeated by the sender.
+        let _ = self.try_send(to, message);
+    }
+
+    /// Sends a message as [`Shared::send`] does, and returns whether it may
+    /// arrive.
+    pub fn try_send(&self, to: &ProcessId, message: FleetMessage) -> bool {
+        let result = self.peers.send(to, &PeerMessage::Fleet(Box::new(message)));
+        if let Err(error) = &result {
             debug!(self.log, "message not sent"; "to" => %to, "error" => %error);
         }
+        result.is_ok()
     }
 
     /// Sends a message to several processes, and encodes it once.
--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -431,6 +431,21 @@
         Some(self.call(node, Method::POST, &path, Some(body.clone())).await?.0)
     }
 
+    /// Submits and returns the status with the value of Retry-After.
+    pub(crate) async fn submit_once(
+        &self,
+        node: usize,
+        id: SubmissionId,
+        body: &Value,
+    ) -> Option<(StatusCode, Option<u64>)> {
+        let uri = format!("http://{}:{CALLERS_PORT}{PREFIX}{id}", self.nodes[node].ip);
+        let req = self.client.post(uri).header("host", HOST).json(body);
+        let resp = req.timeout(Duration::from_secs(3)).send().await.ok()?;
+        let retry_after = resp.headers().get("retry-after");
+        let seconds = retry_after.and_then(|it| it.to_str().ok()?.parse().ok());
+        Some((resp.status(), seconds))
+    }
+
     pub(crate) async fn state(&self, node: usize, id: SubmissionId) -> Option<String> {
         let (status, body) = self.call(node, Method::GET, &format!("{PREFIX}{id}"), None).await?;
         if status == StatusCode::GONE {
