Bound the wait for a store that refuses calls

A caller of a refusing store was told after 2.25 s: the store still answered a watch that it held before, which ended the doubt for a while. A write that was not sent now waits for 1.3 s at most.

--- a/crates/mustardcove-core/src/fleet/store_write.rs
+++ b/crates/mustardcove-core/src/fleet/store_write.rs
@@ -24,6 +24,10 @@
 /// Number of refused writes after which the caller is told so although the
 /// store answers other calls: some refusals in a row are no coincidence.
 const MAX_REFUSED_WRITES: u32 = 4;
+/// Time that a caller waits whose write is not sent because the store is in doubt,
+/// in milliseconds: as long as it takes to notice a store that is away. It may
+/// not count as away then, since watches that it held before are still answered.
+const MAX_DOUBT_WAIT_MS: u64 = 1_300;
 /// Number of times that the patience with a write doubles at most.
 const MAX_PATIENCE_SHIFT: u32 = 4;
 /// Most keys that are remembered as unsettled, which bounds the memory. The
@@ -67,6 +71,7 @@
 /// The attempts to write one key for one caller.
 #[derive(Clone, Debug)]
 pub struct WriteAttempts {
+    began_at: Timestamp,
     give_up_at: Timestamp,
     next_at: Timestamp,
     pause_ms: u64,
@@ -78,11 +83,12 @@
 }
 
 impl WriteAttempts {
-    /// Returns the state before the first attempt for a caller that is answered
-    /// by `give_up_at`. `was_unknown` tells whether an attempt for an earlier
+    /// Returns the state before the first attempt, now, for a caller that is
+    /// answered by `give_up_at`. `was_unknown` tells whether an attempt for an earlier
     /// request may take effect.
-    pub fn new(give_up_at: Timestamp, was_unknown: bool) -> WriteAttempts {
+    pub fn new(now: Timestamp, give_up_at: Timestamp, was_unknown: bool) -> WriteAttempts {
         WriteAttempts {
+            began_at: now,
             give_up_at,
             next_at: Timestamp::default(),
             pause_ms: RETRY_PAUSE_MS,
@@ -104,7 +110,8 @@
             });
         }
         let is_refused = MAX_REFUSED_WRITES <= self.refused_writes;
-        let lacks_store = view.is_away || is_refused;
+        let has_waited = MAX_DOUBT_WAIT_MS <= now.ms_since(self.began_at);
+        let lacks_store = view.is_away || is_refused || (view.is_in_doubt && has_waited);
         let is_unanswered = view.is_in_doubt && view.may_be_stored;
         if (lacks_store || is_unanswered) && view.has_peer && !self.has_asked_peer {
             return NextStep::AskPeer;
@@ -113,7 +120,9 @@
             return NextStep::Finish(StoreOutcome::NotStored);
         }
         if view.is_in_doubt {
-            return NextStep::Wait(self.give_up_at);
+            let until = self.began_at.plus_ms(MAX_DOUBT_WAIT_MS);
+            let until = if has_waited { self.give_up_at } else { until };
+            return NextStep::Wait(until.min(self.give_up_at));
         }
         if now < self.next_at {
             return NextStep::Wait(self.next_at.min(self.give_up_at));
--- a/crates/mustardcove-core/tests/store_writes.rs
+++ b/crates/mustardcove-core/tests/store_writes.rs
@@ -23,7 +23,7 @@
     StoreView { is_away: false, is_in_doubt: false, may_be_stored: false, has_peer: false };
 
 fn attempts() -> WriteAttempts {
-    WriteAttempts::new(GIVE_UP_AT, false)
+    WriteAttempts::new(START, GIVE_UP_AT, false)
 }
 
 /// What the store does with a call.
@@ -126,7 +126,9 @@
     let away = StoreView { is_away: true, is_in_doubt: true, ..CALM };
     assert_eq!(attempts().next(away, START), NextStep::Finish(StoreOutcome::NotStored));
     let unsettled = StoreView { may_be_stored: true, ..away };
-    assert_eq!(attempts().next(unsettled, START), NextStep::Wait(GIVE_UP_AT));
+    let doubt_ends = START.plus_ms(1_300);
+    assert_eq!(attempts().next(unsettled, START), NextStep::Wait(doubt_ends));
+    assert_eq!(attempts().next(unsettled, doubt_ends), NextStep::Wait(GIVE_UP_AT));
     let late = attempts().next(unsettled, GIVE_UP_AT);
     assert_eq!(late, NextStep::Finish(StoreOutcome::MayBeStored));
 }
@@ -134,8 +136,9 @@
 #[test]
 fn no_write_in_doubt() {
     let in_doubt = StoreView { is_in_doubt: true, ..CALM };
-    assert_eq!(attempts().next(in_doubt, START), NextStep::Wait(GIVE_UP_AT));
-    let end = attempts().next(in_doubt, GIVE_UP_AT);
+    let until = START.plus_ms(1_300);
+    assert_eq!(attempts().next(in_doubt, START), NextStep::Wait(until));
+    let end = attempts().next(in_doubt, until);
     assert_eq!(end, NextStep::Finish(StoreOutcome::NotStored), "nothing was sent");
     assert_eq!(attempts().end(StoreOutcome::NotStored), WriteEnd::NotSent);
     assert_eq!(attempts().next(CALM, START), NextStep::Write);
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -81,7 +81,7 @@
     // A leader of an earlier term may learn of the change once it is written.
     let term = shared.leadership.borrow().term;
     let (key, _) = encode_change(change);
-    let mut attempts = WriteAttempts::new(deadline, may_be_stored(shared, &key));
+    let mut attempts = WriteAttempts::new(shared.now(), deadline, may_be_stored(shared, &key));
     let mut answers = shared.store_answers();
     let mut peer: Option<PeerRequest> = None;
     loop {
