Keep last attempts away from workers that fail

Workers that fail everything while they claim to be well, or by turns, used up both attempts of some tasks: a task that had failed on one went to another, as failing workers always have free capacity, and a single sound run made one that fails by turns trusted like any other.

Workers that have failed nothing are chosen as before.

--- a/crates/mustardcove-core/src/fleet/planner/choice.rs
+++ b/crates/mustardcove-core/src/fleet/planner/choice.rs
@@ -39,6 +39,10 @@
     pub(super) may_use_suspended: bool,
     /// Whether their starts are ordered only once they are recorded.
     pub(super) is_withheld: bool,
+    /// Whether one of them has failed before.
+    pub(super) has_failed: bool,
+    /// Whether one of them has one attempt left.
+    pub(super) is_last_attempt: bool,
     /// Whether they are suspected of a crash, and start without isolation.
     pub(super) is_released: bool,
 }
@@ -65,6 +69,8 @@
             is_starved: false,
             may_use_suspended: false,
             is_withheld: false,
+            has_failed: false,
+            is_last_attempt: false,
             is_released: false,
         }
     }
@@ -131,6 +137,10 @@
             let is_placeable = self.is_placeable(TaskKey { step: key, index }, &work.submission);
             if task.is_waiting() && task.not_before <= now && is_placeable {
                 pending.tasks.push((index, task.avoid));
+                let failed = task.failed_runs.len();
+                pending.has_failed |= 0 < failed;
+                pending.is_last_attempt |=
+                    !spec.is_long_running && work.queue.attempts as usize <= failed + 1;
             }
             // All members of a gang wait for the record of one of them.
             pending.is_withheld |= spec.is_gang && task.suspicion.is_some();
@@ -324,6 +334,13 @@
         // A crash there would count against it.
         let is_unsound = pending.is_released && !self.suspects.is_worker_sound(worker, now);
         let score = if is_unsound { score - placement::MISFIT_PENALTY } else { score };
+        // The submission fails if the last attempt does.
+        let is_doubtful = pending.is_last_attempt && worker.circuit_breaker.is_doubtful(now);
+        let is_unproven = pending.is_last_attempt
+            && pending.has_failed
+            && !worker.circuit_breaker.has_succeeded_recently(now);
+        let doubts = i64::from(is_doubtful) * 2 + i64::from(is_unproven);
+        let score = score - doubts * placement::MISFIT_PENALTY / 2;
         let slowness = worker.speed.slowness(now);
         if slowness <= 1.0 {
             return Ok(score);
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -376,7 +376,7 @@
 
     fn update_circuit_breaker(&mut self, index: WorkerIndex, end: &EndedRun, now: Timestamp) {
         match end.kind {
-            EndKind::Done => self.workers[index].circuit_breaker.record_success(),
+            EndKind::Done => self.workers[index].circuit_breaker.record_success(now),
             EndKind::Failed => self.record_failure(index, end.task, end.kind.into(), now),
             _ => {}
         }
