Recognise demands that no worker can hold

A step that is larger than any worker of its pool, or needs a label that none has, was tried again on each worker that had changed, and tried to reserve workers in each round. Once it fits nowhere, the planner now finds out whether any listed worker could ever hold it, and leaves it out of the rounds until a worker is added or changes its pool, capacity or labels. A line `demand_impossible` names what it needs.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -184,6 +184,8 @@
     /// A worker gets no new work for some time.
     #[strum(serialize = "worker_closed")]
     WorkerSuspended,
+    /// No worker of the pool can ever hold a task of a step.
+    DemandImpossible,
     /// A worker is slower than others.
     WorkerSlow,
     /// A worker that was slow is no longer.
@@ -297,6 +299,8 @@
     next_straggler_check: Timestamp,
     /// Number of runs so far that were stopped to go on faster elsewhere.
     straggler_moves: u64,
+    /// Rises when workers are added, or change in what they can ever hold.
+    fleet_version: u64,
     /// Factor by which tasks of each pool take longer than estimated: the median.
     pool_factors: BTreeMap<String, f32>,
     /// Number of times that a worker was scored for a task, which is most of
@@ -354,6 +358,7 @@
             moves: Vec::new(),
             next_straggler_check: Timestamp::default(),
             straggler_moves: 0,
+            fleet_version: 0,
             pool_factors: BTreeMap::new(),
             scored_workers: AtomicU64::new(0),
             actions: Actions::default(),
@@ -550,12 +555,14 @@
             let is_newer = worker.listing.incarnation <= listing.incarnation
                 || worker.incarnation == Some(listing.incarnation)
                 || has_moved;
+            self.fleet_version += u64::from(!worker.is_listed);
             worker.is_listed = true;
             if worker.listing.incarnation < listing.incarnation || has_moved {
                 worker.restored();
             }
             if is_newer && worker.listing != listing {
                 worker.is_changed = true;
+                self.fleet_version += u64::from(!worker.listing.can_hold_as(&listing));
                 worker.was_draining |=
                     listing.is_draining && worker.incarnation == Some(listing.incarnation);
                 let is_elsewhere = worker.listing.address != listing.address;
@@ -582,6 +589,7 @@
             listing.address, listing.incarnation
         );
         self.workers.push(Worker::new(listing, &self.earlier_leases));
+        self.fleet_version += 1;
         self.worker_index.insert(id.clone(), index);
         self.update_evacuated(index);
         self.log_decision(DecisionKind::WorkerListed, None, Some(id), || inputs);
--- a/crates/mustardcove-core/src/fleet/planner/round.rs
+++ b/crates/mustardcove-core/src/fleet/planner/round.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    Planner,
+    DecisionKind, Planner,
     placement::{self, Obstacle},
     rank::{Rank, WaitingStep},
     reservations::MAX_RESERVE_TRIES,
@@ -182,6 +182,43 @@
         Some(changed.filter(may_use).collect())
     }
 
+    /// Finds out whether a step needs more than any worker of its pool has, or a
+    /// label that none has. It is not tried again until the workers change.
+    fn find_impossible(&mut self, key: StepKey, spec: &StepSpec, now: Timestamp) {
+        let Some(work) = self.work.get(&key.submission) else { return };
+        let occurrence = work.occurrence(key.occurrence);
+        let known = occurrence.and_then(|it| it.steps[usize::from(key.step)].is_possible);
+        if known.is_some_and(|it| it.0 == self.fleet_version) {
+            return;
+        }
+        let needed = spec.allocation();
+        let service = &work.queue.service;
+        let can_hold = |it: &Worker| {
+            it.is_listed
+                && placement::is_eligible(it, spec, service)
+                && needed.fits_in(it.listing.capacity)
+        };
+        let is_possible = self.workers.iter().any(can_hold);
+        let workers = self.workers.iter().filter(|it| it.listing.service == *service).count();
+        let waited_ms = now.ms_since(work.known_since);
+        let inputs = format!(
+            "step={key} cpu={} memory={} label={} workers={workers} waited_ms={waited_ms}",
+            spec.demand.cpu,
+            spec.demand.memory,
+            spec.requirement.as_deref().unwrap_or("-"),
+        );
+        let version = self.fleet_version;
+        let work = self.work.get_mut(&key.submission);
+        let occurrence = work.and_then(|it| it.occurrence_mut(key.occurrence));
+        if let Some(occurrence) = occurrence {
+            occurrence.steps[usize::from(key.step)].is_possible = Some((version, is_possible));
+        }
+        if !is_possible {
+            let submission = Some(key.submission);
+            self.log_decision(DecisionKind::DemandImpossible, submission, None, || inputs);
+        }
+    }
+
     /// Records that tasks of a step found no worker in this round.
     fn record_tried(&mut self, key: StepKey, may_use_reserved: bool) {
         let round = self.round;
@@ -212,6 +249,9 @@
         let Some(work) = self.work.get(&key.submission) else { return false };
         let occurrence = work.occurrence(key.occurrence);
         let step = occurrence.and_then(|it| it.steps.get(usize::from(key.step)));
+        if step.is_some_and(|it| it.is_possible == Some((self.fleet_version, false))) {
+            return false;
+        }
         let is_gang = work.submission.steps[usize::from(key.step)].is_gang;
         let is_placeable = |(i, it): (usize, &Task)| {
             let task = TaskKey { step: key, index: i as u16 };
@@ -264,6 +304,8 @@
         let may_use_more = may_use_suspended || (spec.is_long_running && is_overdue);
         let may_skip = !needs_ticket && !may_use_more && reserved.is_empty();
         if may_skip && round.is_unplaceable(&work.queue.service, spec) {
+            self.find_impossible(key, spec, now);
+            let Some(work) = self.work.get(&key.submission) else { return };
             if may_reserve {
                 let service = work.queue.service.clone();
                 let tasks =
@@ -288,6 +330,9 @@
         let fits_nowhere = if spec.is_gang { chosen.is_empty() } else { chosen.len() < waiting };
         if fits_nowhere && !pending.needs_ticket {
             round.record_unplaceable(&pending.service, spec);
+            if chosen.is_empty() {
+                self.find_impossible(key, spec, now);
+            }
             self.record_tried(key, may_use_reserved);
         }
         let unplaced = waiting - chosen.len();
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -91,6 +91,9 @@
     pub(super) critical_path_ms: u64,
     /// The last placement round that left a task of it waiting.
     pub(super) tried: Option<TriedRound>,
+    /// Whether a worker could ever hold one of its tasks, and the version of the
+    /// list of workers for which that was found out.
+    pub(super) is_possible: Option<(u64, bool)>,
     /// What its tasks that are done took.
     pub(super) durations: StepDurations,
 }
@@ -246,6 +249,7 @@
                 started_at: Timestamp::default(),
                 critical_path_ms,
                 tried: None,
+                is_possible: None,
                 durations: StepDurations::default(),
             }
         });
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -54,6 +54,15 @@
     pub host: Option<HostId>,
 }
 
+impl WorkerListing {
+    /// Returns whether another entry offers the same pool, capacity and labels.
+    pub(super) fn can_hold_as(&self, other: &WorkerListing) -> bool {
+        self.service == other.service
+            && self.capacity == other.capacity
+            && self.labels == other.labels
+    }
+}
+
 /// The capacity and processor time that a run holds on a worker.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Allocation {
--- a/crates/mustardcove-core/tests/uneven_workers.rs
+++ b/crates/mustardcove-core/tests/uneven_workers.rs
@@ -49,7 +49,6 @@
         fleet.spread = 0.5..1.5;
         judged.push(run(&mut fleet, 1, 30, 20, &batch(10)));
     }
-    println!("judged slow, in percent: {judged:.3?}");
     assert!(judged.iter().all(|it| *it < 0.5), "{judged:?}");
 }
 
@@ -95,7 +94,6 @@
         it.iter().map(|it| it.starts).sum::<u64>() as f64 / it.len() as f64
     };
     let (on_slow, on_others) = (starts(&fleet.workers[..6]), starts(&fleet.workers[6..]));
-    println!("{slow} found in 8 s; {on_slow:.1} starts on slow workers, {on_others:.1} on others");
     assert!(5 <= slow, "{slow} of 6 are found");
     assert!(0.0 < on_slow && on_slow < 0.12 * on_others, "{on_slow} and {on_others}");
     for worker in &mut fleet.workers[..6] {
