Allow runs the time to restore before they progress

A run that had shown no progress 0.4 s after its start counted as slow, since one percent was the most that it could have done. Runs may take up to 600 ms to restore a checkpoint, so that time is not counted.

--- a/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
+++ b/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
@@ -52,6 +52,9 @@
 const MIN_ESTIMATE_MS: u64 = 100;
 /// Shortest time after which a run's progress is compared, in milliseconds.
 const MIN_WINDOW_MS: u64 = 300;
+/// Time that a run may take before it progresses, in milliseconds: the longest
+/// restore of a checkpoint.
+const MAX_RESTORE_MS: u64 = 600;
 /// Time after which progress counts anew, in milliseconds, so that a run which
 /// has been fast for long shows when its worker becomes slow.
 const WINDOW_MS: u64 = 2_500;
@@ -150,7 +153,10 @@
         let whole_ms = |ms: u64, percent: u8| ms as f32 * 100.0 / f32::from(percent);
         let bounds = (MIN_WINDOW_MS <= shortest_ms).then(|| DurationBounds {
             // The percentage is rounded down, and may be that of a later time.
-            at_least: whole_ms(shortest_ms, percent - it.from_percent + 1),
+            at_least: whole_ms(
+                shortest_ms.saturating_sub(MAX_RESTORE_MS),
+                percent - it.from_percent + 1,
+            ),
             // The last percentage was that of an earlier time.
             at_most: (it.from_percent < it.last_percent).then(|| {
                 whole_ms(asked_at.ms_since(it.earliest), it.last_percent - it.from_percent)
@@ -331,7 +337,8 @@
         let Some(current) = self.current_run(index, task, run) else { return };
         let Some(window) = current.window.filter(|it| it.is_whole_run) else { return };
         let longest_ms = now.ms_since(current.ordered_at) as f32;
-        let shortest_ms = current.listed_at.map_or(0, |it| it.ms_since(window.earliest)) as f32;
+        let shortest_ms = current.listed_at.map_or(0, |it| it.ms_since(window.earliest));
+        let shortest_ms = shortest_ms.saturating_sub(MAX_RESTORE_MS) as f32;
         let Some(work) = self.work.get(&task.step.submission) else { return };
         let spec = &work.submission.steps[usize::from(task.step.step)];
         let worker = &self.workers[index];
--- a/crates/mustardcove-core/tests/support/uneven_fleet.rs
+++ b/crates/mustardcove-core/tests/support/uneven_fleet.rs
@@ -149,6 +149,8 @@
     specs: BTreeMap<SubmissionId, Vec<StepSpec>>,
     /// Share of the tasks that take 7 times as long, in percent.
     pub(crate) long_percent: u32,
+    /// Time before a run without a checkpoint progresses, in milliseconds.
+    pub(crate) delay_ms: f64,
     /// Durations within a step are between these factors.
     pub(crate) spread: std::ops::Range<f64>,
     revision: u64,
@@ -182,6 +184,7 @@
             errors: BTreeMap::new(),
             specs: BTreeMap::new(),
             long_percent: 0,
+            delay_ms: 0.0,
             spread: 1.0..1.01,
             revision: 0,
             lengths: BTreeMap::new(),
@@ -247,7 +250,8 @@
                     let spec = &self.specs[&task.step.submission][usize::from(task.step.step)];
                     let saves_progress = spec.saves_progress;
                     let resumed = start.checkpoint.map(|it| it.parse().expect("a percentage"));
-                    let done_ms = resumed.map_or(0.0, |it: f64| it / 100.0 * work_ms - RESTORE_MS);
+                    let done_ms =
+                        resumed.map_or(-self.delay_ms, |it: f64| it / 100.0 * work_ms - RESTORE_MS);
                     let worker = &mut self.workers[index];
                     worker.starts += 1;
                     let run_state = SimRun {
--- a/crates/mustardcove-core/tests/uneven_workers.rs
+++ b/crates/mustardcove-core/tests/uneven_workers.rs
@@ -62,6 +62,16 @@
     assert_eq!(fleet.decided(DecisionKind::WorkerSlow), 0);
 }
 
+/// Guards against a worker that is judged slow because its runs begin with the
+/// restore of a checkpoint, in which they show no progress.
+#[test]
+fn late_progress() {
+    let mut fleet = Fleet::new(1, 2, CPU, 3);
+    fleet.delay_ms = 600.0;
+    run(&mut fleet, 1, 20, 2, &batch(4));
+    assert_eq!(fleet.decided(DecisionKind::WorkerSlow), 0);
+}
+
 /// Guards against a fleet that is slow as a whole, or estimates that are all too
 /// low, which is no worker's fault.
 #[test]
