Report linear progress in the planner's cost example

The example reported the progress of every run as if it took 2.7 s, so runs of other lengths seemed to stand still and then to leap.

--- a/crates/mustardcove-core/examples/planner_scale.rs
+++ b/crates/mustardcove-core/examples/planner_scale.rs
@@ -51,7 +51,8 @@
 
 struct SimRun {
     run: RunNumber,
-    ends_at: Option<Timestamp>,
+    /// Its beginning and end, unless it runs until it is stopped.
+    work: Option<(Timestamp, Timestamp)>,
     measurement: u32,
 }
 
@@ -212,7 +213,7 @@
     fn advance_worker(&mut self, index: usize) {
         let worker = &mut self.workers[index];
         let now = self.now;
-        let due = worker.running.iter().filter(|it| it.1.ends_at.is_some_and(|at| at <= now));
+        let due = worker.running.iter().filter(|it| it.1.work.is_some_and(|work| work.1 <= now));
         let due: Vec<TaskKey> = due.map(|it| *it.0).collect();
         for task in due {
             Self::end(worker, task, EndKind::Done);
@@ -233,10 +234,10 @@
         let running = worker.running.iter().map(|(task, it)| RunningTask {
             task: *task,
             run: it.run,
-            checkpoint: it.ends_at.map(|_| "00000bb87a21d94b".to_owned()),
-            percent: it
-                .ends_at
-                .map_or(100, |at| 100 - (at.ms_since(self.now) * 100 / 2_700).min(100) as u8),
+            checkpoint: it.work.map(|_| "00000bb87a21d94b".to_owned()),
+            percent: it.work.map_or(100, |(begin, end)| {
+                (self.now.ms_since(begin) * 100 / end.ms_since(begin).max(1)).min(100) as u8
+            }),
             measurement: it.measurement * rng.random_range(80..120) / 100,
         });
         let poll = PollResult {
@@ -274,10 +275,11 @@
                     costs.starts += 1;
                     let (task, run) = (start.task, start.run);
                     let duration = self.durations[&task.step.submission];
-                    let ends_at = duration
-                        .map(|it| self.now.plus_ms(self.rng.random_range(it / 2..it * 3 / 2)));
-                    let measurement = if ends_at.is_some() { 3_000 } else { 60 };
-                    worker.running.insert(task, SimRun { run, ends_at, measurement });
+                    let work = duration.map(|it| {
+                        (self.now, self.now.plus_ms(self.rng.random_range(it / 2..it * 3 / 2)))
+                    });
+                    let measurement = if work.is_some() { 3_000 } else { 60 };
+                    worker.running.insert(task, SimRun { run, work, measurement });
                     let outcome = StartOutcome::Started;
                     let report = WorkerReport::Start { task, run, outcome, answered_at: self.now };
                     let began = Instant::now();
