Give cold workers new work step by step

When an evacuation ends, all workers of the domain are empty and slow at once, and all work that waited started there. A worker that is cold, by ColdLeftMs in its entry or for PolicyBounds.ColdSlack after an evacuation, gets at most a share of its capacity for batch and best-effort work: half at first, all when it is warm. Batch work that would miss its SLO deadline if it took twice as long prefers other workers. The end is kept outside the roster's record and taken from the first reading of each revision of the entry. Without cold workers the choice of workers is as before.

test cold_workers: 5 passed; test wire_formats: 10 passed.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -27,6 +27,7 @@
 mod blocked;
 mod choice;
 mod circuit_breaker;
+mod cold;
 mod earlier_leases;
 mod evacuations;
 mod forecast;
@@ -76,6 +77,7 @@
     workers::{Allocation, UnstoredEnd, Worker, WorkloadKind},
 };
 pub use self::{
+    cold::ColdEntry,
     evacuations::DomainChange,
     tickets::{TicketReply, TicketRequest},
     workers::WorkerListing,
@@ -269,6 +271,7 @@
     lookups: Lookups,
     earlier_leases: EarlierLeases,
     evacuations: EvacuationList,
+    cold_slack_ms: u64,
     /// Time through which no other leader can have led in a later term.
     sole_through: Timestamp,
     /// Whether this leader was confirmed recently, so that it may start work.
@@ -341,6 +344,7 @@
             lookups: Lookups::default(),
             earlier_leases: EarlierLeases::new(earlier_leases_expire_by),
             evacuations: EvacuationList::default(),
+            cold_slack_ms: 0,
             sole_through: Timestamp::MAX,
             may_start: true,
             is_fleet_complete: true,
@@ -835,6 +839,7 @@
             evacuated_workers: self.evacuated_workers(),
             slow_workers: self.workers.iter().filter(|it| it.speed.is_slow(now)).count(),
             straggler_moves: self.straggler_moves,
+            cold_workers: self.cold_workers(),
         }
     }
 
@@ -1039,6 +1044,8 @@
     pub slow_workers: usize,
     /// Number of runs so far that were stopped on slow workers to go on elsewhere.
     pub straggler_moves: u64,
+    /// Listed workers that are slow for a while.
+    pub cold_workers: usize,
     /// Runs on silent workers, whose leases are awaited.
     pub silent_runs: usize,
     /// How long the longest of these workers has been silent, in milliseconds.
--- a/crates/mustardcove-core/src/fleet/planner/choice.rs
+++ b/crates/mustardcove-core/src/fleet/planner/choice.rs
@@ -33,6 +33,8 @@
     pub(super) placed: BTreeMap<WorkerIndex, u32>,
     /// Whether most of the capacity is in use.
     pub(super) is_scarce: bool,
+    /// From when on they would miss their SLO deadline if they took twice as long.
+    due_soon_at: Timestamp,
     /// See [`Request::is_starved`].
     pub(super) is_starved: bool,
     /// Whether they may start on suspended workers.
@@ -66,6 +68,7 @@
             tasks: Vec::new(),
             placed: BTreeMap::new(),
             is_scarce,
+            due_soon_at: due_soon_at(key, work),
             is_starved: false,
             may_use_suspended: false,
             is_withheld: false,
@@ -91,6 +94,14 @@
     }
 }
 
+/// Returns from when on the tasks of a step would miss the SLO deadline if their
+/// critical path took twice as long as estimated.
+fn due_soon_at(key: StepKey, work: &Work) -> Timestamp {
+    let Some(occurrence) = work.occurrence(key.occurrence) else { return Timestamp::MAX };
+    let path_ms = occurrence.steps[usize::from(key.step)].critical_path_ms;
+    occurrence.slo_deadline.minus_ms(path_ms.saturating_mul(2))
+}
+
 impl Ranking {
     fn insert(&mut self, worker: WorkerIndex, score: i64) {
         self.workers.push((score, worker));
@@ -306,6 +317,7 @@
             rack: rack.map(String::as_str),
             same_step: 0,
             is_scarce: pending.is_scarce,
+            is_due_soon: false,
             is_starved: pending.is_starved,
         }
     }
@@ -330,7 +342,8 @@
             return Err(Obstacle::NoTicket);
         }
         let same_step = pending.placed.get(&index).copied().unwrap_or(0);
-        let score = placement::score(worker, index, Request { same_step, ..req })?;
+        let is_due_soon = pending.due_soon_at < now;
+        let score = placement::score(worker, index, Request { same_step, is_due_soon, ..req })?;
         // A crash there would count against it.
         let is_unsound = pending.is_released && !self.suspects.is_worker_sound(worker, now);
         let score = if is_unsound { score - placement::MISFIT_PENALTY } else { score };
--- a/crates/mustardcove-core/src/fleet/planner/evacuations.rs
+++ b/crates/mustardcove-core/src/fleet/planner/evacuations.rs
@@ -44,6 +44,9 @@
         }
         let changed: BTreeSet<FailureDomainId> =
             earlier.symmetric_difference(&list.domains).cloned().collect();
+        for domain in changed.iter().filter(|it| !list.contains(it)) {
+            self.begin_slack(domain, now);
+        }
         changed.into_iter().map(|it| self.domain_change(it)).collect()
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -19,7 +19,11 @@
     interference::{ImageId, InterferenceModel},
     workers::{Allocation, Worker, WorkloadKind},
 };
-use crate::{fleet::submission::StepSpec, size::Resources, time::Timestamp};
+use crate::{
+    fleet::submission::StepSpec,
+    size::{Millicores, Resources},
+    time::Timestamp,
+};
 
 /// Share of its demand that must be left over for a best-effort task, in
 /// percent: with less it runs slower than it could by waiting.
@@ -42,6 +46,9 @@
 /// above any difference in free capacity: the next images then find workers
 /// without any.
 const SAME_IMAGE_BONUS: i64 = 100_000;
+/// Penalty of a worker that is slow for a while, for batch work with little time to
+/// spare: above any difference in load, and below [`MISFIT_PENALTY`].
+const COLD_PENALTY: i64 = 500_000;
 /// Share of the processors in use from which capacity is scarce, in percent:
 /// the rest is about one task for each worker.
 const SCARCE_USE_PERCENT: u64 = 88;
@@ -63,6 +70,8 @@
     pub(super) same_step: u32,
     /// Whether most of the capacity is in use.
     pub(super) is_scarce: bool,
+    /// Whether it would miss its SLO deadline if it took twice as long.
+    pub(super) is_due_soon: bool,
     /// Whether the task is best-effort work of a submission that has had no
     /// run for too long, which is placed where it does the least harm instead
     /// of nowhere.
@@ -101,6 +110,8 @@
     Ineligible,
     /// The demand does not fit into its free capacity.
     NoCapacity,
+    /// It is slow for a while, and gets no more of its capacity yet.
+    Cold,
     /// It runs as many tasks of the step as are allowed on one worker.
     StepLimit,
     /// It is slower than others, and has as much to do as it can.
@@ -160,6 +171,9 @@
     if is_full || !step.allocation().fits_in(worker.free()) {
         return Err(Obstacle::NoCapacity);
     }
+    if req.kind == WorkloadKind::Batch && is_withheld(worker, step.demand.cpu) {
+        return Err(Obstacle::Cold);
+    }
     let mut score = match req.kind {
         WorkloadKind::BestEffort => {
             let leftover = leftover_cpu(worker);
@@ -167,6 +181,10 @@
             if !req.is_starved && !is_enough_left_over(leftover, step.demand.cpu.0) {
                 return Err(Obstacle::NoLeftover);
             }
+            let available = leftover - worker.warmup.withheld(worker.listing.capacity.cpu.0) as i64;
+            if !req.is_starved && !is_enough_left_over(available, step.demand.cpu.0) {
+                return Err(Obstacle::Cold);
+            }
             if !req.is_starved && headroom < 0 {
                 return Err(Obstacle::Interference);
             }
@@ -185,9 +203,20 @@
     if req.avoid == Some(index) {
         score -= MISFIT_PENALTY;
     }
+    let is_batch = req.kind == WorkloadKind::Batch;
+    if is_batch && req.is_due_soon && worker.warmup.is_cold() {
+        score -= COLD_PENALTY;
+    }
     Ok(score)
 }
 
+/// Returns whether a slow worker does not get enough of its capacity yet for a batch
+/// task that demands `cpu`. It always gets its first task, which may need more.
+fn is_withheld(worker: &Worker, cpu: Millicores) -> bool {
+    let withheld = worker.warmup.withheld(worker.listing.capacity.cpu.0);
+    0 < withheld && 0 < worker.used.cpu.0 && worker.free().cpu.0 < cpu.0 + withheld
+}
+
 /// Returns whether most of the capacity of the workers is in use.
 pub(super) fn is_scarce<'a>(workers: impl Iterator<Item = &'a Worker>) -> bool {
     let (used, capacity) = used_cpu(workers);
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -33,6 +33,7 @@
         self.pools_lacking_ends = self.find_pools_lacking_ends(now);
         self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
         self.begin_lookups(now);
+        self.refresh_cold(now);
         if self.may_start {
             self.start_due(now);
         }
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -10,6 +10,7 @@
 use super::{
     LEASE_MARGIN_MS,
     circuit_breaker::CircuitBreaker,
+    cold::Warmup,
     earlier_leases::EarlierLeases,
     interference::{ImageId, InterferenceModel},
     pace::{self, LatencyCriticalTask},
@@ -127,6 +128,7 @@
     pub(super) may_run_earlier_work: bool,
     /// Whether operators evacuate its failure domain, so that nothing starts there.
     pub(super) is_evacuated: bool,
+    pub(super) warmup: Warmup,
     /// The incarnation that the runs belong to; `None` before the first poll.
     pub(super) incarnation: Option<Incarnation>,
     /// Whether a poll of this term has listed all ends there, or the predecessor
@@ -232,6 +234,7 @@
             is_recorded: false,
             may_run_earlier_work: false,
             is_evacuated: false,
+            warmup: Warmup::default(),
             polled_at: None,
             poll_asked_at: Timestamp::default(),
             replaced_at: None,
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -259,6 +259,7 @@
         end_reason: None,
     };
     leader.planner.set_unfenced_leases_expire_by(unfenced_leases_expire_by);
+    leader.planner.set_cold_slack(shared.settings.cold_slack_ms);
     let _tasks = match leader.take_over(claim.predecessor).await {
         Ok(tasks) => tasks,
         Err(reason) => return reason,
@@ -414,10 +415,12 @@
                 self.store_answered(now);
                 let since = self.store_healthy_since.unwrap_or(now);
                 let may_remove = ENTRIES_SETTLE_MS <= now.ms_since(since);
+                let cold = entries.cold.clone();
                 let listings = self.admit_workers(entries, now);
                 self.listed.clone_from(&listings);
                 self.listed_at = now;
                 self.workers_listed(listings, may_remove, now);
+                self.planner.set_cold(&cold);
             }
             TaskResult::Workers(Err(fault)) => self.store_failed("workers not read", &fault),
             TaskResult::Changes(events) => {
@@ -787,7 +790,7 @@
                 let began = Instant::now();
                 let result = shared.store.range(WORKERS_PREFIX).await;
                 let took = began.elapsed();
-                let entries = result.map(|(items, _)| Entries::decode(&items));
+                let entries = result.map(|(items, _)| Entries::decode(&items, shared.now()));
                 if results.send(TaskResult::Workers(entries)).is_err() {
                     return;
                 }
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -12,7 +12,7 @@
     fleet::{
         admission,
         id::Term,
-        planner::WorkerListing,
+        planner::{ColdEntry, WorkerListing},
         record,
         roster::{RosterSegment, RosterWrite},
     },
@@ -36,14 +36,18 @@
 /// The entries below the prefix of the workers.
 pub(super) struct Entries {
     listings: Vec<WorkerListing>,
+    /// The workers that are slow for a while.
+    pub(super) cold: Vec<ColdEntry>,
     /// The keys of those that describe no worker, and why.
     unreadable: Vec<(String, DiscoveryError)>,
 }
 
 impl Entries {
-    /// Decodes the entries.
-    pub(super) fn decode(items: &[Item]) -> Entries {
-        let mut entries = Entries { listings: Vec::new(), unreadable: Vec::new() };
+    /// Decodes the entries, which were read at `now`.
+    pub(super) fn decode(items: &[Item], now: Timestamp) -> Entries {
+        let mut entries =
+            Entries { listings: Vec::new(), cold: Vec::new(), unreadable: Vec::new() };
+        entries.cold.extend(items.iter().filter_map(|it| discovery::decode_cold(it, now)));
         for item in items {
             match discovery::decode(item) {
                 Ok(listing) => entries.listings.push(listing),
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -44,6 +44,7 @@
     ignored_entries: Gauge<u64>,
     evacuated_domains: Gauge<u64>,
     evacuated_workers: Gauge<u64>,
+    cold_workers: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -142,6 +143,10 @@
                 "evacuated_workers",
                 "Listed workers in evacuated failure domains, at the leader.",
             ),
+            cold_workers: gauge(
+                "cold_workers",
+                "Listed workers that are slow for a while and get work step by step, at the leader.",
+            ),
             base,
         }
     }
@@ -199,6 +204,7 @@
         self.longest_silence_ms.record(counts.longest_silence_ms, &[]);
         self.evacuated_domains.record(counts.evacuated_domains as u64, &[]);
         self.evacuated_workers.record(counts.evacuated_workers as u64, &[]);
+        self.cold_workers.record(counts.cold_workers as u64, &[]);
     }
 
     /// Sets the age of the oldest report that the leader has handled lately, in
