--- a/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
+++ b/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
@@ -18,7 +18,8 @@
 //! shortens it.
 //!
 //! Runs that are slow for other reasons are not compared: with a pace below
-//! 100 %, beside too much other work, far from their data, in gangs.
+//! 100 %, beside too much other work, far from their data, in gangs, on cold
+//! workers.
 
 use super::{DecisionKind, Planner, placement, work::WorkerIndex, workers::Worker};
 use crate::{
@@ -305,6 +306,7 @@
         && !spec.wants_same_rack
         && is_near
         && pace == 100
+        && !worker.warmup.is_cold()
         && MIN_ESTIMATE_MS <= spec.estimate_ms
         && (!spec.is_best_effort || 0 <= placement::leftover_cpu(worker))
 }
