Read the evacuations again if their history is dropped during a long reading

While the manifest is read for long, the evacuations are watched beside it. If the store had dropped the history then, the process went on to watch the manifest alone and heard of no evacuation until that changed. Found by reading.

--- a/crates/mustardcove-node/src/operator_watch.rs
+++ b/crates/mustardcove-node/src/operator_watch.rs
@@ -94,9 +94,7 @@
     async fn read_and_watch(&mut self) -> Result<(), StoreFault> {
         let shared = self.shared;
         let is_first = shared.manifest().is_none();
-        if shared.settings.follows_evacuations && self.evacuations_through.is_none() {
-            self.read_evacuations().await?;
-        }
+        self.read_missed_evacuations().await?;
         let item = self.read_manifest().await?;
         shared.store_answered();
         let Some((item, manifest_through)) = item else {
@@ -105,6 +103,8 @@
         if self.apply_manifest(&item) && !is_first {
             return self.pause(reread_pause(&item)).await;
         }
+        // The history may have been dropped during a long reading.
+        self.read_missed_evacuations().await?;
         // Changes from before the revision of the other reading are heard twice,
         // which has no effect.
         let (prefix, mut after) = match self.evacuations_through {
@@ -193,6 +193,14 @@
         Ok(())
     }
 
+    /// Reads the evacuations if changes of them may have been missed.
+    async fn read_missed_evacuations(&mut self) -> Result<(), StoreFault> {
+        if self.shared.settings.follows_evacuations && self.evacuations_through.is_none() {
+            self.read_evacuations().await?;
+        }
+        Ok(())
+    }
+
     async fn read_evacuations(&mut self) -> Result<(), StoreFault> {
         let (items, revision) = self.shared.store.range(EVACUATE_PREFIX).await?;
         self.shared.store_answered();
