Answer a process that asks for a write within 0.3 s if nothing is sent

A caller of a store that refuses calls was told after 2.2 s: its process waited 1.3 s, and then a peer, which waited as long.

--- a/crates/mustardcove-core/src/fleet/store_write.rs
+++ b/crates/mustardcove-core/src/fleet/store_write.rs
@@ -28,6 +28,8 @@
 /// in milliseconds: as long as it takes to notice a store that is away. It may
 /// not count as away then, since watches that it held before are still answered.
 const MAX_DOUBT_WAIT_MS: u64 = 1_300;
+/// The same for a process that another has asked, whose caller has waited before.
+const MAX_PEER_DOUBT_WAIT_MS: u64 = 300;
 /// Number of times that the patience with a write doubles at most.
 const MAX_PATIENCE_SHIFT: u32 = 4;
 /// Most keys that are remembered as unsettled, which bounds the memory. The
@@ -71,7 +73,8 @@
 /// The attempts to write one key for one caller.
 #[derive(Clone, Debug)]
 pub struct WriteAttempts {
-    began_at: Timestamp,
+    /// Until when a write that was not sent waits for the store.
+    doubt_until: Timestamp,
     give_up_at: Timestamp,
     next_at: Timestamp,
     pause_ms: u64,
@@ -88,7 +91,7 @@
     /// request may take effect.
     pub fn new(now: Timestamp, give_up_at: Timestamp, was_unknown: bool) -> WriteAttempts {
         WriteAttempts {
-            began_at: now,
+            doubt_until: now.plus_ms(MAX_DOUBT_WAIT_MS).min(give_up_at),
             give_up_at,
             next_at: Timestamp::default(),
             pause_ms: RETRY_PAUSE_MS,
@@ -100,6 +103,12 @@
         }
     }
 
+    /// Returns the state as for a caller, on behalf of another process.
+    pub fn for_peer(self, now: Timestamp) -> WriteAttempts {
+        let doubt_until = now.plus_ms(MAX_PEER_DOUBT_WAIT_MS).min(self.give_up_at);
+        WriteAttempts { doubt_until, ..self }
+    }
+
     /// Returns what to do next. An outcome that is known is not held back, and
     /// one that is not is returned only when the caller's time has passed.
     pub fn next(&self, view: StoreView, now: Timestamp) -> NextStep {
@@ -110,7 +119,7 @@
             });
         }
         let is_refused = MAX_REFUSED_WRITES <= self.refused_writes;
-        let has_waited = MAX_DOUBT_WAIT_MS <= now.ms_since(self.began_at);
+        let has_waited = self.doubt_until <= now;
         let lacks_store = view.is_away || is_refused || (view.is_in_doubt && has_waited);
         let is_unanswered = view.is_in_doubt && view.may_be_stored;
         if (lacks_store || is_unanswered) && view.has_peer && !self.has_asked_peer {
@@ -120,9 +129,7 @@
             return NextStep::Finish(StoreOutcome::NotStored);
         }
         if view.is_in_doubt {
-            let until = self.began_at.plus_ms(MAX_DOUBT_WAIT_MS);
-            let until = if has_waited { self.give_up_at } else { until };
-            return NextStep::Wait(until.min(self.give_up_at));
+            return NextStep::Wait(if has_waited { self.give_up_at } else { self.doubt_until });
         }
         if now < self.next_at {
             return NextStep::Wait(self.next_at.min(self.give_up_at));
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -36,7 +36,8 @@
 /// the store. Returns the outcome as soon as it is known, and at `deadline` at
 /// the latest.
 pub async fn store(shared: &Arc<Shared>, change: StoreChange, deadline: Timestamp) -> StoreOutcome {
-    store_with(shared, &change, deadline, true).await
+    let attempts = attempts(shared, &change, deadline);
+    store_with(shared, &change, deadline, attempts, true).await
 }
 
 /// Makes a change durable without asking another process.
@@ -45,7 +46,8 @@
     change: &StoreChange,
     deadline: Timestamp,
 ) -> StoreOutcome {
-    store_with(shared, change, deadline, false).await
+    let attempts = attempts(shared, change, deadline);
+    store_with(shared, change, deadline, attempts, false).await
 }
 
 /// Makes a change durable for a process that lacks the store. It is told at once
@@ -59,7 +61,13 @@
     if shared.store_health().is_overdue(shared.now()) && !may_be_stored(shared, &key) {
         return StoreOutcome::NotStored;
     }
-    store_directly(shared, change, deadline).await
+    let attempts = attempts(shared, change, deadline).for_peer(shared.now());
+    store_with(shared, change, deadline, attempts, false).await
+}
+
+fn attempts(shared: &Shared, change: &StoreChange, deadline: Timestamp) -> WriteAttempts {
+    let (key, _) = encode_change(change);
+    WriteAttempts::new(shared.now(), deadline, may_be_stored(shared, &key))
 }
 
 /// Returns whether a write of a submission, for an earlier request to this
@@ -76,12 +84,12 @@
     shared: &Arc<Shared>,
     change: &StoreChange,
     deadline: Timestamp,
+    mut attempts: WriteAttempts,
     may_ask_peer: bool,
 ) -> StoreOutcome {
     // A leader of an earlier term may learn of the change once it is written.
     let term = shared.leadership.borrow().term;
     let (key, _) = encode_change(change);
-    let mut attempts = WriteAttempts::new(shared.now(), deadline, may_be_stored(shared, &key));
     let mut answers = shared.store_answers();
     let mut peer: Option<PeerRequest> = None;
     loop {
