Answer 429 to submissions that cannot be served under overload

The leader sends the load with its heartbeats, and the places of callers that were told to come back; processes report the places that they promise. A submission is judged before anything is written, and never rejected if it is stored, if an earlier write of this process may be carried out, or if the store is in doubt. The load report is empty until the forecast fills it in, so nothing is rejected yet.

The three tests that build messages got the new fields.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -15,6 +15,7 @@
         AssignmentNumber, BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber,
         SubmissionId, TaskKey, Term,
     },
+    overload::{LoadReport, Place},
     record::ProcessRecord,
     submission::{Submission, SubmissionState},
 };
@@ -95,6 +96,9 @@
         /// One or several reports for each worker, in order, each with the
         /// assignment under which it was made.
         reports: Vec<(WorkerId, AssignmentNumber, WorkerReport)>,
+        /// Places of callers that the sender told to come back, and that are not
+        /// in the leader's last heartbeat.
+        places: Vec<Place>,
     },
     /// To the leader: a process that it may not know yet.
     Joined(ProcessRecord),
@@ -169,6 +173,10 @@
     pub reaching_store: Vec<ProcessId>,
     /// The evacuated failure domains, as far as the leader knows.
     pub evacuations: EvacuationList,
+    /// The load of the pools; `None` while the leader does not know it.
+    pub load: Option<LoadReport>,
+    /// Places of callers that were told to come back.
+    pub places: Vec<Place>,
 }
 
 /// Address of a worker, for its poller.
--- a/crates/mustardcove-node/src/callers.rs
+++ b/crates/mustardcove-node/src/callers.rs
@@ -24,7 +24,9 @@
         id::SubmissionId,
         manifest::{Manifest, Queue},
         message::{StoreChange, StoreOutcome},
+        overload::{Acceptance, Admission, Rejection},
         store_health::retry_after_s,
+        submission::Submission,
     },
     time::Timestamp,
 };
@@ -152,10 +154,17 @@
             return StatusCode::BAD_REQUEST.into_response();
         }
     };
+    let admitted = match admit(shared, &submission).await {
+        Admission::Accepted(acceptance) => acceptance,
+        Admission::Rejected(it) => return reject(shared, &it, &queue),
+    };
     let outcome = durable::store(shared, StoreChange::Submit(submission), deadline).await;
     info!(shared.log, "submission"; "submission" => %id, "queue" => &queue.name,
-        "outcome" => %outcome, "ms" => shared.now().ms_since(arrived_at),
-        "manifest" => %manifest.version);
+        "outcome" => %outcome, "admitted" => %admitted,
+        "ms" => shared.now().ms_since(arrived_at), "manifest" => %manifest.version);
+    if outcome == StoreOutcome::Stored {
+        shared.remove_place(id);
+    }
     match outcome {
         StoreOutcome::Stored => StatusCode::OK.into_response(),
         StoreOutcome::NotStored | StoreOutcome::NoSuchSubmission => store_away(shared),
@@ -163,6 +172,42 @@
     }
 }
 
+/// Decides whether a submission is accepted, before anything is written. What is
+/// stored, or may be by an earlier request, is not rejected.
+async fn admit(shared: &Arc<Shared>, submission: &Submission) -> Admission {
+    let mut admission = shared.admit(submission);
+    if matches!(admission, Admission::Rejected(_)) {
+        let id = submission.id;
+        let is_stored = match shared.store_health().is_in_doubt(shared.now()) {
+            // The write tells what becomes of it.
+            true => true,
+            false => !matches!(durable::find_state(shared, id).await, Ok(None)),
+        };
+        if is_stored || durable::may_submission_be_stored(shared, id) {
+            admission = Admission::Accepted(Acceptance::MayBeStored);
+        }
+    }
+    let (result, kind): (_, &'static str) = match &admission {
+        Admission::Accepted(Acceptance::Returned) => ("returned", Acceptance::Returned.into()),
+        Admission::Accepted(it) => ("accepted", (*it).into()),
+        Admission::Rejected(_) => ("rejected", "hopeless"),
+    };
+    shared.metrics.admission(result, kind);
+    admission
+}
+
+/// Tells a caller when to come back, and holds its place until then.
+fn reject(shared: &Shared, rejection: &Rejection, queue: &Queue) -> Response {
+    let (now, place) = (shared.now(), &rejection.place);
+    let seconds = rejection.retry_after_s(now);
+    info!(shared.log, "submission rejected"; "submission" => %place.id,
+        "queue" => &queue.name, "wait_ms" => rejection.wait_ms,
+        "promised_ms" => now.ms_until(place.promised_at), "retry_after_s" => seconds,
+        "waiting_since_ms" => now.ms_since(place.first_arrival));
+    shared.add_place(place.clone());
+    come_back(StatusCode::TOO_MANY_REQUESTS, seconds)
+}
+
 /// Returns the status for a body that could not be read.
 fn body_status(error: &axum::Error) -> StatusCode {
     let source = error.source();
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -25,6 +25,7 @@
         evacuation::EvacuationSource,
         id::{AssignmentNumber, BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, WorkerReport},
+        overload::{LoadReport, Place, Places},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
         poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, ORDER_MAX_AGE_MS},
         record::{
@@ -210,6 +211,8 @@
     oldest_report_ms: u64,
     /// Whether the reports before the last heartbeat were handled late.
     is_behind: bool,
+    /// Callers that were told to come back.
+    places: Places,
     /// Why the term has to end; `None` while it goes on.
     end_reason: Option<&'static str>,
 }
@@ -256,6 +259,7 @@
         send_states_at: now,
         oldest_report_ms: 0,
         is_behind: false,
+        places: Places::default(),
         end_reason: None,
     };
     leader.planner.set_unfenced_leases_expire_by(unfenced_leases_expire_by);
@@ -342,11 +346,13 @@
                 reaches_store,
                 evacuations,
                 reports,
+                places,
             } => {
                 if let Some(list) = evacuations {
                     self.shared.learn_evacuations(&list, EvacuationSource::Report);
                 }
                 if term == self.term {
+                    self.add_places(sent_at, places, now);
                     self.pollers.report_received(&from, reaches_store, now);
                     self.handle_reports(&from, sent_at, reports, now);
                     let heard = self.pollers.report_handled(&from, sent_boot_ms, heartbeat_at, now);
@@ -388,6 +394,27 @@
         }
     }
 
+    /// Records places of callers that another process told to come back.
+    fn add_places(&mut self, sent_at: Timestamp, places: Vec<Place>, now: Timestamp) {
+        let shift = ClockShift::new(sent_at, now);
+        for place in places {
+            self.places.add(place.to_local(shift));
+        }
+    }
+
+    /// Returns the load of the pools with what is promised to callers that were
+    /// told to come back; `None` until the state of earlier leaders is restored.
+    fn load_report(&mut self, now: Timestamp) -> Option<LoadReport> {
+        let planner = &self.planner;
+        self.places.expire(now, |id| planner.contains(id));
+        if !self.is_restored {
+            return None;
+        }
+        let mut report = LoadReport::default();
+        self.places.fill(&mut report);
+        Some(report)
+    }
+
     /// Passes reports to the planner, with points in time converted to this
     /// process's clock.
     fn handle_reports(
@@ -616,6 +643,7 @@
         self.update_confirmation(now);
         let pending = self.is_restored.then(|| self.planner.pending());
         let reaching_store = self.pollers.reaching_store(now);
+        let load = self.load_report(now);
         let heartbeat = Heartbeat {
             term: self.term,
             region: self.shared.settings.region.clone(),
@@ -626,6 +654,8 @@
             pending,
             reaching_store,
             evacuations: self.shared.evacuations().list.clone(),
+            load,
+            places: self.places.iter().cloned().collect(),
         };
         for process in self.pollers.ids() {
             let covered = self.pollers.covered(process);
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -21,6 +21,7 @@
     request_ms: Histogram<f64>,
     store_faults: Counter<u64>,
     store_writes: Counter<u64>,
+    admissions: Counter<u64>,
     polls: Counter<u64>,
     orders: Counter<u64>,
     leader_inputs_dropped: Counter<u64>,
@@ -62,6 +63,10 @@
                 .build(),
             store_faults: counter("store_faults", "Store calls without a usable answer."),
             store_writes: counter("store_writes", "Writes for callers by how they ended."),
+            admissions: counter(
+                "admissions",
+                "Submissions accepted, rejected for load, or returned, by reason.",
+            ),
             polls: counter("worker_looks", "Looks at workers by result."),
             orders: counter("worker_orders", "Orders to workers by kind and outcome."),
             leader_inputs_dropped: counter(
@@ -168,6 +173,12 @@
         self.store_writes.add(1, &[KeyValue::new("end", end)]);
     }
 
+    /// Counts an admission decision.
+    pub fn admission(&self, result: &'static str, why: &'static str) {
+        let labels = [KeyValue::new("result", result), KeyValue::new("why", why)];
+        self.admissions.add(1, &labels);
+    }
+
     /// Counts a poll of a worker.
     pub fn poll(&self, is_answered: bool) {
         self.polls.add(1, &[KeyValue::new("answered", is_answered)]);
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -483,6 +483,7 @@
             reaches_store,
             evacuations: shared.unreported_evacuations(),
             reports,
+            places: shared.take_unreported_places(),
         });
     }
 }
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -16,18 +16,20 @@
     fleet::{
         election::Candidacy,
         evacuation::{EvacuationList, EvacuationSource},
-        id::{BootMillis, ManifestVersion, Revision, Term},
+        id::{BootMillis, ManifestVersion, Revision, SubmissionId, Term},
         manifest::Manifest,
         message::{FleetMessage, Heartbeat, StoreOutcome},
+        overload::{self, Admission, Applicant, KnownLoad, LoadReport, OwnPlaces, Place, Places},
         poller::LeasePermission,
         record::LEADER_KEY,
         state_cache::StateCache,
         store_health::StoreHealth,
         store_write::UnsettledWrites,
+        submission::Submission,
     },
     id::{FailureDomainId, ProcessId},
     message::PeerMessage,
-    time::Timestamp,
+    time::{ClockShift, Timestamp},
 };
 use mustardcove_platform::Clock;
 use mustardcove_runtime::peer::Peers;
@@ -72,6 +74,13 @@
     pending_at: Option<BootMillis>,
     /// Processes that reached the store recently.
     pub reaching_store: Vec<ProcessId>,
+    /// The load of the pools, on the clock of this process.
+    load: Option<LoadReport>,
+    /// When the newest report was sent that the load rests on; see `pending_at`.
+    load_at: Option<BootMillis>,
+    /// Places of callers that were told to come back, on the clock of this
+    /// process.
+    places: Places,
     /// The revision of its list of evacuated domains.
     evacuations_as_of: Revision,
     /// The last term whose leader is known to have stepped down, and since when.
@@ -125,6 +134,7 @@
     last_heartbeat: Mutex<LastHeartbeat>,
     store_health: Mutex<StoreHealth>,
     unsettled_writes: Mutex<UnsettledWrites>,
+    own_places: Mutex<OwnPlaces>,
     /// Changes with each answer of the store.
     store_answers: watch::Sender<()>,
     /// No probe of the store is sent before this time.
@@ -189,6 +199,7 @@
             last_heartbeat: Mutex::default(),
             store_health: Mutex::default(),
             unsettled_writes: Mutex::default(),
+            own_places: Mutex::default(),
             store_answers: watch::Sender::new(()),
             probe_at: Mutex::default(),
             long_running_waits: Mutex::default(),
@@ -305,7 +316,11 @@
 
     /// Records a heartbeat of the current leader.
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) {
+        let shift = ClockShift::new(heartbeat.sent_at, self.now());
         let mut last = self.last_heartbeat();
+        last.load = heartbeat.load.map(|it| it.to_local(shift));
+        last.load_at = heartbeat.covered;
+        last.places = heartbeat.places.into_iter().map(|it| it.to_local(shift)).collect();
         last.sent_at = Some((heartbeat.term, heartbeat.sent_at));
         last.permission = LeasePermission::new(heartbeat.covered);
         last.report_delay_ms = heartbeat.report_delay_ms;
@@ -344,6 +359,37 @@
         is_fresh.then(|| heartbeat.pending.get(&key).copied().unwrap_or(0))
     }
 
+    /// Decides whether a submission that arrives now is accepted, by the leader's
+    /// last report.
+    pub fn admit(&self, submission: &Submission) -> Admission {
+        let now = self.now();
+        let heartbeat = self.last_heartbeat();
+        let known = heartbeat.load.as_ref().zip(heartbeat.load_at);
+        let known = known.map(|(report, at)| KnownLoad { report, age_ms: boot_now().ms_since(at) });
+        let applicant = Applicant::of(submission);
+        if !known.is_some_and(|it| it.report.is_overloaded()) {
+            return overload::decide(&applicant, known, &heartbeat.places, now);
+        }
+        let places = heartbeat.places.clone().with(lock(&self.own_places).places());
+        overload::decide(&applicant, known, &places, now)
+    }
+
+    /// Records that a caller was told to come back.
+    pub fn add_place(&self, place: Place) {
+        lock(&self.own_places).add(place);
+    }
+
+    /// Records that a caller that was told to come back was accepted.
+    pub fn remove_place(&self, id: SubmissionId) {
+        lock(&self.own_places).remove(id);
+    }
+
+    /// Returns the places that the leader has to learn of.
+    pub fn take_unreported_places(&self) -> Vec<Place> {
+        let heartbeat = self.last_heartbeat();
+        lock(&self.own_places).take_unreported(&heartbeat.places, self.now())
+    }
+
     /// Returns whether leases at workers may be extended for the leader of a
     /// term.
     pub fn may_extend_leases(&self, term: Term) -> bool {
--- a/crates/mustardcove-node/tests/leader_queue.rs
+++ b/crates/mustardcove-node/tests/leader_queue.rs
@@ -58,6 +58,8 @@
         pending: None,
         reaching_store: Vec::new(),
         evacuations: EvacuationList::default(),
+        load: None,
+        places: Vec::new(),
     };
     events.send(event(&peer, FleetMessage::Heartbeat(heartbeat))).await.expect("dispatch runs");
     let mut leadership = shared.leadership.subscribe();
--- a/crates/mustardcove-node/tests/states_resync.rs
+++ b/crates/mustardcove-node/tests/states_resync.rs
@@ -63,6 +63,7 @@
                             reaches_store: true,
                             evacuations: None,
                             reports: Vec::new(),
+                            places: Vec::new(),
                         };
                         self.peers.send(&from, &PeerMessage::Fleet(Box::new(report))).ok();
                     }
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -78,6 +78,7 @@
             domains: ["iasi-a".parse().unwrap()].into(),
         }),
         reports: vec![(worker.clone(), AssignmentNumber(2), WorkerReport::Polled(polled))],
+        places: Vec::new(),
     };
     let order = Order::Stop { task, run: RunNumber(3) };
     let orders = FleetMessage::Orders {
