Forecast ends, and stop runs that hold the room of better work

Under overload, the waits of new submissions are forecast from the work ahead and the work completed in the last seconds, and the stretch of a submission from those that ended last. Planner::load_report gives the load of each pool and priority for the admission of new submissions.

Best-effort runs of worthless submissions, and of late ones with much more work ahead, are stopped for steps that can be served, where they save progress or have hardly any.

Runs that starved submissions were given at the lowest pace were sped up before submissions that have begun. They now wait for their turn.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -30,6 +30,7 @@
 mod cold;
 mod earlier_leases;
 mod evacuations;
+mod eviction;
 mod forecast;
 mod handed_over;
 mod held_tasks;
@@ -79,6 +80,7 @@
 pub use self::{
     cold::ColdEntry,
     evacuations::DomainChange,
+    forecast::{LoadCounts, LoadReport, PoolLoad},
     tickets::{TicketReply, TicketRequest},
     workers::WorkerListing,
 };
@@ -179,8 +181,12 @@
     SuspectsWaiting,
     /// A task of a long-running step has had no run for seconds.
     TaskWaiting,
+    /// A best-effort run was stopped for work that is worth more.
+    Evicted,
     /// A kind of work finds less room in a pool than it needs.
     OverloadBegan,
+    /// It still does.
+    Overloaded,
     /// It finds enough room again.
     OverloadEnded,
     /// A worker gets no new work for some time.
@@ -306,6 +312,8 @@
     fleet_version: u64,
     /// Factor by which tasks of each pool take longer than estimated: the median.
     pool_factors: BTreeMap<String, f32>,
+    /// Best-effort runs that are being stopped for others.
+    evictions: Vec<RunKey>,
     /// Number of times that a worker was scored for a task, which is most of
     /// the cost of planning.
     scored_workers: AtomicU64,
@@ -364,6 +372,7 @@
             straggler_moves: 0,
             fleet_version: 0,
             pool_factors: BTreeMap::new(),
+            evictions: Vec::new(),
             scored_workers: AtomicU64::new(0),
             actions: Actions::default(),
         }
@@ -840,6 +849,7 @@
             slow_workers: self.workers.iter().filter(|it| it.speed.is_slow(now)).count(),
             straggler_moves: self.straggler_moves,
             cold_workers: self.cold_workers(),
+            load: self.loads.counts(),
         }
     }
 
@@ -1050,6 +1060,8 @@
     pub silent_runs: usize,
     /// How long the longest of these workers has been silent, in milliseconds.
     pub longest_silence_ms: u64,
+    /// What the load of the pools has caused.
+    pub load: LoadCounts,
 }
 
 /// Returns how a step's tasks use the processor.
--- a/crates/mustardcove-core/src/fleet/planner/forecast.rs
+++ b/crates/mustardcove-core/src/fleet/planner/forecast.rs
@@ -1,9 +1,15 @@
-//! How much work of each kind a pool has, and how fast it completes it.
+//! How much work of each kind a pool has, and when it will be done.
 //!
 //! Everything is derived from the plan's own state, a few times a second: the
-//! work that waits for room, that has begun, and the processors that work uses.
-//! Lost room shows in the latter. A new leader therefore knows the load after
-//! its first rounds.
+//! work that waits for room or has begun, and the processors that its runs use.
+//! While runs use all there are, the work that was completed in the last seconds
+//! counts in their place: it also shows by how much estimates are wrong and how
+//! much work is slowed down. Lost room shows in both. A new leader therefore
+//! knows the load after its first rounds.
+//!
+//! A submission is forecast to end once the work ahead of it has left room for it
+//! and its critical path has passed, stretched as those of the last submissions
+//! were. See `docs/design/overload.md`.
 //!
 //! A kind of work is overloaded while more of it waits for room than its runs
 //! complete in a short time. Between the beginning and the end of an overload
@@ -13,7 +19,7 @@
 
 use super::{
     DecisionKind, Planner, placement,
-    rank::{Overload, WaitingStep},
+    rank::{Overload, Rank, WaitingStep},
     work::{Task, Work},
     workers::{Worker, WorkloadKind},
     workload_kind,
@@ -41,6 +47,16 @@
 /// Share of the room that late submissions which are new may take, in percent:
 /// small, as each takes room from one that would be on time.
 const LATE_PERCENT: u64 = 15;
+/// Part of the completed work of a measurement interval in the smoothed rate, as
+/// a divisor: about the last 5 s, in which most tasks of a step end.
+const RATE_SAMPLES: u64 = 25;
+/// Bounds of the completed work in percent of the processors in use, so that a
+/// few measurements without ends do not stop all new work.
+const MIN_RATE_PERCENT: u64 = 30;
+const MAX_RATE_PERCENT: u64 = 150;
+/// Time between two lines in the log about an overload that goes on, in
+/// milliseconds.
+const LOG_INTERVAL_MS: u64 = 5_000;
 /// Stretch of a submission before any has ended, in percent of its critical
 /// path, and the bounds of what is measured. A step takes as long as its slowest
 /// task, and estimates are low by up to half.
@@ -72,9 +88,22 @@
     late_work: u64,
     /// See [`Overload::stretch_percent`].
     stretch_percent: u64,
-    /// Processors that its runs use, in millicores, which is the work that they
-    /// complete in a millisecond.
-    rate: u64,
+    /// All that remains of submissions that have not begun and are worth
+    /// something.
+    new_work: u64,
+    /// Processors that its runs use, in millicores.
+    used_cpu: u64,
+    /// Processors that more of its runs would find, in millicores.
+    free_cpu: u64,
+    /// Work completed since the last measurement.
+    completed: u64,
+    /// Work completed in a millisecond, smoothed; 0 without overload.
+    completed_rate: u64,
+    /// Submissions that have not begun and will miss their SLO deadline.
+    delayed: usize,
+    /// Average error of the forecast end, in milliseconds.
+    forecast_error_ms: u64,
+    logged_at: Timestamp,
     is_overloaded: bool,
     /// Since when the measurements have been beyond the bound at which
     /// `is_overloaded` changes.
@@ -88,6 +117,13 @@
     best_effort: KindLoad,
 }
 
+/// Which kinds of work there are.
+#[derive(Clone, Copy, Debug, Default)]
+struct Kinds {
+    has_batch: bool,
+    has_best_effort: bool,
+}
+
 /// The loads of all pools.
 #[derive(Debug, Default)]
 pub(super) struct Loads {
@@ -96,6 +132,10 @@
     pools: BTreeMap<String, PoolLoads>,
     /// Whether the order of work stays as it is without overload.
     is_handling_disabled: bool,
+    /// Number of best-effort runs that were stopped for others.
+    pub(super) evictions: u64,
+    /// The kinds of work that submissions of each priority in a pool have had.
+    priorities: BTreeMap<(String, u8), Kinds>,
     measure_at: Timestamp,
 }
 
@@ -106,8 +146,15 @@
             begun_waiting_work: 0,
             begun_work: 0,
             late_work: 0,
+            new_work: 0,
+            used_cpu: 0,
+            free_cpu: 0,
+            completed: 0,
+            completed_rate: 0,
+            delayed: 0,
+            forecast_error_ms: 0,
+            logged_at: Timestamp::default(),
             stretch_percent: FIRST_STRETCH_PERCENT,
-            rate: 0,
             is_overloaded: false,
             beyond_since: None,
         }
@@ -116,20 +163,41 @@
 
 impl KindLoad {
     fn begin_measurement(&mut self) {
-        let KindLoad { stretch_percent, is_overloaded, beyond_since, .. } = *self;
-        *self = KindLoad { stretch_percent, is_overloaded, beyond_since, ..KindLoad::default() };
+        let rate = self.completed / MEASURE_INTERVAL_MS;
+        let sum = self.completed_rate * (RATE_SAMPLES - 1) + rate;
+        *self = KindLoad {
+            completed_rate: sum / RATE_SAMPLES,
+            stretch_percent: self.stretch_percent,
+            forecast_error_ms: self.forecast_error_ms,
+            logged_at: self.logged_at,
+            is_overloaded: self.is_overloaded,
+            beyond_since: self.beyond_since,
+            ..KindLoad::default()
+        };
+    }
+
+    /// Returns the work that its runs complete in a millisecond.
+    fn rate(&self) -> u64 {
+        if !self.is_overloaded {
+            return self.used_cpu;
+        }
+        let bound = |percent: u64| self.used_cpu * percent / 100;
+        self.completed_rate.clamp(bound(MIN_RATE_PERCENT), bound(MAX_RATE_PERCENT))
     }
 
-    /// Records how long a submission took from its begin.
-    fn record_stretch(&mut self, percent: u64) {
+    /// Records how long a submission took from its begin, and by how much the
+    /// forecast was wrong.
+    fn record_end(&mut self, path_ms: u64, took_ms: u64) {
+        let forecast_ms = path_ms.saturating_mul(self.stretch_percent) / 100;
+        self.forecast_error_ms = smoothed(self.forecast_error_ms, forecast_ms.abs_diff(took_ms));
+        let percent = took_ms.saturating_mul(100) / path_ms.max(1);
         let percent = percent.clamp(MIN_STRETCH_PERCENT, MAX_STRETCH_PERCENT);
-        let sum = self.stretch_percent * (STRETCH_SAMPLES - 1) + percent;
-        self.stretch_percent = sum.div_ceil(STRETCH_SAMPLES);
+        self.stretch_percent = smoothed(self.stretch_percent, percent);
     }
 
     /// Returns the time that the runs need for work, in milliseconds.
     fn duration_ms(&self, work: u64) -> u64 {
-        work / self.rate.max(1)
+        work / self.rate().max(1)
     }
 
     /// Updates whether there is less room than work. Returns whether that has
@@ -150,6 +218,7 @@
         if is_change {
             self.is_overloaded = !self.is_overloaded;
             self.beyond_since = None;
+            self.completed_rate = self.used_cpu;
         }
         is_change
     }
@@ -172,17 +241,27 @@
         }
     }
 
-    /// Adds what a worker's runs complete in a millisecond.
-    fn add_worker(&mut self, worker: &Worker) {
-        self.batch.rate += worker.batch_used.cpu.0;
+    /// Adds the processors of a worker.
+    fn add_worker(&mut self, worker: &Worker, is_schedulable: bool) {
+        self.batch.used_cpu += worker.batch_used.cpu.0;
         let best_effort =
             worker.allocations.values().filter(|it| it.kind == WorkloadKind::BestEffort);
         let used: u64 = best_effort.map(|it| it.cpu * u64::from(it.pace.min(100)) / 100).sum();
-        let available = placement::leftover_cpu(worker) + worker.best_effort_cpu as i64;
-        self.best_effort.rate += used.min(available.max(0) as u64);
+        let leftover = placement::leftover_cpu(worker);
+        let available = leftover + worker.best_effort_cpu as i64;
+        self.best_effort.used_cpu += used.min(available.max(0) as u64);
+        if is_schedulable {
+            self.batch.free_cpu += worker.free().cpu.0;
+            self.best_effort.free_cpu += leftover.max(0) as u64;
+        }
     }
 }
 
+/// Adds a value to an average over the last [`STRETCH_SAMPLES`].
+fn smoothed(average: u64, value: u64) -> u64 {
+    (average * (STRETCH_SAMPLES - 1) + value).div_ceil(STRETCH_SAMPLES)
+}
+
 impl Loads {
     /// Adds a submission that may have work to do.
     pub(super) fn add(&mut self, id: SubmissionId) {
@@ -196,18 +275,93 @@
         (load.is_overloaded && !self.is_handling_disabled).then_some(work.overload)
     }
 
+    /// Records that a task of a step is done.
+    pub(super) fn task_done(&mut self, work: &Work, step: usize) {
+        let Some(spec) = work.submission.steps.get(step) else { return };
+        let pool = self.pools.get_mut(&work.queue.service);
+        if let Some(load) = pool.and_then(|it| it.of_kind_mut(workload_kind(spec))) {
+            load.completed = load.completed.saturating_add(spec.task_work());
+        }
+    }
+
     /// Records that a submission has completed.
     pub(super) fn completed(&mut self, work: &Work, now: Timestamp) {
         let Some(begun_at) = work.begun_at.filter(|_| work.submission.schedule.is_none()) else {
             return;
         };
-        let path_ms = work.submission.critical_paths_ms().into_iter().max().unwrap_or(0).max(1);
+        let path_ms = work.submission.critical_paths_ms().into_iter().max().unwrap_or(0);
         let pool = self.pools.get_mut(&work.queue.service);
         let kind = work.submission.steps.first().map(workload_kind);
         if let Some(load) = pool.zip(kind).and_then(|(pool, kind)| pool.of_kind_mut(kind)) {
-            load.record_stretch(now.ms_since(begun_at) * 100 / path_ms);
+            load.record_end(path_ms, now.ms_since(begun_at));
+        }
+    }
+
+    /// Returns counts for the metrics, over all pools.
+    pub(super) fn counts(&self) -> LoadCounts {
+        let loads = || self.pools.values().flat_map(|it| [&it.batch, &it.best_effort]);
+        LoadCounts {
+            overloaded: loads().filter(|it| it.is_overloaded).count(),
+            delayed: loads().map(|it| it.delayed).sum(),
+            batch_error_ms: self.max_error_ms(WorkloadKind::Batch),
+            best_effort_error_ms: self.max_error_ms(WorkloadKind::BestEffort),
+            evictions: self.evictions,
         }
     }
+
+    fn max_error_ms(&self, kind: WorkloadKind) -> u64 {
+        let loads = self.pools.values().filter_map(|it| it.of_kind(kind));
+        loads.map(|it| it.forecast_error_ms).max().unwrap_or(0)
+    }
+
+    /// Returns whether best-effort work of a pool finds less room than it needs.
+    pub(super) fn is_best_effort_overloaded(&self, service: &str) -> bool {
+        let load = self.pools.get(service).map(|it| &it.best_effort);
+        load.is_some_and(|it| it.is_overloaded) && !self.is_handling_disabled
+    }
+}
+
+/// The load of all pools, for the admission of new submissions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// One for each priority of each pool.
+    pub pools: Vec<PoolLoad>,
+}
+
+/// The load of one priority in a pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolLoad {
+    /// The pool.
+    pub service: String,
+    /// The priority.
+    pub priority: u8,
+    /// When the work ahead of a new submission will have left room for it.
+    pub wait_until: Timestamp,
+    /// Whether there is less room than work.
+    pub is_overloaded: bool,
+    /// Processors that a new submission finds at once, in millicores.
+    pub free_millicores: u64,
+    /// Work that the pool completes in a millisecond, in millicore-milliseconds.
+    pub rate_millicores: u64,
+    /// Work that callers were told to come back with, in
+    /// millicore-milliseconds; the planner does not know it.
+    pub promised_work: u64,
+}
+
+/// What the load of the pools has caused, for the metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadCounts {
+    /// Kinds of work that find less room than they need, in all pools.
+    pub overloaded: usize,
+    /// Submissions that have not begun and are forecast to miss their SLO
+    /// deadline.
+    pub delayed: usize,
+    /// Average error of the forecast end of batch submissions, in milliseconds.
+    pub batch_error_ms: u64,
+    /// The same for best-effort submissions.
+    pub best_effort_error_ms: u64,
+    /// Number of best-effort runs so far that were stopped for others.
+    pub evictions: u64,
 }
 
 impl Planner {
@@ -217,11 +371,62 @@
         self.loads.is_handling_disabled = !is_enabled;
     }
 
+    /// Returns the load of each pool and priority.
+    pub fn load_report(&self, now: Timestamp) -> LoadReport {
+        let of_queue = |(service, priority): (&str, u8)| {
+            let loads = self.loads.pools.get(service).copied().unwrap_or_default();
+            let key = (service.to_owned(), priority);
+            let unknown = Kinds { has_batch: true, has_best_effort: true };
+            let kinds = self.loads.priorities.get(&key).copied().unwrap_or(unknown);
+            let batch = kinds.has_batch.then_some(&loads.batch);
+            let best_effort = kinds.has_best_effort.then_some(&loads.best_effort);
+            let of_kinds = || batch.into_iter().chain(best_effort);
+            let wait_ms =
+                |it: &KindLoad| it.duration_ms(it.begun_waiting_work.saturating_add(it.new_work));
+            let wait_ms = of_kinds().filter(|it| it.is_overloaded).map(wait_ms).max();
+            PoolLoad {
+                service: service.to_owned(),
+                priority,
+                wait_until: now.plus_ms(wait_ms.unwrap_or(0)),
+                is_overloaded: of_kinds().any(|it| it.is_overloaded),
+                free_millicores: of_kinds().map(|it| it.free_cpu).min().unwrap_or_default(),
+                rate_millicores: of_kinds().map(KindLoad::rate).min().unwrap_or_default(),
+                promised_work: 0,
+            }
+        };
+        let queues = self.manifest.queues.iter().map(|it| (it.service.as_str(), it.priority));
+        let queues: BTreeSet<(&str, u8)> = queues.collect();
+        LoadReport { pools: queues.into_iter().map(of_queue).collect() }
+    }
+
+    /// Returns when a submission in the plan is forecast to end; `None` if it has
+    /// ended, waits for no room or never ends by itself.
+    pub fn forecast_end(&self, id: SubmissionId, now: Timestamp) -> Option<Timestamp> {
+        let work = self.work.get(&id).filter(|it| !it.state.is_final())?;
+        let pool = self.loads.pools.get(&work.queue.service)?;
+        let steps = work.occurrences.iter().flat_map(|it| work.submission.step_keys(it.number));
+        let ends = steps.filter_map(|key| {
+            let step = self.rank_inputs(key)?;
+            let spec = &work.submission.steps[usize::from(key.step)];
+            let occurrence = work.occurrence(key.occurrence)?;
+            let load = pool.of_kind(workload_kind(spec))?;
+            let is_open = 0 < occurrence.steps[usize::from(key.step)].unfinished;
+            let wait_ms = match work.is_begun {
+                true => 0,
+                false if load.is_overloaded => work.overload.wait_ms,
+                false => 0,
+            };
+            let path_ms = step.critical_path_ms.saturating_mul(load.stretch_percent) / 100;
+            is_open.then(|| now.plus_ms(wait_ms).plus_ms(path_ms))
+        });
+        ends.max()
+    }
+
     /// Measures the load of all pools after a placement round, so that what waits
-    /// has found no room.
-    pub(super) fn measure_loads(&mut self, now: Timestamp) {
+    /// has found no room. Returns whether a measurement was due.
+    pub(super) fn measure_loads(&mut self, now: Timestamp) -> bool {
         if now < self.loads.measure_at {
-            return;
+            return false;
         }
         self.loads.measure_at = now.plus_ms(MEASURE_INTERVAL_MS);
         let mut pools = std::mem::take(&mut self.loads.pools);
@@ -229,13 +434,15 @@
             pool.batch.begin_measurement();
             pool.best_effort.begin_measurement();
         }
-        for worker in self.workers.iter().filter(|it| !it.is_silent) {
+        for index in (0..self.workers.len()).filter(|it| !self.workers[*it].is_silent) {
+            let worker = &self.workers[index];
             let service = worker.listing.service.as_str();
             if !pools.contains_key(service) {
                 pools.insert(service.to_owned(), PoolLoads::default());
             }
+            let is_schedulable = self.obstacle(index, now).is_none();
             if let Some(pool) = pools.get_mut(service) {
-                pool.add_worker(worker);
+                pool.add_worker(worker, is_schedulable);
             }
         }
         let mut new: BTreeMap<String, Vec<NewWork>> = BTreeMap::new();
@@ -249,9 +456,7 @@
                 [(WorkloadKind::Batch, "batch"), (WorkloadKind::BestEffort, "best_effort")]
             {
                 let Some(load) = pool.of_kind_mut(kind) else { continue };
-                if load.update_overload(now) {
-                    self.log_overload(service, name, load);
-                }
+                let has_changed = load.update_overload(now);
                 if load.is_overloaded {
                     let new = new.iter_mut().filter(|it| it.kind == kind);
                     for it in queue_new(load, new, now) {
@@ -260,9 +465,15 @@
                         }
                     }
                 }
+                let is_due = load.is_overloaded && LOG_INTERVAL_MS <= now.ms_since(load.logged_at);
+                if has_changed || is_due {
+                    load.logged_at = now;
+                    self.log_overload(service, name, load, has_changed);
+                }
             }
         }
         self.loads.pools = pools;
+        true
     }
 
     /// Adds a submission to the load of its pool. Returns whether it has work to
@@ -279,10 +490,14 @@
         let mut overload = Overload { remaining_work: 0, has_turn: false, ..work.overload };
         let mut first = None;
         let Some(pool) = pools.get_mut(&work.queue.service) else { return true };
+        let key = (work.queue.service.clone(), work.queue.priority);
+        let kinds = self.loads.priorities.entry(key).or_default();
         for occurrence in &work.occurrences {
             for (i, spec) in work.submission.steps.iter().enumerate() {
                 let kind = workload_kind(spec);
                 let Some(load) = pool.of_kind_mut(kind) else { continue };
+                kinds.has_batch |= kind == WorkloadKind::Batch;
+                kinds.has_best_effort |= kind == WorkloadKind::BestEffort;
                 let remaining = occurrence.remaining_work(i, spec);
                 overload.remaining_work = overload.remaining_work.saturating_add(remaining);
                 let step = &occurrence.steps[i];
@@ -321,21 +536,27 @@
         true
     }
 
-    fn log_overload(&mut self, service: &str, kind: &str, load: &KindLoad) {
-        let decision = if load.is_overloaded {
-            DecisionKind::OverloadBegan
-        } else {
-            DecisionKind::OverloadEnded
+    fn log_overload(&mut self, service: &str, kind: &str, load: &KindLoad, has_changed: bool) {
+        let decision = match (has_changed, load.is_overloaded) {
+            (true, true) => DecisionKind::OverloadBegan,
+            (true, false) => DecisionKind::OverloadEnded,
+            (false, _) => DecisionKind::Overloaded,
         };
+        let evictions = self.loads.evictions;
         self.log_decision(decision, None, None, || {
             format!(
-                "pool={service} kind={kind} wait_ms={} begun_wait_ms={} begun_ms={} \
-                 rate_millicores={} stretch_percent={}",
+                "pool={service} kind={kind} wait_ms={} begun_wait_ms={} begun_ms={} late_ms={} \
+                 new_ms={} delayed={} rate_millicores={} stretch_percent={} forecast_error_ms={} \
+                 evictions={evictions}",
                 load.duration_ms(load.waiting_work),
                 load.duration_ms(load.begun_waiting_work),
                 load.duration_ms(load.begun_work),
-                load.rate,
+                load.duration_ms(load.late_work),
+                load.duration_ms(load.new_work),
+                load.delayed,
+                load.rate(),
                 load.stretch_percent,
+                load.forecast_error_ms,
             )
         });
     }
@@ -345,25 +566,31 @@
 /// their order, waits for room, and which late one may begin before the others.
 /// One that cannot be on time takes no room from those behind it.
 fn queue_new<'a>(
-    load: &KindLoad,
+    load: &mut KindLoad,
     new: impl Iterator<Item = &'a mut NewWork>,
     now: Timestamp,
 ) -> Vec<&'a mut NewWork> {
     let mut ahead = load.begun_waiting_work;
     let mut new: Vec<&mut NewWork> = new.collect();
-    for it in &mut new {
+    let mut late: Option<(Rank, usize)> = None;
+    for (i, it) in new.iter_mut().enumerate() {
         it.overload.wait_ms = load.duration_ms(ahead);
         it.overload.stretch_percent = load.stretch_percent;
-        if it.step.has_room_in_time(it.overload, now) {
+        let rank = WaitingStep { overload: Some(it.overload), ..it.step }.rank(now);
+        if rank.is_worthwhile() {
+            load.new_work = load.new_work.saturating_add(it.overload.remaining_work);
+        }
+        if rank.is_on_time() {
             ahead = ahead.saturating_add(it.overload.remaining_work);
+        } else {
+            load.delayed += 1;
         }
-    }
-    if load.late_work < load.begun_work / 100 * LATE_PERCENT {
-        let rank = |it: &NewWork| WaitingStep { overload: Some(it.overload), ..it.step }.rank(now);
-        let late = new.iter_mut().filter(|it| rank(it).is_late());
-        if let Some(first) = late.min_by_key(|it| rank(it)) {
-            first.overload.has_turn = true;
+        if rank.is_worthwhile() && !rank.is_on_time() {
+            late = Some(late.map_or((rank, i), |first| first.min((rank, i))));
         }
     }
+    if let Some((_, i)) = late.filter(|_| load.late_work < load.begun_work / 100 * LATE_PERCENT) {
+        new[i].overload.has_turn = true;
+    }
     new
 }
--- a/crates/mustardcove-core/src/fleet/planner/measurements.rs
+++ b/crates/mustardcove-core/src/fleet/planner/measurements.rs
@@ -87,16 +87,25 @@
     }
 
     /// Lifts the bound on the pace of the runs that were started without
-    /// processor time, as far as there is some now.
+    /// processor time, as far as there is some now. Under overload that time is
+    /// given in the order of work, so submissions that have not begun wait for
+    /// their turn.
     fn lift_max_paces(&mut self, index: WorkerIndex) {
-        let worker = &mut self.workers[index];
+        let worker = &self.workers[index];
         let limited = worker.allocations.iter().filter(|it| it.1.max_pace < 100);
         let limited: Vec<TaskKey> = limited.map(|it| *it.0).collect();
         for task in limited {
-            worker.lift_max_pace(task, &self.interference);
+            if !self.waits_for_turn(task) {
+                self.workers[index].lift_max_pace(task, &self.interference);
+            }
         }
     }
 
+    fn waits_for_turn(&self, task: TaskKey) -> bool {
+        let waiting = self.waiting_step(task.step);
+        waiting.is_some_and(|it| it.is_new && it.overload.is_some())
+    }
+
     /// Stops a run so that its task starts on another worker.
     pub(super) fn stop_and_move(
         &mut self,
--- a/crates/mustardcove-core/src/fleet/planner/rank.rs
+++ b/crates/mustardcove-core/src/fleet/planner/rank.rs
@@ -109,9 +109,9 @@
         is_long_running && self.urgency == Urgency::OnTime
     }
 
-    /// Returns whether the step will miss its SLO deadline and is worth something.
-    pub(super) fn is_late(&self) -> bool {
-        self.urgency == Urgency::Late
+    /// Returns whether it goes before all late work that is new.
+    pub(super) fn is_on_time(&self) -> bool {
+        self.urgency == Urgency::OnTime
     }
 
     /// Returns whether the step is still worth anything.
@@ -154,11 +154,16 @@
     }
 
     /// Returns whether a new submission can be on time behind the work ahead of it.
-    pub(super) fn has_room_in_time(&self, overload: Overload, now: Timestamp) -> bool {
+    fn has_room_in_time(&self, overload: Overload, now: Timestamp) -> bool {
         let path_ms = self.critical_path_ms.saturating_mul(overload.stretch_percent) / 100;
         now.plus_ms(overload.wait_ms).plus_ms(path_ms) <= self.slo_deadline
     }
 
+    /// Returns whether it will miss its SLO deadline and is worth something.
+    pub(super) fn is_late(&self, now: Timestamp) -> bool {
+        self.urgency(now) == Urgency::Late
+    }
+
     fn urgency(&self, now: Timestamp) -> Urgency {
         let ends_at = now.plus_ms(self.critical_path_ms);
         if self.is_long_running && !self.may_have_run {
--- a/crates/mustardcove-core/src/fleet/planner/round.rs
+++ b/crates/mustardcove-core/src/fleet/planner/round.rs
@@ -260,13 +260,20 @@
         step.is_some_and(|it| it.tasks.iter().enumerate().any(is_placeable))
     }
 
+    /// Returns what determines the rank of a step; `None` if none of its tasks
+    /// waits.
     pub(super) fn waiting_step(&self, key: StepKey) -> Option<WaitingStep> {
+        let occurrence = self.work.get(&key.submission)?.occurrence(key.occurrence)?;
+        let step = occurrence.steps.get(usize::from(key.step))?;
+        let is_waiting = step.is_ready && step.tasks.iter().any(|it| it.is_waiting());
+        is_waiting.then(|| self.rank_inputs(key)).flatten()
+    }
+
+    /// Returns what would determine the rank of a step if its tasks waited.
+    pub(super) fn rank_inputs(&self, key: StepKey) -> Option<WaitingStep> {
         let work = self.work.get(&key.submission)?;
         let occurrence = work.occurrence(key.occurrence)?;
         let step = occurrence.steps.get(usize::from(key.step))?;
-        if !step.is_ready || !step.tasks.iter().any(|it| it.is_waiting()) {
-            return None;
-        }
         let spec = &work.submission.steps[usize::from(key.step)];
         Some(WaitingStep {
             key,
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -46,7 +46,9 @@
         let schedulable: Vec<WorkerIndex> =
             (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none()).collect();
         self.place(&schedulable, now);
-        self.measure_loads(now);
+        if self.measure_loads(now) {
+            self.evict(&schedulable, now);
+        }
         if !schedulable.is_empty() {
             self.move_slowed(&schedulable, now);
             self.move_stragglers(&schedulable, now);
--- a/crates/mustardcove-core/tests/support/planner_rig.rs
+++ b/crates/mustardcove-core/tests/support/planner_rig.rs
@@ -10,7 +10,7 @@
             EndKind, EndedRun, Order, PollResult, RunningTask, StartOrder, StartOutcome,
             WorkerReport,
         },
-        planner::{Actions, Planner, TicketRequest, WorkerListing},
+        planner::{Actions, Decision, Planner, TicketRequest, WorkerListing},
         record::SuspectTask,
         submission::{Submission, SubmissionState},
     },
@@ -36,6 +36,7 @@
     pub(crate) orders: Vec<(WorkerId, Order)>,
     /// Submissions that the planner wants to be looked up.
     pub(crate) lookups: Vec<SubmissionId>,
+    pub(crate) decisions: Vec<Decision>,
     pub(crate) ticket_requests: Vec<TicketRequest>,
     pub(crate) workers: BTreeMap<WorkerId, WorkerState>,
     pub(crate) listings: Vec<WorkerListing>,
@@ -51,6 +52,7 @@
             states: BTreeMap::new(),
             orders: Vec::new(),
             lookups: Vec::new(),
+            decisions: Vec::new(),
             ticket_requests: Vec::new(),
             workers: listings
                 .iter()
@@ -128,6 +130,7 @@
         let actions: Actions = self.planner.take_actions();
         self.states.extend(actions.states);
         self.lookups.extend(actions.submission_lookups);
+        self.decisions.extend(actions.decisions);
         self.ticket_requests.extend(actions.ticket_requests);
         let mut starts = Vec::new();
         for (worker, order) in actions.orders {
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -41,6 +41,10 @@
     straggler_moves: Gauge<u64>,
     silent_runs: Gauge<u64>,
     longest_silence_ms: Gauge<u64>,
+    overloaded_kinds: Gauge<u64>,
+    delayed_submissions: Gauge<u64>,
+    forecast_error_ms: Gauge<u64>,
+    evictions: Gauge<u64>,
     report_age_ms: Gauge<u64>,
     ignored_entries: Gauge<u64>,
     evacuated_domains: Gauge<u64>,
@@ -132,6 +136,22 @@
                 "How long the longest of these workers has been silent, at the leader, in \
                  milliseconds.",
             ),
+            overloaded_kinds: gauge(
+                "overloaded_kinds",
+                "Kinds of work that find less room in their pool than they need, at the leader.",
+            ),
+            delayed_submissions: gauge(
+                "delayed_submissions",
+                "Submissions that have not begun and are forecast to be late, at the leader.",
+            ),
+            forecast_error_ms: gauge(
+                "forecast_error_ms",
+                "Average error of the forecast end by kind of work, in milliseconds, at the leader.",
+            ),
+            evictions: gauge(
+                "overload_evictions",
+                "Number of best-effort runs stopped for others in this term, at the leader.",
+            ),
             report_age_ms: gauge(
                 "leader_report_age_ms",
                 "Age of the oldest report handled since the last heartbeat, at the leader.",
@@ -216,6 +236,12 @@
         self.evacuated_domains.record(counts.evacuated_domains as u64, &[]);
         self.evacuated_workers.record(counts.evacuated_workers as u64, &[]);
         self.cold_workers.record(counts.cold_workers as u64, &[]);
+        self.overloaded_kinds.record(counts.load.overloaded as u64, &[]);
+        self.delayed_submissions.record(counts.load.delayed as u64, &[]);
+        let kind = |it| [KeyValue::new("kind", it)];
+        self.forecast_error_ms.record(counts.load.batch_error_ms, &kind("batch"));
+        self.forecast_error_ms.record(counts.load.best_effort_error_ms, &kind("best_effort"));
+        self.evictions.record(counts.load.evictions, &[]);
     }
 
     /// Sets the age of the oldest report that the leader has handled lately, in
