--- a/crates/mustardcove-core/src/fleet/planner/eviction.rs
+++ b/crates/mustardcove-core/src/fleet/planner/eviction.rs
@@ -33,9 +33,9 @@
 /// Progress from which a run is left to end, in percent: a stop and a restore
 /// take about as long as the rest.
 const MAX_PERCENT: u8 = 70;
-/// Shortest time between a start and an eviction, in milliseconds: several times
-/// what a stop and a restore take.
-const MIN_RUN_MS: u64 = 2_000;
+/// Shortest time between a start and an eviction, in milliseconds: longer than a
+/// stop and a restore take.
+const MIN_RUN_MS: u64 = 1_500;
 /// A late submission is stopped only for one whose remaining work is smaller by
 /// this factor, so that ageing does not turn the two around soon.
 const REMAINING_FACTOR: u64 = 4;
@@ -187,7 +187,9 @@
         let current = work.task(task)?.run().filter(|it| it.run == allocation.run)?;
         let spec = &work.submission.steps[usize::from(task.step.step)];
         let is_cheap = spec.saves_progress || current.percent <= MAX_LOST_PERCENT;
+        // A run at the lowest pace holds next to nothing.
         let may_stop = is_cheap
+            && allocation.max_pace == 100
             && !spec.is_gang
             && current.percent < MAX_PERCENT
             && current.is_confirmed()
--- a/crates/mustardcove-core/src/fleet/planner/forecast.rs
+++ b/crates/mustardcove-core/src/fleet/planner/forecast.rs
@@ -25,7 +25,10 @@
     workload_kind,
 };
 use crate::{
-    fleet::{id::SubmissionId, submission::StepSpec},
+    fleet::{
+        id::SubmissionId,
+        submission::{StepSpec, SubmissionState},
+    },
     time::Timestamp,
 };
 
@@ -48,10 +51,10 @@
 /// small, as each takes room from one that would be on time.
 const LATE_PERCENT: u64 = 15;
 /// Part of the completed work of a measurement interval in the smoothed rate, as
-/// a divisor: about the last 5 s, in which most tasks of a step end.
+/// a divisor: about the last 5 s, as progress is reported in steps.
 const RATE_SAMPLES: u64 = 25;
 /// Bounds of the completed work in percent of the processors in use, so that a
-/// few measurements without ends do not stop all new work.
+/// few measurements without progress do not stop all new work.
 const MIN_RATE_PERCENT: u64 = 30;
 const MAX_RATE_PERCENT: u64 = 150;
 /// Time between two lines in the log about an overload that goes on, in
@@ -95,7 +98,7 @@
     used_cpu: u64,
     /// Processors that more of its runs would find, in millicores.
     free_cpu: u64,
-    /// Work completed since the last measurement.
+    /// Work completed between the last two measurements, by the progress of runs.
     completed: u64,
     /// Work completed in a millisecond, smoothed; 0 without overload.
     completed_rate: u64,
@@ -163,10 +166,8 @@
 
 impl KindLoad {
     fn begin_measurement(&mut self) {
-        let rate = self.completed / MEASURE_INTERVAL_MS;
-        let sum = self.completed_rate * (RATE_SAMPLES - 1) + rate;
         *self = KindLoad {
-            completed_rate: sum / RATE_SAMPLES,
+            completed_rate: self.completed_rate,
             stretch_percent: self.stretch_percent,
             forecast_error_ms: self.forecast_error_ms,
             logged_at: self.logged_at,
@@ -203,6 +204,8 @@
     /// Updates whether there is less room than work. Returns whether that has
     /// changed.
     fn update_overload(&mut self, now: Timestamp) -> bool {
+        let sum = self.completed_rate * (RATE_SAMPLES - 1) + self.completed / MEASURE_INTERVAL_MS;
+        self.completed_rate = sum / RATE_SAMPLES;
         let wait_ms = self.duration_ms(self.waiting_work);
         let (is_beyond, after_ms) = if self.is_overloaded {
             (wait_ms < END_WAIT_MS, END_AFTER_MS)
@@ -275,15 +278,6 @@
         (load.is_overloaded && !self.is_handling_disabled).then_some(work.overload)
     }
 
-    /// Records that a task of a step is done.
-    pub(super) fn task_done(&mut self, work: &Work, step: usize) {
-        let Some(spec) = work.submission.steps.get(step) else { return };
-        let pool = self.pools.get_mut(&work.queue.service);
-        if let Some(load) = pool.and_then(|it| it.of_kind_mut(workload_kind(spec))) {
-            load.completed = load.completed.saturating_add(spec.task_work());
-        }
-    }
-
     /// Records that a submission has completed.
     pub(super) fn completed(&mut self, work: &Work, now: Timestamp) {
         let Some(begun_at) = work.begun_at.filter(|_| work.submission.schedule.is_none()) else {
@@ -485,11 +479,20 @@
         new: &mut BTreeMap<String, Vec<NewWork>>,
         now: Timestamp,
     ) -> bool {
-        let Some(work) = self.work.get(&id).filter(|it| !it.state.is_final()) else { return false };
+        let Some(work) = self.work.get(&id) else { return false };
+        let Some(pool) = pools.get_mut(&work.queue.service) else { return true };
+        let mut completed = work.overload.remaining_work;
+        let kind = work.submission.steps.first().map(workload_kind);
+        if work.state.is_final() {
+            let completed = if work.state == SubmissionState::Completed { completed } else { 0 };
+            if let Some(load) = kind.and_then(|it| pool.of_kind_mut(it)) {
+                load.completed = load.completed.saturating_add(completed);
+            }
+            return false;
+        }
         let may_start = self.may_start_work(work, now);
         let mut overload = Overload { remaining_work: 0, has_turn: false, ..work.overload };
         let mut first = None;
-        let Some(pool) = pools.get_mut(&work.queue.service) else { return true };
         let key = (work.queue.service.clone(), work.queue.priority);
         let kinds = self.loads.priorities.entry(key).or_default();
         for occurrence in &work.occurrences {
@@ -526,6 +529,10 @@
                 }
             }
         }
+        completed = completed.saturating_sub(overload.remaining_work);
+        if let Some(load) = kind.and_then(|it| pool.of_kind_mut(it)) {
+            load.completed = load.completed.saturating_add(completed);
+        }
         if let Some((kind, step)) = first.and_then(|it| Some((it.0, self.waiting_step(it.1)?))) {
             let service = work.queue.service.clone();
             new.entry(service).or_default().push(NewWork { kind, step, overload });
--- a/crates/mustardcove-core/src/fleet/planner/measurements.rs
+++ b/crates/mustardcove-core/src/fleet/planner/measurements.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     fleet::{
-        id::{RunNumber, TaskKey},
+        id::{RunNumber, SubmissionId, TaskKey},
         message::Order,
     },
     time::Timestamp,
@@ -101,6 +101,26 @@
         }
     }
 
+    /// Lifts the bound at once on the pace of the runs of a submission that begins
+    /// under overload: runs at the lowest pace are moved elsewhere otherwise.
+    pub(super) fn lift_begun(&mut self, id: SubmissionId, now: Timestamp) {
+        let Some(work) = self.work.get(&id) else { return };
+        if !self.loads.is_best_effort_overloaded(&work.queue.service) {
+            return;
+        }
+        let runs: Vec<(TaskKey, WorkerIndex, RunNumber)> =
+            work.runs().map(|(task, it)| (task, it.worker, it.run)).collect();
+        for (task, index, run) in runs {
+            let max_pace = |it: &Planner| Some(it.workers[index].allocations.get(&task)?.max_pace);
+            if max_pace(self).is_some_and(|it| it < 100) {
+                self.workers[index].lift_max_pace(task, &self.interference);
+                if max_pace(self) == Some(100) {
+                    self.set_pace(index, task, run, 100, now);
+                }
+            }
+        }
+    }
+
     fn waits_for_turn(&self, task: TaskKey) -> bool {
         let waiting = self.waiting_step(task.step);
         waiting.is_some_and(|it| it.is_new && it.overload.is_some())
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -454,7 +454,6 @@
         slot.phase = Phase::Done;
         slot.suspicion = None;
         let step = usize::from(task.step.step);
-        self.loads.task_done(work, step);
         if let Some(occurrence) = work.occurrence_mut(task.step.occurrence) {
             occurrence.steps[step].unfinished -= 1;
         }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -201,7 +201,8 @@
         let run_base = self.run_base;
         let allocation = self.pending_allocation(pending, spec);
         let Some(work) = self.work.get_mut(&key.submission) else { return };
-        if !pending.is_starved && !std::mem::replace(&mut work.is_begun, true) {
+        let begins = !pending.is_starved && !std::mem::replace(&mut work.is_begun, true);
+        if begins {
             work.begun_at = Some(now);
         }
         if let Some(occurrence) = work.occurrence_mut(key.occurrence) {
@@ -236,6 +237,9 @@
                 self.order_start(worker, order, now);
             }
         }
+        if begins {
+            self.lift_begun(key.submission, now);
+        }
         let first = self.worker_id(chosen[0].1);
         self.log_decision(DecisionKind::Started, Some(key.submission), Some(first), || {
             format!("step={key} tasks={} of={} waited_ms={waited_ms}", chosen.len(), spec.count)
