--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -80,7 +80,7 @@
 pub use self::{
     cold::ColdEntry,
     evacuations::DomainChange,
-    forecast::{LoadCounts, LoadReport, PoolLoad},
+    forecast::LoadCounts,
     tickets::{TicketReply, TicketRequest},
     workers::WorkerListing,
 };
--- a/crates/mustardcove-core/src/fleet/planner/forecast.rs
+++ b/crates/mustardcove-core/src/fleet/planner/forecast.rs
@@ -27,8 +27,10 @@
 use crate::{
     fleet::{
         id::SubmissionId,
+        overload::{LoadReport, PoolLoad, WorkAmount},
         submission::{StepSpec, SubmissionState},
     },
+    size::Millicores,
     time::Timestamp,
 };
 
@@ -315,33 +317,6 @@
     }
 }
 
-/// The load of all pools, for the admission of new submissions.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct LoadReport {
-    /// One for each priority of each pool.
-    pub pools: Vec<PoolLoad>,
-}
-
-/// The load of one priority in a pool.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PoolLoad {
-    /// The pool.
-    pub service: String,
-    /// The priority.
-    pub priority: u8,
-    /// When the work ahead of a new submission will have left room for it.
-    pub wait_until: Timestamp,
-    /// Whether there is less room than work.
-    pub is_overloaded: bool,
-    /// Processors that a new submission finds at once, in millicores.
-    pub free_millicores: u64,
-    /// Work that the pool completes in a millisecond, in millicore-milliseconds.
-    pub rate_millicores: u64,
-    /// Work that callers were told to come back with, in
-    /// millicore-milliseconds; the planner does not know it.
-    pub promised_work: u64,
-}
-
 /// What the load of the pools has caused, for the metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadCounts {
@@ -383,9 +358,9 @@
                 priority,
                 wait_until: now.plus_ms(wait_ms.unwrap_or(0)),
                 is_overloaded: of_kinds().any(|it| it.is_overloaded),
-                free_millicores: of_kinds().map(|it| it.free_cpu).min().unwrap_or_default(),
-                rate_millicores: of_kinds().map(KindLoad::rate).min().unwrap_or_default(),
-                promised_work: 0,
+                free_millicores: Millicores(of_kinds().map(|it| it.free_cpu).min().unwrap_or(0)),
+                rate_millicores: Millicores(of_kinds().map(KindLoad::rate).min().unwrap_or(0)),
+                promised: WorkAmount::default(),
             }
         };
         let queues = self.manifest.queues.iter().map(|it| (it.service.as_str(), it.priority));
--- a/crates/mustardcove-core/tests/overload_order.rs
+++ b/crates/mustardcove-core/tests/overload_order.rs
@@ -14,6 +14,7 @@
 
 use mustardcove_core::{
     fleet::{id::SubmissionId, message::Order, planner::DecisionKind, submission::StepSpec},
+    size::Millicores,
     time::Timestamp,
 };
 use overload_replay::{Caller, Replay, TASK_MS, TICK_MS, best_effort};
@@ -140,7 +141,7 @@
     run(&mut replay, 16, |_| USUAL_RATE * 0.7);
     let calm = report(&replay);
     assert!(!calm.is_overloaded && calm.wait_until == replay.rig.now, "{calm:?}");
-    assert!(0 < calm.free_millicores, "{calm:?}");
+    assert!(Millicores(0) < calm.free_millicores, "{calm:?}");
     for _ in 0..60 {
         replay.submit(MEAN_TASKS);
     }
