--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -410,7 +410,7 @@
         if !self.is_restored {
             return None;
         }
-        let mut report = LoadReport::default();
+        let mut report = self.planner.load_report(now);
         self.places.fill(&mut report);
         Some(report)
     }
