Keep each submission's last run, and pause what was stopped

Stopped tasks went back to the room between two steps of what had taken their place, and were stopped up to four times (the test worthless_holds_room).

--- a/crates/mustardcove-core/src/fleet/planner/eviction.rs
+++ b/crates/mustardcove-core/src/fleet/planner/eviction.rs
@@ -10,8 +10,8 @@
 //! A stop costs the time of a stop and a restore, and what the run has not
 //! saved. So only runs that save their progress, or have hardly any, are
 //! stopped, not those that end soon, and only as many at a time as work waits
-//! for. What is stopped ranks behind what takes its place, so the next round does
-//! not start it again. Long-running tasks and runs with reserved processors are
+//! for. What is stopped ranks behind what takes its place, and does not start
+//! again for some seconds. Each submission keeps a run. Long-running tasks and runs with reserved processors are
 //! never stopped.
 
 use super::{
@@ -36,6 +36,9 @@
 /// Shortest time between a start and an eviction, in milliseconds: longer than a
 /// stop and a restore take.
 const MIN_RUN_MS: u64 = 1_500;
+/// Time for which a stopped task does not start again, in milliseconds: about as
+/// long as a step of what takes its place, whose next step needs the room, too.
+const PAUSE_MS: u64 = 5_000;
 /// A late submission is stopped only for one whose remaining work is smaller by
 /// this factor, so that ageing does not turn the two around soon.
 const REMAINING_FACTOR: u64 = 4;
@@ -102,6 +105,9 @@
         victims.sort_by_key(Victim::cost);
         for victim in victims {
             let index = victim.run.0;
+            if self.is_last_run(&victim) {
+                continue;
+            }
             let is_met = |need: &Need| {
                 victim.gives_way_to(need) && self.has_room_without(index, &victim, need)
             };
@@ -123,6 +129,9 @@
             if victim.is_worthless { "worthless under overload" } else { "late under overload" };
         self.stop(index, task, run, why, now);
         self.evictions.push(victim.run);
+        if let Some(slot) = self.task_mut(task) {
+            slot.not_before = slot.not_before.max(now.plus_ms(PAUSE_MS));
+        }
         self.loads.evictions += 1;
         let worker = self.worker_id(index);
         self.log_decision(DecisionKind::Evicted, Some(task.step.submission), Some(worker), || {
@@ -133,6 +142,14 @@
         });
     }
 
+    /// Returns whether nothing else of its submission runs: each submission keeps
+    /// a run while users expect that.
+    fn is_last_run(&self, victim: &Victim) -> bool {
+        let Some(work) = self.work.get(&victim.run.1.step.submission) else { return true };
+        let others = work.runs().filter(|(task, _)| *task != victim.run.1);
+        !others.into_iter().any(|(task, it)| self.is_alive(task, it))
+    }
+
     /// Returns the best-effort steps under overload that wait although they can be
     /// served, in their order.
     fn unmet_needs(&self, now: Timestamp) -> Vec<Need> {
