Judge only runs that can tell something

A run that is not behind its estimate is now looked at only if its worker was seen to be slow; tasks that are done show that the others are sound. Whether a demand is possible is looked up before it is searched.

--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -644,9 +644,11 @@
         now: Timestamp,
     ) {
         let Some(work) = self.work.get_mut(&row.task.step.submission) else { return };
-        let submission = work.submission.clone();
-        let spec = &submission.steps[usize::from(row.task.step.step)];
+        let spec = &work.submission.steps[usize::from(row.task.step.step)];
         let (is_long_running, is_gang) = (spec.is_long_running, spec.is_gang);
+        let worker = &self.workers[index];
+        let pace = worker.allocations.get(&row.task).map_or(100, |it| it.pace);
+        let is_comparable = worker_speed::is_comparable(spec, worker, pace);
         let estimate_ms = spec.estimate_ms;
         let Some(slot) = work.task_mut(row.task) else { return };
         if row.checkpoint.is_some() {
@@ -658,9 +660,7 @@
         run.was_listed = true;
         run.missed_polls = 0;
         let stalled_ms = run.stalled_ms;
-        let worker = &self.workers[index];
-        let pace = worker.allocations.get(&row.task).map_or(100, |it| it.pace);
-        let bounds = if worker_speed::is_comparable(spec, worker, pace) {
+        let bounds = if is_comparable {
             ProgressWindow::listed(&mut run.window, row.percent, asked_at)
         } else {
             run.window = None;
@@ -696,7 +696,7 @@
             }
             self.stop(index, row.task, row.run, "no progress", now);
         }
-        if let Some(bounds) = bounds {
+        if let Some(bounds) = bounds.filter(|it| it.may_tell(estimate_ms, &self.workers[index])) {
             self.judge_progress(index, row.task, bounds, now);
         }
     }
--- a/crates/mustardcove-core/src/fleet/planner/round.rs
+++ b/crates/mustardcove-core/src/fleet/planner/round.rs
@@ -12,7 +12,7 @@
     placement::{self, Obstacle},
     rank::{Rank, WaitingStep},
     reservations::MAX_RESERVE_TRIES,
-    work::{Task, TriedRound, WorkerIndex},
+    work::{Task, TriedRound, Work, WorkerIndex},
     workers::Worker,
 };
 use crate::{
@@ -182,13 +182,18 @@
         Some(changed.filter(may_use).collect())
     }
 
+    /// Returns whether a worker could ever hold a task of a step, if that was found
+    /// out for the present workers.
+    fn is_possible(&self, work: &Work, key: StepKey) -> Option<bool> {
+        let step = work.occurrence(key.occurrence)?.steps.get(usize::from(key.step))?;
+        step.is_possible.filter(|it| it.0 == self.fleet_version).map(|it| it.1)
+    }
+
     /// Finds out whether a step needs more than any worker of its pool has, or a
     /// label that none has. It is not tried again until the workers change.
     fn find_impossible(&mut self, key: StepKey, spec: &StepSpec, now: Timestamp) {
         let Some(work) = self.work.get(&key.submission) else { return };
-        let occurrence = work.occurrence(key.occurrence);
-        let known = occurrence.and_then(|it| it.steps[usize::from(key.step)].is_possible);
-        if known.is_some_and(|it| it.0 == self.fleet_version) {
+        if self.is_possible(work, key).is_some() {
             return;
         }
         let needed = spec.allocation();
@@ -311,7 +316,9 @@
         let may_use_more = may_use_suspended || (spec.is_long_running && is_overdue);
         let may_skip = !needs_ticket && !may_use_more && reserved.is_empty();
         if may_skip && round.is_unplaceable(&work.queue.service, spec) {
-            self.find_impossible(key, spec, now);
+            if self.is_possible(work, key).is_none() {
+                self.find_impossible(key, spec, now);
+            }
             let Some(work) = self.work.get(&key.submission) else { return };
             if may_reserve {
                 let service = work.queue.service.clone();
--- a/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
+++ b/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
@@ -171,6 +171,14 @@
     }
 }
 
+impl DurationBounds {
+    /// Returns whether a run may be slow, or its worker was seen to be. Most runs
+    /// are sound, and those that are done tell enough of workers that are.
+    pub(super) fn may_tell(&self, estimate_ms: u64, worker: &Worker) -> bool {
+        estimate_ms as f32 <= self.at_least || !worker.speed.is_unsuspected()
+    }
+}
+
 /// Factors by which tasks of a step took longer than estimated, as far as they
 /// are done.
 #[derive(Clone, Debug, Default)]
@@ -189,8 +197,13 @@
     /// Returns the median factor on workers other than one, if enough are known.
     fn median_elsewhere(&self, worker: WorkerIndex) -> Option<f32> {
         let elsewhere = self.done.iter().filter(|it| it.0 != worker);
-        let mut factors: Vec<f32> = elsewhere.map(|it| it.1).collect();
-        (MIN_SIBLINGS <= factors.len()).then(|| median(&mut factors))
+        let mut factors = [0.0; MAX_SIBLINGS];
+        let mut count = 0;
+        for (_, factor) in elsewhere {
+            factors[count] = *factor;
+            count += 1;
+        }
+        (MIN_SIBLINGS <= count).then(|| median(&mut factors[..count]))
     }
 }
 
@@ -242,6 +255,11 @@
         1.0 < self.slowness(now)
     }
 
+    /// Returns whether no recent run was slow.
+    fn is_unsuspected(&self) -> bool {
+        self.slow.is_empty() && self.slowness <= 1.0
+    }
+
     /// Records a run that is slower than expected by a factor.
     fn record_slow(&mut self, task: TaskKey, factor: f32, now: Timestamp) {
         self.sound.retain(|it| it.task != task && now.ms_since(it.at) < SOUND_MEMORY_MS);
