--- a/crates/mustardcove-core/tests/overload_order.rs
+++ b/crates/mustardcove-core/tests/overload_order.rs
@@ -1,6 +1,8 @@
 //! Best-effort work while there is less room than work: its order, the forecast,
 //! and which runs are stopped for others.
 
+#![allow(clippy::print_stdout, reason = "the figures are shown where an assertion fails")]
+
 #[path = "support/fleet_world.rs"]
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod fleet_world;
