--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -91,6 +91,9 @@
         if self.blocked.check_at <= now {
             self.blocked.check_at = now.plus_ms(CHECK_INTERVAL_MS);
             let blocked = self.find_blocked(now);
+            for (_, key) in &blocked {
+                self.end_eviction_pause(*key, now);
+            }
             self.report_idle(&blocked, now);
             if !blocked.is_empty() && self.blocked.explain_at <= now {
                 self.blocked.explain_at = now.plus_ms(EXPLAIN_INTERVAL_MS);
--- a/crates/mustardcove-core/src/fleet/planner/eviction.rs
+++ b/crates/mustardcove-core/src/fleet/planner/eviction.rs
@@ -131,6 +131,7 @@
         self.evictions.push(victim.run);
         if let Some(slot) = self.task_mut(task) {
             slot.not_before = slot.not_before.max(now.plus_ms(PAUSE_MS));
+            slot.is_evicted = true;
         }
         self.loads.evictions += 1;
         let worker = self.worker_id(index);
@@ -142,6 +143,19 @@
         });
     }
 
+    /// Ends the pause of a step's stopped tasks: the other runs of the submission
+    /// have ended meanwhile, and users expect it to have one.
+    pub(super) fn end_eviction_pause(&mut self, key: StepKey, now: Timestamp) {
+        let work = self.work.get_mut(&key.submission);
+        let occurrence = work.and_then(|it| it.occurrence_mut(key.occurrence));
+        let step = occurrence.and_then(|it| it.steps.get_mut(usize::from(key.step)));
+        let tasks = step.into_iter().flat_map(|it| &mut it.tasks);
+        for task in tasks.filter(|it| it.is_evicted) {
+            task.is_evicted = false;
+            task.not_before = task.not_before.min(now);
+        }
+    }
+
     /// Returns whether nothing else of its submission runs: each submission keeps
     /// a run while users expect that.
     fn is_last_run(&self, victim: &Victim) -> bool {
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -120,6 +120,8 @@
     pub(super) saved_percent: u8,
     /// The worker of the last failed run, which the next run avoids.
     pub(super) avoid: Option<WorkerIndex>,
+    /// Whether `not_before` is due to an eviction.
+    pub(super) is_evicted: bool,
     /// The task is not placed before this time.
     pub(super) not_before: Timestamp,
     /// What is known of crashes under it, which is rare.
