--- a/crates/mustardcove-node/src/callers.rs
+++ b/crates/mustardcove-node/src/callers.rs
@@ -46,6 +46,9 @@
 /// Percentage of the caller's time after which an unknown outcome is reported,
 /// so that the answer arrives in time.
 const DEADLINE_SHARE_PERCENT: u64 = 75;
+/// Shortest time that a request is tried for, in milliseconds, as long as one call
+/// to the store may take: a caller with an unusable deadline is answered, too.
+const MIN_ATTEMPT_MS: u64 = 900;
 /// Value of the Retry-After header if the process has no manifest or no leader,
 /// which takes about a second to change.
 const RETRY_AFTER_SECONDS: u64 = 1;
@@ -123,7 +126,7 @@
 fn deadline(headers: &HeaderMap, arrived_at: Timestamp) -> Timestamp {
     let ms = headers.get(DEADLINE_HEADER).and_then(|it| it.to_str().ok()?.parse::<f64>().ok());
     let ms = ms.map_or(DEFAULT_DEADLINE_MS, |it| it.max(0.0) as u64).min(MAX_DEADLINE_MS);
-    arrived_at.plus_ms(ms * DEADLINE_SHARE_PERCENT / 100)
+    arrived_at.plus_ms((ms * DEADLINE_SHARE_PERCENT / 100).max(MIN_ATTEMPT_MS))
 }
 
 async fn submit(
