Make parts of the plan readable by an explanation

Operators ask why a submission waits. An explanation of that needs the candidates of a round, the best worker and the nearest ones, and a copy of the plan to try the next one on.

Derives Clone for the planner's parts, and opens the functions for the planner's modules. Nothing that is decided changes.

--- a/crates/mustardcove-core/src/fleet/planner/blocked.rs
+++ b/crates/mustardcove-core/src/fleet/planner/blocked.rs
@@ -51,7 +51,7 @@
 const MAX_EXPLAINED: usize = 3;
 
 /// Submissions without a run, as of the last check.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct BlockedSubmissions {
     /// Since when each of them has had no run.
     since: BTreeMap<SubmissionId, Timestamp>,
--- a/crates/mustardcove-core/src/fleet/planner/choice.rs
+++ b/crates/mustardcove-core/src/fleet/planner/choice.rs
@@ -283,7 +283,7 @@
         self.request_tickets(pending.key, &candidates, now);
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         pending: &PendingTasks,
         spec: &StepSpec,
--- a/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
+++ b/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
@@ -15,7 +15,7 @@
 };
 
 /// The ends of the leases of earlier leaders.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct EarlierLeases {
     /// The time by which every lease has expired that an earlier leader granted
     /// before it knew of this term. What a poll of this term shows bounds those
--- a/crates/mustardcove-core/src/fleet/planner/held_tasks.rs
+++ b/crates/mustardcove-core/src/fleet/planner/held_tasks.rs
@@ -23,7 +23,7 @@
 
 /// The tasks that wait for a confirmation. Until then their `not_before` is
 /// [`Timestamp::MAX`].
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct HeldTasks {
     tasks: BTreeMap<TaskKey, HeldTask>,
 }
--- a/crates/mustardcove-core/src/fleet/planner/interference.rs
+++ b/crates/mustardcove-core/src/fleet/planner/interference.rs
@@ -100,7 +100,7 @@
 }
 
 /// Learned tails and pressures of images, and the loads of submissions.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct InterferenceModel {
     images: HashMap<Arc<str>, ImageId>,
     lowest_tail: Vec<f32>,
--- a/crates/mustardcove-core/src/fleet/planner/lookups.rs
+++ b/crates/mustardcove-core/src/fleet/planner/lookups.rs
@@ -14,7 +14,7 @@
 const LOOKUP_INTERVAL_MS: u64 = 200;
 
 /// The submissions to read.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Lookups {
     /// Those that are not resolved yet.
     wanted: BTreeSet<SubmissionId>,
--- a/crates/mustardcove-core/src/fleet/planner/rank.rs
+++ b/crates/mustardcove-core/src/fleet/planner/rank.rs
@@ -35,6 +35,8 @@
 //!
 //! See `docs/design/overload.md`.
 
+use strum::IntoStaticStr;
+
 use crate::{fleet::id::StepKey, time::Timestamp};
 
 /// Work is worth nothing if, counted from when it was due, it takes longer
@@ -70,7 +72,8 @@
     pub(super) has_turn: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 enum Urgency {
     /// Can still meet its SLO deadline, or is long-running and ran before.
     OnTime,
@@ -114,6 +117,11 @@
         self.urgency == Urgency::OnTime
     }
 
+    /// Returns the name of its class, for operators.
+    pub(super) fn class(&self) -> &'static str {
+        self.urgency.into()
+    }
+
     /// Returns whether the step is still worth anything.
     pub(super) fn is_worthwhile(&self) -> bool {
         self.urgency != Urgency::Worthless
--- a/crates/mustardcove-core/src/fleet/planner/round.rs
+++ b/crates/mustardcove-core/src/fleet/planner/round.rs
@@ -28,9 +28,9 @@
 const SUSPENDED_START_INTERVAL_MS: u64 = 2_000;
 
 /// A step that waits, with its rank.
-struct Candidate {
-    rank: Rank,
-    key: StepKey,
+pub(super) struct Candidate {
+    pub(super) rank: Rank,
+    pub(super) key: StepKey,
 }
 
 /// One placement round.
@@ -235,7 +235,7 @@
     }
 
     /// Returns the steps that wait, and drops those that do not.
-    fn candidates(&mut self, now: Timestamp) -> Vec<Candidate> {
+    pub(super) fn candidates(&mut self, now: Timestamp) -> Vec<Candidate> {
         let waiting = std::mem::take(&mut self.waiting);
         let mut candidates = Vec::with_capacity(waiting.len());
         for key in waiting {
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -253,7 +253,7 @@
 
 /// A start that is ordered once its record is stored; the members of a gang
 /// start together.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct WithheldStart {
     step: StepKey,
     /// The change that has to be stored first.
@@ -286,7 +286,7 @@
 }
 
 /// The suspected tasks, and the workers that are isolated for them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Suspects {
     tasks: BTreeSet<TaskKey>,
     claims: BTreeMap<WorkerIndex, Claim>,
--- a/crates/mustardcove-core/src/fleet/planner/suspects/explained.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects/explained.rs
@@ -32,7 +32,7 @@
 const EXPLAINING_CRASHES: usize = 3;
 
 /// A crash of a worker.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Crash {
     at: Timestamp,
     host: Option<HostId>,
@@ -41,7 +41,7 @@
 }
 
 /// The crashes that no task explains yet.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Crashes {
     crashes: BTreeMap<(WorkerId, Incarnation), Crash>,
     /// The crashes that were added since the explanations were looked for.
--- a/crates/mustardcove-core/src/fleet/planner/tickets.rs
+++ b/crates/mustardcove-core/src/fleet/planner/tickets.rs
@@ -52,7 +52,7 @@
 }
 
 /// Tickets and requests of one step.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StepTickets {
     tickets: BTreeMap<WorkerIndex, Ticket>,
     asked: BTreeSet<WorkerIndex>,
@@ -69,7 +69,7 @@
 type Place = (Timestamp, u64);
 
 /// Tickets and requests of all steps that need them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Tickets {
     steps: BTreeMap<StepKey, StepTickets>,
     /// The steps that want to ask.
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -59,7 +59,7 @@
 /// What a task waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
-enum Reason {
+pub(super) enum Reason {
     /// The workers that may run it under an earlier leader.
     Fence,
     /// The pause after its last run.
@@ -103,7 +103,7 @@
 }
 
 /// Tasks of long-running steps without a run, as of the last check.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct LongRunningWaits {
     tasks: BTreeMap<TaskKey, Wait>,
     waiting: usize,
@@ -138,9 +138,9 @@
 }
 
 /// The worker that is nearest to running a task.
-struct Nearest {
-    index: WorkerIndex,
-    obstacle: Option<Obstacle>,
+pub(super) struct Nearest {
+    pub(super) index: WorkerIndex,
+    pub(super) obstacle: Option<Obstacle>,
 }
 
 impl Planner {
@@ -301,7 +301,8 @@
         ))
     }
 
-    fn wait_reason(
+    /// Returns what a task without a run that is known to be alive waits for.
+    pub(super) fn wait_reason(
         &self,
         task: TaskKey,
         nearest: Option<&Nearest>,
@@ -374,14 +375,17 @@
     /// named only if no other is left.
     fn nearest_worker(&self, key: StepKey, now: Timestamp) -> Option<Nearest> {
         let needed = self.spec(key)?.allocation();
+        self.eligible_workers(key, now)?.into_iter().min_by_key(|it| self.distance(it, needed))
+    }
+
+    /// Returns what orders workers by how near they are to running a task; the
+    /// nearest has the lowest value.
+    pub(super) fn distance(&self, nearest: &Nearest, needed: Resources) -> impl Ord + use<> {
+        let worker = &self.workers[nearest.index];
+        let fits = needed.fits_in(worker.free());
         // The obstacles are ordered by severity, the most severe first.
-        let severity = |it: &Nearest| {
-            let worker = &self.workers[it.index];
-            let fits = needed.fits_in(worker.free());
-            let obstacle = it.obstacle.map(Reverse);
-            (!worker.is_room(), !fits, obstacle, Reverse(worker.free().cpu), it.index)
-        };
-        self.eligible_workers(key, now)?.into_iter().min_by_key(severity)
+        let obstacle = nearest.obstacle.map(Reverse);
+        (!worker.is_room(), !fits, obstacle, Reverse(worker.free().cpu), nearest.index)
     }
 
     /// Returns how many eligible workers that are up have capacity for a task of
@@ -414,13 +418,13 @@
         self.workers.iter().filter(is_evacuated).count()
     }
 
-    fn spec(&self, key: StepKey) -> Option<&StepSpec> {
+    pub(super) fn spec(&self, key: StepKey) -> Option<&StepSpec> {
         self.work.get(&key.submission)?.submission.steps.get(usize::from(key.step))
     }
 
     /// Returns the workers of the pool and kind that a step needs, each with what
     /// keeps it from running a task of the step.
-    fn eligible_workers(&self, key: StepKey, now: Timestamp) -> Option<Vec<Nearest>> {
+    pub(super) fn eligible_workers(&self, key: StepKey, now: Timestamp) -> Option<Vec<Nearest>> {
         let work = self.work.get(&key.submission)?;
         let spec = self.spec(key)?;
         let pending = PendingTasks::of_step(key, work, false)?;
@@ -445,7 +449,7 @@
 }
 
 /// Returns the milliseconds until a time, which are negative if it has passed.
-fn signed_ms(now: Timestamp, time: Timestamp) -> i64 {
+pub(super) fn signed_ms(now: Timestamp, time: Timestamp) -> i64 {
     time.0 as i64 - now.0 as i64
 }
 
