Explain where a submission would go and why

Operators had to read the log for the reason why a submission waits, and nothing told where a new one would go.

`explain_new` and `explain_known` make the next plan on a copy of the state, so that the starts that they name are those of the planner's own decisions. Ranks, obstacles and the nearest workers come from the planner's functions on the same copy. Fields for admission, forecast and evacuated domains are there for the parts that bring them.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -19,6 +19,7 @@
 pub mod confirmation;
 pub mod election;
 pub mod evacuation;
+pub mod explanation;
 pub mod handover;
 pub mod id;
 pub mod manifest;
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -31,6 +31,7 @@
 mod earlier_leases;
 mod evacuations;
 mod eviction;
+mod explain;
 mod forecast;
 mod handed_over;
 mod held_tasks;
--- a/crates/mustardcove-core/src/fleet/planner/forecast.rs
+++ b/crates/mustardcove-core/src/fleet/planner/forecast.rs
@@ -130,7 +130,7 @@
 }
 
 /// The loads of all pools.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Loads {
     /// Submissions that were not in a final state at the last measurement.
     active: BTreeSet<SubmissionId>,
