Answer at the administration address where a submission would go

Operators had no way to ask a running deployment why a submission waits, or where a new one would go, except by its logs.

`/explain` takes a host, a path and a caller's body, or an id. The answer says who answered and how old its knowledge is. The leader explains at most five submissions a second.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -11,6 +11,7 @@
 
 use super::{
     evacuation::EvacuationList,
+    explanation::{Question, Reply},
     id::{
         AssignmentNumber, BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber,
         SubmissionId, TaskKey, Term,
@@ -114,6 +115,20 @@
         /// The change to store.
         change: StoreChange,
     },
+    /// Asks the leader to explain a submission.
+    Explain {
+        /// The sender's number of the request.
+        request: u64,
+        /// The question.
+        question: Question,
+    },
+    /// Answers [`FleetMessage::Explain`].
+    Explained {
+        /// The number of the request.
+        request: u64,
+        /// The answer.
+        reply: Reply,
+    },
     /// Answers [`FleetMessage::Store`].
     Stored {
         /// The number of the request.
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -116,7 +116,8 @@
         FleetMessage::Joined(_)
         | FleetMessage::Report { .. }
         | FleetMessage::Submitted(_)
-        | FleetMessage::Cancelled(_) => {
+        | FleetMessage::Cancelled(_)
+        | FleetMessage::Explain { .. } => {
             to_leader(shared, routes, LeaderInput::Message { from, message });
         }
         FleetMessage::Store { request, change } => {
@@ -130,6 +131,9 @@
         FleetMessage::Stored { request, outcome } => {
             shared.end_store_request(request, Some(outcome));
         }
+        FleetMessage::Explained { request, reply } => {
+            shared.explanations.answered(request, reply);
+        }
     }
 }
 
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -6,6 +6,7 @@
 //! leader record names another process, a worker has seen a higher term, or
 //! the process stops.
 
+mod explain;
 mod handover;
 mod members;
 mod pollers;
@@ -213,6 +214,8 @@
     is_behind: bool,
     /// Callers that were told to come back.
     places: Places,
+    /// No submission is explained before this time.
+    explain_at: Timestamp,
     /// Why the term has to end; `None` while it goes on.
     end_reason: Option<&'static str>,
 }
@@ -260,6 +263,7 @@
         oldest_report_ms: 0,
         is_behind: false,
         places: Places::default(),
+        explain_at: now,
         end_reason: None,
     };
     leader.planner.set_unfenced_leases_expire_by(unfenced_leases_expire_by);
@@ -389,6 +393,9 @@
                     FleetMessage::Acknowledged { submissions: Vec::new(), cancelled: known };
                 self.shared.send(&from, reply);
             }
+            FleetMessage::Explain { request, question } => {
+                self.explain(&from, request, question, now);
+            }
             other => debug!(self.shared.log, "unexpected message"; "from" => %from,
                 "message" => ?other),
         }
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -19,6 +19,7 @@
     pub base: Metrics,
     requests: Counter<u64>,
     request_ms: Histogram<f64>,
+    explanations: Counter<u64>,
     store_faults: Counter<u64>,
     store_writes: Counter<u64>,
     admissions: Counter<u64>,
@@ -65,6 +66,10 @@
                 .with_description("Time to answer callers, in milliseconds.")
                 .with_boundaries(LATENCY_BUCKETS_MS.to_vec())
                 .build(),
+            explanations: counter(
+                "explanations",
+                "Questions of operators about submissions, by whether they got an explanation.",
+            ),
             store_faults: counter("store_faults", "Store calls without a usable answer."),
             store_writes: counter("store_writes", "Writes for callers by how they ended."),
             admissions: counter(
@@ -183,6 +188,11 @@
         self.request_ms.record(ms, &labels[..1]);
     }
 
+    /// Counts a question of an operator about a submission.
+    pub fn explained(&self, is_explained: bool) {
+        self.explanations.add(1, &[KeyValue::new("explained", is_explained)]);
+    }
+
     /// Counts a store call without a usable answer.
     pub fn store_fault(&self) {
         self.store_faults.add(1, &[]);
--- a/crates/mustardcove-node/src/process.rs
+++ b/crates/mustardcove-node/src/process.rs
@@ -34,7 +34,7 @@
 use crate::{
     callers, dispatch,
     dump::NodeDumps,
-    membership,
+    explain, membership,
     metrics::NodeMetrics,
     operator_watch, outbox, poller, readiness,
     shared::{Parts, Shared},
@@ -167,7 +167,8 @@
         shared.metrics.base.clone(),
         NodeDumps::new(shared.clone()),
         DUMP_ENTRIES,
-    );
+    )
+    .merge(explain::router(shared.clone()));
     tokio::spawn(admin::serve(admin_listener, admin, CancellationToken::new()));
     let readiness_server = tokio::spawn(readiness::serve(shared.clone(), readiness_listener));
     let membership_task = tokio::spawn(membership::run(shared.clone(), leader_inputs));
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -16,6 +16,7 @@
     fleet::{
         election::Candidacy,
         evacuation::{EvacuationList, EvacuationSource},
+        explanation::Reply,
         id::{BootMillis, ManifestVersion, Revision, SubmissionId, Term},
         manifest::Manifest,
         message::{FleetMessage, Heartbeat, StoreOutcome},
@@ -38,7 +39,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::{metrics::NodeMetrics, outbox::Outbox};
+use crate::{metrics::NodeMetrics, outbox::Outbox, requests::Requests};
 
 /// Age up to which the numbers of pending submissions are given to callers, in
 /// milliseconds, which is as old as users accept.
@@ -61,6 +62,8 @@
 pub struct LastHeartbeat {
     /// Its term, and when the leader sent it, on the leader's clock.
     sent_at: Option<(Term, Timestamp)>,
+    /// When it arrived.
+    received_at: Option<BootMillis>,
     permission: LeasePermission,
     /// Time for which reports are collected before they are sent, in
     /// milliseconds.
@@ -125,6 +128,8 @@
     pub leadership: watch::Sender<Leadership>,
     /// Submissions and cancellations that the leader has not acknowledged.
     pub outbox: Outbox,
+    /// Questions to the leader about submissions.
+    pub explanations: Requests<Reply>,
     /// Cancelled when a graceful shutdown begins.
     pub stop: CancellationToken,
     evacuations: Mutex<Evacuations>,
@@ -192,6 +197,7 @@
             newer_manifest: Notify::new(),
             leadership: watch::Sender::new(Leadership::default()),
             outbox: Outbox::default(),
+            explanations: Requests::default(),
             evacuations: Mutex::default(),
             states: Mutex::default(),
             candidacy: Mutex::new(candidacy),
@@ -322,6 +328,7 @@
         last.load_at = heartbeat.covered;
         last.places = heartbeat.places.into_iter().map(|it| it.to_local(shift)).collect();
         last.sent_at = Some((heartbeat.term, heartbeat.sent_at));
+        last.received_at = Some(boot_now());
         last.permission = LeasePermission::new(heartbeat.covered);
         last.report_delay_ms = heartbeat.report_delay_ms;
         last.reaching_store = heartbeat.reaching_store;
@@ -337,6 +344,11 @@
         self.update_candidacy(|it, now| it.heartbeat_received(is_same_region, now));
     }
 
+    /// Returns when the last heartbeat of a leader arrived; `None` if none has.
+    pub fn heartbeat_received_at(&self) -> Option<BootMillis> {
+        self.last_heartbeat().received_at
+    }
+
     /// Records that the leader of a term has stepped down.
     pub fn record_step_down(&self, term: Term) {
         self.last_heartbeat().stepped_down = Some((term, self.now()));
