Add the command explain to mustardcovectl

Operators ask any node where a submission would go, with the host, the path and the body of a caller, or with an id.

--- a/crates/mustardcovectl/src/api.rs
+++ b/crates/mustardcovectl/src/api.rs
@@ -135,7 +135,8 @@
     CommandError::Unreachable { detail: format!("the server does not answer: {error}"), verdict }
 }
 
-fn error_from_response(status: StatusCode, text: &str) -> CommandError {
+/// Returns the error of a response that reports a failure.
+pub(crate) fn error_from_response(status: StatusCode, text: &str) -> CommandError {
     let body: ErrorBody = serde_json::from_str(text).unwrap_or_default();
     let detail = if body.detail.is_empty() { format!("{status}: {text}") } else { body.detail };
     match (status, body.error) {
--- a/crates/mustardcovectl/src/args.rs
+++ b/crates/mustardcovectl/src/args.rs
@@ -5,6 +5,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use mustardcove_core::{
     agreement::SchemaVersion,
+    fleet::id::SubmissionId,
     id::{JobId, MemberId, Revision},
 };
 
@@ -24,7 +25,8 @@
   mustardcovectl agreement diff agreement.json
   mustardcovectl agreement apply agreement.json --based-on 7 --summary 'raise the cap'
   mustardcovectl member schema bindery v2
-  mustardcovectl jobs list --member bindery --output json";
+  mustardcovectl jobs list --member bindery --output json
+  mustardcovectl explain --node 127.0.0.1:7722 --host callers.example --path /bind/ --body job.json";
 
 /// Operates a mustardcove deployment.
 #[derive(Debug, Parser)]
@@ -73,6 +75,9 @@
     Jobs(JobsCommand),
     /// Shows workers, and which are in quarantine.
     Workers,
+    /// Tells where a submission would go now and why, or where its tasks are.
+    /// Nothing is submitted or changed.
+    Explain(ExplainArgs),
     /// Prints the state of a process.
     Dump {
         /// Administration address of the process.
@@ -85,6 +90,29 @@
     },
 }
 
+#[derive(Clone, Debug, clap::Args)]
+#[command(group = clap::ArgGroup::new("subject").args(["id", "host"]).required(true))]
+pub(crate) struct ExplainArgs {
+    /// Administration address of any node, as IP number and port.
+    #[arg(long, env = "MUSTARDCOVE_NODE", value_name = "ADDRESS")]
+    pub(crate) node: String,
+    /// Id of a submission that was accepted.
+    #[arg(long, conflicts_with_all = ["host", "path", "body"])]
+    pub(crate) id: Option<SubmissionId>,
+    /// Host that a caller would address.
+    #[arg(long, requires = "path")]
+    pub(crate) host: Option<String>,
+    /// Path to which a caller would post, with or without an id at its end.
+    #[arg(long, requires = "host")]
+    pub(crate) path: Option<String>,
+    /// File with the body that a caller would post; `-` for standard input.
+    #[arg(long, value_name = "FILE", default_value = "-")]
+    pub(crate) body: PathBuf,
+    /// Prints JSON, as `--output json` does.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum AgreementCommand {
     /// Prints the record in the store, or an earlier one.
--- a/crates/mustardcovectl/src/command.rs
+++ b/crates/mustardcovectl/src/command.rs
@@ -10,6 +10,7 @@
 use crate::{
     api::{Api, CommandError, local_error},
     args::{AgreementCommand, Args, ChangeArgs, Command, JobsCommand, MemberCommand, Output},
+    explain,
     table::table,
 };
 
@@ -22,6 +23,7 @@
         Command::Members => members(args).await,
         Command::Jobs(command) => jobs(args, command).await,
         Command::Workers => workers(args).await,
+        Command::Explain(explain) => explain::run(args, explain).await,
         Command::Dump { address } => dump(address).await,
         Command::Completions { shell } => {
             let mut text = Vec::new();
--- a/crates/mustardcovectl/src/main.rs
+++ b/crates/mustardcovectl/src/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod args;
 mod command;
+mod explain;
 mod table;
 
 use std::{io::Write as _, process::ExitCode};
