--- a/crates/mustardcove-core/src/fleet/explanation.rs
+++ b/crates/mustardcove-core/src/fleet/explanation.rs
@@ -294,6 +294,8 @@
     pub run: Option<RunExplanation>,
     /// What it waits for; `None` if it runs.
     pub waits_for: Option<String>,
+    /// What keeps it from the nearest worker, if it waits for one.
+    pub obstacle: Option<String>,
     /// Number of its runs that failed.
     pub failed_runs: usize,
 }
@@ -401,9 +403,17 @@
     fn fmt_with(&self, f: &mut fmt::Formatter<'_>, waiting_steps: usize) -> fmt::Result {
         write!(
             f,
-            "\nstep {}: {} tasks of {} cores, {}",
-            self.step.step, self.tasks, self.demand.cpu, self.demand.memory
+            "\nstep {}: tasks={} done={} waiting={} cpu={} memory={}",
+            self.step.step,
+            self.tasks,
+            self.done,
+            self.waiting,
+            self.demand.cpu,
+            self.demand.memory
         )?;
+        if 0 < self.step.occurrence {
+            write!(f, " occurrence={}", self.step.occurrence)?;
+        }
         let kinds = [
             (self.is_best_effort, "best-effort"),
             (self.is_gang, "gang"),
@@ -412,13 +422,17 @@
         for (_, kind) in kinds.iter().filter(|it| it.0) {
             write!(f, ", {kind}")?;
         }
-        writeln!(f, "; {} done, {} waiting", self.done, self.waiting)?;
+        writeln!(f)?;
         if !self.after.is_empty() {
             let after: Vec<String> = self.after.iter().map(ToString::to_string).collect();
             writeln!(f, "  waits for the end of step {}", after.join(", "))?;
         }
         if let Some(rank) = &self.rank {
-            writeln!(f, "  {rank}, of {waiting_steps} waiting steps")?;
+            writeln!(
+                f,
+                "  rank {} of {waiting_steps} waiting steps: {rank}",
+                rank.steps_ahead + 1
+            )?;
         }
         if 0 < self.waiting {
             self.fmt_choice(f)?;
@@ -440,14 +454,14 @@
 
     fn fmt_choice(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.start_count == 0 {
-            write!(f, "  the next plan starts none of its tasks")?;
+            write!(f, "  the next plan starts none of them")?;
         } else {
-            let starts = self.starts.iter().map(|it| format!("{} on {}", it.task, it.worker));
+            let starts = self.starts.iter().map(|it| format!("task {} on {}", it.task, it.worker));
             let starts: Vec<String> = starts.collect();
             let more = if starts.len() < self.start_count { ", ..." } else { "" };
             write!(
                 f,
-                "  the next plan starts {} tasks: {}{more}",
+                "  the next plan starts {} of them: {}{more}",
                 self.start_count,
                 starts.join(", ")
             )?;
@@ -468,15 +482,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "rank: {}, priority {}, {}; latest start in {} ms, SLO deadline in {} ms; {} steps with \
-             {} tasks ahead",
+            "{}, priority {}, {}; {} tasks ahead; latest start in {} ms, SLO deadline in {} ms",
             self.class,
             self.priority,
             if self.is_new { "not begun" } else { "begun" },
+            self.tasks_ahead,
             self.latest_start_in_ms,
-            self.slo_deadline_in_ms,
-            self.steps_ahead,
-            self.tasks_ahead
+            self.slo_deadline_in_ms
         )
     }
 }
@@ -485,7 +497,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} in {}: {}; free {} cores, {}; left over {}m",
+            "{} in {}: {}; free cpu={} memory={}, left over {}m",
             self.worker,
             self.domain,
             self.obstacle.as_deref().unwrap_or("usable"),
@@ -505,6 +517,9 @@
             (None, Some(wait)) => write!(f, "waits for {wait}")?,
             (None, None) => write!(f, "waits")?,
         }
+        if let Some(obstacle) = &self.obstacle {
+            write!(f, " (nearest worker: {obstacle})")?;
+        }
         match self.failed_runs {
             0 => Ok(()),
             runs => write!(f, ", {runs} runs failed"),
--- a/crates/mustardcove-core/src/fleet/planner/explain.rs
+++ b/crates/mustardcove-core/src/fleet/planner/explain.rs
@@ -304,6 +304,7 @@
             let index = i as u16;
             let key = TaskKey { step: key, index };
             let is_alive = task.run().is_some_and(|it| self.is_alive(key, it));
+            let obstacle = nearest.and_then(|it| it.obstacle).map(|it| it.to_string());
             let wait = || match step.is_ready {
                 true => self.wait_reason(key, nearest, now).map(|it| it.to_string()),
                 false => Some("earlier_steps".to_owned()),
@@ -312,6 +313,7 @@
                 task: index,
                 run: task.run().map(|it| self.explain_run(it, now)),
                 waits_for: if is_alive { None } else { wait() },
+                obstacle: obstacle.filter(|_| step.is_ready && task.is_waiting()),
                 failed_runs: task.failed_runs.len(),
             }
         };
--- a/crates/mustardcove-node/src/leader/explain.rs
+++ b/crates/mustardcove-node/src/leader/explain.rs
@@ -14,8 +14,8 @@
 use super::Leader;
 
 /// Shortest time between two explanations, in milliseconds: each costs the
-/// leader as much as a plan, which operators' questions must not delay.
-const EXPLAIN_INTERVAL_MS: u64 = 200;
+/// leader as much as several plans, since it copies the state.
+const EXPLAIN_INTERVAL_MS: u64 = 500;
 
 impl Leader {
     /// Answers a question about a submission. It changes nothing but the time
