Tell evacuated domains and the expected end in an explanation

The fields were left empty until the evacuations and the forecast were in the plan. The end is that of `Planner::forecast_end`, after a measurement of the copy that has the submission in it.

--- a/crates/mustardcove-core/src/fleet/planner/explain.rs
+++ b/crates/mustardcove-core/src/fleet/planner/explain.rs
@@ -25,8 +25,8 @@
 use crate::{
     fleet::{
         explanation::{
-            Explanation, NearWorker, ObstacleCount, QueueSummary, RankExplanation, RunExplanation,
-            StepExplanation, TaskExplanation, TaskStart,
+            Explanation, ForecastOutlook, NearWorker, ObstacleCount, QueueSummary, RankExplanation,
+            RunExplanation, StepExplanation, TaskExplanation, TaskStart,
         },
         id::{StepKey, SubmissionId, TaskKey},
         submission::Submission,
@@ -155,9 +155,19 @@
             step.start_count = step.starts.len();
             step.starts.truncate(MAX_TASKS);
         }
+        explanation.forecast = self.explain_end(id, now);
         Some(explanation)
     }
 
+    /// Returns the forecast end of a submission that is not done.
+    fn explain_end(&mut self, id: SubmissionId, now: Timestamp) -> Option<ForecastOutlook> {
+        // The last measurement lacks a submission that is new in this copy.
+        self.loads.measure_at = now;
+        self.measure_loads(now);
+        let end = self.forecast_end(id, now)?;
+        Some(ForecastOutlook { ends_in_ms: end.ms_since(now) })
+    }
+
     /// Returns what is said of a submission as a whole.
     fn summarise(&self, work: &Work, is_known: bool, now: Timestamp) -> Explanation {
         let schedule = work.submission.schedule;
@@ -168,6 +178,7 @@
             queue: Some(QueueSummary::from(&work.queue)),
             manifest: self.manifest.version,
             state: Some(work.state),
+            evacuated: Some(self.evacuations.domains.iter().cloned().collect()),
             next_occurrence_in_ms: next
                 .map(|it| waits::signed_ms(now, it.due_at(work.next_occurrence))),
             ..Explanation::default()
--- a/crates/mustardcove-core/src/fleet/planner/forecast.rs
+++ b/crates/mustardcove-core/src/fleet/planner/forecast.rs
@@ -141,7 +141,7 @@
     pub(super) evictions: u64,
     /// The kinds of work that submissions of each priority in a pool have had.
     priorities: BTreeMap<(String, u8), Kinds>,
-    measure_at: Timestamp,
+    pub(super) measure_at: Timestamp,
 }
 
 impl Default for KindLoad {
--- a/crates/mustardcove-core/tests/explain_plan.rs
+++ b/crates/mustardcove-core/tests/explain_plan.rs
@@ -12,12 +12,13 @@
 use fleet_world::{manifest, step, submission};
 use mustardcove_core::{
     fleet::{
+        evacuation::EvacuationList,
         explanation::{Explanation, StepExplanation},
-        id::{RunNumber, StepKey, SubmissionId, TaskKey},
+        id::{Revision, RunNumber, StepKey, SubmissionId, TaskKey},
         message::{EndKind, StartOrder, StartOutcome, WorkerReport},
         submission::{MAX_TASKS, StepSpec, Submission},
     },
-    id::WorkerId,
+    id::{FailureDomainId, WorkerId},
     size::Resources,
 };
 use planner_rig::{Rig, START};
@@ -217,6 +218,46 @@
     assert!(second.rank.is_none() && second.best.is_some());
 }
 
+/// Guards against an evacuation that does not show.
+#[test]
+fn evacuation_told() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000), ("w1", 4_000)]);
+    rig.update_listings(|it| {
+        if it.worker.as_str() == "w1" {
+            it.domain = "d2".parse().expect("a valid name");
+        }
+    });
+    let domain: FailureDomainId = "d1".parse().expect("a valid name");
+    let list = EvacuationList { as_of: Revision(1), domains: [domain.clone()].into() };
+    rig.planner.set_evacuations(&list, rig.now);
+    let new = submission(1, vec![step(1, 1_000, &[])], rig.now);
+    let explained = rig.planner.explain_new(new, rig.now);
+    assert_eq!(explained.evacuated, Some(vec![domain]));
+    let obstacles = &explained.steps[0].obstacles;
+    assert_eq!((obstacles[0].obstacle.as_str(), obstacles[0].workers), ("evacuated", 1));
+    assert_eq!(explained.steps[0].best.as_ref().map(|it| it.as_str()), Some("w1"));
+}
+
+/// Guards against a new submission that waits under overload and is told no end.
+#[test]
+fn forecast_told() {
+    let mut rig = Rig::new(manifest(3), &[("w0", 4_000)]);
+    for _ in 0..20 {
+        for id in 0..4 {
+            let id = rig.now.0 * 10 + id;
+            rig.submit(submission(id, vec![step(4, 1_000, &[])], rig.now));
+        }
+        rig.plan();
+        rig.advance(100);
+        rig.poll_all();
+    }
+    let new = submission(1, vec![step(4, 1_000, &[])], rig.now);
+    let explained = rig.planner.explain_new(new, rig.now);
+    let forecast = explained.forecast.expect("a forecast");
+    assert!(800 <= forecast.ends_in_ms, "no less than its critical path: {forecast:?}");
+    assert_eq!(explained.steps[0].start_count, 0, "{explained}");
+}
+
 /// Guards against a task of an accepted submission whose place or wait is not
 /// told.
 #[test]
--- a/crates/mustardcove-node/src/explain.rs
+++ b/crates/mustardcove-node/src/explain.rs
@@ -275,6 +275,7 @@
         queue: queue.map(QueueSummary::from),
         manifest: shared.manifest_version(),
         state,
+        evacuated: Some(shared.evacuations().list.domains.iter().cloned().collect()),
         ..Explanation::default()
     };
     let leadership = shared.leadership.borrow().clone();
--- a/crates/mustardcove-node/tests/explain_route.rs
+++ b/crates/mustardcove-node/tests/explain_route.rs
@@ -140,6 +140,7 @@
     assert!(answer.age_ms.is_some_and(|it| it < 5_000), "{answer}");
     assert!(answer.to_string().contains("without the leader"), "{answer}");
     assert!(answer.explanation.queue.is_some() && answer.explanation.steps.is_empty());
+    assert_eq!(answer.explanation.evacuated, Some(Vec::new()), "{answer}");
     let answer = ask_known(&rig, other, id).await;
     assert!(answer.explanation.is_known, "{answer}");
     assert!(answer.to_string().contains("accepted, completed"), "{answer}");
