Tell in an explanation whether a submission would be accepted

Operators had to know the load report to tell what a caller would be answered. The asked node decides as it would for a caller, and changes nothing.

--- a/crates/mustardcove-node/src/explain.rs
+++ b/crates/mustardcove-node/src/explain.rs
@@ -22,10 +22,13 @@
 use mustardcove_adapter::callers::decode_submission;
 use mustardcove_core::{
     fleet::{
-        explanation::{Answer, Basis, Explanation, Question, QueueSummary, Reply},
+        explanation::{
+            AdmissionOutlook, Answer, Basis, Explanation, Question, QueueSummary, Reply,
+        },
         id::SubmissionId,
         manifest::{Manifest, Queue},
         message::FleetMessage,
+        overload::Admission,
         submission::Submission,
     },
     id::ProcessId,
@@ -212,6 +215,32 @@
 }
 
 async fn answer(shared: &Shared, question: Question) -> Result<Answer, Refusal> {
+    let admission = match &question {
+        Question::New(submission) => Some(outlook(shared, submission)),
+        Question::Known(_) => None,
+    };
+    let mut answer = answer_without_admission(shared, question).await?;
+    answer.explanation.admission = admission.filter(|_| !answer.explanation.is_known);
+    Ok(answer)
+}
+
+/// Returns what this process would answer a caller as regards the load.
+fn outlook(shared: &Shared, submission: &Submission) -> AdmissionOutlook {
+    match shared.admit(submission) {
+        Admission::Accepted(why) => AdmissionOutlook {
+            is_accepted: true,
+            retry_after_s: None,
+            figures: format!("why={why}"),
+        },
+        Admission::Rejected(rejection) => AdmissionOutlook {
+            is_accepted: false,
+            retry_after_s: Some(rejection.retry_after_s(shared.now())),
+            figures: format!("wait_ms={}", rejection.wait_ms),
+        },
+    }
+}
+
+async fn answer_without_admission(shared: &Shared, question: Question) -> Result<Answer, Refusal> {
     let leader = shared.leadership.borrow().leader.clone();
     let why = match &leader {
         None => "no leader is known".to_owned(),
--- a/crates/mustardcove-node/tests/explain_route.rs
+++ b/crates/mustardcove-node/tests/explain_route.rs
@@ -25,6 +25,9 @@
 /// Longest time to an answer without the leader.
 const ANSWER: Duration = Duration::from_secs(3);
 
+/// A question: method, query and body, and the status and a part of the answer.
+type Case<'a> = (Method, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
+
 async fn ask(
     rig: &Rig,
     node: usize,
@@ -92,6 +95,8 @@
         assert!(answer.age_ms.is_some_and(|it| it < 3_000), "{answer}");
         let explanation = &answer.explanation;
         assert!(!explanation.is_known && explanation.submission.is_none(), "{answer}");
+        let admission = explanation.admission.as_ref();
+        assert!(admission.is_some_and(|it| it.is_accepted), "{answer}");
         assert_eq!(explanation.steps.len(), 2, "{answer}");
         assert_eq!(explanation.steps[0].start_count, 4, "{answer}");
         assert_eq!(explanation.steps[0].usable, 3, "{answer}");
@@ -160,7 +165,7 @@
     let queue = [("host", HOST), ("path", PREFIX)];
     let large = " ".repeat(300_000);
     let path_with_id = format!("{PREFIX}x");
-    let cases: [(Method, &[(&str, &str)], &str, u16, &str); 10] = [
+    let cases: [Case<'_>; 10] = [
         (Method::POST, &queue, "{", 400, "no valid submission"),
         (Method::POST, &queue, r#"{"Steps":[]}"#, 400, "at least one step"),
         (Method::POST, &queue, &large, 413, "more than 262144 bytes"),
