Let starved work run on slow workers

A best-effort submission that has had no run for too long gets one wherever it does the least harm, but workers that were judged slow refused it beside any other work, and with only such workers left it waited without a bound. The bound on work beside a slow worker's tasks no longer applies to starved runs, which have the lowest pace. best_effort_starved leftover_in_use failed before and passes.

--- a/crates/mustardcove-core/src/fleet/planner/choice.rs
+++ b/crates/mustardcove-core/src/fleet/planner/choice.rs
@@ -358,7 +358,8 @@
         if slowness <= 1.0 {
             return Ok(score);
         }
-        if !worker_speed::may_take(worker, req.step, slowness) {
+        // Starved work gets a run wherever there is one, and takes little room.
+        if !pending.is_starved && !worker_speed::may_take(worker, req.step, slowness) {
             return Err(Obstacle::Slow);
         }
         Ok(score - self.slowness_penalty(pending.key, slowness, now))
