Judge at most half of a pool slow

Where the tasks progress slowly on every worker, all workers were judged slow, and each took one task at a time, so that a submission kept one run in a pool that had become free. What is slow everywhere is the work: at most half of the workers of a pool are judged slow at once, as with suspensions. best_effort_starved resumes_in_full failed before and passes.

--- a/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
+++ b/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
@@ -15,7 +15,7 @@
 //! runs, so one slow task proves nothing. A worker is judged slow if tasks of
 //! several submissions are slow there while hardly any other is sound. The
 //! judgement fades, so that the worker is tried again, and a sound run
-//! shortens it.
+//! shortens it. At most half of a pool is judged slow.
 //!
 //! Runs that are slow for other reasons are not compared: with a pace below
 //! 100 %, beside too much other work, far from their data, in gangs, on cold
@@ -78,6 +78,9 @@
 const MAX_RUNS: usize = 8;
 /// Largest slowness, so that the judgement fades in bounded time.
 const MAX_SLOWNESS: f32 = 10.0;
+/// Most workers of a pool that may be judged slow at once, in percent, though
+/// always one of them.
+const MAX_SLOW_PERCENT: usize = 50;
 /// Time in which the slowness of a worker halves without further proof, in
 /// milliseconds: one that is six times slower is tried again after 12 s.
 const HALF_LIFE_MS: f32 = 3_000.0;
@@ -415,6 +418,20 @@
         if makes_late { penalty + placement::MISFIT_PENALTY } else { penalty }
     }
 
+    /// Returns whether one more worker of a pool may be judged slow. What is slow
+    /// on most of the workers is the work, or they all are: then none is slower
+    /// than the others, and their pool needs them.
+    fn may_be_slow(&self, index: WorkerIndex, now: Timestamp) -> bool {
+        let service = &self.workers[index].listing.service;
+        let pool = self.workers.iter().filter(|it| it.is_up() && it.listing.service == *service);
+        let (mut slow, mut workers) = (0, 0);
+        for it in pool {
+            workers += 1;
+            slow += usize::from(it.speed.is_slow(now));
+        }
+        slow < (workers * MAX_SLOW_PERCENT / 100).max(1)
+    }
+
     fn record_speed(
         &mut self,
         index: WorkerIndex,
@@ -423,9 +440,13 @@
         is_sound: bool,
         now: Timestamp,
     ) {
+        let was_slow = self.workers[index].speed.is_slow(now);
+        let is_slow_run = SLOW_FACTOR <= factor;
+        if is_slow_run && !was_slow && !self.may_be_slow(index, now) {
+            return;
+        }
         let worker = &mut self.workers[index];
-        let was_slow = worker.speed.is_slow(now);
-        if SLOW_FACTOR <= factor {
+        if is_slow_run {
             worker.speed.record_slow(task, factor, now);
         } else if is_sound {
             worker.speed.record_sound(task, now);
