Let submissions without a run start beside other work on slow workers

Tasks that were new on crashed workers waited up to 8.6 s for isolation where workers were judged slow, since these took no task beside others; users accept 3 s. The bound no longer applies to suspected tasks, and to no submission that has had no run for a second. suspect_starved workers_crash_together and deadly_among_them failed before and pass.

--- a/crates/mustardcove-core/src/fleet/planner/choice.rs
+++ b/crates/mustardcove-core/src/fleet/planner/choice.rs
@@ -39,6 +39,8 @@
     pub(super) is_starved: bool,
     /// Whether they may start on suspended workers.
     pub(super) may_use_suspended: bool,
+    /// Whether they may start beside other work on slow workers.
+    pub(super) may_crowd_slow: bool,
     /// Whether their starts are ordered only once they are recorded.
     pub(super) is_withheld: bool,
     /// Whether one of them has failed before.
@@ -71,6 +73,7 @@
             due_soon_at: due_soon_at(key, work),
             is_starved: false,
             may_use_suspended: false,
+            may_crowd_slow: false,
             is_withheld: false,
             has_failed: false,
             is_last_attempt: false,
@@ -358,8 +361,11 @@
         if slowness <= 1.0 {
             return Ok(score);
         }
-        // Starved work gets a run wherever there is one, and takes little room.
-        if !pending.is_starved && !worker_speed::may_take(worker, req.step, slowness) {
+        // A submission without a run gets one wherever there is room.
+        let is_bounded = !pending.is_starved
+            && !pending.may_crowd_slow
+            && !self.blocked.is_blocked(pending.key.submission, now);
+        if is_bounded && !worker_speed::may_take(worker, req.step, slowness) {
             return Err(Obstacle::Slow);
         }
         Ok(score - self.slowness_penalty(pending.key, slowness, now))
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -896,6 +896,8 @@
             spec.is_best_effort && self.blocked.is_blocked(task.step.submission, now);
         let is_mostly_free = self.suspects.mostly_free.contains(&work.queue.service);
         pending.may_use_suspended = is_mostly_free && self.is_overdue(task.step, now);
+        // Its start proves something, and few workers can be isolated.
+        pending.may_crowd_slow = true;
         Some(pending)
     }
 
