Stop only runs of worthless submissions under overload

Late submissions are still worth something, and what they have used is lost if a stop makes them worthless. Only worthless ones give way.

--- a/crates/mustardcove-core/src/fleet/planner/eviction.rs
+++ b/crates/mustardcove-core/src/fleet/planner/eviction.rs
@@ -1,18 +1,20 @@
 //! Stops of best-effort runs that hold the room of work that is worth more.
 //!
-//! After a burst, runs of submissions that are worthless by now, or late with
-//! most of their work ahead, hold leftover processor time for seconds while
-//! others wait that could be served. The order of work decides only what starts
-//! next. Under overload, some of these runs are therefore stopped, those that
-//! cost least first: those of worthless submissions, then those of late ones
-//! whose remaining work is much larger than that of what takes their place.
+//! After a burst, runs of submissions that are worthless by now hold leftover
+//! processor time for seconds while others wait that could be served. The order of
+//! work decides only what starts next. Under overload, some of these runs are
+//! therefore stopped, those with the most work ahead first. Runs of late
+//! submissions that are still worth something go on: what they have used would
+//! be lost if they became worthless meanwhile.
 //!
 //! A stop costs the time of a stop and a restore, and what the run has not
 //! saved. So only runs that save their progress, or have hardly any, are
 //! stopped, not those that end soon, and only as many at a time as work waits
 //! for. What is stopped ranks behind what takes its place, and does not start
-//! again for some seconds. Each submission keeps a run. Long-running tasks and runs with reserved processors are
-//! never stopped.
+//! again for some seconds. Each submission keeps a run. Long-running tasks and
+//! runs with reserved processors are never stopped.
+
+use std::cmp::Reverse;
 
 use super::{
     DecisionKind, Planner, RunKey, placement,
@@ -39,9 +41,6 @@
 /// Time for which a stopped task does not start again, in milliseconds: about as
 /// long as a step of what takes its place, whose next step needs the room, too.
 const PAUSE_MS: u64 = 5_000;
-/// A late submission is stopped only for one whose remaining work is smaller by
-/// this factor, so that ageing does not turn the two around soon.
-const REMAINING_FACTOR: u64 = 4;
 
 /// A waiting step that finds no leftover processor time.
 #[derive(Clone, Copy, Debug)]
@@ -61,25 +60,9 @@
     /// The rank of its step if it waited.
     rank: Rank,
     cpu: u64,
-    is_worthless: bool,
     remaining_work: u64,
 }
 
-impl Victim {
-    /// Returns the order in which runs are stopped: worthless ones first, then
-    /// those with the most work ahead.
-    fn cost(&self) -> (bool, u64) {
-        (!self.is_worthless, u64::MAX - self.remaining_work)
-    }
-
-    /// Returns whether it may be stopped for work that needs its room.
-    fn gives_way_to(&self, need: &Need) -> bool {
-        let needs_less =
-            need.remaining_work.saturating_mul(REMAINING_FACTOR) <= self.remaining_work;
-        need.rank < self.rank && (self.is_worthless || needs_less)
-    }
-}
-
 impl Planner {
     /// Stops best-effort runs that hold room which other best-effort work needs
     /// and that is worth more.
@@ -102,14 +85,14 @@
             return;
         }
         let mut victims = self.eviction_victims(schedulable, now);
-        victims.sort_by_key(Victim::cost);
+        victims.sort_by_key(|it| Reverse(it.remaining_work));
         for victim in victims {
             let index = victim.run.0;
             if self.is_last_run(&victim) {
                 continue;
             }
             let is_met = |need: &Need| {
-                victim.gives_way_to(need) && self.has_room_without(index, &victim, need)
+                need.rank < victim.rank && self.has_room_without(index, &victim, need)
             };
             let Some(need) = needs.iter_mut().find(|it| 0 < it.tasks && is_met(it)) else {
                 continue;
@@ -125,8 +108,7 @@
 
     fn evict_run(&mut self, victim: &Victim, need: &Need, now: Timestamp) {
         let (index, task, run) = victim.run;
-        let why =
-            if victim.is_worthless { "worthless under overload" } else { "late under overload" };
+        let why = "worthless under overload";
         self.stop(index, task, run, why, now);
         self.evictions.push(victim.run);
         if let Some(slot) = self.task_mut(task) {
@@ -233,14 +215,9 @@
         let rank = step.rank(now);
         let done_ms = spec.estimate_ms.saturating_mul(u64::from(current.percent)) / 100;
         step.critical_path_ms = step.critical_path_ms.saturating_sub(done_ms);
+        let remaining_work = work.overload.remaining_work;
         let is_worthless = !step.rank(now).is_worthwhile();
-        (is_worthless || step.is_late(now)).then_some(Victim {
-            run,
-            rank,
-            cpu: allocation.cpu,
-            is_worthless,
-            remaining_work: work.overload.remaining_work,
-        })
+        is_worthless.then_some(Victim { run, rank, cpu: allocation.cpu, remaining_work })
     }
 
     /// Returns whether a worker would run a task of a waiting step if a run there
--- a/crates/mustardcove-core/src/fleet/planner/rank.rs
+++ b/crates/mustardcove-core/src/fleet/planner/rank.rs
@@ -167,11 +167,6 @@
         now.plus_ms(overload.wait_ms).plus_ms(path_ms) <= self.slo_deadline
     }
 
-    /// Returns whether it will miss its SLO deadline and is worth something.
-    pub(super) fn is_late(&self, now: Timestamp) -> bool {
-        self.urgency(now) == Urgency::Late
-    }
-
     fn urgency(&self, now: Timestamp) -> Urgency {
         let ends_at = now.plus_ms(self.critical_path_ms);
         if self.is_long_running && !self.may_have_run {
