Bound a node's dump by bytes

The dump of a node lacked its peers and, since evacuations are shown, what long-running tasks wait for: its limit is in bytes, and was set to 1,000 as if it counted entries.

--- a/crates/mustardcove-node/src/process.rs
+++ b/crates/mustardcove-node/src/process.rs
@@ -59,8 +59,8 @@
 /// Time after which entries that the leader has not acknowledged are sent
 /// again.
 const OUTBOX_RESEND_INTERVAL: Duration = Duration::from_millis(300);
-/// Most entries of each list in a dump.
-const DUMP_ENTRIES: usize = 1_000;
+/// Most bytes of a dump.
+const DUMP_BYTES: usize = 64 << 10;
 /// Messages that may wait for the poller.
 const POLLER_QUEUE: usize = 1_024;
 
@@ -166,7 +166,7 @@
         admin_readiness,
         shared.metrics.base.clone(),
         NodeDumps::new(shared.clone()),
-        DUMP_ENTRIES,
+        DUMP_BYTES,
     )
     .merge(explain::router(shared.clone()));
     tokio::spawn(admin::serve(admin_listener, admin, CancellationToken::new()));
