Keep requests to other processes in one place

Found by reading the change. Requests to a peer to write to the store and questions to the leader each had a table of numbered requests with a receiver and a guard that forgets them. Both use Requests now; the table in Shared and PeerRequest are gone. Same behaviour.

--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -129,7 +129,7 @@
             });
         }
         FleetMessage::Stored { request, outcome } => {
-            shared.end_store_request(request, Some(outcome));
+            shared.store_requests.answered(request, outcome);
         }
         FleetMessage::Explained { request, reply } => {
             shared.explanations.answered(request, reply);
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -28,9 +28,8 @@
 };
 use serde::de::DeserializeOwned;
 use slog::{error, info, warn};
-use tokio::sync::oneshot;
 
-use crate::shared::Shared;
+use crate::{requests::OpenRequest, shared::Shared};
 
 /// Makes a change durable, through another process if this one does not reach
 /// the store. Returns the outcome as soon as it is known, and at `deadline` at
@@ -91,7 +90,7 @@
     let term = shared.leadership.borrow().term;
     let (key, _) = encode_change(change);
     let mut answers = shared.store_answers();
-    let mut peer: Option<PeerRequest> = None;
+    let mut peer: Option<OpenRequest<'_, StoreOutcome>> = None;
     loop {
         answers.mark_unchanged();
         let outcome = match attempts.next(view(shared, &key, may_ask_peer), shared.now()) {
@@ -113,7 +112,7 @@
             },
             NextStep::AskPeer => {
                 attempts.peer_asked();
-                peer = PeerRequest::send(shared, change, &key);
+                peer = ask_peer(shared, change, &key);
                 None
             }
             NextStep::Wait(until) => {
@@ -123,7 +122,7 @@
                 }
                 tokio::select! {
                     _ = answers.changed() => None,
-                    answer = PeerRequest::answer(&mut peer) => {
+                    answer = peer_answer(&mut peer) => {
                         peer = None;
                         peer_answered(shared, change, &key, &mut attempts, answer)
                     }
@@ -288,42 +287,32 @@
     heartbeat.reaching_store.iter().find(|it| **it != shared.process).cloned()
 }
 
-/// A request to another process to write a change.
-struct PeerRequest {
-    shared: Arc<Shared>,
-    request: u64,
-    answer: oneshot::Receiver<StoreOutcome>,
-}
-
-impl PeerRequest {
-    /// Asks a peer; returns `None` if there is none or the request cannot have
-    /// left this process.
-    fn send(shared: &Arc<Shared>, change: &StoreChange, key: &str) -> Option<PeerRequest> {
-        let peer = peer_to_ask(shared)?;
-        let (request, answer) = shared.begin_store_request();
-        let pending = PeerRequest { shared: shared.clone(), request, answer };
-        info!(shared.log, "asking a peer to write to the store"; "peer" => %peer,
-            "request" => request, "key" => key);
-        let message = FleetMessage::Store { request, change: change.clone() };
-        shared.try_send(&peer, message).then(|| {
-            shared.unsettled_writes().sent(key, shared.now());
-            pending
-        })
-    }
-
-    /// Waits for the answer of a request; forever if there is none. The answer
-    /// is `None` if it was lost.
-    async fn answer(request: &mut Option<PeerRequest>) -> Option<StoreOutcome> {
-        match request {
-            Some(it) => (&mut it.answer).await.ok(),
-            None => std::future::pending().await,
-        }
-    }
+/// Asks a peer to write a change; returns `None` if there is none or the request
+/// cannot have left this process.
+fn ask_peer<'a>(
+    shared: &'a Shared,
+    change: &StoreChange,
+    key: &str,
+) -> Option<OpenRequest<'a, StoreOutcome>> {
+    let peer = peer_to_ask(shared)?;
+    // Callers bound the number of requests.
+    let pending = shared.store_requests.begin(usize::MAX)?;
+    let request = pending.number;
+    info!(shared.log, "asking a peer to write to the store"; "peer" => %peer,
+        "request" => request, "key" => key);
+    let message = FleetMessage::Store { request, change: change.clone() };
+    shared.try_send(&peer, message).then(|| {
+        shared.unsettled_writes().sent(key, shared.now());
+        pending
+    })
 }
 
-impl Drop for PeerRequest {
-    fn drop(&mut self) {
-        self.shared.end_store_request(self.request, None);
+/// Waits for the answer of a peer; forever if none was asked. The answer is
+/// `None` if it was lost.
+async fn peer_answer(request: &mut Option<OpenRequest<'_, StoreOutcome>>) -> Option<StoreOutcome> {
+    match request {
+        Some(it) => (&mut it.answer).await.ok(),
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -2,10 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use mustardcove_adapter::{
@@ -36,7 +33,7 @@
 use mustardcove_runtime::peer::Peers;
 use rustix::time::{ClockId, clock_gettime};
 use slog::{Logger, debug, info};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{metrics::NodeMetrics, outbox::Outbox, requests::Requests};
@@ -130,6 +127,8 @@
     pub outbox: Outbox,
     /// Questions to the leader about submissions.
     pub explanations: Requests<Reply>,
+    /// Requests to other processes to write to the store.
+    pub store_requests: Requests<StoreOutcome>,
     /// Cancelled when a graceful shutdown begins.
     pub stop: CancellationToken,
     evacuations: Mutex<Evacuations>,
@@ -146,8 +145,6 @@
     probe_at: Mutex<Timestamp>,
     /// What long-running tasks wait for, while this process leads.
     long_running_waits: Mutex<Vec<String>>,
-    next_request: AtomicU64,
-    store_requests: Mutex<BTreeMap<u64, oneshot::Sender<StoreOutcome>>>,
 }
 
 /// The arguments of [`Shared::new`].
@@ -198,6 +195,7 @@
             leadership: watch::Sender::new(Leadership::default()),
             outbox: Outbox::default(),
             explanations: Requests::default(),
+            store_requests: Requests::default(),
             evacuations: Mutex::default(),
             states: Mutex::default(),
             candidacy: Mutex::new(candidacy),
@@ -209,8 +207,6 @@
             store_answers: watch::Sender::new(()),
             probe_at: Mutex::default(),
             long_running_waits: Mutex::default(),
-            next_request: AtomicU64::new(1),
-            store_requests: Mutex::default(),
             process: parts.process,
             settings: parts.settings,
             clock: parts.clock,
@@ -517,22 +513,4 @@
             self.send(&leader, message);
         }
     }
-
-    /// Registers a request to another process, which answers with a
-    /// [`StoreOutcome`]. Returns its number and the receiver of the answer.
-    pub fn begin_store_request(&self) -> (u64, oneshot::Receiver<StoreOutcome>) {
-        let request = self.next_request.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        lock(&self.store_requests).insert(request, tx);
-        (request, rx)
-    }
-
-    /// Removes a request and passes on its outcome, if there is one.
-    pub fn end_store_request(&self, request: u64, outcome: Option<StoreOutcome>) {
-        let waiting = lock(&self.store_requests).remove(&request);
-        if let (Some(tx), Some(outcome)) = (waiting, outcome) {
-            // The receiver is dropped when the request times out.
-            let _ = tx.send(outcome);
-        }
-    }
 }
