Let the order of work and admission share the rule of worthless work

Found by reading the change. That work is worth nothing after three times its allowed time stood in rank.rs and again in overload.rs, and admission computed the work of a task that StepSpec::task_work tells. Same behaviour.

--- a/crates/mustardcove-core/src/fleet/overload.rs
+++ b/crates/mustardcove-core/src/fleet/overload.rs
@@ -14,7 +14,7 @@
 
 use super::{
     id::SubmissionId,
-    submission::{StepSpec, Submission},
+    submission::{StepSpec, Submission, WORTHLESS_FACTOR},
 };
 use crate::{
     size::Millicores,
@@ -24,9 +24,6 @@
 /// Age from which on a report does not reject anything, in milliseconds: a burst
 /// may have ended since.
 const MAX_REPORT_AGE_MS: u64 = 2_000;
-/// A submission is worth something up to this many times the time that its SLO
-/// deadline allows.
-const LATE_FACTOR: u128 = 3;
 /// The forecast wait, as a percentage of the shortest that is reckoned with. It is
 /// a sum over many tasks, so its error is smaller than that of an estimate.
 const WAIT_ERROR_PERCENT: u64 = 150;
@@ -162,10 +159,7 @@
 impl Applicant<'_> {
     /// Returns what the decision needs to know of a submission.
     pub fn of(submission: &Submission) -> Applicant<'_> {
-        let work = |it: &StepSpec| {
-            let task = it.demand.cpu.0.saturating_mul(it.estimate_ms);
-            task.saturating_mul(u64::from(it.count))
-        };
+        let work = |it: &StepSpec| it.task_work().saturating_mul(u64::from(it.count));
         let work = submission.steps.iter().map(work).fold(0, u64::saturating_add);
         let smallest_task = submission.steps.iter().map(|it| it.demand.cpu).min();
         Applicant {
@@ -187,7 +181,7 @@
         let path = u128::from(self.critical_path_ms) * u128::from(error_percent) / 100;
         let allowed =
             path * u128::from(self.stretch_permille) / 1_000 + u128::from(self.delay_budget_ms);
-        let wait = (allowed * LATE_FACTOR).saturating_sub(path);
+        let wait = (allowed * u128::from(WORTHLESS_FACTOR)).saturating_sub(path);
         u64::try_from(wait).unwrap_or(u64::MAX)
     }
 }
--- a/crates/mustardcove-core/src/fleet/planner/rank.rs
+++ b/crates/mustardcove-core/src/fleet/planner/rank.rs
@@ -37,11 +37,10 @@
 
 use strum::IntoStaticStr;
 
-use crate::{fleet::id::StepKey, time::Timestamp};
-
-/// Work is worth nothing if, counted from when it was due, it takes longer
-/// than this multiple of the time that its SLO deadline allows.
-const WORTHLESS_FACTOR: u64 = 3;
+use crate::{
+    fleet::{id::StepKey, submission::WORTHLESS_FACTOR},
+    time::Timestamp,
+};
 
 /// Position of a step among the waiting ones; lower ranks go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/mustardcove-core/src/fleet/submission.rs
+++ b/crates/mustardcove-core/src/fleet/submission.rs
@@ -15,6 +15,9 @@
 /// Most tasks of one occurrence: the leader holds each in memory, and their
 /// progress is stored in one value.
 pub const MAX_TASKS: usize = 32_768;
+/// A submission is worth nothing if, counted from when it was due, it takes longer
+/// than this multiple of the time that its SLO deadline allows.
+pub(super) const WORTHLESS_FACTOR: u64 = 3;
 /// More than any machine has; sums over all tasks of a worker do not overflow.
 const MAX_DEMAND: Resources = admission::MAX_CAPACITY;
 
