Compute the room beside moves in one place

Moves of tasks with a low pace and moves away from slow workers each summed what is being moved to a worker and compared it with what is left over there. Same behaviour.

--- a/crates/mustardcove-core/src/fleet/planner/moves.rs
+++ b/crates/mustardcove-core/src/fleet/planner/moves.rs
@@ -118,18 +118,26 @@
         let pending = PendingTasks::new(task.step, work, false);
         let req = self.request(&pending, spec, None);
         let cpu = spec.demand.cpu.0;
-        let is_left_over = |it: &WorkerIndex| {
-            let moved = self.moves.iter().filter(|moved| moved.to == *it);
-            let moved: u64 = moved.map(|it| it.cpu).sum();
-            let leftover = placement::leftover_cpu(&self.workers[*it]);
-            placement::is_enough_left_over(leftover - moved as i64, cpu)
+        let can_run = |it: &WorkerIndex| {
+            self.has_leftover_beside_moves(*it, cpu) && self.score(&pending, req, *it, now).is_ok()
         };
-        let can_run =
-            |it: &WorkerIndex| is_left_over(it) && self.score(&pending, req, *it, now).is_ok();
         let to = schedulable.iter().copied().find(|it| *it != index && can_run(it))?;
         Some(Move { to, cpu, expires_at: now.plus_ms(MOVE_MS) })
     }
 
+    /// Returns the processors that runs demand which are being moved to a worker, in
+    /// millicores.
+    fn moved_cpu(&self, to: WorkerIndex) -> u64 {
+        self.moves.iter().filter(|it| it.to == to).map(|it| it.cpu).sum()
+    }
+
+    /// Returns whether a worker has processor time left over for a best-effort task
+    /// that demands `cpu` millicores, beside the runs that are being moved there.
+    fn has_leftover_beside_moves(&self, index: WorkerIndex, cpu: u64) -> bool {
+        let leftover = placement::leftover_cpu(&self.workers[index]);
+        placement::is_enough_left_over(leftover - self.moved_cpu(index) as i64, cpu)
+    }
+
     /// Stops runs on slow workers that would be done sooner elsewhere. This comes
     /// after a placement round, so that nothing waits for the room that it finds.
     pub(super) fn move_stragglers(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
@@ -212,14 +220,10 @@
         let req = self.request(&pending, spec, None);
         let cpu = spec.demand.cpu.0;
         let has_room = |it: &WorkerIndex| {
-            let worker = &self.workers[*it];
-            let moved = self.moves.iter().filter(|moved| moved.to == *it);
-            let moved: u64 = moved.map(|it| it.cpu).sum();
             if spec.is_best_effort {
-                let leftover = placement::leftover_cpu(worker);
-                placement::is_enough_left_over(leftover - moved as i64, cpu)
+                self.has_leftover_beside_moves(*it, cpu)
             } else {
-                moved + cpu <= worker.free().cpu.0
+                self.moved_cpu(*it) + cpu <= self.workers[*it].free().cpu.0
             }
         };
         let is_sound = |it: &&WorkerIndex| {
