Bound slow and suspended workers by the same rule

Found by reading the change. The share of a pool that may be judged slow repeated the formula and the figure of the share that may be suspended. One function serves both. Same behaviour.

--- a/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
+++ b/crates/mustardcove-core/src/fleet/planner/circuit_breaker.rs
@@ -29,9 +29,9 @@
 /// Duration of the first suspension, in milliseconds; shorter than the faults
 /// that the platform describes, so that the worker is probed before they end.
 const FIRST_SUSPENSION_MS: u64 = 2_000;
-/// Most workers of a group that may be suspended or on probation at once, in
-/// percent, though always one of them.
-const MAX_SUSPENDED_PERCENT: usize = 50;
+/// Most workers of a group that may be suspended or on probation at once, or judged
+/// slow, in percent, though always one of them.
+const MAX_RESTRICTED_PERCENT: usize = 50;
 /// Longest suspension, in milliseconds.
 const MAX_SUSPENSION_MS: u64 = 8_000;
 
@@ -124,9 +124,9 @@
     }
 }
 
-/// Returns whether one more worker of a group may be suspended, of which
-/// `restricted` are suspended or on probation.
-pub(super) fn may_suspend(restricted: usize, workers: usize) -> bool {
-    let most = (workers * MAX_SUSPENDED_PERCENT / 100).max(1);
+/// Returns whether one more worker of a group may be given less work than the
+/// others, of which `restricted` are: suspended or on probation, or judged slow.
+pub(super) fn may_restrict(restricted: usize, workers: usize) -> bool {
+    let most = (workers * MAX_RESTRICTED_PERCENT / 100).max(1);
     restricted < most
 }
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -416,7 +416,7 @@
                 workers += 1;
                 restricted += usize::from(it.circuit_breaker.is_restricted(now));
             }
-            circuit_breaker::may_suspend(restricted, workers)
+            circuit_breaker::may_restrict(restricted, workers)
         };
         let kind = worker.listing.labels.first();
         is_enough_left(None) && (kind.is_none() || is_enough_left(kind))
--- a/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
+++ b/crates/mustardcove-core/src/fleet/planner/worker_speed.rs
@@ -21,7 +21,9 @@
 //! 100 %, beside too much other work, far from their data, in gangs, on cold
 //! workers.
 
-use super::{DecisionKind, Planner, placement, work::WorkerIndex, workers::Worker};
+use super::{
+    DecisionKind, Planner, circuit_breaker, placement, work::WorkerIndex, workers::Worker,
+};
 use crate::{
     fleet::{
         id::{RunNumber, StepKey, SubmissionId, TaskKey},
@@ -78,9 +80,6 @@
 const MAX_RUNS: usize = 8;
 /// Largest slowness, so that the judgement fades in bounded time.
 const MAX_SLOWNESS: f32 = 10.0;
-/// Most workers of a pool that may be judged slow at once, in percent, though
-/// always one of them.
-const MAX_SLOW_PERCENT: usize = 50;
 /// Time in which the slowness of a worker halves without further proof, in
 /// milliseconds: one that is six times slower is tried again after 12 s.
 const HALF_LIFE_MS: f32 = 3_000.0;
@@ -429,7 +428,7 @@
             workers += 1;
             slow += usize::from(it.speed.is_slow(now));
         }
-        slow < (workers * MAX_SLOW_PERCENT / 100).max(1)
+        circuit_breaker::may_restrict(slow, workers)
     }
 
     fn record_speed(
