--- a/crates/mustardcove-core/src/fleet/planner/forecast.rs
+++ b/crates/mustardcove-core/src/fleet/planner/forecast.rs
@@ -380,11 +380,8 @@
             let occurrence = work.occurrence(key.occurrence)?;
             let load = pool.of_kind(workload_kind(spec))?;
             let is_open = 0 < occurrence.steps[usize::from(key.step)].unfinished;
-            let wait_ms = match work.is_begun {
-                true => 0,
-                false if load.is_overloaded => work.overload.wait_ms,
-                false => 0,
-            };
+            let waits = !work.is_begun && load.is_overloaded;
+            let wait_ms = if waits { work.overload.wait_ms } else { 0 };
             let path_ms = step.critical_path_ms.saturating_mul(load.stretch_percent) / 100;
             is_open.then(|| now.plus_ms(wait_ms).plus_ms(path_ms))
         });
