Decode each worker's entry once

Found by reading the change. The leader parsed every entry of service discovery twice every 0.6 s, once for the worker and once for how long it is slow, and copied the latter. decode returns both.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -445,11 +445,11 @@
             TaskResult::LeaderRead { asked_at, asked_boot, record } => {
                 self.leader_read(asked_at, asked_boot, record, now);
             }
-            TaskResult::Workers(Ok(entries)) => {
+            TaskResult::Workers(Ok(mut entries)) => {
                 self.store_answered(now);
                 let since = self.store_healthy_since.unwrap_or(now);
                 let may_remove = ENTRIES_SETTLE_MS <= now.ms_since(since);
-                let cold = entries.cold.clone();
+                let cold = std::mem::take(&mut entries.cold);
                 let listings = self.admit_workers(entries, now);
                 self.listed.clone_from(&listings);
                 self.listed_at = now;
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -47,10 +47,12 @@
     pub(super) fn decode(items: &[Item], now: Timestamp) -> Entries {
         let mut entries =
             Entries { listings: Vec::new(), cold: Vec::new(), unreadable: Vec::new() };
-        entries.cold.extend(items.iter().filter_map(|it| discovery::decode_cold(it, now)));
         for item in items {
-            match discovery::decode(item) {
-                Ok(listing) => entries.listings.push(listing),
+            match discovery::decode(item, now) {
+                Ok(entry) => {
+                    entries.listings.push(entry.listing);
+                    entries.cold.extend(entry.cold);
+                }
                 Err(error) => entries.unreadable.push((item.key.clone(), error)),
             }
         }
