Read host and body of an explained submission as those of callers

Found by reading the change. The explain route repeated how the callers' API takes the port off a host and which status a body gets that cannot be read. Same behaviour.

--- a/crates/mustardcove-node/src/callers.rs
+++ b/crates/mustardcove-node/src/callers.rs
@@ -97,7 +97,7 @@
         return unavailable();
     };
     let host = req.headers().get(HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
+    let host = without_port(host);
     let Some(queue) = manifest.find_queue(host, req.uri().path()) else {
         info!(shared.log, "no such queue"; "host" => host, "path" => req.uri().path(),
             "manifest" => %manifest.version);
@@ -211,8 +211,13 @@
     come_back(StatusCode::TOO_MANY_REQUESTS, seconds)
 }
 
+/// Returns the name in a Host header, by which queues are found.
+pub(crate) fn without_port(host: &str) -> &str {
+    host.split(':').next().unwrap_or_default()
+}
+
 /// Returns the status for a body that could not be read.
-fn body_status(error: &axum::Error) -> StatusCode {
+pub(crate) fn body_status(error: &axum::Error) -> StatusCode {
     let source = error.source();
     if source.is_some_and(|it| it.is::<LengthLimitError>()) {
         StatusCode::PAYLOAD_TOO_LARGE
--- a/crates/mustardcove-node/src/explain.rs
+++ b/crates/mustardcove-node/src/explain.rs
@@ -8,7 +8,7 @@
 //! Nothing is read from the store or written to it. See
 //! `docs/design/explain.md`.
 
-use std::{error::Error as _, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use axum::{
     Router,
@@ -18,7 +18,6 @@
     routing::get,
 };
 use http::{HeaderValue, StatusCode, header::RETRY_AFTER};
-use http_body_util::LengthLimitError;
 use mustardcove_adapter::callers::decode_submission;
 use mustardcove_core::{
     fleet::{
@@ -38,7 +37,10 @@
 use slog::info;
 use tokio::time::{Instant, timeout};
 
-use crate::shared::{Shared, boot_now};
+use crate::{
+    callers,
+    shared::{Shared, boot_now},
+};
 
 /// Longest wait for the leader's answer: several of its plans, and less than an
 /// operator waits for a command.
@@ -149,8 +151,7 @@
         let detail = "this process has not read a manifest yet";
         return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, detail));
     };
-    let host = host.split(':').next().unwrap_or_default();
-    let Some(queue) = manifest.find_queue(host, &path) else {
+    let Some(queue) = manifest.find_queue(callers::without_port(&host), &path) else {
         return Err(Refusal::new(StatusCode::NOT_FOUND, no_such_queue(&manifest)));
     };
     let id = match &path[queue.prefix.len()..] {
@@ -160,13 +161,13 @@
     let limit = manifest.limits.max_body_bytes;
     let body = match timeout(BODY_TIMEOUT, to_bytes(req.into_body(), limit)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(error)) if error.source().is_some_and(|it| it.is::<LengthLimitError>()) => {
-            let detail = format!("the body has more than {limit} bytes");
-            return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, detail));
-        }
         Ok(Err(error)) => {
-            let detail = format!("the body cannot be read: {error}");
-            return Err(Refusal::new(StatusCode::BAD_REQUEST, detail));
+            let status = callers::body_status(&error);
+            let detail = match status {
+                StatusCode::PAYLOAD_TOO_LARGE => format!("the body has more than {limit} bytes"),
+                _ => format!("the body cannot be read: {error}"),
+            };
+            return Err(Refusal::new(status, detail));
         }
         Err(_) => {
             return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body did not arrive"));
