Keep the platform's words out of a node's test

The test of evacuations wrote the platform's keys, settings and manifests itself. The stand-in has them now; the test uses the same keys in the same order and keeps its assertions.

--- a/crates/mustardcove-node/tests/evacuations.rs
+++ b/crates/mustardcove-node/tests/evacuations.rs
@@ -16,16 +16,16 @@
 };
 
 use local::Local;
-use mustardcove_adapter::store::MANIFEST_KEY;
+use mustardcove_adapter::{
+    standin::{EVACUATION_SETTINGS, empty_manifest, evacuation_key},
+    store::{MANIFEST_KEY, OPERATORS_PREFIX},
+};
 use mustardcove_core::fleet::id::SubmissionId;
 use mustardcove_node::operator_watch;
 use proxy::Mode;
 use reqwest::StatusCode;
 use rig::{Rig, one_step};
-use serde_json::json;
 
-const SETTINGS: &str = "PolicyBounds.EvacuateMs=5000\n";
-const NORTH_KEY: &str = "op/evacuate/north";
 /// Time within which an evacuation is in force, with a wide margin for a busy
 /// machine: users allow 5 s, and 11 s while the store turns processes away.
 const IN_FORCE: Duration = Duration::from_millis(2_500);
@@ -35,7 +35,7 @@
 /// Starts a rig whose nodes follow evacuations. Every second worker is in the north.
 async fn start(name: &str, nodes: usize) -> Rig {
     let mut rig = Rig::start(name, 0, 6).await;
-    rig.settings = SETTINGS;
+    rig.settings = EVACUATION_SETTINGS;
     for _ in 0..nodes {
         rig.add_node().await;
     }
@@ -70,12 +70,12 @@
     assert_ne!(northern_starts_of(&rig, 0, 0xe1).await, 0, "nothing to evacuate");
     let leader = rig.leaders()[0];
     rig.nodes[leader].store.set(Mode::Refused);
-    rig.store.put(NORTH_KEY, b"{}");
+    rig.store.put(&evacuation_key("north"), b"{}");
     tokio::time::sleep(IN_FORCE).await;
     let other = (leader + 1) % 3;
     assert_eq!(northern_starts_of(&rig, other, 0xe2).await, 0);
     rig.nodes[leader].store.set(Mode::Pass);
-    rig.store.delete(NORTH_KEY);
+    rig.store.delete(&evacuation_key("north"));
     tokio::time::sleep(IN_FORCE).await;
     assert_ne!(northern_starts_of(&rig, other, 0xe3).await, 0, "the domain stays unused");
     assert_ne!(count_lines(&rig, "domain evacuated"), 0);
@@ -88,10 +88,11 @@
 #[tokio::test]
 async fn in_force_at_start() {
     let mut rig = Rig::start("evacuated-before", 0, 6).await;
-    rig.settings = SETTINGS;
-    for key in [NORTH_KEY, "op/evacuate/nowhere", "op/evacuate/", "op/evacuate/a b", "op/other"] {
-        rig.store.put(key, b"not read");
+    rig.settings = EVACUATION_SETTINGS;
+    for domain in ["north", "nowhere", "", "a b"] {
+        rig.store.put(&evacuation_key(domain), b"not read");
     }
+    rig.store.put(&format!("{OPERATORS_PREFIX}other"), b"not read");
     for _ in 0..2 {
         rig.add_node().await;
     }
@@ -120,23 +121,16 @@
     began.elapsed()
 }
 
-fn manifest(version: u64, bytes: usize) -> Vec<u8> {
-    let filler = "x".repeat(bytes);
-    json!({ "Version": version, "Routes": [], "Services": [], "Filler": filler })
-        .to_string()
-        .into_bytes()
-}
-
 /// Guards against a change that is not heard while the process pauses after a
 /// large manifest, or because the store has dropped the history meanwhile.
 #[tokio::test]
 async fn heard_soon() {
-    let local = Local::with_settings(SETTINGS).await;
-    local.store.put(MANIFEST_KEY, &manifest(1, 10));
+    let local = Local::with_settings(EVACUATION_SETTINGS).await;
+    local.store.put(MANIFEST_KEY, &empty_manifest(1, 10));
     tokio::spawn(operator_watch::run(Arc::clone(&local.shared)));
     local.shared.manifest.subscribe().wait_for(Option::is_some).await.expect("a manifest");
     tokio::time::sleep(Duration::from_millis(200)).await;
-    local.store.put(MANIFEST_KEY, &manifest(2, 400_000));
+    local.store.put(MANIFEST_KEY, &empty_manifest(2, 400_000));
     let mut manifests = local.shared.manifest.subscribe();
     let is_second = |it: &Option<Arc<_>>| -> bool {
         it.as_ref()
@@ -144,17 +138,17 @@
     };
     manifests.wait_for(is_second).await.expect("a manifest");
     // The manifest is read again 2.3 s later.
-    local.store.put(NORTH_KEY, b"{}");
+    local.store.put(&evacuation_key("north"), b"{}");
     assert!(learned_in(&local, true).await < Duration::from_millis(1_000));
     local.store.mute_watches(true);
-    local.store.delete(NORTH_KEY);
+    local.store.delete(&evacuation_key("north"));
     tokio::time::sleep(Duration::from_millis(3_500)).await;
     assert!(local.shared.is_evacuated(&"north".parse().expect("a valid name")));
     local.store.drop_history();
     local.store.mute_watches(false);
     assert!(learned_in(&local, false).await < IN_FORCE);
     // The manifest was read again as well, and is followed from there on.
-    local.store.put(MANIFEST_KEY, &manifest(3, 10));
+    local.store.put(MANIFEST_KEY, &empty_manifest(3, 10));
     manifests.wait_for(|it| it.as_ref().is_some_and(|it| it.version.0 == 3)).await.expect("one");
 }
 
@@ -163,9 +157,9 @@
 /// not ask for them.
 #[tokio::test]
 async fn idle_calls() {
-    for (settings, is_followed) in [("", false), (SETTINGS, true)] {
+    for (settings, is_followed) in [("", false), (EVACUATION_SETTINGS, true)] {
         let local = Local::with_settings(settings).await;
-        local.store.put(MANIFEST_KEY, &manifest(1, 10));
+        local.store.put(MANIFEST_KEY, &empty_manifest(1, 10));
         tokio::spawn(operator_watch::run(Arc::clone(&local.shared)));
         local.shared.manifest.subscribe().wait_for(Option::is_some).await.expect("a manifest");
         tokio::time::sleep(Duration::from_millis(200)).await;
@@ -173,7 +167,7 @@
         tokio::time::sleep(Duration::from_millis(3_500)).await;
         let calls = local.store.read_calls() - before;
         assert!(calls <= 4, "{calls} calls in 3.5 s");
-        local.store.put(NORTH_KEY, b"{}");
+        local.store.put(&evacuation_key("north"), b"{}");
         tokio::time::sleep(Duration::from_millis(300)).await;
         let domain = "north".parse().expect("a valid name");
         assert_eq!(local.shared.is_evacuated(&domain), is_followed);
