Show how well the interference forecast fits

Operators could not see why latency-critical tasks were over their target, nor whether the forecast that decides on best-effort work beside them is right.

Each measured tail is now compared with the forecast before it is learned from. The error is kept by image of latency-critical tasks with a half-life of 30 s, and the time over the target by cause: own load, neighbours that reserve processors, best-effort work, or unexplained. Pairs of images tell how many measurements corrected them and how old the newest is. Log line, metrics and dump of the leader show them; they decide nothing.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -33,6 +33,7 @@
 mod eviction;
 mod explain;
 mod forecast;
+mod forecast_errors;
 mod handed_over;
 mod held_tasks;
 mod interference;
@@ -67,6 +68,7 @@
     blocked::BlockedSubmissions,
     earlier_leases::EarlierLeases,
     forecast::Loads,
+    forecast_errors::ForecastErrors,
     held_tasks::HeldTasks,
     interference::InterferenceModel,
     lookups::Lookups,
@@ -82,6 +84,7 @@
     cold::ColdEntry,
     evacuations::DomainChange,
     forecast::LoadCounts,
+    forecast_errors::{InterferenceErrors, OverTargetCause, OverTargetTimes},
     tickets::{TicketReply, TicketRequest},
     workers::WorkerListing,
 };
@@ -292,6 +295,7 @@
     /// Whether workers may have changed since their entries were read.
     are_entries_stale: bool,
     interference: InterferenceModel,
+    forecast_errors: ForecastErrors,
     tickets: Tickets,
     suspects: Suspects,
     held: HeldTasks,
@@ -360,6 +364,7 @@
             pools_lacking_ends: BTreeSet::new(),
             are_entries_stale: false,
             interference: InterferenceModel::default(),
+            forecast_errors: ForecastErrors::default(),
             tickets: Tickets::default(),
             suspects: Suspects::default(),
             held: HeldTasks::default(),
@@ -809,6 +814,17 @@
         self.interference.learned()
     }
 
+    /// Returns rows for operators on how well the interference forecast fits, by
+    /// image of latency-critical tasks.
+    pub fn interference_errors(&self) -> Vec<String> {
+        self.forecast_errors.rows(&self.interference.names())
+    }
+
+    /// Returns rows for operators on the learned pressures, by pair of images.
+    pub fn interference_pressures(&self, now: Timestamp) -> Vec<String> {
+        self.interference.pressure_rows(now)
+    }
+
     /// Restores what an earlier leader learned about interference between
     /// images.
     pub fn restore_learned_interference(&mut self, learned: &LearnedInterference) {
@@ -820,6 +836,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns how well the interference forecast fits, over all images.
+    pub fn interference_total(&self) -> InterferenceErrors {
+        self.forecast_errors.total()
+    }
+
     /// Returns counts for the metrics.
     pub fn counts(&self, now: Timestamp) -> PlanCounts {
         let suspects = self.suspect_counts(now);
@@ -851,6 +872,7 @@
             straggler_moves: self.straggler_moves,
             cold_workers: self.cold_workers(),
             load: self.loads.counts(),
+            interference: self.interference_total(),
         }
     }
 
@@ -1063,6 +1085,8 @@
     pub longest_silence_ms: u64,
     /// What the load of the pools has caused.
     pub load: LoadCounts,
+    /// How well the interference forecast fits what is measured.
+    pub interference: InterferenceErrors,
 }
 
 /// Returns how a step's tasks use the processor.
--- a/crates/mustardcove-core/src/fleet/planner/explain.rs
+++ b/crates/mustardcove-core/src/fleet/planner/explain.rs
@@ -107,6 +107,7 @@
             pools_lacking_ends: self.pools_lacking_ends.clone(),
             are_entries_stale: self.are_entries_stale,
             interference: self.interference.clone(),
+            forecast_errors: self.forecast_errors.clone(),
             tickets: self.tickets.clone(),
             suspects: self.suspects.clone(),
             held: self.held.clone(),
--- a/crates/mustardcove-core/src/fleet/planner/interference.rs
+++ b/crates/mustardcove-core/src/fleet/planner/interference.rs
@@ -30,6 +30,28 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ImageId(u16);
 
+impl ImageId {
+    pub(super) fn as_usize(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+/// What was learned of a pair of images.
+#[derive(Clone, Copy, Debug)]
+struct LearnedPressure {
+    value: f32,
+    /// Number of measurements in this term that corrected it.
+    measurements: u64,
+    /// The newest of these.
+    measured_at: Option<Timestamp>,
+}
+
+impl LearnedPressure {
+    fn new(value: f32) -> LearnedPressure {
+        LearnedPressure { value, measurements: 0, measured_at: None }
+    }
+}
+
 /// Pressure assumed for a pair that was never observed: low, so that pairs are
 /// tried and learned.
 const PRIOR_PRESSURE: f32 = 0.3;
@@ -106,7 +128,7 @@
     lowest_tail: Vec<f32>,
     /// By image of the latency-critical task and image of its neighbour. Each
     /// score of a worker reads several.
-    pressures: FxHashMap<(ImageId, ImageId), f32>,
+    pressures: FxHashMap<(ImageId, ImageId), LearnedPressure>,
     loads: BTreeMap<SubmissionId, LoadEstimate>,
 }
 
@@ -134,7 +156,7 @@
             let tail = self.lowest_tail[usize::from(image.0)];
             images[usize::from(image.0)] = (name.clone(), tail.is_finite().then_some(tail));
         }
-        let pressures = self.pressures.iter().map(|(pair, it)| (pair.0.0, pair.1.0, *it));
+        let pressures = self.pressures.iter().map(|(pair, it)| (pair.0.0, pair.1.0, it.value));
         LearnedInterference { images, pressures: pressures.collect() }
     }
 
@@ -151,11 +173,40 @@
             let image = |it: &u16| known.get(usize::from(*it)).copied();
             if let (Some(victim), Some(neighbour)) = (image(victim), image(neighbour)) {
                 let pressure = pressure.clamp(0.0, MAX_PRESSURE);
-                self.pressures.insert((victim, neighbour), pressure);
+                self.pressures.insert((victim, neighbour), LearnedPressure::new(pressure));
             }
         }
     }
 
+    /// Returns the names of all images, in the order of their ids.
+    pub(super) fn names(&self) -> Vec<Arc<str>> {
+        let mut names = vec![Arc::from(""); self.images.len()];
+        for (name, image) in &self.images {
+            names[image.as_usize()] = name.clone();
+        }
+        names
+    }
+
+    /// Returns a row for each pair of images, those with the highest pressure
+    /// first.
+    pub(super) fn pressure_rows(&self, now: Timestamp) -> Vec<String> {
+        let names = self.names();
+        let mut pairs: Vec<_> = self.pressures.iter().collect();
+        pairs.sort_by(|a, b| b.1.value.total_cmp(&a.1.value).then_with(|| a.0.cmp(b.0)));
+        let row = |((victim, neighbour), it): (&(ImageId, ImageId), &LearnedPressure)| {
+            let age = it.measured_at.map(|at| format!(" age_ms={}", now.ms_since(at)));
+            format!(
+                "image={} neighbour={} pressure={:.2} measurements={}{}",
+                names[victim.as_usize()],
+                names[neighbour.as_usize()],
+                it.value,
+                it.measurements,
+                age.unwrap_or_default(),
+            )
+        };
+        pairs.into_iter().map(row).collect()
+    }
+
     fn base(&self, image: ImageId) -> f32 {
         self.lowest_tail[usize::from(image.0)] * (1.0 - LOWEST_UTILISATION)
     }
@@ -188,7 +239,7 @@
     /// utilisation of a latency-critical task.
     pub(super) fn pressure(&self, victim: ImageId, neighbour: Option<ImageId>) -> f32 {
         let known = neighbour.and_then(|it| self.pressures.get(&(victim, it)));
-        known.copied().unwrap_or(PRIOR_PRESSURE)
+        known.map_or(PRIOR_PRESSURE, |it| it.value)
     }
 
     /// Returns the part of the utilisation factor that neighbours add.
@@ -229,8 +280,11 @@
             let Some(image) = neighbour.image else { continue };
             let rate = LEARNING_RATE * weight / (squares + REGULARISATION);
             let step = rate * error * neighbour.share;
-            let pressure = self.pressures.entry((victim, image)).or_insert(PRIOR_PRESSURE);
-            *pressure = (*pressure + step).clamp(0.0, MAX_PRESSURE);
+            let pressure = self.pressures.entry((victim, image));
+            let pressure = pressure.or_insert(LearnedPressure::new(PRIOR_PRESSURE));
+            pressure.value = (pressure.value + step).clamp(0.0, MAX_PRESSURE);
+            pressure.measurements += 1;
+            pressure.measured_at = Some(now);
         }
         Some(error)
     }
--- a/crates/mustardcove-core/src/fleet/planner/measurements.rs
+++ b/crates/mustardcove-core/src/fleet/planner/measurements.rs
@@ -8,11 +8,12 @@
 
 use super::{
     Planner,
+    forecast_errors::OverTargetCause,
     interference::Neighbour,
     pace::{self, LatencyCriticalTask},
     placement,
     work::WorkerIndex,
-    workers::WorkloadKind,
+    workers::{Allocation, WorkloadKind},
 };
 use crate::{
     fleet::{
@@ -162,16 +163,33 @@
             })
             .collect();
         let mut latency_critical_use = 0.0;
+        let gap_ms = worker.measured_at.map_or(0, |it| now.ms_since(it));
+        worker.measured_at = Some(now);
+        let is_best_effort = |it: &Allocation| it.kind == WorkloadKind::BestEffort;
+        let best_effort: Vec<TaskKey> =
+            worker.allocations.iter().filter(|it| is_best_effort(it.1)).map(|it| *it.0).collect();
         let mut others = Vec::with_capacity(neighbours.len());
         for (task, allocation) in &mut worker.allocations {
-            let (Some(image), Some(_)) = (allocation.image, allocation.tail_target_ms) else {
+            let (Some(image), Some(target)) = (allocation.image, allocation.tail_target_ms) else {
                 continue;
             };
             let submission = task.step.submission;
+            if allocation.is_over_target {
+                let reserved = neighbours.iter();
+                let reserved = reserved.filter(|it| it.0 != *task && !best_effort.contains(&it.0));
+                let cause = OverTargetCause::of(
+                    interference.load(submission, now),
+                    interference.limit(image, target as f32),
+                    interference.excess(image, reserved.map(|it| it.1)),
+                    !best_effort.is_empty(),
+                );
+                self.forecast_errors.record_over_target(image, cause, gap_ms);
+            }
             others.clear();
             others.extend(neighbours.iter().filter(|it| it.0 != *task).map(|it| it.1));
             let tail = allocation.measurement as f32;
             if let Some(error) = interference.observe(image, submission, tail, &others, now) {
+                self.forecast_errors.record(image, error, now);
                 allocation.unexplained_excess +=
                     EXCESS_SMOOTHING * (error - allocation.unexplained_excess);
             }
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -135,6 +135,8 @@
     /// has handed over its plan, so that it is known which runs of earlier
     /// leaders are done or may go on.
     pub(super) has_listed_all_ends: bool,
+    /// When its tasks were last measured.
+    pub(super) measured_at: Option<Timestamp>,
     /// When the last poll was answered.
     pub(super) polled_at: Option<Timestamp>,
     /// When the last poll that counts was asked for, on the clock of its poller;
@@ -235,6 +237,7 @@
             may_run_earlier_work: false,
             is_evacuated: false,
             warmup: Warmup::default(),
+            measured_at: None,
             polled_at: None,
             poll_asked_at: Timestamp::default(),
             replaced_at: None,
--- a/crates/mustardcove-node/src/dump.rs
+++ b/crates/mustardcove-node/src/dump.rs
@@ -40,8 +40,12 @@
         let rows = rows.map(|it| format!("domain={} for_ms={}", it.0, now.ms_since(it.1)));
         dump.add_rows("evacuated_domains", rows);
         dump.add_rows("long_running_waits", shared.long_running_waits().clone());
+        let interference = shared.interference().clone();
+        dump.add_rows("interference_errors", interference.errors);
         dump.add_rows("reaching_store", shared.last_heartbeat().reaching_store.clone());
         dump.add_rows("peers", shared.peers.status().into_iter().map(|it| it.process));
+        // Last, as pairs of images are many and a dump is limited in size.
+        dump.add_rows("interference_pressures", interference.pressures);
         dump
     }
 }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -85,7 +85,8 @@
 /// if other processes reach the store, in milliseconds: less than the time for
 /// which the platform lets a start rest on a capacity that has shrunk.
 const MAX_ENTRIES_AGE_MS: u64 = 3_500;
-/// Time between two writes of the learned interference.
+/// Time between two writes of the learned interference, after which operators see
+/// it, too.
 const LEARNED_WRITE_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Most inputs that are handled before other work gets its turn.
 const MAX_INPUTS_AT_ONCE: usize = 512;
@@ -297,7 +298,10 @@
             () = shared.clock.sleep_until(leader.send_states_at),
                 if !leader.unsent_states.is_empty() => leader.send_states(),
             _ = heartbeat_tick.tick() => leader.send_heartbeat(),
-            _ = learned_tick.tick() => leader.store_learned_interference(),
+            _ = learned_tick.tick() => {
+                leader.show_interference();
+                leader.store_learned_interference();
+            }
             () = tokio::time::sleep_until(plan_at) => {
                 let began = Instant::now();
                 leader.handle_queued(inputs);
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -11,13 +11,13 @@
     },
     time::Timestamp,
 };
-use slog::debug;
+use slog::{debug, info};
 
 use super::{
     Leader, TaskResult,
     rows::{Row, RowOutcome, write_rows},
 };
-use crate::shared::Shared;
+use crate::shared::{InterferenceStatus, Shared};
 
 /// Time between two writes of progress, in milliseconds: long enough to spare
 /// the store, and much shorter than the time within which workers expect ends
@@ -80,6 +80,23 @@
         });
     }
 
+    /// Shows operators what is known of interference.
+    pub(super) fn show_interference(&self) {
+        let now = self.shared.now();
+        let errors = self.planner.interference_errors();
+        if errors.is_empty() {
+            return;
+        }
+        let total = self.planner.interference_total();
+        let over = total.over_target.iter().map(|(cause, ms)| format!("{cause}:{ms}"));
+        info!(self.shared.log, "interference forecast"; "measurements" => total.measurements,
+            "error_mean_percent" => total.mean_percent,
+            "error_rms_percent" => total.root_mean_square_percent,
+            "over_target_ms" => over.collect::<Vec<_>>().join(","));
+        let pressures = self.planner.interference_pressures(now);
+        *self.shared.interference() = InterferenceStatus { errors, pressures };
+    }
+
     /// Starts to store the learned interference. A failed write is not retried,
     /// since the next one holds all of it.
     pub(super) fn store_learned_interference(&self) {
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -16,7 +16,7 @@
 use crate::{
     durable,
     leader::{self, Claim, LeaderInput},
-    shared::{Leadership, Shared, boot_now},
+    shared::{InterferenceStatus, Leadership, Shared, boot_now},
 };
 
 /// Pause after a failed call to the store.
@@ -150,6 +150,7 @@
                 let reason = leader::lead(&shared, claim, &mut inputs).await;
                 info!(shared.log, "no longer leading"; "term" => %term, "why" => reason);
                 shared.long_running_waits().clear();
+                *shared.interference() = InterferenceStatus::default();
                 let is_ours = |it: &mut Leadership| {
                     let is_ours = it.term == term;
                     if is_ours {
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -40,6 +40,10 @@
     scored_workers: Gauge<u64>,
     slow_workers: Gauge<u64>,
     straggler_moves: Gauge<u64>,
+    interference_measurements: Gauge<u64>,
+    interference_error_mean: Gauge<i64>,
+    interference_error_rms: Gauge<u64>,
+    over_target_ms: Gauge<u64>,
     silent_runs: Gauge<u64>,
     longest_silence_ms: Gauge<u64>,
     overloaded_kinds: Gauge<u64>,
@@ -132,6 +136,28 @@
                 "straggler_moves",
                 "Number of runs that were stopped on slow workers to go on elsewhere, at the leader.",
             ),
+            interference_measurements: gauge(
+                "interference_measurements",
+                "Number of latencies that were compared with the interference forecast, at the \
+                 leader.",
+            ),
+            interference_error_mean: meter
+                .i64_gauge("interference_error_mean_percent")
+                .with_description(
+                    "Mean error of the forecast utilisation factor of latency-critical tasks in \
+                     the last half minute, in percent of 1, at the leader; positive if latencies \
+                     are higher.",
+                )
+                .build(),
+            interference_error_rms: gauge(
+                "interference_error_rms_percent",
+                "Root mean square of the same error, in percent of 1, at the leader.",
+            ),
+            over_target_ms: gauge(
+                "over_target_ms",
+                "Time that latency-critical tasks were over their target in this term, by cause, \
+                 in milliseconds, at the leader.",
+            ),
             silent_runs: gauge(
                 "silent_runs",
                 "Runs on silent workers, whose leases are awaited, at the leader.",
@@ -243,6 +269,13 @@
         self.straggler_moves.record(counts.straggler_moves, &[]);
         self.silent_runs.record(counts.silent_runs as u64, &[]);
         self.longest_silence_ms.record(counts.longest_silence_ms, &[]);
+        let interference = counts.interference;
+        self.interference_measurements.record(interference.measurements, &[]);
+        self.interference_error_mean.record(interference.mean_percent, &[]);
+        self.interference_error_rms.record(interference.root_mean_square_percent, &[]);
+        for (cause, ms) in interference.over_target.iter() {
+            self.over_target_ms.record(ms, &[KeyValue::new("cause", <&str>::from(cause))]);
+        }
         self.evacuated_domains.record(counts.evacuated_domains as u64, &[]);
         self.evacuated_workers.record(counts.evacuated_workers as u64, &[]);
         self.cold_workers.record(counts.cold_workers as u64, &[]);
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -145,6 +145,17 @@
     probe_at: Mutex<Timestamp>,
     /// What long-running tasks wait for, while this process leads.
     long_running_waits: Mutex<Vec<String>>,
+    /// What is known of interference, while this process leads.
+    interference: Mutex<InterferenceStatus>,
+}
+
+/// What the leader knows of interference between images, as rows for operators.
+#[derive(Clone, Debug, Default)]
+pub struct InterferenceStatus {
+    /// How well the forecast fits, by image of latency-critical tasks.
+    pub errors: Vec<String>,
+    /// Learned pressures, by pair of images.
+    pub pressures: Vec<String>,
 }
 
 /// The arguments of [`Shared::new`].
@@ -207,6 +218,7 @@
             store_answers: watch::Sender::new(()),
             probe_at: Mutex::default(),
             long_running_waits: Mutex::default(),
+            interference: Mutex::default(),
             process: parts.process,
             settings: parts.settings,
             clock: parts.clock,
@@ -243,6 +255,12 @@
         lock(&self.long_running_waits)
     }
 
+    /// Returns what is known of interference between images, as of a few seconds
+    /// ago; empty unless this process leads.
+    pub fn interference(&self) -> MutexGuard<'_, InterferenceStatus> {
+        lock(&self.interference)
+    }
+
     /// Returns the version of the manifest in force; 0 if there is none.
     pub fn manifest_version(&self) -> ManifestVersion {
         self.manifest.borrow().as_ref().map(|it| it.version).unwrap_or_default()
