Start a copy of a late task on another worker

Callers saw short batch steps wait for their last task on a worker that had become several times slower. A run that saves no progress stayed there, and a move of one that does costs a second.

Cause: a task had one run, so nothing else could start before it had stopped.

Change: where a step has `Speculative`, a copy starts on another worker by the rule for moves, if nothing of the same or a higher priority waits for the room. The first end as done counts, and the other run is stopped. The copy is kept beside the task's run, so the plan treats other tasks as before. An end as done is not acknowledged while another run of the task may still begin, also under a new leader. The worker of a copy has no plan that is handed over, so a successor waits for it. A new leader that finds two runs keeps the one with more progress.

Measured: the 14 tests of speculative_copies pass, among them 200 random schedules with crashes, lost calls and changes of the leader. planner_faults, lost_worker, handed_plan, unanswered_start, late_answers, uneven_workers, slowed_moves, explain_plan, silent_leases, drained_workers and planner_steps pass.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -28,6 +28,7 @@
 mod choice;
 mod circuit_breaker;
 mod cold;
+mod copies;
 mod earlier_leases;
 mod evacuations;
 mod eviction;
@@ -66,6 +67,7 @@
 
 use self::{
     blocked::BlockedSubmissions,
+    copies::Copies,
     earlier_leases::EarlierLeases,
     forecast::Loads,
     forecast_errors::ForecastErrors,
@@ -82,6 +84,7 @@
 };
 pub use self::{
     cold::ColdEntry,
+    copies::CopyCounts,
     evacuations::DomainChange,
     forecast::LoadCounts,
     forecast_errors::{InterferenceErrors, OverTargetCause, OverTargetTimes},
@@ -172,6 +175,10 @@
     RunAdopted,
     /// The predecessor's plan for a worker was taken over.
     PlanTakenOver,
+    /// A copy of a late run was started.
+    CopyStarted,
+    /// A copy has ended, or goes on as the task's run.
+    CopyEnded,
     /// A submission reached a final state.
     Finished,
     /// A submission has had no run for a while although it could have one.
@@ -313,6 +320,7 @@
     next_straggler_check: Timestamp,
     /// Number of runs so far that were stopped to go on faster elsewhere.
     straggler_moves: u64,
+    copies: Copies,
     /// Rises when workers are added, or change in what they can ever hold.
     fleet_version: u64,
     /// Factor by which tasks of each pool take longer than estimated: the median.
@@ -376,6 +384,7 @@
             moves: Vec::new(),
             next_straggler_check: Timestamp::default(),
             straggler_moves: 0,
+            copies: Copies::new(claims <= 1),
             fleet_version: 0,
             pool_factors: BTreeMap::new(),
             evictions: Vec::new(),
@@ -791,11 +800,13 @@
                 self.unpublished.push((change, id, state));
             }
         }
-        let work = &self.work;
+        let (work, copies) = (&self.work, &self.copies);
         for worker in &mut self.workers {
             let mut through = None;
-            let is_end_stored = |it: &mut UnstoredEnd| is_stored(work, it.submission, it.change);
-            while let Some(end) = worker.unstored_ends.pop_front_if(is_end_stored) {
+            let is_due = |it: &mut UnstoredEnd| {
+                is_stored(work, it.task.step.submission, it.change) && !copies.must_wait(work, it)
+            };
+            while let Some(end) = worker.unstored_ends.pop_front_if(is_due) {
                 through = Some(end.number);
             }
             let (Some(through), Some(incarnation)) = (through, worker.incarnation) else {
@@ -870,6 +881,7 @@
             evacuated_workers: self.evacuated_workers(),
             slow_workers: self.workers.iter().filter(|it| it.speed.is_slow(now)).count(),
             straggler_moves: self.straggler_moves,
+            copies: self.copies.counts(),
             cold_workers: self.cold_workers(),
             load: self.loads.counts(),
             interference: self.interference_total(),
@@ -972,8 +984,10 @@
     fn finish(&mut self, id: SubmissionId, state: SubmissionState, why: &str, now: Timestamp) {
         let Some(work) = self.work.get_mut(&id) else { return };
         work.state = state;
-        let runs: Vec<(TaskKey, WorkerIndex, RunNumber)> =
-            work.runs().map(|(task, it)| (task, it.worker, it.run)).collect();
+        let runs: Vec<(TaskKey, WorkerIndex, RunNumber)> = (work.runs())
+            .chain(self.copies.of(id))
+            .map(|(task, it)| (task, it.worker, it.run))
+            .collect();
         for occurrence in &work.occurrences {
             for step in work.submission.step_keys(occurrence.number) {
                 self.tickets.remove(step);
@@ -988,6 +1002,7 @@
         self.scheduled.remove(&id);
         self.suspects.remove(id);
         self.interference.remove(id);
+        self.forget_copies(id);
         for (task, worker, run) in runs {
             self.stop(worker, task, run, why, now);
         }
@@ -1077,6 +1092,8 @@
     pub slow_workers: usize,
     /// Number of runs so far that were stopped on slow workers to go on elsewhere.
     pub straggler_moves: u64,
+    /// Copies of late runs.
+    pub copies: CopyCounts,
     /// Listed workers that are slow for a while.
     pub cold_workers: usize,
     /// Runs on silent workers, whose leases are awaited.
--- a/crates/mustardcove-core/src/fleet/planner/choice.rs
+++ b/crates/mustardcove-core/src/fleet/planner/choice.rs
@@ -86,8 +86,7 @@
         TaskKey { step: self.key, index: self.tasks.first().map_or(0, |it| it.0) }
     }
 
-    /// Returns the step without pending tasks; `None` if it has not begun.
-    pub(super) fn of_step(key: StepKey, work: &Work, is_scarce: bool) -> Option<PendingTasks> {
+    fn of_step(key: StepKey, work: &Work, is_scarce: bool) -> Option<PendingTasks> {
         let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
         let mut pending = PendingTasks::new(key, work, is_scarce);
         for run in step.tasks.iter().filter_map(Task::run) {
@@ -133,6 +132,18 @@
 }
 
 impl Planner {
+    /// Returns a step without pending tasks; `None` if it has not begun.
+    pub(super) fn pending_of_step(
+        &self,
+        key: StepKey,
+        work: &Work,
+        is_scarce: bool,
+    ) -> Option<PendingTasks> {
+        let mut pending = PendingTasks::of_step(key, work, is_scarce)?;
+        self.count_copies(&mut pending);
+        Some(pending)
+    }
+
     pub(super) fn pending_tasks(
         &self,
         key: StepKey,
@@ -145,7 +156,7 @@
             return None;
         }
         let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
-        let mut pending = PendingTasks::of_step(key, work, is_scarce)?;
+        let mut pending = self.pending_of_step(key, work, is_scarce)?;
         for (i, task) in step.tasks.iter().enumerate() {
             let index = i as u16;
             let is_placeable = self.is_placeable(TaskKey { step: key, index }, &work.submission);
--- a/crates/mustardcove-core/src/fleet/planner/explain.rs
+++ b/crates/mustardcove-core/src/fleet/planner/explain.rs
@@ -16,7 +16,6 @@
 
 use super::{
     Actions, Planner,
-    choice::PendingTasks,
     placement::{self, Obstacle},
     round::Candidate,
     waits::{self, Nearest},
@@ -120,6 +119,7 @@
             evictions: self.evictions.clone(),
             next_straggler_check: self.next_straggler_check,
             straggler_moves: self.straggler_moves,
+            copies: self.copies.clone(),
             pool_factors: self.pool_factors.clone(),
             scored_workers: AtomicU64::new(0),
             actions: Actions::default(),
@@ -255,7 +255,7 @@
         let spec = self.spec(key)?;
         let schedulable = (0..self.workers.len()).filter(|it| self.obstacle(*it, now).is_none());
         let is_scarce = placement::is_scarce(schedulable.map(|it| &self.workers[it]));
-        let pending = PendingTasks::of_step(key, work, is_scarce)?;
+        let pending = self.pending_of_step(key, work, is_scarce)?;
         let step = &work.occurrence(key.occurrence)?.steps[usize::from(key.step)];
         let next = step.tasks.iter().find(|it| it.is_waiting())?;
         let usable = eligible.iter().filter(|it| it.obstacle.is_none());
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -2,7 +2,7 @@
 //! [`handover`](crate::fleet::handover).
 
 use super::{
-    DecisionKind, Planner, pace,
+    DecisionKind, Planner, is_stored, pace,
     suspects::PROVEN_LISTINGS,
     work::{Phase, Run, Work, WorkerIndex},
     workers::{Worker, WorkloadKind},
@@ -56,6 +56,11 @@
     fn known_plan(&self, index: WorkerIndex) -> Option<WorkerPlan> {
         let worker = &self.workers[index];
         let incarnation = worker.incarnation.filter(|_| worker.replaced_at.is_none())?;
+        // The successor waits until it has reached a worker with a copy, so that it
+        // acknowledges no end of the other run before.
+        if self.copies.may_run_on(index) {
+            return None;
+        }
         let run = |(task, run, listings)| {
             let is_proven = PROVEN_LISTINGS <= listings;
             PlannedRun { task, run, is_proven }
@@ -69,8 +74,13 @@
         // Their tasks start nowhere else. Other runs that are not planned are of
         // unknown submissions, or of tasks that may start elsewhere.
         let are_others_ended = others.all(|(task, _)| self.is_ended(task.step.submission));
-        let is_known =
-            worker.has_listed_all_ends && worker.unstored_ends.is_empty() && are_others_ended;
+        // Ends that are stored may wait for a copy elsewhere to begin, or behind one.
+        let mut ends = worker.unstored_ends.iter();
+        let are_ends_stored = worker.unstored_ends.front().is_none_or(|it| {
+            self.copies.must_wait(&self.work, it)
+                && ends.all(|it| is_stored(&self.work, it.task.step.submission, it.change))
+        });
+        let is_known = worker.has_listed_all_ends && are_ends_stored && are_others_ended;
         let was_draining = worker.was_draining;
         is_known.then_some(WorkerPlan { incarnation, was_draining, runs, has_stopping_runs })
     }
--- a/crates/mustardcove-core/src/fleet/planner/moves.rs
+++ b/crates/mustardcove-core/src/fleet/planner/moves.rs
@@ -2,7 +2,7 @@
 //! tasks that serve, and tasks on slow workers.
 
 use super::{
-    Planner, choice::PendingTasks, placement, work::WorkerIndex, worker_speed,
+    Planner, choice::PendingTasks, copies, placement, work::WorkerIndex, worker_speed,
     workers::WorkloadKind,
 };
 use crate::{
@@ -127,7 +127,7 @@
 
     /// Returns the processors that runs demand which are being moved to a worker, in
     /// millicores.
-    fn moved_cpu(&self, to: WorkerIndex) -> u64 {
+    pub(super) fn moved_cpu(&self, to: WorkerIndex) -> u64 {
         self.moves.iter().filter(|it| it.to == to).map(|it| it.cpu).sum()
     }
 
@@ -138,7 +138,7 @@
         placement::is_enough_left_over(leftover - self.moved_cpu(index) as i64, cpu)
     }
 
-    /// Stops runs on slow workers that would be done sooner elsewhere. This comes
+    /// Copies or stops runs on slow workers that would be done sooner elsewhere. This comes
     /// after a placement round, so that nothing waits for the room that it finds.
     pub(super) fn move_stragglers(&mut self, schedulable: &[WorkerIndex], now: Timestamp) {
         if now < self.next_straggler_check {
@@ -161,13 +161,19 @@
                 {
                     return;
                 }
-                if !self.is_sooner_elsewhere(index, task, run, now) {
+                let Some(left_ms) = self.left_if_sooner_elsewhere(index, task, run, now) else {
                     continue;
-                }
+                };
                 checks += 1;
+                let why = "on a slow worker";
+                let is_copied = copies::MIN_REMAINING_MS <= left_ms
+                    && self.start_copy(index, task, run, why, schedulable, now);
+                if is_copied || !self.saves_progress(task) {
+                    continue;
+                }
                 if let Some(better) = self.find_sound(index, task, schedulable, now) {
                     self.moves.push(better);
-                    self.stop_and_move(index, task, run, "on a slow worker", now);
+                    self.stop_and_move(index, task, run, why, now);
                     self.straggler_moves += 1;
                     moves += 1;
                 }
@@ -175,34 +181,42 @@
         }
     }
 
-    /// Returns whether a run on a slow worker is expected to be done sooner if it
-    /// is stopped and goes on from its checkpoint on a worker that is not slow.
-    fn is_sooner_elsewhere(
+    fn saves_progress(&self, task: TaskKey) -> bool {
+        let work = self.work.get(&task.step.submission);
+        let spec = work.and_then(|it| it.submission.steps.get(usize::from(task.step.step)));
+        spec.is_some_and(|it| it.saves_progress)
+    }
+
+    /// Returns the time that a run on a slow worker is expected to need there, in
+    /// milliseconds, if it would be done sooner from its checkpoint on a worker that is
+    /// not slow.
+    fn left_if_sooner_elsewhere(
         &self,
         index: WorkerIndex,
         task: TaskKey,
         run: RunNumber,
         now: Timestamp,
-    ) -> bool {
+    ) -> Option<f32> {
         let worker = &self.workers[index];
-        let Some(work) = self.work.get(&task.step.submission) else { return false };
+        let work = self.work.get(&task.step.submission)?;
         let spec = &work.submission.steps[usize::from(task.step.step)];
-        let Some(current) = self.current_run(index, task, run) else { return false };
+        let current = self.current_run(index, task, run)?;
         let pace = worker.allocations.get(&task).map_or(0, |it| it.pace);
-        let is_movable = spec.saves_progress
+        let is_movable = (spec.saves_progress || self.may_copy(index, task, run, now))
+            && !self.copies.contains(task)
             && worker_speed::is_comparable(spec, worker, pace)
             && current.was_listed
             && !self.stops.contains_key(&(index, task, run));
-        let Some((estimate_ms, factor)) = self.expectation(index, task.step) else { return false };
+        let (estimate_ms, factor) = self.expectation(index, task.step)?;
         if !is_movable {
-            return false;
+            return None;
         }
         let has_checkpoint = work.task(task).is_some_and(|it| it.checkpoint.is_some());
         let expected_ms = estimate_ms as f32 * factor;
         let left = |percent: u8| expected_ms * f32::from(100 - percent.min(100)) / 100.0;
         let here_ms = left(current.percent) * worker.speed.slowness(now);
         let elsewhere_ms = left(if has_checkpoint { current.percent } else { 0 });
-        (elsewhere_ms + MOVE_COST_MS) * MOVE_MARGIN < here_ms
+        ((elsewhere_ms + MOVE_COST_MS) * MOVE_MARGIN < here_ms).then_some(here_ms)
     }
 
     /// Returns the move of a task to the best worker that is not slow and has room
@@ -216,7 +230,7 @@
     ) -> Option<Move> {
         let work = self.work.get(&task.step.submission)?;
         let spec = &work.submission.steps[usize::from(task.step.step)];
-        let pending = PendingTasks::of_step(task.step, work, false)?;
+        let pending = self.pending_of_step(task.step, work, false)?;
         let req = self.request(&pending, spec, None);
         let cpu = spec.demand.cpu.0;
         let has_room = |it: &WorkerIndex| {
--- a/crates/mustardcove-core/src/fleet/planner/reports.rs
+++ b/crates/mustardcove-core/src/fleet/planner/reports.rs
@@ -246,10 +246,9 @@
             self.workers[index].allocations.iter().map(|(task, it)| (*task, it.run)).collect();
         let mut lost = 0;
         for (task, run) in runs {
-            let current =
-                self.task_mut(task).and_then(|it| it.run_mut()).filter(|it| it.run == run);
+            let current = self.planned_run_mut(index, task).filter(|it| it.run == run);
             match current {
-                Some(current) if current.worker == index && !current.was_listed => {
+                Some(current) if !current.was_listed => {
                     current.confirmed_at = None;
                     current.missed_polls = 0;
                     let give_up_at = now.plus_ms(START_CONFIRM_TIMEOUT_MS);
@@ -285,6 +284,7 @@
             return;
         }
         let key = (index, end.task, end.run);
+        self.copies.settle(key);
         self.stops.remove(&key);
         self.unconfirmed.remove(&key);
         let is_allocated =
@@ -310,8 +310,8 @@
     /// Lets an end be acknowledged once its submission's changes up to `change`
     /// are stored.
     fn await_stored(&mut self, index: WorkerIndex, end: &EndedRun, change: u64) {
-        let submission = end.task.step.submission;
-        let unstored = UnstoredEnd { number: end.number, submission, change };
+        let is_done = end.kind == EndKind::Done;
+        let unstored = UnstoredEnd { number: end.number, task: end.task, is_done, change };
         self.workers[index].unstored_ends.push_back(unstored);
     }
 
@@ -320,7 +320,7 @@
     fn require_changes(&mut self, index: WorkerIndex, seen_end: EndNumber) {
         let new = self.workers[index].unstored_ends.iter_mut().rev();
         for end in new.take_while(|it| seen_end < it.number) {
-            if let Some(work) = self.work.get(&end.submission)
+            if let Some(work) = self.work.get(&end.task.step.submission)
                 && end.change != UNKNOWN_CHANGE
             {
                 end.change = work.last_change;
@@ -349,7 +349,7 @@
             | EndKind::GangBroken
             | EndKind::GangIncomplete
             | EndKind::Foreign => {
-                if self.is_current(index, end.task, end.run) {
+                if self.is_planned(index, end.task, end.run) {
                     self.requeue(index, end.task, end.checkpoint.clone(), now);
                 }
             }
@@ -459,6 +459,7 @@
         }
         self.suspects.remove_task(task);
         self.mark_dirty(task.step.submission);
+        self.resolve_copy(task, run, now);
         if let Some((worker, run)) = other {
             self.stop(worker, task, run, "another run is done", now);
         }
@@ -507,7 +508,7 @@
         if !is_long_running {
             self.mark_dirty(id);
         }
-        if self.is_current(index, end.task, end.run) {
+        if self.is_planned(index, end.task, end.run) {
             self.requeue(index, end.task, end.checkpoint.clone(), now);
         }
         if attempts <= failures && !is_long_running {
@@ -515,7 +516,8 @@
         }
     }
 
-    /// Makes a task wait again after its run on a worker has ended.
+    /// Makes a task wait again after its run on a worker has ended, unless it has
+    /// another one.
     pub(super) fn requeue(
         &mut self,
         index: WorkerIndex,
@@ -523,6 +525,9 @@
         checkpoint: Option<String>,
         now: Timestamp,
     ) {
+        if self.drop_copy(index, task) {
+            return;
+        }
         let Some(work) = self.work.get_mut(&task.step.submission) else { return };
         let spec = work.submission.steps.get(usize::from(task.step.step));
         let is_long_running = spec.is_some_and(|it| it.is_long_running);
@@ -541,6 +546,7 @@
             slot.not_before = slot.not_before.max(now.plus_ms(RESTART_PAUSE_MS));
         }
         self.waiting.insert(task.step);
+        self.promote_copy(task);
     }
 
     /// Handles a run that a worker lists in a poll that was asked for at
@@ -567,7 +573,8 @@
         let Some(spec) = work.submission.steps.get(usize::from(row.task.step.step)) else { return };
         let task = work.task(row.task);
         let is_waiting = task.is_some_and(|it| it.is_waiting());
-        let is_planned_here = task.and_then(|it| it.run()).is_some_and(|run| run.worker == index);
+        self.copies.settle((index, row.task, row.run));
+        let is_planned_here = self.has_planned_run(index, row.task);
         let is_stopping = self.stops.contains_key(&(index, row.task, row.run));
         if self.is_current(index, row.task, row.run) {
             self.unconfirmed.remove(&(index, row.task, row.run));
@@ -576,8 +583,13 @@
             }
             self.update_progress(index, row, asked_at, now);
             self.run_survived(row.task, row.run, listings);
+        } else if self.is_copy(index, row.task, row.run) {
+            self.copy_listed(index, row, asked_at);
         } else if is_waiting && !is_stopping {
             self.adopt(index, row, asked_at, now);
+        } else if !is_stopping && self.is_preferred(index, row) {
+            self.stop_unpreferred(row.task, now);
+            self.adopt(index, row, asked_at, now);
         } else if !is_stopping {
             // A task has one allocation on a worker. That of the planned run
             // stays, since the end of that run is found by it.
@@ -723,6 +735,7 @@
                 stopping.missed_polls += is_later(stopping.confirmed_at);
                 if MISSED_POLLS <= stopping.missed_polls {
                     self.stops.remove(&(index, task, run));
+                    self.copies.settle((index, task, run));
                     self.run_lost(index, task, "stopped before it started", now);
                 }
             } else if self.count_missed_poll(index, task, run, poll.asked_at) {
@@ -743,6 +756,7 @@
             }
             if !is_allocated && MISSED_POLLS <= stopping.missed_polls {
                 self.stops.remove(&(index, task, run));
+                self.copies.settle((index, task, run));
             }
         }
     }
@@ -758,8 +772,7 @@
         }
         let tasks: Vec<TaskKey> = self.workers[index].allocations.keys().copied().collect();
         for task in tasks {
-            let run = self.task_mut(task).and_then(|it| it.run_mut());
-            if let Some(run) = run.filter(|it| it.worker == index) {
+            if let Some(run) = self.planned_run_mut(index, task) {
                 run.confirmed_at.iter_mut().for_each(confirm);
                 run.listed_at = None;
                 run.window = None;
@@ -786,11 +799,8 @@
         run: RunNumber,
         asked_at: Timestamp,
     ) -> bool {
-        let current = self.task_mut(task).and_then(|it| it.run_mut());
+        let current = self.planned_run_mut(index, task).filter(|it| it.run == run);
         let Some(current) = current else { return true };
-        if current.worker != index || current.run != run {
-            return true;
-        }
         current.missed_polls += u32::from(is_asked_after(asked_at, current.confirmed_at));
         MISSED_POLLS <= current.missed_polls
     }
@@ -822,8 +832,9 @@
     ) {
         if !outcome.may_have_run() {
             self.run_not_started(task, run);
+            self.copies.settle((index, task, run));
         }
-        if !self.is_current(index, task, run) || self.stops.contains_key(&(index, task, run)) {
+        if !self.is_planned(index, task, run) || self.stops.contains_key(&(index, task, run)) {
             return;
         }
         match outcome {
@@ -832,7 +843,7 @@
                 self.unconfirmed.remove(&(index, task, run));
                 let Some(slot) = self.task_mut(task) else { return };
                 let is_resumed = slot.checkpoint.is_some();
-                if let Some(run) = slot.run_mut() {
+                if let Some(run) = self.planned_run_mut(index, task) {
                     if run.listed_at.is_none() && !is_resumed {
                         run.window = Some(ProgressWindow::started(answered_at));
                     }
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -30,6 +30,7 @@
         self.retry_stops(now);
         self.expire_leases(now);
         self.expire_earlier_work(now);
+        self.expire_copies(now);
         self.pools_lacking_ends = self.find_pools_lacking_ends(now);
         self.workers.iter_mut().for_each(|it| it.expire_exclusion(now));
         self.begin_lookups(now);
@@ -257,7 +258,7 @@
     }
 }
 
-fn next_run(last: RunNumber, base: u64) -> RunNumber {
+pub(super) fn next_run(last: RunNumber, base: u64) -> RunNumber {
     RunNumber(last.0.max(base).saturating_add(1))
 }
 
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -527,7 +527,7 @@
     pub(super) fn planned_runs(&self, index: WorkerIndex) -> Vec<(TaskKey, RunNumber, u32)> {
         let allocations = self.workers[index].allocations.iter();
         let runs = allocations.map(|(task, it)| (*task, it.run, it.listings));
-        runs.filter(|it| self.is_current(index, it.0, it.1)).collect()
+        runs.filter(|it| self.is_planned(index, it.0, it.1)).collect()
     }
 
     /// Returns whether a task was on a worker that crashed, or may have been.
@@ -889,7 +889,7 @@
     /// Returns a suspected task as the only pending one of its step.
     fn single_task(&self, task: TaskKey, now: Timestamp) -> Option<PendingTasks> {
         let work = self.work.get(&task.step.submission)?;
-        let mut pending = PendingTasks::of_step(task.step, work, false)?;
+        let mut pending = self.pending_of_step(task.step, work, false)?;
         pending.tasks = vec![(task.index, None)];
         let spec = &work.submission.steps[usize::from(task.step.step)];
         pending.is_starved =
--- a/crates/mustardcove-core/src/fleet/planner/waits.rs
+++ b/crates/mustardcove-core/src/fleet/planner/waits.rs
@@ -20,7 +20,6 @@
 
 use super::{
     DecisionKind, Planner,
-    choice::PendingTasks,
     placement::{self, Obstacle},
     suspects::SuspectWait,
     work::{Phase, Run, WorkerIndex},
@@ -427,7 +426,7 @@
     pub(super) fn eligible_workers(&self, key: StepKey, now: Timestamp) -> Option<Vec<Nearest>> {
         let work = self.work.get(&key.submission)?;
         let spec = self.spec(key)?;
-        let pending = PendingTasks::of_step(key, work, false)?;
+        let pending = self.pending_of_step(key, work, false)?;
         let req = self.request(&pending, spec, None);
         let rank = self.waiting_step(key).map(|it| it.rank(now));
         let is_overdue = self.is_overdue(key, now);
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -19,7 +19,7 @@
     worker_speed::WorkerSpeed,
 };
 use crate::{
-    fleet::id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey},
+    fleet::id::{EndNumber, Incarnation, RunNumber, TaskKey},
     id::{FailureDomainId, HostId, WorkerId},
     size::Resources,
     time::Timestamp,
@@ -211,7 +211,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UnstoredEnd {
     pub(super) number: EndNumber,
-    pub(super) submission: SubmissionId,
+    pub(super) task: TaskKey,
+    /// Whether the task is done by it.
+    pub(super) is_done: bool,
     /// The last change of the submission that must be stored first.
     pub(super) change: u64,
 }
