Show the number of copies of late tasks

Operators could not see whether copies start and what becomes of them.

The gauge `copies` counts those that were started, won and dropped at the leader, by its label `event`.

No test of the node was run.

--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -40,6 +40,7 @@
     scored_workers: Gauge<u64>,
     slow_workers: Gauge<u64>,
     straggler_moves: Gauge<u64>,
+    copies: Gauge<u64>,
     interference_measurements: Gauge<u64>,
     interference_error_mean: Gauge<i64>,
     interference_error_rms: Gauge<u64>,
@@ -136,6 +137,11 @@
                 "straggler_moves",
                 "Number of runs that were stopped on slow workers to go on elsewhere, at the leader.",
             ),
+            copies: gauge(
+                "copies",
+                "Number of copies of runs on slow workers, by event: started, won or dropped, at \
+                 the leader.",
+            ),
             interference_measurements: gauge(
                 "interference_measurements",
                 "Number of latencies that were compared with the interference forecast, at the \
@@ -267,6 +273,10 @@
         self.scored_workers.record(counts.scored_workers, &[]);
         self.slow_workers.record(counts.slow_workers as u64, &[]);
         self.straggler_moves.record(counts.straggler_moves, &[]);
+        let event = |it| [KeyValue::new("event", it)];
+        self.copies.record(counts.copies.started, &event("started"));
+        self.copies.record(counts.copies.won, &event("won"));
+        self.copies.record(counts.copies.dropped, &event("dropped"));
         self.silent_runs.record(counts.silent_runs as u64, &[]);
         self.longest_silence_ms.record(counts.longest_silence_ms, &[]);
         let interference = counts.interference;
