Test copies with leaders that hand over their plans

The random schedules of copies elected each leader without a handover, so plans that leave out the worker of a copy were tested by hand only.

--- a/crates/mustardcove-core/tests/speculative_copies.rs
+++ b/crates/mustardcove-core/tests/speculative_copies.rs
@@ -313,8 +313,9 @@
 
 /// Returns the world after faults that hit tasks with copies, and the number of
 /// copies.
-fn simulate(seed: u64) -> (World, usize) {
-    let mut world = World::new(seed, 5);
+fn simulate(seed: u64, has_handovers: bool) -> (World, usize) {
+    let mut world =
+        if has_handovers { World::with_processes(seed, 5, 3) } else { World::new(seed, 5) };
     for (i, worker) in world.workers.iter_mut().enumerate() {
         worker.incarnation = Incarnation(5_000 + 100 * i as u64);
         worker.speed_percent = if i == 0 { 12 } else { 100 };
@@ -329,6 +330,10 @@
         world.run(pause);
         let worker = world.rng.random_range(0..world.workers.len());
         match world.rng.random_range(0..5) {
+            2 | 3 if has_handovers => {
+                let pause_ms = world.rng.random_range(0..500);
+                world.step_down(id as usize % 3, pause_ms);
+            }
             0 => world.restart(worker),
             1 => {
                 let until = world.now.plus_ms(world.rng.random_range(1_000..6_000));
@@ -359,9 +364,19 @@
 /// none begins after its end was acknowledged.
 #[test]
 fn random_faults() {
+    check(false);
+}
+
+/// The same with leaders that step down and hand over their plans.
+#[test]
+fn random_handovers() {
+    check(true);
+}
+
+fn check(has_handovers: bool) {
     let mut copies = 0;
     for seed in 0..200 {
-        let (world, started) = simulate(seed);
+        let (world, started) = simulate(seed, has_handovers);
         assert!(world.violations.is_empty(), "seed {seed}: {:?}", world.violations);
         assert!(world.unfinished().is_empty(), "seed {seed}: {:?}", world.unfinished());
         assert_eq!(world.running(), 0, "seed {seed}: something still runs");
