--- a/crates/mustardcove-core/tests/speculative_copies.rs
+++ b/crates/mustardcove-core/tests/speculative_copies.rs
@@ -231,6 +231,20 @@
     assert!(first.runs.iter().any(|it| it.task == task && it.run < RunNumber(10_000)));
 }
 
+/// A fault of the first run's failure domain should not hit both runs.
+#[test]
+fn other_domain() {
+    for other in ["w1", "w2"] {
+        let mut rig = slow_rig(&speculative(), 3);
+        rig.update_listings(|it| {
+            if it.worker.as_str() == other {
+                it.domain = "d2".parse().expect("a valid name");
+            }
+        });
+        assert_eq!(next_start(&mut rig).map(|it| it.0), Some(worker(other)));
+    }
+}
+
 /// One copy is allowed of any number of runs, and the second task waits.
 #[test]
 fn bounded_number() {
