--- a/crates/mustardcove-core/tests/drained_workers.rs
+++ b/crates/mustardcove-core/tests/drained_workers.rs
@@ -12,7 +12,7 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 
 use fleet_world::{World, manifest, step, submission};
 use mustardcove_core::{
@@ -24,6 +24,7 @@
 
 const WORKERS: usize = 12;
 const PROCESSES: usize = 5;
+/// Number of seeds, unless the environment sets `SEEDS`.
 const SEEDS: u64 = 40;
 /// Shortest time for which a worker that drains serves on, in milliseconds.
 const DRAIN_MS: u64 = 2_500;
@@ -71,6 +72,13 @@
     }
 }
 
+/// Returns the seeds to play. `SEEDS` and `FIRST_SEED` in the environment set others.
+fn seeds() -> Range<u64> {
+    let number = |name: &str| std::env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
+    let first = number("FIRST_SEED").unwrap_or(0);
+    first..first + number("SEEDS").unwrap_or(SEEDS)
+}
+
 fn busy_world(seed: u64) -> World {
     let mut world = World::with_processes(seed, WORKERS, PROCESSES);
     world.is_long_running_endless = true;
@@ -107,7 +115,7 @@
 /// Replaces workers with many seeds, and checks how long tasks are without a run.
 fn check(max_away_ms: u64, changes_leader: impl Fn(usize) -> bool) {
     let mut failed = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in seeds() {
         let (world, longest_ms) = replace_workers(seed, &changes_leader);
         if max_away_ms < longest_ms || !world.violations.is_empty() {
             failed.push(format!("seed {seed}: {longest_ms} ms, {:?}", world.violations));
--- a/crates/mustardcove-core/tests/silent_leases.rs
+++ b/crates/mustardcove-core/tests/silent_leases.rs
@@ -11,7 +11,7 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 
 use fleet_world::{World, manifest, step, submission};
 use mustardcove_core::{
@@ -28,6 +28,7 @@
 
 const WORKERS: usize = 8;
 const PROCESSES: usize = 5;
+/// Number of seeds, unless the environment sets `SEEDS`.
 const SEEDS: u64 = 40;
 /// Time for which a worker that is lost for good is down, in milliseconds.
 const GONE_MS: u64 = 10_000_000;
@@ -137,6 +138,14 @@
     }
 }
 
+/// Returns the seeds to play, `factor` times as many as usual. `SEEDS` and
+/// `FIRST_SEED` in the environment set others.
+fn seeds(factor: u64) -> Range<u64> {
+    let number = |name: &str| std::env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
+    let first = number("FIRST_SEED").unwrap_or(0);
+    first..first + factor * number("SEEDS").unwrap_or(SEEDS)
+}
+
 fn busy_world(seed: u64) -> World {
     let mut world = World::with_processes(seed, WORKERS, PROCESSES);
     world.is_long_running_endless = true;
@@ -153,7 +162,7 @@
 #[test]
 fn planned_leaders() {
     let mut failed = Vec::new();
-    for seed in 0..SEEDS {
+    for seed in seeds(1) {
         let mut world = busy_world(seed);
         let mut away = Away::new();
         let gap_ms = world.rng.random_range(700..2_600);
@@ -183,7 +192,7 @@
 #[test]
 fn cut_off_workers() {
     let mut failed = Vec::new();
-    for seed in 0..3 * SEEDS {
+    for seed in seeds(3) {
         let mut world = busy_world(seed);
         for id in 5..=9 {
             world.submit(submission(id, vec![step(5, 500, &[]), step(3, 600, &[0])], world.now));
