Let pollers tell by when their leases end

Callers saw long-running tasks of a worker that was lost right before or during a planned change of the leader wait for more than 9 s.

As the worker answered then, its poller went on extending leases, so the record counts 6.6 s, and only the poller knows the end.

The record now names the poller of each worker that answers. It counts only for the very assignment that the leader expects. Without it all waits are as before, and no bound changes. Records of earlier builds stay readable.

Weighed: a poller could tell the leader that steps down and grant nothing more. It would not help a worker that is lost after the record is written, and all work would end if the successor took 3 s.

Changed tests: hand_over, poller_replaced and Assignments::update have other signatures, and fleet_world plays the message, which is lost like others.

--- a/crates/mustardcove-core/src/fleet/assignment.rs
+++ b/crates/mustardcove-core/src/fleet/assignment.rs
@@ -7,10 +7,7 @@
 //! proportional to the processor shares, and the loss of a process moves only
 //! its own workers.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -106,12 +103,13 @@
 impl Assignments {
     /// Replaces all assignments by these. A worker that keeps its poller and
     /// its address keeps its number. Returns the workers that have lost their
-    /// poller, which are also those with a new address: there the same process
-    /// starts to poll without knowledge of earlier leases.
+    /// poller, with the assignments that have ended. These are also those with a
+    /// new address: there the same process starts to poll without knowledge of
+    /// earlier leases.
     pub fn update(
         &mut self,
         assigned: impl IntoIterator<Item = (WorkerId, ProcessId, SocketAddr)>,
-    ) -> BTreeSet<WorkerId> {
+    ) -> BTreeMap<WorkerId, (ProcessId, AssignmentNumber)> {
         let before = std::mem::take(&mut self.by_worker);
         for (worker, process, address) in assigned {
             let is_kept = |it: &&Assigned| it.process == process && it.address == address;
@@ -123,7 +121,8 @@
             self.by_worker.insert(worker, Assigned { process, address, number });
         }
         let is_lost = |worker: &WorkerId, it: &Assigned| self.number_of(worker) != Some(it.number);
-        before.into_iter().filter(|(worker, it)| is_lost(worker, it)).map(|it| it.0).collect()
+        let lost = before.into_iter().filter(|(worker, it)| is_lost(worker, it));
+        lost.map(|(worker, it)| (worker, (it.process, it.number))).collect()
     }
 
     /// Returns the process that polls a worker.
--- a/crates/mustardcove-core/src/fleet/handover.rs
+++ b/crates/mustardcove-core/src/fleet/handover.rs
@@ -15,6 +15,11 @@
 //! that may run on a silent worker wait, and until the end that one leader would
 //! have waited for.
 //!
+//! While a worker answers, its poller goes on extending leases until it hears of the
+//! successor, so the leader that steps down cannot tell when they end. It names the
+//! poller instead, which tells the successor once it grants nothing more for the
+//! earlier term. A poller that is lost, cut off or new tells nothing.
+//!
 //! The record counts for the next term only, as another leader may have changed
 //! the plan and extended leases: it is written on the condition that its writer
 //! still leads, and is used only by the leader that has replaced exactly that
@@ -31,11 +36,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    id::{Incarnation, RunNumber, TaskKey, Term},
-    record,
+    id::{AssignmentNumber, Incarnation, RunNumber, TaskKey, Term},
+    record::{self, UnreadableRecord},
 };
 use crate::{
-    id::WorkerId,
+    id::{ProcessId, WorkerId},
     time::{ClockShift, Timestamp},
 };
 
@@ -70,6 +75,30 @@
     /// What may run there; `None` if something else may run or have ended there
     /// that is not stored.
     pub plan: Option<WorkerPlan>,
+    /// What polls it, if it answers. Encoded apart; see [`Handover::encode`].
+    #[serde(skip)]
+    pub poller: Option<LastPoller>,
+}
+
+/// The poller of a worker at the end of a term, which knows when the leases end
+/// that it has granted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastPoller {
+    /// How the poller names itself.
+    pub id: PollerId,
+    /// The time by which all leases there have expired that others granted.
+    pub other_leases_expire_by: Timestamp,
+}
+
+/// One assignment of a worker to a process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollerId {
+    /// The term of the assignment.
+    pub term: Term,
+    /// The process.
+    pub process: ProcessId,
+    /// The number of the assignment in that term.
+    pub assignment: AssignmentNumber,
 }
 
 /// Everything that may run on a worker.
@@ -109,18 +138,56 @@
             return Vec::new();
         }
         let shift = ClockShift::new(self.written_at, known_at);
+        let poller_to_local = |it: LastPoller| LastPoller {
+            other_leases_expire_by: shift.to_local(it.other_leases_expire_by),
+            ..it
+        };
         let to_local = |it: WorkerHandover| WorkerHandover {
             leases_expire_by: shift.to_local(it.leases_expire_by),
             silent_since: it.silent_since.map(|it| shift.to_local(it)),
+            poller: it.poller.map(poller_to_local),
             ..it
         };
         self.workers.into_iter().map(to_local).collect()
     }
 
-    /// Leaves out the plans of workers that answer if the record would be too
-    /// large otherwise. The successor waits until these have answered it.
+    /// Encodes the record. The pollers follow the rest, which is as builds without
+    /// them wrote it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the type cannot be encoded, which is a bug in its definition.
+    pub fn encode(&self) -> Vec<u8> {
+        let pollers: Vec<&Option<LastPoller>> = self.workers.iter().map(|it| &it.poller).collect();
+        let mut bytes = record::encode(self);
+        bytes.extend(record::encode(&pollers));
+        bytes
+    }
+
+    /// Decodes a record, also one of a build without pollers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no such record.
+    pub fn decode(bytes: &[u8]) -> Result<Handover, UnreadableRecord> {
+        let (mut handover, rest) = record::decode_first::<Handover>(bytes)?;
+        if !rest.is_empty() {
+            let pollers: Vec<Option<LastPoller>> = record::decode(rest)?;
+            for (worker, poller) in handover.workers.iter_mut().zip(pollers) {
+                worker.poller = poller;
+            }
+        }
+        Ok(handover)
+    }
+
+    /// Leaves out the pollers if the record would be too large otherwise, and then
+    /// the plans of workers that answer. The successor waits for longer without
+    /// the former, and without the latter until these have answered it.
     pub fn limit_size(&mut self) {
-        if MAX_BYTES < record::encode(self).len() {
+        if MAX_BYTES < self.encode().len() {
+            self.workers.iter_mut().for_each(|it| it.poller = None);
+        }
+        if MAX_BYTES < self.encode().len() {
             let answering = self.workers.iter_mut().filter(|it| it.silent_since.is_none());
             answering.for_each(|it| it.plan = None);
         }
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -101,6 +101,19 @@
         /// in the leader's last heartbeat.
         places: Vec<Place>,
     },
+    /// To the leader: by when the leases have expired that the sender granted under
+    /// an earlier leader or in assignments that have ended. It grants nothing more there.
+    EarlierLeases {
+        /// The leader's term.
+        term: Term,
+        /// The term in which it granted them.
+        earlier: Term,
+        /// When it was sent.
+        sent_at: Timestamp,
+        /// The workers, each with the assignment that has ended; without a time if the
+        /// sender granted no lease.
+        workers: Vec<(WorkerId, AssignmentNumber, Option<Timestamp>)>,
+    },
     /// To the leader: a process that it may not know yet.
     Joined(ProcessRecord),
     /// To the leader: submissions that were stored.
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -90,7 +90,7 @@
 };
 use super::{
     evacuation::EvacuationList,
-    handover::WorkerHandover,
+    handover::{PollerId, WorkerHandover},
     id::{Incarnation, RunNumber, StepKey, SubmissionId, TaskKey, Term},
     manifest::{Manifest, Queue},
     message::{EndedRun, Order},
@@ -729,10 +729,22 @@
         leases_expire_by: Timestamp,
     ) {
         for id in workers {
-            if let Some(index) = self.worker_index.get(id).copied() {
-                self.workers[index].poller_lost(leases_expire_by);
-                self.confirmed_before_all_polls(index);
-            }
+            self.poller_replaced(id, None, leases_expire_by);
+        }
+    }
+
+    /// Handles the end of the assignment of a worker to a poller, which may have
+    /// extended leases until `leases_expire_by`. If it goes on, it tells more; see
+    /// [`Planner::poller_retired`].
+    pub fn poller_replaced(
+        &mut self,
+        worker: &WorkerId,
+        poller: Option<PollerId>,
+        leases_expire_by: Timestamp,
+    ) {
+        if let Some(index) = self.worker_index.get(worker).copied() {
+            self.workers[index].poller_lost(poller, leases_expire_by);
+            self.confirmed_before_all_polls(index);
         }
     }
 
--- a/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
+++ b/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
@@ -4,12 +4,13 @@
 //! poll of this term tells what runs there, or the plan that the predecessor has
 //! [handed over](crate::fleet::handover). For the others this leader waits until
 //! no lease of an earlier one can be left: a fixed time after its claim, or the
-//! end that was handed over.
+//! end that was handed over. If the worker still answered the predecessor, its
+//! poller tells an earlier end.
 
 use std::collections::BTreeMap;
 
 use crate::{
-    fleet::handover::{WorkerHandover, WorkerPlan},
+    fleet::handover::{PollerId, WorkerHandover, WorkerPlan},
     id::WorkerId,
     time::Timestamp,
 };
@@ -60,6 +61,22 @@
         self.workers.get(worker)
     }
 
+    /// Records that a poller grants nothing more, and by when the leases have expired
+    /// that it granted. Returns the end of all leases of earlier leaders on the
+    /// worker; `None` unless that poller was the last.
+    pub(super) fn poller_retired(
+        &mut self,
+        worker: &WorkerId,
+        poller: &PollerId,
+        leases_expire_by: Timestamp,
+    ) -> Option<Timestamp> {
+        let handed_over = self.workers.get_mut(worker)?;
+        let last = handed_over.poller.take_if(|it| it.id == *poller)?;
+        let end = last.other_leases_expire_by.max(leases_expire_by);
+        handed_over.leases_expire_by = handed_over.leases_expire_by.min(end);
+        Some(handed_over.leases_expire_by)
+    }
+
     /// Takes the plan that was handed over for a worker.
     pub(super) fn take_plan(&mut self, worker: &WorkerId) -> Option<WorkerPlan> {
         self.workers.get_mut(worker)?.plan.take()
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -9,10 +9,11 @@
 };
 use crate::{
     fleet::{
-        handover::{PlannedRun, WorkerHandover, WorkerPlan},
+        handover::{LastPoller, PlannedRun, PollerId, WorkerHandover, WorkerPlan},
         id::SubmissionId,
         poller::MAX_ORPHAN_LEASE_MS,
     },
+    id::WorkerId,
     time::Timestamp,
 };
 
@@ -24,13 +25,24 @@
     }
 
     /// Returns what a successor has to know of the recorded workers, if this
-    /// leader orders nothing and confirms no worker any more.
-    pub fn hand_over(&self, now: Timestamp) -> Vec<WorkerHandover> {
+    /// leader orders nothing and confirms no worker any more. `poller_of` returns
+    /// the present poller of a worker.
+    pub fn hand_over(
+        &self,
+        now: Timestamp,
+        poller_of: impl Fn(&WorkerId) -> Option<PollerId>,
+    ) -> Vec<WorkerHandover> {
+        // What answers was granted leases by its present poller since the last report.
+        let poller = |it: &Worker| {
+            let id = it.responsive_since.and_then(|_| poller_of(&it.listing.worker))?;
+            Some(LastPoller { id, other_leases_expire_by: it.runs_expire_by() })
+        };
         let hand_over = |(index, it): (WorkerIndex, &Worker)| WorkerHandover {
             worker: it.listing.worker.clone(),
             leases_expire_by: self.leases_end(it, now),
             silent_since: it.silent_since.filter(|_| it.is_silent),
             plan: self.known_plan(index),
+            poller: poller(it),
         };
         let recorded = self.workers.iter().enumerate().filter(|it| it.1.is_recorded);
         recorded.map(hand_over).collect()
@@ -51,6 +63,31 @@
         }
     }
 
+    /// Handles the report of a poller whose assignment or whose leader's term has
+    /// ended, and which grants nothing more, by when all leases have expired that it
+    /// granted on a worker; `None` if it granted none. Returns whether that poller was
+    /// the last one.
+    pub fn poller_retired(
+        &mut self,
+        worker: &WorkerId,
+        poller: &PollerId,
+        leases_expire_by: Option<Timestamp>,
+    ) -> bool {
+        let index = self.worker_index.get(worker).copied();
+        let leases_expire_by = leases_expire_by.unwrap_or_default();
+        let retired = self.earlier_leases.poller_retired(worker, poller, leases_expire_by);
+        let Some(expire_by) = retired else {
+            return index
+                .is_some_and(|it| self.workers[it].poller_retired(poller, leases_expire_by));
+        };
+        if let Some(index) = index {
+            let it = &mut self.workers[index];
+            it.handed_over_leases_expire_by = Some(expire_by);
+            it.earlier_leases_expire_by = it.earlier_leases_expire_by.min(expire_by);
+        }
+        true
+    }
+
     /// Returns everything that may run on a worker; `None` if that is not known,
     /// or depends on what is not stored.
     fn known_plan(&self, index: WorkerIndex) -> Option<WorkerPlan> {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -19,7 +19,10 @@
     worker_speed::WorkerSpeed,
 };
 use crate::{
-    fleet::id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey},
+    fleet::{
+        handover::PollerId,
+        id::{EndNumber, Incarnation, RunNumber, SubmissionId, TaskKey},
+    },
     id::{FailureDomainId, HostId, WorkerId},
     size::Resources,
     time::Timestamp,
@@ -163,8 +166,13 @@
     pub(super) leases_expire_by: Timestamp,
     /// The time by which every lease has expired that an ordered start may
     /// still begin, or that a process which no longer polls the worker may
-    /// have granted.
+    /// have granted, in this term.
     pub(super) ordered_leases_expire_by: Timestamp,
+    /// The last process that no longer polls it, if that may still tell by when the
+    /// leases have expired that it granted. Until it does, this time counts for them.
+    pub(super) lost_poller: Option<(PollerId, Timestamp)>,
+    /// The time by which every lease of earlier leaders has expired.
+    pub(super) earlier_leases_expire_by: Timestamp,
     /// Since when the worker has answered its poller, as far as the leader
     /// knows; while this is `None`, the poller extends no lease.
     pub(super) responsive_since: Option<Timestamp>,
@@ -219,7 +227,6 @@
 impl Worker {
     /// Returns a worker that was not polled yet.
     pub(super) fn new(listing: WorkerListing, earlier_leases: &EarlierLeases) -> Worker {
-        let earlier_leases_expire_by = earlier_leases.expire_by(&listing.worker);
         let handed_over = earlier_leases.worker(&listing.worker);
         let silent_since = handed_over.and_then(|it| it.silent_since);
         let plan = handed_over.and_then(|it| it.plan.as_ref());
@@ -231,6 +238,7 @@
             incarnation: plan.map(|it| it.incarnation),
             has_listed_all_ends: plan.is_some(),
             was_draining: plan.is_some_and(|it| it.was_draining),
+            earlier_leases_expire_by: earlier_leases.expire_by(&listing.worker),
             listing,
             is_listed: true,
             is_recorded: false,
@@ -244,7 +252,8 @@
             is_excluded: false,
             successor: None,
             leases_expire_by: Timestamp::default(),
-            ordered_leases_expire_by: earlier_leases_expire_by,
+            ordered_leases_expire_by: Timestamp::default(),
+            lost_poller: None,
             responsive_since: None,
             heard_through: None,
             allocations: BTreeMap::new(),
@@ -405,10 +414,14 @@
 
     /// Handles the loss of the poller. It may have extended leases until
     /// `leases_expire_by` if the leader had confirmed the worker's answers.
-    pub(super) fn poller_lost(&mut self, leases_expire_by: Timestamp) {
+    pub(super) fn poller_lost(&mut self, poller: Option<PollerId>, leases_expire_by: Timestamp) {
         self.poll_asked_at = Timestamp::default();
         if self.responsive_since.take().is_some() {
-            self.ordered_leases_expire_by = self.ordered_leases_expire_by.max(leases_expire_by);
+            let lost = poller.map(|it| (it, leases_expire_by));
+            let counted = if lost.is_none() { leases_expire_by } else { Timestamp::default() };
+            let before = std::mem::replace(&mut self.lost_poller, lost);
+            let counted = before.map_or(counted, |it| it.1.max(counted));
+            self.ordered_leases_expire_by = self.ordered_leases_expire_by.max(counted);
         }
         // Orders of pace may have been lost with it.
         let allocations = self.allocations.values_mut();
@@ -417,6 +430,16 @@
         }
     }
 
+    /// Handles the report of a lost poller by when the leases have expired that it
+    /// granted. Returns whether it was the last one.
+    pub(super) fn poller_retired(&mut self, poller: &PollerId, expire_by: Timestamp) -> bool {
+        let is_last = self.lost_poller.take_if(|it| it.0 == *poller).is_some();
+        if is_last {
+            self.ordered_leases_expire_by = self.ordered_leases_expire_by.max(expire_by);
+        }
+        is_last
+    }
+
     /// Returns whether it belongs to the pool and answers, whether or not it is
     /// given new work at present.
     pub(super) fn is_up(&self) -> bool {
@@ -455,7 +478,9 @@
     /// Returns the time by which every run there has ended unless the worker
     /// answers again.
     pub(super) fn runs_expire_by(&self) -> Timestamp {
-        self.leases_expire_by.max(self.ordered_leases_expire_by)
+        let lost = self.lost_poller.as_ref().map(|it| it.1).unwrap_or_default();
+        let others = self.ordered_leases_expire_by.max(self.earlier_leases_expire_by);
+        self.leases_expire_by.max(others).max(lost)
     }
 
     pub(super) fn free(&self) -> Resources {
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -21,6 +21,10 @@
 //! pollers from postponing it each time, a poller extends leases only once the
 //! leader has confirmed that it knows of the worker's answers.
 //!
+//! Once a successor takes over or another process polls the worker, the poller
+//! grants nothing more and tells the leader by when its leases have ended, which
+//! nobody else knows exactly of a worker that has just fallen silent.
+//!
 //! The leader may be behind with the reports that it receives, and may have
 //! been replaced without knowing it. What it allows and orders therefore counts
 //! from a report that it had handled, and not from the arrival of its message:
@@ -328,6 +332,8 @@
     responsive_since: Option<Timestamp>,
     /// The value of `responsive_since` that the leader has confirmed.
     confirmed: Option<Timestamp>,
+    /// Whether it grants no lease any more.
+    is_retired: bool,
 }
 
 /// What is reported to the leader about leases after an answered poll.
@@ -371,6 +377,7 @@
     /// boot clock, too, which goes on while the machine is suspended.
     pub fn next_poll(&mut self, may_extend: bool, now: Timestamp, boot: BootMillis) -> NextPoll {
         self.asked = Some(AskedAt { now, boot });
+        let may_extend = may_extend && !self.is_retired;
         let extends = may_extend && self.is_busy && self.failed_polls == 0 && self.is_confirmed();
         let lease_until = if extends { self.lease.grant(now) } else { None };
         let answer_age_ms = self.answered.map_or(u64::MAX, |it| boot.ms_since(it.earliest));
@@ -535,9 +542,9 @@
 
     /// Returns the end of the lease that a start grants, on the worker's
     /// clock; `None` if the worker has never answered, or not the last poll: it
-    /// may have restarted since.
+    /// may have restarted since. A retired poller grants none, either.
     pub fn grant_start_lease(&mut self, now: Timestamp) -> Option<u64> {
-        if 0 < self.failed_polls {
+        if self.is_retired || 0 < self.failed_polls {
             return None;
         }
         self.is_busy = true;
@@ -545,6 +552,13 @@
         self.lease.grant(now)
     }
 
+    /// Ends the granting of leases. Returns the time by which all that were granted
+    /// here have expired, also those of calls without an answer; `None` if none was.
+    pub fn retire(&mut self) -> Option<Timestamp> {
+        self.is_retired = true;
+        self.lease.expires_by()
+    }
+
     /// Records that the worker has answered a start.
     pub fn start_answered(&mut self) {
         self.busy_polls = 0;
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -217,15 +217,23 @@
 ///
 /// Returns an error if the bytes are not a record of this type.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, UnreadableRecord> {
-    let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
-    match bincode::serde::decode_from_slice(bytes, config) {
-        Ok((record, read)) if read == bytes.len() => Ok(record),
-        Ok((_, read)) => {
-            let detail = format!("{} trailing bytes", bytes.len() - read);
-            Err(UnreadableRecord { detail })
-        }
-        Err(error) => Err(UnreadableRecord { detail: error.to_string() }),
+    let (record, rest) = decode_first(bytes)?;
+    if !rest.is_empty() {
+        return Err(UnreadableRecord { detail: format!("{} trailing bytes", rest.len()) });
     }
+    Ok(record)
+}
+
+/// Decodes the record at the beginning, and returns the bytes after it.
+///
+/// # Errors
+///
+/// Returns an error if the bytes do not begin with a record of this type.
+pub fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), UnreadableRecord> {
+    let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
+    let decoded = bincode::serde::decode_from_slice(bytes, config);
+    let (record, read) = decoded.map_err(|error| UnreadableRecord { detail: error.to_string() })?;
+    Ok((record, &bytes[read..]))
 }
 
 /// Decodes a submission.
@@ -261,12 +269,9 @@
 ///
 /// Returns an error if the bytes are no progress record.
 pub fn decode_progress(bytes: &[u8]) -> Result<ProgressRecord, UnreadableRecord> {
-    let config = bincode::config::standard().with_limit::<DECODE_LIMIT>();
-    let decoded = bincode::serde::decode_from_slice::<ProgressRecord, _>(bytes, config);
-    let (mut record, read) =
-        decoded.map_err(|error| UnreadableRecord { detail: error.to_string() })?;
-    if read < bytes.len() {
-        record.suspects = decode(&bytes[read..])?;
+    let (mut record, rest) = decode_first::<ProgressRecord>(bytes)?;
+    if !rest.is_empty() {
+        record.suspects = decode(rest)?;
     }
     Ok(record)
 }
--- a/crates/mustardcove-core/tests/handed_plan.rs
+++ b/crates/mustardcove-core/tests/handed_plan.rs
@@ -16,8 +16,8 @@
 use fleet_world::{manifest, step, submission};
 use mustardcove_core::{
     fleet::{
-        handover::{Handover, PlannedRun, WorkerHandover, WorkerPlan},
-        id::{Incarnation, RunNumber, SubmissionId, Term},
+        handover::{Handover, LastPoller, PlannedRun, PollerId, WorkerHandover, WorkerPlan},
+        id::{AssignmentNumber, Incarnation, RunNumber, SubmissionId, Term},
         message::{Order, WorkerReport},
         planner::Planner,
         poller::MAX_ORPHAN_LEASE_MS,
@@ -48,7 +48,17 @@
 fn succeed(rig: &mut Rig, submissions: &[Arc<Submission>], restored_at: Timestamp) {
     rig.planner.prepare_hand_over(rig.now);
     rig.store();
-    let workers = rig.planner.hand_over(rig.now);
+    let workers = rig.planner.hand_over(rig.now, |_| None);
+    succeed_with(rig, workers, submissions, restored_at);
+}
+
+/// The same with what the successor finds in the record.
+fn succeed_with(
+    rig: &mut Rig,
+    workers: Vec<WorkerHandover>,
+    submissions: &[Arc<Submission>],
+    restored_at: Timestamp,
+) {
     let mut planner = Planner::new(Term(2), 2, manifest(3), rig.now.plus_ms(MAX_ORPHAN_LEASE_MS));
     planner.take_over(workers);
     planner.restore_workers(Some(rig.listings.clone()));
@@ -160,7 +170,7 @@
 #[test]
 fn end_not_stored() {
     let (rig, _, _) = stopping_rig(false);
-    assert_eq!(rig.planner.hand_over(rig.now).swap_remove(0).plan, None);
+    assert_eq!(rig.planner.hand_over(rig.now, |_| None).swap_remove(0).plan, None);
 }
 
 /// A submission was cancelled after the record was written.
@@ -173,7 +183,7 @@
     (0..3).for_each(|_| rig.poll_all());
     rig.planner.prepare_hand_over(rig.now);
     rig.store();
-    let workers = rig.planner.hand_over(rig.now);
+    let workers = rig.planner.hand_over(rig.now, |_| None);
     for is_known in [true, false] {
         let expire_by = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
         let mut planner = Planner::new(Term(2), 2, manifest(3), expire_by);
@@ -232,6 +242,54 @@
     assert_eq!((counts.placed_runs, counts.worker_crashes), (2, 0));
 }
 
+fn poller(term: u64, process: &str, assignment: u64) -> PollerId {
+    let process = process.parse().expect("a valid name");
+    PollerId { term: Term(term), process, assignment: AssignmentNumber(assignment) }
+}
+
+/// Guards against an end of leases from a poller that was not the worker's last one,
+/// which may have granted longer ones, and against a wait in full despite the last
+/// one's.
+#[test]
+fn retired_pollers() {
+    let last = poller(1, "p1", 3);
+    let others = [poller(2, "p1", 3), poller(1, "p2", 3), poller(1, "p1", 2)];
+    for id in others.iter().chain([&last]) {
+        let mut rig = Rig::new(manifest(3), &[("w0", 1_000), ("w1", 1_000)]);
+        let it = submission(1, vec![long_running(1, 900)], START);
+        rig.submit(it.clone());
+        let (worker, _) = rig.plan().swap_remove(0);
+        starts(&mut rig, 4_000);
+        let workers = rig.planner.hand_over(rig.now, |_| Some(last.clone()));
+        rig.workers.remove(&worker);
+        succeed_with(&mut rig, workers, &[it], START);
+        rig.planner.update_workers(rig.listings.clone(), true);
+        let granted_until = rig.now.plus_ms(5_000);
+        let counts = rig.planner.poller_retired(&worker, id, Some(granted_until));
+        assert_eq!(counts, *id == last, "{id:?}");
+        assert_eq!(starts(&mut rig, 5_000), 0, "the lease has not ended");
+        assert_eq!(starts(&mut rig, 500), usize::from(counts), "{id:?}");
+        assert_eq!(starts(&mut rig, 2_000), usize::from(!counts), "{id:?}");
+    }
+}
+
+/// Guards against a record of an earlier build that is not read, and against
+/// pollers that are not.
+#[test]
+fn decoded_record() {
+    let id = poller(7, "p1", 3);
+    let poller = Some(LastPoller { id, other_leases_expire_by: START });
+    let worker = "w0".parse().expect("a valid name");
+    let plan = None;
+    let workers =
+        vec![WorkerHandover { worker, leases_expire_by: START, silent_since: None, plan, poller }];
+    let mut handover = Handover { term: Term(7), written_at: START, workers };
+    assert_eq!(Handover::decode(&handover.encode()).expect("a record"), handover);
+    let earlier = record::encode(&handover);
+    handover.workers[0].poller = None;
+    assert_eq!(Handover::decode(&earlier).expect("a record"), handover);
+}
+
 /// A record that the store would not accept leaves out plans, not workers, and
 /// those of silent workers last.
 #[test]
@@ -250,13 +308,14 @@
                 has_stopping_runs: false,
                 runs: (0..1_000).map(run).collect(),
             }),
+            poller: None,
         }
     };
     let workers: Vec<WorkerHandover> = (1..=200).map(worker).collect();
     let mut handover = Handover { term: Term(7), written_at: START, workers };
-    assert!(1 << 20 < record::encode(&handover).len(), "more than the store accepts");
+    assert!(1 << 20 < handover.encode().len(), "more than the store accepts");
     handover.limit_size();
-    assert!(record::encode(&handover).len() < 512 << 10);
+    assert!(handover.encode().len() < 512 << 10);
     assert_eq!(handover.workers.len(), 200);
     assert_eq!(handover.workers.iter().filter(|it| it.plan.is_some()).count(), 20);
 }
--- a/crates/mustardcove-core/tests/poller_assignment.rs
+++ b/crates/mustardcove-core/tests/poller_assignment.rs
@@ -93,6 +93,6 @@
     let (last, is_lost) = give(&first, moved);
     assert!(is_lost && last != back, "it polls another address");
     assert!(!assignments.is_current(&first, &worker, before), "a report of before its pause");
-    assert!(assignments.update([]).iter().eq([&worker]));
+    assert!(assignments.update([]).into_iter().eq([(worker.clone(), (first.clone(), last))]));
     assert!(!assignments.is_current(&first, &worker, last));
 }
--- a/crates/mustardcove-core/tests/silent_leases.rs
+++ b/crates/mustardcove-core/tests/silent_leases.rs
@@ -246,7 +246,7 @@
 fn silent(worker: &str, leases_expire_by: Timestamp) -> WorkerHandover {
     let worker = worker.parse().expect("a valid name");
     let silent_since = Some(leases_expire_by.minus_ms(4_000));
-    WorkerHandover { worker, leases_expire_by, silent_since, plan: None }
+    WorkerHandover { worker, leases_expire_by, silent_since, plan: None, poller: None }
 }
 
 /// A leader in between may have extended the leases.
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -28,7 +28,7 @@
 use mustardcove_core::{
     fleet::{
         confirmation::MAX_STORELESS_MS,
-        handover::Handover,
+        handover::{Handover, PollerId},
         id::{
             BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey,
             Term,
@@ -405,6 +405,7 @@
     poller: WorkerPoller,
     /// The process that it belongs to, if the world has any.
     process: Option<usize>,
+    id: Option<PollerId>,
     /// When it last received a heartbeat of its leader.
     heartbeat_at: Timestamp,
 }
@@ -642,7 +643,12 @@
             self.flush(leader);
         }
         if self.reaches_store(leader) {
-            let workers = self.leaders[leader].planner.hand_over(self.now);
+            let leadership = self.leaders[leader].leadership.as_ref();
+            let poller_of = |it: &WorkerId| {
+                let worker = self.workers.iter().position(|worker| worker.id == *it)?;
+                leadership?.poller_id(self.term, worker)
+            };
+            let workers = self.leaders[leader].planner.hand_over(self.now, poller_of);
             self.handover = Some(Handover { term: self.term, written_at: self.now, workers });
         }
         // The message that the leader has stepped down may be lost.
@@ -707,11 +713,37 @@
         let now = self.now;
         let state = &mut self.leaders[leader];
         let Some(leadership) = &mut state.leadership else { return };
+        let id = leadership.poller_id(state.planner.term(), worker);
         let Some(process) = leadership.poller_of[worker].take() else { return };
         let poller = std::mem::take(&mut state.pollers[worker]);
         state.fails_at[worker] = None;
         let process = Some(process);
-        state.orphans.push(Orphan { worker, poller, process, heartbeat_at: now });
+        state.orphans.push(Orphan { worker, poller, process, id, heartbeat_at: now });
+    }
+
+    /// Lets a process that hears of a leader end its pollers of the one before, and
+    /// tell by when their leases have expired. The message may be lost.
+    fn retire_pollers(&mut self, process: usize, leader: usize) {
+        let term = self.processes[process].term;
+        let mut orphans = Vec::new();
+        for it in self.leaders.iter_mut().filter(|it| it.planner.term() == term) {
+            orphans.extend(it.orphans.extract_if(.., |it| it.process == Some(process)));
+        }
+        self.report_retired(leader, orphans);
+    }
+
+    /// Tells a leader by when the leases of pollers have expired, which end.
+    fn report_retired(&mut self, leader: usize, pollers: Vec<Orphan>) {
+        if self.is_message_lost() {
+            return;
+        }
+        for mut it in pollers {
+            let (leases_expire_by, worker) = (it.poller.retire(), &self.workers[it.worker].id);
+            let planner = &mut self.leaders[leader].planner;
+            if let Some(id) = it.id {
+                planner.poller_retired(worker, &id, leases_expire_by);
+            }
+        }
     }
 
     /// Lets a leader ask the store and send heartbeats, and assigns workers.
@@ -775,6 +807,9 @@
                 let Some(it) = &self.leaders[leader].leadership else { return };
                 let covered = it.known[process].reports.covered();
                 if self.reaches_process(leader, process) {
+                    if self.processes[process].term < term {
+                        self.retire_pollers(process, leader);
+                    }
                     self.processes[process].heartbeat(term, now, covered);
                     self.share_evacuations(own, process);
                 }
@@ -847,23 +882,27 @@
             if it.poller_of[worker] == assigned {
                 continue;
             }
-            let had_poller = it.poller_of[worker].is_some();
+            let poller = it.poller_id(self.leaders[leader].planner.term(), worker);
             self.orphan(leader, worker);
             let id = self.workers[worker].id.clone();
             let state = &mut self.leaders[leader];
-            if had_poller {
-                state.planner.poller_lost([&id], now.plus_ms(MAX_ORPHAN_LEASE_MS));
+            if poller.is_some() {
+                let expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+                state.planner.poller_replaced(&id, poller, expire_by);
             }
             if let Some(it) = &mut state.leadership {
                 it.poller_of[worker] = assigned;
+                it.assignments[worker].0 += 1;
             }
             // A process that hears of it stops polling for the earlier assignment.
             let mut orphans = std::mem::take(&mut state.orphans);
-            orphans.retain(|it| {
-                it.worker != worker
-                    || !it.process.is_some_and(|process| self.reaches_process(leader, process))
-            });
+            let is_told = |it: &mut Orphan| {
+                it.worker == worker
+                    && it.process.is_some_and(|process| self.reaches_process(leader, process))
+            };
+            let retired: Vec<Orphan> = orphans.extract_if(.., is_told).collect();
             self.leaders[leader].orphans = orphans;
+            self.report_retired(leader, retired);
         }
     }
 
@@ -1231,7 +1270,7 @@
         let (now, id) = (self.now, self.workers[worker].id.clone());
         let state = &mut self.leaders[leader];
         let poller = std::mem::take(&mut state.pollers[worker]);
-        state.orphans.push(Orphan { worker, poller, process: None, heartbeat_at: now });
+        state.orphans.push(Orphan { worker, poller, process: None, id: None, heartbeat_at: now });
         state.fails_at[worker] = None;
         state.planner.poller_lost([&id], now.plus_ms(MAX_ORPHAN_LEASE_MS));
     }
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -12,7 +12,8 @@
     fleet::{
         confirmation::{Confirmation, CoveredReports},
         evacuation::EvacuationList,
-        id::{BootMillis, SubmissionId, Term},
+        handover::PollerId,
+        id::{AssignmentNumber, BootMillis, SubmissionId, Term},
         members::{EARLIER_TERMS_MS, MemberList, MemberState, Members},
         planner::WorkerListing,
         poller::LeasePermission,
@@ -136,6 +137,8 @@
     pub(crate) known: Vec<KnownProcess>,
     /// The process that polls each worker.
     pub(crate) poller_of: Vec<Option<usize>>,
+    /// The number of each worker's assignment.
+    pub(crate) assignments: Vec<AssignmentNumber>,
     /// Acknowledged heartbeats that it has not handled: when the process sent
     /// the report, the process, and when the heartbeat was sent.
     pub(crate) unhandled: VecDeque<(Timestamp, usize, Option<Timestamp>)>,
@@ -167,6 +170,7 @@
             change_members_at: now,
             known: vec![KnownProcess::default(); processes],
             poller_of: vec![None; workers],
+            assignments: vec![AssignmentNumber::default(); workers],
             unhandled: VecDeque::new(),
             question: None,
             next_question_at: now,
@@ -221,6 +225,12 @@
         self.members.is_joined_by_half(|it, _| self.member_state(it, now))
     }
 
+    /// Returns the poller of a worker in a term.
+    pub(crate) fn poller_id(&self, term: Term, worker: usize) -> Option<PollerId> {
+        let process = member(self.poller_of[worker]?).0;
+        Some(PollerId { term, process, assignment: self.assignments[worker] })
+    }
+
     /// Returns whether it may poll workers, which it may from then on.
     pub(crate) fn may_poll(&mut self, now: Timestamp) -> bool {
         let own = member(self.process).0;
--- a/crates/mustardcove-core/tests/suspect_silence.rs
+++ b/crates/mustardcove-core/tests/suspect_silence.rs
@@ -77,6 +77,7 @@
             leases_expire_by: since.plus_ms(MAX_ORPHAN_LEASE_MS),
             silent_since: Some(since),
             plan: None,
+            poller: None,
         }]);
     }
     let lasting = StepSpec { is_long_running: true, ..step(1, 2_000, &[]) };
--- a/crates/mustardcove-core/tests/worker_leases.rs
+++ b/crates/mustardcove-core/tests/worker_leases.rs
@@ -52,6 +52,22 @@
     assert!(first.is_some_and(|it| START.plus_ms(LEASE_MS) <= it));
 }
 
+/// Guards against a lease that a retired poller grants after it has told the
+/// successor of its leader by when all have expired.
+#[test]
+fn retired_grants_nothing() {
+    let mut poller = confirmed_poller();
+    let unanswered = poller.next_poll(true, START.plus_ms(700), BootMillis(START.0 + 700));
+    assert!(unanswered.lease_until.is_some());
+    let expire_by = poller.retire();
+    assert!(expire_by.is_some_and(|it| START.plus_ms(700 + LEASE_MS) <= it), "its call counts");
+    let now = START.plus_ms(900);
+    poller.poll_answered(Incarnation(1), 900, true, now);
+    assert_eq!(poller.next_poll(true, now, BootMillis(now.0)).lease_until, None);
+    assert_eq!(poller.grant_start_lease(now), None);
+    assert_eq!(WorkerPoller::default().retire(), None, "nothing was granted");
+}
+
 /// Guards against a poller that granted nothing and reports an end of leases,
 /// which would replace the end of the leases that others granted.
 #[test]
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -115,6 +115,7 @@
         }
         FleetMessage::Joined(_)
         | FleetMessage::Report { .. }
+        | FleetMessage::EarlierLeases { .. }
         | FleetMessage::Submitted(_)
         | FleetMessage::Cancelled(_)
         | FleetMessage::Explain { .. } => {
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -12,6 +12,7 @@
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
 use mustardcove_core::{
     fleet::{
+        handover::Handover,
         id::{SubmissionId, Term},
         message::{FleetMessage, StoreChange, StoreOutcome},
         record::{
@@ -404,6 +405,11 @@
     readable(shared, "progress", item, record::decode_progress(&item.value))
 }
 
+/// Decodes the record of a leader that stepped down in an item; see [`decode`].
+pub fn decode_handover(shared: &Shared, item: &Item) -> Option<Handover> {
+    readable(shared, "handover", item, Handover::decode(&item.value))
+}
+
 /// Decodes the submission in an item; see [`decode`]. One that cannot be planned
 /// is logged, too.
 pub fn decode_submission(shared: &Shared, item: &Item) -> Option<Arc<Submission>> {
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -373,6 +373,11 @@
                     }
                 }
             }
+            FleetMessage::EarlierLeases { term, earlier, sent_at, workers } => {
+                if term == self.term {
+                    self.earlier_leases_reported(&from, earlier, sent_at, &workers);
+                }
+            }
             FleetMessage::Joined(record) => {
                 self.pollers.add(record);
                 self.send_heartbeat();
@@ -567,8 +572,10 @@
             self.planner.set_manifest(manifest);
         }
         self.update_confirmation(now);
-        let lost = self.pollers.update(&self.planner, now);
-        self.planner.poller_lost(&lost, now.plus_ms(MAX_ORPHAN_LEASE_MS));
+        let leases_expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+        for (worker, poller) in self.pollers.update(&self.planner, now) {
+            self.planner.poller_replaced(&worker, Some(poller), leases_expire_by);
+        }
         // While no process reaches the store, the last list is the best there
         // is, and work goes on.
         let are_entries_old = MAX_ENTRIES_AGE_MS <= now.ms_since(self.listed_at);
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -5,10 +5,14 @@
 
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
 use mustardcove_core::fleet::{
-    handover::{Handover, WorkerHandover},
-    id::Term,
+    handover::{Handover, PollerId, WorkerHandover},
+    id::{AssignmentNumber, Term},
     message::FleetMessage,
-    record::{self, HANDOVER_KEY, LEADER_KEY},
+    record::{HANDOVER_KEY, LEADER_KEY},
+};
+use mustardcove_core::{
+    id::{ProcessId, WorkerId},
+    time::{ClockShift, Timestamp},
 };
 use slog::{debug, info, warn};
 use tokio::sync::mpsc;
@@ -74,10 +78,10 @@
     /// Returns why it is not stored.
     async fn hand_over(&self) -> Result<(), &'static str> {
         let now = self.shared.now();
-        let workers = self.planner.hand_over(now);
+        let workers = self.planner.hand_over(now, |it| self.pollers.poller_id(it));
         let mut handover = Handover { term: self.term, written_at: now, workers };
         handover.limit_size();
-        let value = record::encode(&handover);
+        let value = handover.encode();
         let write = Write::default().expect(LEADER_KEY, self.term.0).set(HANDOVER_KEY, &value);
         loop {
             match self.shared.store.write(&write).await {
@@ -122,7 +126,7 @@
                 return;
             }
         };
-        let handover: Option<Handover> = durable::decode(&self.shared, "handover", &item);
+        let handover = durable::decode_handover(&self.shared, &item);
         let now = self.shared.now();
         // The record was written before the claim took effect.
         let known_at = self.shared.stepped_down_at(predecessor).unwrap_or(self.claimed_at);
@@ -143,6 +147,29 @@
             "silent_lease_left_ms" => first.join(","));
         self.planner.take_over(workers);
     }
+
+    /// Handles by when the leases have expired that a process granted under the
+    /// predecessor or in assignments that have ended.
+    pub(super) fn earlier_leases_reported(
+        &mut self,
+        process: &ProcessId,
+        earlier: Term,
+        sent_at: Timestamp,
+        workers: &[(WorkerId, AssignmentNumber, Option<Timestamp>)],
+    ) {
+        let shift = ClockShift::new(sent_at, self.shared.now());
+        let mut counted = 0;
+        for (worker, assignment, expire_by) in workers {
+            let (process, assignment) = (process.clone(), *assignment);
+            let poller = PollerId { term: earlier, process, assignment };
+            let expire_by = expire_by.map(|it| shift.to_local(it));
+            let counts = self.planner.poller_retired(worker, &poller, expire_by);
+            counted += usize::from(counts);
+        }
+        info!(self.shared.log, "earlier leases reported"; "term" => %self.term,
+            "from" => %process, "earlier" => %earlier, "workers" => workers.len(),
+            "counted" => counted);
+    }
 }
 
 fn count_silent(workers: &[WorkerHandover]) -> usize {
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -11,6 +11,7 @@
     fleet::{
         assignment::{Assignments, Poller, assign},
         confirmation::{CoveredReports, MAX_UNANIMOUS_MS},
+        handover::PollerId,
         id::{AssignmentNumber, BootMillis, Term},
         members::{EARLIER_TERMS_MS, MemberList, MemberState, Members},
         message::{FleetMessage, WorkerContact},
@@ -401,6 +402,13 @@
         self.assignments.poller_of(worker)
     }
 
+    /// Returns how the poller of a worker names itself.
+    pub(super) fn poller_id(&self, worker: &WorkerId) -> Option<PollerId> {
+        let process = self.assignments.poller_of(worker)?.clone();
+        let assignment = self.assignments.number_of(worker)?;
+        Some(PollerId { term: self.term, process, assignment })
+    }
+
     /// Returns whether a process reports on a worker under its current
     /// assignment.
     pub(super) fn is_current(
@@ -418,15 +426,19 @@
     }
 
     /// Updates the assignment of workers. Returns the workers that have lost
-    /// their poller or have a new address.
-    pub(super) fn update(&mut self, planner: &Planner, now: Timestamp) -> BTreeSet<WorkerId> {
+    /// their poller or have a new address, each with the poller before.
+    pub(super) fn update(
+        &mut self,
+        planner: &Planner,
+        now: Timestamp,
+    ) -> BTreeMap<WorkerId, PollerId> {
         if now < self.term_started_at.plus_ms(FIRST_ASSIGNMENT_DELAY_MS) || !self.may_poll(now) {
-            return BTreeSet::new();
+            return BTreeMap::new();
         }
         let alive = self.processes.iter().filter(|it| self.is_alive(it.1, now)).map(|it| it.0);
         if self.basis.is_current(alive, planner.workers_to_poll()) {
             self.resend_assignments(now);
-            return BTreeSet::new();
+            return BTreeMap::new();
         }
         let pollers: Vec<Poller> = self
             .processes
@@ -458,7 +470,7 @@
                 address: listing.address,
                 domain: listing.domain.clone(),
                 assignment,
-                confirmed_since: responsive_since.filter(|_| !lost.contains(&listing.worker)),
+                confirmed_since: responsive_since.filter(|_| !lost.contains_key(&listing.worker)),
             };
             let contacts = assignments.entry(poller.clone()).or_default();
             contacts.insert(listing.worker.clone(), contact);
@@ -466,7 +478,9 @@
         for (poller, workers) in assignments {
             self.send_assignment(&poller, workers, now);
         }
-        lost
+        let term = self.term;
+        let poller = |(process, assignment)| PollerId { term, process, assignment };
+        lost.into_iter().map(|(worker, it)| (worker, poller(it))).collect()
     }
 
     /// Sends the assignments again that were sent too long ago.
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -113,8 +113,8 @@
         match input {
             PollerInput::Assign { term: new, workers } if term <= new => {
                 if term < new {
+                    retire(&shared, term, new, std::mem::take(&mut assigned));
                     term = new;
-                    assigned.clear();
                 }
                 assign(&shared, term, workers, &reports, &mut assigned);
             }
@@ -134,6 +134,25 @@
     reporter.abort();
 }
 
+/// Ends pollers of the term `earlier`, and tells the leader by when the leases have
+/// expired that they granted. Starts in progress grant no more.
+fn retire(
+    shared: &Shared,
+    earlier: Term,
+    term: Term,
+    assigned: BTreeMap<WorkerId, AssignedWorker>,
+) {
+    if assigned.is_empty() {
+        return;
+    }
+    let retire = |(id, it): (WorkerId, AssignedWorker)| {
+        (id, it.worker.assignment, it.worker.state().retire())
+    };
+    let workers = assigned.into_iter().map(retire).collect();
+    let sent_at = shared.now();
+    shared.send_to_leader(FleetMessage::EarlierLeases { term, earlier, sent_at, workers });
+}
+
 fn assign(
     shared: &Arc<Shared>,
     term: Term,
@@ -141,13 +160,13 @@
     reports: &mpsc::UnboundedSender<Reported>,
     assigned: &mut BTreeMap<WorkerId, AssignedWorker>,
 ) {
-    let before = assigned.len();
-    let is_kept = |worker: &WorkerId, it: &mut AssignedWorker| {
+    let is_gone = |worker: &WorkerId, it: &mut AssignedWorker| {
         let is_same = |new: &WorkerContact| new.assignment == it.worker.assignment;
-        workers.iter().any(|new| new.worker == *worker && is_same(new))
+        !workers.iter().any(|new| new.worker == *worker && is_same(new))
     };
-    assigned.retain(is_kept);
-    let (removed, mut added) = (before - assigned.len(), 0);
+    let gone: BTreeMap<_, _> = assigned.extract_if(.., is_gone).collect();
+    let (removed, mut added) = (gone.len(), 0);
+    retire(shared, term, term, gone);
     for contact in workers {
         if let Some(it) = assigned.get(&contact.worker) {
             it.worker.state().confirm(contact.confirmed_since);
--- a/crates/mustardcove-node/tests/stop_leader.rs
+++ b/crates/mustardcove-node/tests/stop_leader.rs
@@ -13,7 +13,7 @@
 use mustardcove_core::fleet::{
     handover::Handover,
     id::{BootMillis, Term},
-    record::{self, HANDOVER_KEY, LEADER_KEY},
+    record::{HANDOVER_KEY, LEADER_KEY},
 };
 use mustardcove_node::{
     leader::{self, Claim},
@@ -66,7 +66,7 @@
     let (term, led) = lead(&local).await;
     stop(&local, led).await;
     let item = local.shared.store.get(HANDOVER_KEY).await.expect("an answer").expect("a record");
-    let handover: Handover = record::decode(&item.value).expect("a readable record");
+    let handover = Handover::decode(&item.value).expect("a readable record");
     assert_eq!(handover.term, term);
 }
 
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -80,6 +80,12 @@
         reports: vec![(worker.clone(), AssignmentNumber(2), WorkerReport::Polled(polled))],
         places: Vec::new(),
     };
+    let earlier = FleetMessage::EarlierLeases {
+        term: Term(4),
+        earlier: Term(3),
+        sent_at: Timestamp(5),
+        workers: vec![(worker.clone(), AssignmentNumber(2), Some(Timestamp(4_300)))],
+    };
     let order = Order::Stop { task, run: RunNumber(3) };
     let orders = FleetMessage::Orders {
         term: Term(4),
@@ -97,7 +103,7 @@
     });
     let states = vec![(task.step.submission, SubmissionState::Running); 5];
     let states = FleetMessage::States { term: Term(4), states };
-    [report, orders, joined, states].map(|it| PeerMessage::Fleet(Box::new(it))).to_vec()
+    [report, earlier, orders, joined, states].map(|it| PeerMessage::Fleet(Box::new(it))).to_vec()
 }
 
 proptest! {
