--- a/crates/mustardcove-core/tests/speculative_copies.rs
+++ b/crates/mustardcove-core/tests/speculative_copies.rs
@@ -224,7 +224,7 @@
     (0..3).for_each(|_| rig.poll_all());
     rig.planner.prepare_hand_over(rig.now);
     rig.store();
-    let plans = rig.planner.hand_over(rig.now);
+    let plans = rig.planner.hand_over(rig.now, |_| None);
     let plan = |it: &WorkerId| plans.iter().find(|of| of.worker == *it)?.plan.as_ref();
     assert!(plan(&at).is_none());
     let first = plan(&worker("w0")).expect("a plan");
