Count as room only what one worker has left

Callers saw: submissions that could not be served were accepted under overload, with admitted=room, while the forecast wait was 10 s. On 4 workers with 1,000 millicores left each, 5 submissions with tasks of 3,500 millicores were accepted within a second.

Cause: the load report summed what is left of all workers, and admission compared the sum with one task. With many workers the sum is nearly always larger.

The layout of the messages is unchanged.

--- a/crates/mustardcove-core/src/fleet/overload.rs
+++ b/crates/mustardcove-core/src/fleet/overload.rs
@@ -62,7 +62,8 @@
     pub wait_until: Timestamp,
     /// Whether there is less room than work.
     pub is_overloaded: bool,
-    /// Processors that new work of that priority could use now.
+    /// Processors of the largest new task of that priority that a worker would take
+    /// now.
     pub free_millicores: Millicores,
     /// Processors' worth of work of that priority that the pool completes.
     pub rate_millicores: Millicores,
--- a/crates/mustardcove-core/src/fleet/planner/forecast.rs
+++ b/crates/mustardcove-core/src/fleet/planner/forecast.rs
@@ -98,7 +98,8 @@
     new_work: u64,
     /// Processors that its runs use, in millicores.
     used_cpu: u64,
-    /// Processors that more of its runs would find, in millicores.
+    /// Processors of the largest task that a worker would take, in millicores. What is
+    /// left of several workers is no room for a task.
     free_cpu: u64,
     /// Work completed between the last two measurements, by the progress of runs.
     completed: u64,
@@ -247,7 +248,7 @@
     }
 
     /// Adds the processors of a worker.
-    fn add_worker(&mut self, worker: &Worker, is_schedulable: bool) {
+    fn add_worker(&mut self, worker: &Worker, best_effort_room: u64, is_schedulable: bool) {
         self.batch.used_cpu += worker.batch_used.cpu.0;
         let best_effort =
             worker.allocations.values().filter(|it| it.kind == WorkloadKind::BestEffort);
@@ -256,8 +257,8 @@
         let available = leftover + worker.best_effort_cpu as i64;
         self.best_effort.used_cpu += used.min(available.max(0) as u64);
         if is_schedulable {
-            self.batch.free_cpu += worker.free().cpu.0;
-            self.best_effort.free_cpu += leftover.max(0) as u64;
+            self.batch.free_cpu = self.batch.free_cpu.max(worker.free().cpu.0);
+            self.best_effort.free_cpu = self.best_effort.free_cpu.max(best_effort_room);
         }
     }
 }
@@ -407,8 +408,9 @@
                 pools.insert(service.to_owned(), PoolLoads::default());
             }
             let is_schedulable = self.obstacle(index, now).is_none();
+            let room = placement::best_effort_room(worker, &self.interference);
             if let Some(pool) = pools.get_mut(service) {
-                pool.add_worker(worker, is_schedulable);
+                pool.add_worker(worker, room, is_schedulable);
             }
         }
         let mut new: BTreeMap<String, Vec<NewWork>> = BTreeMap::new();
--- a/crates/mustardcove-core/src/fleet/planner/placement.rs
+++ b/crates/mustardcove-core/src/fleet/planner/placement.rs
@@ -273,6 +273,17 @@
     cpu as i64 * MIN_BEST_EFFORT_CPU_PERCENT <= leftover * 100
 }
 
+/// Returns the demand of the largest best-effort task that a worker would take, in
+/// millicores. Latency-critical tasks there leave less to images of high pressure.
+pub(super) fn best_effort_room(worker: &Worker, interference: &InterferenceModel) -> u64 {
+    if min_headroom(worker, interference, None, 0) < 0 {
+        return 0;
+    }
+    let withheld = worker.warmup.withheld(worker.listing.capacity.cpu.0) as i64;
+    let available = (leftover_cpu(worker) - withheld).max(0);
+    (available * 100 / MIN_BEST_EFFORT_CPU_PERCENT) as u64
+}
+
 /// Returns the contribution of the images on a worker to the score for a
 /// latency-critical task.
 fn image_score(worker: &Worker, image: Option<ImageId>) -> i64 {
--- a/crates/mustardcove-core/tests/overload_order.rs
+++ b/crates/mustardcove-core/tests/overload_order.rs
@@ -19,7 +19,7 @@
     size::Millicores,
     time::Timestamp,
 };
-use overload_replay::{Caller, Replay, TASK_MS, TICK_MS, best_effort};
+use overload_replay::{Caller, Replay, TASK_CPU, TASK_MS, TICK_MS, best_effort};
 
 const WORKERS: usize = 12;
 /// Tasks of a step of a submission, on average. The workers complete about 4
@@ -172,6 +172,22 @@
     assert!(!report(&replay).is_overloaded);
 }
 
+/// Guards against what is left of each worker counting as room: together it is more
+/// than a task needs, but no worker has enough.
+#[test]
+fn leftovers_no_room() {
+    let mut replay = Replay::new(WORKERS, 1);
+    for _ in 0..60 {
+        replay.submit(MEAN_TASKS);
+    }
+    for _ in 0..20 {
+        replay.tick();
+    }
+    let report = replay.rig.planner.load_report(replay.rig.now);
+    let load = report.find("press", 2).expect("a load");
+    assert!(load.is_overloaded && load.free_millicores < Millicores(TASK_CPU), "{load:?}");
+}
+
 /// Fills the workers with runs that are worthless already, and then submits work
 /// that can be on time.
 fn worthless_first(is_handled: bool, step: StepSpec) -> (Replay, Vec<SubmissionId>) {
