--- a/crates/mustardcove-node/tests/support/rig.rs
+++ b/crates/mustardcove-node/tests/support/rig.rs
@@ -33,6 +33,8 @@
 
 pub(crate) const HOST: &str = "callers.example";
 pub(crate) const PREFIX: &str = "/bind/";
+/// Prefix of the queue for best-effort work, where there is one.
+pub(crate) const BEST_EFFORT_PREFIX: &str = "/fill/";
 const SERVICE: &str = "press";
 const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 /// Time between two writes of the workers' entries.
@@ -146,6 +148,9 @@
     client: Client,
     dir: PathBuf,
     version: u64,
+    /// Whether manifests that are written from now on have a queue for best-effort
+    /// work.
+    pub(crate) has_best_effort_queue: bool,
     number: u8,
     /// Further lines in the settings of nodes that are started from now on.
     pub(crate) settings: &'static str,
@@ -257,6 +262,7 @@
             client: Client::builder().pool_max_idle_per_host(0).build().expect("a client"),
             dir,
             version: 0,
+            has_best_effort_queue: false,
             settings: "",
             number: RIG_COUNT.fetch_add(1, Ordering::Relaxed),
             store_region: 0,
@@ -334,7 +340,10 @@
     /// Writes the next version of the manifest.
     pub(crate) fn change_manifest(&mut self, timeout_ms: u64) {
         self.version += 3;
-        let manifest = standin::manifest(self.version, HOST, PREFIX, SERVICE, timeout_ms);
+        let mut manifest = standin::manifest(self.version, HOST, PREFIX, SERVICE, timeout_ms);
+        if self.has_best_effort_queue {
+            manifest = standin::with_best_effort_queue(&manifest, BEST_EFFORT_PREFIX);
+        }
         self.store.put(MANIFEST_KEY, &manifest);
     }
 
@@ -438,12 +447,26 @@
         id: SubmissionId,
         body: &Value,
     ) -> Option<(StatusCode, Option<u64>)> {
-        let uri = format!("http://{}:{CALLERS_PORT}{PREFIX}{id}", self.nodes[node].ip);
+        self.submit_to(node, PREFIX, id, body).await
+    }
+
+    /// Does the same at the queue with a prefix. The request does not depend on the
+    /// rig, so that many can be under way while that changes.
+    pub(crate) fn submit_to(
+        &self,
+        node: usize,
+        prefix: &str,
+        id: SubmissionId,
+        body: &Value,
+    ) -> impl Future<Output = Option<(StatusCode, Option<u64>)>> + use<> {
+        let uri = format!("http://{}:{CALLERS_PORT}{prefix}{id}", self.nodes[node].ip);
         let req = self.client.post(uri).header("host", HOST).json(body);
-        let resp = req.timeout(Duration::from_secs(3)).send().await.ok()?;
-        let retry_after = resp.headers().get("retry-after");
-        let seconds = retry_after.and_then(|it| it.to_str().ok()?.parse().ok());
-        Some((resp.status(), seconds))
+        async move {
+            let resp = req.timeout(Duration::from_secs(3)).send().await.ok()?;
+            let retry_after = resp.headers().get("retry-after");
+            let seconds = retry_after.and_then(|it| it.to_str().ok()?.parse().ok());
+            Some((resp.status(), seconds))
+        }
     }
 
     pub(crate) async fn state(&self, node: usize, id: SubmissionId) -> Option<String> {
@@ -593,3 +616,11 @@
         { "Count": count, "Cpu": 500, "MemMb": 64, "EstimatedMs": ms },
         { "Count": 2, "Cpu": 700, "MemMb": 64, "EstimatedMs": ms, "After": [0] }] })
 }
+
+/// Returns a best-effort submission of one step, whose tasks take `ms`. Two of them
+/// fill a worker and leave an eighth of it.
+pub(crate) fn best_effort(count: u64, ms: u64, estimate_ms: u64) -> Value {
+    json!({ "TaskSpec": format!("ms={ms} "), "Steps": [
+        { "Count": count, "Cpu": 3_500, "MemMb": 64, "EstimatedMs": estimate_ms, "Fills": true,
+            "SavesProgress": true }] })
+}
