--- a/crates/mustardcove-core/src/fleet/planner/interference.rs
+++ b/crates/mustardcove-core/src/fleet/planner/interference.rs
@@ -45,8 +45,6 @@
 #[derive(Clone, Copy, Debug)]
 struct LearnedPressure {
     value: f32,
-    /// Whether an earlier leader has learned it.
-    is_restored: bool,
     /// Number of measurements in this term that corrected it.
     measurements: u64,
     /// The newest of these.
@@ -54,24 +52,8 @@
 }
 
 impl LearnedPressure {
-    fn unknown() -> LearnedPressure {
-        let value = PRIOR_PRESSURE;
-        LearnedPressure { value, is_restored: false, measurements: 0, measured_at: None }
-    }
-
-    fn restored(value: f32) -> LearnedPressure {
-        LearnedPressure { value, is_restored: true, measurements: 0, measured_at: None }
-    }
-
-    /// Returns the fraction of an equation's error that the next measurement
-    /// corrects: more for a new pair, since best-effort work that is assumed to
-    /// disturb little runs beside many tasks until the pair is known.
-    fn learning_rate(&self) -> f32 {
-        if self.is_restored {
-            return LEARNING_RATE;
-        }
-        let halvings = self.measurements as f32 / LEARNING_RATE_HALVES;
-        LEARNING_RATE.max(FIRST_LEARNING_RATE / (1.0 + halvings))
+    fn new(value: f32) -> LearnedPressure {
+        LearnedPressure { value, measurements: 0, measured_at: None }
     }
 }
 
@@ -83,11 +65,6 @@
 const MAX_PRESSURE: f32 = 10.0;
 /// Fraction of an equation's error that one measurement corrects.
 const LEARNING_RATE: f32 = 0.06;
-/// The same for the first measurement of a pair: its other neighbours explain
-/// part of the error.
-const FIRST_LEARNING_RATE: f32 = 0.25;
-/// Number of measurements after which a new pair's learning rate has halved.
-const LEARNING_RATE_HALVES: f32 = 16.0;
 /// Added to the squared shares, so that tiny neighbours get no large
 /// corrections.
 const REGULARISATION: f32 = 0.004;
@@ -244,7 +221,7 @@
             let image = |it: &u16| known.get(usize::from(*it)).copied();
             if let (Some(victim), Some(neighbour)) = (image(victim), image(neighbour)) {
                 let pressure = pressure.clamp(0.0, MAX_PRESSURE);
-                self.pressures.insert((victim, neighbour), LearnedPressure::restored(pressure));
+                self.pressures.insert((victim, neighbour), LearnedPressure::new(pressure));
             }
         }
     }
@@ -351,10 +328,10 @@
         let squares: f32 = neighbours.iter().map(|it| it.share * it.share).sum();
         for neighbour in neighbours {
             let Some(image) = neighbour.image else { continue };
-            let pressure = self.pressures.entry((victim, image));
-            let pressure = pressure.or_insert(LearnedPressure::unknown());
-            let rate = pressure.learning_rate() * weight / (squares + REGULARISATION);
+            let rate = LEARNING_RATE * weight / (squares + REGULARISATION);
             let step = rate * error * neighbour.share;
+            let pressure = self.pressures.entry((victim, image));
+            let pressure = pressure.or_insert(LearnedPressure::new(PRIOR_PRESSURE));
             pressure.value = (pressure.value + step).clamp(0.0, MAX_PRESSURE);
             pressure.measurements += 1;
             pressure.measured_at = Some(now);
