Revert "Estimate loads without what neighbours add"

Suspected are the slope of the load, which lags where loads swing within 10 s, and tails of 4 ms in whole milliseconds; not traced.

--- a/crates/mustardcove-core/src/fleet/planner/interference.rs
+++ b/crates/mustardcove-core/src/fleet/planner/interference.rs
@@ -8,16 +8,11 @@
 //! share is the fraction of the worker's processors that a neighbour uses and
 //! the pressure belongs to the pair of images.
 //!
-//! Tasks of one submission carry the same load, which rises and falls within
-//! seconds. Each measured tail shows it, once divided by the factor that the
-//! pressures explain; those with little beside them count most. Without that
-//! division the load is overestimated as soon as best-effort work runs beside
-//! all tasks of a submission, and the pressures are underestimated.
-//!
-//! Each tail is also one equation for the pressures, solved by normalised least
-//! mean squares. Unlike `crate::interference`, which counts neighbours of a
-//! class, this model is additive in the processor time that neighbours really
-//! use.
+//! Tasks of one submission carry the same load, so the least utilised of them
+//! shows that load, and the others show the factor. Each measured tail is one
+//! equation for the pressures, solved by normalised least mean squares. Unlike
+//! `crate::interference`, which counts neighbours of a class, this model is
+//! additive in the processor time that neighbours really use.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -73,23 +68,19 @@
 const MAX_FACTOR: f32 = 4.0;
 /// Loads below this are too uncertain to divide by.
 const MIN_LOAD: f32 = 0.12;
-/// Standard deviation of a utilisation because tails are noisy: a tail of 50 ms
-/// that is off by 5 % at a utilisation of a half.
-const TAIL_NOISE: f32 = 0.03;
-/// Standard deviation of the forecast excess, as a fraction of it. Errors of the
-/// pressures are shared by many tasks, so it is larger than that of one.
-const EXCESS_ERROR: f32 = 0.3;
-/// Standard deviation of a submission's first load and slope.
-const INITIAL_DEVIATION: f32 = 0.1;
-/// Change of the slope within a second, per second: that of a load which swings
-/// by half around a half within 20 s.
-const SLOPE_CHANGE: f32 = 0.025;
-/// Time constant with which a slope decays, in seconds: loads have bounds, so
-/// that no rise lasts.
-const TREND_TIME_S: f32 = 4.0;
-/// Number of standard deviations to which a residual is clipped, as a neighbour
-/// that is not yet known raises the tail of one task.
-const MAX_DEVIATIONS: f32 = 2.5;
+/// Time over which the utilisations of a submission's tasks are collected, in
+/// milliseconds: two polls of each worker.
+const WINDOW_MS: u64 = 600;
+/// Number of samples from which a window is used.
+const MIN_SAMPLES: usize = 3;
+/// Most samples kept in a window.
+const MAX_SAMPLES: usize = 48;
+/// The load without neighbours is estimated as this quantile of a window's
+/// samples: low, as neighbours only raise them, and above the minimum, as
+/// samples are noisy.
+const QUANTILE_PERCENT: usize = 20;
+/// Fraction of the change between two windows that is expected to continue.
+const TREND_DAMPING: f32 = 0.7;
 /// Longest time for which a change is extrapolated, in milliseconds.
 const MAX_EXTRAPOLATION_MS: u64 = 1_500;
 /// Rounding error of tails, which are whole milliseconds.
@@ -102,61 +93,22 @@
 /// Utilisation assumed for a submission without measurements.
 const PRIOR_LOAD: f32 = 0.5;
 
-/// The estimated load of a submission's tasks, and its change.
-///
-/// This is a Kalman filter of level and slope: tails are noisy, and the more
-/// neighbours add to them, the less is known of the load.
-#[derive(Clone, Copy, Debug)]
+/// The estimated load of a submission's tasks.
+#[derive(Clone, Debug)]
 struct LoadEstimate {
-    level: f32,
-    /// Change of the level per second.
+    window_ends_at: Timestamp,
+    samples: Vec<f32>,
+    /// The load in the last window, and the middle of that window.
+    last: Option<(f32, Timestamp)>,
+    /// Change of the load per millisecond.
     slope: f32,
-    /// Variances of level and slope, and their covariance.
-    level_variance: f32,
-    slope_variance: f32,
-    covariance: f32,
-    updated_at: Timestamp,
 }
 
 impl LoadEstimate {
-    fn new(load: f32, now: Timestamp) -> LoadEstimate {
-        LoadEstimate {
-            level: load,
-            slope: 0.0,
-            level_variance: INITIAL_DEVIATION * INITIAL_DEVIATION,
-            slope_variance: INITIAL_DEVIATION * INITIAL_DEVIATION,
-            covariance: 0.0,
-            updated_at: now,
-        }
-    }
-
-    fn at(&self, time: Timestamp) -> f32 {
-        let ahead_s = time.ms_since(self.updated_at).min(MAX_EXTRAPOLATION_MS) as f32 / 1_000.0;
-        (self.level + self.slope * ahead_s).clamp(0.02, 0.98)
-    }
-
-    /// Updates the estimate with the load that one task shows, which has this
-    /// standard deviation.
-    fn update(&mut self, load: f32, deviation: f32, now: Timestamp) {
-        let passed_s = now.ms_since(self.updated_at) as f32 / 1_000.0;
-        let kept = (-passed_s / TREND_TIME_S).exp();
-        self.level += self.slope * passed_s;
-        self.slope *= kept;
-        self.level_variance += passed_s * (2.0 * self.covariance + passed_s * self.slope_variance);
-        self.covariance = (self.covariance + passed_s * self.slope_variance) * kept;
-        self.slope_variance =
-            self.slope_variance * kept * kept + SLOPE_CHANGE * SLOPE_CHANGE * passed_s;
-        self.updated_at = now.max(self.updated_at);
-        let total = self.level_variance + deviation * deviation;
-        let clip = MAX_DEVIATIONS * total.sqrt();
-        let residual = (load - self.level).clamp(-clip, clip);
-        let level_gain = self.level_variance / total;
-        let slope_gain = self.covariance / total;
-        self.level += level_gain * residual;
-        self.slope += slope_gain * residual;
-        self.slope_variance -= slope_gain * self.covariance;
-        self.covariance *= 1.0 - level_gain;
-        self.level_variance *= 1.0 - level_gain;
+    fn at(&self, time: Timestamp) -> Option<f32> {
+        let (load, middle) = self.last?;
+        let ahead = time.ms_since(middle).min(MAX_EXTRAPOLATION_MS) as f32;
+        Some((load + self.slope * ahead).clamp(0.02, 0.98))
     }
 }
 
@@ -275,7 +227,7 @@
     /// Returns the utilisation of a submission's tasks without neighbours, as
     /// expected at a time.
     pub(super) fn load(&self, submission: SubmissionId, time: Timestamp) -> f32 {
-        self.loads.get(&submission).map_or(PRIOR_LOAD, |it| it.at(time))
+        self.loads.get(&submission).and_then(|it| it.at(time)).unwrap_or(PRIOR_LOAD)
     }
 
     /// Removes a submission.
@@ -316,14 +268,12 @@
         let lowest = &mut self.lowest_tail[usize::from(victim.0)];
         *lowest = lowest.min(tail);
         let utilisation = self.utilisation(victim, tail);
-        let load = self.loads.get(&submission).map(|it| it.at(now));
-        let excess = self.excess(victim, neighbours.iter().copied());
-        let rounding = self.base(victim) * ROUNDING_MS / (tail * tail);
-        self.record_load(submission, utilisation, excess, rounding, now);
+        let load = self.loads.get(&submission).and_then(|it| it.at(now));
+        self.record_load(submission, utilisation, now);
         let load = load.filter(|it| MIN_LOAD <= *it)?;
         let factor = (utilisation / load).clamp(1.0, MAX_FACTOR);
-        let error = factor - 1.0 - excess;
-        let uncertainty = rounding / load;
+        let error = factor - 1.0 - self.excess(victim, neighbours.iter().copied());
+        let uncertainty = self.base(victim) * ROUNDING_MS / (tail * tail) / load;
         let weight = HALF_WEIGHT_ERROR / (HALF_WEIGHT_ERROR + uncertainty);
         let squares: f32 = neighbours.iter().map(|it| it.share * it.share).sum();
         for neighbour in neighbours {
@@ -339,21 +289,29 @@
         Some(error)
     }
 
-    fn record_load(
-        &mut self,
-        submission: SubmissionId,
-        utilisation: f32,
-        excess: f32,
-        rounding: f32,
-        now: Timestamp,
-    ) {
-        let load = utilisation / (1.0 + excess);
-        let deviation = TAIL_NOISE + rounding + EXCESS_ERROR * excess * load;
-        match self.loads.get_mut(&submission) {
-            Some(it) => it.update(load, deviation, now),
-            None => {
-                self.loads.insert(submission, LoadEstimate::new(load, now));
+    fn record_load(&mut self, submission: SubmissionId, utilisation: f32, now: Timestamp) {
+        let fresh = || LoadEstimate {
+            window_ends_at: now.plus_ms(WINDOW_MS),
+            samples: Vec::new(),
+            last: None,
+            slope: 0.0,
+        };
+        let load = self.loads.entry(submission).or_insert_with(fresh);
+        if load.window_ends_at <= now {
+            if MIN_SAMPLES <= load.samples.len() {
+                load.samples.sort_by(f32::total_cmp);
+                let quantile = load.samples[load.samples.len() * QUANTILE_PERCENT / 100];
+                let middle = load.window_ends_at.minus_ms(WINDOW_MS / 2);
+                load.slope = load.last.map_or(0.0, |(before, at)| {
+                    TREND_DAMPING * (quantile - before) / middle.ms_since(at).max(WINDOW_MS) as f32
+                });
+                load.last = Some((quantile, middle));
             }
+            load.samples.clear();
+            load.window_ends_at = now.plus_ms(WINDOW_MS);
+        }
+        if load.samples.len() < MAX_SAMPLES {
+            load.samples.push(utilisation);
         }
     }
 }
