Share how tests end earlier leaders

Tests of copies wrote again how planner_faults lets an earlier leader go on for a while, and three tests how all leaders but the last end. The simulated fleet has a method for each.

--- a/crates/mustardcove-core/tests/planner_faults.rs
+++ b/crates/mustardcove-core/tests/planner_faults.rs
@@ -51,8 +51,7 @@
     }
     world.call_failure_percent = 0;
     world.run_failure_percent = 0;
-    let last = world.leaders.len() - 1;
-    world.leaders.drain(..last);
+    world.end_earlier_leaders();
     for worker in &mut world.workers {
         worker.unreachable_until = Timestamp(0);
         worker.orphans_only_until = Timestamp(0);
@@ -70,13 +69,7 @@
             world.workers[worker].unreachable_until = until;
         }
         2 => world.elect(),
-        3 => {
-            // The earlier leader goes on for a while, as if it were cut off
-            // from the store only.
-            world.elect();
-            world.run(400);
-            world.leaders.remove(0);
-        }
+        3 => world.elect_beside(400),
         4 => {
             let id = *world.submissions.keys().next_back().expect("a submission");
             world.cancel(id);
--- a/crates/mustardcove-core/tests/speculative_copies.rs
+++ b/crates/mustardcove-core/tests/speculative_copies.rs
@@ -354,20 +354,14 @@
                 world.workers[worker].unreachable_until = until;
             }
             2 => world.elect(),
-            3 => {
-                // The earlier leader goes on for a while.
-                world.elect();
-                world.run(400);
-                world.leaders.remove(0);
-            }
+            3 => world.elect_beside(400),
             _ => {}
         }
         let spare = world.leaders.len().saturating_sub(2);
         world.leaders.drain(..spare);
     }
     (world.call_failure_percent, world.run_failure_percent) = (0, 0);
-    let last = world.leaders.len() - 1;
-    world.leaders.drain(..last);
+    world.end_earlier_leaders();
     world.workers.iter_mut().for_each(|it| it.unreachable_until = Timestamp(0));
     world.run(SETTLE_MS);
     let copies = world.log.iter().filter(|it| it.contains("CopyStarted")).count();
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -1005,6 +1005,20 @@
         self.revision += 1;
         self.claims += 1;
         self.term = Term(self.revision);
+    /// Elects a leader while the one before goes on for a while, as if it were cut off
+    /// from the store only.
+    pub(crate) fn elect_beside(&mut self, ms: u64) {
+        self.elect();
+        self.run(ms);
+        self.leaders.remove(0);
+    }
+
+    /// Ends all leaders but the last.
+    pub(crate) fn end_earlier_leaders(&mut self) {
+        let last = self.leaders.len() - 1;
+        self.leaders.drain(..last);
+    }
+
         let earlier_leases_expire_by = match self.claims {
             1 => self.now,
             _ => self.now.plus_ms(MAX_ORPHAN_LEASE_MS),
--- a/crates/mustardcove-core/tests/unbegun_occurrences.rs
+++ b/crates/mustardcove-core/tests/unbegun_occurrences.rs
@@ -257,8 +257,7 @@
             } else {
                 world.elect();
             }
-            let last = world.leaders.len() - 1;
-            world.leaders.drain(..last);
+            world.end_earlier_leaders();
         }
         world.call_failure_percent = 0;
         world.run(SETTLE_MS);
