Spare a list for each poll when interference is learned

Each poll of a worker collected the best-effort tasks there, although they are needed only for a latency-critical task over its target, and each neighbour was then looked up in that list. The neighbours now carry their kind. What is stored of learned images uses the names that the dump uses, in place of a second loop.

No behaviour changes; forecast_errors, planner_interference and noisy_tails pass.

--- a/crates/mustardcove-core/src/fleet/planner/interference.rs
+++ b/crates/mustardcove-core/src/fleet/planner/interference.rs
@@ -150,12 +150,8 @@
 
     /// Returns what was learned, for the next leader.
     pub(super) fn learned(&self) -> LearnedInterference {
-        let mut images: Vec<(Arc<str>, Option<f32>)> =
-            vec![(Arc::from(""), None); self.images.len()];
-        for (name, image) in &self.images {
-            let tail = self.lowest_tail[usize::from(image.0)];
-            images[usize::from(image.0)] = (name.clone(), tail.is_finite().then_some(tail));
-        }
+        let tails = self.lowest_tail.iter().map(|it| it.is_finite().then_some(*it));
+        let images = self.names().into_iter().zip(tails).collect();
         let pressures = self.pressures.iter().map(|(pair, it)| (pair.0.0, pair.1.0, it.value));
         LearnedInterference { images, pressures: pressures.collect() }
     }
@@ -165,7 +161,7 @@
         let known: Vec<ImageId> = learned.images.iter().map(|it| self.image(&it.0)).collect();
         for (image, (_, tail)) in known.iter().zip(&learned.images) {
             if let Some(tail) = tail {
-                let lowest = &mut self.lowest_tail[usize::from(image.0)];
+                let lowest = &mut self.lowest_tail[image.as_usize()];
                 *lowest = lowest.min(*tail);
             }
         }
@@ -208,7 +204,7 @@
     }
 
     fn base(&self, image: ImageId) -> f32 {
-        self.lowest_tail[usize::from(image.0)] * (1.0 - LOWEST_UTILISATION)
+        self.lowest_tail[image.as_usize()] * (1.0 - LOWEST_UTILISATION)
     }
 
     fn utilisation(&self, image: ImageId, tail: f32) -> f32 {
@@ -265,7 +261,7 @@
         if tail <= 0.0 {
             return None;
         }
-        let lowest = &mut self.lowest_tail[usize::from(victim.0)];
+        let lowest = &mut self.lowest_tail[victim.as_usize()];
         *lowest = lowest.min(tail);
         let utilisation = self.utilisation(victim, tail);
         let load = self.loads.get(&submission).and_then(|it| it.at(now));
--- a/crates/mustardcove-core/src/fleet/planner/measurements.rs
+++ b/crates/mustardcove-core/src/fleet/planner/measurements.rs
@@ -13,7 +13,7 @@
     pace::{self, LatencyCriticalTask},
     placement,
     work::WorkerIndex,
-    workers::{Allocation, WorkloadKind},
+    workers::WorkloadKind,
 };
 use crate::{
     fleet::{
@@ -149,7 +149,7 @@
         let worker = &mut self.workers[index];
         let capacity = worker.listing.capacity.cpu.0.max(1) as f32;
         let interference = &mut self.interference;
-        let neighbours: Vec<(TaskKey, Neighbour)> = worker
+        let neighbours: Vec<(TaskKey, WorkloadKind, Neighbour)> = worker
             .allocations
             .iter()
             .map(|(task, it)| {
@@ -159,15 +159,12 @@
                     }
                     WorkloadKind::Batch | WorkloadKind::BestEffort => it.measurement as f32,
                 };
-                (*task, Neighbour { image: it.image, share: used / capacity })
+                (*task, it.kind, Neighbour { image: it.image, share: used / capacity })
             })
             .collect();
         let mut latency_critical_use = 0.0;
         let gap_ms = worker.measured_at.map_or(0, |it| now.ms_since(it));
         worker.measured_at = Some(now);
-        let is_best_effort = |it: &Allocation| it.kind == WorkloadKind::BestEffort;
-        let best_effort: Vec<TaskKey> =
-            worker.allocations.iter().filter(|it| is_best_effort(it.1)).map(|it| *it.0).collect();
         let mut others = Vec::with_capacity(neighbours.len());
         for (task, allocation) in &mut worker.allocations {
             let (Some(image), Some(target)) = (allocation.image, allocation.tail_target_ms) else {
@@ -175,18 +172,19 @@
             };
             let submission = task.step.submission;
             if allocation.is_over_target {
-                let reserved = neighbours.iter();
-                let reserved = reserved.filter(|it| it.0 != *task && !best_effort.contains(&it.0));
+                let is_best_effort =
+                    |it: &(TaskKey, WorkloadKind, Neighbour)| it.1 == WorkloadKind::BestEffort;
+                let reserved = neighbours.iter().filter(|it| it.0 != *task && !is_best_effort(it));
                 let cause = OverTargetCause::of(
                     interference.load(submission, now),
                     interference.limit(image, target as f32),
-                    interference.excess(image, reserved.map(|it| it.1)),
-                    !best_effort.is_empty(),
+                    interference.excess(image, reserved.map(|it| it.2)),
+                    neighbours.iter().any(is_best_effort),
                 );
                 self.forecast_errors.record_over_target(image, cause, gap_ms);
             }
             others.clear();
-            others.extend(neighbours.iter().filter(|it| it.0 != *task).map(|it| it.1));
+            others.extend(neighbours.iter().filter(|it| it.0 != *task).map(|it| it.2));
             let tail = allocation.measurement as f32;
             if let Some(error) = interference.observe(image, submission, tail, &others, now) {
                 self.forecast_errors.record(image, error, now);
