Find the worker for a copy as that for a move

The search for a copy's worker repeated that for a move of a run on a slow worker, with a preference for another failure domain. One search serves both. The step of a task is looked up by Planner::spec, which existed, and the numbers of copies are kept as they are returned. The condition on ends that wait behind a copy is written as two.

--- a/crates/mustardcove-core/src/fleet/planner/copies.rs
+++ b/crates/mustardcove-core/src/fleet/planner/copies.rs
@@ -53,9 +53,7 @@
     unbegun: BTreeMap<RunKey, Timestamp>,
     /// Whether a copy that an earlier leader has ordered may still begin.
     may_earlier_begin: bool,
-    started: u64,
-    won: u64,
-    dropped: u64,
+    counts: CopyCounts,
 }
 
 /// Numbers of copies so far.
@@ -126,7 +124,7 @@
     }
 
     pub(super) fn counts(&self) -> CopyCounts {
-        CopyCounts { started: self.started, won: self.won, dropped: self.dropped }
+        self.counts
     }
 }
 
@@ -244,7 +242,7 @@
         self.copies.runs.insert(task, Run::new(to, copy, now));
         let cannot_begin_at = now.plus_ms(MAX_START_LEASE_MS + LEASE_MARGIN_MS);
         self.copies.unbegun.insert((to, task, copy), cannot_begin_at);
-        self.copies.started += 1;
+        self.copies.counts.started += 1;
         let incarnation = self.workers[to].incarnation;
         let ticket = self.tickets.ticket(task.step, to, incarnation, now).map(str::to_owned);
         let payload = submission.payload.clone();
@@ -286,23 +284,10 @@
         if self.workers.iter().enumerate().any(has_other) {
             return None;
         }
-        let work = self.work.get(&task.step.submission)?;
-        let spec = &work.submission.steps[usize::from(task.step.step)];
-        let pending = self.pending_of_step(task.step, work, false)?;
-        let req = self.request(&pending, spec, work.task(task)?.avoid);
-        let cpu = spec.demand.cpu.0;
-        let is_sound = |it: &&WorkerIndex| {
-            **it != index
-                && !self.workers[**it].speed.is_slow(now)
-                && !self.reserved.contains_key(it)
-                && self.moved_cpu(**it) + cpu <= self.workers[**it].free().cpu.0
-        };
+        let avoid = self.work.get(&task.step.submission)?.task(task)?.avoid;
         let domain = &self.workers[index].listing.domain;
-        let score = |it: &WorkerIndex| {
-            let score = self.score(&pending, req, *it, now).ok()?;
-            Some((self.workers[*it].listing.domain != *domain, score, *it))
-        };
-        Some(schedulable.iter().filter(is_sound).filter_map(score).max()?.2)
+        let is_elsewhere = |it: &Worker| it.listing.domain != *domain;
+        self.find_sound(index, task, avoid, is_elsewhere, schedulable, now)
     }
 
     /// Counts the copies of a step's tasks as placed, for the limit on its tasks on
@@ -375,7 +360,8 @@
     fn end_copy(&mut self, task: TaskKey, winner: Winner, why: &str) -> Option<Run> {
         let copy = self.copies.runs.remove(&task)?;
         let has_won = winner == Winner::Copy;
-        *(if has_won { &mut self.copies.won } else { &mut self.copies.dropped }) += 1;
+        let counts = &mut self.copies.counts;
+        *(if has_won { &mut counts.won } else { &mut counts.dropped }) += 1;
         let id = task.step.submission;
         let work = self.work.get(&id);
         let first = work.and_then(|it| it.task(task)?.run()).map(|it| (it.run, it.worker));
@@ -394,9 +380,7 @@
     /// if an earlier leader has ordered both: the one with more progress goes on.
     pub(super) fn is_preferred(&self, index: WorkerIndex, row: &RunningTask) -> bool {
         let Some(work) = self.work.get(&row.task.step.submission) else { return false };
-        let Some(spec) = work.submission.steps.get(usize::from(row.task.step.step)) else {
-            return false;
-        };
+        let Some(spec) = self.spec(row.task.step) else { return false };
         let Some(current) = work.task(row.task).and_then(|it| it.run()) else { return false };
         let is_earlier = |it: RunNumber| it.0 <= self.run_base;
         is_copyable(spec)
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -112,11 +112,9 @@
         // unknown submissions, or of tasks that may start elsewhere.
         let are_others_ended = others.all(|(task, _)| self.is_ended(task.step.submission));
         // Ends that are stored may wait for a copy elsewhere to begin, or behind one.
-        let mut ends = worker.unstored_ends.iter();
-        let are_ends_stored = worker.unstored_ends.front().is_none_or(|it| {
-            self.copies.must_wait(&self.work, it)
-                && ends.all(|it| is_stored(&self.work, it.task.step.submission, it.change))
-        });
+        let (first, mut ends) = (worker.unstored_ends.front(), worker.unstored_ends.iter());
+        let are_ends_stored = first.is_none_or(|it| self.copies.must_wait(&self.work, it))
+            && ends.all(|it| is_stored(&self.work, it.task.step.submission, it.change));
         let is_known = worker.has_listed_all_ends && are_ends_stored && are_others_ended;
         let was_draining = worker.was_draining;
         is_known.then_some(WorkerPlan { incarnation, was_draining, runs, has_stopping_runs })
--- a/crates/mustardcove-core/src/fleet/planner/moves.rs
+++ b/crates/mustardcove-core/src/fleet/planner/moves.rs
@@ -2,8 +2,12 @@
 //! tasks that serve, and tasks on slow workers.
 
 use super::{
-    Planner, choice::PendingTasks, copies, placement, work::WorkerIndex, worker_speed,
-    workers::WorkloadKind,
+    Planner,
+    choice::PendingTasks,
+    copies, placement,
+    work::WorkerIndex,
+    worker_speed,
+    workers::{Worker, WorkloadKind},
 };
 use crate::{
     fleet::id::{RunNumber, TaskKey},
@@ -127,7 +131,7 @@
 
     /// Returns the processors that runs demand which are being moved to a worker, in
     /// millicores.
-    pub(super) fn moved_cpu(&self, to: WorkerIndex) -> u64 {
+    fn moved_cpu(&self, to: WorkerIndex) -> u64 {
         self.moves.iter().filter(|it| it.to == to).map(|it| it.cpu).sum()
     }
 
@@ -168,10 +172,10 @@
                 let why = "on a slow worker";
                 let is_copied = copies::MIN_REMAINING_MS <= left_ms
                     && self.start_copy(index, task, run, why, schedulable, now);
-                if is_copied || !self.saves_progress(task) {
+                if is_copied || !self.spec(task.step).is_some_and(|it| it.saves_progress) {
                     continue;
                 }
-                if let Some(better) = self.find_sound(index, task, schedulable, now) {
+                if let Some(better) = self.find_sound_move(index, task, schedulable, now) {
                     self.moves.push(better);
                     self.stop_and_move(index, task, run, why, now);
                     self.straggler_moves += 1;
@@ -181,12 +185,6 @@
         }
     }
 
-    fn saves_progress(&self, task: TaskKey) -> bool {
-        let work = self.work.get(&task.step.submission);
-        let spec = work.and_then(|it| it.submission.steps.get(usize::from(task.step.step)));
-        spec.is_some_and(|it| it.saves_progress)
-    }
-
     /// Returns the time that a run on a slow worker is expected to need there, in
     /// milliseconds, if it would be done sooner from its checkpoint on a worker that is
     /// not slow.
@@ -219,19 +217,35 @@
         ((elsewhere_ms + MOVE_COST_MS) * MOVE_MARGIN < here_ms).then_some(here_ms)
     }
 
-    /// Returns the move of a task to the best worker that is not slow and has room
-    /// for it beside the tasks that are being moved there.
-    fn find_sound(
+    /// Returns the move of a task to the best worker that is not slow.
+    fn find_sound_move(
         &self,
         index: WorkerIndex,
         task: TaskKey,
         schedulable: &[WorkerIndex],
         now: Timestamp,
     ) -> Option<Move> {
+        let cpu = self.spec(task.step)?.demand.cpu.0;
+        let to = self.find_sound(index, task, None, |_| false, schedulable, now)?;
+        Some(Move { to, cpu, expires_at: now.plus_ms(MOVE_MS) })
+    }
+
+    /// Returns the best worker other than `index` for a task that is not slow or
+    /// reserved and has room for it beside the tasks that are being moved there, one
+    /// that is preferred if there is any.
+    pub(super) fn find_sound(
+        &self,
+        index: WorkerIndex,
+        task: TaskKey,
+        avoid: Option<WorkerIndex>,
+        is_preferred: impl Fn(&Worker) -> bool,
+        schedulable: &[WorkerIndex],
+        now: Timestamp,
+    ) -> Option<WorkerIndex> {
         let work = self.work.get(&task.step.submission)?;
-        let spec = &work.submission.steps[usize::from(task.step.step)];
+        let spec = self.spec(task.step)?;
         let pending = self.pending_of_step(task.step, work, false)?;
-        let req = self.request(&pending, spec, None);
+        let req = self.request(&pending, spec, avoid);
         let cpu = spec.demand.cpu.0;
         let has_room = |it: &WorkerIndex| {
             if spec.is_best_effort {
@@ -246,8 +260,10 @@
                 && !self.reserved.contains_key(it)
                 && has_room(it)
         };
-        let score = |it: &WorkerIndex| Some((self.score(&pending, req, *it, now).ok()?, *it));
-        let to = schedulable.iter().filter(is_sound).filter_map(score).max()?.1;
-        Some(Move { to, cpu, expires_at: now.plus_ms(MOVE_MS) })
+        let score = |it: &WorkerIndex| {
+            let score = self.score(&pending, req, *it, now).ok()?;
+            Some((is_preferred(&self.workers[*it]), score, *it))
+        };
+        Some(schedulable.iter().filter(is_sound).filter_map(score).max()?.2)
     }
 }
