Always name the poller that a worker has lost

Since pollers tell the ends of their leases, every poller that is replaced has a name. Planner::poller_lost, which had none to give, was called by tests only, and the case without a name made Worker::poller_lost harder to read.

poller_replaced remains, with a poller that is always named. Tests name one that tells nothing, so that the end which is given counts as before.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -730,25 +730,13 @@
         }
     }
 
-    /// Handles the loss of the process that polled these workers. It may have
-    /// extended leases until `leases_expire_by`.
-    pub fn poller_lost<'a>(
-        &mut self,
-        workers: impl IntoIterator<Item = &'a WorkerId>,
-        leases_expire_by: Timestamp,
-    ) {
-        for id in workers {
-            self.poller_replaced(id, None, leases_expire_by);
-        }
-    }
-
     /// Handles the end of the assignment of a worker to a poller, which may have
     /// extended leases until `leases_expire_by`. If it goes on, it tells more; see
     /// [`Planner::poller_retired`].
     pub fn poller_replaced(
         &mut self,
         worker: &WorkerId,
-        poller: Option<PollerId>,
+        poller: PollerId,
         leases_expire_by: Timestamp,
     ) {
         if let Some(index) = self.worker_index.get(worker).copied() {
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -416,14 +416,12 @@
 
     /// Handles the loss of the poller. It may have extended leases until
     /// `leases_expire_by` if the leader had confirmed the worker's answers.
-    pub(super) fn poller_lost(&mut self, poller: Option<PollerId>, leases_expire_by: Timestamp) {
+    pub(super) fn poller_lost(&mut self, poller: PollerId, leases_expire_by: Timestamp) {
         self.poll_asked_at = Timestamp::default();
-        if self.responsive_since.take().is_some() {
-            let lost = poller.map(|it| (it, leases_expire_by));
-            let counted = if lost.is_none() { leases_expire_by } else { Timestamp::default() };
-            let before = std::mem::replace(&mut self.lost_poller, lost);
-            let counted = before.map_or(counted, |it| it.1.max(counted));
-            self.ordered_leases_expire_by = self.ordered_leases_expire_by.max(counted);
+        if self.responsive_since.take().is_some()
+            && let Some((_, before)) = self.lost_poller.replace((poller, leases_expire_by))
+        {
+            self.ordered_leases_expire_by = self.ordered_leases_expire_by.max(before);
         }
         // Orders of pace may have been lost with it.
         let allocations = self.allocations.values_mut();
--- a/crates/mustardcove-core/tests/late_answers.rs
+++ b/crates/mustardcove-core/tests/late_answers.rs
@@ -8,7 +8,7 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
-use fleet_world::{listing, manifest, step, submission};
+use fleet_world::{listing, manifest, silent_poller, step, submission};
 use mustardcove_core::{
     fleet::{
         id::{BootMillis, EndNumber, Incarnation, Term},
@@ -151,7 +151,8 @@
 fn next_poller() {
     let mut started = Started::new();
     started.answer(StartOutcome::Started, started.rig.now.plus_ms(60_000));
-    started.rig.planner.poller_lost([&started.worker], started.rig.now);
+    let now = started.rig.now;
+    started.rig.planner.poller_replaced(&started.worker, silent_poller(), now);
     started.rig.advance(500);
     assert!(!started.poll(Timestamp(1), false).iter().any(is_start));
     assert!(started.poll(Timestamp(2), false).iter().any(is_start));
@@ -208,7 +209,7 @@
     assert_eq!(planner.counts(now).schedulable_workers, 1, "it is used again");
 
     // The clock of the next poller is behind.
-    planner.poller_lost([&worker], now);
+    planner.poller_replaced(&worker, silent_poller(), now);
     planner.report(&worker, poll_of(NEXT - 1, 5, &[]), now);
     assert_eq!(planner.counts(now).worker_crashes, 2, "it answered the next poller");
     planner.report(&worker, poll_of(NEXT, 4, &[]), now);
--- a/crates/mustardcove-core/tests/leader_confirmation.rs
+++ b/crates/mustardcove-core/tests/leader_confirmation.rs
@@ -11,7 +11,7 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
-use fleet_world::{manifest, step, submission};
+use fleet_world::{manifest, silent_poller, step, submission};
 use mustardcove_core::{
     fleet::{
         confirmation::{Confirmation, CoveredReports, MAX_STORELESS_MS, MAX_UNANIMOUS_MS},
@@ -290,7 +290,7 @@
     rig.submit(submission(1, vec![step(8, 1_000, &[])], rig.now));
     assert_eq!(rig.plan().len(), 8);
     let orphaned_until = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
-    rig.planner.poller_lost([&first], orphaned_until);
+    rig.planner.poller_replaced(&first, silent_poller(), orphaned_until);
     // Otherwise a start would not shorten the wait.
     const { assert!(MAX_START_LEASE_MS < MAX_ORPHAN_LEASE_MS) }
     // Another poller reaches the worker, and the leader starts work there.
--- a/crates/mustardcove-core/tests/replaced_worker.rs
+++ b/crates/mustardcove-core/tests/replaced_worker.rs
@@ -9,7 +9,7 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod fleet_world;
 
-use fleet_world::{World, listing, manifest, step, submission};
+use fleet_world::{World, listing, manifest, silent_poller, step, submission};
 use mustardcove_core::{
     fleet::{
         id::{Incarnation, Term},
@@ -211,7 +211,7 @@
         planner.update_workers(vec![next], true);
         assert_eq!(polled_at(&planner), [address], "{end:?}");
         assert_eq!(planner.counts(now).schedulable_workers, 0, "it has not answered yet");
-        planner.poller_lost([&worker], now);
+        planner.poller_replaced(&worker, silent_poller(), now);
         planner.report(&worker, polled(4, Timestamp(5)), now);
         planner.tick(now);
         assert_eq!(planner.counts(now).schedulable_workers, 1, "{end:?}");
--- a/crates/mustardcove-core/tests/starved_limits.rs
+++ b/crates/mustardcove-core/tests/starved_limits.rs
@@ -13,7 +13,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use fleet_world::{manifest, step, submission};
+use fleet_world::{manifest, silent_poller, step, submission};
 use mustardcove_core::{
     fleet::{
         id::{EndNumber, SubmissionId, TaskKey},
@@ -125,7 +125,7 @@
     let pace = |it: &(WorkerId, Order)| matches!(it.1, Order::Pace { .. });
     assert!(rig.orders.iter().any(pace), "the run is slowed down");
     rig.orders.clear();
-    rig.planner.poller_lost([&worker], rig.now.plus_ms(4_000));
+    rig.planner.poller_replaced(&worker, silent_poller(), rig.now.plus_ms(4_000));
     for percent in 15..30 {
         round(&mut rig, percent);
     }
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -30,8 +30,8 @@
         confirmation::MAX_STORELESS_MS,
         handover::{Handover, PollerId},
         id::{
-            BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber, SubmissionId, TaskKey,
-            Term,
+            AssignmentNumber, BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber,
+            SubmissionId, TaskKey, Term,
         },
         manifest::{Manifest, Queue, Service},
         message::{
@@ -152,6 +152,12 @@
     })
 }
 
+/// Returns a poller that tells nothing once its workers have another one.
+pub(crate) fn silent_poller() -> PollerId {
+    let process = "silent.1".parse().expect("a valid name");
+    PollerId { term: Term(1), process, assignment: AssignmentNumber(0) }
+}
+
 /// Returns a step of tasks that need `cpu` millicores.
 pub(crate) fn step(count: u16, cpu: u64, after: &[u16]) -> StepSpec {
     StepSpec {
@@ -886,7 +892,7 @@
             self.orphan(leader, worker);
             let id = self.workers[worker].id.clone();
             let state = &mut self.leaders[leader];
-            if poller.is_some() {
+            if let Some(poller) = poller {
                 let expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
                 state.planner.poller_replaced(&id, poller, expire_by);
             }
@@ -999,12 +1005,6 @@
         side.is_none_or(|it| it.reaches(self.workers[worker].side))
     }
 
-    /// Elects a new leader; the one before goes on until it is dropped.
-    pub(crate) fn elect(&mut self) {
-        let predecessor = self.term;
-        self.revision += 1;
-        self.claims += 1;
-        self.term = Term(self.revision);
     /// Elects a leader while the one before goes on for a while, as if it were cut off
     /// from the store only.
     pub(crate) fn elect_beside(&mut self, ms: u64) {
@@ -1019,6 +1019,12 @@
         self.leaders.drain(..last);
     }
 
+    /// Elects a new leader; the one before goes on until it is dropped.
+    pub(crate) fn elect(&mut self) {
+        let predecessor = self.term;
+        self.revision += 1;
+        self.claims += 1;
+        self.term = Term(self.revision);
         let earlier_leases_expire_by = match self.claims {
             1 => self.now,
             _ => self.now.plus_ms(MAX_ORPHAN_LEASE_MS),
@@ -1286,7 +1292,8 @@
         let poller = std::mem::take(&mut state.pollers[worker]);
         state.orphans.push(Orphan { worker, poller, process: None, id: None, heartbeat_at: now });
         state.fails_at[worker] = None;
-        state.planner.poller_lost([&id], now.plus_ms(MAX_ORPHAN_LEASE_MS));
+        let expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+        state.planner.poller_replaced(&id, silent_poller(), expire_by);
     }
 
     fn poll_orphaned(&mut self, leader: usize) {
--- a/crates/mustardcove-core/tests/worker_leases.rs
+++ b/crates/mustardcove-core/tests/worker_leases.rs
@@ -8,7 +8,7 @@
 #[expect(dead_code, reason = "shared with tests that need more of it")]
 mod planner_rig;
 
-use fleet_world::{manifest, step, submission};
+use fleet_world::{manifest, silent_poller, step, submission};
 use mustardcove_core::{
     fleet::{
         id::{BootMillis, EndNumber, Incarnation},
@@ -193,7 +193,7 @@
     for _ in 0..3 {
         rig.advance(1_000);
         let orphan_leases_expire_by = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
-        rig.planner.poller_lost([&worker], orphan_leases_expire_by);
+        rig.planner.poller_replaced(&worker, silent_poller(), orphan_leases_expire_by);
         rig.planner.report(&worker, poll_failed(None), rig.now);
         rig.planner.tick(rig.now);
     }
@@ -208,7 +208,7 @@
 fn poller_lost_after_extension() {
     let (mut rig, worker) = long_running_task();
     let orphan_leases_expire_by = rig.now.plus_ms(MAX_ORPHAN_LEASE_MS);
-    rig.planner.poller_lost([&worker], orphan_leases_expire_by);
+    rig.planner.poller_replaced(&worker, silent_poller(), orphan_leases_expire_by);
     rig.planner.report(&worker, poll_failed(None), rig.now);
     let after_ms = given_up_after_ms(&mut rig);
     assert!(MAX_ORPHAN_LEASE_MS <= after_ms, "given up after {after_ms} ms");
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -574,7 +574,7 @@
         self.update_confirmation(now);
         let leases_expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
         for (worker, poller) in self.pollers.update(&self.planner, now) {
-            self.planner.poller_replaced(&worker, Some(poller), leases_expire_by);
+            self.planner.poller_replaced(&worker, poller, leases_expire_by);
         }
         // While no process reaches the store, the last list is the best there
         // is, and work goes on.
