--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,70 +1,68 @@
-"""A gang that saves progress goes on after one of its workers has crashed."""
+"""Requesters leave before their answer and cancel, while answers of the store are lost."""
 
 import asyncio
 import os
+import random
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "support-3"))
 import fleet as f  # noqa: E402
 
-GANG = {"Count": 4, "Cpu": 1000, "MemMb": 256, "EstimatedMs": 7000, "Gang": True,
-        "SavesProgress": True}
-IDS = [f"{0xA1B2C3D400000000 + i:016x}" for i in range(6)]
+STEP = {"Count": 2, "Cpu": 500, "MemMb": 128, "EstimatedMs": 1000}
+CANCEL_MS = 3000
+LOST_S = 4.5  # platform_lost: for_s = 4.5, x = 0.35, how = "late" (done 1 to 6 s later)
+SHARE = 0.35
+LEAVE_S = 0.25  # give_up: within half of the objective
 
 
-def check(fleet):
-    """The rules on what the workers were told and what they listed."""
-    values = {}
-    for _, task, number, _, checkpoint in fleet.starts:
-        values.setdefault((task.rsplit(".", 1)[0], number), set()).add(checkpoint)
-    for (step, number), sent in sorted(values.items()):
-        if 1 < len(sent):
-            fleet.breaks("UNASKED", f"the members of run {number} of the gang {step} were told to "
-                                    f"start with different checkpoints: {sorted(sent)}")
+async def leave_and_cancel(system, sid, cancelled):
+    """A requester that leaves, and then cancels what it has sent."""
+    node = random.choice(system.nodes)
+    system.fleet.work[(sid, 0)] = f.Work(sid, 0, STEP, 1000)
+    body = {"TaskSpec": f"task of {sid}", "Steps": [STEP]}
+    status, answer = await f.call(node.front, "POST", f.PREFIX + sid, body, timeout=LEAVE_S)
+    system.record(f"client: POST {sid} at {node.name}: {status or answer}")
+    if status is not None:
+        return
+    for _ in range(5):
+        other = random.choice(system.nodes)
+        status, answer = await f.call(other.front, "DELETE", f.PREFIX + sid, timeout=3.0)
+        system.record(f"client: DELETE {sid} at {other.name}: {status or answer}")
+        if status is not None and (status // 100 == 2 or status == 410):
+            cancelled[sid] = (time.monotonic(), status)
+            return
 
 
 async def body(system, trouble):
     await system.open(nodes=3, workers=8, racks=4, cpu=8000)
-    fleet = system.fleet
-    for sid in IDS:
-        status = await system.submit(sid, [GANG], 7000)
-        if status != 200:
-            raise RuntimeError(f"not accepted: {status}")
-        await asyncio.sleep(0.27)
-    until = asyncio.get_running_loop().time() + 15
-    while asyncio.get_running_loop().time() < until:
-        whole = [it for it in fleet.gangs.values() if it.whole]
-        if len(whole) == len(IDS):
-            break
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(2.0)
+    fleet, cancelled, clients = system.fleet, {}, []
+    await asyncio.sleep(2)
     if trouble:
-        # One of eight workers crashes: srv_crash, with how = dark.
-        hosts = [it.worker for it in fleet.gangs.values() for it in it.members.values()]
-        victim = max(set(hosts), key=hosts.count)
-        fleet.disruption(f"worker {victim.id} crashes and is back after 4.5 s")
-        victim.crash()
-        await asyncio.sleep(4.5)
-        await victim.begin()
-        fleet.disruption(f"worker {victim.id} is back")
-    # GANG: no disruption is near from ContactMs after it.
-    until = asyncio.get_running_loop().time() + 45
-    alone_from = asyncio.get_running_loop().time() + f.CONTACT_S
-    states = {}
-    while asyncio.get_running_loop().time() < until:
-        states = {sid: await system.state(sid) for sid in IDS}
-        if all(it == "completed" for it in states.values()):
-            break
-        await asyncio.sleep(1)
-    system.record(f"states at the end: {states}")
-    check(fleet)
-    for at, task, number, how, worker in fleet.ends:
-        if how == "alone" and alone_from < at:
-            fleet.breaks("GANG", f"{task} run {number} on {worker} ends alone, no disruption near")
-    for sid, state in states.items():
-        if state != "completed":
-            fleet.breaks("LOST", f"{sid} is {state}, 45 s after the worker is back, with room for it")
+        fleet.disruption(f"{SHARE:.0%} of the writes to the store are done late and not answered")
+        system.store.late = lambda _: random.uniform(1, 6) if random.random() < SHARE else None
+    began = time.monotonic()
+    while time.monotonic() - began < LOST_S:
+        sid = f"{random.getrandbits(64):016x}"
+        clients.append(asyncio.create_task(leave_and_cancel(system, sid, cancelled)))
+        await asyncio.sleep(0.04)
+    system.store.late = None
+    over = time.monotonic()
+    system.record("disruption: the store answers all writes again")
+    await asyncio.gather(*clients)
+    await asyncio.sleep(12)
+    # UNASKED counts for machines in touch: the core is stable from ContactMs on.
+    for at, task, number, worker, _ in fleet.starts:
+        sid = task.split(".")[0]
+        if sid not in cancelled or at < over + f.CONTACT_S:
+            continue
+        after = at - cancelled[sid][0]
+        if CANCEL_MS / 1000 < after:
+            fleet.breaks("UNASKED", f"{task} run {number} starts on {worker.id} {after:.2f} s after its "
+                                    f"cancelling was answered {cancelled[sid][1]}, and "
+                                    f"{at - over:.2f} s after the store was sound again")
+    system.record(f"{len(clients)} submissions, {len(cancelled)} cancelled by those who had left")
 
 
 f.run_case(HERE, body)
