--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -361,7 +361,8 @@
         self.base = now_ms()
         self.fence, self.lease, self.seq = 0, 0.0, 0
         self.runs, self.ended, self.next_end, self.seen = {}, [], 1, 0
-        self.refused = {}
+        self.refused, self.listed, self.on_listed = {}, {}, None
+        self.state = "ready"
         self.wake = asyncio.Event()
         self.server = await Server(self.handle).open()
         self.port = self.server.port
@@ -373,7 +374,7 @@
             self.seq += 1
             self.fleet.store.put(f"servers/{self.id}", {
                 "Service": SERVICE, "Address": f"{IP}:{self.port}", "Zone": self.zone,
-                "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
+                "Version": "v1", "Slots": 8, "State": self.state, "ColdLeftMs": 0,
                 "Capacity": {"Cpu": self.cpu, "MemMb": 64000, "Gpu": 0},
                 "Labels": ["a", self.rack], "Machine": f"m-{self.name}",
                 "ClockMs": int(self.clock()), "Seq": self.seq, "born": self.born})
@@ -397,6 +398,18 @@
 
         asyncio.get_running_loop().create_task(lapse())
 
+    def drain(self):
+        """Reports that it is about to leave, which the store accepts at once."""
+        self.state = "draining"
+        self.beat_task.cancel()
+        self.beat_task = asyncio.get_running_loop().create_task(self.beat(self.life))
+
+    def leave(self):
+        """Exits: everything that runs on it terminates, and its entry is removed."""
+        self.fleet.record(f"{self.id}: leaves")
+        self.crash()
+        self.fleet.store.delete(f"servers/{self.id}")
+
     def clock(self):
         return now_ms() - self.base + 1000
 
@@ -513,6 +526,9 @@
         self.advance()
         rows = [[r.task, r.number, r.saved(), r.percent(), r.work.spec["Cpu"]]
                 for r in self.runs.values()]
+        for end in self.ended[:LISTED]:
+            if self.listed.setdefault(end[0], time.monotonic()) and self.on_listed:
+                self.on_listed(self, end)
         return self.ok(Running=rows, EndedRuns=self.ended[:LISTED])
 
     def start(self, msg):
@@ -653,6 +669,12 @@
             await node.start()
         until = time.monotonic() + 20
         while time.monotonic() < until:
+            for i, node in enumerate(self.nodes):
+                if node.process.returncode is not None:
+                    # Another program has taken one of its ports meanwhile.
+                    self.nodes[i] = Node(self.folder.name, node.name, list(zones)[i % 2],
+                                         self.store.server.port, zones, advice.port if advice else None)
+                    await self.nodes[i].start()
             answers = [await call(it.ready, "GET", "/readiness", timeout=1) for it in self.nodes]
             if all(it[0] == 200 for it in answers):
                 return self
