--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import sys
-import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "support-3"))
@@ -13,9 +12,11 @@
 
 async def body(system, trouble):
     sid = await lasting.begin(system)
-    first, second, third = system.nodes
     watch = asyncio.create_task(lasting.watch(system, sid, 60))
     if trouble:
+        # That which leads is among the first two.
+        first = lasting.leader(system)
+        second, third = [it for it in system.nodes if it is not first]
         system.fleet.disruption("two of three machines are lost for good")
         await asyncio.gather(system.replace(first, 2), system.replace(second, 2))
         await asyncio.sleep(8)
