--- a/review/support-3/fleet.py
+++ b/review/support-3/fleet.py
@@ -20,7 +20,7 @@
 
 REPO = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 IP = "127.0.0.1"
-HOST, PREFIX, SERVICE = "queue.example", "/work/", "press"
+HOST, PREFIX, SERVICE = "queue.example", "/binding/", "press"
 HOLD_MAX_MS = 10_000
 STOP_GRACE_MS = 400
 GANG_TIMEOUT_MS = 3_000
@@ -657,13 +657,13 @@
         self.fleet = Fleet(self.record, self.store)
         self.attempts, self.advice, self.rejects = attempts, advice, rejects
         self.write_manifest()
-        zones = {"north": "land", "south": "land"}
+        self.zones = zones = {"north": "land", "south": "land", "west": "land"}
         for i in range(workers):
-            worker = Worker(self.fleet, f"w{i}", list(zones)[i % 2], f"r{i % racks}", cpu)
+            worker = Worker(self.fleet, f"w{i}", list(zones)[i % 3], f"r{i % racks}", cpu)
             await worker.begin()
         self.ticking = asyncio.get_running_loop().create_task(self.tick())
         for i in range(nodes):
-            node = Node(self.folder.name, f"node-{i}", list(zones)[i % 2], self.store.server.port,
+            node = Node(self.folder.name, f"node-{i}", list(zones)[i % 3], self.store.server.port,
                         zones, advice.port if advice else None)
             self.nodes.append(node)
             await node.start()
@@ -672,7 +672,7 @@
             for i, node in enumerate(self.nodes):
                 if node.process.returncode is not None:
                     # Another program has taken one of its ports meanwhile.
-                    self.nodes[i] = Node(self.folder.name, node.name, list(zones)[i % 2],
+                    self.nodes[i] = Node(self.folder.name, node.name, list(zones)[i % 3],
                                          self.store.server.port, zones, advice.port if advice else None)
                     await self.nodes[i].start()
             answers = [await call(it.ready, "GET", "/readiness", timeout=1) for it in self.nodes]
@@ -681,6 +681,19 @@
             await asyncio.sleep(0.2)
         raise RuntimeError("the processes did not become ready")
 
+    async def replace(self, node, after_s):
+        """Loses a machine for good; a spare one of its zone takes its place later."""
+        i = self.nodes.index(node)
+        self.record(f"{node.name} is lost for good")
+        node.send(signal.SIGKILL)
+        await node.process.wait()
+        await asyncio.sleep(after_s)
+        new = Node(self.folder.name, f"spare-{i}", list(self.zones)[i % 3], self.store.server.port,
+                   self.zones, self.advice.port if self.advice else None)
+        self.nodes[i] = new
+        await new.start()
+        self.fleet.disruption(f"{new.name} is added in the place of {node.name}, at another address")
+
     def write_manifest(self, routes=None):
         self.version += 1
         route = {"Name": "r-1", "Hostname": HOST, "Prefix": PREFIX, "RouteType": "unsafe",
