Let workers be witnesses of which leader is obeyed

Cause: a successor knew only from members that earlier leaders are powerless: half of them had to join it or to end, and one of them before a leader outside the list polled anything. A machine that is lost for good does neither, and its replacement has another name. What remained were the bounds on the time without the store.

Change: without the store a leader also needs recent answers from most recorded workers (core fleet::witnesses). A leader outside the list of members asks workers what runs there, without leases or orders until that proof. The record of workers changes only afterwards, so that both count the same ones. The decision was made twice, in the node and in the simulated fleet, and is now core fleet::predecessors.

--- a/crates/mustardcove-core/src/fleet/confirmation.rs
+++ b/crates/mustardcove-core/src/fleet/confirmation.rs
@@ -9,14 +9,16 @@
 //! | confirmation | through | what it shows |
 //! |---|---|---|
 //! | the store names this term | when the store was asked | nobody had claimed the leadership |
-//! | every member obeys this term | the oldest heartbeat that they acknowledge | nobody polled workers in a later term |
-//! | most members do | that which most acknowledge | no successor had been joined by half of them |
+//! | every member obeys this term, and most workers answer it | the oldest heartbeat that they acknowledge | nobody had ordered anything in a later term |
+//! | most members do, and most workers answer it | that which most acknowledge | no successor had been joined by half of the members, or answered by half of the workers |
 //!
-//! The store says which processes the [members](super::members) are. The third
-//! confirmation serves an outage of the store. It permits leases and starts,
-//! since a successor counts the leases of this term from when half of the
-//! members have joined it. It is no proof that a silent worker's runs have
-//! ended: a successor may have reached that worker.
+//! The store says which processes the [members](super::members) are, and which
+//! workers the [witnesses](super::witnesses). The second and the third
+//! confirmation serve an outage of the store. The third permits leases and
+//! starts, since a successor counts the leases of this term from when half of the
+//! members have joined it or half of the workers have answered it. It is no proof
+//! that a silent worker's runs have ended: a successor may have reached that
+//! worker.
 //!
 //! Load pattern: regions lose each other with a leader and workers on either
 //! side, beside outages of the store in which work has to go on. See section 5
@@ -27,13 +29,17 @@
 use super::id::BootMillis;
 use crate::time::Timestamp;
 
-/// Longest time without the store for which most of the processes suffice, in
-/// milliseconds. A successor that half of the processes never join waits for
-/// as long.
+/// Longest time without the store for which most of the processes and workers
+/// suffice, in milliseconds. A successor waits for as long that neither half of
+/// the processes join nor half of the workers answer.
 pub const MAX_STORELESS_MS: u64 = 60_000;
-/// Longest time without the store for which all members suffice, in milliseconds.
-/// A successor that none of them ever joins waits for as long.
+/// Longest time without the store for which all members and most workers suffice,
+/// in milliseconds. A successor waits for as long that no member joins and that
+/// half of the workers do not answer.
 pub const MAX_UNANIMOUS_MS: u64 = 600_000;
+/// Age of the last confirmation by the store from which on others are collected,
+/// in milliseconds: the time of two questions and a slow answer.
+const STORE_RECENT_MS: u64 = 600;
 /// Shortest time between two reports that are kept, in milliseconds.
 const KEPT_REPORT_INTERVAL_MS: u64 = 50;
 /// Most reports that are kept, which cover several times the duration of a
@@ -48,6 +54,8 @@
     /// The same on the boot clock, which goes on while the machine is
     /// suspended.
     store_boot: BootMillis,
+    /// Through which all members, or most of them, obey this term and most workers
+    /// answer it.
     everyone: Option<Timestamp>,
     majority: Option<Timestamp>,
 }
@@ -66,10 +74,12 @@
 
     /// Records when the newest heartbeat was sent that each member has
     /// acknowledged, for each list of members that has to agree; `None` for those
-    /// that acknowledged none.
-    pub fn members_heard(
+    /// that acknowledged none. Most workers have answered what was asked after
+    /// `workers`; `None` if they have not.
+    pub fn heard(
         &mut self,
         lists: impl IntoIterator<Item = Vec<Option<Timestamp>>>,
+        workers: Option<Timestamp>,
         now: BootMillis,
     ) {
         let sorted = |mut heard: Vec<Option<Timestamp>>| {
@@ -79,14 +89,14 @@
         let lists: Vec<_> = lists.into_iter().map(sorted).collect();
         // `None` is the smallest.
         let most = lists.iter().map(|it| it.get(it.len() / 2).copied().flatten());
-        self.majority = most.min().flatten();
+        self.majority = most.min().flatten().min(workers);
         let all = lists.iter().map(|it| it.last().copied().flatten());
         let is_recent = now.ms_since(self.store_boot) < MAX_UNANIMOUS_MS;
-        self.everyone = all.min().flatten().filter(|_| is_recent);
+        self.everyone = all.min().flatten().min(workers).filter(|_| is_recent);
     }
 
-    /// Returns the time through which no other process can have polled workers in a
-    /// later term.
+    /// Returns the time through which no other process can have granted or ordered
+    /// anything in a later term.
     pub fn sole_through(&self) -> Timestamp {
         self.everyone.map_or(self.store, |it| it.max(self.store))
     }
@@ -99,12 +109,19 @@
         self.sole_through().max(majority)
     }
 
+    /// Returns whether the workers have to answer soon, since the store has not
+    /// confirmed the term for a while.
+    pub fn needs_witnesses(&self, now: Timestamp) -> bool {
+        STORE_RECENT_MS <= now.ms_since(self.store)
+    }
+
     /// Returns when the store was asked that confirmed the term last.
     pub fn store_through(&self) -> Timestamp {
         self.store
     }
 
-    /// Returns the newest heartbeat that most processes have acknowledged.
+    /// Returns the newest heartbeat that most processes have acknowledged, and after
+    /// which most workers were asked.
     pub fn majority_through(&self) -> Option<Timestamp> {
         self.majority
     }
--- a/crates/mustardcove-core/src/fleet/members.rs
+++ b/crates/mustardcove-core/src/fleet/members.rs
@@ -10,14 +10,16 @@
 //! leader that the store names changes it, one change at a time, under a condition
 //! on both records:
 //!
-//! - A leader changes the list only after half of the members have joined it, or
-//!   have ended. From then on no earlier leader can be obeyed by most of the list
-//!   that it knows, so it does not matter that it knows an older one.
+//! - A leader changes the list only after half of the members have joined it or
+//!   have ended, or half of the workers have answered it
+//!   ([`witnesses`](super::witnesses)). From then on no earlier leader can be
+//!   permitted anything, so it does not matter that it knows an older list.
 //! - While the outcome of a change is open, the leader needs both lists, since its
 //!   successor may find either.
-//! - A leader that is not a member polls no worker until one of the members has
-//!   joined it or has ended. Every member could otherwise obey an earlier leader,
-//!   which takes that for the proof that it is the only one.
+//! - A leader that is not a member only asks workers what runs there, and grants
+//!   and orders nothing, until one of the members has joined it or has ended, or
+//!   half of the workers have answered. Every member could otherwise obey an earlier
+//!   leader, which takes that for the proof that it is the only one.
 //!
 //! A member is added once it is registered and reports. It is removed once it has
 //! ended, as its record is gone or names the next process on that instance, or has
@@ -26,19 +28,16 @@
 //! it reports.
 //!
 //! If most members are lost for good at once, a successor cannot be joined by half
-//! of them. It then waits until every earlier leader has lost its permission, which
-//! is limited without the store.
+//! of them, and the workers have to answer. If most of these are lost as well, it
+//! waits until every earlier leader has lost its permission, which is limited
+//! without the store.
 
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use super::{confirmation::MAX_STORELESS_MS, poller::MAX_ORPHAN_LEASE_MS};
 use crate::{id::ProcessId, time::Timestamp};
 
-/// Time from a claim after which no earlier leader is permitted anything without the
-/// store, in milliseconds.
-pub const EARLIER_TERMS_MS: u64 = MAX_STORELESS_MS + MAX_ORPHAN_LEASE_MS;
 /// Time without a report after which a member is removed, in milliseconds: longer
 /// than restarts and most cuts, which would otherwise change the list twice.
 pub const MEMBER_SILENT_MS: u64 = 10_000;
@@ -133,9 +132,9 @@
         })
     }
 
-    /// Returns whether a leader in a process may poll workers: not every member can
-    /// obey an earlier one.
-    pub fn may_poll(
+    /// Returns whether not every member can obey an earlier leader than the one in a
+    /// process.
+    pub fn has_any_left(
         &self,
         own: &ProcessId,
         state: impl Fn(&ProcessId, &str) -> MemberState,
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -94,9 +94,8 @@
         /// The evacuated domains, if the sender's list is newer than that of the
         /// leader's last heartbeat.
         evacuations: Option<EvacuationList>,
-        /// One or several reports for each worker, in order, each with the
-        /// assignment under which it was made.
-        reports: Vec<(WorkerId, AssignmentNumber, WorkerReport)>,
+        /// One or several reports for each worker, in order.
+        reports: Vec<ReportRow>,
         /// Places of callers that the sender told to come back, and that are not
         /// in the leader's last heartbeat.
         places: Vec<Place>,
@@ -192,6 +191,9 @@
     /// Time for which the receiver collects reports before it sends them, in
     /// milliseconds.
     pub report_delay_ms: u64,
+    /// Whether workers must not hold polls for long, since the leader lacks the
+    /// store and needs recent answers; see [`witnesses`](super::witnesses).
+    pub needs_witnesses: bool,
     /// The version of the manifest that its plan uses.
     pub manifest: ManifestVersion,
     /// Waiting submissions by queue (host and prefix); `None` while the leader
@@ -279,6 +281,20 @@
     pub may_have_started: bool,
 }
 
+/// A report on a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportRow {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The assignment under which it was made.
+    pub assignment: AssignmentNumber,
+    /// [`Heartbeat::sent_at`] of the last heartbeat of this term that the sender had
+    /// received when it made the call; `None` if it had received none.
+    pub asked_after: Option<Timestamp>,
+    /// The report.
+    pub report: WorkerReport,
+}
+
 /// The result of a call to a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum WorkerReport {
--- a/crates/mustardcove-core/src/fleet/roster.rs
+++ b/crates/mustardcove-core/src/fleet/roster.rs
@@ -13,7 +13,7 @@
 //! value stays small. A worker leaves it once nothing can run there and no end
 //! there is unacknowledged.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +50,11 @@
     /// Workers that it has to contain.
     wanted: BTreeMap<WorkerId, WorkerListing>,
     is_changed: bool,
+    /// Workers of each value that was sent since the record was last known, and
+    /// may be stored.
+    sent: Vec<BTreeSet<WorkerId>>,
+    /// Workers that the record had when it was last known.
+    known: BTreeSet<WorkerId>,
     /// Whether its record cannot be read and is to be replaced.
     is_unreadable: bool,
 }
@@ -70,8 +75,13 @@
         let workers: BTreeMap<WorkerId, WorkerListing> =
             value.workers.into_iter().map(|it| (it.worker.clone(), it)).collect();
         self.segment_of.extend(workers.keys().map(|it| (it.clone(), segment)));
-        self.segments[segment] =
-            Segment { revision, recorded: workers.clone(), wanted: workers, ..Segment::default() };
+        self.segments[segment] = Segment {
+            revision,
+            known: workers.keys().cloned().collect(),
+            recorded: workers.clone(),
+            wanted: workers,
+            ..Segment::default()
+        };
     }
 
     /// Adds a segment whose record, at this revision, cannot be read.
@@ -192,10 +202,45 @@
         changed.map(write).collect()
     }
 
+    /// Records that segments are sent to the store, which may take effect without
+    /// an answer.
+    pub fn sent(&mut self, writes: &[RosterWrite]) {
+        for it in writes {
+            let workers = it.value.workers.iter().map(|it| it.worker.clone()).collect();
+            let sent = &mut self.segments[it.segment].sent;
+            if !sent.contains(&workers) {
+                sent.push(workers);
+            }
+        }
+    }
+
+    /// Returns the workers that the store names whatever became of the writes that
+    /// were not answered.
+    pub fn certain(&self) -> impl Iterator<Item = &WorkerId> {
+        self.segments.iter().flat_map(|segment| {
+            let is_certain = |it: &&WorkerId| segment.sent.iter().all(|sent| sent.contains(*it));
+            segment.known.iter().filter(is_certain)
+        })
+    }
+
+    /// Returns the number of workers that the store names at most.
+    pub fn possible_count(&self) -> usize {
+        let count = |it: &Segment| {
+            if it.sent.is_empty() {
+                return it.known.len();
+            }
+            let possible: BTreeSet<_> = it.known.iter().chain(it.sent.iter().flatten()).collect();
+            possible.len()
+        };
+        self.segments.iter().map(count).sum()
+    }
+
     /// Records that a segment was written, as this revision.
     pub fn stored(&mut self, write: RosterWrite, revision: u64) {
         let segment = &mut self.segments[write.segment];
         segment.revision = revision;
+        segment.known = write.value.workers.iter().map(|it| it.worker.clone()).collect();
+        segment.sent.clear();
         segment.recorded =
             write.value.workers.into_iter().map(|it| (it.worker.clone(), it)).collect();
         segment.is_changed = segment.recorded != segment.wanted;
--- a/crates/mustardcove-core/tests/leader_confirmation.rs
+++ b/crates/mustardcove-core/tests/leader_confirmation.rs
@@ -84,7 +84,11 @@
         for obeying in 0..=processes {
             let mut confirmation = claimed();
             let heard = |it| (it < obeying).then_some(heard_at);
-            confirmation.members_heard([(0..processes).map(heard).collect()], boot(heard_at));
+            confirmation.heard(
+                [(0..processes).map(heard).collect()],
+                Some(Timestamp::MAX),
+                boot(heard_at),
+            );
             let is_most = processes < 2 * obeying;
             let expected = if is_most { heard_at } else { START };
             let permitted_from = confirmation.permitted_from(boot(heard_at));
@@ -101,11 +105,11 @@
 fn oldest_of_majority() {
     let mut confirmation = claimed();
     let heard = [900, 100, 500, 700].map(|it| Some(START.plus_ms(it)));
-    confirmation.members_heard([heard.to_vec()], boot(START));
+    confirmation.heard([heard.to_vec()], Some(Timestamp::MAX), boot(START));
     assert_eq!(confirmation.majority_through(), Some(START.plus_ms(500)));
     assert_eq!(confirmation.sole_through(), START.plus_ms(100));
     let heard = vec![Some(START.plus_ms(900)), Some(START.plus_ms(800)), None];
-    confirmation.members_heard([heard], boot(START));
+    confirmation.heard([heard], Some(Timestamp::MAX), boot(START));
     assert_eq!(confirmation.sole_through(), START, "one of them may lead or obey another");
     assert_eq!(confirmation.permitted_from(boot(START)), START.plus_ms(800));
 }
@@ -116,17 +120,17 @@
 fn storeless_limit() {
     let mut confirmation = claimed();
     let last = START.plus_ms(MAX_STORELESS_MS - 1);
-    confirmation.members_heard([vec![Some(last), Some(last), None]], boot(last));
+    confirmation.heard([vec![Some(last), Some(last), None]], Some(Timestamp::MAX), boot(last));
     assert_eq!(confirmation.permitted_from(boot(last)), last);
     assert_eq!(confirmation.permitted_from(boot(last.plus_ms(1))), START);
     let asked_at = START.plus_ms(5_000);
     confirmation.store_answered(asked_at, boot(asked_at));
     assert_eq!(confirmation.permitted_from(boot(last.plus_ms(1))), last);
-    confirmation.members_heard([vec![Some(last); 3]], boot(last));
+    confirmation.heard([vec![Some(last); 3]], Some(Timestamp::MAX), boot(last));
     let later = boot(last.plus_ms(MAX_STORELESS_MS));
     assert_eq!(confirmation.permitted_from(later), last, "nobody obeys a successor");
     let heard_at = START.plus_ms(6_000 + MAX_UNANIMOUS_MS);
-    confirmation.members_heard([vec![Some(heard_at); 3]], boot(heard_at));
+    confirmation.heard([vec![Some(heard_at); 3]], Some(Timestamp::MAX), boot(heard_at));
     assert_eq!(confirmation.sole_through(), asked_at, "a successor may not know any of them");
 }
 
@@ -136,10 +140,10 @@
     let mut confirmation = claimed();
     let (earlier, later) = (START.plus_ms(100), START.plus_ms(900));
     let lists = [vec![Some(later), Some(earlier), None], vec![Some(later), Some(later), None]];
-    confirmation.members_heard(lists, boot(later));
+    confirmation.heard(lists, Some(Timestamp::MAX), boot(later));
     assert_eq!(confirmation.majority_through(), Some(earlier));
     let lists = [vec![Some(later); 3], vec![Some(later), None, None]];
-    confirmation.members_heard(lists, boot(later));
+    confirmation.heard(lists, Some(Timestamp::MAX), boot(later));
     assert_eq!(confirmation.majority_through(), None);
     assert_eq!(confirmation.sole_through(), START);
 }
@@ -149,7 +153,7 @@
 fn suspended_machine() {
     let mut confirmation = claimed();
     let heard = vec![Some(START.plus_ms(100)), Some(START.plus_ms(100)), None];
-    confirmation.members_heard([heard], boot(START));
+    confirmation.heard([heard], Some(Timestamp::MAX), boot(START));
     let resumed = boot(START).plus_ms(MAX_STORELESS_MS);
     assert_eq!(confirmation.permitted_from(resumed), START);
 }
--- a/crates/mustardcove-core/tests/member_list.rs
+++ b/crates/mustardcove-core/tests/member_list.rs
@@ -90,11 +90,11 @@
 #[test]
 fn newcomer_leads() {
     let members = stored(0..3);
-    assert!(members.may_poll(&process(1), states(&[])));
-    assert!(!members.may_poll(&process(7), states(&[(0, SILENT)])));
-    assert!(members.may_poll(&process(7), states(&[(0, MemberState::Joined)])));
-    assert!(members.may_poll(&process(7), states(&[(2, MemberState::Ended)])));
-    assert!(Members::default().may_poll(&process(7), states(&[])));
+    assert!(members.has_any_left(&process(1), states(&[])));
+    assert!(!members.has_any_left(&process(7), states(&[(0, SILENT)])));
+    assert!(members.has_any_left(&process(7), states(&[(0, MemberState::Joined)])));
+    assert!(members.has_any_left(&process(7), states(&[(2, MemberState::Ended)])));
+    assert!(Members::default().has_any_left(&process(7), states(&[])));
 }
 
 /// One step of a schedule of leaders that follow each other.
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -27,7 +27,6 @@
 pub(crate) use leader_processes::{Side, SimProcess};
 use mustardcove_core::{
     fleet::{
-        confirmation::MAX_STORELESS_MS,
         handover::{Handover, PollerId},
         id::{
             AssignmentNumber, BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber,
@@ -372,8 +371,9 @@
 pub(crate) struct Leader {
     pub(crate) planner: Planner,
     roster: Roster,
-    /// Reports that it has not handled, each with the time when it was sent.
-    unhandled: VecDeque<(Timestamp, WorkerId, WorkerReport)>,
+    /// Reports that it has not handled, each with the time when it was sent and with
+    /// the heartbeat after which the worker was asked.
+    unhandled: VecDeque<(Timestamp, WorkerId, Option<Timestamp>, WorkerReport)>,
     /// How old reports are when they are handled, in milliseconds.
     pub(crate) lag_ms: u64,
     /// When the newest report was sent that it has handled.
@@ -393,6 +393,21 @@
     leadership: Option<Leadership>,
 }
 
+impl Leader {
+    /// Records that a worker has answered a poll.
+    fn record_witness(
+        &mut self,
+        worker: &WorkerId,
+        asked_after: Option<Timestamp>,
+        report: &WorkerReport,
+        now: Timestamp,
+    ) {
+        if let (Some(it), WorkerReport::Polled(poll)) = (&mut self.leadership, report) {
+            it.witnesses.answered(worker, poll.incarnation, asked_after, now);
+        }
+    }
+}
+
 /// A start that its process has not sent yet.
 #[derive(Debug)]
 struct HeldStart {
@@ -629,11 +644,10 @@
         if let Some((list, revision)) = &self.members {
             leadership.members.stored(list.clone(), *revision);
         }
+        leadership.witnesses.restore(Some(leader.roster.worker_ids().cloned().collect()));
+        let expire_by = leadership.predecessors(now).leases_expire_by();
         leader.leadership = Some(leadership);
-        // Until half of the processes have joined, most may obey an earlier
-        // leader.
-        let expire_by = if self.claims == 1 { now } else { now.plus_ms(MAX_ORPHAN_LEASE_MS) };
-        leader.planner.set_unfenced_leases_expire_by(expire_by.plus_ms(MAX_STORELESS_MS));
+        leader.planner.set_unfenced_leases_expire_by(expire_by);
         leader.planner.set_confirmed(now, false);
         self.read_evacuations(process);
     }
@@ -808,10 +822,11 @@
             self.change_members(leader);
         }
         if is_heartbeat_due {
+            let may_order = self.may_order(leader);
             let known = self.leaders[leader].leadership.as_ref().map_or(0, |it| it.known.len());
             for process in 0..known {
                 let Some(it) = &self.leaders[leader].leadership else { return };
-                let covered = it.known[process].reports.covered();
+                let covered = it.known[process].reports.covered().filter(|_| may_order);
                 if self.reaches_process(leader, process) {
                     if self.processes[process].term < term {
                         self.retire_pollers(process, leader);
@@ -852,26 +867,28 @@
         let now = self.now;
         let state = &mut self.leaders[leader];
         let Some(it) = &mut state.leadership else { return };
-        it.confirmation.members_heard(it.heard(), BootMillis(now.0));
+        let workers = it.witnesses.heard_through(&state.roster, it.confirmation.store_through());
+        it.confirmation.heard(it.heard(), workers, BootMillis(now.0));
         let permitted_from = it.confirmation.permitted_from(BootMillis(now.0));
         it.known.iter_mut().for_each(|it| it.reports.confirm(permitted_from));
         let is_recent = now.ms_since(permitted_from) < ORDER_MAX_AGE_MS;
         let may_start = is_recent && it.are_permitted(now);
         state.planner.set_confirmed(it.confirmation.sole_through(), may_start);
-        if !it.is_joined && it.is_joined_by_half(now) {
-            it.is_joined = true;
-            state.planner.set_unfenced_leases_expire_by(now.plus_ms(MAX_ORPHAN_LEASE_MS));
-        }
+        let expire_by = it.predecessors(now).leases_expire_by();
+        state.planner.set_unfenced_leases_expire_by(expire_by);
+    }
+
+    /// Returns whether a leader may order anything.
+    fn may_order(&mut self, leader: usize) -> bool {
+        let now = self.now;
+        let leadership = self.leaders[leader].leadership.as_mut();
+        leadership.is_none_or(|it| it.predecessors(now).may_order())
     }
 
     /// Assigns each worker to a process that reports, one of its own side if
     /// there is any.
     fn assign(&mut self, leader: usize) {
         let now = self.now;
-        let leadership = self.leaders[leader].leadership.as_mut();
-        if !leadership.is_some_and(|it| it.may_poll(now)) {
-            return;
-        }
         for worker in 0..self.workers.len() {
             let Some(it) = &self.leaders[leader].leadership else { return };
             let alive: Vec<usize> =
@@ -1243,7 +1260,7 @@
             return;
         }
         let now = self.now;
-        let mut process = None;
+        let (mut process, mut asked_after) = (None, None);
         if self.leaders[leader].leadership.is_some() {
             let place = self.workers.iter().position(|it| it.id == worker);
             let Some(place) = place.filter(|it| self.reaches_poller(leader, *it)) else { return };
@@ -1251,18 +1268,20 @@
                 return;
             }
             process = self.poller_of(leader, place);
+            asked_after = process.and_then(|it| self.processes[it].heartbeat_at);
         }
         let state = &mut self.leaders[leader];
         let is_frozen = now < state.frozen_until;
         if state.lag_ms == 0 && state.unhandled.is_empty() && !is_frozen {
             state.handled = now;
+            state.record_witness(&worker, asked_after, &report, now);
             state.planner.report(&worker, report, now);
             match (&mut state.leadership, process) {
                 (Some(it), Some(process)) => it.report_handled(process, now, now),
                 _ => state.planner.record_heard(&worker, now.minus_ms(HEARTBEAT_INTERVAL_MS)),
             }
         } else {
-            state.unhandled.push_back((now, worker, report));
+            state.unhandled.push_back((now, worker, asked_after, report));
         }
     }
 
@@ -1271,10 +1290,11 @@
         let now = self.now;
         let state = &mut self.leaders[leader];
         let lag_ms = state.lag_ms;
-        while let Some((sent_at, worker, report)) =
+        while let Some((sent_at, worker, asked_after, report)) =
             state.unhandled.pop_front_if(|it| lag_ms <= now.ms_since(it.0))
         {
             state.handled = sent_at;
+            state.record_witness(&worker, asked_after, &report, now);
             let report = report.to_local(ClockShift::new(sent_at, now));
             state.planner.report(&worker, report, now);
             // A world with processes records it with the heartbeat that they name.
@@ -1488,6 +1508,9 @@
         let planner = &mut self.leaders[leader].planner;
         planner.update_workers(usable, is_settled);
         self.apply_evacuations(leader);
+        if !self.may_order(leader) {
+            return;
+        }
         let planner = &mut self.leaders[leader].planner;
         planner.tick(now);
         let actions = planner.take_actions();
@@ -1626,8 +1649,10 @@
         for worker in unused {
             state.roster.remove(&worker);
         }
+        let leadership = state.leadership.as_mut();
+        let may_change = leadership.is_none_or(|it| it.predecessors(now).are_powerless());
         for write in state.roster.changes() {
-            if state.planner.term() == self.term && reaches_store {
+            if may_change && state.planner.term() == self.term && reaches_store {
                 self.revision += 1;
                 self.roster.insert(write.segment, (write.value.clone(), self.revision));
                 state.roster.stored(write, self.revision);
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -14,9 +14,11 @@
         evacuation::EvacuationList,
         handover::PollerId,
         id::{AssignmentNumber, BootMillis, SubmissionId, Term},
-        members::{EARLIER_TERMS_MS, MemberList, MemberState, Members},
+        members::{MemberList, MemberState, Members},
         planner::WorkerListing,
         poller::LeasePermission,
+        predecessors::{Evidence, Predecessors},
+        witnesses::Witnesses,
     },
     id::ProcessId,
     time::Timestamp,
@@ -130,8 +132,9 @@
     pub(crate) confirmation: Confirmation,
     began_at: Timestamp,
     pub(crate) members: Members,
-    pub(crate) is_polling: bool,
-    pub(crate) is_joined: bool,
+    predecessors: Predecessors,
+    /// What the workers have answered.
+    pub(crate) witnesses: Witnesses,
     /// When it may change the list of members next.
     pub(crate) change_members_at: Timestamp,
     pub(crate) known: Vec<KnownProcess>,
@@ -165,8 +168,8 @@
             confirmation: Confirmation::new(now, BootMillis(now.0)),
             began_at: now,
             members: Members::default(),
-            is_polling: false,
-            is_joined: false,
+            predecessors: Predecessors::new(now),
+            witnesses: Witnesses::default(),
             change_members_at: now,
             known: vec![KnownProcess::default(); processes],
             poller_of: vec![None; workers],
@@ -220,9 +223,17 @@
         self.members.lists().map(|list| list.0.keys().map(heard).collect()).collect()
     }
 
-    /// Returns whether half of the members have joined its term.
-    pub(crate) fn is_joined_by_half(&self, now: Timestamp) -> bool {
-        self.members.is_joined_by_half(|it, _| self.member_state(it, now))
+    /// Updates what is known of earlier leaders, and returns it.
+    pub(crate) fn predecessors(&mut self, now: Timestamp) -> Predecessors {
+        let own = member(self.process).0;
+        let state = |it: &ProcessId, _: &str| self.member_state(it, now);
+        let evidence = Evidence {
+            has_any_member_left: self.members.has_any_left(&own, state),
+            has_half_of_members_left: self.members.is_joined_by_half(state),
+            has_half_of_workers_left: self.witnesses.have_left_earlier(),
+        };
+        self.predecessors.update(evidence, now);
+        self.predecessors
     }
 
     /// Returns the poller of a worker in a term.
@@ -231,18 +242,9 @@
         Some(PollerId { term, process, assignment: self.assignments[worker] })
     }
 
-    /// Returns whether it may poll workers, which it may from then on.
-    pub(crate) fn may_poll(&mut self, now: Timestamp) -> bool {
-        let own = member(self.process).0;
-        self.is_polling =
-            self.is_polling || self.members.may_poll(&own, |it, _| self.member_state(it, now));
-        self.is_polling
-    }
-
     /// Returns the change of the members that it writes, if there is one.
     pub(crate) fn next_members(&mut self, now: Timestamp) -> Option<(MemberList, u64)> {
-        let are_earlier_over = EARLIER_TERMS_MS <= now.ms_since(self.began_at);
-        if !self.is_polling || !(are_earlier_over || self.is_joined_by_half(now)) {
+        if !self.predecessors(now).are_powerless() {
             return None;
         }
         let alive = (0..self.known.len()).filter(|it| self.is_alive(*it, now));
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -21,11 +21,11 @@
 use mustardcove_core::{
     fleet::{
         cadence,
-        confirmation::{Confirmation, MAX_STORELESS_MS},
+        confirmation::Confirmation,
         election::{Candidacy, HEARTBEAT_INTERVAL_MS},
         evacuation::EvacuationSource,
-        id::{AssignmentNumber, BootMillis, SubmissionId, Term},
-        message::{FleetMessage, Heartbeat, Order, WorkerReport},
+        id::{BootMillis, SubmissionId, Term},
+        message::{FleetMessage, Heartbeat, Order, ReportRow, WorkerReport},
         overload::{LoadReport, Place, Places},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
         poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, ORDER_MAX_AGE_MS},
@@ -173,10 +173,6 @@
     planner: Planner,
     pollers: Pollers,
     roster: Roster,
-    /// When the leases of earlier leaders have expired at the latest on workers
-    /// that were not polled in this term; `None` once half of the processes have
-    /// joined the term, which may bring that forward.
-    unjoined_leases_expire_by: Option<Timestamp>,
     /// The last list of service discovery, and when it was read.
     listed: Vec<WorkerListing>,
     listed_at: Timestamp,
@@ -232,8 +228,6 @@
     let now = shared.now();
     let manifest = shared.manifest().unwrap_or_default();
     let earlier_leases_expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
-    // Until half of the processes have joined, most may obey an earlier leader.
-    let unfenced_leases_expire_by = earlier_leases_expire_by.plus_ms(MAX_STORELESS_MS);
     let mut leader = Leader {
         shared: shared.clone(),
         term,
@@ -241,7 +235,6 @@
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
         pollers: Pollers::new(shared.clone(), term),
         roster: Roster::default(),
-        unjoined_leases_expire_by: Some(unfenced_leases_expire_by),
         listed: Vec::new(),
         listed_at: now,
         unanswered: Vec::new(),
@@ -267,7 +260,7 @@
         explain_at: now,
         end_reason: None,
     };
-    leader.planner.set_unfenced_leases_expire_by(unfenced_leases_expire_by);
+    leader.update_confirmation(now);
     leader.planner.set_cold_slack(shared.settings.cold_slack_ms);
     let _tasks = match leader.take_over(claim.predecessor).await {
         Ok(tasks) => tasks,
@@ -437,12 +430,15 @@
         &mut self,
         from: &ProcessId,
         sent_at: Timestamp,
-        reports: Vec<(WorkerId, AssignmentNumber, WorkerReport)>,
+        reports: Vec<ReportRow>,
         now: Timestamp,
     ) {
         let shift = ClockShift::new(sent_at, now);
-        for (worker, assignment, report) in reports {
+        for ReportRow { worker, assignment, asked_after, report } in reports {
             if self.pollers.is_current(from, &worker, assignment) {
+                if let WorkerReport::Polled(poll) = &report {
+                    self.pollers.record_witness(&worker, poll.incarnation, asked_after, now);
+                }
                 self.planner.report(&worker, report.to_local(shift), now);
             }
         }
@@ -576,6 +572,9 @@
         for (worker, poller) in self.pollers.update(&self.planner, now) {
             self.planner.poller_replaced(&worker, poller, leases_expire_by);
         }
+        if !self.pollers.predecessors(now).may_order() {
+            return;
+        }
         // While no process reaches the store, the last list is the best there
         // is, and work goes on.
         let are_entries_old = MAX_ENTRIES_AGE_MS <= now.ms_since(self.listed_at);
@@ -668,6 +667,7 @@
             sent_at: now,
             covered: None,
             report_delay_ms: cadence::message_delay_ms(self.pollers.count()),
+            needs_witnesses: self.confirmation.needs_witnesses(now),
             manifest: self.shared.manifest_version(),
             pending,
             reaching_store,
@@ -718,19 +718,16 @@
     /// Updates what this leader may conclude and permit. A leader that may have
     /// been replaced permits nothing, and starts nothing.
     fn update_confirmation(&mut self, now: Timestamp) {
-        self.confirmation.members_heard(self.pollers.heard(), boot_now());
+        let workers =
+            self.pollers.witnesses().heard_through(&self.roster, self.confirmation.store_through());
+        self.confirmation.heard(self.pollers.heard(), workers, boot_now());
         let permitted_from = self.confirmation.permitted_from(boot_now());
         self.pollers.confirm(permitted_from);
         let is_recent = now.ms_since(permitted_from) < ORDER_MAX_AGE_MS;
         let may_start = is_recent && self.pollers.are_permitted(now);
         self.planner.set_confirmed(self.confirmation.sole_through(), may_start);
-        let pollers = &self.pollers;
-        if let Some(latest) =
-            self.unjoined_leases_expire_by.take_if(|_| pollers.is_joined_by_half(now))
-        {
-            let expire_by = latest.min(now.plus_ms(MAX_ORPHAN_LEASE_MS));
-            self.planner.set_unfenced_leases_expire_by(expire_by);
-        }
+        let predecessors = self.pollers.predecessors(now);
+        self.planner.set_unfenced_leases_expire_by(predecessors.leases_expire_by());
     }
 
     /// Logs when the term is no longer confirmed, or is again.
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -33,6 +33,11 @@
     /// Ends the term: stores the progress and hands over the plan. Inputs are
     /// handled no more and nothing is started, so that both are of one moment.
     pub(super) async fn step_down(&mut self, results: &mut mpsc::UnboundedReceiver<TaskResult>) {
+        if !self.pollers.predecessors(self.shared.now()).may_order() {
+            // It has ordered nothing, and an earlier leader may go on.
+            self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
+            return;
+        }
         let actions = self.planner.take_actions();
         self.execute(actions);
         self.planner.prepare_hand_over(self.shared.now());
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -10,15 +10,16 @@
 use mustardcove_core::{
     fleet::{
         assignment::{Assignments, Poller, assign},
-        confirmation::{CoveredReports, MAX_UNANIMOUS_MS},
+        confirmation::CoveredReports,
         handover::PollerId,
-        id::{AssignmentNumber, BootMillis, Term},
-        members::{EARLIER_TERMS_MS, MemberList, MemberState, Members},
+        id::{AssignmentNumber, BootMillis, Incarnation, Term},
+        members::{MemberList, MemberState, Members},
         message::{FleetMessage, WorkerContact},
         planner::{Planner, WorkerListing},
-        poller::MAX_ORPHAN_LEASE_MS,
+        predecessors::{Evidence, Predecessors},
         record::{PROCESS_PREFIX, ProcessRecord},
         succession::Candidate,
+        witnesses::Witnesses,
     },
     id::{FailureDomainId, ProcessId, WorkerId},
     time::Timestamp,
@@ -75,8 +76,8 @@
     /// The process of each instance whose record the store held when it was read
     /// last; without one if the record cannot be read.
     registered: BTreeMap<String, Option<ProcessId>>,
-    /// Whether workers are polled in this term.
-    is_polling: bool,
+    witnesses: Witnesses,
+    predecessors: Predecessors,
     assignments: Assignments,
     /// What the last assignment was computed from.
     basis: AssignmentBasis,
@@ -123,7 +124,8 @@
             processes: BTreeMap::new(),
             members: Members::default(),
             registered: BTreeMap::new(),
-            is_polling: false,
+            witnesses: Witnesses::default(),
+            predecessors: Predecessors::new(term_started_at),
             assignments: Assignments::default(),
             basis: AssignmentBasis::default(),
             next_reaching_store: 0,
@@ -237,8 +239,7 @@
     /// Returns the list of members to write and the revision of the record that it
     /// replaces; `None` if it must not change yet, or need not.
     pub(super) fn next_members(&mut self, now: Timestamp) -> Option<(MemberList, u64)> {
-        let are_earlier_over = EARLIER_TERMS_MS <= now.ms_since(self.term_started_at);
-        if !self.is_polling || !(are_earlier_over || self.is_joined_by_half(now)) {
+        if !self.predecessors(now).are_powerless() {
             return None;
         }
         let is_registered = |it: &&Process| {
@@ -254,16 +255,38 @@
         Some((list, revision))
     }
 
-    /// Returns whether this term may poll workers, which it may from then on.
-    fn may_poll(&mut self, now: Timestamp) -> bool {
-        let waits_ms = MAX_UNANIMOUS_MS + MAX_ORPHAN_LEASE_MS;
-        let is_polling = self.is_polling
-            || waits_ms <= now.ms_since(self.term_started_at)
-            || self.members.may_poll(&self.shared.process, |process, name| {
-                self.member_state(process, name, now)
-            });
-        self.is_polling = is_polling;
-        is_polling
+    /// Updates what is known of earlier leaders, and returns it.
+    pub(super) fn predecessors(&mut self, now: Timestamp) -> Predecessors {
+        let state = |process: &ProcessId, name: &str| self.member_state(process, name, now);
+        let evidence = Evidence {
+            has_any_member_left: self.members.has_any_left(&self.shared.process, state),
+            has_half_of_members_left: self.is_joined_by_half(now),
+            has_half_of_workers_left: self.witnesses.have_left_earlier(),
+        };
+        self.predecessors.update(evidence, now);
+        self.predecessors
+    }
+
+    /// Takes over the workers that earlier leaders recorded; `None` if that is not
+    /// known of all.
+    pub(super) fn restore_witnesses(&mut self, recorded: Option<BTreeSet<WorkerId>>) {
+        self.witnesses.restore(recorded);
+    }
+
+    /// Records an answer of a worker to a poll of this term.
+    pub(super) fn record_witness(
+        &mut self,
+        worker: &WorkerId,
+        incarnation: Incarnation,
+        asked_after: Option<Timestamp>,
+        now: Timestamp,
+    ) {
+        self.witnesses.answered(worker, incarnation, asked_after, now);
+    }
+
+    /// Returns what the workers have answered.
+    pub(super) fn witnesses(&self) -> &Witnesses {
+        &self.witnesses
     }
 
     /// Returns the newest report of a process that was handled.
@@ -276,7 +299,11 @@
     /// until workers are assigned to it again: it may still poll others.
     pub(super) fn covered(&self, process: &ProcessId) -> Option<BootMillis> {
         let is_assigned = self.basis.pollers.binary_search(process).is_ok();
-        self.processes.get(process).filter(|_| is_assigned)?.reports.covered()
+        self.processes
+            .get(process)
+            .filter(|_| is_assigned && self.predecessors.may_order())?
+            .reports
+            .covered()
     }
 
     /// Records from when on the leader's permission counts.
@@ -293,7 +320,7 @@
 
     /// Returns whether so many members have joined this term, or have ended, that no
     /// earlier leader is obeyed by most of them.
-    pub(super) fn is_joined_by_half(&self, now: Timestamp) -> bool {
+    fn is_joined_by_half(&self, now: Timestamp) -> bool {
         if !self.members.is_stored() {
             let joined = self.processes.values().filter(|it| it.last_report_at.is_some()).count();
             return self.processes.len() <= 2 * joined;
@@ -432,7 +459,7 @@
         planner: &Planner,
         now: Timestamp,
     ) -> BTreeMap<WorkerId, PollerId> {
-        if now < self.term_started_at.plus_ms(FIRST_ASSIGNMENT_DELAY_MS) || !self.may_poll(now) {
+        if now < self.term_started_at.plus_ms(FIRST_ASSIGNMENT_DELAY_MS) {
             return BTreeMap::new();
         }
         let alive = self.processes.iter().filter(|it| self.is_alive(it.1, now)).map(|it| it.0);
--- a/crates/mustardcove-node/src/leader/workers.rs
+++ b/crates/mustardcove-node/src/leader/workers.rs
@@ -88,6 +88,8 @@
         }
         let is_first = self.planner.is_first_term();
         let is_known = is_complete && (is_first || !self.roster.is_empty());
+        let recorded = || self.roster.worker_ids().cloned().collect();
+        self.pollers.restore_witnesses(is_complete.then(recorded));
         self.planner.restore_workers(is_known.then(|| self.roster.workers()));
     }
 
@@ -153,7 +155,9 @@
 
     /// Starts to write changes of the roster, unless a write is in flight.
     pub(super) fn store_roster(&mut self, now: Timestamp) {
-        if self.is_storing_roster || now < self.store_roster_at {
+        // Until then, an earlier leader may count the workers of the record.
+        let may_change = self.pollers.predecessors(now).are_powerless();
+        if self.is_storing_roster || now < self.store_roster_at || !may_change {
             return;
         }
         let writes = self.roster.changes();
@@ -161,6 +165,7 @@
             return;
         }
         self.is_storing_roster = true;
+        self.roster.sent(&writes);
         let (shared, results, term) = (self.shared.clone(), self.results.clone(), self.term);
         tokio::spawn(async move {
             let written = write_roster(&shared, term, &writes).await;
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -16,7 +16,8 @@
     fleet::{
         id::{AssignmentNumber, BootMillis, Term},
         message::{
-            FleetMessage, Order, PollResult, StartOrder, StartOutcome, WorkerContact, WorkerReport,
+            FleetMessage, Order, PollResult, ReportRow, StartOrder, StartOutcome, WorkerContact,
+            WorkerReport,
         },
         poller::{
             KnownConnections, LeasePermission, LeaseStatus, MIN_POLL_INTERVAL_MS, NextPoll,
@@ -38,6 +39,9 @@
 const BUSY_POLL_WAIT: Duration = Duration::from_millis(800);
 /// How long a worker on which nothing runs holds a poll.
 const IDLE_POLL_WAIT: Duration = Duration::from_millis(2_000);
+/// How long a worker holds a poll at most while the leader lacks the store: a
+/// fraction of the time for which its answer permits anything.
+const WITNESS_POLL_WAIT: Duration = Duration::from_millis(300);
 /// Shortest time between the starts of two polls of a worker.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(MIN_POLL_INTERVAL_MS);
 /// Shortest time for which reports are collected before they are sent; the
@@ -93,9 +97,15 @@
 #[derive(Debug)]
 struct Reported {
     term: Term,
-    worker: WorkerId,
-    assignment: AssignmentNumber,
-    report: WorkerReport,
+    row: ReportRow,
+}
+
+/// What the answer to a poll counts from.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    at: Timestamp,
+    /// When the leader sent the last heartbeat that had arrived, on its clock.
+    after: Option<Timestamp>,
 }
 
 struct AssignedWorker {
@@ -206,13 +216,20 @@
     }
 
     fn send_report(&self, report: WorkerReport) {
+        self.send_report_after(report, None);
+    }
+
+    /// Sends a report on a call that was made after a heartbeat.
+    fn send_report_after(&self, report: WorkerReport, asked_after: Option<Timestamp>) {
+        let (worker, assignment) = (self.target.worker.clone(), self.assignment);
+        let row = ReportRow { worker, assignment, asked_after, report };
         // The reporter ends only with the process.
-        let _ = self.reports.send(Reported {
-            term: self.target.term,
-            worker: self.target.worker.clone(),
-            assignment: self.assignment,
-            report,
-        });
+        let _ = self.reports.send(Reported { term: self.target.term, row });
+    }
+
+    /// Returns what a poll that is made now counts from.
+    fn asked(&self) -> Asked {
+        Asked { at: self.shared.now(), after: self.shared.heartbeat_sent_at(self.target.term) }
     }
 
     async fn poll_loop(&self) {
@@ -247,12 +264,13 @@
 
     async fn poll_incarnation(&self) -> bool {
         let may_extend = self.shared.may_extend_leases(self.target.term);
-        let sent_at = self.shared.now();
+        let asked = self.asked();
         let (next, known) = {
             let mut state = self.state();
-            (state.next_poll(may_extend, sent_at, boot_now()), state.connections())
+            (state.next_poll(may_extend, asked.at, boot_now()), state.connections())
         };
-        let call = |poll| poll_call(poll, known.clone());
+        let longest = if self.shared.needs_witnesses() { WITNESS_POLL_WAIT } else { Duration::MAX };
+        let call = |poll| poll_call(poll, known.clone(), longest);
         let mut answer = self.shared.workers.poll(&self.target, call(next)).await;
         let is_unsent =
             |it: &PollFault| it.verdict == Verdict::NotRun && !it.is_fenced && !it.is_replaced;
@@ -275,7 +293,7 @@
         match answer {
             Ok(answer) => {
                 let lease = record_answer(&mut self.state(), &answer, now);
-                self.send_answer(answer, lease, sent_at);
+                self.send_answer(answer, lease, asked);
                 true
             }
             Err(fault) => {
@@ -286,16 +304,17 @@
     }
 
     /// Reports an answer to the leader.
-    fn send_answer(&self, answer: PollAnswer, lease: LeaseStatus, asked_at: Timestamp) {
-        self.send_report(WorkerReport::Polled(PollResult {
+    fn send_answer(&self, answer: PollAnswer, lease: LeaseStatus, asked: Asked) {
+        let report = WorkerReport::Polled(PollResult {
             incarnation: answer.incarnation,
             leases_expire_by: lease.leases_expire_by,
             responsive_since: lease.responsive_since,
-            asked_at,
+            asked_at: asked.at,
             running: answer.running,
             ended: answer.ended,
             may_lack_ends: answer.may_lack_ends,
-        }));
+        });
+        self.send_report_after(report, asked.after);
     }
 
     fn poll_failed(&self, fault: &PollFault) {
@@ -417,9 +436,9 @@
     ///
     /// Returns the outcome of a start that is not sent for that reason.
     async fn check_incarnation(&self) -> Result<(), StartOutcome> {
-        let (asked_at, asked_boot) = (self.shared.now(), boot_now());
+        let (asked, asked_boot) = (self.asked(), boot_now());
         let known = self.state().incarnation();
-        let poll = poll_call(identity_poll(asked_at), KnownConnections::default());
+        let poll = poll_call(identity_poll(asked.at), KnownConnections::default(), Duration::ZERO);
         let answer = self.shared.workers.poll(&self.target, poll).await;
         self.shared.metrics.poll(answer.is_ok());
         let answer = answer.map_err(|_| StartOutcome::NotRun)?;
@@ -428,7 +447,7 @@
             if state.answered_over(answer.incarnation, answer.connections) {
                 return Ok(());
             }
-            if !state.asked_beside(known, asked_at, asked_boot) {
+            if !state.asked_beside(known, asked.at, asked_boot) {
                 return Err(StartOutcome::TooLate);
             }
             let lease = record_answer(&mut state, &answer, self.shared.now());
@@ -437,7 +456,7 @@
         };
         info!(self.shared.log, "worker has restarted, start withheld";
             "worker" => %self.target.worker, "incarnation" => %answer.incarnation);
-        self.send_answer(answer, lease, asked_at);
+        self.send_answer(answer, lease, asked);
         Err(StartOutcome::Restarted)
     }
 }
@@ -453,15 +472,16 @@
     lease
 }
 
-fn poll_call(poll: NextPoll, known: KnownConnections) -> PollCall {
+fn poll_call(poll: NextPoll, known: KnownConnections, longest: Duration) -> PollCall {
+    let wait = match poll.wait {
+        PollWait::None => Duration::ZERO,
+        PollWait::Busy => BUSY_POLL_WAIT,
+        PollWait::Idle => IDLE_POLL_WAIT,
+    };
     PollCall {
         lease_until: poll.lease_until,
         acknowledge_through: poll.acknowledge_through,
-        wait: match poll.wait {
-            PollWait::None => Duration::ZERO,
-            PollWait::Busy => BUSY_POLL_WAIT,
-            PollWait::Idle => IDLE_POLL_WAIT,
-        },
+        wait: wait.min(longest),
         not_after: poll.send_by,
         connections: poll.is_bound().then_some(known),
     }
@@ -490,8 +510,7 @@
         let term = shared.leadership.borrow().term;
         // Answers to calls of an earlier term, above all refusals because of
         // that term, do not apply to the current one.
-        let reports = reports.into_iter().filter(|it| it.term == term);
-        let reports = reports.map(|it| (it.worker, it.assignment, it.report));
+        let reports = reports.into_iter().filter(|it| it.term == term).map(|it| it.row);
         let reports = reports.collect();
         let reaches_store = shared.reaches_store();
         shared.send_to_leader(FleetMessage::Report {
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -65,6 +65,8 @@
     /// Time for which reports are collected before they are sent, in
     /// milliseconds.
     report_delay_ms: u64,
+    /// Whether workers must not hold polls for long.
+    needs_witnesses: bool,
     /// Pending submissions by queue (host and prefix), from the last heartbeat
     /// that held these numbers.
     pending: BTreeMap<(String, String), u32>,
@@ -345,6 +347,7 @@
         last.received_at = Some(boot_now());
         last.permission = LeasePermission::new(heartbeat.covered);
         last.report_delay_ms = heartbeat.report_delay_ms;
+        last.needs_witnesses = heartbeat.needs_witnesses;
         last.reaching_store = heartbeat.reaching_store;
         last.evacuations_as_of = heartbeat.evacuations.as_of;
         if let Some(pending) = heartbeat.pending {
@@ -436,6 +439,12 @@
         self.last_heartbeat().report_delay_ms
     }
 
+    /// Returns whether workers must not hold polls for long, since the leader needs
+    /// recent answers.
+    pub fn needs_witnesses(&self) -> bool {
+        self.last_heartbeat().needs_witnesses
+    }
+
     /// Records that the store answered.
     pub fn store_answered(&self) {
         lock(&self.store_health).record_answer(self.now());
--- a/crates/mustardcove-node/tests/leader_queue.rs
+++ b/crates/mustardcove-node/tests/leader_queue.rs
@@ -54,6 +54,7 @@
         sent_at: Timestamp::default(),
         covered: None,
         report_delay_ms: 0,
+        needs_witnesses: false,
         manifest: ManifestVersion::default(),
         pending: None,
         reaching_store: Vec::new(),
--- a/crates/mustardcove-node/tests/overload_answers.rs
+++ b/crates/mustardcove-node/tests/overload_answers.rs
@@ -76,6 +76,7 @@
             sent_at: now,
             covered: Some(BootMillis(boot_now().0 - age_ms)),
             report_delay_ms: 0,
+            needs_witnesses: false,
             manifest: ManifestVersion::default(),
             pending: None,
             reaching_store: Vec::new(),
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -4,7 +4,7 @@
     fleet::{
         evacuation::EvacuationList,
         id::{AssignmentNumber, BootMillis, Incarnation, Revision, RunNumber, TaskKey, Term},
-        message::{FleetMessage, Order, PollResult, RunningTask, WorkerReport},
+        message::{FleetMessage, Order, PollResult, ReportRow, RunningTask, WorkerReport},
         record::ProcessRecord,
         submission::SubmissionState,
     },
@@ -77,7 +77,12 @@
             as_of: Revision(7),
             domains: ["iasi-a".parse().unwrap()].into(),
         }),
-        reports: vec![(worker.clone(), AssignmentNumber(2), WorkerReport::Polled(polled))],
+        reports: vec![ReportRow {
+            worker: worker.clone(),
+            assignment: AssignmentNumber(2),
+            asked_after: Some(Timestamp(1_200)),
+            report: WorkerReport::Polled(polled),
+        }],
         places: Vec::new(),
     };
     let earlier = FleetMessage::EarlierLeases {
