Withdraw a submission that is cancelled before it is stored

Cause: a cancellation of what the store does not hold wrote nothing, and a write that was sent before, by any process, may be carried out seconds later.

Change: the cancellation writes withdrawn/ID on the condition that the submission does not exist, and each submission is written on the condition that this key does not. A POST of a withdrawn id is answered with 410. The leader removes withdrawals 10 min after it has first read them.

--- a/crates/mustardcove-core/src/fleet.rs
+++ b/crates/mustardcove-core/src/fleet.rs
@@ -36,4 +36,5 @@
 pub mod store_write;
 pub mod submission;
 pub mod succession;
+pub mod withdrawals;
 pub mod witnesses;
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -167,7 +167,8 @@
     Stored,
     /// It is not in the store and will not be.
     NotStored,
-    /// There is no such submission.
+    /// There is no such submission, and none is stored under its id by any write
+    /// that was sent before: it was withdrawn.
     #[strum(serialize = "unknown")]
     NoSuchSubmission,
     /// It may be in the store or get there later.
--- a/crates/mustardcove-core/src/fleet/record.rs
+++ b/crates/mustardcove-core/src/fleet/record.rs
@@ -24,6 +24,9 @@
 pub const SUBMISSION_PREFIX: &str = "work/submission/";
 /// Prefix of the keys of cancellations.
 pub const CANCEL_PREFIX: &str = "work/cancel/";
+/// Prefix of the records of submissions that were cancelled before they were
+/// stored; see [`withdrawals`](super::withdrawals). The leader follows none of them.
+pub const WITHDRAWN_PREFIX: &str = "withdrawn/";
 /// Prefix of the keys of progress records.
 pub const PROGRESS_PREFIX: &str = "progress/";
 /// Prefix of the keys of process records.
--- a/crates/mustardcove-core/src/fleet/store_write.rs
+++ b/crates/mustardcove-core/src/fleet/store_write.rs
@@ -37,7 +37,7 @@
 const MAX_UNSETTLED: usize = 4_096;
 /// Time after which an unanswered write no longer counts as one that may be
 /// carried out, in milliseconds: far longer than any connection holds it.
-const MAX_UNSETTLED_MS: u64 = 600_000;
+pub const MAX_UNSETTLED_MS: u64 = 600_000;
 
 /// What a process knows of the store and of one key at a time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/mustardcove-node/src/callers.rs
+++ b/crates/mustardcove-node/src/callers.rs
@@ -170,7 +170,9 @@
     }
     match outcome {
         StoreOutcome::Stored => StatusCode::OK.into_response(),
-        StoreOutcome::NotStored | StoreOutcome::NoSuchSubmission => store_away(shared),
+        StoreOutcome::NotStored => store_away(shared),
+        // It was cancelled before it was stored.
+        StoreOutcome::NoSuchSubmission => StatusCode::GONE.into_response(),
         StoreOutcome::MayBeStored => StatusCode::GATEWAY_TIMEOUT.into_response(),
     }
 }
--- a/crates/mustardcove-node/src/durable.rs
+++ b/crates/mustardcove-node/src/durable.rs
@@ -3,8 +3,11 @@
 //! A submission exists from the moment its key does, whichever process wrote
 //! it. A write whose outcome is unknown is tried again on the condition that
 //! the key does not exist. Once such a write may still take effect, the caller
-//! is no longer told that the submission was refused. The decisions are in
-//! [`store_write`](mustardcove_core::fleet::store_write), see
+//! is no longer told that the submission was refused. A cancellation of a
+//! submission that does not exist withdraws it, so that no write of any process
+//! stores it afterwards. The decisions are in
+//! [`store_write`](mustardcove_core::fleet::store_write) and
+//! [`withdrawals`](mustardcove_core::fleet::withdrawals), see
 //! `docs/design/store-outage.md`.
 
 use std::{sync::Arc, time::Duration};
@@ -17,7 +20,7 @@
         message::{FleetMessage, StoreChange, StoreOutcome},
         record::{
             self, CANCEL_PREFIX, PROGRESS_PREFIX, ProgressRecord, SUBMISSION_PREFIX,
-            UnreadableRecord,
+            UnreadableRecord, WITHDRAWN_PREFIX,
         },
         store_health::DOUBT_AFTER_MS,
         store_write::{NextStep, StoreView, WriteAttempts, WriteEnd},
@@ -169,10 +172,10 @@
     match written {
         Ok(written) => {
             shared.store_answered();
+            shared.unsettled_writes().settled(key);
             if written == Written::NoSuchSubmission {
                 return Some(StoreOutcome::NoSuchSubmission);
             }
-            shared.unsettled_writes().settled(key);
             announce(shared, change, term.filter(|_| written == Written::Now));
             Some(StoreOutcome::Stored)
         }
@@ -201,7 +204,7 @@
     Now,
     /// The change was stored before, by this or another process.
     Earlier,
-    /// There is no submission to cancel.
+    /// The submission was withdrawn, and does not exist.
     NoSuchSubmission,
 }
 
@@ -214,32 +217,70 @@
     deadline: Timestamp,
     patience: Duration,
 ) -> Result<Written, StoreFault> {
-    if let StoreChange::Cancel(id) = change
-        && in_time(shared, deadline, find_state(shared, *id)).await?.is_none()
-    {
-        return Ok(Written::NoSuchSubmission);
-    }
     let (_, value) = encode_change(change);
-    let write = Write::default().expect(key, 0).set(key, &value);
+    let mut write = Write::default().expect(key, 0).set(key, &value);
+    match change {
+        StoreChange::Submit(submission) => {
+            write = write.expect(record::key_of(WITHDRAWN_PREFIX, submission.id), 0);
+        }
+        StoreChange::Cancel(id) => {
+            if in_time(shared, deadline, find_state(shared, *id)).await?.is_none()
+                && withdraw(shared, *id, key, deadline, patience).await?
+            {
+                return Ok(Written::NoSuchSubmission);
+            }
+        }
+    }
+    match send_write(shared, &write, key, deadline, patience).await? {
+        WriteOutcome::Committed(_) => Ok(Written::Now),
+        // The key exists already, as it should, or the submission was withdrawn.
+        WriteOutcome::Conflict(current) if current.iter().any(|it| it.key == key) => {
+            Ok(Written::Earlier)
+        }
+        WriteOutcome::Conflict(_) => Ok(Written::NoSuchSubmission),
+    }
+}
+
+/// Withdraws a submission that does not exist. Returns whether it does not exist
+/// then; another process may have stored it meanwhile.
+async fn withdraw(
+    shared: &Arc<Shared>,
+    id: SubmissionId,
+    key: &str,
+    deadline: Timestamp,
+    patience: Duration,
+) -> Result<bool, StoreFault> {
+    let submission = record::key_of(SUBMISSION_PREFIX, id);
+    let withdrawn = record::key_of(WITHDRAWN_PREFIX, id);
+    let write = Write::default().expect(&submission, 0).expect(&withdrawn, 0).set(&withdrawn, &[]);
+    let written = send_write(shared, &write, key, deadline, patience).await?;
+    Ok(match written {
+        WriteOutcome::Committed(_) => true,
+        WriteOutcome::Conflict(current) => !current.iter().any(|it| it.key == submission),
+    })
+}
+
+/// Sends a conditional write for a change whose key is `key`, under which it is
+/// unsettled until it is answered.
+async fn send_write(
+    shared: &Arc<Shared>,
+    write: &Write,
+    key: &str,
+    deadline: Timestamp,
+    patience: Duration,
+) -> Result<WriteOutcome, StoreFault> {
     shared.store_write_sent(key);
     // A caller that leaves drops this future, and the write remains unsettled.
     let written = tokio::select! {
-        written = shared.store.write_until(&write, deadline) => written,
+        written = shared.store.write_until(write, deadline) => written,
         () = later_answer(shared, patience) => {
             Err(StoreFault::given_up(Verdict::MayHaveRun, "the store answers later calls"))
         }
     };
-    match written {
-        // A conflict means that the key exists already, as it should.
-        Ok(WriteOutcome::Conflict(_)) => Ok(Written::Earlier),
-        Ok(WriteOutcome::Committed(_)) => Ok(Written::Now),
-        Err(fault) => {
-            if fault.verdict == Verdict::NotRun {
-                shared.unsettled_writes().not_run(key);
-            }
-            Err(fault)
-        }
+    if written.as_ref().is_err_and(|it| it.verdict == Verdict::NotRun) {
+        shared.unsettled_writes().not_run(key);
     }
+    written
 }
 
 /// Waits for the result of a read until `deadline` at the longest.
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -13,6 +13,7 @@
 mod progress;
 mod recovery;
 mod rows;
+mod withdrawals;
 mod workers;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -36,6 +37,7 @@
         roster::Roster,
         submission::{Submission, SubmissionState},
         succession::{StoreCall, Succession},
+        withdrawals::Withdrawals,
     },
     id::{ProcessId, WorkerId},
     time::{ClockShift, Timestamp},
@@ -158,6 +160,8 @@
     Processes(Vec<Item>),
     /// A write of the members ended, with what the store holds.
     MembersWritten(MembersWritten),
+    /// The withdrawn submissions.
+    Withdrawals(Vec<Item>),
 }
 
 /// A submission with its progress and that record's revision; `None` if there
@@ -211,6 +215,7 @@
     is_behind: bool,
     /// Callers that were told to come back.
     places: Places,
+    withdrawals: Withdrawals,
     /// No submission is explained before this time.
     explain_at: Timestamp,
     /// Why the term has to end; `None` while it goes on.
@@ -257,6 +262,7 @@
         oldest_report_ms: 0,
         is_behind: false,
         places: Places::default(),
+        withdrawals: Withdrawals::default(),
         explain_at: now,
         end_reason: None,
     };
@@ -494,6 +500,7 @@
                 self.store_members(now);
             }
             TaskResult::MembersWritten(result) => self.members_written(result, now),
+            TaskResult::Withdrawals(items) => self.remove_withdrawals(items, now),
         }
     }
 
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -77,6 +77,7 @@
             AbortOnDropHandle::new(tokio::spawn(self.refresh_workers())),
             AbortOnDropHandle::new(tokio::spawn(self.watch_work(after))),
             AbortOnDropHandle::new(tokio::spawn(self.refresh_processes())),
+            AbortOnDropHandle::new(tokio::spawn(self.read_withdrawals())),
         ])
     }
 
