Claim at once when the store shows that the leader has ended

Cause: a process that stops is no candidate any more, and one that starts found the record of a leader that had stepped down, greeted it and waited for its heartbeats, until it was told to stop as well.

Change: before it waits, a process that finds another leader reads whether that has handed over its term, or its instance runs a later process. That is two reads for each process that starts beside a leader which it does not know.

--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -4,11 +4,14 @@
 use std::{sync::Arc, time::Duration};
 
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
-use mustardcove_core::fleet::{
-    election::{Candidacy, next_claims},
-    id::Term,
-    message::FleetMessage,
-    record::{self, LEADER_KEY, LeaderRecord, PROCESS_PREFIX, ProcessRecord},
+use mustardcove_core::{
+    fleet::{
+        election::{Candidacy, next_claims},
+        id::Term,
+        message::FleetMessage,
+        record::{self, HANDOVER_KEY, LEADER_KEY, LeaderRecord, PROCESS_PREFIX, ProcessRecord},
+    },
+    id::ProcessId,
 };
 use slog::{info, warn};
 use tokio::sync::mpsc;
@@ -171,6 +174,34 @@
     }
 }
 
+/// Returns whether the store shows that the leader of a term leads no more: it has
+/// handed over, or its process has ended. A process that starts while all others
+/// stop hears nothing of that, and would wait for a heartbeat.
+async fn has_ended(shared: &Shared, leader: &LeaderRecord, term: Term) -> Result<bool, StoreFault> {
+    let (name, started) = name_and_start(&leader.process);
+    let key = format!("{PROCESS_PREFIX}{name}");
+    let (handover, process) = tokio::join!(shared.store.get(HANDOVER_KEY), shared.store.get(&key));
+    let handover = handover?.and_then(|it| durable::decode_handover(shared, &it));
+    let process = process?.and_then(|it| durable::decode::<ProcessRecord>(shared, "process", &it));
+    let has_handed_over = handover.is_some_and(|it| it.term == term);
+    // A process may lead before it is registered, and then its predecessor still is.
+    let is_gone = process.is_some_and(|it| started < name_and_start(&it.process).1);
+    if has_handed_over && shared.stepped_down_at(term).is_none() {
+        shared.record_step_down(term);
+    }
+    if has_handed_over || is_gone {
+        info!(shared.log, "that leader has ended"; "term" => %term,
+            "handed_over" => has_handed_over, "process_gone" => is_gone);
+    }
+    Ok(has_handed_over || is_gone)
+}
+
+/// Returns the name of the instance of a process, and when the process started.
+fn name_and_start(process: &ProcessId) -> (&str, Option<u64>) {
+    let parts = process.as_str().rsplit_once('.');
+    parts.map_or((process.as_str(), None), |(name, started)| (name, started.parse().ok()))
+}
+
 /// Tries to become the leader. Returns `None` if another process leads.
 async fn claim(shared: &Shared) -> Result<Option<Claim>, StoreFault> {
     let current = shared.store.get(LEADER_KEY).await?;
@@ -187,12 +218,14 @@
         // heartbeats should arrive soon, unless it is lost, too.
         info!(shared.log, "another leader found"; "term" => revision);
         shared.leadership.send_replace(Leadership { term: Term(revision), leader: None });
-        if let Some(leader) = &before {
+        if let Some(leader) = &before
+            && !has_ended(shared, leader, Term(revision)).await?
+        {
             greet_leader(shared, leader);
             let is_same_region = leader.region == shared.settings.region;
             shared.update_candidacy(|it, now| it.found_leader(is_same_region, now));
+            return Ok(None);
         }
-        return Ok(None);
     }
     let record = LeaderRecord {
         process: shared.process.clone(),
