End a candidacy when the connection to the leader is back

Cause: of two connections between a process and the leader one is closed in favour of the other. If the other is not known yet, that counts as the loss of the leader, and only a heartbeat ended the candidacy. The connection that was back 290 ms later did not.

Change: a candidacy has two times, that of the heartbeats and that of a broken connection; the second goes with the connection's return. Why no heartbeat came within 570 ms is still not traced.

--- a/crates/mustardcove-core/src/fleet/election.rs
+++ b/crates/mustardcove-core/src/fleet/election.rs
@@ -53,6 +53,8 @@
     /// Additional wait because of the leader's region.
     region_wait_ms: u64,
     claim_at: Timestamp,
+    /// The same since the connection to the leader broke, until it is back.
+    broken_claim_at: Option<Timestamp>,
     stepped_down_at: Option<Timestamp>,
 }
 
@@ -69,6 +71,7 @@
             rank_wait_ms,
             region_wait_ms: 0,
             claim_at: now.plus_ms(STARTED_WAIT_MS + rank_wait_ms),
+            broken_claim_at: None,
             stepped_down_at: None,
         }
     }
@@ -77,27 +80,33 @@
     /// answer. `store_ms` is the time that the store took to name it.
     pub fn greeting_sent(&mut self, store_ms: u64, now: Timestamp) {
         self.rank_wait_ms += (store_ms * STORE_DISTANCE_FACTOR).min(MAX_STORE_WAIT_MS);
-        self.claim_at = self.claim_at.max(now.plus_ms(STARTED_WAIT_MS + self.rank_wait_ms));
+        self.postpone_to(now.plus_ms(STARTED_WAIT_MS + self.rank_wait_ms));
     }
 
     /// Handles a heartbeat of the leader. `is_same_region` states that the
     /// leader is in the region of this process.
     pub fn heartbeat_received(&mut self, is_same_region: bool, now: Timestamp) {
         self.region_wait_ms = if is_same_region { 0 } else { OTHER_REGION_WAIT_MS };
-        self.claim_at = now.plus_ms(SILENT_WAIT_MS + self.rank_wait_ms + self.region_wait_ms);
+        self.set_claim(now.plus_ms(SILENT_WAIT_MS + self.rank_wait_ms + self.region_wait_ms));
     }
 
     /// Handles a broken connection to the leader.
     pub fn connection_broke(&mut self, now: Timestamp) {
         let wait_ms = BROKEN_WAIT_MS + self.rank_wait_ms + self.region_wait_ms;
-        self.claim_at = self.claim_at.min(now.plus_ms(wait_ms));
+        self.broken_claim_at = Some(self.claim_at().min(now.plus_ms(wait_ms)));
+    }
+
+    /// Handles a connection to the leader that is back: it was closed in favour of
+    /// another one, or broke while the leader went on. Its heartbeats decide again.
+    pub fn connection_restored(&mut self) {
+        self.broken_claim_at = None;
     }
 
     /// Handles the leader's message that it has stepped down or asks for a
     /// successor. A leader that goes on postpones a claim that fails by its next
     /// heartbeat.
     pub fn leader_stepped_down(&mut self, now: Timestamp) {
-        self.claim_at = now.plus_ms(self.rank_wait_ms / 4);
+        self.set_claim(now.plus_ms(self.rank_wait_ms / 4));
         self.stepped_down_at = Some(now);
     }
 
@@ -118,17 +127,26 @@
     /// their way.
     pub fn claim_failed(&mut self, now: Timestamp) {
         let wait_ms = SILENT_WAIT_MS / 2 + self.rank_wait_ms + self.region_wait_ms;
-        self.claim_at = self.claim_at.max(now.plus_ms(wait_ms));
+        self.postpone_to(now.plus_ms(wait_ms));
     }
 
     /// Sets a new claim time after a change of the leader or a failed claim.
     pub fn reschedule_claim(&mut self, now: Timestamp) {
-        self.claim_at = now.plus_ms(SILENT_WAIT_MS / 2 + self.rank_wait_ms);
+        self.set_claim(now.plus_ms(SILENT_WAIT_MS / 2 + self.rank_wait_ms));
+    }
+
+    fn set_claim(&mut self, at: Timestamp) {
+        (self.claim_at, self.broken_claim_at) = (at, None);
+    }
+
+    fn postpone_to(&mut self, earliest: Timestamp) {
+        self.claim_at = self.claim_at.max(earliest);
+        self.broken_claim_at = self.broken_claim_at.map(|it| it.max(earliest));
     }
 
     /// Returns when to claim unless another event arrives before.
     pub fn claim_at(&self) -> Timestamp {
-        self.claim_at
+        self.broken_claim_at.map_or(self.claim_at, |it| it.min(self.claim_at))
     }
 }
 
--- a/crates/mustardcove-core/tests/leader_election.rs
+++ b/crates/mustardcove-core/tests/leader_election.rs
@@ -93,3 +93,20 @@
     far.claim_failed(NOW);
     assert_eq!(far.claim_at(), claim_at, "it stays in another region");
 }
+
+/// Guards against a claim beside a sound leader, to which one of two connections was
+/// closed in favour of the other.
+#[test]
+fn connection_restored() {
+    let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
+    candidacy.heartbeat_received(true, NOW);
+    let claim_at = candidacy.claim_at();
+    candidacy.connection_broke(NOW);
+    assert!(candidacy.claim_at() < claim_at);
+    candidacy.connection_restored();
+    assert_eq!(candidacy.claim_at(), claim_at, "its heartbeats decide again");
+    candidacy.connection_broke(NOW);
+    let broken = candidacy.claim_at();
+    candidacy.claim_failed(NOW);
+    assert!(broken < candidacy.claim_at(), "another claim is on its way");
+}
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -44,7 +44,11 @@
                     handle(&shared, &routes, from, *message).await;
                 }
             }
-            PeerEvent::Up { .. } => {}
+            PeerEvent::Up { process } => {
+                if shared.leadership.borrow().leader.as_ref() == Some(&process) {
+                    shared.update_candidacy(|it, _| it.connection_restored());
+                }
+            }
             PeerEvent::Down { process, graceful } => {
                 if shared.leadership.borrow().leader.as_ref() == Some(&process) {
                     info!(shared.log, "connection to the leader lost"; "leader" => %process,
