Record what is left of LOST while leaders follow each other

Callers see tasks of a worker that has left wait for more than 9 s when all processes are restarted in several sequences.

--- a/crates/mustardcove-core/tests/silent_leases.rs
+++ b/crates/mustardcove-core/tests/silent_leases.rs
@@ -184,6 +184,37 @@
     assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
 }
 
+/// A worker is lost while leaders follow each other so fast that some have polled
+/// nothing before they step down, as when each process that starts is chosen and
+/// stopped soon.
+#[test]
+fn brief_leaders() {
+    let mut failed = Vec::new();
+    for seed in seeds(1) {
+        let mut world = busy_world(seed);
+        let mut away = Away::new();
+        let lost_in = world.rng.random_range(0..8u64);
+        for i in 0..20 {
+            if i == lost_in {
+                let worker = world.rng.random_range(0..WORKERS);
+                world.crash(worker, GONE_MS);
+            }
+            let gap_ms = match world.rng.random_range(0..2u32) {
+                0 => world.rng.random_range(20..200),
+                _ => world.rng.random_range(200..900),
+            };
+            away.run(&mut world, gap_ms);
+            let pause_ms = world.rng.random_range(0..300);
+            world.step_down((i as usize + 1) % PROCESSES, pause_ms);
+        }
+        away.run(&mut world, 14_000);
+        if MAX_AWAY_MS < away.longest_ms || !world.violations.is_empty() {
+            failed.push(format!("seed {seed}: {} ms, {:?}", away.longest_ms, world.violations));
+        }
+    }
+    assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
+}
+
 /// Leaders step down or are lost while workers are cut off, come back, crash or
 /// restart, and calls are lost, late or unanswered.
 ///
