Judge earlier leaders only once the members were read

What callers would have seen: after a cut, a leader with most processes and workers on its side goes on while its successor starts the same work 6.6 s after its claim.

Cause: the state of earlier leaders was updated once before the list of members was read. Without a list and without processes, half of none had joined, so that they counted as powerless from the claim on.

The cuts before had half of the workers on either side, where the leader without the store lacks a majority; the simulated fleet reads the members first.

Change: nothing is judged before the record was read, and nothing is computed any more once earlier leaders are known to be powerless.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -266,7 +266,8 @@
         explain_at: now,
         end_reason: None,
     };
-    leader.update_confirmation(now);
+    let leases_expire_by = leader.pollers.predecessors(now).leases_expire_by();
+    leader.planner.set_unfenced_leases_expire_by(leases_expire_by);
     leader.planner.set_cold_slack(shared.settings.cold_slack_ms);
     let _tasks = match leader.take_over(claim.predecessor).await {
         Ok(tasks) => tasks,
--- a/crates/mustardcove-node/src/leader/members.rs
+++ b/crates/mustardcove-node/src/leader/members.rs
@@ -26,12 +26,16 @@
     /// Returns why the term has to end: without the list it is not known which
     /// processes an earlier leader counts.
     pub(super) fn restore_members(&mut self, items: &[Item]) -> Result<(), &'static str> {
-        let Some(item) = items.iter().find(|it| it.key == MEMBERS_KEY) else { return Ok(()) };
+        let Some(item) = items.iter().find(|it| it.key == MEMBERS_KEY) else {
+            self.pollers.members_read();
+            return Ok(());
+        };
         let list: Option<MemberList> = durable::decode(&self.shared, "members", item);
         let Some(list) = list else { return Err("the list of members cannot be read") };
         info!(self.shared.log, "members restored"; "term" => %self.term,
             "members" => list.0.len(), "revision" => item.revision);
         self.pollers.members_stored(list, item.revision);
+        self.pollers.members_read();
         Ok(())
     }
 
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -73,6 +73,9 @@
     term_started_at: Timestamp,
     processes: BTreeMap<ProcessId, Process>,
     members: Members,
+    /// Whether the list that earlier leaders stored was read. Before, nothing is
+    /// known of those that obey them.
+    are_members_read: bool,
     /// The process of each instance whose record the store held when it was read
     /// last; without one if the record cannot be read.
     registered: BTreeMap<String, Option<ProcessId>>,
@@ -123,6 +126,7 @@
             term_started_at,
             processes: BTreeMap::new(),
             members: Members::default(),
+            are_members_read: false,
             registered: BTreeMap::new(),
             witnesses: Witnesses::default(),
             predecessors: Predecessors::new(term_started_at),
@@ -212,6 +216,11 @@
         self.members.lists().map(|list| list.0.keys().map(heard).collect()).collect()
     }
 
+    /// Records that the list that earlier leaders stored was read, if there is one.
+    pub(super) fn members_read(&mut self) {
+        self.are_members_read = true;
+    }
+
     /// Records the members that the store holds.
     pub(super) fn members_stored(&mut self, list: MemberList, revision: u64) {
         self.members.stored(list, revision);
@@ -257,6 +266,9 @@
 
     /// Updates what is known of earlier leaders, and returns it.
     pub(super) fn predecessors(&mut self, now: Timestamp) -> Predecessors {
+        if !self.are_members_read || self.predecessors.are_powerless() {
+            return self.predecessors;
+        }
         let state = |process: &ProcessId, name: &str| self.member_state(process, name, now);
         let evidence = Evidence {
             has_any_member_left: self.members.has_any_left(&self.shared.process, state),
--- a/crates/mustardcove-node/tests/region_cut.rs
+++ b/crates/mustardcove-node/tests/region_cut.rs
@@ -178,6 +178,16 @@
     assert!(outcome.is_ok(), "{outcome:#?}");
 }
 
+/// Guards against a successor that takes leases of a leader for expired that has
+/// most of the processes and of the workers on its side, and goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn both_majorities_cut() {
+    let cut = Duration::from_secs(14);
+    let play = Play { nodes: [5, 2], workers: [6, 2], cut, ..Play::new(3) };
+    let outcome = play.run("both-majorities-cut").await;
+    assert!(outcome.is_ok(), "{outcome:#?}");
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("MUSTARDCOVE_REGION_SEEDS") else { return vec![301] };
     let parse = |it: &str| it.trim().parse::<u64>().expect("a number");
