Keep waiting for a sound leader when its records cannot be read

What callers would have seen: a needless change of the leader while the store fails some reads.

Cause: a process that found another leader took over its term before it had read whether that has ended. If that read failed, the next attempt found the term known and claimed; and a heartbeat that arrived during the read was forgotten.

Change: the term is taken over after the reads, and only if no heartbeat has told it meanwhile. No test fails a single read of a process that starts; stopped_leaders and lost_greeting cover both outcomes of it.

--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -217,10 +217,22 @@
         // Another process became leader, or the first greeting was lost. Its
         // heartbeats should arrive soon, unless it is lost, too.
         info!(shared.log, "another leader found"; "term" => revision);
-        shared.leadership.send_replace(Leadership { term: Term(revision), leader: None });
-        if let Some(leader) = &before
-            && !has_ended(shared, leader, Term(revision)).await?
-        {
+        let ended = match &before {
+            Some(leader) => has_ended(shared, leader, Term(revision)).await?,
+            None => false,
+        };
+        let is_newer = |it: &mut Leadership| {
+            let is_newer = it.term < Term(revision);
+            if is_newer {
+                *it = Leadership { term: Term(revision), leader: None };
+            }
+            is_newer
+        };
+        if !shared.leadership.send_if_modified(is_newer) {
+            // A heartbeat arrived in the meantime.
+            return Ok(None);
+        }
+        if let Some(leader) = before.as_ref().filter(|_| !ended) {
             greet_leader(shared, leader);
             let is_same_region = leader.region == shared.settings.region;
             shared.update_candidacy(|it, now| it.found_leader(is_same_region, now));
