Log what each term leaves to its successor, and starts that are taken back

Callers saw long-running tasks wait for the leases of earlier leaders.

`no longer leading` now has `handover=`, `plan restored` has `from=`, `ends_known=` and `ends_unknown=`, with the metrics `terms_ended` and `terms_began`; `start_withdrawn` is a decision of the planner. `lead` returns a `TermEnd` in place of the reason alone. No change of logic; the leader whose queue is closed, which only happens as the process ends, now steps down as for a stop.

--- a/crates/mustardcove-core/src/fleet/handover.rs
+++ b/crates/mustardcove-core/src/fleet/handover.rs
@@ -34,6 +34,7 @@
 //! other within seconds, while workers crash or are replaced.
 
 use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
 
 use super::{
     id::{AssignmentNumber, Incarnation, RunNumber, TaskKey, Term},
@@ -47,6 +48,22 @@
 /// Largest size of an encoded record, in bytes: half of what the store accepts.
 const MAX_BYTES: usize = 512 << 10;
 
+/// What a leader has left to its successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum HandoverOutcome {
+    /// Its record.
+    Stored,
+    /// Nothing: it has ordered nothing, and an earlier leader may go on.
+    MayNotOrder,
+    /// Nothing: it had not restored the state of earlier leaders.
+    NotRestored,
+    /// Nothing: another process leads.
+    Superseded,
+    /// Nothing: the store has not accepted its record.
+    NotStored,
+}
+
 /// The stored record of a leader that stepped down. Points in time are on the
 /// writer's clock.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -171,6 +171,8 @@
     CrashExplained,
     /// A run was ordered to stop.
     RunStopped,
+    /// A start was taken back that waited for its record.
+    StartWithdrawn,
     /// A run of an earlier leader was adopted.
     RunAdopted,
     /// The predecessor's plan for a worker was taken over.
@@ -637,6 +639,14 @@
         worker.handed_over_leases_expire_by.map_or(latest, |it| it.min(latest))
     }
 
+    /// Returns of how many recorded workers it is known by when the leases of earlier
+    /// leaders have expired.
+    pub fn earlier_lease_ends(&self) -> EarlierLeaseEnds {
+        let recorded = || self.workers.iter().filter(|it| it.is_recorded);
+        let known = recorded().filter(|it| it.handed_over_leases_expire_by.is_some()).count();
+        EarlierLeaseEnds { known, unknown: recorded().count() - known }
+    }
+
     /// Adds the workers that earlier leaders used, which service discovery may
     /// not list at present; `None` if they left no record of them.
     pub fn restore_workers(&mut self, recorded: Option<Vec<WorkerListing>>) {
@@ -1055,6 +1065,15 @@
     change <= work.get(&id).map_or(0, |it| it.stored_change)
 }
 
+/// Numbers of recorded workers by what is known of the leases of earlier leaders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EarlierLeaseEnds {
+    /// Workers whose leases have expired at a known time.
+    pub known: usize,
+    /// Workers for which the longest lease is awaited unless they answer.
+    pub unknown: usize,
+}
+
 /// Counts for the metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlanCounts {
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -1002,6 +1002,13 @@
                     && !self.stops.contains_key(&(it.0, it.2.task, it.2.run))
             };
             if !is_stored || !start.orders.iter().all(is_possible) {
+                let tasks = start.orders.len();
+                self.log_decision(
+                    DecisionKind::StartWithdrawn,
+                    Some(start.step.submission),
+                    Some(self.worker_id(start.orders[0].0)),
+                    || format!("step={} tasks={tasks} stored={is_stored}", start.step),
+                );
                 self.cancel_withheld(start, now);
                 continue;
             }
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -25,6 +25,7 @@
         confirmation::Confirmation,
         election::{Candidacy, HEARTBEAT_INTERVAL_MS},
         evacuation::EvacuationSource,
+        handover::HandoverOutcome,
         id::{BootMillis, SubmissionId, Term},
         message::{FleetMessage, Heartbeat, Order, ReportRow, WorkerReport},
         overload::{LoadReport, Place, Places},
@@ -133,6 +134,21 @@
     pub sent_boot: BootMillis,
 }
 
+/// Why a term has ended, and what the successor finds of it.
+#[derive(Clone, Copy, Debug)]
+pub struct TermEnd {
+    /// Why it has ended.
+    pub why: &'static str,
+    /// What was handed over.
+    pub handover: HandoverOutcome,
+}
+
+impl TermEnd {
+    fn superseded(why: &'static str) -> TermEnd {
+        TermEnd { why, handover: HandoverOutcome::Superseded }
+    }
+}
+
 /// Result of a background task of the leader.
 enum TaskResult {
     /// The leader record, with the time at which the store was asked for it.
@@ -222,12 +238,12 @@
     end_reason: Option<&'static str>,
 }
 
-/// Leads until the term ends; returns the reason of the end.
+/// Leads until the term ends.
 pub async fn lead(
     shared: &Arc<Shared>,
     claim: Claim,
     inputs: &mut mpsc::Receiver<LeaderInput>,
-) -> &'static str {
+) -> TermEnd {
     let Claim { term, claims, .. } = claim;
     let (results, mut task_results) = mpsc::unbounded_channel();
     let now = shared.now();
@@ -271,10 +287,9 @@
     leader.planner.set_cold_slack(shared.settings.cold_slack_ms);
     let _tasks = match leader.take_over(claim.predecessor).await {
         Ok(tasks) => tasks,
-        Err(reason) => return reason,
+        Err(why) => return TermEnd { why, handover: HandoverOutcome::NotRestored },
     };
-    info!(shared.log, "plan restored"; "term" => %term,
-        "ms" => shared.now().ms_since(now), "submissions" => leader.planner.published_states().len());
+    leader.log_restored(claim.predecessor);
     let mut leadership = shared.leadership.subscribe();
     let mut heartbeat_tick = tokio::time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
     let mut learned_tick = tokio::time::interval(LEARNED_WRITE_INTERVAL);
@@ -289,7 +304,7 @@
                     leader.handle_queued(inputs);
                     plan_at = plan_at.min(plan_after.max(Instant::now() + PLAN_DELAY));
                 }
-                None => return "the process ends",
+                None => break,
             },
             Some(result) = task_results.recv() => {
                 leader.handle_result(result);
@@ -312,16 +327,16 @@
                 plan_at = plan_after.max(Instant::now() + MAX_PLAN_INTERVAL);
             }
             Ok(_) = leadership.wait_for(|it| term < it.term) => {
-                return "a successor sent a heartbeat";
+                return TermEnd::superseded("a successor sent a heartbeat");
             }
             () = shared.stop.cancelled() => break,
         }
-        if let Some(reason) = leader.end_reason {
-            return reason;
+        if let Some(why) = leader.end_reason {
+            return TermEnd::superseded(why);
         }
     }
-    leader.step_down(&mut task_results).await;
-    "the process stops"
+    let handover = leader.step_down(&mut task_results).await;
+    TermEnd { why: "the process stops", handover }
 }
 
 impl Leader {
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -5,7 +5,7 @@
 
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
 use mustardcove_core::fleet::{
-    handover::{Handover, PollerId, WorkerHandover},
+    handover::{Handover, HandoverOutcome, PollerId, WorkerHandover},
     id::{AssignmentNumber, Term},
     message::FleetMessage,
     record::{HANDOVER_KEY, LEADER_KEY},
@@ -32,11 +32,14 @@
 impl Leader {
     /// Ends the term: stores the progress and hands over the plan. Inputs are
     /// handled no more and nothing is started, so that both are of one moment.
-    pub(super) async fn step_down(&mut self, results: &mut mpsc::UnboundedReceiver<TaskResult>) {
+    pub(super) async fn step_down(
+        &mut self,
+        results: &mut mpsc::UnboundedReceiver<TaskResult>,
+    ) -> HandoverOutcome {
         if !self.pollers.predecessors(self.shared.now()).may_order() {
             // It has ordered nothing, and an earlier leader may go on.
             self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
-            return;
+            return HandoverOutcome::MayNotOrder;
         }
         let actions = self.planner.take_actions();
         self.execute(actions);
@@ -44,12 +47,16 @@
         // A record without the rest of the progress is sound as well.
         let _ = tokio::time::timeout(FLUSH_TIME, self.flush_all(results)).await;
         self.planner.acknowledge_stored();
-        match tokio::time::timeout(RECORD_TIME, self.hand_over()).await {
-            Ok(Ok(())) => {}
-            Ok(Err(why)) => self.log_not_handed_over(why),
-            Err(_) => self.log_not_handed_over("the store did not answer in time"),
+        let outcome = match tokio::time::timeout(RECORD_TIME, self.hand_over()).await {
+            Ok(outcome) => outcome,
+            Err(_) => HandoverOutcome::NotStored,
+        };
+        if outcome != HandoverOutcome::Stored {
+            warn!(self.shared.log, "plan not handed over"; "term" => %self.term,
+                "why" => %outcome);
         }
         self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
+        outcome
     }
 
     /// Stores all progress that the store accepts.
@@ -77,11 +84,7 @@
 
     /// Stores what the successor has to know of the workers, and retries
     /// failures. The leader must order nothing afterwards.
-    ///
-    /// # Errors
-    ///
-    /// Returns why it is not stored.
-    async fn hand_over(&self) -> Result<(), &'static str> {
+    async fn hand_over(&self) -> HandoverOutcome {
         let now = self.shared.now();
         let workers = self.planner.hand_over(now, |it| self.pollers.poller_id(it));
         let mut handover = Handover { term: self.term, written_at: now, workers };
@@ -91,7 +94,7 @@
         loop {
             match self.shared.store.write(&write).await {
                 Ok(WriteOutcome::Committed(_)) => break,
-                Ok(WriteOutcome::Conflict(_)) => return Err("another process leads"),
+                Ok(WriteOutcome::Conflict(_)) => return HandoverOutcome::Superseded,
                 Err(fault) => {
                     debug!(self.shared.log, "plan not stored yet"; "error" => %fault);
                     tokio::time::sleep(RETRY_PAUSE).await;
@@ -102,11 +105,18 @@
             "workers" => handover.workers.len(), "silent" => count_silent(&handover.workers),
             "without_plan" => count_unknown(&handover.workers), "bytes" => value.len(),
             "ms" => self.shared.now().ms_since(now));
-        Ok(())
+        HandoverOutcome::Stored
     }
 
-    fn log_not_handed_over(&self, why: &str) {
-        warn!(self.shared.log, "plan not handed over"; "term" => %self.term, "why" => why);
+    /// Logs and counts for how many recorded workers the ends of earlier leases are
+    /// known when the state of earlier leaders was restored.
+    pub(super) fn log_restored(&self, predecessor: Term) {
+        let ends = self.planner.earlier_lease_ends();
+        info!(self.shared.log, "plan restored"; "term" => %self.term, "from" => %predecessor,
+            "ms" => self.shared.now().ms_since(self.claimed_at),
+            "submissions" => self.planner.published_states().len(),
+            "ends_known" => ends.known, "ends_unknown" => ends.unknown);
+        self.shared.metrics.term_began(ends.unknown == 0);
     }
 
     /// Takes over what the predecessor stored when it stepped down, if it did.
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -150,8 +150,10 @@
                     .leadership
                     .send_replace(Leadership { term, leader: Some(shared.process.clone()) });
                 info!(shared.log, "leading"; "term" => %term, "claims" => claim.claims);
-                let reason = leader::lead(&shared, claim, &mut inputs).await;
-                info!(shared.log, "no longer leading"; "term" => %term, "why" => reason);
+                let end = leader::lead(&shared, claim, &mut inputs).await;
+                info!(shared.log, "no longer leading"; "term" => %term, "why" => end.why,
+                    "handover" => %end.handover);
+                shared.metrics.term_ended(end.handover.into());
                 shared.long_running_waits().clear();
                 *shared.interference() = InterferenceStatus::default();
                 let is_ours = |it: &mut Leadership| {
--- a/crates/mustardcove-node/src/metrics.rs
+++ b/crates/mustardcove-node/src/metrics.rs
@@ -26,6 +26,8 @@
     polls: Counter<u64>,
     orders: Counter<u64>,
     leader_inputs_dropped: Counter<u64>,
+    terms_began: Counter<u64>,
+    terms_ended: Counter<u64>,
     waiting_steps: Gauge<u64>,
     blocked_submissions: Gauge<u64>,
     waiting_long_running: Gauge<u64>,
@@ -87,6 +89,14 @@
                 "leader_inputs_dropped",
                 "Messages for the leader task that did not fit into its queue.",
             ),
+            terms_began: counter(
+                "terms_began",
+                "Terms of this process, by whether all ends of earlier leases were known.",
+            ),
+            terms_ended: counter(
+                "terms_ended",
+                "Ended terms of this process, by what was handed over.",
+            ),
             waiting_steps: gauge("waiting_steps", "Steps with tasks that wait, at the leader."),
             blocked_submissions: gauge(
                 "blocked_submissions",
@@ -257,6 +267,16 @@
         self.leader_inputs_dropped.add(1, &[]);
     }
 
+    /// Counts a term that this process has begun.
+    pub fn term_began(&self, are_ends_known: bool) {
+        self.terms_began.add(1, &[KeyValue::new("ends_known", are_ends_known)]);
+    }
+
+    /// Counts a term of this process that has ended.
+    pub fn term_ended(&self, handover: &'static str) {
+        self.terms_ended.add(1, &[KeyValue::new("handover", handover)]);
+    }
+
     /// Sets the gauges that describe the plan.
     pub fn record_plan(&self, counts: PlanCounts) {
         self.waiting_steps.record(counts.waiting_steps as u64, &[]);
--- a/crates/mustardcove-node/tests/stop_leader.rs
+++ b/crates/mustardcove-node/tests/stop_leader.rs
@@ -16,7 +16,7 @@
     record::{HANDOVER_KEY, LEADER_KEY},
 };
 use mustardcove_node::{
-    leader::{self, Claim},
+    leader::{self, Claim, TermEnd},
     membership,
     shared::{Leadership, Shared},
 };
@@ -29,7 +29,7 @@
 const MAX_STOP_TIME: Duration = Duration::from_secs(2);
 
 /// Lets the node lead the term of the leader record.
-async fn lead(local: &Local) -> (Term, JoinHandle<&'static str>) {
+async fn lead(local: &Local) -> (Term, JoinHandle<TermEnd>) {
     let shared: Arc<Shared> = local.shared.clone();
     local.store.put(LEADER_KEY, b"{}");
     let record = shared.store.get(LEADER_KEY).await.expect("an answer").expect("a record");
@@ -52,7 +52,7 @@
     (term, led)
 }
 
-async fn stop(local: &Local, led: JoinHandle<&'static str>) {
+async fn stop(local: &Local, led: JoinHandle<TermEnd>) {
     local.shared.stop.cancel();
     let stopped_at = Instant::now();
     tokio::time::timeout(MAX_STOP_TIME, led).await.expect("it stops in time").expect("no panic");
