Refuse peer connections that are meant for an earlier process

Cause: a leader sends to the process that ran before at an address as long as that process is in the store. It opens a connection for it; only the opener checked who answers. The new process took the connection for one of the leader's, preferred it (lower id, newest) and ended the sound one before the opener closed it, with each attempt of the opener anew. Messages that were queued meanwhile, the greeting of a new leader among them, were written to the connection that was about to end.

A lane now names the process that it is meant for (x-peer-to), and another process answers 421 before the connection counts.

--- a/crates/mustardcove-runtime/src/peer/dial.rs
+++ b/crates/mustardcove-runtime/src/peer/dial.rs
@@ -137,7 +137,8 @@
     let own = Hello::from_config(&shared.config);
     let failed = |it: h2::Error| unreachable(it.to_string());
     let mut requests = requests.clone().ready().await.map_err(failed)?;
-    let (resp, send) = requests.send_request(hello::request(&own, kind), false).map_err(failed)?;
+    let (resp, send) =
+        requests.send_request(hello::request(&own, &peer.process, kind), false).map_err(failed)?;
     let resp = resp.await.map_err(failed)?;
     hello::check_response(&own, &peer.process, &resp)?;
     Ok(LaneStreams { kind, send, recv: resp.into_body() })
--- a/crates/mustardcove-runtime/src/peer/hello.rs
+++ b/crates/mustardcove-runtime/src/peer/hello.rs
@@ -12,6 +12,8 @@
 const VERSION: &str = "x-peer-version";
 const PROCESS: &str = "x-peer-process";
 const REGION: &str = "x-peer-region";
+/// The process for which a lane is opened.
+const TO: &str = "x-peer-to";
 
 /// Identity and protocol version of a process.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,12 +49,14 @@
     }
 }
 
-/// Returns the request that opens a lane.
-pub(super) fn request(hello: &Hello, lane: LaneKind) -> Request<()> {
+/// Returns the request that opens a lane to a process.
+pub(super) fn request(hello: &Hello, to: &ProcessId, lane: LaneKind) -> Request<()> {
     let mut req = Request::new(());
     *req.method_mut() = http::Method::POST;
     *req.uri_mut() = format!("http://peer/{}", lane.name()).parse().expect("a valid URI");
     hello.write(req.headers_mut());
+    let to = HeaderValue::from_str(to.as_str()).expect("names are visible ASCII");
+    req.headers_mut().insert(TO, to);
     req
 }
 
@@ -74,6 +78,11 @@
     if hello.version != own.version {
         return Err(refuse(StatusCode::UPGRADE_REQUIRED));
     }
+    // A connection to an earlier process at this address is not one to this process.
+    let to = req.headers().get(TO).ok_or_else(|| refuse(StatusCode::BAD_REQUEST))?;
+    if to.as_bytes() != own.process.as_str().as_bytes() {
+        return Err(refuse(StatusCode::MISDIRECTED_REQUEST));
+    }
     Ok((hello, lane))
 }
 
@@ -97,13 +106,13 @@
     if hello.version != own.version {
         return error(format!("the peer speaks version {}, not {}", hello.version, own.version));
     }
-    if resp.status() != StatusCode::OK {
-        return error(format!("the peer answered {}", resp.status()));
-    }
     // A restarted process has a new id. Messages to its predecessor must not
     // reach it.
     if hello.process != *expected {
         return error(format!("the address belongs to process {} now", hello.process));
     }
+    if resp.status() != StatusCode::OK {
+        return error(format!("the peer answered {}", resp.status()));
+    }
     Ok(())
 }
--- a/crates/mustardcove-runtime/tests/peer_goaway.rs
+++ b/crates/mustardcove-runtime/tests/peer_goaway.rs
@@ -29,6 +29,7 @@
         .header("x-peer-version", PROTOCOL_VERSION)
         .header("x-peer-process", "b")
         .header("x-peer-region", "moldova")
+        .header("x-peer-to", "a")
         .body(())
         .unwrap()
 }
