Keep a connection until the one that replaces it is in use

Cause: of several connections to a peer both sides keep the one that the lower id has opened, the newest of them. Over a full link between regions, or from a process with a small share of a core, no connection was left, each time anew.

A connection that the peer has opened comes last until the peer has used it; once its opener ends the others, it is the only one left, so both sides still agree.

--- a/crates/mustardcove-runtime/src/peer/link.rs
+++ b/crates/mustardcove-runtime/src/peer/link.rs
@@ -82,8 +82,12 @@
     mut recv: RecvStream,
 ) -> eyre::Result<()> {
     let mut decoder = Decoder::new(shared.config.max_message_bytes);
+    let mut is_confirmed = false;
     while let Some(chunk) = recv.data().await {
         let chunk = chunk?;
+        if !std::mem::replace(&mut is_confirmed, true) {
+            peer.confirm_link(link, &shared.config.process);
+        }
         shared.count_bytes(peer, Direction::Received, chunk.len());
         decoder.push(&chunk);
         while let Some(message) = decoder.next_message()? {
--- a/crates/mustardcove-runtime/src/peer/remote.rs
+++ b/crates/mustardcove-runtime/src/peer/remote.rs
@@ -70,6 +70,9 @@
 struct Link {
     id: LinkId,
     opened_by: OpenedBy,
+    /// Whether its opener is known to use it. A peer that has not heard that its
+    /// request was accepted may still give it up.
+    is_confirmed: bool,
     /// The peer has ended a lane of this link, so nothing more is sent on it
     /// either.
     remote_finished: bool,
@@ -183,6 +186,13 @@
         state.last_error = Some(error.to_string());
     }
 
+    /// Records that the peer has sent something on a connection that it opened.
+    pub(super) fn confirm_link(&self, link: LinkId, own: &ProcessId) {
+        let mut state = self.lock();
+        state.links.iter_mut().filter(|it| it.id == link).for_each(|it| it.is_confirmed = true);
+        self.select_link(&state, own);
+    }
+
     /// Stops sending on a connection after the peer has ended one of its lanes.
     pub(super) fn finish_link(&self, link: LinkId, own: &ProcessId) {
         let mut state = self.lock();
@@ -215,7 +225,8 @@
         let is_first = {
             let mut state = self.lock();
             let is_first = state.links.is_empty();
-            state.links.push(Link { id, opened_by, remote_finished: false });
+            let is_confirmed = opened_by == OpenedBy::Local;
+            state.links.push(Link { id, opened_by, is_confirmed, remote_finished: false });
             self.select_link(&state, own);
             is_first
         };
@@ -261,11 +272,16 @@
 
     /// Makes the preferred connection the one that takes messages from the
     /// queues. Both sides prefer a connection opened by the lower process id,
-    /// and then the newest one, so that they choose the same.
+    /// and then the newest one, so that they choose the same. One that the peer
+    /// has opened comes last until the peer has used it or ended the others:
+    /// ending a connection for one that its opener gives up would leave none.
     fn select_link(&self, state: &PeerState, own: &ProcessId) {
         let preferred = if *own < self.process { OpenedBy::Local } else { OpenedBy::Remote };
         let usable = state.links.iter().filter(|it| !it.remote_finished);
-        let selected = usable.max_by_key(|it| (it.opened_by == preferred, it.id));
+        let selected = usable.max_by_key(|it| {
+            let is_preferred = it.opened_by == preferred;
+            (it.is_confirmed, is_preferred, it.id)
+        });
         for lane in &self.lanes {
             lane.set_active_link(selected.map(|it| it.id));
         }
--- a/crates/mustardcove-runtime/tests/peer_restarts.rs
+++ b/crates/mustardcove-runtime/tests/peer_restarts.rs
@@ -16,6 +16,10 @@
 };
 use mustardcove_runtime::peer::PeerEvent;
 use setup::{Node, TEST_TIMEOUT, config, process, start};
+use tokio::{
+    io::copy,
+    net::{TcpListener, TcpStream},
+};
 
 /// Time between two messages, as between two heartbeats of a leader.
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -100,3 +104,47 @@
 async fn higher_runs_on() {
     keeps_connection("c.1", "b.2", "b.1").await;
 }
+
+/// Starts a relay over which answers do not arrive.
+async fn one_way_relay(to: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut from, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut to = TcpStream::connect(to).await.unwrap();
+                let (mut requests, _from) = from.split();
+                let (_to, mut forwarded) = to.split();
+                let _ = copy(&mut requests, &mut forwarded).await;
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a connection that is ended for another one which its opener
+/// gives up, because the answer to its request comes too late.
+#[tokio::test]
+async fn opener_gives_up() {
+    let mut hasty = config("a.1");
+    hasty.connect_timeout = Duration::from_millis(300);
+    let mut a = start(hasty).await;
+    let mut b = start(config("b.1")).await;
+    let (id_a, id_b) = (process("a.1"), process("b.1"));
+    let region = || "moldova".parse().unwrap();
+    b.peers.add_peer(id_a.clone(), a.peers.address(), region());
+    a.peers.add_peer(id_b.clone(), one_way_relay(b.peers.address()).await, region());
+    a.peers.send(&id_b, &message(1)).unwrap();
+    b.peers.send(&id_a, &message(2)).unwrap();
+    a.message().await;
+    let began = Instant::now();
+    while began.elapsed() < SENDING_TIME {
+        b.peers.send(&id_a, &message(3)).unwrap();
+        a.message().await;
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let lost = std::iter::from_fn(|| b.events.try_recv().ok())
+        .filter(|it| matches!(it, PeerEvent::Down { .. }))
+        .count();
+    assert_eq!(lost, 0, "connections lost");
+}
