Let a new connection replace one in use only once it is used itself

With unconfirmed connections last in the order, a process that had taken a connection of its peer into use left it again for its own, less preferred one; both sides ended each other's connection, and messages did not arrive.

What changed is only when a connection that the peer has opened takes the place of another one that is in use: once the peer has sent something on it, or has ended the other.

--- a/crates/mustardcove-runtime/src/peer/remote.rs
+++ b/crates/mustardcove-runtime/src/peer/remote.rs
@@ -83,6 +83,8 @@
     address: Option<SocketAddr>,
     region: RegionId,
     links: Vec<Link>,
+    /// The connection that takes messages from the queues.
+    active: Option<LinkId>,
     refused_until: Timestamp,
     failed_connects: u64,
     last_error: Option<String>,
@@ -114,6 +116,7 @@
             address: None,
             region,
             links: Vec::new(),
+            active: None,
             refused_until: Timestamp::default(),
             failed_connects: 0,
             last_error: None,
@@ -190,14 +193,14 @@
     pub(super) fn confirm_link(&self, link: LinkId, own: &ProcessId) {
         let mut state = self.lock();
         state.links.iter_mut().filter(|it| it.id == link).for_each(|it| it.is_confirmed = true);
-        self.select_link(&state, own);
+        self.select_link(&mut state, own);
     }
 
     /// Stops sending on a connection after the peer has ended one of its lanes.
     pub(super) fn finish_link(&self, link: LinkId, own: &ProcessId) {
         let mut state = self.lock();
         state.links.iter_mut().filter(|it| it.id == link).for_each(|it| it.remote_finished = true);
-        self.select_link(&state, own);
+        self.select_link(&mut state, own);
     }
 
     /// Sets the address and region, and reports whether an address was set
@@ -227,7 +230,7 @@
             let is_first = state.links.is_empty();
             let is_confirmed = opened_by == OpenedBy::Local;
             state.links.push(Link { id, opened_by, is_confirmed, remote_finished: false });
-            self.select_link(&state, own);
+            self.select_link(&mut state, own);
             is_first
         };
         self.links_changed.notify_waiters();
@@ -242,7 +245,7 @@
             if let LinkEnd::Broken(error) = end {
                 state.last_error = Some(error.clone());
             }
-            self.select_link(&state, own);
+            self.select_link(&mut state, own);
             state.links.is_empty()
         };
         self.links_changed.notify_waiters();
@@ -273,17 +276,20 @@
     /// Makes the preferred connection the one that takes messages from the
     /// queues. Both sides prefer a connection opened by the lower process id,
     /// and then the newest one, so that they choose the same. One that the peer
-    /// has opened comes last until the peer has used it or ended the others:
-    /// ending a connection for one that its opener gives up would leave none.
-    fn select_link(&self, state: &PeerState, own: &ProcessId) {
+    /// has opened takes the place of another only once the peer has used it or
+    /// ended the other: its opener may give it up, and none would be left.
+    fn select_link(&self, state: &mut PeerState, own: &ProcessId) {
         let preferred = if *own < self.process { OpenedBy::Local } else { OpenedBy::Remote };
-        let usable = state.links.iter().filter(|it| !it.remote_finished);
-        let selected = usable.max_by_key(|it| {
-            let is_preferred = it.opened_by == preferred;
-            (it.is_confirmed, is_preferred, it.id)
-        });
+        let usable = || state.links.iter().filter(|it| !it.remote_finished);
+        let best = usable().max_by_key(|it| (it.opened_by == preferred, it.id));
+        let active = usable().find(|it| Some(it.id) == state.active);
+        let selected = match (best, active) {
+            (Some(best), Some(active)) if !best.is_confirmed => Some(active.id),
+            (best, _) => best.map(|it| it.id),
+        };
+        state.active = selected;
         for lane in &self.lanes {
-            lane.set_active_link(selected.map(|it| it.id));
+            lane.set_active_link(selected);
         }
     }
 
