Keep starts of suspected tasks waiting while their records are slow

Cause: a start of a suspected task waits for a record that names its run, and was withdrawn after 1.5 s. Both the naming of the run and its removal counted as changes that have to be stored before the task is placed again. With writes that take longer than 1.5 s each start made the record of the next one necessary, and none ran.

A start is now withdrawn only if the last write of its record failed, or if no progress has been written for 1.5 s; no start of that task is placed until the record is stored, so that no worker is kept while the store is away. The run of a withdrawn start is removed from the record without a wait: the record of the next start is stored before that is ordered, and names the earlier run no more. What a new leader may find in the store is therefore what it could find before: a run that never began, between its record and the next one. It drops the run if the worker answers with the same incarnation, and otherwise counts a crash as before. Tasks that start without isolation, and so without a record of the start, still wait until the removal is stored.

A task waits for the write in flight, the record of the crash and the record of its next run. Tests: `slow_records`, with writes of 0.2, 1.6 and 4.0 s, starts in groups, workers lost before their starts are ordered, the store away, and a leader lost at several moments. The tests got names that no other test has.

The log says `progress stored slowly` for a write of 500 ms or more, with its duration and its numbers of records.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -279,6 +279,8 @@
     /// Number of the last change that has to be stored.
     change: u64,
     dirty: BTreeSet<SubmissionId>,
+    /// Records that are being written.
+    in_flight: BTreeSet<SubmissionId>,
     /// Final states that are published once their submission's changes up to
     /// the number are stored.
     unpublished: Vec<(u64, SubmissionId, SubmissionState)>,
@@ -361,6 +363,7 @@
             unconfirmed: BTreeMap::new(),
             change: 0,
             dirty: BTreeSet::new(),
+            in_flight: BTreeSet::new(),
             unpublished: Vec::new(),
             cancelled_early: BTreeSet::new(),
             unplanned_ends: BTreeMap::new(),
@@ -763,13 +766,16 @@
             let work = self.work.get(&id)?;
             Some((id, work.progress(), work.progress_revision))
         };
-        (self.change, dirty.into_iter().filter_map(record).collect())
+        let records: Vec<_> = dirty.into_iter().filter_map(record).collect();
+        self.in_flight.extend(records.iter().map(|it| it.0));
+        (self.change, records)
     }
 
     /// Returns whether something waits for a change to be stored: a final state
     /// that callers should see, or a task that may crash its worker.
     pub fn has_urgent_progress(&self) -> bool {
-        self.unpublished.iter().any(|it| self.dirty.contains(&it.1)) || self.waits_for_record()
+        self.unpublished.iter().any(|it| self.dirty.contains(&it.1))
+            || self.awaited_records().next().is_some()
     }
 
     /// Returns whether anything waits to be stored.
@@ -780,9 +786,11 @@
     /// Records that a progress record is stored as a revision, with the changes
     /// of its submission up to `change`.
     pub fn record_stored(&mut self, id: SubmissionId, revision: u64, change: u64) {
+        self.in_flight.remove(&id);
         if let Some(work) = self.work.get_mut(&id) {
             work.progress_revision = revision;
             work.stored_change = work.stored_change.max(change);
+            work.is_record_failing = false;
         }
     }
 
@@ -796,6 +804,16 @@
     /// Marks a record that could not be stored to be stored again.
     pub fn progress_failed(&mut self, id: SubmissionId) {
         self.dirty.insert(id);
+        self.progress_rejected(id);
+    }
+
+    /// Records that a record could not be stored, or not in time. Until it is, no
+    /// start waits for it.
+    pub fn progress_rejected(&mut self, id: SubmissionId) {
+        self.in_flight.remove(&id);
+        if let Some(work) = self.work.get_mut(&id) {
+            work.is_record_failing = true;
+        }
     }
 
     /// Acknowledges the ends and publishes the final states that belong to
--- a/crates/mustardcove-core/src/fleet/planner/explain.rs
+++ b/crates/mustardcove-core/src/fleet/planner/explain.rs
@@ -92,6 +92,7 @@
             unconfirmed: self.unconfirmed.clone(),
             change: self.change,
             dirty: self.dirty.clone(),
+            in_flight: self.in_flight.clone(),
             unpublished: self.unpublished.clone(),
             cancelled_early: self.cancelled_early.clone(),
             unplanned_ends: self.unplanned_ends.clone(),
--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -43,7 +43,8 @@
 //! worker before it is ordered, and the runs that become suspected by the
 //! silence of their worker are stored at once. A new leader thus finds each
 //! run whose outcome is open, and judges it by what became of its worker.
-//! While the store is away, suspected tasks wait. Lost is only a crash whose
+//! While the store is away, suspected tasks wait and no worker is kept for them.
+//! While it is slow, a start waits for its record, however long that takes. Lost is only a crash whose
 //! leader is lost before it has noticed the silence of the worker.
 //!
 //! See `docs/platform.md`, section 6.
@@ -122,7 +123,8 @@
 /// Time until a worker is looked for again after none was found, in
 /// milliseconds.
 const SEARCH_PAUSE_MS: u64 = 300;
-/// Longest time for which a start waits for its record, in milliseconds.
+/// Longest time for which a start waits for its record while writes of it fail or
+/// no progress is written, in milliseconds.
 const RECORD_TIMEOUT_MS: u64 = 1_500;
 
 /// What is known against a task.
@@ -134,8 +136,11 @@
     open_runs: Vec<OpenRun>,
     /// Those of the crashed runs whose crash is put down to another task.
     explained_runs: Vec<RunNumber>,
-    /// The change that has to be stored before the task starts again.
+    /// The change that has to be stored before the task is placed again.
     change: u64,
+    /// The last change that only removed a run which never began. A record that
+    /// still names the run is replaced before the next one begins.
+    removal: u64,
     /// No worker is looked for before this time.
     try_at: Timestamp,
     /// Whether a claim has expired since its last start.
@@ -304,6 +309,8 @@
     mostly_free: BTreeSet<String>,
     /// When the waits are logged next.
     log_at: Timestamp,
+    /// When a write of progress was last seen in flight.
+    written_at: Timestamp,
 }
 
 impl Suspects {
@@ -365,13 +372,24 @@
 }
 
 impl Planner {
-    /// Returns whether a start or a suspected task waits for the store.
-    pub(super) fn waits_for_record(&self) -> bool {
-        let is_unstored = |id, change| !is_stored(&self.work, id, change);
-        let suspects = &self.suspects;
-        suspects.withheld.iter().any(|it| is_unstored(it.step.submission, it.change))
-            || (suspects.tasks.iter())
-                .any(|it| is_unstored(it.step.submission, self.suspicion_change(*it)))
+    /// Returns the submissions whose records have to be stored before a start or a
+    /// suspected task can go on; some are returned more than once.
+    pub(super) fn awaited_records(&self) -> impl Iterator<Item = SubmissionId> {
+        let withheld = self.suspects.withheld.iter().map(|it| (it.step.submission, it.change));
+        let tasks = self.suspects.tasks.iter();
+        let tasks = tasks.map(|it| (it.step.submission, self.suspicion_change(*it)));
+        withheld.chain(tasks).filter(|it| !is_stored(&self.work, it.0, it.1)).map(|it| it.0)
+    }
+
+    /// Returns whether a start of a suspected task may wait for its record: what is
+    /// known against it is stored, and the last write of its record did not fail.
+    /// While the store is away, no worker is kept for it.
+    fn is_recordable(&self, id: SubmissionId, suspicion: &Suspicion) -> bool {
+        is_stored(&self.work, id, suspicion.change) && !self.is_record_failing(id)
+    }
+
+    fn is_record_failing(&self, id: SubmissionId) -> bool {
+        self.work.get(&id).is_some_and(|it| it.is_record_failing)
     }
 
     /// Returns whether a task has to wait for what becomes of a worker: until the
@@ -405,7 +423,7 @@
             return Some(SuspectWait::Withheld);
         }
         let suspicion = self.suspicion(task).filter(|_| !self.is_cleared(task))?;
-        let wait = if !is_stored(&self.work, task.step.submission, suspicion.change) {
+        let wait = if !self.is_recordable(task.step.submission, suspicion) {
             SuspectWait::Unstored
         } else if self.is_undecided(task, suspicion, now) {
             SuspectWait::Undecided
@@ -429,17 +447,25 @@
         self.work.get(&task.step.submission).is_some_and(|it| it.is_known_unstarted)
     }
 
-    /// Changes what is known against a task, and has it stored.
+    /// Changes what is known against a task, and has it stored before the task
+    /// starts again.
     fn change_suspicion(&mut self, task: TaskKey, change: impl FnOnce(&mut Suspicion)) {
+        self.update_suspicion(task, |it, number| {
+            change(it);
+            it.change = number;
+        });
+    }
+
+    /// Changes what is known against a task, given the number of the change.
+    fn update_suspicion(&mut self, task: TaskKey, update: impl FnOnce(&mut Suspicion, u64)) {
         self.mark_dirty(task.step.submission);
         let number = self.change;
         let Some(slot) = self.task_mut(task) else { return };
         let mut suspicion = slot.suspicion.take().unwrap_or_default();
-        change(&mut suspicion);
+        update(&mut suspicion, number);
         if suspicion.is_empty() {
             self.suspects.tasks.remove(&task);
         } else {
-            suspicion.change = number;
             slot.suspicion = Some(suspicion);
             self.suspects.tasks.insert(task);
         }
@@ -474,16 +500,19 @@
         }
     }
 
-    /// Records that a run was never started, so that it has crashed nothing.
+    /// Records that a run was never started, so that it has crashed nothing. The
+    /// next start does not wait for that: its own record is stored before it is
+    /// ordered, and no longer names the run.
     pub(super) fn run_not_started(&mut self, task: TaskKey, run: RunNumber) {
         let is_mentioned = |it: &Suspicion| {
             it.open_runs.iter().any(|it| it.run == run)
                 || it.crashed_runs.iter().any(|it| it.run == run)
         };
         if self.suspicion(task).is_some_and(is_mentioned) {
-            self.change_suspicion(task, |it| {
+            self.update_suspicion(task, |it, number| {
                 it.open_runs.retain(|it| it.run != run);
                 it.crashed_runs.retain(|it| it.run != run);
+                it.removal = number;
             });
         }
     }
@@ -764,11 +793,11 @@
         let spec = work.submission.steps.get(usize::from(task.step.step))?;
         let slot = work.task(task)?;
         let suspicion = slot.suspicion.as_ref()?;
-        let is_stored = is_stored(&self.work, task.step.submission, suspicion.change);
+        let is_recordable = self.is_recordable(task.step.submission, suspicion);
         let is_due = slot.not_before.max(suspicion.try_at) <= now;
         let is_fenced = self.may_start_work(work, now);
         let is_undecided = self.is_undecided(task, suspicion, now);
-        let may_start = is_due && is_stored && is_fenced && !is_undecided;
+        let may_start = is_due && is_recordable && is_fenced && !is_undecided;
         if spec.is_gang || self.is_cleared(task) || !slot.is_waiting() || !may_start {
             return None;
         }
@@ -974,7 +1003,9 @@
                 host,
             };
             if self.suspicion(task).is_some() {
-                self.change_suspicion(task, |it| it.open_runs.push(open));
+                // The start waits for the record by itself: if it is withdrawn, the
+                // next one need not wait for a record of it.
+                self.update_suspicion(task, |it, _| it.open_runs.push(open));
             }
             withheld.push((index, incarnation, order));
         }
@@ -984,12 +1015,20 @@
         self.suspects.withheld.push(start);
     }
 
-    /// Orders the starts whose records are stored, and drops those that waited
-    /// for too long or whose worker is no longer as it was.
+    /// Orders the starts whose records are stored, and drops those whose worker is no
+    /// longer as it was, or whose record could not be stored in time. Those whose
+    /// record is only slow go on waiting: a new start would have to wait for a
+    /// record as well.
     fn send_withheld(&mut self, now: Timestamp) {
+        if !self.in_flight.is_empty() {
+            self.suspects.written_at = now;
+        }
+        let is_writing = now.ms_since(self.suspects.written_at) < RECORD_TIMEOUT_MS;
         for start in std::mem::take(&mut self.suspects.withheld) {
-            let is_stored = is_stored(&self.work, start.step.submission, start.change);
-            if !is_stored && now < start.expires_at {
+            let id = start.step.submission;
+            let is_stored = is_stored(&self.work, id, start.change);
+            let is_slow = is_writing && !self.is_record_failing(id);
+            if !is_stored && (now < start.expires_at || is_slow) {
                 self.suspects.withheld.push(start);
                 continue;
             }
@@ -1005,11 +1044,14 @@
                 let tasks = start.orders.len();
                 self.log_decision(
                     DecisionKind::StartWithdrawn,
-                    Some(start.step.submission),
+                    Some(id),
                     Some(self.worker_id(start.orders[0].0)),
                     || format!("step={} tasks={tasks} stored={is_stored}", start.step),
                 );
                 self.cancel_withheld(start, now);
+                if let Some(work) = self.work.get_mut(&id) {
+                    work.is_record_failing |= !is_stored;
+                }
                 continue;
             }
             for (index, _, order) in start.orders {
@@ -1126,9 +1168,11 @@
     /// only.
     pub(super) fn is_placeable(&self, task: TaskKey, submission: &Arc<Submission>) -> bool {
         let is_gang = submission.steps[usize::from(task.step.step)].is_gang;
-        let is_stored = |it: &Suspicion| is_stored(&self.work, task.step.submission, it.change);
         let Some(suspicion) = self.suspicion(task) else { return true };
-        is_stored(suspicion) && (is_gang || self.is_cleared(task))
+        // Without isolation no record of the start is awaited, except for gangs.
+        let is_stored = || is_stored(&self.work, task.step.submission, suspicion.removal);
+        self.is_recordable(task.step.submission, suspicion)
+            && (is_gang || (self.is_cleared(task) && is_stored()))
     }
 }
 
--- a/crates/mustardcove-core/src/fleet/planner/work.rs
+++ b/crates/mustardcove-core/src/fleet/planner/work.rs
@@ -59,6 +59,8 @@
     pub(super) last_change: u64,
     /// The last change of the plan up to which its own are stored.
     pub(super) stored_change: u64,
+    /// Whether its record could not be stored when that was last tried.
+    pub(super) is_record_failing: bool,
     /// When the planner first learned of it.
     pub(super) known_since: Timestamp,
     /// When the first task was placed by its rank in this term.
@@ -343,6 +345,7 @@
             progress_revision: 0,
             last_change: 0,
             stored_change: 0,
+            is_record_failing: false,
             known_since: now,
         }
     }
--- a/crates/mustardcove-core/tests/slow_records.rs
+++ b/crates/mustardcove-core/tests/slow_records.rs
@@ -155,7 +155,7 @@
 /// Starts in groups were withdrawn after 1.5 s, again and again, if a write takes
 /// longer.
 #[test]
-fn slow_writes() {
+fn slow_writes_bounded() {
     for write_ms in WRITE_MS {
         let mut slow = SlowStore::new(write_ms);
         slow.crash();
@@ -175,7 +175,7 @@
 /// A start that is taken back because its worker falls silent waited for another
 /// record before the next one.
 #[test]
-fn worker_silent() {
+fn workers_lost_early() {
     let write_ms = 1_600;
     let mut slow = SlowStore::new(write_ms);
     slow.crash();
@@ -199,7 +199,7 @@
 
 /// While the store is away, suspected tasks must not keep workers from other work.
 #[test]
-fn store_away() {
+fn store_away_idle() {
     let mut slow = SlowStore::new(200);
     slow.crash();
     slow.advance();
@@ -223,7 +223,7 @@
 /// A leader that is lost while starts wait for their records leaves runs that never
 /// began. Its successor must start each task in the same time, and give up none.
 #[test]
-fn leader_lost() {
+fn leader_lost_early() {
     for write_ms in WRITE_MS {
         for lost_after_ms in [write_ms, 2 * write_ms, 5 * write_ms / 2] {
             let mut slow = SlowStore::new(write_ms);
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -31,11 +31,15 @@
 /// Time after which a record that the store rejected is written again, in
 /// milliseconds. It may be smaller then, or the store may accept more.
 const REJECTED_RETRY_MS: u64 = 5_000;
+/// Duration of a write of progress from which on it is logged, in milliseconds.
+const SLOW_WRITE_MS: u64 = 500;
 /// Progress records, each with the revision that it replaces.
 type Records = Vec<(SubmissionId, ProgressRecord, u64)>;
 
 /// Result of writing the changed progress records.
 pub(super) struct FlushResult {
+    /// When the records were taken from the plan.
+    taken_at: Timestamp,
     /// The number of the last change that the records hold.
     change: u64,
     /// Records that are stored, with their new revisions.
@@ -66,7 +70,9 @@
         }
         let (change, mut records) = self.planner.take_progress();
         // The others become part of a later write, whether or not they change.
-        records.retain(|it| !self.rejected_records.contains_key(&it.0));
+        for it in records.extract_if(.., |it| self.rejected_records.contains_key(&it.0)) {
+            self.planner.progress_rejected(it.0);
+        }
         if records.is_empty() {
             self.planner.acknowledge_stored();
             return;
@@ -74,7 +80,7 @@
         self.is_flushing = true;
         let (shared, results, term) = (self.shared.clone(), self.results.clone(), self.term);
         tokio::spawn(async move {
-            let result = write_all(&shared, term, change, records).await;
+            let result = write_all(&shared, term, change, records, now).await;
             // The receiver is dropped when the term ends.
             let _ = results.send(TaskResult::Flushed(result));
         });
@@ -119,6 +125,12 @@
     /// Handles the end of a write, and schedules the next.
     pub(super) fn flush_ended(&mut self, result: FlushResult, now: Timestamp) {
         self.is_flushing = false;
+        let ms = now.ms_since(result.taken_at);
+        if SLOW_WRITE_MS <= ms {
+            info!(self.shared.log, "progress stored slowly"; "ms" => ms,
+                "stored" => result.stored.len(), "failed" => result.failed.len(),
+                "rejected" => result.rejected.len());
+        }
         self.write_ended(result.is_answered, now);
         self.flush_at = now.plus_ms(FLUSH_INTERVAL_MS);
         if result.is_superseded {
@@ -130,6 +142,7 @@
         }
         self.planner.acknowledge_stored();
         for id in result.rejected {
+            self.planner.progress_rejected(id);
             self.rejected_records.insert(id, now.plus_ms(REJECTED_RETRY_MS));
         }
         if !result.failed.is_empty() {
@@ -144,7 +157,13 @@
     }
 }
 
-async fn write_all(shared: &Arc<Shared>, term: Term, change: u64, records: Records) -> FlushResult {
+async fn write_all(
+    shared: &Arc<Shared>,
+    term: Term,
+    change: u64,
+    records: Records,
+    taken_at: Timestamp,
+) -> FlushResult {
     let rows: Vec<Row> = (records.iter())
         .map(|(id, progress, revision)| Row {
             key: record::key_of(PROGRESS_PREFIX, *id),
@@ -154,6 +173,7 @@
         .collect();
     let written = write_rows(shared, term, &rows).await;
     let mut result = FlushResult {
+        taken_at,
         change,
         stored: Vec::new(),
         failed: Vec::new(),
