Let a displaced leader tell its successor when earlier leases end

A displaced leader ends its term, orders and confirms nothing more, and sends its successor LeaderDisplaced: for each recorded worker by when all leases have ended that were granted in its term or before, since when it is silent, and the poller of one that answers, whose EarlierLeases report then counts, also if it came first. The successor uses it only if its claim has replaced exactly that term, and only to make ends earlier. The message is repeated after 150, 300, 600 ms and so on, from a task of its own, until LeasesLearned or for 4 s. It goes to the process whose heartbeat has arrived, or which the leader record names. Workers whose place another one has taken are left out. Why the ends are safe is in core fleet::handover. A record that the store has not accepted is followed by the same message.

Messages to the leader task carry the time of their arrival, so that a leader that restores its state for a second does not add that to the ends.

--- a/crates/mustardcove-core/src/fleet/handover.rs
+++ b/crates/mustardcove-core/src/fleet/handover.rs
@@ -26,7 +26,46 @@
 //! term. After writing it, a leader orders nothing and confirms no answer of a
 //! worker, without which pollers extend no lease of one that was silent.
 //!
-//! A leader that is lost leaves no record. Its successor waits in full, which is
+//! # Displaced leaders
+//!
+//! A leader beside which another process has claimed cannot store a record any more,
+//! and its plan is worthless, since the successor may have acted already. What it
+//! knows of leases is not: it sends the ends of those that were granted in its term
+//! or before ([`KnownLeases`]) to the successor, which uses them if its claim has
+//! replaced exactly that term. There is no term between the two, so the only other
+//! leases are those of the successor itself, which counts these by itself.
+//!
+//! *Why the ends are safe.* The sender ends its term before it determines them, and
+//! neither orders nor confirms anything afterwards. What it has sent before may still
+//! be on its way:
+//!
+//! - An extension on a silent worker needs a confirmation of an answer that came
+//!   after the silence began. The sender counts a worker as silent only while it has
+//!   confirmed no such answer.
+//! - A start is sent to the worker no later than
+//!   [`ORDER_MAX_AGE_MS`](super::poller::ORDER_MAX_AGE_MS) after the newest report
+//!   that was handled before it was ordered, on the boot clock of its poller. The sender has
+//!   added [`MAX_START_LEASE_MS`](super::poller::MAX_START_LEASE_MS) to the time of
+//!   each order, so that a process which was stopped between the order and its sending,
+//!   and goes on later, has no start carried out outside that time.
+//! - An answering worker has a poller that goes on. Its end counts only with the
+//!   report of exactly that poller that it grants nothing more, as for a record.
+//! - A worker that was not polled in the sender's term was granted nothing in it. Its
+//!   end is that of the leases of the leaders before, which the sender has waited for
+//!   itself.
+//! - A worker whose place another one has taken is left out: its next incarnation may
+//!   be at another address.
+//!
+//! A worker that the successor has polled obeys no earlier term. Its clock plays no
+//! part: the ends are those that the pollers have computed.
+//!
+//! *Late, repeated and misdirected messages.* Times are relative to the sending, so
+//! a message that takes 10 s yields ends that are 10 s too late. The successor
+//! takes the earliest end that it knows, so repetitions and late messages change
+//! nothing, and no message makes an end later. A message of any other term than that
+//! which the claim has replaced is acknowledged and ignored.
+//!
+//! A leader that is lost tells nothing. Its successor waits in full, which is
 //! within what users accept after the loss of a process. The alternatives are
 //! weighed in section 5 of `docs/platform.md`.
 //!
@@ -58,8 +97,11 @@
     MayNotOrder,
     /// Nothing: it had not restored the state of earlier leaders.
     NotRestored,
-    /// Nothing: another process leads.
+    /// Nothing: another process leads, and nothing is known that would help it.
     Superseded,
+    /// What it knows of leases is being sent to its successor, which has not
+    /// acknowledged it yet.
+    TellingSuccessor,
     /// Nothing: the store has not accepted its record.
     NotStored,
 }
@@ -107,6 +149,53 @@
     pub other_leases_expire_by: Timestamp,
 }
 
+/// What a leader that was displaced knows of the leases on a worker. Points in time
+/// are on its clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLeases {
+    /// The worker.
+    pub worker: WorkerId,
+    /// See [`WorkerHandover::leases_expire_by`].
+    pub leases_expire_by: Timestamp,
+    /// See [`WorkerHandover::silent_since`].
+    pub silent_since: Option<Timestamp>,
+    /// See [`WorkerHandover::poller`].
+    pub poller: Option<LastPoller>,
+}
+
+impl KnownLeases {
+    /// Converts the points in time to the receiver's clock.
+    pub fn to_local(self, shift: ClockShift) -> KnownLeases {
+        KnownLeases {
+            leases_expire_by: shift.to_local(self.leases_expire_by),
+            silent_since: self.silent_since.map(|it| shift.to_local(it)),
+            poller: self.poller.map(|it| it.shifted(shift)),
+            ..self
+        }
+    }
+}
+
+impl From<WorkerHandover> for KnownLeases {
+    fn from(it: WorkerHandover) -> KnownLeases {
+        let WorkerHandover { worker, leases_expire_by, silent_since, poller, .. } = it;
+        KnownLeases { worker, leases_expire_by, silent_since, poller }
+    }
+}
+
+impl From<KnownLeases> for WorkerHandover {
+    fn from(it: KnownLeases) -> WorkerHandover {
+        let KnownLeases { worker, leases_expire_by, silent_since, poller } = it;
+        WorkerHandover { worker, leases_expire_by, silent_since, plan: None, poller }
+    }
+}
+
+impl LastPoller {
+    fn shifted(self, shift: ClockShift) -> LastPoller {
+        let other_leases_expire_by = shift.to_local(self.other_leases_expire_by);
+        LastPoller { other_leases_expire_by, ..self }
+    }
+}
+
 /// One assignment of a worker to a process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollerId {
@@ -155,14 +244,10 @@
             return Vec::new();
         }
         let shift = ClockShift::new(self.written_at, known_at);
-        let poller_to_local = |it: LastPoller| LastPoller {
-            other_leases_expire_by: shift.to_local(it.other_leases_expire_by),
-            ..it
-        };
         let to_local = |it: WorkerHandover| WorkerHandover {
             leases_expire_by: shift.to_local(it.leases_expire_by),
             silent_since: it.silent_since.map(|it| shift.to_local(it)),
-            poller: it.poller.map(poller_to_local),
+            poller: it.poller.map(|it| it.shifted(shift)),
             ..it
         };
         self.workers.into_iter().map(to_local).collect()
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -12,6 +12,7 @@
 use super::{
     evacuation::EvacuationList,
     explanation::{Question, Reply},
+    handover::KnownLeases,
     id::{
         AssignmentNumber, BootMillis, EndNumber, Incarnation, ManifestVersion, RunNumber,
         SubmissionId, TaskKey, Term,
@@ -113,6 +114,22 @@
         /// sender granted no lease.
         workers: Vec<(WorkerId, AssignmentNumber, Option<Timestamp>)>,
     },
+    /// To the leader, from the one whose term its claim has replaced: by when the
+    /// leases have expired that were granted in that term or before. The sender orders
+    /// and confirms nothing more; see [`handover`](super::handover).
+    LeaderDisplaced {
+        /// The sender's term.
+        term: Term,
+        /// When it was sent.
+        sent_at: Timestamp,
+        /// What the sender knows of the recorded workers.
+        workers: Vec<KnownLeases>,
+    },
+    /// Answers [`FleetMessage::LeaderDisplaced`], so that it is not sent again.
+    LeasesLearned {
+        /// The term of the leader that was displaced.
+        term: Term,
+    },
     /// To the leader: a process that it may not know yet.
     Joined(ProcessRecord),
     /// To the leader: submissions that were stored.
--- a/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
+++ b/crates/mustardcove-core/src/fleet/planner/earlier_leases.rs
@@ -5,12 +5,13 @@
 //! [handed over](crate::fleet::handover). For the others this leader waits until
 //! no lease of an earlier one can be left: a fixed time after its claim, or the
 //! end that was handed over. If the worker still answered the predecessor, its
-//! poller tells an earlier end.
+//! poller tells an earlier end. A predecessor that was displaced tells the ends by a
+//! message, which may arrive before those of the pollers or after them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map::Entry};
 
 use crate::{
-    fleet::handover::{PollerId, WorkerHandover, WorkerPlan},
+    fleet::handover::{KnownLeases, PollerId, WorkerHandover, WorkerPlan},
     id::WorkerId,
     time::Timestamp,
 };
@@ -27,19 +28,57 @@
     unfenced_expire_by: Timestamp,
     /// What the predecessor knew of the workers.
     workers: BTreeMap<WorkerId, WorkerHandover>,
+    /// Whether `workers` has every worker that the predecessor recorded.
+    is_complete: bool,
+    /// The pollers of earlier terms that have reported, each with the time by which
+    /// the leases have expired that it granted. What names them may arrive later.
+    retired: BTreeMap<WorkerId, Vec<(PollerId, Timestamp)>>,
 }
 
 impl EarlierLeases {
     /// Returns the state of a leader without a predecessor's record.
     pub(super) fn new(expire_by: Timestamp) -> EarlierLeases {
-        EarlierLeases { expire_by, unfenced_expire_by: expire_by, workers: BTreeMap::new() }
+        EarlierLeases {
+            expire_by,
+            unfenced_expire_by: expire_by,
+            workers: BTreeMap::new(),
+            is_complete: false,
+            retired: BTreeMap::new(),
+        }
     }
 
     /// Takes over what the predecessor knew.
     pub(super) fn take_over(&mut self, workers: Vec<WorkerHandover>) {
+        self.is_complete = !workers.is_empty();
         self.workers = workers.into_iter().map(|it| (it.worker.clone(), it)).collect();
     }
 
+    /// Takes in what the predecessor knew of the leases on a worker, which counts only
+    /// where it is earlier than what is known. Returns the end of all leases of
+    /// earlier leaders there.
+    pub(super) fn learn(&mut self, known: KnownLeases) -> Timestamp {
+        let it = match self.workers.entry(known.worker.clone()) {
+            Entry::Vacant(it) => it.insert(known.into()),
+            Entry::Occupied(it) => {
+                let it = it.into_mut();
+                it.leases_expire_by = it.leases_expire_by.min(known.leases_expire_by);
+                it.silent_since = [it.silent_since, known.silent_since].into_iter().flatten().min();
+                it.poller = known.poller.or(it.poller.take());
+                it
+            }
+        };
+        let (worker, expire_by) = (it.worker.clone(), it.leases_expire_by);
+        for (poller, leases_expire_by) in self.retired.get(&worker).cloned().unwrap_or_default() {
+            self.count_retired(&worker, &poller, leases_expire_by);
+        }
+        self.workers.get(&worker).map_or(expire_by, |it| it.leases_expire_by)
+    }
+
+    /// Returns what the predecessor knew of the workers.
+    pub(super) fn workers(&self) -> impl Iterator<Item = &WorkerHandover> {
+        self.workers.values()
+    }
+
     /// Sets the end for workers that were not polled in this term.
     pub(super) fn set_unfenced_expire_by(&mut self, time: Timestamp) {
         self.unfenced_expire_by = time;
@@ -63,12 +102,27 @@
 
     /// Records that a poller grants nothing more, and by when the leases have expired
     /// that it granted. Returns the end of all leases of earlier leaders on the
-    /// worker; `None` unless that poller was the last.
+    /// worker; `None` unless that poller is known as the last. `is_earlier` tells
+    /// whether it was one of an earlier term.
     pub(super) fn poller_retired(
         &mut self,
         worker: &WorkerId,
         poller: &PollerId,
         leases_expire_by: Timestamp,
+        is_earlier: bool,
+    ) -> Option<Timestamp> {
+        if is_earlier {
+            let reported = self.retired.entry(worker.clone()).or_default();
+            reported.push((poller.clone(), leases_expire_by));
+        }
+        self.count_retired(worker, poller, leases_expire_by)
+    }
+
+    fn count_retired(
+        &mut self,
+        worker: &WorkerId,
+        poller: &PollerId,
+        leases_expire_by: Timestamp,
     ) -> Option<Timestamp> {
         let handed_over = self.workers.get_mut(worker)?;
         let last = handed_over.poller.take_if(|it| it.id == *poller)?;
@@ -96,7 +150,7 @@
     /// Returns until when what becomes of a worker may have to be awaited. One
     /// that the predecessor no longer recorded was unused for long.
     pub(super) fn undecided_until(&self, worker: &WorkerId) -> Timestamp {
-        let is_forgotten = !self.workers.is_empty() && !self.workers.contains_key(worker);
+        let is_forgotten = self.is_complete && !self.workers.contains_key(worker);
         if is_forgotten { Timestamp::default() } else { self.expire_by }
     }
 }
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     fleet::{
-        handover::{LastPoller, PlannedRun, PollerId, WorkerHandover, WorkerPlan},
+        handover::{KnownLeases, LastPoller, PlannedRun, PollerId, WorkerHandover, WorkerPlan},
         id::SubmissionId,
         poller::MAX_ORPHAN_LEASE_MS,
     },
@@ -32,22 +32,72 @@
         now: Timestamp,
         poller_of: impl Fn(&WorkerId) -> Option<PollerId>,
     ) -> Vec<WorkerHandover> {
-        // What answers was granted leases by its present poller since the last report.
-        let poller = |it: &Worker| {
-            let id = it.responsive_since.and_then(|_| poller_of(&it.listing.worker))?;
-            Some(LastPoller { id, other_leases_expire_by: it.runs_expire_by() })
-        };
-        let hand_over = |(index, it): (WorkerIndex, &Worker)| WorkerHandover {
-            worker: it.listing.worker.clone(),
-            leases_expire_by: self.leases_end(it, now),
-            silent_since: it.silent_since.filter(|_| it.is_silent),
-            plan: self.known_plan(index),
-            poller: poller(it),
+        let hand_over = |(index, it): (WorkerIndex, &Worker)| {
+            let known = WorkerHandover::from(self.known_leases(it, now, &poller_of));
+            WorkerHandover { plan: self.known_plan(index), ..known }
         };
         let recorded = self.workers.iter().enumerate().filter(|it| it.1.is_recorded);
         recorded.map(hand_over).collect()
     }
 
+    /// Returns what a successor that leads already may use of what this leader knows,
+    /// if that orders nothing and confirms no worker any more. `poller_of` returns the
+    /// present poller of a worker.
+    pub fn displaced(
+        &self,
+        now: Timestamp,
+        poller_of: impl Fn(&WorkerId) -> Option<PollerId>,
+    ) -> Vec<KnownLeases> {
+        let is_known = |it: &&Worker| it.is_recorded && it.replaced_at.is_none();
+        let workers = self.workers.iter().filter(is_known);
+        let known = workers.map(|it| self.known_leases(it, now, &poller_of));
+        // Before the workers are restored nothing was granted, and what the predecessor
+        // knew of them still holds.
+        let others = self.earlier_leases.workers().filter(|_| self.workers.is_empty());
+        known.chain(others.cloned().map(KnownLeases::from)).collect()
+    }
+
+    /// Returns what is known of the leases on a worker.
+    fn known_leases(
+        &self,
+        worker: &Worker,
+        now: Timestamp,
+        poller_of: impl Fn(&WorkerId) -> Option<PollerId>,
+    ) -> KnownLeases {
+        // What answers was granted leases by its present poller since the last report.
+        let poller = || {
+            let id = worker.responsive_since.and_then(|_| poller_of(&worker.listing.worker))?;
+            Some(LastPoller { id, other_leases_expire_by: worker.runs_expire_by() })
+        };
+        KnownLeases {
+            worker: worker.listing.worker.clone(),
+            leases_expire_by: self.leases_end(worker, now),
+            silent_since: worker.silent_since.filter(|_| worker.is_silent),
+            poller: poller(),
+        }
+    }
+
+    /// Takes in what the predecessor knew of leases, which was displaced by the claim
+    /// of this term. It counts only where it is earlier than what is known. Returns
+    /// for how many workers it is.
+    pub fn learn_leases(&mut self, known: Vec<KnownLeases>) -> usize {
+        let mut learned = 0;
+        for it in known {
+            let worker = it.worker.clone();
+            let silent_since = it.silent_since;
+            let expire_by = self.earlier_leases.learn(it);
+            let Some(index) = self.worker_index.get(&worker).copied() else { continue };
+            let before = self.earlier_leases_end(&self.workers[index]);
+            learned += usize::from(expire_by < before);
+            let it = &mut self.workers[index];
+            it.learn_earlier_leases(expire_by);
+            if it.polled_at.is_none() {
+                it.silent_since = [it.silent_since, silent_since].into_iter().flatten().min();
+            }
+        }
+        learned
+    }
+
     /// Returns the time by which every lease has expired on a worker that this
     /// leader or an earlier one granted.
     fn leases_end(&self, worker: &Worker, now: Timestamp) -> Timestamp {
@@ -75,15 +125,15 @@
     ) -> bool {
         let index = self.worker_index.get(worker).copied();
         let leases_expire_by = leases_expire_by.unwrap_or_default();
-        let retired = self.earlier_leases.poller_retired(worker, poller, leases_expire_by);
+        let is_earlier = poller.term < self.term;
+        let retired =
+            self.earlier_leases.poller_retired(worker, poller, leases_expire_by, is_earlier);
         let Some(expire_by) = retired else {
             return index
                 .is_some_and(|it| self.workers[it].poller_retired(poller, leases_expire_by));
         };
         if let Some(index) = index {
-            let it = &mut self.workers[index];
-            it.handed_over_leases_expire_by = Some(expire_by);
-            it.earlier_leases_expire_by = it.earlier_leases_expire_by.min(expire_by);
+            self.workers[index].learn_earlier_leases(expire_by);
         }
         true
     }
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -414,6 +414,14 @@
         self.is_excluded &= !(self.is_listed && is_over);
     }
 
+    /// Records by when every lease of earlier leaders has expired. An earlier time that
+    /// is known holds.
+    pub(super) fn learn_earlier_leases(&mut self, expire_by: Timestamp) {
+        let known = self.handed_over_leases_expire_by.map_or(expire_by, |it| it.min(expire_by));
+        self.handed_over_leases_expire_by = Some(known);
+        self.earlier_leases_expire_by = self.earlier_leases_expire_by.min(known);
+    }
+
     /// Handles the loss of the poller. It may have extended leases until
     /// `leases_expire_by` if the leader had confirmed the worker's answers.
     pub(super) fn poller_lost(&mut self, poller: PollerId, leases_expire_by: Timestamp) {
--- a/crates/mustardcove-core/tests/silent_leases.rs
+++ b/crates/mustardcove-core/tests/silent_leases.rs
@@ -215,6 +215,33 @@
     assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
 }
 
+/// A worker is lost, and each leader is displaced by another one although it is sound,
+/// as after a process that stood still has claimed.
+#[test]
+fn displaced_leaders() {
+    let mut failed = Vec::new();
+    for seed in seeds(1) {
+        let mut world = busy_world(seed);
+        (world.told.copies, world.told.delay_ms) = (1..=3, 0..=200);
+        let mut away = Away::new();
+        let lost_in = world.rng.random_range(0..3u64);
+        for i in 0..6 {
+            if i == lost_in {
+                let worker = world.rng.random_range(0..WORKERS);
+                world.crash(worker, GONE_MS);
+            }
+            let gap_ms = world.rng.random_range(700..2_600);
+            away.run(&mut world, gap_ms);
+            world.elect_on((i as usize + 1) % PROCESSES);
+        }
+        away.run(&mut world, 14_000);
+        if MAX_AWAY_MS < away.longest_ms || !world.violations.is_empty() {
+            failed.push(format!("seed {seed}: {} ms, {:?}", away.longest_ms, world.violations));
+        }
+    }
+    assert!(failed.is_empty(), "{} failed: {}", failed.len(), failed.join("\n"));
+}
+
 /// Leaders step down or are lost while workers are cut off, come back, crash or
 /// restart, and calls are lost, late or unanswered.
 ///
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -11,6 +11,8 @@
 //! or is carried out late, if the worker's lease expired before the end was
 //! acknowledged: others may have started the task again by then.
 
+#[path = "displaced_leaders.rs"]
+mod displaced_leaders;
 #[path = "evacuations.rs"]
 mod evacuations;
 #[path = "leader_processes.rs"]
@@ -22,6 +24,7 @@
     ops::RangeInclusive,
 };
 
+use displaced_leaders::Told;
 use evacuations::SimEvacuations;
 use leader_processes::{CONFIRM_INTERVAL_MS, Leadership, MembersRecord, first_members};
 pub(crate) use leader_processes::{Side, SimProcess};
@@ -389,6 +392,8 @@
     /// with the worker's place.
     misdirected: Vec<(usize, WorkerId, WorkerPoller)>,
     is_superseded: bool,
+    /// The term that its claim has replaced.
+    predecessor: Term,
     /// What it knows of the processes, if the world has any.
     leadership: Option<Leadership>,
 }
@@ -538,6 +543,8 @@
     handover: Option<Handover>,
     /// When its successor was told so, if it was.
     stepped_down_at: Option<Timestamp>,
+    /// What displaced leaders tell.
+    pub(crate) told: Told,
     /// One of this many chances to poll a worker is used on the average.
     pub(crate) poll_chances: u32,
     /// The same for workers in whose place another one is.
@@ -611,6 +618,7 @@
             learned: None,
             handover: None,
             stepped_down_at: None,
+            told: Told::new(seed),
             poll_chances: 4,
             misdirected_chances: 4,
             log: VecDeque::new(),
@@ -670,6 +678,8 @@
             };
             let workers = self.leaders[leader].planner.hand_over(self.now, poller_of);
             self.handover = Some(Handover { term: self.term, written_at: self.now, workers });
+        } else {
+            self.tell_successor(leader);
         }
         // The message that the leader has stepped down may be lost.
         let is_told = 0 < self.rng.random_range(0..4u32);
@@ -814,6 +824,7 @@
             self.leaders[leader].planner.record_heard(&id, through);
         }
         if is_replaced {
+            self.tell_successor(leader);
             self.supersede(leader);
             return;
         }
@@ -1081,6 +1092,7 @@
             orphans: Vec::new(),
             misdirected: Vec::new(),
             is_superseded: false,
+            predecessor,
             leadership: None,
         });
     }
@@ -1515,6 +1527,7 @@
         planner.tick(now);
         let actions = planner.take_actions();
         if actions.is_superseded {
+            self.tell_successor(leader);
             self.supersede(leader);
             return;
         }
@@ -1955,6 +1968,7 @@
                 self.follow_store();
                 self.report_heartbeats();
                 self.send_held_starts();
+                self.deliver_told();
             }
             self.answer_ticket_requests();
             for leader in 0..self.leaders.len() {
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -120,11 +120,15 @@
         FleetMessage::Joined(_)
         | FleetMessage::Report { .. }
         | FleetMessage::EarlierLeases { .. }
+        | FleetMessage::LeaderDisplaced { .. }
         | FleetMessage::Submitted(_)
         | FleetMessage::Cancelled(_)
         | FleetMessage::Explain { .. } => {
-            to_leader(shared, routes, LeaderInput::Message { from, message });
+            let received_at = shared.now();
+            let message = Box::new(message);
+            to_leader(shared, routes, LeaderInput::Message { from, message, received_at });
         }
+        FleetMessage::LeasesLearned { term } => shared.record_leases_learned(term),
         FleetMessage::Store { request, change } => {
             let shared = shared.clone();
             tokio::spawn(async move {
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -6,6 +6,7 @@
 //! leader record names another process, a worker has seen a higher term, or
 //! the process stops.
 
+mod displaced;
 mod explain;
 mod handover;
 mod members;
@@ -110,7 +111,9 @@
         /// The sender.
         from: ProcessId,
         /// The message.
-        message: FleetMessage,
+        message: Box<FleetMessage>,
+        /// When it arrived.
+        received_at: Timestamp,
     },
     /// The last connection to a process was lost.
     Down {
@@ -143,12 +146,6 @@
     pub handover: HandoverOutcome,
 }
 
-impl TermEnd {
-    fn superseded(why: &'static str) -> TermEnd {
-        TermEnd { why, handover: HandoverOutcome::Superseded }
-    }
-}
-
 /// Result of a background task of the leader.
 enum TaskResult {
     /// The leader record, with the time at which the store was asked for it.
@@ -188,6 +185,10 @@
 struct Leader {
     shared: Arc<Shared>,
     term: Term,
+    /// The term whose record the claim has replaced.
+    predecessor: Term,
+    /// The process that the leader record names, if it is another one.
+    successor: Option<ProcessId>,
     /// When the store had answered the claim.
     claimed_at: Timestamp,
     planner: Planner,
@@ -252,6 +253,8 @@
     let mut leader = Leader {
         shared: shared.clone(),
         term,
+        predecessor: claim.predecessor,
+        successor: None,
         claimed_at: now,
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
         pollers: Pollers::new(shared.clone(), term),
@@ -327,12 +330,12 @@
                 plan_at = plan_after.max(Instant::now() + MAX_PLAN_INTERVAL);
             }
             Ok(_) = leadership.wait_for(|it| term < it.term) => {
-                return TermEnd::superseded("a successor sent a heartbeat");
+                return leader.displaced("a successor sent a heartbeat", inputs);
             }
             () = shared.stop.cancelled() => break,
         }
         if let Some(why) = leader.end_reason {
-            return TermEnd::superseded(why);
+            return leader.displaced(why, inputs);
         }
     }
     let handover = leader.step_down(&mut task_results).await;
@@ -355,7 +358,12 @@
         let now = self.shared.now();
         match input {
             LeaderInput::Down { process } => self.pollers.connection_lost(&process, now),
-            LeaderInput::Message { from, message } => self.handle_message(from, message, now),
+            LeaderInput::Message { from, message, received_at } => {
+                let other = self.handle_lease_message(&from, *message, received_at);
+                if let Some(message) = other {
+                    self.handle_message(from, message, now);
+                }
+            }
         }
     }
 
@@ -388,11 +396,6 @@
                     }
                 }
             }
-            FleetMessage::EarlierLeases { term, earlier, sent_at, workers } => {
-                if term == self.term {
-                    self.earlier_leases_reported(&from, earlier, sent_at, &workers);
-                }
-            }
             FleetMessage::Joined(record) => {
                 self.pollers.add(record);
                 self.send_heartbeat();
@@ -572,8 +575,9 @@
             if self.term.0 < item.revision {
                 let by: Option<LeaderRecord> = durable::decode(&self.shared, "leader", item);
                 warn!(self.shared.log, "another process leads"; "term" => item.revision,
-                    "leader" => ?by.map(|it| it.process));
+                    "leader" => ?by.as_ref().map(|it| &it.process));
                 self.end_reason = Some("another process leads");
+                self.successor = by.filter(|it| self.shared.add_leader(it)).map(|it| it.process);
             }
         } else if let Some(id) = record::id_of(CANCEL_PREFIX, &item.key) {
             self.planner.cancel(id, now);
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -51,12 +51,12 @@
             Ok(outcome) => outcome,
             Err(_) => HandoverOutcome::NotStored,
         };
-        if outcome != HandoverOutcome::Stored {
-            warn!(self.shared.log, "plan not handed over"; "term" => %self.term,
-                "why" => %outcome);
-        }
         self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
-        outcome
+        if outcome == HandoverOutcome::Stored {
+            return outcome;
+        }
+        warn!(self.shared.log, "plan not handed over"; "term" => %self.term, "why" => %outcome);
+        if self.tell_successor() { HandoverOutcome::TellingSuccessor } else { outcome }
     }
 
     /// Stores all progress that the store accepts.
@@ -169,10 +169,9 @@
         &mut self,
         process: &ProcessId,
         earlier: Term,
-        sent_at: Timestamp,
+        shift: ClockShift,
         workers: &[(WorkerId, AssignmentNumber, Option<Timestamp>)],
     ) {
-        let shift = ClockShift::new(sent_at, self.shared.now());
         let mut counted = 0;
         for (worker, assignment, expire_by) in workers {
             let (process, assignment) = (process.clone(), *assignment);
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -119,8 +119,7 @@
 }
 
 fn greet_leader(shared: &Shared, leader: &LeaderRecord) {
-    if let Ok(address) = leader.address.parse() {
-        shared.peers.add_peer(leader.process.clone(), address, leader.region.clone());
+    if shared.add_leader(leader) {
         shared.send(&leader.process, FleetMessage::Joined(own_record(shared)));
     }
 }
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -19,7 +19,7 @@
         message::{FleetMessage, Heartbeat, StoreOutcome},
         overload::{self, Admission, Applicant, KnownLoad, LoadReport, OwnPlaces, Place, Places},
         poller::LeasePermission,
-        record::LEADER_KEY,
+        record::{LEADER_KEY, LeaderRecord},
         state_cache::StateCache,
         store_health::StoreHealth,
         store_write::UnsettledWrites,
@@ -131,6 +131,9 @@
     pub explanations: Requests<Reply>,
     /// Requests to other processes to write to the store.
     pub store_requests: Requests<StoreOutcome>,
+    /// The last term of this process whose successor has acknowledged what it was told
+    /// of leases.
+    pub leases_learned: watch::Sender<Term>,
     /// Cancelled when a graceful shutdown begins.
     pub stop: CancellationToken,
     evacuations: Mutex<Evacuations>,
@@ -209,6 +212,7 @@
             outbox: Outbox::default(),
             explanations: Requests::default(),
             store_requests: Requests::default(),
+            leases_learned: watch::Sender::new(Term::default()),
             evacuations: Mutex::default(),
             states: Mutex::default(),
             candidacy: Mutex::new(candidacy),
@@ -366,6 +370,24 @@
         self.last_heartbeat().received_at
     }
 
+    /// Makes the process that a leader record names known to the transport. Returns
+    /// whether the record has a usable address.
+    pub fn add_leader(&self, leader: &LeaderRecord) -> bool {
+        let Ok(address) = leader.address.parse() else { return false };
+        self.peers.add_peer(leader.process.clone(), address, leader.region.clone());
+        true
+    }
+
+    /// Records that the successor of a term of this process has acknowledged what it
+    /// was told of leases.
+    pub fn record_leases_learned(&self, term: Term) {
+        self.leases_learned.send_if_modified(|it| {
+            let is_newer = *it < term;
+            *it = term.max(*it);
+            is_newer
+        });
+    }
+
     /// Records that the leader of a term has stepped down.
     pub fn record_step_down(&self, term: Term) {
         self.last_heartbeat().stepped_down = Some((term, self.now()));
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -3,6 +3,7 @@
 use mustardcove_core::{
     fleet::{
         evacuation::EvacuationList,
+        handover::KnownLeases,
         id::{AssignmentNumber, BootMillis, Incarnation, Revision, RunNumber, TaskKey, Term},
         message::{FleetMessage, Order, PollResult, ReportRow, RunningTask, WorkerReport},
         record::ProcessRecord,
@@ -91,6 +92,16 @@
         sent_at: Timestamp(5),
         workers: vec![(worker.clone(), AssignmentNumber(2), Some(Timestamp(4_300)))],
     };
+    let displaced = FleetMessage::LeaderDisplaced {
+        term: Term(3),
+        sent_at: Timestamp(5),
+        workers: vec![KnownLeases {
+            worker: worker.clone(),
+            leases_expire_by: Timestamp(4_300),
+            silent_since: Some(Timestamp(900)),
+            poller: None,
+        }],
+    };
     let order = Order::Stop { task, run: RunNumber(3) };
     let orders = FleetMessage::Orders {
         term: Term(4),
@@ -108,7 +119,9 @@
     });
     let states = vec![(task.step.submission, SubmissionState::Running); 5];
     let states = FleetMessage::States { term: Term(4), states };
-    [report, earlier, orders, joined, states].map(|it| PeerMessage::Fleet(Box::new(it))).to_vec()
+    [report, earlier, displaced, orders, joined, states]
+        .map(|it| PeerMessage::Fleet(Box::new(it)))
+        .to_vec()
 }
 
 proptest! {
