Pass on the predecessor's record if a leader was permitted nothing

A leader that is no member grants and orders nothing until a member has joined it or has ended, or half of the workers have answered.

Such a term has no leases and no orders, and stores no progress, so the record of the predecessor still holds. It is stored under the own term, with the times on the own clock and the ends that pollers have told since; plan and pollers stay. The log says handover=passed_on. If that fails, the successor is told the ends by a message.

Test stop_leader stopped_before_orders: on the code before, it ends with may_not_order and fails.

--- a/crates/mustardcove-core/src/fleet/handover.rs
+++ b/crates/mustardcove-core/src/fleet/handover.rs
@@ -65,6 +65,15 @@
 //! nothing, and no message makes an end later. A message of any other term than that
 //! which the claim has replaced is acknowledged and ignored.
 //!
+//! # Records that are passed on
+//!
+//! A leader that ends its term before it was permitted anything has sent no order and
+//! no permission to extend leases, so whatever its predecessor left still holds: no
+//! lease of its own term exists, and nothing has begun. It stores that record under its
+//! own term, with the times on its own clock and with the ends that pollers have told
+//! since. Ends of runs that workers have listed meanwhile were neither stored nor
+//! acknowledged, so the next leader finds them as it would have.
+//!
 //! A leader that is lost tells nothing. Its successor waits in full, which is
 //! within what users accept after the loss of a process. The alternatives are
 //! weighed in section 5 of `docs/platform.md`.
@@ -93,6 +102,8 @@
 pub enum HandoverOutcome {
     /// Its record.
     Stored,
+    /// The record of its predecessor, as it has ordered nothing and granted nothing.
+    PassedOn,
     /// Nothing: it has ordered nothing, and an earlier leader may go on.
     MayNotOrder,
     /// Nothing: it had not restored the state of earlier leaders.
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -57,6 +57,18 @@
         known.chain(others.cloned().map(KnownLeases::from)).collect()
     }
 
+    /// Returns what the predecessor has handed over, with the ends of leases that were
+    /// told since, for the successor of a leader that has ordered and granted nothing.
+    pub fn pass_on(&self, mut handed_over: Vec<WorkerHandover>) -> Vec<WorkerHandover> {
+        for it in &mut handed_over {
+            if let Some(known) = self.earlier_leases.worker(&it.worker) {
+                it.leases_expire_by = it.leases_expire_by.min(known.leases_expire_by);
+                it.poller.clone_from(&known.poller);
+            }
+        }
+        handed_over
+    }
+
     /// Returns what is known of the leases on a worker.
     fn known_leases(
         &self,
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -48,6 +48,7 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use self::{
+    handover::Inherited,
     members::MembersWritten,
     pollers::Pollers,
     progress::FlushResult,
@@ -187,6 +188,8 @@
     term: Term,
     /// The term whose record the claim has replaced.
     predecessor: Term,
+    /// What the predecessor has left.
+    inherited: Option<Inherited>,
     /// The process that the leader record names, if it is another one.
     successor: Option<ProcessId>,
     /// When the store had answered the claim.
@@ -254,6 +257,7 @@
         shared: shared.clone(),
         term,
         predecessor: claim.predecessor,
+        inherited: None,
         successor: None,
         claimed_at: now,
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -29,6 +29,19 @@
 /// Attempts of a new leader to read the record of its predecessor.
 const READ_ATTEMPTS: u32 = 3;
 
+/// The record of the predecessor.
+pub(super) struct Inherited {
+    record: Handover,
+    /// A time on the clock of this process before which it was written.
+    known_at: Timestamp,
+}
+
+impl Inherited {
+    fn workers(&self) -> Vec<WorkerHandover> {
+        self.record.clone().taken_over(self.record.term, self.known_at)
+    }
+}
+
 impl Leader {
     /// Ends the term: stores the progress and hands over the plan. Inputs are
     /// handled no more and nothing is started, so that both are of one moment.
@@ -38,8 +51,7 @@
     ) -> HandoverOutcome {
         if !self.pollers.predecessors(self.shared.now()).may_order() {
             // It has ordered nothing, and an earlier leader may go on.
-            self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
-            return HandoverOutcome::MayNotOrder;
+            return self.pass_on(HandoverOutcome::MayNotOrder).await;
         }
         let actions = self.planner.take_actions();
         self.execute(actions);
@@ -51,8 +63,45 @@
             Ok(outcome) => outcome,
             Err(_) => HandoverOutcome::NotStored,
         };
+        self.ended(outcome, HandoverOutcome::Stored)
+    }
+
+    /// Ends a term in which nothing was ordered and no lease was granted: stores the
+    /// record of the predecessor for the successor, or `nothing` if there is none.
+    pub(super) async fn pass_on(&mut self, nothing: HandoverOutcome) -> HandoverOutcome {
+        let pass_on = async {
+            self.read_inherited().await;
+            let Some(inherited) = &self.inherited else { return nothing };
+            let workers = self.planner.pass_on(inherited.workers());
+            let stored = self.store_handover(workers).await;
+            if stored == HandoverOutcome::Stored { HandoverOutcome::PassedOn } else { stored }
+        };
+        let outcome = tokio::time::timeout(RECORD_TIME, pass_on).await;
+        self.ended(outcome.unwrap_or(HandoverOutcome::NotStored), HandoverOutcome::PassedOn)
+    }
+
+    /// Reads the record of the predecessor if that was not done yet.
+    async fn read_inherited(&mut self) {
+        while self.inherited.is_none() {
+            match self.shared.store.get(HANDOVER_KEY).await {
+                Ok(item) => {
+                    self.inherit(item.as_ref());
+                    return;
+                }
+                Err(fault) => {
+                    debug!(self.shared.log, "plan of the predecessor not read"; "error" => %fault);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Tells the other processes that the term has ended. Unless the record for the
+    /// successor is stored, as `expected` says, the successor is told what is known of
+    /// leases.
+    fn ended(&self, outcome: HandoverOutcome, expected: HandoverOutcome) -> HandoverOutcome {
         self.pollers.broadcast(FleetMessage::SteppedDown { term: self.term });
-        if outcome == HandoverOutcome::Stored {
+        if outcome == expected {
             return outcome;
         }
         warn!(self.shared.log, "plan not handed over"; "term" => %self.term, "why" => %outcome);
@@ -85,8 +134,14 @@
     /// Stores what the successor has to know of the workers, and retries
     /// failures. The leader must order nothing afterwards.
     async fn hand_over(&self) -> HandoverOutcome {
+        let workers = self.planner.hand_over(self.shared.now(), |it| self.pollers.poller_id(it));
+        self.store_handover(workers).await
+    }
+
+    /// Stores a record under the condition that this process still leads, and retries
+    /// failures.
+    async fn store_handover(&self, workers: Vec<WorkerHandover>) -> HandoverOutcome {
         let now = self.shared.now();
-        let workers = self.planner.hand_over(now, |it| self.pollers.poller_id(it));
         let mut handover = Handover { term: self.term, written_at: now, workers };
         handover.limit_size();
         let value = handover.encode();
@@ -119,6 +174,15 @@
         self.shared.metrics.term_began(ends.unknown == 0);
     }
 
+    /// Keeps the record of the predecessor, if it is that.
+    fn inherit(&mut self, item: Option<&Item>) {
+        let record = item.and_then(|it| durable::decode_handover(&self.shared, it));
+        // The record was written before the claim took effect.
+        let known_at = self.shared.stepped_down_at(self.predecessor).unwrap_or(self.claimed_at);
+        let record = record.filter(|it| it.term == self.predecessor);
+        self.inherited = record.map(|record| Inherited { record, known_at });
+    }
+
     /// Takes over what the predecessor stored when it stepped down, if it did.
     /// Retries failures for a while, since the wait without it is longer.
     pub(super) async fn take_over_plan(
@@ -141,11 +205,9 @@
                 return;
             }
         };
-        let handover = durable::decode_handover(&self.shared, &item);
+        self.inherit(Some(&item));
         let now = self.shared.now();
-        // The record was written before the claim took effect.
-        let known_at = self.shared.stepped_down_at(predecessor).unwrap_or(self.claimed_at);
-        let workers = handover.map(|it| it.taken_over(predecessor, known_at)).unwrap_or_default();
+        let workers = self.inherited.as_ref().map(Inherited::workers).unwrap_or_default();
         if workers.is_empty() {
             return;
         }
--- a/crates/mustardcove-node/tests/stop_leader.rs
+++ b/crates/mustardcove-node/tests/stop_leader.rs
@@ -10,17 +10,25 @@
 };
 
 use local::Local;
-use mustardcove_core::fleet::{
-    handover::Handover,
-    id::{BootMillis, Term},
-    record::{HANDOVER_KEY, LEADER_KEY},
+use mustardcove_core::{
+    fleet::{
+        handover::{Handover, WorkerHandover},
+        id::{BootMillis, Incarnation, Term},
+        members::MemberList,
+        planner::WorkerListing,
+        record::{self, HANDOVER_KEY, LEADER_KEY, MEMBERS_KEY, PROCESS_PREFIX, ProcessRecord},
+        roster::RosterSegment,
+    },
+    id::ProcessId,
+    size::Resources,
+    time::Timestamp,
 };
 use mustardcove_node::{
-    leader::{self, Claim, TermEnd},
+    leader::{self, Claim, LeaderInput, TermEnd},
     membership,
     shared::{Leadership, Shared},
 };
-use tokio::task::JoinHandle;
+use tokio::{sync::mpsc, task::JoinHandle};
 
 /// Time within which a leader restores the plan.
 const RESTORE_TIME: Duration = Duration::from_millis(500);
@@ -30,6 +38,15 @@
 
 /// Lets the node lead the term of the leader record.
 async fn lead(local: &Local) -> (Term, JoinHandle<TermEnd>) {
+    let (term, _, led) = lead_after(local, Term::default()).await;
+    (term, led)
+}
+
+/// The same after a claim that has replaced the term `predecessor`.
+async fn lead_after(
+    local: &Local,
+    predecessor: Term,
+) -> (Term, mpsc::Sender<LeaderInput>, JoinHandle<TermEnd>) {
     let shared: Arc<Shared> = local.shared.clone();
     local.store.put(LEADER_KEY, b"{}");
     let record = shared.store.get(LEADER_KEY).await.expect("an answer").expect("a record");
@@ -40,23 +57,102 @@
     let claim = Claim {
         term,
         claims: 1,
-        predecessor: Term::default(),
+        predecessor,
         sent_at: shared.now(),
         sent_boot: BootMillis::default(),
     };
+    let held = inputs.clone();
     let led = tokio::spawn(async move {
-        let _inputs = inputs;
+        let _held = held;
         leader::lead(&shared, claim, &mut received).await
     });
     tokio::time::sleep(RESTORE_TIME).await;
-    (term, led)
+    (term, inputs, led)
 }
 
-async fn stop(local: &Local, led: JoinHandle<TermEnd>) {
+async fn stop(local: &Local, led: JoinHandle<TermEnd>) -> TermEnd {
     local.shared.stop.cancel();
     let stopped_at = Instant::now();
-    tokio::time::timeout(MAX_STOP_TIME, led).await.expect("it stops in time").expect("no panic");
+    let end = tokio::time::timeout(MAX_STOP_TIME, led).await.expect("it stops in time");
     assert!(stopped_at.elapsed() < MAX_STOP_TIME);
+    end.expect("no panic")
+}
+
+async fn stored(local: &Local) -> Handover {
+    let item = local.shared.store.get(HANDOVER_KEY).await.expect("an answer").expect("a record");
+    Handover::decode(&item.value).expect("a readable record")
+}
+
+/// Time that is left of the leases of a silent worker in the record of an earlier
+/// leader, in milliseconds.
+const LEFT_MS: u64 = 3_000;
+
+/// Stores the record of an earlier leader, which knew of a silent worker.
+fn leave_record(local: &Local, term: Term) {
+    let written_at = Timestamp(500_000);
+    let silent = WorkerHandover {
+        worker: "w0".parse().expect("a valid name"),
+        leases_expire_by: written_at.plus_ms(LEFT_MS),
+        silent_since: Some(written_at.minus_ms(1_300)),
+        plan: None,
+        poller: None,
+    };
+    local.store.put(HANDOVER_KEY, &Handover { term, written_at, workers: vec![silent] }.encode());
+}
+
+/// Checks that the record of the term has the silent worker, whose leases end no later
+/// than the record of the term before said when this one had begun.
+async fn assert_passed_on(local: &Local, term: Term, began_at: Timestamp) {
+    let handover = stored(local).await;
+    assert_eq!((handover.term, handover.workers.len()), (term, 1));
+    let end = handover.workers[0].leases_expire_by;
+    let latest = local.shared.now().plus_ms(LEFT_MS).minus_ms(RESTORE_TIME.as_millis() as u64);
+    assert!((began_at.plus_ms(LEFT_MS)..=latest).contains(&end), "{end}, not {latest}");
+}
+
+/// Makes another process the only member, of which nothing is heard, and records a
+/// worker that does not answer, so that neither shows that earlier leaders have ended.
+fn add_member(local: &Local) {
+    let worker = WorkerListing {
+        worker: "w0".parse().expect("a valid name"),
+        service: "press".to_owned(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: "north".parse().expect("a valid name"),
+        capacity: Resources::ZERO,
+        labels: Vec::new(),
+        is_draining: false,
+        incarnation: Incarnation(1),
+        host: None,
+    };
+    let segment = RosterSegment { workers: vec![worker] };
+    local.store.put(&record::roster_key(0), &record::encode(&segment));
+    let process: ProcessId = "other.1".parse().expect("a valid name");
+    let list = MemberList([(process.clone(), "other".to_owned())].into());
+    local.store.put(MEMBERS_KEY, &record::encode(&list));
+    let registered = ProcessRecord {
+        process,
+        name: "other".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        region: "home".parse().expect("a valid name"),
+        domain: "north".parse().expect("a valid name"),
+        cpu_share: 0.1,
+    };
+    local.store.put(&format!("{PROCESS_PREFIX}other"), &record::encode(&registered));
+}
+
+/// Guards against a successor that has to wait although nothing was ordered since the
+/// record of an earlier leader, because the one in between was told to stop while it was
+/// no member and had heard of none.
+#[tokio::test]
+async fn stopped_before_orders() {
+    let local = Local::start().await;
+    let (predecessor, began_at) = (Term(7), local.shared.now());
+    leave_record(&local, predecessor);
+    add_member(&local);
+    let (term, _, led) = lead_after(&local, predecessor).await;
+    let end = stop(&local, led).await;
+    assert_eq!(end.handover.to_string(), "passed_on");
+    assert_passed_on(&local, term, began_at).await;
 }
 
 /// Guards against a successor that has to wait because nothing was handed over.
