Notice a stop or a successor while a leader restores its state

Both end the reading now. Nothing was ordered and no lease was granted by then, so the leader that stops passes on the record of its predecessor, which it reads first if need be, within the 0.5 s of any other record. The one that is displaced tells its successor what it knows. Both take in first what a displaced predecessor has told them meanwhile. A term that ends because the list of members cannot be read passes the record on as well.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -104,6 +104,10 @@
 /// Most states in one message.
 const STATES_PER_MESSAGE: usize = 2_000;
 
+/// Ends of terms, as the log names them.
+const WHY_STOPPED: &str = "the process stops";
+const WHY_HEARD: &str = "a successor sent a heartbeat";
+
 /// Input of the leader task from other tasks.
 #[derive(Debug)]
 pub enum LeaderInput {
@@ -292,12 +296,25 @@
     let leases_expire_by = leader.pollers.predecessors(now).leases_expire_by();
     leader.planner.set_unfenced_leases_expire_by(leases_expire_by);
     leader.planner.set_cold_slack(shared.settings.cold_slack_ms);
-    let _tasks = match leader.take_over(claim.predecessor).await {
+    let mut leadership = shared.leadership.subscribe();
+    let restored = tokio::select! {
+        biased;
+        () = shared.stop.cancelled() => Err(WHY_STOPPED),
+        Ok(_) = leadership.wait_for(|it| term < it.term) => Err(WHY_HEARD),
+        tasks = leader.take_over(claim.predecessor) => tasks,
+    };
+    let _tasks = match restored {
         Ok(tasks) => tasks,
-        Err(why) => return TermEnd { why, handover: HandoverOutcome::NotRestored },
+        Err(why) if why == WHY_HEARD || leader.end_reason.is_some() => {
+            return leader.displaced(why, inputs);
+        }
+        Err(why) => {
+            leader.learn_queued(inputs);
+            let handover = leader.pass_on(HandoverOutcome::NotRestored).await;
+            return TermEnd { why, handover };
+        }
     };
     leader.log_restored(claim.predecessor);
-    let mut leadership = shared.leadership.subscribe();
     let mut heartbeat_tick = tokio::time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
     let mut learned_tick = tokio::time::interval(LEARNED_WRITE_INTERVAL);
     let mut plan_at = Instant::now();
@@ -334,7 +351,7 @@
                 plan_at = plan_after.max(Instant::now() + MAX_PLAN_INTERVAL);
             }
             Ok(_) = leadership.wait_for(|it| term < it.term) => {
-                return leader.displaced("a successor sent a heartbeat", inputs);
+                return leader.displaced(WHY_HEARD, inputs);
             }
             () = shared.stop.cancelled() => break,
         }
@@ -343,7 +360,7 @@
         }
     }
     let handover = leader.step_down(&mut task_results).await;
-    TermEnd { why: "the process stops", handover }
+    TermEnd { why: WHY_STOPPED, handover }
 }
 
 impl Leader {
--- a/crates/mustardcove-node/src/leader/displaced.rs
+++ b/crates/mustardcove-node/src/leader/displaced.rs
@@ -38,12 +38,7 @@
         why: &'static str,
         inputs: &mut mpsc::Receiver<LeaderInput>,
     ) -> TermEnd {
-        // What the predecessor told meanwhile also helps the successor.
-        while let Ok(input) = inputs.try_recv() {
-            if let LeaderInput::Message { from, message, received_at } = input {
-                self.handle_lease_message(&from, *message, received_at);
-            }
-        }
+        self.learn_queued(inputs);
         let handover = if self.tell_successor() {
             HandoverOutcome::TellingSuccessor
         } else {
@@ -52,6 +47,16 @@
         TermEnd { why, handover }
     }
 
+    /// Handles what is queued of leases of earlier leaders, which also helps the
+    /// successor, and drops other inputs.
+    pub(super) fn learn_queued(&mut self, inputs: &mut mpsc::Receiver<LeaderInput>) {
+        while let Ok(input) = inputs.try_recv() {
+            if let LeaderInput::Message { from, message, received_at } = input {
+                self.handle_lease_message(&from, *message, received_at);
+            }
+        }
+    }
+
     /// Begins to tell the successor what this leader knows of leases. Returns whether
     /// it knows anything.
     pub(super) fn tell_successor(&self) -> bool {
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -27,7 +27,8 @@
 impl Leader {
     /// Restores the state that earlier leaders stored, and starts to follow
     /// changes in the store. Returns the background tasks that do so, or the
-    /// reason why the term has to end.
+    /// reason why the term has to end. The caller may drop it at any time: nothing
+    /// is ordered or granted by then.
     pub(super) async fn take_over(
         &mut self,
         predecessor: Term,
@@ -37,8 +38,8 @@
             self.shared.store.range(PROCESS_PREFIX),
             self.shared.store.range(MEMBERS_KEY),
         );
-        let (processes, _) = self.retry_read(PROCESS_PREFIX, processes).await?;
-        let (members, _) = self.retry_read(MEMBERS_KEY, members).await?;
+        let (processes, _) = self.retry_read(PROCESS_PREFIX, processes).await;
+        let (members, _) = self.retry_read(MEMBERS_KEY, members).await;
         self.restore_members(&members)?;
         self.pollers.update_registered(&processes, self.shared.now());
         self.send_heartbeat();
@@ -57,14 +58,14 @@
         );
         self.take_over_plan(handover, predecessor).await;
         self.restore_learned_interference(learned);
-        let (roster, _) = self.retry_read(ROSTER_PREFIX, roster).await?;
+        let (roster, _) = self.retry_read(ROSTER_PREFIX, roster).await;
         self.restore_roster(&roster);
-        let (work, after) = self.retry_read(WORK_PREFIX, work).await?;
-        let (progress, _) = self.retry_read(PROGRESS_PREFIX, progress).await?;
+        let (work, after) = self.retry_read(WORK_PREFIX, work).await;
+        let (progress, _) = self.retry_read(PROGRESS_PREFIX, progress).await;
         self.restore(&work, &progress);
         self.planner.place_handed_over(self.shared.now());
         if let Some(evacuations) = evacuations {
-            let read = self.retry_read(EVACUATE_PREFIX, evacuations).await?;
+            let read = self.retry_read(EVACUATE_PREFIX, evacuations).await;
             operator_watch::apply_list(&self.shared, &read.0, read.1);
         }
         self.is_restored = true;
@@ -98,28 +99,21 @@
         }
     }
 
-    /// Retries a failed reading until it succeeds, another process leads or
-    /// this process stops; the latter two are errors.
+    /// Retries a failed reading until it succeeds.
     async fn retry_read(
         &self,
         prefix: &str,
         mut result: Result<(Vec<Item>, u64), StoreFault>,
-    ) -> Result<(Vec<Item>, u64), &'static str> {
+    ) -> (Vec<Item>, u64) {
         loop {
             match result {
                 Ok(read) => {
                     self.shared.store_answered();
-                    return Ok(read);
+                    return read;
                 }
                 Err(fault) => warn!(self.shared.log, "records not read"; "prefix" => prefix,
                     "error" => %fault),
             }
-            if self.shared.stop.is_cancelled() {
-                return Err("the process stops");
-            }
-            if self.term < self.shared.leadership.borrow().term {
-                return Err("another process leads");
-            }
             tokio::time::sleep(RETRY_PAUSE).await;
             result = self.shared.store.range(prefix).await;
         }
--- a/crates/mustardcove-node/tests/stop_leader.rs
+++ b/crates/mustardcove-node/tests/stop_leader.rs
@@ -110,6 +110,32 @@
     assert!((began_at.plus_ms(LEFT_MS)..=latest).contains(&end), "{end}, not {latest}");
 }
 
+/// Guards against a successor that has to wait although nothing was ordered since the
+/// record of an earlier leader, because the one in between was told to stop while it
+/// could not read the other records.
+#[tokio::test]
+async fn stopped_while_restoring() {
+    let local = Local::start().await;
+    let (predecessor, began_at) = (Term(7), local.shared.now());
+    leave_record(&local, predecessor);
+    local.store.refuse_ranges(true);
+    let (term, _, led) = lead_after(&local, predecessor).await;
+    let end = stop(&local, led).await;
+    assert_eq!(end.handover.to_string(), "passed_on");
+    assert_passed_on(&local, term, began_at).await;
+}
+
+/// Guards against a record that is passed on although another leader was in between.
+#[tokio::test]
+async fn other_record() {
+    let local = Local::start().await;
+    leave_record(&local, Term(6));
+    local.store.refuse_ranges(true);
+    let (_, _, led) = lead_after(&local, Term(7)).await;
+    assert_eq!(stop(&local, led).await.handover.to_string(), "not_restored");
+    assert_eq!(stored(&local).await.term, Term(6));
+}
+
 /// Makes another process the only member, of which nothing is heard, and records a
 /// worker that does not answer, so that neither shows that earlier leaders have ended.
 fn add_member(local: &Local) {
@@ -140,9 +166,8 @@
     local.store.put(&format!("{PROCESS_PREFIX}other"), &record::encode(&registered));
 }
 
-/// Guards against a successor that has to wait although nothing was ordered since the
-/// record of an earlier leader, because the one in between was told to stop while it was
-/// no member and had heard of none.
+/// Guards against the same after the state was restored, by a leader that is no member
+/// and has heard of none.
 #[tokio::test]
 async fn stopped_before_orders() {
     let local = Local::start().await;
