Let simulated pollers of a displaced leader tell its successor their ends

In the simulation a process that hears of a successor before its leader does told nothing of the leases that it had granted for that leader, since only pollers of leaders that had ended were asked. Real processes end these pollers when the successor assigns them workers, whatever the earlier leader knows. The other tests become stricter: a successor knows ends that it did not know before, and must not act too early on them.

--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -413,6 +413,24 @@
     }
 }
 
+impl Leader {
+    /// Ends the pollers of a process, of which this leader does not hear, and returns
+    /// their states.
+    fn retire_pollers(&mut self, process: usize, now: Timestamp) -> Vec<Orphan> {
+        let Some(leadership) = &self.leadership else { return Vec::new() };
+        let term = self.planner.term();
+        let polled =
+            (0..self.pollers.len()).filter(|it| leadership.poller_of[*it] == Some(process));
+        let mut retired = Vec::new();
+        for worker in polled {
+            self.pollers[worker].retire();
+            let (poller, id) = (self.pollers[worker].clone(), leadership.poller_id(term, worker));
+            retired.push(Orphan { worker, poller, process: Some(process), id, heartbeat_at: now });
+        }
+        retired
+    }
+}
+
 /// A start that its process has not sent yet.
 #[derive(Debug)]
 struct HeldStart {
@@ -754,10 +772,11 @@
     /// Lets a process that hears of a leader end its pollers of the one before, and
     /// tell by when their leases have expired. The message may be lost.
     fn retire_pollers(&mut self, process: usize, leader: usize) {
-        let term = self.processes[process].term;
+        let (now, term) = (self.now, self.processes[process].term);
         let mut orphans = Vec::new();
         for it in self.leaders.iter_mut().filter(|it| it.planner.term() == term) {
             orphans.extend(it.orphans.extract_if(.., |it| it.process == Some(process)));
+            orphans.extend(it.retire_pollers(process, now));
         }
         self.report_retired(leader, orphans);
     }
