Count ends of leases from the step-down that any process has heard

The ends in a record count from when the successor knows that its writer has stepped down.

Processes that polled for the predecessor now tell with EarlierLeases since when they know of the step-down. The record was stored before that was sent, so the ends may count from then; the earliest report holds, and ends become only earlier.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -108,6 +108,9 @@
         term: Term,
         /// The term in which it granted them.
         earlier: Term,
+        /// Since when the sender knows that the leader of that term has stepped down,
+        /// if it does: the record that this left is not younger.
+        stepped_down_at: Option<Timestamp>,
         /// When it was sent.
         sent_at: Timestamp,
         /// The workers, each with the assignment that has ended; without a time if the
--- a/crates/mustardcove-core/tests/support/displaced_leaders.rs
+++ b/crates/mustardcove-core/tests/support/displaced_leaders.rs
@@ -62,6 +62,17 @@
         }
     }
 
+    /// Lets a process that ends its pollers tell a leader since when it knows that the
+    /// one before has stepped down, if it has heard of that.
+    pub(super) fn tell_step_down(&mut self, leader: usize) {
+        let has_heard = 0 < self.told.rng.random_range(0..4u32);
+        let Some(handover) = self.handover.clone().filter(|_| has_heard) else { return };
+        let (predecessor, heard_at) = (self.leaders[leader].predecessor, handover.written_at);
+        let workers = handover.taken_over(predecessor, heard_at);
+        let known = workers.into_iter().map(KnownLeases::from).collect();
+        self.leaders[leader].planner.learn_leases(known);
+    }
+
     /// Delivers messages to the leaders whose claims have replaced the terms of their
     /// senders.
     pub(super) fn deliver_told(&mut self) {
--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -786,6 +786,9 @@
         if self.is_message_lost() {
             return;
         }
+        if !pollers.is_empty() {
+            self.tell_step_down(leader);
+        }
         for mut it in pollers {
             let (leases_expire_by, worker) = (it.poller.retire(), &self.workers[it.worker].id);
             let planner = &mut self.leaders[leader].planner;
--- a/crates/mustardcove-node/src/leader/displaced.rs
+++ b/crates/mustardcove-node/src/leader/displaced.rs
@@ -77,9 +77,12 @@
         received_at: Timestamp,
     ) -> Option<FleetMessage> {
         match message {
-            FleetMessage::EarlierLeases { term, earlier, sent_at, workers } => {
+            FleetMessage::EarlierLeases { term, earlier, stepped_down_at, sent_at, workers } => {
                 if term == self.term {
                     let shift = ClockShift::new(sent_at, received_at);
+                    if let Some(at) = stepped_down_at.filter(|_| earlier == self.predecessor) {
+                        self.inherited_before(shift.to_local(at));
+                    }
                     self.earlier_leases_reported(from, earlier, shift, &workers);
                 }
                 None
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -5,7 +5,7 @@
 
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
 use mustardcove_core::fleet::{
-    handover::{Handover, HandoverOutcome, PollerId, WorkerHandover},
+    handover::{Handover, HandoverOutcome, KnownLeases, PollerId, WorkerHandover},
     id::{AssignmentNumber, Term},
     message::FleetMessage,
     record::{HANDOVER_KEY, LEADER_KEY},
@@ -183,6 +183,21 @@
         self.inherited = record.map(|record| Inherited { record, known_at });
     }
 
+    /// Handles that the record of the predecessor was written before `known_at`.
+    /// Processes that heard of the step-down know that from earlier on than one which
+    /// only sees it when it claims.
+    pub(super) fn inherited_before(&mut self, known_at: Timestamp) {
+        let Some(inherited) = self.inherited.as_mut().filter(|it| known_at < it.known_at) else {
+            return;
+        };
+        let earlier_ms = inherited.known_at.ms_since(known_at);
+        inherited.known_at = known_at;
+        let known = inherited.workers().into_iter().map(KnownLeases::from).collect();
+        let learned = self.planner.learn_leases(known);
+        info!(self.shared.log, "handover was earlier"; "term" => %self.term, "ms" => earlier_ms,
+            "earlier" => learned);
+    }
+
     /// Takes over what the predecessor stored when it stepped down, if it did.
     /// Retries failures for a while, since the wait without it is longer.
     pub(super) async fn take_over_plan(
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -159,8 +159,14 @@
         (id, it.worker.assignment, it.worker.state().retire())
     };
     let workers = assigned.into_iter().map(retire).collect();
-    let sent_at = shared.now();
-    shared.send_to_leader(FleetMessage::EarlierLeases { term, earlier, sent_at, workers });
+    let (sent_at, stepped_down_at) = (shared.now(), shared.stepped_down_at(earlier));
+    shared.send_to_leader(FleetMessage::EarlierLeases {
+        term,
+        earlier,
+        stepped_down_at,
+        sent_at,
+        workers,
+    });
 }
 
 fn assign(
--- a/crates/mustardcove-node/tests/stop_leader.rs
+++ b/crates/mustardcove-node/tests/stop_leader.rs
@@ -15,6 +15,7 @@
         handover::{Handover, WorkerHandover},
         id::{BootMillis, Incarnation, Term},
         members::MemberList,
+        message::FleetMessage,
         planner::WorkerListing,
         record::{self, HANDOVER_KEY, LEADER_KEY, MEMBERS_KEY, PROCESS_PREFIX, ProcessRecord},
         roster::RosterSegment,
@@ -212,3 +213,30 @@
     local.store.lose_answers(100);
     stop(&local, led).await;
 }
+
+/// Guards against ends of leases that are later by the time without a leader, although
+/// a process knows since when the one before had stepped down.
+#[tokio::test]
+async fn step_down_heard() {
+    let local = Local::start().await;
+    let predecessor = Term(7);
+    leave_record(&local, predecessor);
+    add_member(&local);
+    let heard_at = local.shared.now();
+    tokio::time::sleep(RESTORE_TIME).await;
+    let (term, inputs, led) = lead_after(&local, predecessor).await;
+    let now = local.shared.now();
+    let message = FleetMessage::EarlierLeases {
+        term,
+        earlier: predecessor,
+        stepped_down_at: Some(heard_at),
+        sent_at: now,
+        workers: Vec::new(),
+    };
+    let from = "other.1".parse().expect("a valid name");
+    let input = LeaderInput::Message { from, message: Box::new(message), received_at: now };
+    inputs.send(input).await.expect("it leads");
+    tokio::time::sleep(RESTORE_TIME).await;
+    assert_eq!(stop(&local, led).await.handover.to_string(), "passed_on");
+    assert_eq!(stored(&local).await.workers[0].leases_expire_by, heard_at.plus_ms(LEFT_MS));
+}
--- a/crates/mustardcove-runtime/tests/frame_limits.rs
+++ b/crates/mustardcove-runtime/tests/frame_limits.rs
@@ -89,6 +89,7 @@
     let earlier = FleetMessage::EarlierLeases {
         term: Term(4),
         earlier: Term(3),
+        stepped_down_at: Some(Timestamp(3)),
         sent_at: Timestamp(5),
         workers: vec![(worker.clone(), AssignmentNumber(2), Some(Timestamp(4_300)))],
     };
