--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -11,6 +11,8 @@
 //! or is carried out late, if the worker's lease expired before the end was
 //! acknowledged: others may have started the task again by then.
 
+#[path = "displaced_leaders.rs"]
+mod displaced_leaders;
 #[path = "evacuations.rs"]
 mod evacuations;
 #[path = "leader_processes.rs"]
@@ -22,6 +24,7 @@
     ops::RangeInclusive,
 };
 
+use displaced_leaders::Told;
 use evacuations::SimEvacuations;
 use leader_processes::{CONFIRM_INTERVAL_MS, Leadership, MembersRecord, first_members};
 pub(crate) use leader_processes::{Side, SimProcess};
@@ -389,6 +392,8 @@
     /// with the worker's place.
     misdirected: Vec<(usize, WorkerId, WorkerPoller)>,
     is_superseded: bool,
+    /// The term that its claim has replaced.
+    predecessor: Term,
     /// What it knows of the processes, if the world has any.
     leadership: Option<Leadership>,
 }
@@ -408,6 +413,24 @@
     }
 }
 
+impl Leader {
+    /// Ends the pollers of a process, of which this leader does not hear, and returns
+    /// their states.
+    fn retire_pollers(&mut self, process: usize, now: Timestamp) -> Vec<Orphan> {
+        let Some(leadership) = &self.leadership else { return Vec::new() };
+        let term = self.planner.term();
+        let polled =
+            (0..self.pollers.len()).filter(|it| leadership.poller_of[*it] == Some(process));
+        let mut retired = Vec::new();
+        for worker in polled {
+            self.pollers[worker].retire();
+            let (poller, id) = (self.pollers[worker].clone(), leadership.poller_id(term, worker));
+            retired.push(Orphan { worker, poller, process: Some(process), id, heartbeat_at: now });
+        }
+        retired
+    }
+}
+
 /// A start that its process has not sent yet.
 #[derive(Debug)]
 struct HeldStart {
@@ -538,6 +561,8 @@
     handover: Option<Handover>,
     /// When its successor was told so, if it was.
     stepped_down_at: Option<Timestamp>,
+    /// What displaced leaders tell.
+    pub(crate) told: Told,
     /// One of this many chances to poll a worker is used on the average.
     pub(crate) poll_chances: u32,
     /// The same for workers in whose place another one is.
@@ -611,6 +636,7 @@
             learned: None,
             handover: None,
             stepped_down_at: None,
+            told: Told::new(seed),
             poll_chances: 4,
             misdirected_chances: 4,
             log: VecDeque::new(),
@@ -670,6 +696,8 @@
             };
             let workers = self.leaders[leader].planner.hand_over(self.now, poller_of);
             self.handover = Some(Handover { term: self.term, written_at: self.now, workers });
+        } else {
+            self.tell_successor(leader);
         }
         // The message that the leader has stepped down may be lost.
         let is_told = 0 < self.rng.random_range(0..4u32);
@@ -744,10 +772,11 @@
     /// Lets a process that hears of a leader end its pollers of the one before, and
     /// tell by when their leases have expired. The message may be lost.
     fn retire_pollers(&mut self, process: usize, leader: usize) {
-        let term = self.processes[process].term;
+        let (now, term) = (self.now, self.processes[process].term);
         let mut orphans = Vec::new();
         for it in self.leaders.iter_mut().filter(|it| it.planner.term() == term) {
             orphans.extend(it.orphans.extract_if(.., |it| it.process == Some(process)));
+            orphans.extend(it.retire_pollers(process, now));
         }
         self.report_retired(leader, orphans);
     }
@@ -757,6 +786,9 @@
         if self.is_message_lost() {
             return;
         }
+        if !pollers.is_empty() {
+            self.tell_step_down(leader);
+        }
         for mut it in pollers {
             let (leases_expire_by, worker) = (it.poller.retire(), &self.workers[it.worker].id);
             let planner = &mut self.leaders[leader].planner;
@@ -814,6 +846,7 @@
             self.leaders[leader].planner.record_heard(&id, through);
         }
         if is_replaced {
+            self.tell_successor(leader);
             self.supersede(leader);
             return;
         }
@@ -1081,6 +1114,7 @@
             orphans: Vec::new(),
             misdirected: Vec::new(),
             is_superseded: false,
+            predecessor,
             leadership: None,
         });
     }
@@ -1515,6 +1549,7 @@
         planner.tick(now);
         let actions = planner.take_actions();
         if actions.is_superseded {
+            self.tell_successor(leader);
             self.supersede(leader);
             return;
         }
@@ -1955,6 +1990,7 @@
                 self.follow_store();
                 self.report_heartbeats();
                 self.send_held_starts();
+                self.deliver_told();
             }
             self.answer_ticket_requests();
             for leader in 0..self.leaders.len() {
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -6,6 +6,7 @@
 //! leader record names another process, a worker has seen a higher term, or
 //! the process stops.
 
+mod displaced;
 mod explain;
 mod handover;
 mod members;
@@ -47,6 +48,7 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use self::{
+    handover::Inherited,
     members::MembersWritten,
     pollers::Pollers,
     progress::FlushResult,
@@ -102,6 +104,10 @@
 /// Most states in one message.
 const STATES_PER_MESSAGE: usize = 2_000;
 
+/// Ends of terms, as the log names them.
+const WHY_STOPPED: &str = "the process stops";
+const WHY_HEARD: &str = "a successor sent a heartbeat";
+
 /// Input of the leader task from other tasks.
 #[derive(Debug)]
 pub enum LeaderInput {
@@ -110,7 +116,9 @@
         /// The sender.
         from: ProcessId,
         /// The message.
-        message: FleetMessage,
+        message: Box<FleetMessage>,
+        /// When it arrived.
+        received_at: Timestamp,
     },
     /// The last connection to a process was lost.
     Down {
@@ -143,12 +151,6 @@
     pub handover: HandoverOutcome,
 }
 
-impl TermEnd {
-    fn superseded(why: &'static str) -> TermEnd {
-        TermEnd { why, handover: HandoverOutcome::Superseded }
-    }
-}
-
 /// Result of a background task of the leader.
 enum TaskResult {
     /// The leader record, with the time at which the store was asked for it.
@@ -188,6 +190,12 @@
 struct Leader {
     shared: Arc<Shared>,
     term: Term,
+    /// The term whose record the claim has replaced.
+    predecessor: Term,
+    /// What the predecessor has left.
+    inherited: Option<Inherited>,
+    /// The process that the leader record names, if it is another one.
+    successor: Option<ProcessId>,
     /// When the store had answered the claim.
     claimed_at: Timestamp,
     planner: Planner,
@@ -252,6 +260,9 @@
     let mut leader = Leader {
         shared: shared.clone(),
         term,
+        predecessor: claim.predecessor,
+        inherited: None,
+        successor: None,
         claimed_at: now,
         planner: Planner::new(term, claims, manifest, earlier_leases_expire_by),
         pollers: Pollers::new(shared.clone(), term),
@@ -285,12 +296,25 @@
     let leases_expire_by = leader.pollers.predecessors(now).leases_expire_by();
     leader.planner.set_unfenced_leases_expire_by(leases_expire_by);
     leader.planner.set_cold_slack(shared.settings.cold_slack_ms);
-    let _tasks = match leader.take_over(claim.predecessor).await {
+    let mut leadership = shared.leadership.subscribe();
+    let restored = tokio::select! {
+        biased;
+        () = shared.stop.cancelled() => Err(WHY_STOPPED),
+        Ok(_) = leadership.wait_for(|it| term < it.term) => Err(WHY_HEARD),
+        tasks = leader.take_over(claim.predecessor) => tasks,
+    };
+    let _tasks = match restored {
         Ok(tasks) => tasks,
-        Err(why) => return TermEnd { why, handover: HandoverOutcome::NotRestored },
+        Err(why) if why == WHY_HEARD || leader.end_reason.is_some() => {
+            return leader.displaced(why, inputs);
+        }
+        Err(why) => {
+            leader.learn_queued(inputs);
+            let handover = leader.pass_on(HandoverOutcome::NotRestored).await;
+            return TermEnd { why, handover };
+        }
     };
     leader.log_restored(claim.predecessor);
-    let mut leadership = shared.leadership.subscribe();
     let mut heartbeat_tick = tokio::time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
     let mut learned_tick = tokio::time::interval(LEARNED_WRITE_INTERVAL);
     let mut plan_at = Instant::now();
@@ -327,16 +351,16 @@
                 plan_at = plan_after.max(Instant::now() + MAX_PLAN_INTERVAL);
             }
             Ok(_) = leadership.wait_for(|it| term < it.term) => {
-                return TermEnd::superseded("a successor sent a heartbeat");
+                return leader.displaced(WHY_HEARD, inputs);
             }
             () = shared.stop.cancelled() => break,
         }
         if let Some(why) = leader.end_reason {
-            return TermEnd::superseded(why);
+            return leader.displaced(why, inputs);
         }
     }
     let handover = leader.step_down(&mut task_results).await;
-    TermEnd { why: "the process stops", handover }
+    TermEnd { why: WHY_STOPPED, handover }
 }
 
 impl Leader {
@@ -355,7 +379,12 @@
         let now = self.shared.now();
         match input {
             LeaderInput::Down { process } => self.pollers.connection_lost(&process, now),
-            LeaderInput::Message { from, message } => self.handle_message(from, message, now),
+            LeaderInput::Message { from, message, received_at } => {
+                let other = self.handle_lease_message(&from, *message, received_at);
+                if let Some(message) = other {
+                    self.handle_message(from, message, now);
+                }
+            }
         }
     }
 
@@ -388,11 +417,6 @@
                     }
                 }
             }
-            FleetMessage::EarlierLeases { term, earlier, sent_at, workers } => {
-                if term == self.term {
-                    self.earlier_leases_reported(&from, earlier, sent_at, &workers);
-                }
-            }
             FleetMessage::Joined(record) => {
                 self.pollers.add(record);
                 self.send_heartbeat();
@@ -572,8 +596,9 @@
             if self.term.0 < item.revision {
                 let by: Option<LeaderRecord> = durable::decode(&self.shared, "leader", item);
                 warn!(self.shared.log, "another process leads"; "term" => item.revision,
-                    "leader" => ?by.map(|it| it.process));
+                    "leader" => ?by.as_ref().map(|it| &it.process));
                 self.end_reason = Some("another process leads");
+                self.successor = by.filter(|it| self.shared.add_leader(it)).map(|it| it.process);
             }
         } else if let Some(id) = record::id_of(CANCEL_PREFIX, &item.key) {
             self.planner.cancel(id, now);
