Reproduce claims beside a sound leader

A process that stood still finds all its waits over at once and claims the leadership before it can hear a heartbeat (frozen_follower), and a leader that was displaced claims again 0.6 s after it heard its successor, which may still restore the plan (displaced_leader).

--- a/crates/mustardcove-core/tests/leader_election.rs
+++ b/crates/mustardcove-core/tests/leader_election.rs
@@ -110,3 +110,15 @@
     candidacy.claim_failed(NOW);
     assert!(broken < candidacy.claim_at(), "another claim is on its way");
 }
+
+/// Guards against a displaced leader that claims again while its successor
+/// restores the plan: the end of its term must not shorten the wait that the
+/// successor's heartbeat has set.
+#[test]
+fn displaced_leader() {
+    let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
+    candidacy.heartbeat_received(true, NOW);
+    let claim_at = candidacy.claim_at();
+    candidacy.reschedule_claim(NOW.plus_ms(1));
+    assert!(claim_at <= candidacy.claim_at(), "{claim_at} to {}", candidacy.claim_at());
+}
