Hear first, and ask others, before a claim beside a sound leader

Cause: all waits of a process that stood still are over when it goes on, and the connection that the leader closed meanwhile counts as evidence, before anything that others sent can be handled.

Change: a process notices by the boot clock that it stood still (core fleet::standstill) and begins its waits for a heartbeat anew, twice at most without one, so that a process that is always behind still claims. Before a claim it asks the leader and up to five registered processes whether they hear the leader (core fleet::pre_vote), and claims unless more than half of those that answer within 150 ms do. Nobody is asked about a leader that has stepped down, asks for a successor or has ended by its records. The peer protocol has version 12.

--- a/crates/mustardcove-core/src/fleet/election.rs
+++ b/crates/mustardcove-core/src/fleet/election.rs
@@ -12,7 +12,12 @@
 //! lose the leader at once. If they replaced it, the new leader's messages
 //! would fill the link again, so the processes of the leader's own region go
 //! first.
+//!
+//! A deadline that passes while the process cannot hear shows nothing, so the waits
+//! begin anew after a [`standstill`](super::standstill), and before a claim other
+//! processes are asked whether they hear the leader ([`pre_vote`](super::pre_vote)).
 
+use super::standstill::Extensions;
 use crate::time::Timestamp;
 
 /// Time between two heartbeats of a leader, in milliseconds.
@@ -33,6 +38,14 @@
 const STARTED_WAIT_MS: u64 = 150;
 /// Longest additional wait of the lowest-ranked process, in milliseconds.
 const RANK_WAIT_MS: u64 = 500;
+/// Age of the last heartbeat up to which a process says that it hears the leader, in
+/// milliseconds: less than the wait of those that ask.
+const HEARD_MS: u64 = 3 * HEARTBEAT_INTERVAL_MS;
+/// Wait after a claim that most of the others opposed, in milliseconds. It is short
+/// at first, since they may not have noticed yet that the leader is lost.
+const OPPOSED_WAIT_MS: u64 = 200;
+/// Times that this wait doubles while others go on hearing the leader.
+const MAX_OPPOSED_DOUBLINGS: u32 = 3;
 /// Processor share above which more makes no difference to a leader.
 const AMPLE_CPU_SHARE: f64 = 0.4;
 /// Bandwidth above which more makes no difference to a leader, in megabits per
@@ -56,6 +69,17 @@
     /// The same since the connection to the leader broke, until it is back.
     broken_claim_at: Option<Timestamp>,
     stepped_down_at: Option<Timestamp>,
+    /// When the last heartbeat arrived, unless its leader has stepped down or asked
+    /// for a successor since.
+    heard_at: Option<Timestamp>,
+    /// Whether the next claim follows a step-down or the request for a successor.
+    is_planned: bool,
+    /// Before this time a broken connection is no evidence: others close connections
+    /// to a process that stands still.
+    hears_from: Timestamp,
+    extensions: Extensions,
+    /// Claims in a row that others opposed.
+    opposed: u32,
 }
 
 impl Candidacy {
@@ -73,6 +97,11 @@
             claim_at: now.plus_ms(STARTED_WAIT_MS + rank_wait_ms),
             broken_claim_at: None,
             stepped_down_at: None,
+            heard_at: None,
+            is_planned: false,
+            hears_from: now,
+            extensions: Extensions::default(),
+            opposed: 0,
         }
     }
 
@@ -87,13 +116,51 @@
     /// leader is in the region of this process.
     pub fn heartbeat_received(&mut self, is_same_region: bool, now: Timestamp) {
         self.region_wait_ms = if is_same_region { 0 } else { OTHER_REGION_WAIT_MS };
-        self.set_claim(now.plus_ms(SILENT_WAIT_MS + self.rank_wait_ms + self.region_wait_ms));
+        self.set_claim(self.silent_until(now));
+        self.heard_at = Some(now);
+        self.is_planned = false;
+        self.hears_from = now;
+        self.extensions.reset();
+        self.opposed = 0;
+    }
+
+    fn silent_until(&self, since: Timestamp) -> Timestamp {
+        since.plus_ms(SILENT_WAIT_MS + self.rank_wait_ms + self.region_wait_ms)
+    }
+
+    /// Handles that the process stood still until now: its waits begin anew, so that
+    /// it hears first. Without a heartbeat this happens a few times at most.
+    pub fn stood_still(&mut self, now: Timestamp) {
+        if self.extensions.take() {
+            self.hears_from = self.silent_until(now);
+            self.postpone_to(self.hears_from);
+        }
+    }
+
+    /// Returns whether the leader is connected and was heard a moment ago.
+    pub fn hears_leader(&self, now: Timestamp) -> bool {
+        let is_recent = self.heard_at.is_some_and(|it| now.ms_since(it) < HEARD_MS);
+        is_recent && self.broken_claim_at.is_none()
+    }
+
+    /// Returns whether the leader has stepped down or asks for a successor, so that
+    /// others need not be asked whether they hear it.
+    pub fn is_planned(&self) -> bool {
+        self.is_planned
+    }
+
+    /// Handles that most of those that answered hear the leader.
+    pub fn claim_opposed(&mut self, now: Timestamp) {
+        let doublings = self.opposed.min(MAX_OPPOSED_DOUBLINGS);
+        self.opposed = self.opposed.saturating_add(1);
+        self.postpone_to(now.plus_ms(OPPOSED_WAIT_MS << doublings));
     }
 
     /// Handles a broken connection to the leader.
     pub fn connection_broke(&mut self, now: Timestamp) {
         let wait_ms = BROKEN_WAIT_MS + self.rank_wait_ms + self.region_wait_ms;
-        self.broken_claim_at = Some(self.claim_at().min(now.plus_ms(wait_ms)));
+        let broken_claim_at = self.claim_at().min(now.plus_ms(wait_ms));
+        self.broken_claim_at = Some(broken_claim_at.max(self.hears_from));
     }
 
     /// Handles a connection to the leader that is back: it was closed in favour of
@@ -108,6 +175,8 @@
     pub fn leader_stepped_down(&mut self, now: Timestamp) {
         self.set_claim(now.plus_ms(self.rank_wait_ms / 4));
         self.stepped_down_at = Some(now);
+        self.heard_at = None;
+        self.is_planned = true;
     }
 
     /// Returns when a leader last stepped down or asked for a successor, as far
--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -148,6 +148,21 @@
         /// The outcome of the write.
         outcome: StoreOutcome,
     },
+    /// Asks the receiver whether it hears a leader, before a claim.
+    AskHeard {
+        /// The sender's number of the vote.
+        vote: u64,
+        /// The term that the claim would end.
+        term: Term,
+    },
+    /// Answers [`FleetMessage::AskHeard`].
+    Heard {
+        /// The number of the vote.
+        vote: u64,
+        /// Whether the sender is connected to the leader of that term or of a later
+        /// one, and heard it a moment ago.
+        hears: bool,
+    },
 }
 
 /// A change that a process without access to the store asks another to write.
--- a/crates/mustardcove-core/tests/leader_election.rs
+++ b/crates/mustardcove-core/tests/leader_election.rs
@@ -122,3 +122,70 @@
     candidacy.reschedule_claim(NOW.plus_ms(1));
     assert!(claim_at <= candidacy.claim_at(), "{claim_at} to {}", candidacy.claim_at());
 }
+
+/// Guards against a claim of a process that stood still, before it can hear the
+/// leader, and against one on the evidence of a connection that others closed
+/// meanwhile.
+#[test]
+fn stood_still() {
+    let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
+    candidacy.heartbeat_received(true, NOW);
+    let later = NOW.plus_ms(3_000);
+    candidacy.connection_broke(later);
+    candidacy.stood_still(later);
+    candidacy.connection_broke(later);
+    assert!(later.plus_ms(4 * HEARTBEAT_INTERVAL_MS) < candidacy.claim_at());
+    candidacy.leader_stepped_down(later);
+    assert!(candidacy.claim_at() <= later.plus_ms(HEARTBEAT_INTERVAL_MS), "it is heard");
+}
+
+/// Guards against a lost leader that a process never replaces because it is always
+/// behind.
+#[test]
+fn always_behind() {
+    let mut candidacy = Candidacy::new(0.05, 10.0, 1.0, NOW);
+    candidacy.heartbeat_received(false, NOW);
+    let mut now = NOW;
+    while now < candidacy.claim_at() {
+        now = now.plus_ms(700);
+        candidacy.stood_still(now);
+    }
+    assert!(now < NOW.plus_ms(6_000), "{now}");
+}
+
+/// Guards against an answer that delays the replacement of a leader that is lost or
+/// has stepped down, and against one that permits the claim beside a sound leader.
+#[test]
+fn hears_leader() {
+    let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
+    assert!(!candidacy.hears_leader(NOW), "it has heard none");
+    candidacy.heartbeat_received(true, NOW);
+    let next = NOW.plus_ms(2 * HEARTBEAT_INTERVAL_MS);
+    assert!(candidacy.hears_leader(next), "one heartbeat is late");
+    assert!(!candidacy.hears_leader(NOW.plus_ms(4 * HEARTBEAT_INTERVAL_MS)));
+    candidacy.connection_broke(next);
+    assert!(!candidacy.hears_leader(next));
+    candidacy.connection_restored();
+    assert!(candidacy.hears_leader(next));
+    candidacy.leader_stepped_down(next);
+    assert!(!candidacy.hears_leader(next) && candidacy.is_planned());
+    candidacy.heartbeat_received(true, next);
+    assert!(!candidacy.is_planned(), "the next leader");
+}
+
+/// Guards against a full wait after the others opposed a claim since they had not
+/// noticed yet that the leader is lost, and against asking all the time.
+#[test]
+fn claim_opposed() {
+    let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
+    candidacy.heartbeat_received(true, NOW);
+    candidacy.connection_broke(NOW);
+    let mut waits = Vec::new();
+    for _ in 0..6 {
+        let now = candidacy.claim_at();
+        candidacy.claim_opposed(now);
+        waits.push(candidacy.claim_at().ms_since(now));
+    }
+    assert!(waits[0] <= HEARTBEAT_INTERVAL_MS, "{waits:?}");
+    assert!(waits.is_sorted() && 1_000 <= waits[5], "{waits:?}");
+}
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -139,6 +139,11 @@
         FleetMessage::Explained { request, reply } => {
             shared.explanations.answered(request, reply);
         }
+        FleetMessage::AskHeard { vote, term } => {
+            let hears = shared.hears_leader(term);
+            shared.send(&from, FleetMessage::Heard { vote, hears });
+        }
+        FleetMessage::Heard { vote, hears } => shared.record_vote(vote, &from, hears),
     }
 }
 
--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -1,7 +1,7 @@
 //! Registers the process in the store, and claims the leadership when the
 //! leader seems lost.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
 use mustardcove_core::{
@@ -9,6 +9,7 @@
         election::{Candidacy, next_claims},
         id::Term,
         message::FleetMessage,
+        pre_vote::{self, Verdict},
         record::{self, HANDOVER_KEY, LEADER_KEY, LeaderRecord, PROCESS_PREFIX, ProcessRecord},
     },
     id::ProcessId,
@@ -143,7 +144,7 @@
             () = shared.claim_due() => {}
         }
         match claim(&shared).await {
-            Ok(Some(claim)) => {
+            Ok(ClaimOutcome::Leads(claim)) => {
                 let term = claim.term;
                 while inputs.try_recv().is_ok() {}
                 shared
@@ -166,7 +167,8 @@
                 shared.leadership.send_if_modified(is_ours);
                 shared.update_candidacy(Candidacy::reschedule_claim);
             }
-            Ok(None) => shared.update_candidacy(Candidacy::claim_failed),
+            Ok(ClaimOutcome::Failed) => shared.update_candidacy(Candidacy::claim_failed),
+            Ok(ClaimOutcome::Opposed) => shared.update_candidacy(Candidacy::claim_opposed),
             Err(fault) => {
                 shared.store_failed();
                 warn!(shared.log, "leadership not claimed"; "error" => %fault);
@@ -204,22 +206,62 @@
     parts.map_or((process.as_str(), None), |(name, started)| (name, started.parse().ok()))
 }
 
-/// Tries to become the leader. Returns `None` if another process leads.
-async fn claim(shared: &Shared) -> Result<Option<Claim>, StoreFault> {
-    let current = shared.store.get(LEADER_KEY).await?;
+/// Asks the leader of a term and some other processes whether they hear it.
+async fn ask_others(
+    shared: &Shared,
+    leader: &LeaderRecord,
+    term: Term,
+    registered: &[Item],
+) -> Verdict {
+    let decode = |it: &Item| durable::decode::<ProcessRecord>(shared, "process", it);
+    let registered: Vec<ProcessRecord> = registered.iter().filter_map(decode).collect();
+    let draw = rand::random::<u32>() as usize;
+    let others = pre_vote::choose_voters(&registered, &shared.process, &leader.process, draw);
+    let others = others.into_iter().map(|it| (&it.process, &it.address, &it.region));
+    let own = [(&leader.process, &leader.address, &leader.region)];
+    let mut voters = BTreeSet::new();
+    for (process, address, region) in others.chain(own) {
+        if let Ok(address) = address.parse() {
+            shared.peers.add_peer(process.clone(), address, region.clone());
+            voters.insert(process.clone());
+        }
+    }
+    let asked_at = shared.now();
+    let verdict = shared.ask_voters(voters, term).await;
+    info!(shared.log, "asked whether the leader is heard"; "term" => %term,
+        "verdict" => %verdict, "ms" => shared.now().ms_since(asked_at));
+    verdict
+}
+
+/// The outcome of an attempt to become the leader.
+enum ClaimOutcome {
+    /// This process leads.
+    Leads(Claim),
+    /// Another process leads or has claimed.
+    Failed,
+    /// Other processes hear the leader.
+    Opposed,
+}
+
+/// Tries to become the leader.
+async fn claim(shared: &Shared) -> Result<ClaimOutcome, StoreFault> {
+    let (current, registered) =
+        tokio::join!(shared.store.get(LEADER_KEY), shared.store.range(PROCESS_PREFIX));
+    let current = current?;
     shared.store_answered();
     if !shared.is_claim_due() {
         // A heartbeat arrived in the meantime.
-        return Ok(None);
+        return Ok(ClaimOutcome::Failed);
     }
     let revision = current.as_ref().map_or(0, |it| it.revision);
     let before = current.and_then(|it| decode_leader(shared, &it));
     let known_term = shared.leadership.borrow().term;
+    let mut has_leader_ended = false;
     if known_term.0 < revision && before.as_ref().is_some_and(|it| it.process != shared.process) {
         // Another process became leader, or the first greeting was lost. Its
         // heartbeats should arrive soon, unless it is lost, too.
         info!(shared.log, "another leader found"; "term" => revision);
-        let ended = match &before {
+        has_leader_ended = match &before {
             Some(leader) => has_ended(shared, leader, Term(revision)).await?,
             None => false,
         };
@@ -232,13 +274,28 @@
         };
         if !shared.leadership.send_if_modified(is_newer) {
             // A heartbeat arrived in the meantime.
-            return Ok(None);
+            return Ok(ClaimOutcome::Failed);
         }
-        if let Some(leader) = before.as_ref().filter(|_| !ended) {
+        if let Some(leader) = before.as_ref().filter(|_| !has_leader_ended) {
             greet_leader(shared, leader);
             let is_same_region = leader.region == shared.settings.region;
             shared.update_candidacy(|it, now| it.found_leader(is_same_region, now));
-            return Ok(None);
+            return Ok(ClaimOutcome::Failed);
+        }
+    }
+    let is_other = |it: &&LeaderRecord| it.process != shared.process;
+    if let Some(leader) = before.as_ref().filter(is_other)
+        && !has_leader_ended
+        && !shared.is_claim_planned()
+    {
+        // Without the records only the leader is asked.
+        let registered = registered.map(|it| it.0).unwrap_or_default();
+        let verdict = ask_others(shared, leader, Term(revision), &registered).await;
+        if verdict == Verdict::Postpone {
+            return Ok(ClaimOutcome::Opposed);
+        }
+        if !shared.is_claim_due() {
+            return Ok(ClaimOutcome::Failed);
         }
     }
     let record = LeaderRecord {
@@ -259,14 +316,16 @@
         sent_boot,
     };
     match shared.store.write(&write).await {
-        Ok(WriteOutcome::Committed(revision)) => Ok(Some(claim(revision))),
-        Ok(WriteOutcome::Conflict(_)) => Ok(None),
+        Ok(WriteOutcome::Committed(revision)) => Ok(ClaimOutcome::Leads(claim(revision))),
+        Ok(WriteOutcome::Conflict(_)) => Ok(ClaimOutcome::Failed),
         Err(fault) => {
             // The write may have taken effect; reading the key shows it.
             let now = shared.store.get(LEADER_KEY).await?;
             let written = now.filter(|it| it.value == record::encode(&record));
             match written {
-                Some(item) if revision < item.revision => Ok(Some(claim(item.revision))),
+                Some(item) if revision < item.revision => {
+                    Ok(ClaimOutcome::Leads(claim(item.revision)))
+                }
                 _ => Err(fault),
             }
         }
--- a/crates/mustardcove-node/src/process.rs
+++ b/crates/mustardcove-node/src/process.rs
@@ -14,7 +14,7 @@
 
 use eyre::WrapErr as _;
 use mustardcove_adapter::settings::NodeSettings;
-use mustardcove_core::id::ProcessId;
+use mustardcove_core::{fleet::standstill::OBSERVE_INTERVAL_MS, id::ProcessId};
 use mustardcove_platform::Clock;
 use mustardcove_runtime::{
     admin::{self, Readiness},
@@ -160,6 +160,7 @@
     tasks.spawn(dispatch::run(shared.clone(), events, routes));
     tasks.spawn(poller::run(shared.clone(), poller_inputs));
     tasks.spawn(resend_outbox(shared.clone()));
+    tasks.spawn(notice_standstills(shared.clone()));
     let admin_readiness = Readiness::default();
     tokio::spawn(update_readiness(shared.clone(), admin_readiness.clone()));
     let admin = admin::router(
@@ -228,6 +229,14 @@
     }
 }
 
+/// Notices at a fixed interval whether the process stood still.
+async fn notice_standstills(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(OBSERVE_INTERVAL_MS)).await;
+        shared.check_standstill();
+    }
+}
+
 /// Sends the leader the outbox entries that it has not acknowledged.
 async fn resend_outbox(shared: Arc<Shared>) {
     let outbox: &outbox::Outbox = &shared.outbox;
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of a process share.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard},
 };
 
@@ -19,7 +19,9 @@
         message::{FleetMessage, Heartbeat, StoreOutcome},
         overload::{self, Admission, Applicant, KnownLoad, LoadReport, OwnPlaces, Place, Places},
         poller::LeasePermission,
+        pre_vote::{PreVote, VOTE_MS, Verdict},
         record::LEADER_KEY,
+        standstill::Standstill,
         state_cache::StateCache,
         store_health::StoreHealth,
         store_write::UnsettledWrites,
@@ -137,6 +139,10 @@
     states: Mutex<StateCache>,
     candidacy: Mutex<Candidacy>,
     candidacy_changed: Notify,
+    standstill: Mutex<Standstill>,
+    /// The last vote before a claim of this process.
+    pre_vote: Mutex<PreVote>,
+    pre_vote_changed: Notify,
     last_heartbeat: Mutex<LastHeartbeat>,
     store_health: Mutex<StoreHealth>,
     unsettled_writes: Mutex<UnsettledWrites>,
@@ -213,6 +219,9 @@
             states: Mutex::default(),
             candidacy: Mutex::new(candidacy),
             candidacy_changed: Notify::new(),
+            standstill: Mutex::new(Standstill::new(boot_now())),
+            pre_vote: Mutex::default(),
+            pre_vote_changed: Notify::new(),
             last_heartbeat: Mutex::default(),
             store_health: Mutex::default(),
             unsettled_writes: Mutex::default(),
@@ -310,11 +319,57 @@
         self.candidacy_changed.notify_one();
     }
 
-    /// Returns whether it is time to claim the leadership.
+    /// Returns whether it is time to claim the leadership. If the process stood still
+    /// until a moment ago it is not, since it could not hear.
     pub fn is_claim_due(&self) -> bool {
+        self.check_standstill();
         lock(&self.candidacy).claim_at() <= self.now()
     }
 
+    /// Begins the wait for the leader's heartbeats anew if the process stood still.
+    pub fn check_standstill(&self) {
+        let stood_still = lock(&self.standstill).observe(boot_now());
+        if let Some(ms) = stood_still {
+            info!(self.log, "process stood still"; "ms" => ms);
+            self.update_candidacy(Candidacy::stood_still);
+        }
+    }
+
+    /// Returns whether the next claim follows a step-down or the request for a
+    /// successor.
+    pub fn is_claim_planned(&self) -> bool {
+        lock(&self.candidacy).is_planned()
+    }
+
+    /// Returns whether this process hears the leader of a term, or of a later one.
+    pub fn hears_leader(&self, term: Term) -> bool {
+        term <= self.leadership.borrow().term && lock(&self.candidacy).hears_leader(self.now())
+    }
+
+    /// Asks processes that are registered with the transport whether they hear the
+    /// leader of a term, and returns what their answers permit.
+    pub async fn ask_voters(&self, voters: BTreeSet<ProcessId>, term: Term) -> Verdict {
+        let deadline = self.now().plus_ms(VOTE_MS);
+        let vote = lock(&self.pre_vote).number() + 1;
+        *lock(&self.pre_vote) = PreVote::new(vote, voters.clone());
+        self.send_to_all(&voters, FleetMessage::AskHeard { vote, term });
+        loop {
+            if let Some(verdict) = lock(&self.pre_vote).early_verdict() {
+                return verdict;
+            }
+            tokio::select! {
+                () = self.pre_vote_changed.notified() => {}
+                () = self.clock.sleep_until(deadline) => return lock(&self.pre_vote).verdict(),
+            }
+        }
+    }
+
+    /// Records the answer of another process to [`Shared::ask_voters`].
+    pub fn record_vote(&self, vote: u64, voter: &ProcessId, hears: bool) {
+        lock(&self.pre_vote).answered(vote, voter, hears);
+        self.pre_vote_changed.notify_one();
+    }
+
     /// Returns when a leader last stepped down or asked for a successor, as far
     /// as this process knows.
     pub fn leader_stepped_down_at(&self) -> Option<Timestamp> {
@@ -327,7 +382,7 @@
             let claim_at = lock(&self.candidacy).claim_at();
             tokio::select! {
                 () = self.clock.sleep_until(claim_at) => {
-                    if lock(&self.candidacy).claim_at() <= self.now() {
+                    if self.is_claim_due() {
                         return;
                     }
                 }
--- a/crates/mustardcove-runtime/src/peer/config.rs
+++ b/crates/mustardcove-runtime/src/peer/config.rs
@@ -6,7 +6,7 @@
 
 /// Version of the protocol. Processes of different versions refuse each
 /// other's connections.
-pub const PROTOCOL_VERSION: u32 = 11;
+pub const PROTOCOL_VERSION: u32 = 12;
 
 /// Addresses, timeouts and limits of the transport of one process.
 #[derive(Clone, Debug)]
