Keep a new leader from being displaced while it restores

Cause: the leader sends heartbeats from its main loop, which begins after the plan is restored; and the end of a term set a new claim time without regard to the wait that the successor's heartbeat had set.

Change: heartbeats are sent while records are read and between groups of 16 restored records, where other tasks of the one thread get their turn. The end of a term no longer shortens the wait.

--- a/crates/mustardcove-core/src/fleet/election.rs
+++ b/crates/mustardcove-core/src/fleet/election.rs
@@ -199,9 +199,11 @@
         self.postpone_to(now.plus_ms(wait_ms));
     }
 
-    /// Sets a new claim time after a change of the leader or a failed claim.
+    /// Sets a new claim time after the end of a term of this process. A successor
+    /// whose heartbeat has arrived keeps the wait that this set: it may still restore
+    /// the plan.
     pub fn reschedule_claim(&mut self, now: Timestamp) {
-        self.set_claim(now.plus_ms(SILENT_WAIT_MS / 2 + self.rank_wait_ms));
+        self.postpone_to(now.plus_ms(SILENT_WAIT_MS / 2 + self.rank_wait_ms));
     }
 
     fn set_claim(&mut self, at: Timestamp) {
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -229,6 +229,9 @@
     oldest_report_ms: u64,
     /// Whether the reports before the last heartbeat were handled late.
     is_behind: bool,
+    /// When to send the next heartbeat while earlier state is restored; never before
+    /// the members are known, since the first heartbeat counts them.
+    heartbeat_at: Timestamp,
     /// Callers that were told to come back.
     places: Places,
     withdrawals: Withdrawals,
@@ -277,6 +280,7 @@
         send_states_at: now,
         oldest_report_ms: 0,
         is_behind: false,
+        heartbeat_at: Timestamp::MAX,
         places: Places::default(),
         withdrawals: Withdrawals::default(),
         explain_at: now,
@@ -680,6 +684,7 @@
 
     fn send_heartbeat(&mut self) {
         let now = self.shared.now();
+        self.heartbeat_at = now.plus_ms(HEARTBEAT_INTERVAL_MS);
         self.update_confirmation(now);
         let pending = self.is_restored.then(|| self.planner.pending());
         let reaching_store = self.pollers.reaching_store(now);
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    pin::pin,
     time::Duration,
 };
 
@@ -20,6 +21,8 @@
 use super::{Leader, LookedUp, RETRY_PAUSE, TaskResult};
 use crate::{durable, operator_watch, shared::Shared};
 
+/// Records that are restored before other work gets its turn.
+const RECORDS_AT_ONCE: usize = 16;
 /// Time between two readings of the process records, which are few and rarely
 /// change.
 const PROCESSES_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -47,21 +50,27 @@
         let evacuations = async {
             if follows_evacuations { Some(shared.store.range(EVACUATE_PREFIX).await) } else { None }
         };
-        let (roster, work, progress, learned, handover, evacuations) = tokio::join!(
-            shared.store.range(ROSTER_PREFIX),
-            shared.store.range(WORK_PREFIX),
-            shared.store.range(PROGRESS_PREFIX),
-            shared.store.get(LEARNED_KEY),
-            shared.store.get(HANDOVER_KEY),
-            evacuations,
-        );
+        let reads = async {
+            tokio::join!(
+                shared.store.range(ROSTER_PREFIX),
+                shared.store.range(WORK_PREFIX),
+                shared.store.range(PROGRESS_PREFIX),
+                shared.store.get(LEARNED_KEY),
+                shared.store.get(HANDOVER_KEY),
+                evacuations,
+            )
+        };
+        let (roster, work, progress, learned, handover, evacuations) =
+            self.send_heartbeats_until(reads).await;
         self.take_over_plan(handover, predecessor).await;
+        self.yield_to_others().await;
         self.restore_learned_interference(learned);
         let (roster, _) = self.retry_read(ROSTER_PREFIX, roster).await?;
         self.restore_roster(&roster);
+        self.yield_to_others().await;
         let (work, after) = self.retry_read(WORK_PREFIX, work).await?;
         let (progress, _) = self.retry_read(PROGRESS_PREFIX, progress).await?;
-        self.restore(&work, &progress);
+        self.restore(&work, &progress).await;
         self.planner.place_handed_over(self.shared.now());
         if let Some(evacuations) = evacuations {
             let read = self.retry_read(EVACUATE_PREFIX, evacuations).await?;
@@ -101,7 +110,7 @@
     /// Retries a failed reading until it succeeds, another process leads or
     /// this process stops; the latter two are errors.
     async fn retry_read(
-        &self,
+        &mut self,
         prefix: &str,
         mut result: Result<(Vec<Item>, u64), StoreFault>,
     ) -> Result<(Vec<Item>, u64), &'static str> {
@@ -120,25 +129,58 @@
             if self.term < self.shared.leadership.borrow().term {
                 return Err("another process leads");
             }
-            tokio::time::sleep(RETRY_PAUSE).await;
-            result = self.shared.store.range(prefix).await;
+            let shared = self.shared.clone();
+            let read = async {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                shared.store.range(prefix).await
+            };
+            result = self.send_heartbeats_until(read).await;
         }
     }
 
-    fn restore(&mut self, work: &[Item], progress: &[Item]) {
+    /// Waits for a result and sends heartbeats meanwhile, so that no other process
+    /// claims the leadership.
+    async fn send_heartbeats_until<T>(&mut self, work: impl Future<Output = T>) -> T {
+        let clock = self.shared.clock;
+        let mut work = pin!(work);
+        loop {
+            tokio::select! {
+                biased;
+                () = clock.sleep_until(self.heartbeat_at) => self.send_heartbeat(),
+                result = &mut work => return result,
+            }
+        }
+    }
+
+    /// Lets the other tasks of this process run, and sends a heartbeat if one is due:
+    /// restoring many records takes longer than others wait for one.
+    async fn yield_to_others(&mut self) {
+        if self.heartbeat_at <= self.shared.now() {
+            self.send_heartbeat();
+        }
+        tokio::task::yield_now().await;
+    }
+
+    async fn restore(&mut self, work: &[Item], progress: &[Item]) {
         let now = self.shared.now();
-        let progress: BTreeMap<SubmissionId, (ProgressRecord, u64)> =
-            progress.iter().filter_map(|it| self.decode_progress(it)).collect();
+        let mut known: BTreeMap<SubmissionId, (ProgressRecord, u64)> = BTreeMap::new();
+        for items in progress.chunks(RECORDS_AT_ONCE) {
+            known.extend(items.iter().filter_map(|it| self.decode_progress(it)));
+            self.yield_to_others().await;
+        }
         let cancelled: BTreeSet<SubmissionId> =
             work.iter().filter_map(|it| record::id_of(CANCEL_PREFIX, &it.key)).collect();
-        for item in work {
+        for (i, item) in work.iter().enumerate() {
+            if i % RECORDS_AT_ONCE == 0 {
+                self.yield_to_others().await;
+            }
             if item.key == LEADER_KEY {
                 self.apply_record(item, now);
                 continue;
             }
             let Some(id) = record::id_of(SUBMISSION_PREFIX, &item.key) else { continue };
             if let Some(submission) = durable::decode_submission(&self.shared, item) {
-                let known = progress.get(&id).map(|(it, revision)| (it, *revision));
+                let known = known.get(&id).map(|(it, revision)| (it, *revision));
                 self.planner.restore(submission, false, known, now);
             }
             if cancelled.contains(&id) {
