Don't count the time in which the leader stood still as pollers' silence

Cause: a process without a report for 1.2 s counts as lost. A leader that stood still for that long and plans before it has handled the reports in its buffers would give up all its pollers at once, and wait for the leases that each granted.

Change: the time of a standstill of the leader's own loop is not counted, for a process that counted as alive before and at most twice between two of its reports, so that a leader that is always behind still notices lost pollers.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -36,6 +36,7 @@
             WORK_PREFIX,
         },
         roster::Roster,
+        standstill::Standstill,
         submission::{Submission, SubmissionState},
         succession::{StoreCall, Succession},
         withdrawals::Withdrawals,
@@ -229,6 +230,7 @@
     oldest_report_ms: u64,
     /// Whether the reports before the last heartbeat were handled late.
     is_behind: bool,
+    standstill: Standstill,
     /// When to send the next heartbeat while earlier state is restored; never before
     /// the members are known, since the first heartbeat counts them.
     heartbeat_at: Timestamp,
@@ -280,6 +282,7 @@
         send_states_at: now,
         oldest_report_ms: 0,
         is_behind: false,
+        standstill: Standstill::new(boot_now()),
         heartbeat_at: Timestamp::MAX,
         places: Places::default(),
         withdrawals: Withdrawals::default(),
@@ -591,6 +594,9 @@
     /// Runs the planner, executes its actions and stores progress that is due.
     fn plan(&mut self) {
         let now = self.shared.now();
+        if let Some(ms) = self.standstill.observe(boot_now()) {
+            self.pollers.stood_still(ms, now);
+        }
         if let Some(manifest) = self.shared.manifest() {
             self.planner.set_manifest(manifest);
         }
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -18,6 +18,7 @@
         planner::{Planner, WorkerListing},
         predecessors::{Evidence, Predecessors},
         record::{PROCESS_PREFIX, ProcessRecord},
+        standstill::Extensions,
         succession::Candidate,
         witnesses::Witnesses,
     },
@@ -50,6 +51,7 @@
 struct Process {
     record: ProcessRecord,
     last_report_at: Option<Timestamp>,
+    extensions: Extensions,
     reached_store_at: Option<Timestamp>,
     /// Whether it has reported since its last connection was lost. Before,
     /// messages to it may be dropped.
@@ -178,6 +180,7 @@
         self.shared.peers.add_peer(process, address, region);
         let process = Process {
             last_report_at: None,
+            extensions: Extensions::default(),
             reached_store_at: None,
             is_connected: false,
             is_synced: false,
@@ -371,12 +374,26 @@
             info!(self.shared.log, "process joined"; "joined" => %process, "term" => %self.term);
         }
         it.last_report_at = Some(now);
+        it.extensions.reset();
         it.is_connected = true;
         if reaches_store {
             it.reached_store_at = Some(now);
         }
     }
 
+    /// Handles that this process stood still until now. What the others sent meanwhile
+    /// was not handled, so that time does not count as their silence.
+    pub(super) fn stood_still(&mut self, ms: u64, now: Timestamp) {
+        let earlier = now.minus_ms(ms);
+        for it in self.processes.values_mut() {
+            let Some(last_report_at) = it.last_report_at else { continue };
+            let was_alive = earlier.ms_since(last_report_at) < LOST_AFTER_MS;
+            if was_alive && it.extensions.take() {
+                it.last_report_at = Some(last_report_at.plus_ms(ms).min(now));
+            }
+        }
+    }
+
     /// Records that the last connection to a process was lost. The process is
     /// lost unless it reports within [`RECONNECT_GRACE_MS`].
     pub(super) fn connection_lost(&mut self, process: &ProcessId, now: Timestamp) {
