--- a/crates/mustardcove-core/tests/leader_election.rs
+++ b/crates/mustardcove-core/tests/leader_election.rs
@@ -180,12 +180,12 @@
     let mut candidacy = Candidacy::new(0.5, 1_000.0, 0.0, NOW);
     candidacy.heartbeat_received(true, NOW);
     candidacy.connection_broke(NOW);
-    let mut waits = Vec::new();
-    for _ in 0..6 {
+    let mut wait = || {
         let now = candidacy.claim_at();
         candidacy.claim_opposed(now);
-        waits.push(candidacy.claim_at().ms_since(now));
-    }
+        candidacy.claim_at().ms_since(now)
+    };
+    let waits: Vec<u64> = (0..6).map(|_| wait()).collect();
     assert!(waits[0] <= HEARTBEAT_INTERVAL_MS, "{waits:?}");
     assert!(waits.is_sorted() && 1_000 <= waits[5], "{waits:?}");
 }
--- a/crates/mustardcove-node/tests/asked_voters.rs
+++ b/crates/mustardcove-node/tests/asked_voters.rs
@@ -4,10 +4,7 @@
 mod local;
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
-    },
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -22,21 +19,18 @@
 };
 use mustardcove_node::{dispatch, membership};
 use mustardcove_runtime::peer::PeerEvent;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::sync::mpsc;
 
 /// Time within which a process claims that hears of no leader, with some to spare.
 const CLAIM_TIME: Duration = Duration::from_secs(4);
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What the voters answer, and how often they were asked.
-#[derive(Default)]
-struct Voters {
-    hear: AtomicBool,
-    asked: AtomicU32,
-}
+static HEAR: AtomicBool = AtomicBool::new(true);
+static ASKED: AtomicU32 = AtomicU32::new(0);
 
 /// Starts a process that answers whether it hears the leader, and registers it.
-async fn start_voter(local: &Local, name: &str, voters: Arc<Voters>) {
+async fn start_voter(local: &Local, name: &str) {
     let process: ProcessId = format!("{name}.1").parse().expect("a valid name");
     let (peers, mut events) = start_peers(&process, free_ip()).await;
     let record = ProcessRecord {
@@ -53,9 +47,8 @@
             let PeerEvent::Message { from, message } = event else { continue };
             let PeerMessage::Fleet(message) = *message else { continue };
             let FleetMessage::AskHeard { vote, .. } = *message else { continue };
-            voters.asked.fetch_add(1, Ordering::Relaxed);
-            let hears = voters.hear.load(Ordering::Relaxed);
-            let answer = FleetMessage::Heard { vote, hears };
+            ASKED.fetch_add(1, Ordering::Relaxed);
+            let answer = FleetMessage::Heard { vote, hears: HEAR.load(Ordering::Relaxed) };
             let _ = peers.send(&from, &PeerMessage::Fleet(Box::new(answer)));
         }
     });
@@ -73,25 +66,22 @@
     let record = record::encode(&leader);
     local.store.put(LEADER_KEY, &record);
     let (leader, inputs) = membership::leader_queue();
-    let (poller, _) = mpsc::channel(1);
-    let (_, none) = mpsc::channel(1);
-    let events = std::mem::replace(&mut local.events, none);
-    let routes = dispatch::Routes { poller, leader };
+    let events = std::mem::replace(&mut local.events, mpsc::channel(1).1);
+    let routes = dispatch::Routes { poller: mpsc::channel(1).0, leader };
     tokio::spawn(dispatch::run(local.shared.clone(), events, routes));
     tokio::spawn(membership::run(local.shared.clone(), inputs));
     (local, record)
 }
 
+/// Returns whether another record replaces that of the leader in time.
 async fn is_claimed(local: &Local, record: &[u8]) -> bool {
-    let item = local.shared.store.get(LEADER_KEY).await.expect("an answer");
-    item.expect("a record").value != record
-}
-
-/// Waits until another record replaces that of the leader.
-async fn claimed(local: &Local, record: &[u8]) {
-    while !is_claimed(local, record).await {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-    }
+    let claimed = async {
+        let read = async || local.shared.store.get(LEADER_KEY).await.expect("an answer");
+        while read().await.expect("a record").value == record {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(CLAIM_TIME, claimed).await.is_ok()
 }
 
 /// Guards against a process that is cut off from the leader alone and replaces it,
@@ -99,22 +89,20 @@
 #[tokio::test]
 async fn leader_heard() {
     let local = Local::start().await;
-    let voters = Arc::new(Voters::default());
-    voters.hear.store(true, Ordering::Relaxed);
     for name in ["voter-a", "voter-b", "voter-c"] {
-        start_voter(&local, name, voters.clone()).await;
+        start_voter(&local, name).await;
     }
     let (local, record) = start_candidate(local).await;
-    assert!(timeout(CLAIM_TIME, claimed(&local, &record)).await.is_err(), "others hear it");
-    let asked = voters.asked.load(Ordering::Relaxed);
+    assert!(!is_claimed(&local, &record).await, "others hear it");
+    let asked = ASKED.load(Ordering::Relaxed);
     assert!((3..=30).contains(&asked), "asked {asked} times");
-    voters.hear.store(false, Ordering::Relaxed);
-    assert!(timeout(CLAIM_TIME, claimed(&local, &record)).await.is_ok(), "nobody hears it");
+    HEAR.store(false, Ordering::Relaxed);
+    assert!(is_claimed(&local, &record).await, "nobody hears it");
 }
 
 /// Guards against a fleet without a leader after all other processes were lost.
 #[tokio::test]
 async fn nobody_answers() {
     let (local, record) = start_candidate(Local::start().await).await;
-    assert!(timeout(CLAIM_TIME, claimed(&local, &record)).await.is_ok(), "it stays without");
+    assert!(is_claimed(&local, &record).await, "it stays without a leader");
 }
