Bound the wait of a claim for the records of voters

A claim reads the records of the processes beside that of the leader. If that answer is lost or late, the claim goes on after 400 ms and asks the leader alone. Found by reading, not seen in a play.

--- a/crates/mustardcove-node/src/membership.rs
+++ b/crates/mustardcove-node/src/membership.rs
@@ -27,6 +27,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time for which a process that stops tries to remove its record.
 const DEREGISTER_TIME: Duration = Duration::from_millis(400);
+/// Longest time for which a claim waits for the records of processes that it may ask.
+const VOTERS_TIME: Duration = Duration::from_millis(400);
 /// Messages that may wait for the leader task.
 const LEADER_QUEUE: usize = 8_192;
 
@@ -245,8 +247,8 @@
 
 /// Tries to become the leader.
 async fn claim(shared: &Shared) -> Result<ClaimOutcome, StoreFault> {
-    let (current, registered) =
-        tokio::join!(shared.store.get(LEADER_KEY), shared.store.range(PROCESS_PREFIX));
+    let registered = tokio::time::timeout(VOTERS_TIME, shared.store.range(PROCESS_PREFIX));
+    let (current, registered) = tokio::join!(shared.store.get(LEADER_KEY), registered);
     let current = current?;
     shared.store_answered();
     if !shared.is_claim_due() {
@@ -289,7 +291,7 @@
         && !shared.is_claim_planned()
     {
         // Without the records only the leader is asked.
-        let registered = registered.map(|it| it.0).unwrap_or_default();
+        let registered = registered.ok().and_then(Result::ok).map(|it| it.0).unwrap_or_default();
         let verdict = ask_others(shared, leader, Term(revision), &registered).await;
         if verdict == Verdict::Postpone {
             return Ok(ClaimOutcome::Opposed);
