Use the ends in a handover that could be read only after a while

It now reads the record in the background until the store answers, and uses the ends of leases in it. The plan is not used, as the leader has acted without it by then. The record of exactly the predecessor was written before the claim, whenever it is read.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -180,6 +180,8 @@
     MembersWritten(MembersWritten),
     /// The withdrawn submissions.
     Withdrawals(Vec<Item>),
+    /// The record of the predecessor, if it could be read only after a while.
+    Handover(Option<Item>),
 }
 
 /// A submission with its progress and that record's revision; `None` if there
@@ -541,6 +543,7 @@
             }
             TaskResult::MembersWritten(result) => self.members_written(result, now),
             TaskResult::Withdrawals(items) => self.remove_withdrawals(items, now),
+            TaskResult::Handover(item) => self.handover_read(item.as_ref()),
         }
     }
 
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -1,7 +1,7 @@
 //! Stores and reads what a leader that steps down leaves to its successor; see
 //! [`handover`](mustardcove_core::fleet::handover).
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use mustardcove_adapter::store::{Item, StoreFault, Write, WriteOutcome};
 use mustardcove_core::fleet::{
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 
 use super::{Leader, MAX_LOGGED_WORKERS, RETRY_PAUSE, TaskResult};
-use crate::durable;
+use crate::{durable, shared::Shared};
 
 /// Longest time for which a leader that steps down stores progress. A worker
 /// whose ends are not stored then is handed over without its plan.
@@ -26,7 +26,8 @@
 /// Longest time for which it then tries to store its record, during which
 /// nothing is started. Without the record its successor waits for longer.
 const RECORD_TIME: Duration = Duration::from_millis(500);
-/// Attempts of a new leader to read the record of its predecessor.
+/// Attempts of a new leader to read the record of its predecessor before it goes on
+/// without its plan.
 const READ_ATTEMPTS: u32 = 3;
 
 /// The record of the predecessor.
@@ -183,6 +184,17 @@
         self.inherited = record.map(|record| Inherited { record, known_at });
     }
 
+    /// Handles the record of the predecessor that was read late. Its plan is not used,
+    /// since this leader has acted without it; the ends of leases still hold.
+    pub(super) fn handover_read(&mut self, item: Option<&Item>) {
+        self.inherit(item);
+        let Some(inherited) = &self.inherited else { return };
+        let known = inherited.workers().into_iter().map(KnownLeases::from).collect();
+        let learned = self.planner.learn_leases(known);
+        info!(self.shared.log, "plan of the predecessor read late"; "term" => %self.term,
+            "earlier" => learned);
+    }
+
     /// Handles that the record of the predecessor was written before `known_at`.
     /// Processes that heard of the step-down know that from earlier on than one which
     /// only sees it when it claims.
@@ -217,6 +229,7 @@
             Ok(None) => return,
             Err(fault) => {
                 warn!(self.shared.log, "plan of the predecessor not read"; "error" => %fault);
+                tokio::spawn(read_later(self.shared.clone(), self.results.clone()));
                 return;
             }
         };
@@ -263,6 +276,18 @@
     }
 }
 
+/// Reads the record of the predecessor once the store answers.
+async fn read_later(shared: Arc<Shared>, results: mpsc::UnboundedSender<TaskResult>) {
+    while !results.is_closed() {
+        tokio::time::sleep(RETRY_PAUSE).await;
+        if let Ok(item) = shared.store.get(HANDOVER_KEY).await {
+            // The receiver is dropped when the term ends.
+            let _ = results.send(TaskResult::Handover(item));
+            return;
+        }
+    }
+}
+
 fn count_silent(workers: &[WorkerHandover]) -> usize {
     workers.iter().filter(|it| it.silent_since.is_some()).count()
 }
--- a/crates/mustardcove-node/tests/stop_leader.rs
+++ b/crates/mustardcove-node/tests/stop_leader.rs
@@ -137,9 +137,8 @@
     assert_eq!(stored(&local).await.term, Term(6));
 }
 
-/// Makes another process the only member, of which nothing is heard, and records a
-/// worker that does not answer, so that neither shows that earlier leaders have ended.
-fn add_member(local: &Local) {
+/// Records a worker that does not answer.
+fn add_worker(local: &Local) {
     let worker = WorkerListing {
         worker: "w0".parse().expect("a valid name"),
         service: "press".to_owned(),
@@ -153,6 +152,12 @@
     };
     let segment = RosterSegment { workers: vec![worker] };
     local.store.put(&record::roster_key(0), &record::encode(&segment));
+}
+
+/// Makes another process the only member, of which nothing is heard, and records a
+/// worker that does not answer, so that neither shows that earlier leaders have ended.
+fn add_member(local: &Local) {
+    add_worker(local);
     let process: ProcessId = "other.1".parse().expect("a valid name");
     let list = MemberList([(process.clone(), "other".to_owned())].into());
     local.store.put(MEMBERS_KEY, &record::encode(&list));
@@ -240,3 +245,22 @@
     assert_eq!(stop(&local, led).await.handover.to_string(), "passed_on");
     assert_eq!(stored(&local).await.workers[0].leases_expire_by, heard_at.plus_ms(LEFT_MS));
 }
+
+/// Guards against a leader that waits in full for a silent worker, although the end of
+/// its leases is stored, because the store failed while it read the other records.
+#[tokio::test]
+async fn record_read_late() {
+    let local = Local::start().await;
+    let predecessor = Term(7);
+    leave_record(&local, predecessor);
+    add_worker(&local);
+    local.store.refuse_key(Some(HANDOVER_KEY));
+    let (_, _, led) = lead_after(&local, predecessor).await;
+    tokio::time::sleep(RESTORE_TIME).await;
+    local.store.refuse_key(None);
+    tokio::time::sleep(RESTORE_TIME).await;
+    assert_eq!(stop(&local, led).await.handover.to_string(), "stored");
+    let handover = stored(&local).await;
+    let end = handover.workers[0].leases_expire_by;
+    assert!(end <= handover.written_at.plus_ms(LEFT_MS), "{end}, of {}", handover.written_at);
+}
