--- a/crates/mustardcove-core/tests/pre_vote.rs
+++ b/crates/mustardcove-core/tests/pre_vote.rs
@@ -63,12 +63,14 @@
         domain: "north".parse().expect("a valid name"),
         cpu_share: 0.1,
     };
-    for (count, draw) in [(1, 0), (3, 7), (7, 1), (39, 38), (147, usize::MAX)] {
+    for count in [1, 2, 3, 7, 39, 147] {
         let registered: Vec<ProcessRecord> = (0..count).map(record).collect();
-        let voters = choose_voters(&registered, &process(0), &process(1), draw);
-        let distinct: BTreeSet<_> = voters.iter().map(|it| &it.process).collect();
-        let expected = count.saturating_sub(2).min(5);
-        assert_eq!((distinct.len(), voters.len()), (expected, expected), "{count} {draw}");
-        assert!(!distinct.contains(&process(0)) && !distinct.contains(&process(1)));
+        for draw in [0, 1, 38, usize::MAX] {
+            let voters = choose_voters(&registered, &process(0), &process(1), draw);
+            let distinct: BTreeSet<_> = voters.iter().map(|it| &it.process).collect();
+            assert_eq!(distinct.len(), voters.len(), "{count} {draw}");
+            assert_eq!(voters.len(), count.saturating_sub(2).min(5), "{count} {draw}");
+            assert!(!distinct.contains(&process(0)) && !distinct.contains(&process(1)));
+        }
     }
 }
--- a/crates/mustardcove-core/tests/standstill.rs
+++ b/crates/mustardcove-core/tests/standstill.rs
@@ -2,7 +2,7 @@
 
 use mustardcove_core::fleet::{
     id::BootMillis,
-    standstill::{OBSERVE_INTERVAL_MS, Standstill},
+    standstill::{Extensions, OBSERVE_INTERVAL_MS, Standstill},
 };
 
 /// Guards against conclusions from a time in which the process could not hear, and
@@ -19,3 +19,13 @@
     assert_eq!(standstill.observe(now), Some(2_000 - OBSERVE_INTERVAL_MS));
     assert_eq!(standstill.observe(now), None, "it is over");
 }
+
+/// Guards against a wait that is extended without end.
+#[test]
+fn bounded_extensions() {
+    let mut extensions = Extensions::default();
+    let count = (0..100).filter(|_| extensions.take()).count();
+    assert!(0 < count && count < 5, "{count}");
+    extensions.reset();
+    assert!(extensions.take(), "there was a sign of life");
+}
