Let processes that know no leader abstain from votes

What was seen: in a trial with 147 processes, of which 88 were killed at once and started again, one that had started claimed 1.1 s after the new leader, beside it: the voters that it had drawn had just started as well, and said that they did not hear the leader.

Cause: a process that has heard of no leader of the term says no, though that shows nothing.

Change: it does not answer. A claim that meets only such voters waits for the 150 ms of the vote.

No test in the test files shows it.

--- a/crates/mustardcove-core/src/fleet/message.rs
+++ b/crates/mustardcove-core/src/fleet/message.rs
@@ -155,7 +155,8 @@
         /// The term that the claim would end.
         term: Term,
     },
-    /// Answers [`FleetMessage::AskHeard`].
+    /// Answers [`FleetMessage::AskHeard`]. A process that has heard of no leader of the
+    /// term or a later one does not answer.
     Heard {
         /// The number of the vote.
         vote: u64,
--- a/crates/mustardcove-node/src/dispatch.rs
+++ b/crates/mustardcove-node/src/dispatch.rs
@@ -140,8 +140,9 @@
             shared.explanations.answered(request, reply);
         }
         FleetMessage::AskHeard { vote, term } => {
-            let hears = shared.hears_leader(term);
-            shared.send(&from, FleetMessage::Heard { vote, hears });
+            if let Some(hears) = shared.hears_leader(term) {
+                shared.send(&from, FleetMessage::Heard { vote, hears });
+            }
         }
         FleetMessage::Heard { vote, hears } => shared.record_vote(vote, &from, hears),
     }
--- a/crates/mustardcove-node/src/shared.rs
+++ b/crates/mustardcove-node/src/shared.rs
@@ -341,9 +341,12 @@
         lock(&self.candidacy).is_planned()
     }
 
-    /// Returns whether this process hears the leader of a term, or of a later one.
-    pub fn hears_leader(&self, term: Term) -> bool {
-        term <= self.leadership.borrow().term && lock(&self.candidacy).hears_leader(self.now())
+    /// Returns whether this process hears the leader of a term, or of a later one;
+    /// `None` if it has heard of neither, as after its start, which shows nothing.
+    pub fn hears_leader(&self, term: Term) -> Option<bool> {
+        let known = self.leadership.borrow().clone();
+        let is_known = term <= known.term && known.leader.is_some();
+        is_known.then(|| lock(&self.candidacy).hears_leader(self.now()))
     }
 
     /// Asks processes that are registered with the transport whether they hear the
