Store the records that starts wait for before those of other submissions

A start of a suspected task waits for the record of its run.

The leader takes four writes' worth of records from the plan at a time, those first that starts wait for, which are half of a batch at most; the others in the order in which they were changed, or last failed. The outcome of each write counts at once, and a batch that left records behind is followed by the next one without a pause. One write is in flight as before, and the number of writes is about the same. In an outage of the store a start that waits for its record holds its worker for the writes of one batch at most.

A second write in flight was not tried.

--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -278,7 +278,9 @@
     unconfirmed: BTreeMap<RunKey, Timestamp>,
     /// Number of the last change that has to be stored.
     change: u64,
-    dirty: BTreeSet<SubmissionId>,
+    /// The submissions whose records have to be stored, each with the number of the
+    /// first change of these, or the last one when a write failed.
+    dirty: BTreeMap<SubmissionId, u64>,
     /// Records that are being written.
     in_flight: BTreeSet<SubmissionId>,
     /// Final states that are published once their submission's changes up to
@@ -362,7 +364,7 @@
             stops: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             change: 0,
-            dirty: BTreeSet::new(),
+            dirty: BTreeMap::new(),
             in_flight: BTreeSet::new(),
             unpublished: Vec::new(),
             cancelled_early: BTreeSet::new(),
@@ -761,12 +763,33 @@
     /// Takes the changes to store: the number of the last change, and each
     /// record with the revision that it replaces.
     pub fn take_progress(&mut self) -> (u64, Vec<(SubmissionId, ProgressRecord, u64)>) {
-        let dirty = std::mem::take(&mut self.dirty);
-        let record = |id: SubmissionId| {
-            let work = self.work.get(&id)?;
-            Some((id, work.progress(), work.progress_revision))
+        self.take_progress_up_to(usize::MAX)
+    }
+
+    /// Takes at most `most` of the records to store. Those for which starts wait come
+    /// first and are half of them at most, so that they keep back no others; the rest
+    /// are those that were changed, or failed, the longest time ago.
+    pub fn take_progress_up_to(
+        &mut self,
+        most: usize,
+    ) -> (u64, Vec<(SubmissionId, ProgressRecord, u64)>) {
+        let awaited: BTreeSet<SubmissionId> = self.awaited_records().collect();
+        let mut dirty: Vec<(u64, SubmissionId)> =
+            self.dirty.iter().map(|(id, since)| (*since, *id)).collect();
+        dirty.sort_unstable();
+        let (urgent, others): (Vec<_>, Vec<_>) =
+            dirty.into_iter().map(|it| it.1).partition(|it| awaited.contains(it));
+        let first = urgent.len().min(most.div_ceil(2).max(most.saturating_sub(others.len())));
+        let others = others.into_iter().take(most - first);
+        let taken: Vec<SubmissionId> = urgent.into_iter().take(first).chain(others).collect();
+        let record = |id: &SubmissionId| {
+            let work = self.work.get(id)?;
+            Some((*id, work.progress(), work.progress_revision))
         };
-        let records: Vec<_> = dirty.into_iter().filter_map(record).collect();
+        let records: Vec<_> = taken.iter().filter_map(record).collect();
+        for id in &taken {
+            self.dirty.remove(id);
+        }
         self.in_flight.extend(records.iter().map(|it| it.0));
         (self.change, records)
     }
@@ -774,7 +797,7 @@
     /// Returns whether something waits for a change to be stored: a final state
     /// that callers should see, or a task that may crash its worker.
     pub fn has_urgent_progress(&self) -> bool {
-        self.unpublished.iter().any(|it| self.dirty.contains(&it.1))
+        self.unpublished.iter().any(|it| self.dirty.contains_key(&it.1))
             || self.awaited_records().next().is_some()
     }
 
@@ -803,7 +826,7 @@
 
     /// Marks a record that could not be stored to be stored again.
     pub fn progress_failed(&mut self, id: SubmissionId) {
-        self.dirty.insert(id);
+        self.dirty.insert(id, self.change);
         self.progress_rejected(id);
     }
 
@@ -994,7 +1017,7 @@
 
     fn mark_dirty(&mut self, id: SubmissionId) {
         self.change += 1;
-        self.dirty.insert(id);
+        self.dirty.entry(id).or_insert(self.change);
         if let Some(work) = self.work.get_mut(&id) {
             work.last_change = self.change;
         }
--- a/crates/mustardcove-core/tests/slow_records.rs
+++ b/crates/mustardcove-core/tests/slow_records.rs
@@ -20,6 +20,7 @@
 use mustardcove_core::{
     fleet::{
         id::{Incarnation, SubmissionId, TaskKey, Term},
+        message::EndKind,
         planner::{DecisionKind, Planner, WorkerListing},
         record::ProgressRecord,
         submission::{StepSpec, Submission, SubmissionState},
@@ -38,6 +39,10 @@
 const PLANS_MS: u64 = 1_000;
 /// Longest time for which a test waits, in milliseconds.
 const MAX_WAIT_MS: u64 = 60_000;
+/// Records in one write of a store that takes a limited number of rows.
+const RECORDS_PER_WRITE: usize = 15;
+/// Writes for which records are taken at once.
+const WRITES_AT_ONCE: usize = 4;
 const SUBMISSIONS: u64 = 8;
 const TASKS: u16 = 4;
 
@@ -54,23 +59,38 @@
     StepSpec { is_long_running: true, ..step(count, 500, &[]) }
 }
 
+/// Records, each with the revision that it replaces.
+type Records = Vec<(SubmissionId, ProgressRecord, u64)>;
+
 /// A planner whose records are stored some time after they were taken, one write at
 /// a time.
 struct SlowStore {
     rig: Rig,
     write_ms: u64,
     /// When the write in flight ends, its change and its records.
-    in_flight: Option<(Timestamp, u64, Vec<(SubmissionId, ProgressRecord, u64)>)>,
+    in_flight: Option<(Timestamp, u64, Records)>,
     /// What is stored of each submission.
     stored: BTreeMap<SubmissionId, (ProgressRecord, u64)>,
     /// Whether no write has an effect.
     is_away: bool,
+    /// Most records that are taken at once.
+    most: usize,
+    /// Whether a write holds a few records, so that many take more of them.
+    is_split: bool,
 }
 
 impl SlowStore {
     fn new(write_ms: u64) -> SlowStore {
         let rig = Rig::new(manifest(3), &[]);
-        SlowStore { rig, write_ms, in_flight: None, stored: BTreeMap::new(), is_away: false }
+        SlowStore {
+            rig,
+            write_ms,
+            in_flight: None,
+            stored: BTreeMap::new(),
+            is_away: false,
+            most: usize::MAX,
+            is_split: false,
+        }
     }
 
     /// Ends the write in flight if it is due, and begins the next one.
@@ -87,9 +107,11 @@
             self.rig.planner.acknowledge_stored();
         }
         if self.in_flight.is_none() {
-            let (change, records) = self.rig.planner.take_progress();
+            let (change, records) = self.rig.planner.take_progress_up_to(self.most);
+            let writes = if self.is_split { records.len().div_ceil(RECORDS_PER_WRITE) } else { 1 };
             if !records.is_empty() {
-                self.in_flight = Some((self.rig.now.plus_ms(self.write_ms), change, records));
+                let ends_at = self.rig.now.plus_ms(self.write_ms * writes as u64);
+                self.in_flight = Some((ends_at, change, records));
             }
         }
     }
@@ -258,3 +280,36 @@
         }
     }
 }
+
+/// Records that starts wait for were written with those of hundreds of other
+/// submissions, and waited for all of them. The others must be stored as well, at
+/// half the speed at least.
+#[test]
+fn many_other_records() {
+    const OTHERS: u64 = 640;
+    let write_ms = 200;
+    let mut slow = SlowStore::new(write_ms);
+    slow.is_split = true;
+    slow.most = WRITES_AT_ONCE * RECORDS_PER_WRITE;
+    slow.rig.add_workers(&workers("x", 2));
+    for id in 1_000..1_000 + OTHERS {
+        slow.rig.submit(submission(id, vec![step(1, 100, &[])], slow.rig.now));
+    }
+    assert_eq!(slow.rig.plan().len(), OTHERS as usize);
+    let others = slow.rig.running();
+    slow.crash();
+    for (task, worker) in others {
+        slow.rig.end(&worker, task, EndKind::Done);
+    }
+    let began_at = slow.rig.now;
+    let waits = slow.waits_ms(tasks());
+    let longest = waits.values().max().copied().unwrap_or(MAX_WAIT_MS);
+    let most_ms = max_wait_ms(WRITES_AT_ONCE as u64 * write_ms);
+    assert!(waits.len() == tasks() && longest <= most_ms, "{} start, {longest} ms", waits.len());
+    let writes = (OTHERS as usize).div_ceil(RECORDS_PER_WRITE) as u64;
+    while slow.rig.now.ms_since(began_at) < 2 * writes * write_ms {
+        slow.advance();
+    }
+    let stored = slow.stored.keys().filter(|it| 1_000 <= it.0).count();
+    assert_eq!(stored, OTHERS as usize);
+}
--- a/crates/mustardcove-node/src/leader/progress.rs
+++ b/crates/mustardcove-node/src/leader/progress.rs
@@ -1,5 +1,10 @@
 //! Stores progress records and learned interference, on the condition that this
 //! process still leads.
+//!
+//! One write of progress is in flight at a time. On a slow leader hundreds of
+//! records take tens of writes, so they are taken from the plan in batches of a few
+//! writes, those first that starts wait for, and the outcome of each write counts
+//! at once. A record that has become urgent thus waits for one batch at most.
 
 use std::sync::Arc;
 
@@ -15,7 +20,7 @@
 
 use super::{
     Leader, TaskResult,
-    rows::{Row, RowOutcome, write_rows},
+    rows::{RECORDS_PER_WRITE, Row, RowOutcome, write_rows},
 };
 use crate::shared::{InterferenceStatus, Shared};
 
@@ -33,13 +38,13 @@
 const REJECTED_RETRY_MS: u64 = 5_000;
 /// Duration of a write of progress from which on it is logged, in milliseconds.
 const SLOW_WRITE_MS: u64 = 500;
-/// Progress records, each with the revision that it replaces.
-type Records = Vec<(SubmissionId, ProgressRecord, u64)>;
+/// Most records that are taken from the plan at once.
+const RECORDS_PER_BATCH: usize = 4 * RECORDS_PER_WRITE;
 
-/// Result of writing the changed progress records.
+/// Result of one of the writes of a batch of changed progress records.
 pub(super) struct FlushResult {
-    /// When the records were taken from the plan.
-    taken_at: Timestamp,
+    /// When the write was sent.
+    sent_at: Timestamp,
     /// The number of the last change that the records hold.
     change: u64,
     /// Records that are stored, with their new revisions.
@@ -51,8 +56,21 @@
     rejected: Vec<SubmissionId>,
     /// Whether the leader record has changed, so that another process leads.
     is_superseded: bool,
-    /// Whether the store answered the last of the writes.
+    /// Whether the store answered the last of the calls.
     is_answered: bool,
+    /// What follows the last write of the batch; `None` before.
+    end: Option<BatchEnd>,
+}
+
+/// What follows a batch of progress records.
+#[derive(Clone, Copy, Debug)]
+enum BatchEnd {
+    /// No more records were changed when it was taken.
+    Complete,
+    /// Further records wait.
+    Partial,
+    /// Some records are not known to be stored.
+    Failed,
 }
 
 impl Leader {
@@ -68,21 +86,40 @@
         for (id, _) in self.rejected_records.extract_if(.., |_, retry_at| *retry_at <= now) {
             self.planner.progress_failed(id);
         }
-        let (change, mut records) = self.planner.take_progress();
-        // The others become part of a later write, whether or not they change.
-        for it in records.extract_if(.., |it| self.rejected_records.contains_key(&it.0)) {
-            self.planner.progress_rejected(it.0);
-        }
+        let (change, records) = loop {
+            let (change, mut records) = self.planner.take_progress_up_to(RECORDS_PER_BATCH);
+            // These become part of a later write, whether or not they change.
+            for it in records.extract_if(.., |it| self.rejected_records.contains_key(&it.0)) {
+                self.planner.progress_rejected(it.0);
+            }
+            if !records.is_empty() || !self.planner.has_progress() {
+                break (change, records);
+            }
+        };
         if records.is_empty() {
             self.planner.acknowledge_stored();
             return;
         }
         self.is_flushing = true;
+        let is_partial = self.planner.has_progress();
         let (shared, results, term) = (self.shared.clone(), self.results.clone(), self.term);
         tokio::spawn(async move {
-            let result = write_all(&shared, term, change, records, now).await;
-            // The receiver is dropped when the term ends.
-            let _ = results.send(TaskResult::Flushed(result));
+            let mut has_failed = false;
+            let mut writes = records.chunks(RECORDS_PER_WRITE).peekable();
+            while let Some(records) = writes.next() {
+                let mut result = write_records(&shared, term, change, records).await;
+                has_failed |= !result.failed.is_empty();
+                let is_last = writes.peek().is_none() || result.is_superseded;
+                result.end = is_last.then_some(match is_partial {
+                    _ if has_failed => BatchEnd::Failed,
+                    true => BatchEnd::Partial,
+                    false => BatchEnd::Complete,
+                });
+                // The receiver is dropped when the term ends.
+                if results.send(TaskResult::Flushed(result)).is_err() || is_last {
+                    return;
+                }
+            }
         });
     }
 
@@ -122,17 +159,23 @@
         });
     }
 
-    /// Handles the end of a write, and schedules the next.
+    /// Handles the end of a write, and schedules the next batch after the last one.
     pub(super) fn flush_ended(&mut self, result: FlushResult, now: Timestamp) {
-        self.is_flushing = false;
-        let ms = now.ms_since(result.taken_at);
+        let ms = now.ms_since(result.sent_at);
         if SLOW_WRITE_MS <= ms {
             info!(self.shared.log, "progress stored slowly"; "ms" => ms,
                 "stored" => result.stored.len(), "failed" => result.failed.len(),
                 "rejected" => result.rejected.len());
         }
         self.write_ended(result.is_answered, now);
-        self.flush_at = now.plus_ms(FLUSH_INTERVAL_MS);
+        if let Some(end) = result.end {
+            self.is_flushing = false;
+            self.flush_at = match end {
+                BatchEnd::Complete => now.plus_ms(FLUSH_INTERVAL_MS),
+                BatchEnd::Partial => now,
+                BatchEnd::Failed => now.plus_ms(FLUSH_RETRY_MS),
+            };
+        }
         if result.is_superseded {
             self.end_reason = Some("another process leads");
             return;
@@ -145,9 +188,6 @@
             self.planner.progress_rejected(id);
             self.rejected_records.insert(id, now.plus_ms(REJECTED_RETRY_MS));
         }
-        if !result.failed.is_empty() {
-            self.flush_at = now.plus_ms(FLUSH_RETRY_MS);
-        }
         for (id, revision) in result.failed {
             if let Some(revision) = revision {
                 self.planner.set_progress_revision(id, revision);
@@ -157,13 +197,14 @@
     }
 }
 
-async fn write_all(
+/// Writes a few records.
+async fn write_records(
     shared: &Arc<Shared>,
     term: Term,
     change: u64,
-    records: Records,
-    taken_at: Timestamp,
+    records: &[(SubmissionId, ProgressRecord, u64)],
 ) -> FlushResult {
+    let sent_at = shared.now();
     let rows: Vec<Row> = (records.iter())
         .map(|(id, progress, revision)| Row {
             key: record::key_of(PROGRESS_PREFIX, *id),
@@ -173,13 +214,14 @@
         .collect();
     let written = write_rows(shared, term, &rows).await;
     let mut result = FlushResult {
-        taken_at,
+        sent_at,
         change,
         stored: Vec::new(),
         failed: Vec::new(),
         rejected: Vec::new(),
         is_superseded: written.is_superseded,
         is_answered: written.is_answered,
+        end: None,
     };
     for ((id, ..), outcome) in records.iter().zip(written.outcomes) {
         match outcome {
--- a/crates/mustardcove-node/src/leader/rows.rs
+++ b/crates/mustardcove-node/src/leader/rows.rs
@@ -18,7 +18,7 @@
 
 /// Most records in one write: each takes a row for its condition and one for
 /// its value, and the condition on the leader record takes one row.
-const RECORDS_PER_WRITE: usize = (MAX_WRITE_ROWS - 1) / 2;
+pub(super) const RECORDS_PER_WRITE: usize = (MAX_WRITE_ROWS - 1) / 2;
 
 /// Most bytes of records in one write, unless a single one is larger: a write
 /// that takes too long delays only a few others.
