Store without delay that a withdrawn start never began

The removal of a run that never began is no longer awaited by the next start, and so was no longer urgent: it was stored up to 200 ms later than before. A new leader that is elected in between finds the run, and counts a crash against the task if the worker has restarted meanwhile. It is written with the records that starts wait for, as before.

By reading; no test shows the window.

--- a/crates/mustardcove-core/src/fleet/planner/suspects.rs
+++ b/crates/mustardcove-core/src/fleet/planner/suspects.rs
@@ -373,11 +373,15 @@
 
 impl Planner {
     /// Returns the submissions whose records have to be stored before a start or a
-    /// suspected task can go on; some are returned more than once.
+    /// suspected task can go on, or name a run that never began, which a new leader
+    /// could take for one under which a worker has crashed. Some are returned more
+    /// than once.
     pub(super) fn awaited_records(&self) -> impl Iterator<Item = SubmissionId> {
         let withheld = self.suspects.withheld.iter().map(|it| (it.step.submission, it.change));
+        let last_change = |it: &Suspicion| it.change.max(it.removal);
         let tasks = self.suspects.tasks.iter();
-        let tasks = tasks.map(|it| (it.step.submission, self.suspicion_change(*it)));
+        let tasks =
+            tasks.map(move |it| (it.step.submission, self.suspicion(*it).map_or(0, last_change)));
         withheld.chain(tasks).filter(|it| !is_stored(&self.work, it.0, it.1)).map(|it| it.0)
     }
 
@@ -407,10 +411,6 @@
             && back_by.max().is_none_or(|it| now < it)
     }
 
-    fn suspicion_change(&self, task: TaskKey) -> u64 {
-        self.suspicion(task).map_or(0, |it| it.change)
-    }
-
     pub(super) fn suspicion(&self, task: TaskKey) -> Option<&Suspicion> {
         self.work.get(&task.step.submission)?.task(task)?.suspicion.as_deref()
     }
