Show how long lost work waits when leaders are killed

Callers see no run of a long-running task for more than 9 s after its worker was lost, and more than 7 s after the last process was killed.

Cause: a killed leader leaves nothing, and its successor waits MAX_ORPHAN_LEASE_MS (6.6 s) from when half of the members have joined it.

Evidence: the simulated fleet kills the leader and up to three other processes once or twice around the loss of a worker. The next leader is the process whose `Candidacy` ends first once its connection has broken (BROKEN_WAIT_MS, rank and distance to the store, on instances with 12 % of a core), and its claim takes 5 to 60 ms.

Change: processes of the simulation can be killed, which ends their pollers; workers count runs whose lease expired.

--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -253,6 +253,8 @@
     next_end: u64,
     /// Ends before this number were listed under a lease that has expired.
     first_valid_end: u64,
+    /// Number of runs that ended because their lease expired.
+    pub(crate) lapsed_runs: usize,
     /// Highest run number that ended or was stopped, by task.
     highest_ended: BTreeMap<TaskKey, RunNumber>,
     /// No call reaches it before this time.
@@ -287,6 +289,7 @@
             ended: Vec::new(),
             next_end: 1,
             first_valid_end: 1,
+            lapsed_runs: 0,
             highest_ended: BTreeMap::new(),
             unreachable_until: Timestamp(0),
             side: Side::Main,
@@ -330,6 +333,7 @@
         }
         if self.lease_until <= self.clock(now) {
             let tasks: Vec<TaskKey> = self.running.keys().copied().collect();
+            self.lapsed_runs += tasks.len();
             for task in tasks {
                 self.end(task, EndKind::LeaseExpired);
             }
@@ -679,6 +683,18 @@
         self.elect_on(successor);
     }
 
+    /// Kills a process, and the leader that runs in it. Its pollers end with it.
+    pub(crate) fn kill_process(&mut self, process: usize) {
+        self.processes[process].has_ended = true;
+        for leader in 0..self.leaders.len() {
+            if self.process_of(leader) == Some(process) && !self.leaders[leader].is_superseded {
+                self.supersede(leader);
+            }
+            self.leaders[leader].orphans.retain(|it| it.process != Some(process));
+        }
+        self.held_starts.retain(|it| it.process != process);
+    }
+
     /// Returns the process of a leader, if the world has any.
     fn process_of(&self, leader: usize) -> Option<usize> {
         self.leaders[leader].leadership.as_ref().map(|it| it.process)
@@ -700,7 +716,8 @@
     /// Returns whether messages pass between a leader and a process.
     fn reaches_process(&self, leader: usize, process: usize) -> bool {
         let side = self.process_of(leader).map(|it| self.processes[it].side);
-        side.is_none_or(|it| it.reaches(self.processes[process].side))
+        let to = &self.processes[process];
+        side.is_none_or(|it| !to.has_ended && it.reaches(to.side))
     }
 
     /// Returns the process that polls a worker for a leader.
@@ -934,7 +951,7 @@
         let now = self.now;
         for process in 0..self.processes.len() {
             let it = &self.processes[process];
-            if now < it.next_report_at {
+            if it.has_ended || now < it.next_report_at {
                 continue;
             }
             let (term, heartbeat_at) = (it.term, it.heartbeat_at);
@@ -1196,7 +1213,9 @@
         if self.leaders[leader].leadership.is_some() {
             let term = self.leaders[leader].planner.term();
             let process = self.poller_of(leader, worker);
-            if process.is_none_or(|it| self.processes[it].term != term) {
+            let obeys =
+                |it: usize| !self.processes[it].has_ended && self.processes[it].term == term;
+            if !process.is_some_and(obeys) {
                 return;
             }
         }
@@ -1321,7 +1340,9 @@
         let mut orphans = std::mem::take(&mut self.leaders[leader].orphans);
         let term = self.leaders[leader].planner.term();
         let obeys = |it: &Orphan| match it.process {
-            Some(process) => self.processes[process].term == term,
+            Some(process) => {
+                !self.processes[process].has_ended && self.processes[process].term == term
+            }
             None => now.ms_since(it.heartbeat_at) < LEADER_SILENT_MS,
         };
         orphans.retain(obeys);
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -58,6 +58,8 @@
     pub(crate) next_report_at: Timestamp,
     /// Whether the store turns it away.
     pub(crate) is_turned_away: bool,
+    /// Whether it was killed.
+    pub(crate) has_ended: bool,
     /// The evacuated domains that it knows.
     pub(crate) evacuations: EvacuationList,
 }
@@ -71,6 +73,7 @@
             heartbeat_at: None,
             next_report_at: now,
             is_turned_away: false,
+            has_ended: false,
             evacuations: EvacuationList::default(),
         }
     }
