Bound the wait of lost work when leaders and pollers are killed

Callers see no run of a long-running task for more than 7 s after the last process was killed, with room for it: a killed leader leaves nothing, and its successor waits for every lease that may have been granted before its claim.

Cause, by arithmetic: the claim (0.9 s), half of the members joining (0.2 s), 6.6 s (MAX_ORPHAN_LEASE_MS: a permission of 2 s, a lease of 4.08 s, 0.5 s), a confirmation and a plan (0.5 s): 8.2 s. Of the 0.5 s only 0.2 s for the end of runs and the drift of the worker's clock since its last answer are needed.

Change: a lease lasts 3 s and a permission 1.8 s. The end of a lease takes the worker's clock as slow since its last answer, so that an old answer does not lengthen it. The bound of 5.06 s is then permission, lease and margin. The end of a lost poller's leases no longer contains the margin that is added to it again (LOST_POLLER_LEASE_MS). Sums: 6.73 s after a killed leader, 6.81 s after a killed poller that falls silent. A poller reads its clock before it looks at the permission, so that a process that stands still in between grants nothing later. BUSY_POLL_WAIT_MS, IDLE_REPORT_INTERVAL_MS and LOST_AFTER_MS move to the core, unchanged, for the test of the sums.

--- a/crates/mustardcove-core/src/fleet/election.rs
+++ b/crates/mustardcove-core/src/fleet/election.rs
@@ -46,6 +46,10 @@
 /// Longest additional wait because of the store's latency, in milliseconds.
 const MAX_STORE_WAIT_MS: u64 = 150;
 
+/// Longest wait of a process before it claims once its connection to a leader in its
+/// region broke, in milliseconds.
+pub const MAX_BROKEN_CLAIM_MS: u64 = BROKEN_WAIT_MS + RANK_WAIT_MS + MAX_STORE_WAIT_MS;
+
 /// The wait of a process before it claims the leadership.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidacy {
--- a/crates/mustardcove-core/src/fleet/planner.rs
+++ b/crates/mustardcove-core/src/fleet/planner.rs
@@ -97,6 +97,7 @@
     id::{Incarnation, RunNumber, StepKey, SubmissionId, TaskKey, Term},
     manifest::{Manifest, Queue},
     message::{EndedRun, Order},
+    poller::LEASE_MARGIN_MS,
     record::{LearnedInterference, ProgressRecord},
     submission::{StepSpec, Submission, SubmissionState},
 };
@@ -116,9 +117,6 @@
 /// Number of polls that must omit a confirmed run before it counts as ended, of
 /// those that were asked for after its confirmation.
 const MISSED_POLLS: u32 = 2;
-/// Added to the end of a lease for delays of the worker and the network, in
-/// milliseconds.
-const LEASE_MARGIN_MS: u64 = 200;
 
 /// What the planner wants the leader to do.
 #[derive(Debug, Default)]
--- a/crates/mustardcove-core/src/fleet/planner/copies.rs
+++ b/crates/mustardcove-core/src/fleet/planner/copies.rs
@@ -22,7 +22,7 @@
 use strum::Display;
 
 use super::{
-    DecisionKind, LEASE_MARGIN_MS, Planner, RunKey,
+    DecisionKind, Planner, RunKey,
     choice::PendingTasks,
     schedule,
     work::{Phase, Run, Work, WorkerIndex},
@@ -32,7 +32,7 @@
     fleet::{
         id::{RunNumber, SubmissionId, TaskKey},
         message::{RunningTask, StartOrder},
-        poller::{MAX_START_LEASE_MS, ORDER_MAX_AGE_MS},
+        poller::{LEASE_MARGIN_MS, MAX_START_LEASE_MS, ORDER_MAX_AGE_MS},
         submission::StepSpec,
     },
     time::Timestamp,
--- a/crates/mustardcove-core/src/fleet/planner/handed_over.rs
+++ b/crates/mustardcove-core/src/fleet/planner/handed_over.rs
@@ -11,7 +11,7 @@
     fleet::{
         handover::{LastPoller, PlannedRun, PollerId, WorkerHandover, WorkerPlan},
         id::SubmissionId,
-        poller::MAX_ORPHAN_LEASE_MS,
+        poller::LOST_POLLER_LEASE_MS,
     },
     id::WorkerId,
     time::Timestamp,
@@ -55,7 +55,7 @@
             now
         } else if worker.responsive_since.is_some() {
             // Its poller goes on until its permission ends.
-            now.plus_ms(MAX_ORPHAN_LEASE_MS)
+            now.plus_ms(LOST_POLLER_LEASE_MS)
         } else if worker.incarnation.is_some() {
             worker.runs_expire_by()
         } else {
--- a/crates/mustardcove-core/src/fleet/planner/schedule.rs
+++ b/crates/mustardcove-core/src/fleet/planner/schedule.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use super::{
-    DecisionKind, LEASE_MARGIN_MS, Planner, RunKey, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
+    DecisionKind, Planner, RunKey, START_CONFIRM_TIMEOUT_MS, STOP_RETRY_MS,
     choice::PendingTasks,
     work::{Phase, Run, Work, WorkerIndex},
     workers::{Allocation, Worker},
@@ -13,7 +13,7 @@
     fleet::{
         id::{RunNumber, StepKey, SubmissionId, TaskKey},
         message::{Order, StartOrder},
-        poller::MAX_START_LEASE_MS,
+        poller::{LEASE_MARGIN_MS, MAX_START_LEASE_MS},
         submission::{Submission, SubmissionState},
     },
     time::Timestamp,
--- a/crates/mustardcove-core/src/fleet/planner/workers.rs
+++ b/crates/mustardcove-core/src/fleet/planner/workers.rs
@@ -8,7 +8,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    LEASE_MARGIN_MS,
     circuit_breaker::CircuitBreaker,
     cold::Warmup,
     earlier_leases::EarlierLeases,
@@ -22,6 +21,7 @@
     fleet::{
         handover::PollerId,
         id::{EndNumber, Incarnation, RunNumber, TaskKey},
+        poller::LEASE_MARGIN_MS,
     },
     id::{FailureDomainId, HostId, WorkerId},
     size::Resources,
--- a/crates/mustardcove-core/src/fleet/poller.rs
+++ b/crates/mustardcove-core/src/fleet/poller.rs
@@ -32,6 +32,21 @@
 //! that the leader does not expect, and the newest one that a
 //! [confirmation](super::confirmation) covers, so that nothing is granted once
 //! the leases of this term count as expired elsewhere.
+//!
+//! What a lost leader or poller granted last is not known, so its successor waits
+//! for [`MAX_ORPHAN_LEASE_MS`], the longest time for which it can matter:
+//!
+//! | part | ends |
+//! |---|---|
+//! | permission | [`LEADER_SILENT_MS`] after a report that was sent before the claim or the loss |
+//! | lease that was granted last | [`MAX_LEASE_MS`] later, whatever the worker's clock |
+//! | runs of the worker | [`LEASE_MARGIN_MS`] later |
+//!
+//! The sum is a trade-off. Users accept 7 s without a run after a leader is killed,
+//! of which the claim and the confirmation of the next one take two. But a lease of
+//! a sound worker has to outlast the change of its poller, and permission and lease
+//! together the change of the leader. See section 5 of `docs/platform.md`; the tests
+//! `lease_margins` and `killed_leaders` hold both.
 
 use std::sync::{
     Arc,
@@ -45,13 +60,13 @@
 use crate::{id::ConnectionNumber, time::Timestamp};
 
 /// Duration of a lease after the call that grants it, in milliseconds. It
-/// outlasts a change of the leader and a handover between pollers, and is
-/// short because work on an unresponsive worker waits for its end.
-pub const LEASE_MS: u64 = 4_000;
+/// outlasts a handover between pollers, and is short because work on an
+/// unresponsive worker waits for its end.
+pub const LEASE_MS: u64 = 3_000;
 /// Age of the newest report that the leader had handled before it was last
 /// confirmed, from which on a poller extends no lease and starts nothing, in
 /// milliseconds.
-pub const LEADER_SILENT_MS: u64 = 2_000;
+pub const LEADER_SILENT_MS: u64 = 1_800;
 /// Age of the newest report that the leader had handled when it ordered a start
 /// from which on the start is not sent to the worker, in milliseconds.
 pub const ORDER_MAX_AGE_MS: u64 = 1_500;
@@ -74,7 +89,7 @@
 /// Rate of the slowest clock of a worker, in percent of true time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// True time that a lease may last on the slowest clock, in milliseconds.
-const MAX_LEASE_MS: u64 = on_slowest_clock(LEASE_MS);
+pub const MAX_LEASE_MS: u64 = on_slowest_clock(LEASE_MS);
 /// Longer than any lease that a worker accepts, whatever the call asks for, in
 /// milliseconds. A worker's clock should not go back; if one does, the end of
 /// the granted lease lies far ahead of it.
@@ -83,9 +98,23 @@
 /// that the start grants, in milliseconds. Reports that were handled before the
 /// decision were sent before it.
 pub const MAX_START_LEASE_MS: u64 = ORDER_MAX_AGE_MS + MAX_LEASE_MS;
-/// The longest time from the loss of a poller to the end of the last lease
-/// that it may have granted, in milliseconds.
-pub const MAX_ORPHAN_LEASE_MS: u64 = LEADER_SILENT_MS + MAX_LEASE_MS + 500;
+/// Added to the end of a lease for delays of the worker, in milliseconds.
+pub const LEASE_MARGIN_MS: u64 = 200;
+/// The longest time from the loss of a poller to the end of the last lease that it
+/// may have granted, in milliseconds.
+pub const LOST_POLLER_LEASE_MS: u64 = LEADER_SILENT_MS + MAX_LEASE_MS;
+/// The longest time from the claim of a successor until the runs have ended whose
+/// lease was extended last for an earlier leader, in milliseconds.
+pub const MAX_ORPHAN_LEASE_MS: u64 = LOST_POLLER_LEASE_MS + LEASE_MARGIN_MS;
+
+/// How long a worker on which something runs holds a poll, in milliseconds. Each
+/// poll also renews the lease, whose duration is several times longer.
+pub const BUSY_POLL_WAIT_MS: u64 = 800;
+/// Time between two messages of a process to the leader while there are no
+/// reports, in milliseconds.
+pub const IDLE_REPORT_INTERVAL_MS: u64 = 400;
+/// A process without a report for this long counts as lost, in milliseconds.
+pub const LOST_AFTER_MS: u64 = 3 * IDLE_REPORT_INTERVAL_MS;
 
 /// Returns the true time in which the slowest clock of a worker shows `ms`.
 const fn on_slowest_clock(ms: u64) -> u64 {
@@ -214,10 +243,13 @@
     }
 
     /// Returns the end of a new lease on the worker's clock, and records it as
-    /// granted; `None` before the first answer.
+    /// granted; `None` before the first answer. The clock is taken to have been slow
+    /// since then, so that no lease lasts for longer than [`MAX_LEASE_MS`] however
+    /// old the answer is.
     pub fn grant(&mut self, now: Timestamp) -> Option<u64> {
         let (clock_ms, at) = self.answer?;
-        let until = clock_ms.saturating_add(now.ms_since(at) + LEASE_MS);
+        let passed_ms = now.ms_since(at).saturating_mul(SLOWEST_CLOCK_PERCENT) / 100;
+        let until = clock_ms.saturating_add(passed_ms.saturating_add(LEASE_MS));
         self.granted_until = self.granted_until.max(until);
         self.granted_at = Some(now);
         Some(until)
--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -30,7 +30,7 @@
         message::{FleetMessage, Heartbeat, Order, ReportRow, WorkerReport},
         overload::{LoadReport, Place, Places},
         planner::{Actions, Decision, Planner, TicketReply, TicketRequest, WorkerListing},
-        poller::{LEADER_SILENT_MS, MAX_ORPHAN_LEASE_MS, ORDER_MAX_AGE_MS},
+        poller::{LEADER_SILENT_MS, LOST_POLLER_LEASE_MS, MAX_ORPHAN_LEASE_MS, ORDER_MAX_AGE_MS},
         record::{
             self, CANCEL_PREFIX, LEADER_KEY, LeaderRecord, ProgressRecord, SUBMISSION_PREFIX,
             WORK_PREFIX,
@@ -591,7 +591,7 @@
             self.planner.set_manifest(manifest);
         }
         self.update_confirmation(now);
-        let leases_expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+        let leases_expire_by = now.plus_ms(LOST_POLLER_LEASE_MS);
         for (worker, poller) in self.pollers.update(&self.planner, now) {
             self.planner.poller_replaced(&worker, poller, leases_expire_by);
         }
--- a/crates/mustardcove-node/src/leader/pollers.rs
+++ b/crates/mustardcove-node/src/leader/pollers.rs
@@ -16,6 +16,7 @@
         members::{MemberList, MemberState, Members},
         message::{FleetMessage, WorkerContact},
         planner::{Planner, WorkerListing},
+        poller::LOST_AFTER_MS,
         predecessors::{Evidence, Predecessors},
         record::{PROCESS_PREFIX, ProcessRecord},
         succession::Candidate,
@@ -28,9 +29,6 @@
 
 use crate::{durable, shared::Shared};
 
-/// A process without a report for this long counts as lost, in milliseconds:
-/// three times the longest time between two reports.
-const LOST_AFTER_MS: u64 = 1_200;
 /// Time until a process is lost after its last connection was lost, in
 /// milliseconds; a process that still runs has connected again by then.
 const RECONNECT_GRACE_MS: u64 = 250;
--- a/crates/mustardcove-node/src/poller.rs
+++ b/crates/mustardcove-node/src/poller.rs
@@ -20,8 +20,9 @@
             WorkerReport,
         },
         poller::{
-            KnownConnections, LeasePermission, LeaseStatus, MIN_POLL_INTERVAL_MS, NextPoll,
-            PollWait, WorkerPoller, identity_poll, start_deadline,
+            BUSY_POLL_WAIT_MS, IDLE_REPORT_INTERVAL_MS, KnownConnections, LeasePermission,
+            LeaseStatus, MIN_POLL_INTERVAL_MS, NextPoll, PollWait, WorkerPoller, identity_poll,
+            start_deadline,
         },
     },
     id::{FailureDomainId, WorkerId},
@@ -34,9 +35,8 @@
 
 use crate::shared::{Shared, boot_now, lock};
 
-/// How long a worker on which something runs holds a poll. Each poll also
-/// renews the lease, whose duration is several times longer.
-const BUSY_POLL_WAIT: Duration = Duration::from_millis(800);
+/// How long a worker on which something runs holds a poll.
+const BUSY_POLL_WAIT: Duration = Duration::from_millis(BUSY_POLL_WAIT_MS);
 /// How long a worker on which nothing runs holds a poll.
 const IDLE_POLL_WAIT: Duration = Duration::from_millis(2_000);
 /// How long a worker holds a poll at most while the leader lacks the store: a
@@ -48,7 +48,7 @@
 /// leader of a large fleet asks for a longer one.
 const MIN_REPORT_DELAY: Duration = Duration::from_millis(8);
 /// Time between two messages to the leader while there are no reports.
-const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+const IDLE_REPORT_INTERVAL: Duration = Duration::from_millis(IDLE_REPORT_INTERVAL_MS);
 
 /// Attempts to send a start over a connection that leads to the incarnation that
 /// answered. Each opens one; other calls may take it first.
@@ -263,8 +263,10 @@
     }
 
     async fn poll_incarnation(&self) -> bool {
-        let may_extend = self.shared.may_extend_leases(self.target.term);
+        // The permission is looked at last: a process that stands still in between
+        // grants no lease that begins after its end.
         let asked = self.asked();
+        let may_extend = self.shared.may_extend_leases(self.target.term);
         let (next, known) = {
             let mut state = self.state();
             (state.next_poll(may_extend, asked.at, boot_now()), state.connections())
@@ -396,11 +398,12 @@
     }
 
     async fn start_once(&self, order: &StartOrder, deadline: BootMillis) -> StartOutcome {
+        let now = self.shared.now();
         let left_ms = deadline.ms_since(boot_now());
         if left_ms == 0 {
             return StartOutcome::TooLate;
         }
-        let not_after = self.shared.now().plus_ms(left_ms);
+        let not_after = now.plus_ms(left_ms);
         for _ in 0..START_ATTEMPTS {
             if let Some(outcome) = self.send_start(order, not_after).await {
                 return outcome;
