--- a/crates/mustardcove-core/tests/support/fleet_world.rs
+++ b/crates/mustardcove-core/tests/support/fleet_world.rs
@@ -42,8 +42,8 @@
         },
         planner::{DecisionKind, Planner, TicketReply, TicketRequest, WorkerListing},
         poller::{
-            LEADER_SILENT_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, NextPoll, ORDER_MAX_AGE_MS,
-            WorkerPoller, start_deadline,
+            LEADER_SILENT_MS, LOST_POLLER_LEASE_MS, LeasePermission, MAX_ORPHAN_LEASE_MS, NextPoll,
+            ORDER_MAX_AGE_MS, WorkerPoller, start_deadline,
         },
         record::{LearnedInterference, ProgressRecord},
         roster::{Roster, RosterSegment},
@@ -71,7 +71,7 @@
 /// in milliseconds.
 const MAX_STORE_DELAY_MS: u64 = 900;
 /// Share of starts that a process sends only shortly before their deadline, in
-/// percent.
+/// percent, unless a test sets another one.
 const HELD_START_PERCENT: u32 = 20;
 
 /// Time after which a poll without an answer has failed, in milliseconds.
@@ -256,6 +256,8 @@
     next_end: u64,
     /// Ends before this number were listed under a lease that has expired.
     first_valid_end: u64,
+    /// Number of runs that ended because their lease expired.
+    pub(crate) lapsed_runs: usize,
     /// Highest run number that ended or was stopped, by task.
     highest_ended: BTreeMap<TaskKey, RunNumber>,
     /// No call reaches it before this time.
@@ -290,6 +292,7 @@
             ended: Vec::new(),
             next_end: 1,
             first_valid_end: 1,
+            lapsed_runs: 0,
             highest_ended: BTreeMap::new(),
             unreachable_until: Timestamp(0),
             side: Side::Main,
@@ -333,6 +336,7 @@
         }
         if self.lease_until <= self.clock(now) {
             let tasks: Vec<TaskKey> = self.running.keys().copied().collect();
+            self.lapsed_runs += tasks.len();
             for task in tasks {
                 self.end(task, EndKind::LeaseExpired);
             }
@@ -474,6 +478,7 @@
     /// Changes which process polls which worker.
     pub(crate) assignment_salt: usize,
     held_starts: Vec<HeldStart>,
+    pub(crate) held_start_percent: u32,
     /// Whether the caller belongs to an orphan, of which the leader hears
     /// nothing.
     is_muted: bool,
@@ -565,7 +570,9 @@
     pub(crate) told: Told,
     /// One of this many chances to poll a worker is used on the average.
     pub(crate) poll_chances: u32,
-    /// The same for workers in whose place another one is.
+    /// The same for writes of a leader's progress.
+    pub(crate) flush_chances: u32,
+    /// The same for polls of workers in whose place another one is.
     pub(crate) misdirected_chances: u32,
     /// The newest decisions, for the traces of failures.
     pub(crate) log: VecDeque<String>,
@@ -589,6 +596,7 @@
             store_delay_ms: 0..=MAX_STORE_DELAY_MS,
             assignment_salt: 0,
             held_starts: Vec::new(),
+            held_start_percent: HELD_START_PERCENT,
             is_muted: false,
             submissions: BTreeMap::new(),
             cancelled: BTreeSet::new(),
@@ -638,6 +646,7 @@
             stepped_down_at: None,
             told: Told::new(seed),
             poll_chances: 4,
+            flush_chances: 4,
             misdirected_chances: 4,
             log: VecDeque::new(),
         };
@@ -707,6 +716,18 @@
         self.elect_on(successor);
     }
 
+    /// Kills a process, and the leader that runs in it. Its pollers end with it.
+    pub(crate) fn kill_process(&mut self, process: usize) {
+        self.processes[process].has_ended = true;
+        for leader in 0..self.leaders.len() {
+            if self.process_of(leader) == Some(process) && !self.leaders[leader].is_superseded {
+                self.supersede(leader);
+            }
+            self.leaders[leader].orphans.retain(|it| it.process != Some(process));
+        }
+        self.held_starts.retain(|it| it.process != process);
+    }
+
     /// Returns the process of a leader, if the world has any.
     fn process_of(&self, leader: usize) -> Option<usize> {
         self.leaders[leader].leadership.as_ref().map(|it| it.process)
@@ -728,7 +749,8 @@
     /// Returns whether messages pass between a leader and a process.
     fn reaches_process(&self, leader: usize, process: usize) -> bool {
         let side = self.process_of(leader).map(|it| self.processes[it].side);
-        side.is_none_or(|it| it.reaches(self.processes[process].side))
+        let to = &self.processes[process];
+        side.is_none_or(|it| !to.has_ended && it.reaches(to.side))
     }
 
     /// Returns the process that polls a worker for a leader.
@@ -943,7 +965,7 @@
             let id = self.workers[worker].id.clone();
             let state = &mut self.leaders[leader];
             if let Some(poller) = poller {
-                let expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+                let expire_by = now.plus_ms(LOST_POLLER_LEASE_MS);
                 state.planner.poller_replaced(&id, poller, expire_by);
             }
             if let Some(it) = &mut state.leadership {
@@ -967,7 +989,7 @@
         let now = self.now;
         for process in 0..self.processes.len() {
             let it = &self.processes[process];
-            if now < it.next_report_at {
+            if it.has_ended || now < it.next_report_at {
                 continue;
             }
             let (term, heartbeat_at) = (it.term, it.heartbeat_at);
@@ -1230,7 +1252,9 @@
         if self.leaders[leader].leadership.is_some() {
             let term = self.leaders[leader].planner.term();
             let process = self.poller_of(leader, worker);
-            if process.is_none_or(|it| self.processes[it].term != term) {
+            let obeys =
+                |it: usize| !self.processes[it].has_ended && self.processes[it].term == term;
+            if !process.is_some_and(obeys) {
                 return;
             }
         }
@@ -1346,7 +1370,7 @@
         let poller = std::mem::take(&mut state.pollers[worker]);
         state.orphans.push(Orphan { worker, poller, process: None, id: None, heartbeat_at: now });
         state.fails_at[worker] = None;
-        let expire_by = now.plus_ms(MAX_ORPHAN_LEASE_MS);
+        let expire_by = now.plus_ms(LOST_POLLER_LEASE_MS);
         state.planner.poller_replaced(&id, silent_poller(), expire_by);
     }
 
@@ -1355,7 +1379,9 @@
         let mut orphans = std::mem::take(&mut self.leaders[leader].orphans);
         let term = self.leaders[leader].planner.term();
         let obeys = |it: &Orphan| match it.process {
-            Some(process) => self.processes[process].term == term,
+            Some(process) => {
+                !self.processes[process].has_ended && self.processes[process].term == term
+            }
             None => now.ms_since(it.heartbeat_at) < LEADER_SILENT_MS,
         };
         orphans.retain(obeys);
@@ -1719,7 +1745,7 @@
             let deadline = start_deadline(known.handled, permission, BootMillis(now.0));
             let (worker, order) = (worker, start.clone());
             if let Some(deadline) = deadline
-                && self.rng.random_range(0..100u32) < HELD_START_PERCENT
+                && self.rng.random_range(0..100u32) < self.held_start_percent
             {
                 let at = Timestamp(self.rng.random_range(now.0..deadline.0));
                 self.held_starts.push(HeldStart { at, deadline, term, process, worker, order });
@@ -2023,7 +2049,7 @@
                 if self.rng.random_range(0..2u32) == 0 {
                     self.confirm(leader);
                 }
-                if self.rng.random_range(0..4u32) == 0 {
+                if self.rng.random_range(0..self.flush_chances) == 0 {
                     self.flush(leader);
                 }
             }
--- a/crates/mustardcove-core/tests/support/leader_processes.rs
+++ b/crates/mustardcove-core/tests/support/leader_processes.rs
@@ -16,7 +16,7 @@
         id::{AssignmentNumber, BootMillis, SubmissionId, Term},
         members::{MemberList, MemberState, Members},
         planner::WorkerListing,
-        poller::LeasePermission,
+        poller::{LOST_AFTER_MS, LeasePermission},
         predecessors::{Evidence, Predecessors},
         witnesses::Witnesses,
     },
@@ -24,8 +24,6 @@
     time::Timestamp,
 };
 
-/// A process without a report for this long counts as lost, in milliseconds.
-pub(crate) const LOST_AFTER_MS: u64 = 1_200;
 /// Time between two questions to the store, in milliseconds.
 pub(crate) const CONFIRM_INTERVAL_MS: u64 = 250;
 
@@ -58,6 +56,8 @@
     pub(crate) next_report_at: Timestamp,
     /// Whether the store turns it away.
     pub(crate) is_turned_away: bool,
+    /// Whether it was killed.
+    pub(crate) has_ended: bool,
     /// The evacuated domains that it knows.
     pub(crate) evacuations: EvacuationList,
 }
@@ -71,6 +71,7 @@
             heartbeat_at: None,
             next_report_at: now,
             is_turned_away: false,
+            has_ended: false,
             evacuations: EvacuationList::default(),
         }
     }
--- a/crates/mustardcove-node/tests/displaced_leader.rs
+++ b/crates/mustardcove-node/tests/displaced_leader.rs
@@ -24,9 +24,9 @@
 const SHORT: Duration = Duration::from_secs(10);
 /// Time in which polls show that the task does not crash its worker.
 const SETTLE: Duration = Duration::from_secs(3);
-/// Longest time from the loss of the worker to the next run: 4.3 s of leases, 0.2 s
+/// Longest time from the loss of the worker to the next run: 3.3 s of leases, 0.2 s
 /// of margin, and the time until the successor learns of them and is confirmed.
-const RESTARTED: Duration = Duration::from_millis(6_500);
+const RESTARTED: Duration = Duration::from_millis(5_500);
 
 fn long_running() -> Value {
     json!({ "TaskSpec": "ms=600000 cpu=500 ", "Steps": [
