Keep a connection open that takes the place of another one

A connection that the peer has opened, and that waits for its first use beside one in use, counted as unused: its lanes were ended at once, so it could not take over, and if the peer had ended the other one meanwhile, both ended. It now stays open for writing until the peer uses it or ends it.

--- a/crates/mustardcove-runtime/src/peer/lane.rs
+++ b/crates/mustardcove-runtime/src/peer/lane.rs
@@ -72,6 +72,8 @@
     bytes: usize,
     /// The connection that may take messages from the queue.
     active_link: Option<LinkId>,
+    /// The connection that takes its place if the peer uses it.
+    next_link: Option<LinkId>,
     closing: bool,
 }
 
@@ -119,9 +121,12 @@
         Ok(())
     }
 
-    /// Makes `link` the only connection that takes messages from the queue.
-    pub(super) fn set_active_link(&self, link: Option<LinkId>) {
-        self.lock().active_link = link;
+    /// Makes `active` the only connection that takes messages from the queue. `next`
+    /// stays open beside it; nothing more is written on any other.
+    pub(super) fn set_links(&self, active: Option<LinkId>, next: Option<LinkId>) {
+        let mut state = self.lock();
+        (state.active_link, state.next_link) = (active, next);
+        drop(state);
         self.changed.notify_waiters();
     }
 
@@ -135,7 +140,8 @@
     fn next(&self, link: LinkId) -> Next {
         let mut state = self.lock();
         if state.active_link != Some(link) {
-            return Next::Finished;
+            let is_next = state.next_link == Some(link) && !state.closing;
+            return if is_next { Next::Empty } else { Next::Finished };
         }
         match state.queue.pop_front() {
             Some(message) => {
--- a/crates/mustardcove-runtime/src/peer/remote.rs
+++ b/crates/mustardcove-runtime/src/peer/remote.rs
@@ -277,7 +277,8 @@
     /// queues. Both sides prefer a connection opened by the lower process id,
     /// and then the newest one, so that they choose the same. One that the peer
     /// has opened takes the place of another only once the peer has used it or
-    /// ended the other: its opener may give it up, and none would be left.
+    /// ended the other: its opener may give it up, and none would be left. Until
+    /// then it stays open, as the peer may have ended the other already.
     fn select_link(&self, state: &mut PeerState, own: &ProcessId) {
         let preferred = if *own < self.process { OpenedBy::Local } else { OpenedBy::Remote };
         let usable = || state.links.iter().filter(|it| !it.remote_finished);
@@ -287,9 +288,10 @@
             (Some(best), Some(active)) if !best.is_confirmed => Some(active.id),
             (best, _) => best.map(|it| it.id),
         };
+        let next = best.map(|it| it.id).filter(|it| Some(*it) != selected);
         state.active = selected;
         for lane in &self.lanes {
-            lane.set_active_link(selected);
+            lane.set_links(selected, next);
         }
     }
 
