Let others claim if a new leader cannot read the state

Callers would have seen a fleet without a leader for as long as a new leader lacks the store: it sent heartbeats while it retried to read the state of earlier leaders, so nobody else claimed.

Heartbeats now end 3 s after the last answer of the store; the others then claim after their usual wait. The stand-in of the store can refuse the reading of one prefix.

stop_leader unreadable_state fails without the limit (heartbeats go on) and passes with it; the other tests of the file pass.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -105,6 +105,10 @@
 /// Most states in one message.
 const STATES_PER_MESSAGE: usize = 2_000;
 
+/// Time from the last answer of the store from which on a leader that restores its
+/// state sends no heartbeats, in milliseconds: without the store it never leads, and
+/// others may claim.
+const MAX_RESTORE_SILENCE_MS: u64 = 3_000;
 /// Ends of terms, as the log names them.
 const WHY_STOPPED: &str = "the process stops";
 const WHY_HEARD: &str = "a successor sent a heartbeat";
@@ -244,6 +248,8 @@
     /// When to send the next heartbeat while earlier state is restored; never before
     /// the members are known, since the first heartbeat counts them.
     heartbeat_at: Timestamp,
+    /// No heartbeat is sent from this time on while earlier state is restored.
+    heartbeats_end_at: Timestamp,
     /// Callers that were told to come back.
     places: Places,
     withdrawals: Withdrawals,
@@ -297,6 +303,7 @@
         is_behind: false,
         standstill: Standstill::new(boot_now()),
         heartbeat_at: Timestamp::MAX,
+        heartbeats_end_at: now.plus_ms(MAX_RESTORE_SILENCE_MS),
         places: Places::default(),
         withdrawals: Withdrawals::default(),
         explain_at: now,
--- a/crates/mustardcove-node/src/leader/recovery.rs
+++ b/crates/mustardcove-node/src/leader/recovery.rs
@@ -118,6 +118,8 @@
             match result {
                 Ok(read) => {
                     self.shared.store_answered();
+                    self.heartbeats_end_at =
+                        self.shared.now().plus_ms(super::MAX_RESTORE_SILENCE_MS);
                     return read;
                 }
                 Err(fault) => warn!(self.shared.log, "records not read"; "prefix" => prefix,
@@ -140,16 +142,24 @@
         loop {
             tokio::select! {
                 biased;
-                () = clock.sleep_until(self.heartbeat_at) => self.send_heartbeat(),
+                () = clock.sleep_until(self.heartbeat_at), if self.may_send_heartbeat() => {
+                    self.send_heartbeat();
+                }
                 result = &mut work => return result,
             }
         }
     }
 
+    /// Returns whether the store has answered lately enough that this process will
+    /// lead.
+    fn may_send_heartbeat(&self) -> bool {
+        self.heartbeat_at < self.heartbeats_end_at
+    }
+
     /// Lets the other tasks of this process run, and sends a heartbeat if one is due:
     /// restoring many records takes longer than others wait for one.
     async fn yield_to_others(&mut self) {
-        if self.heartbeat_at <= self.shared.now() {
+        if self.heartbeat_at <= self.shared.now() && self.may_send_heartbeat() {
             self.send_heartbeat();
         }
         tokio::task::yield_now().await;
--- a/crates/mustardcove-node/tests/stop_leader.rs
+++ b/crates/mustardcove-node/tests/stop_leader.rs
@@ -1,7 +1,6 @@
 //! What a leader stores when its process stops.
 
 #[path = "support/local.rs"]
-#[expect(dead_code, reason = "shared with tests that need more of it")]
 mod local;
 
 use std::{
@@ -17,7 +16,9 @@
         members::MemberList,
         message::FleetMessage,
         planner::WorkerListing,
-        record::{self, HANDOVER_KEY, LEADER_KEY, MEMBERS_KEY, PROCESS_PREFIX, ProcessRecord},
+        record::{
+            self, HANDOVER_KEY, LEADER_KEY, MEMBERS_KEY, PROCESS_PREFIX, ProcessRecord, WORK_PREFIX,
+        },
         roster::RosterSegment,
     },
     id::ProcessId,
@@ -264,3 +265,35 @@
     let end = handover.workers[0].leases_expire_by;
     assert!(end <= handover.written_at.plus_ms(LEFT_MS), "{end}, of {}", handover.written_at);
 }
+
+/// Guards against a fleet without a leader because one that cannot read the state of
+/// earlier leaders goes on sending heartbeats.
+#[tokio::test]
+async fn unreadable_state() {
+    let mut local = Local::start().await;
+    let record = ProcessRecord {
+        process: local.shared.process.clone(),
+        name: "node".to_owned(),
+        address: local.shared.peers.address().to_string(),
+        region: local.shared.settings.region.clone(),
+        domain: local.shared.settings.domain.clone(),
+        cpu_share: 1.0,
+    };
+    local.store.put(&format!("{PROCESS_PREFIX}node"), &record::encode(&record));
+    local.store.refuse_key(Some(WORK_PREFIX));
+    let (_, led) = lead(&local).await;
+    let mut heartbeats = async |time| {
+        let mut count = 0;
+        let count_all = async {
+            while local.events.recv().await.is_some() {
+                count += 1
+            }
+        };
+        let _ = tokio::time::timeout(time, count_all).await;
+        count
+    };
+    let first = heartbeats(Duration::from_secs(4)).await;
+    assert!((4..20).contains(&first), "{first} while it may still lead");
+    assert_eq!(heartbeats(Duration::from_secs(1)).await, 0, "others may claim");
+    stop(&local, led).await;
+}
