Tell the successor what the predecessor has left, read or not

Callers: the full wait for the leases of a lost worker, although the leader before the last one had stored when they end; found by the review.

A leader that was displaced before it had read that record told its successor nothing, and the record counts for its own term only.

stop_leader, displaced_leader and stopped_leaders pass; no test shows this case alone.

--- a/crates/mustardcove-node/src/leader.rs
+++ b/crates/mustardcove-node/src/leader.rs
@@ -322,6 +322,7 @@
     let _tasks = match restored {
         Ok(tasks) => tasks,
         Err(why) if why == WHY_HEARD || leader.end_reason.is_some() => {
+            leader.learn_inherited().await;
             return leader.displaced(why, inputs);
         }
         Err(why) => {
--- a/crates/mustardcove-node/src/leader/handover.rs
+++ b/crates/mustardcove-node/src/leader/handover.rs
@@ -81,6 +81,17 @@
         self.ended(outcome.unwrap_or(HandoverOutcome::NotStored), HandoverOutcome::PassedOn)
     }
 
+    /// Reads the record of the predecessor if that was not done yet, and takes over the
+    /// ends of leases in it, which also help the successor.
+    pub(super) async fn learn_inherited(&mut self) {
+        if tokio::time::timeout(RECORD_TIME, self.read_inherited()).await.is_err() {
+            return;
+        }
+        let Some(inherited) = &self.inherited else { return };
+        let known = inherited.workers().into_iter().map(KnownLeases::from).collect();
+        self.planner.learn_leases(known);
+    }
+
     /// Reads the record of the predecessor if that was not done yet.
     async fn read_inherited(&mut self) {
         while self.inherited.is_none() {
